--- /dev/null
+++ b/cmd/gentianward/main.go
@@ -0,0 +1,19 @@
+// Command gentianward is a database proxy with session consistency.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.CommandsCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&versionCmd{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
