gwsession, gwroute, gwoutcome, gwlimit: add the pure decisions of the data path

Cause: routing, session consistency, outcomes and admission have to be testable without sockets. Change: watermarks, signed tokens, freshness without clocks, choice of server by tier, separate tables for retry, failure counting and ejection, and a weighted fair queue. Conclusion: the owner and the entry instance can be written against them.

--- /dev/null
+++ b/pkg/gwlimit/queue.go
@@ -0,0 +1,260 @@
+package gwlimit
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+)
+
+// Kind classifies an Error.
+type Kind int
+
+// Kinds of errors.
+const (
+	// QueueFull means that the class has as many waiting requests as it may.
+	QueueFull Kind = iota + 1
+	// Expired means that the deadline had passed when the request arrived.
+	Expired
+	// Closed means that the queue admits no new work.
+	Closed
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op    string
+	Kind  Kind
+	Class string
+}
+
+// Error formats the operation, the class and the kind.
+func (e *Error) Error() string {
+	switch e.Kind {
+	case QueueFull:
+		return fmt.Sprintf("%s: queue of class %q is full", e.Op, e.Class)
+	case Expired:
+		return fmt.Sprintf("%s: deadline of class %q passed", e.Op, e.Class)
+	default:
+		return fmt.Sprintf("%s: no new work is admitted", e.Op)
+	}
+}
+
+// Class holds the limits of one class. Zero values of Queue and Concurrency
+// mean no bound.
+type Class struct {
+	Name        string
+	Weight      int
+	Queue       int
+	Concurrency int
+}
+
+// Item is a request that waits for a slot.
+type Item struct {
+	Class    string
+	Deadline time.Time
+	// Cost is the expected use of a slot relative to other requests; 0 counts as 1.
+	Cost float64
+	// Ref is the owner's reference to the request.
+	Ref any
+
+	start  float64
+	seq    uint64
+	gone   bool
+	queued *classState
+}
+
+type classState struct {
+	Class
+	waiting, running int
+	finish           float64
+	items            []*Item
+}
+
+// FairQueue shares a number of slots between classes by start-time fair
+// queueing: the class with the lowest virtual start time goes first.
+type FairQueue struct {
+	slots   int
+	running int
+	waiting int
+	virtual float64
+	seq     uint64
+	closed  bool
+	classes map[string]*classState
+	expiry  expiryHeap
+}
+
+// NewFairQueue returns a queue for a server with the given number of slots.
+func NewFairQueue(slots int) *FairQueue {
+	return &FairQueue{slots: slots, classes: make(map[string]*classState)}
+}
+
+// SetSlots changes the number of slots; running work is not interrupted.
+func (q *FairQueue) SetSlots(n int) { q.slots = n }
+
+// SetClass adds a class or replaces its limits.
+func (q *FairQueue) SetClass(c Class) {
+	if c.Weight <= 0 {
+		c.Weight = 1
+	}
+	if s, ok := q.classes[c.Name]; ok {
+		s.Class = c
+		return
+	}
+	q.classes[c.Name] = &classState{Class: c}
+}
+
+// Close refuses new work; waiting work is still served.
+func (q *FairQueue) Close() { q.closed = true }
+
+// Len returns the numbers of waiting and running requests.
+func (q *FairQueue) Len() (waiting, running int) { return q.waiting, q.running }
+
+func (q *FairQueue) class(name string) *classState {
+	s, ok := q.classes[name]
+	if !ok {
+		s = &classState{Class: Class{Name: name, Weight: 1}}
+		q.classes[name] = s
+	}
+	return s
+}
+
+// Push adds it to the queue. It fails when the queue of the class is full, the
+// deadline has passed or the queue is closed.
+func (q *FairQueue) Push(it *Item, now time.Time) error {
+	const op = "admit"
+	s := q.class(it.Class)
+	if q.closed {
+		return &Error{Op: op, Kind: Closed, Class: it.Class}
+	}
+	if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
+		return &Error{Op: op, Kind: Expired, Class: it.Class}
+	}
+	if s.Queue > 0 && s.waiting >= s.Queue {
+		return &Error{Op: op, Kind: QueueFull, Class: it.Class}
+	}
+	cost := it.Cost
+	if cost <= 0 {
+		cost = 1
+	}
+	it.start = max(q.virtual, s.finish)
+	s.finish = it.start + cost/float64(s.Weight)
+	q.seq++
+	it.seq = q.seq
+	it.queued = s
+	s.items = append(s.items, it)
+	s.waiting++
+	q.waiting++
+	if !it.Deadline.IsZero() {
+		heap.Push(&q.expiry, it)
+	}
+	return nil
+}
+
+// Pop takes a slot for the next request, or returns nil when no slot is free
+// or nothing may run. The caller must call Done when the request has finished.
+func (q *FairQueue) Pop(now time.Time) *Item {
+	if q.running >= q.slots {
+		return nil
+	}
+	var best *classState
+	for _, s := range q.classes {
+		s.trim()
+		if len(s.items) == 0 || (s.Concurrency > 0 && s.running >= s.Concurrency) {
+			continue
+		}
+		if best == nil || before(s.items[0], best.items[0]) {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	it := best.items[0]
+	if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
+		// Left for Expire, which tells the request's owner.
+		return nil
+	}
+	q.remove(it)
+	best.trim()
+	best.running++
+	q.running++
+	q.virtual = max(q.virtual, it.start)
+	return it
+}
+
+// Done returns the slot of a request that Pop returned.
+func (q *FairQueue) Done(it *Item) {
+	it.queued.running--
+	q.running--
+}
+
+// Remove takes a waiting request out of the queue, as when its caller has left.
+// It reports whether the request was still waiting.
+func (q *FairQueue) Remove(it *Item) bool {
+	if it.queued == nil || it.gone {
+		return false
+	}
+	q.remove(it)
+	return true
+}
+
+// Expire removes and returns the requests whose deadline has passed.
+func (q *FairQueue) Expire(now time.Time) []*Item {
+	var out []*Item
+	for len(q.expiry) > 0 && (q.expiry[0].gone || !now.Before(q.expiry[0].Deadline)) {
+		it, _ := heap.Pop(&q.expiry).(*Item)
+		if it.gone {
+			continue
+		}
+		q.remove(it)
+		out = append(out, it)
+	}
+	return out
+}
+
+// NextExpiry returns the earliest deadline of a waiting request.
+func (q *FairQueue) NextExpiry() (time.Time, bool) {
+	for len(q.expiry) > 0 && q.expiry[0].gone {
+		heap.Pop(&q.expiry)
+	}
+	if len(q.expiry) == 0 {
+		return time.Time{}, false
+	}
+	return q.expiry[0].Deadline, true
+}
+
+func (q *FairQueue) remove(it *Item) {
+	it.gone = true
+	it.queued.waiting--
+	q.waiting--
+}
+
+// trim drops items at the head that have been served, removed or expired.
+func (s *classState) trim() {
+	n := 0
+	for n < len(s.items) && s.items[n].gone {
+		s.items[n] = nil
+		n++
+	}
+	s.items = s.items[n:]
+}
+
+func before(a, b *Item) bool {
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.seq < b.seq
+}
+
+type expiryHeap []*Item
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(*Item)) }
+func (h *expiryHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/pkg/gwlimit/queue_test.go
@@ -0,0 +1,132 @@
+package gwlimit
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var testNow = time.Unix(1_800_000_000, 0)
+
+// Guards against a flood from one class taking more than its share from the others.
+func TestFairQueueShares(t *testing.T) {
+	q := NewFairQueue(1)
+	q.SetClass(Class{Name: "flood", Weight: 1})
+	q.SetClass(Class{Name: "payments", Weight: 3})
+	for range 1000 {
+		require.NoError(t, q.Push(&Item{Class: "flood"}, testNow))
+	}
+	for range 300 {
+		require.NoError(t, q.Push(&Item{Class: "payments"}, testNow))
+	}
+	served := map[string]int{}
+	for range 400 {
+		it := q.Pop(testNow)
+		served[it.Class]++
+		q.Done(it)
+	}
+	assert.InDelta(t, 300, served["payments"], 2)
+	assert.InDelta(t, 100, served["flood"], 2)
+}
+
+// Guards against an idle class saving up credit and then starving the others.
+func TestFairQueueGivesNoCreditForIdleTime(t *testing.T) {
+	q := NewFairQueue(1)
+	for range 100 {
+		require.NoError(t, q.Push(&Item{Class: "busy"}, testNow))
+		q.Done(q.Pop(testNow))
+	}
+	for range 10 {
+		require.NoError(t, q.Push(&Item{Class: "busy"}, testNow))
+		require.NoError(t, q.Push(&Item{Class: "idle"}, testNow))
+	}
+	served := map[string]int{}
+	for range 10 {
+		it := q.Pop(testNow)
+		served[it.Class]++
+		q.Done(it)
+	}
+	assert.InDelta(t, 5, served["idle"], 1)
+}
+
+// Guards against unbounded queues, unbounded concurrency and work run after its deadline.
+func TestFairQueueBounds(t *testing.T) {
+	q := NewFairQueue(4)
+	q.SetClass(Class{Name: "c", Queue: 3, Concurrency: 2})
+	late := &Item{Class: "c", Deadline: testNow}
+	assertKind(t, Expired, q.Push(late, testNow))
+
+	for range 2 {
+		require.NoError(t, q.Push(&Item{Class: "c"}, testNow))
+		require.NotNil(t, q.Pop(testNow))
+	}
+	soon := &Item{Class: "c", Deadline: testNow.Add(time.Second)}
+	require.NoError(t, q.Push(soon, testNow))
+	for range 2 {
+		require.NoError(t, q.Push(&Item{Class: "c"}, testNow))
+	}
+	assertKind(t, QueueFull, q.Push(&Item{Class: "c"}, testNow))
+	assert.Nil(t, q.Pop(testNow), "the class is at its concurrency")
+
+	assert.Equal(t, []*Item{soon}, q.Expire(testNow.Add(time.Second)))
+	q.Close()
+	assertKind(t, Closed, q.Push(&Item{Class: "c"}, testNow))
+}
+
+func assertKind(t *testing.T, want Kind, err error) {
+	t.Helper()
+	var e *Error
+	require.True(t, errors.As(err, &e), "got %v", err)
+	assert.Equal(t, want, e.Kind)
+}
+
+// Guards against slots that leak or are given out twice under any order of events.
+func TestFairQueueNeverExceedsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		q := NewFairQueue(slots)
+		var running, waiting []*Item
+		pushed, finished := 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				it := &Item{Class: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "class")}
+				if q.Push(it, testNow) == nil {
+					waiting = append(waiting, it)
+					pushed++
+				}
+			case 2:
+				if it := q.Pop(testNow); it != nil {
+					running = append(running, it)
+				}
+			case 3:
+				if len(running) > 0 {
+					q.Done(running[0])
+					running = running[1:]
+					finished++
+				}
+			case 4:
+				if len(waiting) > 0 && q.Remove(waiting[len(waiting)-1]) {
+					finished++
+				}
+			}
+			w, r := q.Len()
+			if r > slots || r != len(running) || w+r+finished != pushed {
+				t.Fatalf("got %d waiting, %d running; want %d running of %d, %d pushed, %d finished", w, r, len(running), slots, pushed, finished)
+			}
+		}
+	})
+}
+
+func BenchmarkFairQueue(b *testing.B) {
+	q := NewFairQueue(2)
+	for b.Loop() {
+		_ = q.Push(&Item{Class: "a", Deadline: testNow.Add(time.Second)}, testNow)
+		q.Done(q.Pop(testNow))
+		q.Expire(testNow)
+	}
+}
--- /dev/null
+++ b/pkg/gwoutcome/outcome.go
@@ -0,0 +1,145 @@
+package gwoutcome
+
+import (
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// Outcome is what became of a request: NotRun, Done or Unknown.
+type Outcome interface{ outcome() }
+
+// NotRun means that the request certainly did not run.
+type NotRun struct{ Reason string }
+
+// Done means that the request ran and is durable as its class requires.
+type Done struct{ Position gwsession.Position }
+
+// Unknown means that the request may have run.
+type Unknown struct{ Reason string }
+
+func (NotRun) outcome()  {}
+func (Done) outcome()    {}
+func (Unknown) outcome() {}
+
+// SQLSTATEs that are reported to callers.
+const (
+	// StateNotRun reports a request that did not run and may be sent again.
+	StateNotRun = "57P03"
+	// StateConnectionUnknown reports a request whose answer was lost.
+	StateConnectionUnknown = "08007"
+	// StateCompletionUnknown reports a write that ran but was not confirmed.
+	StateCompletionUnknown = "40003"
+)
+
+// Event is how one attempt at a backend server ended.
+type Event int
+
+// Ways in which an attempt ends.
+const (
+	// Answered means that the server answered completely, with or without an SQL error.
+	Answered Event = iota + 1
+	// DialFailed means that no connection could be opened.
+	DialFailed
+	// QueueFull means that the owner refused the request at admission.
+	QueueFull
+	// Expired means that the deadline passed before the request took a slot.
+	Expired
+	// PeerUnreachable means that the request never reached the owner.
+	PeerUnreachable
+	// NotOwner means that the instance asked does not own the server.
+	NotOwner
+	// TooStale means that the replica cannot serve the required position or staleness.
+	TooStale
+	// ServerReadOnly means that the server refused a write because it is a replica.
+	ServerReadOnly
+	// ServerRefused means that the server refused before running, as when it has no connections left.
+	ServerRefused
+	// BrokenBeforeSend means that the connection broke before any byte was sent.
+	BrokenBeforeSend
+	// BrokenAfterSend means that the connection broke with the answer outstanding.
+	BrokenAfterSend
+	// PeerBroken means that the link to the owner broke with the answer outstanding.
+	PeerBroken
+	// TimedOut means that the answer did not arrive within the deadline.
+	TimedOut
+	// NoLease means that the write was refused because the owner holds no lease.
+	NoLease
+	// LeaseLost means that the write ran and the lease ended before the acknowledgement.
+	LeaseLost
+	// Unconfirmed means that the write ran and no replica confirmed it in time.
+	Unconfirmed
+)
+
+// String returns the name of the event as used in logs and metrics.
+func (e Event) String() string {
+	if int(e) > 0 && int(e) < len(decisions) {
+		return decisions[e].name
+	}
+	return "unknown event"
+}
+
+// Ran tells whether the statement ran at the backend server.
+type ran int
+
+const (
+	ranNo ran = iota + 1
+	ranYes
+	ranMaybe
+)
+
+// decision is one row of the table of cases: what an event says about the
+// request, about the health of the server, and about routing. The columns are
+// set independently of each other.
+type decision struct {
+	name string
+	ran  ran
+	// failure counts against the server's health.
+	failure bool
+	// eject removes the server from routing at once.
+	eject bool
+	// elsewhere allows a retry at another server, refresh at the group's current primary or owner.
+	elsewhere, refresh bool
+}
+
+var decisions = [...]decision{
+	Answered:         {name: "answered", ran: ranYes},
+	DialFailed:       {name: "dialFailed", ran: ranNo, failure: true, eject: true, elsewhere: true, refresh: true},
+	QueueFull:        {name: "queueFull", ran: ranNo, elsewhere: true},
+	Expired:          {name: "expired", ran: ranNo},
+	PeerUnreachable:  {name: "peerUnreachable", ran: ranNo, elsewhere: true, refresh: true},
+	NotOwner:         {name: "notOwner", ran: ranNo, elsewhere: true, refresh: true},
+	TooStale:         {name: "tooStale", ran: ranNo, elsewhere: true},
+	ServerReadOnly:   {name: "serverReadOnly", ran: ranNo, refresh: true},
+	ServerRefused:    {name: "serverRefused", ran: ranNo, failure: true, elsewhere: true, refresh: true},
+	BrokenBeforeSend: {name: "brokenBeforeSend", ran: ranNo, failure: true, elsewhere: true, refresh: true},
+	BrokenAfterSend:  {name: "brokenAfterSend", ran: ranMaybe, failure: true, elsewhere: true},
+	PeerBroken:       {name: "peerBroken", ran: ranMaybe, elsewhere: true},
+	TimedOut:         {name: "timedOut", ran: ranMaybe, failure: true},
+	NoLease:          {name: "noLease", ran: ranNo, refresh: true},
+	LeaseLost:        {name: "leaseLost", ran: ranMaybe},
+	Unconfirmed:      {name: "unconfirmed", ran: ranMaybe},
+}
+
+// Of returns the outcome of a request whose only attempt ended with e; p is the
+// position that an answered write reached.
+func Of(e Event, p gwsession.Position) Outcome {
+	switch decisions[e].ran {
+	case ranNo:
+		return NotRun{Reason: e.String()}
+	case ranYes:
+		return Done{Position: p}
+	default:
+		return Unknown{Reason: e.String()}
+	}
+}
+
+// State returns the SQLSTATE that tells a caller about e.
+func State(e Event) string {
+	switch {
+	case decisions[e].ran == ranNo:
+		return StateNotRun
+	case e == LeaseLost || e == Unconfirmed:
+		return StateCompletionUnknown
+	default:
+		return StateConnectionUnknown
+	}
+}
--- /dev/null
+++ b/pkg/gwoutcome/outcome_test.go
@@ -0,0 +1,136 @@
+package gwoutcome
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+var testNow = time.Unix(1_800_000_000, 0)
+
+// Guards against an event that may have run being reported as not run, and the
+// other way round, and against decisions that depend on each other.
+func TestDecisions(t *testing.T) {
+	write := Request{Remaining: time.Second, Attempts: 1}
+	read := Request{Read: true, Repeatable: true, Remaining: time.Second, Attempts: 1}
+	tests := []struct {
+		event       Event
+		wantOutcome Outcome
+		wantState   string
+		wantWrite   Retry
+		wantRead    Retry
+		wantFailure bool
+	}{
+		{Answered, Done{}, StateConnectionUnknown, Stop, Stop, false},
+		{DialFailed, NotRun{"dialFailed"}, StateNotRun, Refresh, Elsewhere, true},
+		{QueueFull, NotRun{"queueFull"}, StateNotRun, Stop, Elsewhere, false},
+		{Expired, NotRun{"expired"}, StateNotRun, Stop, Stop, false},
+		{PeerUnreachable, NotRun{"peerUnreachable"}, StateNotRun, Refresh, Elsewhere, false},
+		{NotOwner, NotRun{"notOwner"}, StateNotRun, Refresh, Elsewhere, false},
+		{TooStale, NotRun{"tooStale"}, StateNotRun, Stop, Elsewhere, false},
+		{ServerReadOnly, NotRun{"serverReadOnly"}, StateNotRun, Refresh, Stop, false},
+		{ServerRefused, NotRun{"serverRefused"}, StateNotRun, Refresh, Elsewhere, true},
+		{BrokenBeforeSend, NotRun{"brokenBeforeSend"}, StateNotRun, Refresh, Elsewhere, true},
+		{BrokenAfterSend, Unknown{"brokenAfterSend"}, StateConnectionUnknown, Stop, Elsewhere, true},
+		{PeerBroken, Unknown{"peerBroken"}, StateConnectionUnknown, Stop, Elsewhere, false},
+		{TimedOut, Unknown{"timedOut"}, StateConnectionUnknown, Stop, Stop, true},
+		{NoLease, NotRun{"noLease"}, StateNotRun, Refresh, Stop, false},
+		{LeaseLost, Unknown{"leaseLost"}, StateCompletionUnknown, Stop, Stop, false},
+		{Unconfirmed, Unknown{"unconfirmed"}, StateCompletionUnknown, Stop, Stop, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.event.String(), func(t *testing.T) {
+			assert.Equal(t, tt.wantOutcome, Of(tt.event, gwsession.Position{}))
+			assert.Equal(t, tt.wantState, State(tt.event))
+			assert.Equal(t, tt.wantWrite, ShouldRetry(tt.event, write), "write")
+			assert.Equal(t, tt.wantRead, ShouldRetry(tt.event, read), "read")
+			assert.Equal(t, tt.wantFailure, CountsAsFailure(tt.event))
+		})
+	}
+}
+
+// Guards against a write being sent twice when its first attempt may have run.
+func TestWriteThatMayHaveRunIsNeverRetried(t *testing.T) {
+	for e := Answered; int(e) < len(decisions); e++ {
+		if decisions[e].ran == ranNo {
+			continue
+		}
+		got := ShouldRetry(e, Request{Remaining: time.Second, Repeatable: true})
+		assert.Equal(t, Stop, got, "event %s", e)
+	}
+}
+
+// Guards against a second answer after part of the first has reached the caller.
+func TestRelayedAnswerIsNeverRetried(t *testing.T) {
+	got := ShouldRetry(PeerBroken, Request{Read: true, Repeatable: true, Relayed: true, Remaining: time.Second})
+	assert.Equal(t, Stop, got)
+}
+
+// Guards against ejecting a server for load, and against never readmitting it.
+func TestHealth(t *testing.T) {
+	var h Health
+	for range 3 * FailuresToEject {
+		assert.False(t, h.Observe(QueueFull, testNow))
+	}
+	for range FailuresToEject - 1 {
+		assert.False(t, h.Observe(BrokenAfterSend, testNow))
+	}
+	assert.True(t, h.Observe(BrokenAfterSend, testNow))
+	assert.True(t, h.Ejected(testNow))
+	assert.False(t, h.Ejected(testNow.Add(maxEjection)))
+	h.Observe(Answered, testNow)
+	assert.False(t, h.Ejected(testNow))
+}
+
+// Guards against retries that multiply the load while every attempt fails.
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := NewBudget(0.1, 10)
+	retries := 0
+	for range 1000 {
+		b.Request()
+		if b.Take() {
+			retries++
+		}
+	}
+	assert.LessOrEqual(t, retries, 110)
+	assert.GreaterOrEqual(t, retries, 99)
+}
+
+// Guards against running a request twice because its key was looked up too early.
+func TestResolve(t *testing.T) {
+	tests := []struct {
+		name   string
+		lookup KeyLookup
+		want   Outcome
+	}{
+		{"found", KeyLookup{Found: true, Term: 3, LeaseHeld: true}, Done{}},
+		{"absent under the same term", KeyLookup{Term: 3, LeaseHeld: true}, Unknown{"the first attempt may still be running"}},
+		{"absent under a later term", KeyLookup{Term: 4, LeaseHeld: true}, NotRun{"the key is absent under a later term"}},
+		{"no lease", KeyLookup{Found: true, Term: 4}, Unknown{"the primary's lease was not held"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, tt.want, Resolve(3, tt.lookup)) })
+	}
+}
+
+// Guards against keys that could break out of the statement that records them.
+func TestKeyOf(t *testing.T) {
+	tests := []struct {
+		sql, want string
+		ok        bool
+	}{
+		{"/* requestKey=visit-17 */ insert into visit values (1)", "visit-17", true},
+		{"insert into visit values (1)", "", false},
+		{"/* requestKey=a'b */ select 1", "", false},
+		{"/* requestKey= */ select 1", "", false},
+		{"/* requestKey=x", "", false},
+	}
+	for _, tt := range tests {
+		got, ok := KeyOf(tt.sql)
+		assert.Equal(t, tt.ok, ok, "sql %q", tt.sql)
+		assert.Equal(t, tt.want, got, "sql %q", tt.sql)
+	}
+}
--- /dev/null
+++ b/pkg/gwroute/route_test.go
@@ -0,0 +1,92 @@
+package gwroute
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+var testNow = time.Unix(1_800_000_000, 0)
+
+func at(offset uint64) gwsession.Position { return gwsession.Position{Term: 1, Offset: offset} }
+
+func server(name string, d Distance, offset uint64) Server {
+	return Server{Name: name, Distance: d, Position: at(offset), ReportedAt: testNow, FreshAsOf: testNow.Add(-100 * time.Millisecond), Lag: 5 * time.Millisecond}
+}
+
+func primary(s Server) Server  { s.Primary = true; return s }
+func unusable(s Server) Server { s.Unusable = true; return s }
+
+// Guards against reads that miss the session's writes or exceed the class's
+// staleness, and against paying for the link between regions needlessly.
+func TestChoose(t *testing.T) {
+	servers := []Server{
+		server("near", SameDataCentre, 10),
+		primary(server("primary", SameRegion, 20)),
+		server("far", OtherRegion, 20),
+	}
+	old := server("near", SameDataCentre, 10)
+	old.FreshAsOf = testNow.Add(-10 * time.Second)
+	unknown := server("near", SameDataCentre, 10)
+	unknown.FreshAsOf = time.Time{}
+
+	tests := []struct {
+		name    string
+		need    Need
+		servers []Server
+		want    string
+	}{
+		{name: "write goes to the primary", need: Need{Write: true}, servers: servers, want: "primary"},
+		{name: "nearest replica", need: Need{}, servers: servers, want: "near"},
+		{name: "replica behind the session", need: Need{Position: at(15), RequiredAt: testNow}, servers: servers, want: "primary"},
+		{name: "replica that will catch up", need: Need{Position: at(15), RequiredAt: testNow, WaitBudget: 20 * time.Millisecond}, servers: servers, want: "near"},
+		{name: "replica too stale", need: Need{Staleness: time.Second}, servers: []Server{old, servers[1]}, want: "primary"},
+		{name: "replica of unknown staleness", need: Need{Staleness: time.Second}, servers: []Server{unknown, servers[1]}, want: "primary"},
+		{name: "other region is the last resort", need: Need{}, servers: servers[2:], want: "far"},
+		{name: "refused server is not asked again", need: Need{Excluded: map[string]bool{"near": true}}, servers: servers, want: "primary"},
+		{name: "unusable replica", need: Need{}, servers: []Server{unusable(servers[0]), servers[1]}, want: "primary"},
+		{name: "no primary for a write", need: Need{Write: true}, servers: []Server{servers[0]}, want: ReasonNoPrimary},
+		{name: "nothing fresh", need: Need{Staleness: time.Second}, servers: []Server{old}, want: ReasonNoServer},
+		{name: "primary only", need: Need{Policy: PrimaryOnly}, servers: servers, want: "primary"},
+		{name: "round robin", need: Need{Policy: RoundRobin, Turn: 1}, servers: servers, want: "far"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := Choose(tt.need, tt.servers, testNow, rand.New(rand.NewPCG(1, 1)))
+			switch c := got.(type) {
+			case Serve:
+				assert.Equal(t, tt.want, c.Server.Name)
+			case Reject:
+				assert.Equal(t, tt.want, c.Reason)
+			}
+		})
+	}
+}
+
+// Guards against all requests going to one of several equal replicas.
+func TestChooseSpreadsLoad(t *testing.T) {
+	servers := []Server{server("a", SameDataCentre, 1), server("b", SameDataCentre, 1), server("c", SameDataCentre, 1)}
+	servers[2].Load = 50
+	rng := rand.New(rand.NewPCG(1, 2))
+	counts := map[string]int{}
+	for range 3000 {
+		if c, ok := Choose(Need{}, servers, testNow, rng).(Serve); ok {
+			counts[c.Server.Name]++
+		}
+	}
+	assert.Greater(t, counts["a"], 1000)
+	assert.Greater(t, counts["b"], 1000)
+	assert.Zero(t, counts["c"], "the loaded server loses each comparison")
+}
+
+func BenchmarkChoose(b *testing.B) {
+	servers := []Server{server("a", SameDataCentre, 1), server("b", SameRegion, 1), primary(server("c", OtherRegion, 1))}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for b.Loop() {
+		Choose(Need{Staleness: time.Second}, servers, testNow, rng)
+	}
+}
--- /dev/null
+++ b/pkg/gwsession/token.go
@@ -0,0 +1,94 @@
+package gwsession
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Bounds of a token.
+const (
+	// MaxTokenBytes is the greatest length of an encoded token.
+	MaxTokenBytes = 8 << 10
+	tokenVersion  = 1
+)
+
+type tokenBody struct {
+	Version   uint64              `cbor:"1,keyasint"`
+	Caller    string              `cbor:"2,keyasint"`
+	Issued    int64               `cbor:"3,keyasint"`
+	Positions map[string]Position `cbor:"4,keyasint"`
+}
+
+// Signer issues and verifies session tokens.
+//
+// The first key signs; every key verifies, so that keys can be replaced
+// without invalidating tokens in use.
+type Signer struct {
+	keys     [][]byte
+	lifetime time.Duration
+}
+
+// NewSigner returns a signer whose tokens are valid for lifetime.
+func NewSigner(lifetime time.Duration, keys ...[]byte) *Signer {
+	return &Signer{keys: keys, lifetime: lifetime}
+}
+
+// Issue returns a token that carries w for caller.
+func (s *Signer) Issue(caller string, w Watermark, now time.Time) (string, error) {
+	body := tokenBody{Version: tokenVersion, Caller: caller, Issued: now.Unix(), Positions: w.positions}
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return "", &Error{Op: "issue token", Kind: Malformed, Err: err}
+	}
+	signed := append(sign(s.keys[0], raw), raw...)
+	return base64.RawURLEncoding.EncodeToString(signed), nil
+}
+
+// Verify returns the watermark of a token that was issued to caller.
+func (s *Signer) Verify(caller, token string, now time.Time) (Watermark, error) {
+	const op = "verify token"
+	if len(token) > MaxTokenBytes {
+		return Watermark{}, &Error{Op: op, Kind: Malformed}
+	}
+	signed, err := base64.RawURLEncoding.DecodeString(token)
+	if err != nil {
+		return Watermark{}, &Error{Op: op, Kind: Malformed, Err: err}
+	}
+	if len(signed) < sha256.Size {
+		return Watermark{}, &Error{Op: op, Kind: Malformed}
+	}
+	mac, raw := signed[:sha256.Size], signed[sha256.Size:]
+	if !s.signedByAny(mac, raw) {
+		return Watermark{}, &Error{Op: op, Kind: Forged}
+	}
+	var body tokenBody
+	if err := cbor.Unmarshal(raw, &body); err != nil || body.Version != tokenVersion {
+		return Watermark{}, &Error{Op: op, Kind: Malformed, Err: err}
+	}
+	if body.Caller != caller {
+		return Watermark{}, &Error{Op: op, Kind: WrongCaller}
+	}
+	if now.Sub(time.Unix(body.Issued, 0)) > s.lifetime {
+		return Watermark{}, &Error{Op: op, Kind: Expired}
+	}
+	return Watermark{positions: body.Positions}, nil
+}
+
+func (s *Signer) signedByAny(mac, raw []byte) bool {
+	for _, key := range s.keys {
+		if hmac.Equal(mac, sign(key, raw)) {
+			return true
+		}
+	}
+	return false
+}
+
+func sign(key, raw []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(raw)
+	return h.Sum(nil)
+}
--- /dev/null
+++ b/pkg/gwsession/watermark.go
@@ -0,0 +1,85 @@
+package gwsession
+
+import "maps"
+
+// Watermark is the position that each group must have reached before a session
+// may read from it. The zero value requires nothing.
+type Watermark struct {
+	positions map[string]Position
+}
+
+// Position returns the position required of group and whether there is one.
+func (w Watermark) Position(group string) (Position, bool) {
+	p, ok := w.positions[group]
+	return p, ok
+}
+
+// Len returns the number of groups with a required position.
+func (w Watermark) Len() int { return len(w.positions) }
+
+// With returns a watermark that also requires p of group; a lower position
+// than the present one changes nothing.
+func (w Watermark) With(group string, p Position) Watermark {
+	if old, ok := w.positions[group]; ok && old.AtLeast(p) {
+		return w
+	}
+	next := make(map[string]Position, len(w.positions)+1)
+	maps.Copy(next, w.positions)
+	next[group] = p
+	return Watermark{positions: next}
+}
+
+// Merge returns a watermark that requires what w and v require.
+func (w Watermark) Merge(v Watermark) Watermark {
+	for group, p := range v.positions {
+		w = w.With(group, p)
+	}
+	return w
+}
+
+// Session is the consistency state of one caller connection.
+type Session struct {
+	watermark Watermark
+	barriers  map[string]bool
+}
+
+// Watermark returns the positions that reads of this session require.
+func (s Session) Watermark() Watermark { return s.watermark }
+
+// WithWrite returns the session after an acknowledged write to group at p.
+func (s Session) WithWrite(group string, p Position) Session {
+	s.watermark = s.watermark.With(group, p)
+	return s
+}
+
+// WithToken returns the session after the caller presented a verified token.
+//
+// A token names every group that the session has written to, so that no group
+// needs a barrier any more.
+func (s Session) WithToken(w Watermark) Session {
+	s.watermark = s.watermark.Merge(w)
+	s.barriers = map[string]bool{allGroups: true}
+	return s
+}
+
+// WithBarrier returns the session after the primary's owner answered p for group.
+func (s Session) WithBarrier(group string, p Position) Session {
+	s.watermark = s.watermark.With(group, p)
+	next := maps.Clone(s.barriers)
+	if next == nil {
+		next = make(map[string]bool, 1)
+	}
+	next[group] = true
+	s.barriers = next
+	return s
+}
+
+// allGroups is the barrier entry of a session that presented a token.
+const allGroups = ""
+
+// NeedsBarrier reports whether a read of group must first ask the primary's
+// owner for its position, because writes of this caller through another
+// instance may be unknown here.
+func (s Session) NeedsBarrier(group string) bool {
+	return !s.barriers[group] && !s.barriers[allGroups]
+}
