--- /dev/null
+++ b/internal/gwbackend/conn.go
@@ -0,0 +1,238 @@
+package gwbackend
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+const (
+	readBufferBytes   = 16 << 10
+	maxInspectedBytes = 1 << 20 // bound of a message that is read as a whole, such as an error
+	maxDrainedBytes   = 1 << 20 // answer bytes read after the sink failed; above that a new connection is cheaper
+
+	defaultStatements    = 256
+	defaultCancelGrace   = 250 * time.Millisecond
+	defaultWriteTimeout  = 30 * time.Second
+	positionParameter    = "gentianward.position"
+	cancelRequestTimeout = time.Second
+)
+
+// Options describes how to connect to a backend server.
+type Options struct {
+	Name       string // name in errors; the address if empty
+	Address    string // host:port
+	User       string
+	Password   string
+	Database   string
+	TLS        *tls.Config // nil: cleartext
+	Parameters map[string]string
+
+	Statements  int           // bound of prepared statements per connection; 0: 256
+	CancelGrace time.Duration // wait for the answer after a cancel request; 0: 250 ms
+	// DialContext opens the network connection; nil: a net.Dialer.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnPosition receives each position that the server reports, nil to ignore
+	// them. It runs on the connection's reader and must not block.
+	OnPosition func(gwsession.Position)
+}
+
+// Conn is one PostgreSQL connection. A goroutine reads it all the time, so
+// that a closed connection and unsolicited positions are noticed while it is
+// idle.
+type Conn struct {
+	o      Options
+	nc     net.Conn
+	pid    uint32
+	secret []byte
+	params map[string]string
+
+	mu      sync.Mutex
+	cur     *exchange // exchange whose answer is outstanding
+	err     error     // why the connection ended
+	onClose func()
+
+	unusable   atomic.Bool
+	finished   chan struct{} // signals the end of the current exchange
+	readerDone chan struct{}
+
+	x          exchange // reused by each exchange
+	statements statementCache
+	wbuf       []byte
+	tx         byte
+	stateful   bool // session state, such as a setting, may differ from a new connection's
+
+	// Used by the reader goroutine only.
+	rbuf   []byte
+	r, w   int
+	remain int // bytes of a passed message that are not in rbuf yet
+}
+
+// Dial connects and authenticates.
+func Dial(ctx context.Context, o Options) (*Conn, error) {
+	if o.Name == "" {
+		o.Name = o.Address
+	}
+	cfg, err := connConfig(o)
+	if err != nil {
+		return nil, &Error{Op: "dial", Kind: KindNotSent, Server: o.Name, Err: err}
+	}
+	pc, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, &Error{Op: "dial", Kind: KindNotSent, Server: o.Name, Err: err}
+	}
+	h, err := pc.Hijack()
+	if err != nil {
+		return nil, &Error{Op: "dial", Kind: KindNotSent, Server: o.Name, Err: err}
+	}
+	return newConn(o, h), nil
+}
+
+func newConn(o Options, h *pgconn.HijackedConn) *Conn {
+	if o.Statements <= 0 {
+		o.Statements = defaultStatements
+	}
+	if o.CancelGrace <= 0 {
+		o.CancelGrace = defaultCancelGrace
+	}
+	_ = h.Conn.SetDeadline(time.Time{})
+	c := &Conn{
+		o: o, nc: h.Conn, pid: h.PID, secret: h.SecretKey, params: h.ParameterStatuses,
+		finished: make(chan struct{}, 1), readerDone: make(chan struct{}),
+		tx: 'I', rbuf: make([]byte, readBufferBytes),
+	}
+	c.statements.limit = o.Statements
+	if p, err := gwsession.ParsePosition(c.params[positionParameter]); err == nil && o.OnPosition != nil {
+		o.OnPosition(p)
+	}
+	go c.readLoop()
+	return c
+}
+
+func connConfig(o Options) (*pgconn.Config, error) {
+	cfg, err := pgconn.ParseConfig("sslmode=disable host=127.0.0.1 port=5432 user=gentianward database=postgres")
+	if err != nil {
+		return nil, err
+	}
+	host, port, err := net.SplitHostPort(o.Address)
+	if err != nil {
+		return nil, err
+	}
+	p, err := net.LookupPort("tcp", port)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Host, cfg.Port = host, uint16(p)
+	cfg.User, cfg.Password, cfg.Database = o.User, o.Password, o.Database
+	cfg.TLSConfig, cfg.Fallbacks = o.TLS, nil
+	cfg.RuntimeParams = map[string]string{}
+	for k, v := range o.Parameters {
+		cfg.RuntimeParams[k] = v
+	}
+	if o.DialContext != nil {
+		cfg.DialFunc = o.DialContext
+		cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	}
+	// The default reader may hold messages that follow ReadyForQuery; they
+	// would be lost when the connection is taken over.
+	cfg.BuildFrontend = func(r io.Reader, w io.Writer) *pgproto3.Frontend {
+		return pgproto3.NewFrontend(&frameReader{r: r}, w)
+	}
+	return cfg, nil
+}
+
+// Usable reports whether another exchange can run on the connection.
+func (c *Conn) Usable() bool { return !c.unusable.Load() }
+
+// TxStatus returns the transaction status of the last ReadyForQuery.
+func (c *Conn) TxStatus() byte { return c.tx }
+
+// Parameter returns a ParameterStatus value of the connection's start.
+func (c *Conn) Parameter(name string) string { return c.params[name] }
+
+// Err returns why the connection ended, nil while it is open.
+func (c *Conn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// Close ends the connection and waits for its reader.
+func (c *Conn) Close() error {
+	if !c.unusable.Swap(true) {
+		_ = c.nc.SetWriteDeadline(time.Now().Add(cancelRequestTimeout))
+		_, _ = c.nc.Write([]byte{'X', 0, 0, 0, 4})
+	}
+	err := c.nc.Close()
+	<-c.readerDone
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// notifyClose calls fn once, when the connection ends.
+func (c *Conn) notifyClose(fn func()) {
+	c.mu.Lock()
+	ended := c.err != nil
+	if !ended {
+		c.onClose = fn
+	}
+	c.mu.Unlock()
+	if ended {
+		fn()
+	}
+}
+
+// fail marks the connection as ended and ends the current exchange.
+func (c *Conn) fail(err error) {
+	c.unusable.Store(true)
+	_ = c.nc.Close()
+	c.mu.Lock()
+	c.err = err
+	x, fn := c.cur, c.onClose
+	c.cur, c.onClose = nil, nil
+	c.mu.Unlock()
+	if x != nil {
+		x.err = err
+		c.finished <- struct{}{}
+	}
+	if fn != nil {
+		fn()
+	}
+}
+
+// cancelServer asks the server to cancel the running statement.
+func (c *Conn) cancelServer() {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelRequestTimeout)
+	defer cancel()
+	dial := c.o.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	nc, err := dial(ctx, "tcp", c.o.Address)
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	b, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}).Encode(nil)
+	if err != nil {
+		return
+	}
+	_ = nc.SetDeadline(time.Now().Add(cancelRequestTimeout))
+	if _, err := nc.Write(b); err != nil {
+		return
+	}
+	// The server closes the connection once it has handled the request.
+	_, _ = nc.Read(make([]byte, 1))
+}
--- /dev/null
+++ b/internal/gwbackend/prepare.go
@@ -0,0 +1,260 @@
+package gwbackend
+
+import (
+	"bytes"
+	"container/list"
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// parseOp describes a Parse that was sent.
+type parseOp struct {
+	statement Statement // registered when ParseComplete arrives; zero if it has no global name
+	hidden    bool      // the caller does not expect the ParseComplete
+}
+
+// closeOp says what becomes of the CloseComplete of a Close that was sent.
+type closeOp uint8
+
+const (
+	closePass    closeOp = iota // the caller sent the Close
+	closeHide                   // the connection added the Close
+	closeAsParse                // the Close stands in for a Parse that the connection did not need
+)
+
+// statementCache holds the prepared statements of a connection, least recently
+// used last. Statements that fell out are closed with the next batch.
+type statementCache struct {
+	limit   int
+	order   list.List // of Statement
+	byName  map[string]*list.Element
+	evicted []string
+}
+
+// has reports whether the connection has exactly this statement.
+func (s *statementCache) has(st Statement) bool {
+	e, ok := s.byName[st.Name]
+	if !ok || !e.Value.(*Statement).Equal(st) {
+		return false
+	}
+	s.order.MoveToFront(e)
+	return true
+}
+
+func (s *statementCache) add(st Statement) {
+	if s.byName == nil {
+		s.byName = make(map[string]*list.Element)
+	}
+	if e, ok := s.byName[st.Name]; ok {
+		s.order.Remove(e)
+	}
+	s.byName[st.Name] = s.order.PushFront(&st)
+	for s.order.Len() > s.limit {
+		s.evict(s.order.Back())
+	}
+}
+
+func (s *statementCache) evict(e *list.Element) {
+	name := e.Value.(*Statement).Name
+	s.order.Remove(e)
+	delete(s.byName, name)
+	s.evicted = append(s.evicted, name)
+}
+
+func (s *statementCache) clear() {
+	s.order.Init()
+	clear(s.byName)
+	s.evicted = s.evicted[:0]
+}
+
+// SQLSTATEs after which the statements of a connection are prepared again.
+const (
+	codeUndefinedStatement = "26000"
+	codeDuplicateStatement = "42P05"
+	codeFeatureUnsupported = "0A000" // also "cached plan must not change result type"
+)
+
+// noteError drops statements that the server's error shows to be out of step.
+func (s *statementCache) noteError(e *pgconn.PgError, x *exchange) {
+	switch e.Code {
+	case codeUndefinedStatement, codeDuplicateStatement:
+	case codeFeatureUnsupported:
+		if !strings.Contains(e.Message, "cached plan") {
+			return
+		}
+	default:
+		return
+	}
+	if x.simple {
+		return
+	}
+	for s.order.Len() > 0 {
+		s.evict(s.order.Back())
+	}
+}
+
+// prepare checks the request and returns the bytes to send: req.Messages
+// itself if nothing has to be added or replaced.
+func (c *Conn) prepare(x *exchange, req Request) ([]byte, error) {
+	hasParse, err := c.scan(x, req.Messages)
+	if err != nil || x.simple {
+		return req.Messages, err
+	}
+	missing := false
+	for i := range req.Prepared {
+		if !c.statements.has(req.Prepared[i]) {
+			missing = true
+		}
+	}
+	if !hasParse && !missing && len(c.statements.evicted) == 0 {
+		return req.Messages, nil
+	}
+	b := c.wbuf[:0]
+	for _, name := range c.statements.evicted {
+		b = appendClose(b, name)
+		x.closes = append(x.closes, closeHide)
+	}
+	c.statements.evicted = c.statements.evicted[:0]
+	for _, st := range req.Prepared {
+		if !c.statements.has(st) {
+			b = c.appendParse(b, x, st, true)
+		}
+	}
+	b = c.rewrite(b, x, req.Messages)
+	if cap(b) <= readBufferBytes {
+		c.wbuf = b
+	}
+	return b, nil
+}
+
+// scan checks that messages end in one Query or Sync, and records the Parse
+// and Close messages for the case that they are sent unchanged.
+func (c *Conn) scan(x *exchange, messages []byte) (hasParse bool, err error) {
+	for rest := messages; ; {
+		if len(rest) < headerBytes {
+			return false, ErrBadRequest
+		}
+		n := frameSize(rest)
+		if n < headerBytes || n > len(rest) {
+			return false, ErrBadRequest
+		}
+		switch rest[0] {
+		case 'Q', 'S':
+			if n != len(rest) || rest[0] == 'Q' && len(rest) != len(messages) {
+				return false, ErrBadRequest
+			}
+			x.simple = rest[0] == 'Q'
+			return hasParse, nil
+		case 'P':
+			hasParse = true
+		case 'C':
+			if !hasParse {
+				x.closes = append(x.closes, closePass)
+			}
+		case 'B', 'D', 'E':
+		default:
+			return false, ErrBadRequest
+		}
+		rest = rest[n:]
+	}
+}
+
+// rewrite appends messages to b with each Parse of a statement that the
+// connection has replaced by a Close without effect, whose CloseComplete takes
+// the place of the ParseComplete.
+func (c *Conn) rewrite(b []byte, x *exchange, messages []byte) []byte {
+	x.closes = slices.DeleteFunc(x.closes, func(o closeOp) bool { return o == closePass })
+	for rest := messages; len(rest) > 0; {
+		n := frameSize(rest)
+		frame := rest[:n]
+		rest = rest[n:]
+		switch frame[0] {
+		case 'P':
+			st, ok := parseStatement(frame)
+			switch {
+			case !ok:
+				b = append(b, frame...)
+				x.parses = append(x.parses, parseOp{})
+			case c.statements.has(st) || x.sends(st):
+				b = appendClose(b, MissingStatement)
+				x.closes = append(x.closes, closeAsParse)
+			default:
+				b = c.appendParse(b, x, st, false)
+			}
+		case 'C':
+			x.closes = append(x.closes, closePass)
+			b = append(b, frame...)
+		default:
+			b = append(b, frame...)
+		}
+	}
+	return b
+}
+
+// sends reports whether the exchange parses st already.
+func (x *exchange) sends(st Statement) bool {
+	for i := range x.parses {
+		if x.parses[i].statement.Equal(st) {
+			return true
+		}
+	}
+	return false
+}
+
+// appendParse appends a Parse of st, preceded by a Close if the name is taken
+// by another statement.
+func (c *Conn) appendParse(b []byte, x *exchange, st Statement, hidden bool) []byte {
+	_, taken := c.statements.byName[st.Name]
+	for i := range x.parses {
+		taken = taken || x.parses[i].statement.Name == st.Name
+	}
+	if taken {
+		b = appendClose(b, st.Name)
+		x.closes = append(x.closes, closeHide)
+	}
+	x.parses = append(x.parses, parseOp{statement: st, hidden: hidden})
+	start := len(b)
+	b = append(b, 'P', 0, 0, 0, 0)
+	b = append(append(b, st.Name...), 0)
+	b = append(append(b, st.SQL...), 0)
+	b = binary.BigEndian.AppendUint16(b, uint16(len(st.ParameterOIDs)))
+	for _, oid := range st.ParameterOIDs {
+		b = binary.BigEndian.AppendUint32(b, oid)
+	}
+	binary.BigEndian.PutUint32(b[start+1:], uint32(len(b)-start-1))
+	return b
+}
+
+func appendClose(b []byte, name string) []byte {
+	b = append(b, 'C')
+	b = binary.BigEndian.AppendUint32(b, uint32(4+1+len(name)+1))
+	b = append(b, 'S')
+	return append(append(b, name...), 0)
+}
+
+// parseStatement decodes a Parse message of a global name. ok is false for
+// other names, which are sent unchanged.
+func parseStatement(frame []byte) (st Statement, ok bool) {
+	name, rest, ok := cutString(frame[headerBytes:])
+	if !ok || !bytes.HasPrefix(name, []byte(NamePrefix)) {
+		return Statement{}, false
+	}
+	sql, rest, ok := cutString(rest)
+	if !ok || len(rest) < 2 {
+		return Statement{}, false
+	}
+	count := int(binary.BigEndian.Uint16(rest))
+	rest = rest[2:]
+	if len(rest) != 4*count {
+		return Statement{}, false
+	}
+	st = Statement{Name: string(name), SQL: string(sql)}
+	for ; count > 0; count-- {
+		st.ParameterOIDs = append(st.ParameterOIDs, binary.BigEndian.Uint32(rest))
+		rest = rest[4:]
+	}
+	return st, true
+}
--- /dev/null
+++ b/internal/gwbackend/request.go
@@ -0,0 +1,92 @@
+package gwbackend
+
+import (
+	"encoding/binary"
+	"io"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// Statement is a prepared statement under its global name.
+type Statement struct {
+	Name          string   `json:"name" cbor:"1,keyasint"` // GlobalName of the other fields
+	SQL           string   `json:"sql" cbor:"2,keyasint"`
+	ParameterOIDs []uint32 `json:"parameterOids,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// NamePrefix begins the global name of each prepared statement.
+const NamePrefix = "gw_"
+
+// MissingStatement is a statement name that is never prepared: a Close of it
+// does nothing, and a Bind of it fails with SQLSTATE 26000.
+const MissingStatement = NamePrefix + "missing"
+
+// NewStatement returns the statement of sql and oids under its global name.
+func NewStatement(sql string, oids []uint32) Statement {
+	return Statement{Name: GlobalName(sql, oids), SQL: sql, ParameterOIDs: oids}
+}
+
+// GlobalName returns "gw_" and the xxhash of the SQL and parameter OIDs in hex.
+func GlobalName(sql string, oids []uint32) string {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(sql)
+	b := make([]byte, 0, 64)
+	b = append(b, 0)
+	for _, oid := range oids {
+		b = binary.BigEndian.AppendUint32(b, oid)
+	}
+	_, _ = d.Write(b)
+	const digits = "0123456789abcdef"
+	name := make([]byte, 0, len(NamePrefix)+16)
+	name = append(name, NamePrefix...)
+	for sum, shift := d.Sum64(), 60; shift >= 0; shift -= 4 {
+		name = append(name, digits[sum>>shift&0xf])
+	}
+	return string(name)
+}
+
+// Equal reports whether s and t are the same statement. Equal names do not
+// suffice: a caller can construct SQL whose hash equals that of other SQL.
+func (s Statement) Equal(t Statement) bool {
+	return s.Name == t.Name && s.SQL == t.SQL && slices.Equal(s.ParameterOIDs, t.ParameterOIDs)
+}
+
+// Request is one request to a backend server.
+type Request struct {
+	// Messages are raw frontend messages that end in one Query or one Sync.
+	// Statement names are global names.
+	Messages []byte `json:"messages" cbor:"1,keyasint"`
+	// Prepared lists the statements that Messages use without a preceding
+	// Parse. Exchange parses those that the connection does not have.
+	Prepared []Statement `json:"prepared,omitempty" cbor:"2,keyasint,omitempty"`
+}
+
+// Query returns the request of a simple query.
+func Query(sql string) Request {
+	b := make([]byte, 0, len(sql)+6)
+	b = append(b, 'Q')
+	b = binary.BigEndian.AppendUint32(b, uint32(len(sql)+5))
+	b = append(b, sql...)
+	return Request{Messages: append(b, 0)}
+}
+
+// Sink receives raw backend messages. Write must not keep the slice, and must
+// return within a bounded time.
+type Sink = io.Writer
+
+// Result describes how an exchange ended.
+type Result struct {
+	Sent        bool               // bytes of the request may have reached the server
+	Complete    bool               // ReadyForQuery has arrived
+	Delivered   bool               // bytes of the answer were passed to the sink
+	TxStatus    byte               // 'I', 'T' or 'E' of ReadyForQuery; 0 if not complete
+	Position    gwsession.Position // last position reported during the exchange; zero if none
+	ServerError *pgconn.PgError    // last ErrorResponse, nil if none
+	CommandTags []string           // valid until the next exchange on the connection
+	AnswerBytes int64              // bytes passed to the sink
+}
--- /dev/null
+++ b/internal/gwwire/handshake.go
@@ -0,0 +1,306 @@
+package gwwire
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const (
+	maxStartupBytes = 10_000 // as in PostgreSQL
+
+	codeSSLRequest    = 80877103
+	codeGSSRequest    = 80877104
+	codeCancelRequest = 80877102
+	protocolMajor     = 3
+
+	// lingerTimeout bounds the wait for the caller to close after an error, so
+	// that unread input does not reset the connection before the error arrives.
+	lingerTimeout = 200 * time.Millisecond
+	lingerBytes   = 1 << 20
+)
+
+// defaultParameters are reported at startup; drivers depend on several.
+var defaultParameters = map[string]string{
+	"server_version":              "16.0",
+	"server_encoding":             "UTF8",
+	"client_encoding":             "UTF8",
+	"DateStyle":                   "ISO, MDY",
+	"IntervalStyle":               "postgres",
+	"TimeZone":                    "UTC",
+	"integer_datetimes":           "on",
+	"standard_conforming_strings": "on",
+}
+
+// handshake performs startup and authentication. It returns the connection to
+// use, which differs from nc under TLS. A connection that carried a cancel
+// request ends without an error and without a session.
+func (s *Server) handshake(nc net.Conn, c *conn) (net.Conn, error) {
+	limits := s.limits.Load()
+	ctx, cancel := context.WithTimeout(s.ctx, limits.Handshake)
+	defer cancel()
+	_ = nc.SetDeadline(time.Now().Add(limits.Handshake))
+	nc, body, err := s.negotiate(ctx, nc)
+	if err != nil || body == nil {
+		return nc, err
+	}
+	if s.draining.Load() {
+		err = fail("startup", KindShutdown, codeAdminShutdown, errShutdown)
+	} else {
+		err = s.start(ctx, nc, c, body)
+	}
+	if err != nil {
+		refuse(nc, err)
+		return nc, err
+	}
+	_ = nc.SetDeadline(time.Time{})
+	return nc, nil
+}
+
+// negotiate handles the messages before the startup message and returns the
+// startup message's body, or nil after a cancel request.
+func (s *Server) negotiate(ctx context.Context, nc net.Conn) (net.Conn, []byte, error) {
+	secured, gss := false, false
+	for {
+		body, err := readStartup(nc)
+		if err != nil {
+			return nc, nil, err
+		}
+		switch code := binary.BigEndian.Uint32(body); {
+		case code == codeSSLRequest && !secured:
+			secured = true
+			if s.o.TLS == nil {
+				if _, err := nc.Write([]byte{'N'}); err != nil {
+					return nc, nil, fail("startup", KindNetwork, "", err)
+				}
+				continue
+			}
+			if _, err := nc.Write([]byte{'S'}); err != nil {
+				return nc, nil, fail("startup", KindNetwork, "", err)
+			}
+			tc := tls.Server(nc, s.o.TLS)
+			if err := tc.HandshakeContext(ctx); err != nil {
+				return nc, nil, fail("tls", KindInput, "", err)
+			}
+			nc = tc
+		case code == codeGSSRequest && !gss:
+			gss = true
+			if _, err := nc.Write([]byte{'N'}); err != nil {
+				return nc, nil, fail("startup", KindNetwork, "", err)
+			}
+		case code == codeCancelRequest:
+			s.cancelRequest(body)
+			return nc, nil, nil
+		case code>>16 == protocolMajor:
+			return nc, body, nil
+		default:
+			err := fail("startup", KindInput, codeFeatureUnsupported, errors.Newf("unsupported protocol %d.%d", code>>16, code&0xffff))
+			refuse(nc, err)
+			return nc, nil, err
+		}
+	}
+}
+
+// readStartup reads one message without a type byte, and nothing after it: what
+// follows an SSLRequest must not be read outside of TLS.
+func readStartup(r io.Reader) ([]byte, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return nil, fail("startup", KindNetwork, "", err)
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n < 8 || n > maxStartupBytes {
+		return nil, fail("startup", KindInput, "", errors.Newf("invalid length %d of the startup message", n))
+	}
+	body := make([]byte, n-4)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, fail("startup", KindNetwork, "", err)
+	}
+	return body, nil
+}
+
+func (s *Server) cancelRequest(body []byte) {
+	if len(body) != 12 {
+		return
+	}
+	key := CancelKey{ProcessID: binary.BigEndian.Uint32(body[4:]), Secret: binary.BigEndian.Uint32(body[8:])}
+	if s.Cancel(key) || s.o.Cancel == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.limits.Load().CancelForwarding)
+	defer cancel()
+	s.o.Cancel.ForwardCancel(ctx, key)
+}
+
+// start authenticates the caller and creates its session.
+func (s *Server) start(ctx context.Context, nc net.Conn, c *conn, body []byte) error {
+	st, unknown, err := parseStartup(body)
+	if err != nil {
+		return err
+	}
+	_, st.TLS = nc.(*tls.Conn)
+	st.Remote = nc.RemoteAddr()
+	c.user, c.database = st.User, st.Database
+	if limit := s.limits.Load().Connections; s.open.Load() > int64(limit) {
+		return fail("startup", KindLimit, codeTooManyConnections, errors.Newf("too many connections, limit %d", limit))
+	}
+	if minor := binary.BigEndian.Uint32(body) & 0xffff; minor > 0 || len(unknown) > 0 {
+		m := &pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: protocolMajor << 16, UnrecognizedOptions: unknown}
+		if err := send(nc, m); err != nil {
+			return err
+		}
+	}
+	if err := s.authenticate(ctx, nc, st); err != nil {
+		return err
+	}
+	handler, err := s.o.Handler.Authenticate(ctx, st)
+	if err != nil {
+		return &Error{Op: "authenticate", Kind: KindHandler, Code: pgError(err).Code, Err: err}
+	}
+	c.attach(nc, handler)
+	return s.greeting(nc, c)
+}
+
+// greeting sends what a caller expects between its authentication and its
+// first request.
+func (s *Server) greeting(nc net.Conn, c *conn) error {
+	messages := []pgproto3.BackendMessage{&pgproto3.AuthenticationOk{}}
+	for name, value := range defaultParameters {
+		if _, ok := s.o.Parameters[name]; !ok {
+			messages = append(messages, &pgproto3.ParameterStatus{Name: name, Value: value})
+		}
+	}
+	for name, value := range s.o.Parameters {
+		messages = append(messages, &pgproto3.ParameterStatus{Name: name, Value: value})
+	}
+	secret := binary.BigEndian.AppendUint32(nil, c.key.Secret)
+	messages = append(messages, &pgproto3.BackendKeyData{ProcessID: c.key.ProcessID, SecretKey: secret},
+		&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return send(nc, messages...)
+}
+
+// parseStartup decodes a startup message. unknown lists the protocol options
+// in it, none of which is supported.
+func parseStartup(body []byte) (st Startup, unknown []string, err error) {
+	st.Parameters = make(map[string]string)
+	fields := strings.Split(string(body[4:]), "\x00")
+	// Each string ends in NUL and so does the list: the split yields two empty
+	// strings at the end.
+	if n := len(fields); n < 2 || n%2 != 0 || fields[n-1] != "" || fields[n-2] != "" {
+		return st, nil, fail("startup", KindInput, codeProtocolViolation, errors.Wrap(errMalformed, "startup message"))
+	}
+	fields = fields[:len(fields)-2]
+	for pair := range slices.Chunk(fields, 2) {
+		switch name, value := pair[0], pair[1]; {
+		case name == "user":
+			st.User = value
+		case name == "database":
+			st.Database = value
+		case name == "replication" && !isFalse(value):
+			return st, nil, fail("startup", KindInput, codeFeatureUnsupported, errors.New("replication connections are not supported"))
+		case strings.HasPrefix(name, "_pq_."):
+			unknown = append(unknown, name)
+		case name == "options":
+			parseOptions(value, st.Parameters)
+		default:
+			st.Parameters[name] = value
+		}
+	}
+	if st.User == "" {
+		return st, nil, fail("startup", KindInput, codeInvalidAuth, errNoUser)
+	}
+	if st.Database == "" {
+		st.Database = st.User
+	}
+	return st, unknown, nil
+}
+
+func isFalse(value string) bool {
+	return slices.Contains([]string{"false", "0", "off", "no"}, value)
+}
+
+// parseOptions reads the settings "-c name=value", "-cname=value" and
+// "--name=value" of the options parameter. A backslash escapes a character.
+func parseOptions(options string, into map[string]string) {
+	words := splitOptions(options)
+	for i := 0; i < len(words); i++ {
+		setting, ok := strings.CutPrefix(words[i], "--")
+		if !ok {
+			if setting, ok = strings.CutPrefix(words[i], "-c"); !ok {
+				continue
+			}
+			if setting == "" && i+1 < len(words) {
+				i++
+				setting = words[i]
+			}
+		}
+		if name, value, ok := strings.Cut(setting, "="); ok {
+			into[name] = value
+		}
+	}
+}
+
+func splitOptions(s string) []string {
+	var words []string
+	var word []byte
+	escaped := false
+	for i := range len(s) {
+		switch b := s[i]; {
+		case escaped:
+			word = append(word, b)
+			escaped = false
+		case b == '\\':
+			escaped = true
+		case b == ' ' || b == '\t' || b == '\n':
+			if len(word) > 0 {
+				words = append(words, string(word))
+				word = word[:0]
+			}
+		default:
+			word = append(word, b)
+		}
+	}
+	if len(word) > 0 {
+		words = append(words, string(word))
+	}
+	return words
+}
+
+func send(nc net.Conn, messages ...pgproto3.BackendMessage) error {
+	var b []byte
+	for _, m := range messages {
+		var err error
+		if b, err = m.Encode(b); err != nil {
+			return fail("startup", KindNetwork, "", err)
+		}
+	}
+	if _, err := nc.Write(b); err != nil {
+		return fail("startup", KindNetwork, "", err)
+	}
+	return nil
+}
+
+// refuse tells the caller why its connection ends, and waits a moment for the
+// caller to close it. Nothing is sent after a network error.
+func refuse(nc net.Conn, err error) {
+	var e *Error
+	if errors.As(err, &e) && (e.Kind == KindNetwork || e.Code == "") {
+		return
+	}
+	_ = nc.SetDeadline(time.Now().Add(lingerTimeout))
+	if err := send(nc, errorResponse(pgError(err))); err != nil {
+		return
+	}
+	if cw, ok := nc.(interface{ CloseWrite() error }); ok {
+		_ = cw.CloseWrite()
+	}
+	_, _ = io.CopyN(io.Discard, nc, lingerBytes)
+}
