--- /dev/null
+++ b/pkg/gwlease/owner.go
@@ -0,0 +1,151 @@
+package gwlease
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Placed is a live instance that can own backend servers.
+type Placed interface {
+	// Place returns the names of the instance, its data centre and its region.
+	Place() (instance, dataCentre, region string)
+}
+
+// Instance is the smallest implementation of Placed.
+type Instance struct {
+	Name       string
+	DataCentre string
+	Region     string
+}
+
+// Place implements Placed.
+func (i Instance) Place() (instance, dataCentre, region string) {
+	return i.Name, i.DataCentre, i.Region
+}
+
+// Owner returns the instance that owns a backend server, and false if live is
+// empty. It prefers the server's data centre, then its region, then the rest.
+func Owner[M Placed](server, dataCentre, region string, live []M) (instance string, ok bool) {
+	return NewPlacement(live).Owner(server, dataCentre, region)
+}
+
+// Owners returns up to n instances in the order in which they would own a
+// backend server if those before them left.
+func Owners[M Placed](server, dataCentre, region string, live []M, n int) []string {
+	return NewPlacement(live).Owners(server, dataCentre, region, n)
+}
+
+// Placement answers many owner queries over one set of live instances. It is
+// immutable.
+type Placement struct {
+	byDataCentre map[string][]candidate
+	byRegion     map[string][]candidate
+	all          []candidate
+}
+
+// candidate is a live instance with the hash of its name.
+type candidate struct {
+	name       string
+	dataCentre string
+	region     string
+	hash       uint64
+}
+
+// NewPlacement indexes live instances.
+func NewPlacement[M Placed](live []M) *Placement {
+	p := &Placement{
+		byDataCentre: make(map[string][]candidate),
+		byRegion:     make(map[string][]candidate),
+		all:          make([]candidate, 0, len(live)),
+	}
+	for _, m := range live {
+		name, dc, region := m.Place()
+		c := candidate{name: name, dataCentre: dc, region: region, hash: xxhash.Sum64String(name)}
+		p.byDataCentre[dc] = append(p.byDataCentre[dc], c)
+		p.byRegion[region] = append(p.byRegion[region], c)
+		p.all = append(p.all, c)
+	}
+	return p
+}
+
+// Owner returns the instance that owns a backend server, and false if there is
+// no live instance.
+func (p *Placement) Owner(server, dataCentre, region string) (instance string, ok bool) {
+	pool := p.byDataCentre[dataCentre]
+	if len(pool) == 0 {
+		pool = p.byRegion[region]
+	}
+	if len(pool) == 0 {
+		pool = p.all
+	}
+	if len(pool) == 0 {
+		return "", false
+	}
+	key := xxhash.Sum64String(server)
+	best := pool[0]
+	top := score(key, best.hash)
+	for _, c := range pool[1:] {
+		s := score(key, c.hash)
+		if s > top || s == top && c.name < best.name {
+			best, top = c, s
+		}
+	}
+	return best.name, true
+}
+
+// Owners returns up to n instances, the owner first.
+func (p *Placement) Owners(server, dataCentre, region string, n int) []string {
+	key := xxhash.Sum64String(server)
+	owners := make([]string, 0, min(n, len(p.all)))
+	owners = appendBest(owners, n, key, p.byDataCentre[dataCentre], func(candidate) bool { return true })
+	owners = appendBest(owners, n, key, p.byRegion[region], func(c candidate) bool {
+		return c.dataCentre != dataCentre
+	})
+	return appendBest(owners, n, key, p.all, func(c candidate) bool {
+		return c.dataCentre != dataCentre && c.region != region
+	})
+}
+
+// appendBest appends the eligible candidates with the highest scores until
+// owners holds n names.
+func appendBest(owners []string, n int, key uint64, pool []candidate, eligible func(candidate) bool) []string {
+	if len(owners) >= n {
+		return owners
+	}
+	ranked := make([]candidate, 0, len(pool))
+	for _, c := range pool {
+		if eligible(c) {
+			ranked = append(ranked, c)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b candidate) int {
+		return compareScores(key, a, b)
+	})
+	for _, c := range ranked[:min(len(ranked), n-len(owners))] {
+		owners = append(owners, c.name)
+	}
+	return owners
+}
+
+// compareScores orders candidates by falling score, then by name.
+func compareScores(key uint64, a, b candidate) int {
+	sa, sb := score(key, a.hash), score(key, b.hash)
+	switch {
+	case sa > sb, sa == sb && a.name < b.name:
+		return -1
+	case sa == sb && a.name == b.name:
+		return 0
+	}
+	return 1
+}
+
+// score combines the hashes of a server and an instance. Hashing the two
+// hashes costs the same for names of any length.
+func score(server, instance uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], server)
+	binary.LittleEndian.PutUint64(b[8:], instance)
+	return xxhash.Sum64(b[:])
+}
