--- a/pkg/gwlease/granter.go
+++ b/pkg/gwlease/granter.go
@@ -7,7 +7,7 @@
 )
 
 // Lease is one row of the granting table. Released rows are kept so that
-// reordered messages are recognised.
+// reordered messages are recognized.
 type Lease struct {
 	Group    string `json:"group" cbor:"1,keyasint"`
 	Term     uint64 `json:"term" cbor:"2,keyasint"`
--- /dev/null
+++ b/pkg/gwmember/config.go
@@ -0,0 +1,104 @@
+package gwmember
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	// DefaultTick is how often Tick should be called.
+	DefaultTick              = 50 * time.Millisecond
+	DefaultProbeInterval     = 500 * time.Millisecond
+	DefaultAckTimeout        = 100 * time.Millisecond
+	DefaultProbeTimeout      = 300 * time.Millisecond
+	DefaultSuspicion         = time.Second
+	DefaultGossipInterval    = 100 * time.Millisecond
+	DefaultRelayInterval     = time.Second
+	DefaultDataCentreTimeout = 5 * time.Second
+	DefaultSyncInterval      = 30 * time.Second
+	DefaultTombstone         = 30 * time.Minute
+	DefaultWatchers          = 3
+	DefaultIndirect          = 3
+	DefaultFanout            = 3
+	DefaultRelays            = 2
+)
+
+const (
+	joinRetry       = time.Second            // wait before the next seed is asked
+	seedInterval    = 5 * time.Minute        // a lost peer is looked for at the seeds
+	reconnect       = 5 * time.Second        // a dead member is pinged in case a partition healed
+	aheadInterval   = 500 * time.Millisecond // least time between two PeerAhead actions
+	viewInterval    = 10 * time.Second       // a relay repeats which data centres it cannot reach
+	viewLifetime    = 3 * viewInterval       // a relay's view that is not repeated is dropped
+	confirmLifetime = time.Second            // another watcher's suspicion counts this long
+	stall           = 6 * DefaultTick        // a longer gap between ticks means that this process stood still
+	settle          = 2 * time.Second        // a data centre is reported reachable after this long
+	sweepInterval   = 10 * time.Second       // old tombstones are looked for
+)
+
+// Config configures Members. Zero values take the defaults.
+type Config struct {
+	Self Member
+	// Seeds are peer addresses to join through.
+	Seeds []string
+	// ProbeInterval is the time between two pings to a watched member.
+	ProbeInterval time.Duration
+	// AckTimeout is the time between the attempts of one probe.
+	AckTimeout time.Duration
+	// ProbeTimeout is the time after which an unanswered probe is a suspicion.
+	ProbeTimeout time.Duration
+	// Suspicion is the time from a shared suspicion to the death declaration.
+	Suspicion time.Duration
+	// GossipInterval is the time between bursts while updates are pending.
+	GossipInterval time.Duration
+	// RelayInterval is the time between pings of a relay to a data centre.
+	RelayInterval time.Duration
+	// DataCentreTimeout is the silence after which a relay reports a data
+	// centre as unreachable.
+	DataCentreTimeout time.Duration
+	// SyncInterval is the time between two table comparisons.
+	SyncInterval time.Duration
+	// Tombstone is how long a departed member is part of table comparisons; it
+	// is forgotten after twice that time.
+	Tombstone time.Duration
+	Watchers  int // members that watch each member
+	Indirect  int // members asked to ping on behalf of a watcher
+	Fanout    int // receivers of one gossip burst
+	Relays    int // relays of each data centre
+	// Rand chooses peers. The default is seeded by the runtime.
+	Rand *rand.Rand
+}
+
+// withDefaults replaces zero values.
+func (c Config) withDefaults() Config {
+	orDuration(&c.ProbeInterval, DefaultProbeInterval)
+	orDuration(&c.AckTimeout, DefaultAckTimeout)
+	orDuration(&c.ProbeTimeout, DefaultProbeTimeout)
+	orDuration(&c.Suspicion, DefaultSuspicion)
+	orDuration(&c.GossipInterval, DefaultGossipInterval)
+	orDuration(&c.RelayInterval, DefaultRelayInterval)
+	orDuration(&c.DataCentreTimeout, DefaultDataCentreTimeout)
+	orDuration(&c.SyncInterval, DefaultSyncInterval)
+	orDuration(&c.Tombstone, DefaultTombstone)
+	orInt(&c.Watchers, DefaultWatchers)
+	orInt(&c.Indirect, DefaultIndirect)
+	orInt(&c.Fanout, DefaultFanout)
+	orInt(&c.Relays, DefaultRelays)
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return c
+}
+
+func orDuration(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+func orInt(n *int, value int) {
+	if *n <= 0 {
+		*n = value
+	}
+}
