--- /dev/null
+++ b/internal/gwstate/apply.go
@@ -0,0 +1,208 @@
+package gwstate
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+// Apply applies the log entry at index. The local time now goes only to the
+// LeaseClock.
+func (s *State) Apply(index uint64, data []byte, now time.Time) Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index <= s.index {
+		return Repeated{Applied: s.index}
+	}
+	s.index = index
+	cmd, stamp, err := Decode(data)
+	if err != nil {
+		return Unreadable{Err: err}
+	}
+	return s.apply(cmd, Stamp(stamp.UnixMilli()), now)
+}
+
+func (s *State) apply(cmd Command, stamp Stamp, now time.Time) Result {
+	switch c := cmd.(type) {
+	case PublishManifest:
+		return s.publishManifest(c, stamp)
+	case StartGroup:
+		return s.startGroup(c, stamp)
+	case BeginChange:
+		return s.beginChange(c, stamp)
+	case FinishChange:
+		return s.finishChange(c, stamp)
+	case GrantLeases:
+		return s.grantLeases(c, now)
+	case ReturnLeases:
+		return s.returnLeases(c)
+	case Batch:
+		results := make([]Result, len(c.Commands))
+		for i, part := range c.Commands {
+			results[i] = s.apply(part, stamp, now)
+		}
+		return BatchResult{Results: results}
+	}
+	return Unreadable{}
+}
+
+func (s *State) publishManifest(c PublishManifest, stamp Stamp) Result {
+	current := s.current()
+	res := ManifestResult{Current: current.Number}
+	sum := sha256.Sum256([]byte(c.Text))
+	switch {
+	case c.Number == 0:
+		res.Refusal = InvalidArgument
+		return res
+	case c.Digest != hex.EncodeToString(sum[:]):
+		res.Refusal = DigestMismatch
+		return res
+	case current.Number != 0 && c.Number <= current.Number:
+		return s.answerOldNumber(c, res)
+	case current.Number != 0 && c.Number != current.Number+1:
+		res.Refusal = NotSuccessor
+		return res
+	}
+	s.addManifest(Manifest{Number: c.Number, Digest: c.Digest, Text: c.Text, Published: stamp})
+	res.Current, res.Winner = c.Number, c.Digest
+	return res
+}
+
+func (s *State) answerOldNumber(c PublishManifest, res ManifestResult) Result {
+	oldest := s.manifests[0].Number
+	if c.Number < oldest {
+		res.Refusal = NumberForgotten
+		return res
+	}
+	res.Winner = s.manifests[c.Number-oldest].Digest
+	res.Resent = res.Winner == c.Digest
+	if !res.Resent {
+		res.Refusal = NumberTaken
+	}
+	return res
+}
+
+func (s *State) addManifest(m Manifest) {
+	s.manifests = append(s.manifests, m)
+	if len(s.manifests) > keptTexts {
+		s.manifests[len(s.manifests)-1-keptTexts].Text = ""
+	}
+	if len(s.manifests) > keptDigests {
+		s.manifests = s.manifests[1:]
+	}
+}
+
+func (s *State) groupResult(group string, refusal Refusal) Result {
+	return GroupResult{Refusal: refusal, Group: s.groups[group], Lease: s.leases[group]}
+}
+
+func (s *State) startGroup(c StartGroup, stamp Stamp) Result {
+	g, known := s.groups[c.Group]
+	switch {
+	case c.Group == "" || c.Primary == "" || c.Term == 0:
+		return s.groupResult(c.Group, InvalidArgument)
+	case known && g.Primary == c.Primary && g.Term == c.Term && g.Start == c.Start:
+		return s.groupResult(c.Group, Accepted) // a resend
+	case known:
+		return s.groupResult(c.Group, GroupExists)
+	}
+	s.groups[c.Group] = Group{Name: c.Group, Primary: c.Primary, Term: c.Term, Start: c.Start, Since: stamp}
+	return s.groupResult(c.Group, Accepted)
+}
+
+func (s *State) beginChange(c BeginChange, stamp Stamp) Result {
+	g, known := s.groups[c.Group]
+	switch {
+	case !known:
+		return s.groupResult(c.Group, GroupUnknown)
+	case g.Term != c.FromTerm:
+		return s.groupResult(c.Group, TermMismatch)
+	}
+	if g.Phase != Changing {
+		g.Phase, g.Since, g.NextTerm = Changing, stamp, g.Term
+	}
+	g.NextTerm++
+	g.Reason = c.Reason
+	s.groups[c.Group] = g
+	return s.groupResult(c.Group, Accepted)
+}
+
+func (s *State) finishChange(c FinishChange, stamp Stamp) Result {
+	g, known := s.groups[c.Group]
+	lease, leased := s.leases[c.Group]
+	switch {
+	case !known:
+		return s.groupResult(c.Group, GroupUnknown)
+	case g.Term == c.Term && g.Primary == c.Primary && g.Start == c.Start && c.FromTerm < c.Term:
+		return s.groupResult(c.Group, Accepted) // a resend
+	case g.Term != c.FromTerm:
+		return s.groupResult(c.Group, TermMismatch)
+	case g.Phase != Changing:
+		return s.groupResult(c.Group, GroupNotChanging)
+	case c.Term != g.NextTerm:
+		return s.groupResult(c.Group, ChangeSuperseded)
+	case c.Primary == "":
+		return s.groupResult(c.Group, InvalidArgument)
+	case leased && lease.Sequence != c.Previous:
+		return s.groupResult(c.Group, LeaseHeld)
+	}
+	s.endLease(c.Group)
+	s.groups[c.Group] = Group{
+		Name: c.Group, Primary: c.Primary, Term: c.Term, Start: c.Start, Since: stamp, Reason: g.Reason,
+	}
+	return s.groupResult(c.Group, Accepted)
+}
+
+func (s *State) endLease(group string) {
+	delete(s.leases, group)
+	s.clock.forget(group)
+}
+
+func (s *State) grantLeases(c GrantLeases, now time.Time) Result {
+	res := LeaseResult{Outcomes: make([]LeaseOutcome, len(c.Leases))}
+	for i, r := range c.Leases {
+		refusal := s.checkGrant(c, r)
+		if refusal == Accepted {
+			l := Lease{
+				Group: r.Group, Term: r.Term, Holder: c.Holder, Incarnation: c.Incarnation,
+				Duration: r.Duration, Sequence: s.index,
+			}
+			s.leases[r.Group] = l
+			s.clock.record(l, now)
+		}
+		res.Outcomes[i] = LeaseOutcome{Group: r.Group, Refusal: refusal, Lease: s.leases[r.Group]}
+	}
+	return res
+}
+
+func (s *State) checkGrant(c GrantLeases, r LeaseRequest) Refusal {
+	g, known := s.groups[r.Group]
+	lease, leased := s.leases[r.Group]
+	switch {
+	case c.Holder == "" || r.Duration <= 0:
+		return InvalidArgument
+	case !known:
+		return GroupUnknown
+	case g.Phase == Changing:
+		return GroupChanging
+	case g.Term != r.Term:
+		return TermMismatch
+	case leased && !lease.heldBy(c.Holder, c.Incarnation) && lease.Sequence != r.Previous:
+		return LeaseHeld
+	}
+	return Accepted
+}
+
+func (s *State) returnLeases(c ReturnLeases) Result {
+	res := LeaseResult{Outcomes: make([]LeaseOutcome, len(c.Leases))}
+	for i, r := range c.Leases {
+		lease, leased := s.leases[r.Group]
+		refusal := LeaseNotHeld
+		if leased && lease.heldBy(c.Holder, c.Incarnation) && lease.Sequence <= r.Sequence {
+			s.endLease(r.Group)
+			refusal = Accepted
+		}
+		res.Outcomes[i] = LeaseOutcome{Group: r.Group, Refusal: refusal, Lease: s.leases[r.Group]}
+	}
+	return res
+}
--- /dev/null
+++ b/internal/gwstate/codec.go
@@ -0,0 +1,141 @@
+package gwstate
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// commandKind identifies a command in the log. The numbers must not change.
+type commandKind uint8
+
+const (
+	kindPublishManifest commandKind = 1
+	kindStartGroup      commandKind = 2
+	kindBeginChange     commandKind = 3
+	kindFinishChange    commandKind = 4
+	kindGrantLeases     commandKind = 5
+	kindReturnLeases    commandKind = 6
+	kindBatch           commandKind = 7
+)
+
+// envelope is the encoded form of a command.
+type envelope struct {
+	Kind  commandKind     `cbor:"1,keyasint"`
+	Stamp Stamp           `cbor:"2,keyasint,omitempty"`
+	Body  cbor.RawMessage `cbor:"3,keyasint"`
+}
+
+// Encode returns cmd as the data of a log entry. The stamp is the proposer's
+// time and is kept for reports only.
+func Encode(cmd Command, stamp time.Time) ([]byte, error) {
+	e, err := seal(cmd)
+	if err != nil {
+		return nil, err
+	}
+	e.Stamp = Stamp(stamp.UnixMilli())
+	b, err := cbor.Marshal(e)
+	return b, wrap("encode", KindEncode, err)
+}
+
+func seal(cmd Command) (envelope, error) {
+	var e envelope
+	var body any = cmd
+	switch c := cmd.(type) {
+	case PublishManifest:
+		e.Kind = kindPublishManifest
+	case StartGroup:
+		e.Kind = kindStartGroup
+	case BeginChange:
+		e.Kind = kindBeginChange
+	case FinishChange:
+		e.Kind = kindFinishChange
+	case GrantLeases:
+		e.Kind = kindGrantLeases
+	case ReturnLeases:
+		e.Kind = kindReturnLeases
+	case Batch:
+		e.Kind = kindBatch
+		parts, err := sealAll(c.Commands)
+		if err != nil {
+			return e, err
+		}
+		body = parts
+	default:
+		return e, wrap("encode", KindEncode, errors.Newf("unknown command %T", cmd))
+	}
+	b, err := cbor.Marshal(body)
+	e.Body = b
+	return e, wrap("encode", KindEncode, err)
+}
+
+func sealAll(cmds []Command) ([]envelope, error) {
+	parts := make([]envelope, len(cmds))
+	for i, c := range cmds {
+		if _, nested := c.(Batch); nested {
+			return nil, wrap("encode", KindEncode, errors.New("a batch holds a batch"))
+		}
+		e, err := seal(c)
+		if err != nil {
+			return nil, err
+		}
+		parts[i] = e
+	}
+	return parts, nil
+}
+
+// Decode returns the command and stamp that Encode was given. Unknown fields
+// are ignored; an unknown command is an error.
+func Decode(data []byte) (Command, time.Time, error) {
+	var e envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return nil, time.Time{}, wrap("decode", KindDecode, err)
+	}
+	c, err := open(e, true)
+	return c, e.Stamp.Time(), wrap("decode", KindDecode, err)
+}
+
+func open(e envelope, batches bool) (Command, error) {
+	switch e.Kind {
+	case kindPublishManifest:
+		return decodeBody[PublishManifest](e)
+	case kindStartGroup:
+		return decodeBody[StartGroup](e)
+	case kindBeginChange:
+		return decodeBody[BeginChange](e)
+	case kindFinishChange:
+		return decodeBody[FinishChange](e)
+	case kindGrantLeases:
+		return decodeBody[GrantLeases](e)
+	case kindReturnLeases:
+		return decodeBody[ReturnLeases](e)
+	case kindBatch:
+		if batches {
+			return openBatch(e)
+		}
+	}
+	return nil, errors.Newf("unknown command kind %d", e.Kind)
+}
+
+func decodeBody[C Command](e envelope) (Command, error) {
+	var c C
+	err := cbor.Unmarshal(e.Body, &c)
+	return c, err
+}
+
+func openBatch(e envelope) (Command, error) {
+	var parts []envelope
+	if err := cbor.Unmarshal(e.Body, &parts); err != nil {
+		return nil, err
+	}
+	b := Batch{Commands: make([]Command, len(parts))}
+	for i, p := range parts {
+		c, err := open(p, false)
+		if err != nil {
+			return nil, err
+		}
+		b.Commands[i] = c
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/gwstate/result.go
@@ -0,0 +1,91 @@
+package gwstate
+
+// Result is the outcome of a command. The set of results is closed.
+type Result interface{ result() }
+
+// Refusal says why a command, or one lease of it, had no effect.
+type Refusal uint8
+
+// Refusals. Accepted is the zero value.
+const (
+	Accepted         Refusal = iota
+	NotSuccessor             // the manifest's number does not follow the current one
+	NumberTaken              // another manifest has this number
+	NumberForgotten          // the number is so old that its digest is no longer kept
+	DigestMismatch           // the digest is not that of the text
+	GroupExists              // the group has a primary already
+	GroupUnknown             // the group has no primary yet
+	TermMismatch             // the group is at another term
+	GroupChanging            // a change of primary is in progress
+	GroupNotChanging         // no change of primary is in progress
+	ChangeSuperseded         // a later BeginChange allocated a greater term
+	LeaseHeld                // another holder's lease is not known to have ended
+	LeaseNotHeld             // the holder has no such lease
+	InvalidArgument          // a required field is empty
+)
+
+var refusalNames = [...]string{
+	"accepted", "not the successor", "number taken", "number forgotten", "digest mismatch", "group exists",
+	"group unknown", "term mismatch", "group changing", "group not changing", "change superseded", "lease held",
+	"lease not held", "invalid argument",
+}
+
+// String returns the refusal in words.
+func (r Refusal) String() string {
+	if int(r) < len(refusalNames) {
+		return refusalNames[r]
+	}
+	return "unknown"
+}
+
+// ManifestResult answers PublishManifest.
+type ManifestResult struct {
+	Refusal Refusal
+	Resent  bool   // accepted before with the same digest
+	Current uint64 // number of the current manifest
+	// Winner is the digest of the manifest that has the number, if there is one.
+	Winner string
+}
+
+// GroupResult answers StartGroup, BeginChange and FinishChange.
+type GroupResult struct {
+	Refusal Refusal
+	Group   Group // after the command; zero if unknown
+	Lease   Lease // zero if there is none
+}
+
+// LeaseResult answers GrantLeases and ReturnLeases, in the order of the request.
+type LeaseResult struct {
+	Outcomes []LeaseOutcome
+}
+
+// LeaseOutcome is the outcome for one group.
+type LeaseOutcome struct {
+	Group   string
+	Refusal Refusal
+	Lease   Lease // after the command; zero if there is none
+}
+
+// BatchResult answers Batch, in the order of its commands.
+type BatchResult struct {
+	Results []Result
+}
+
+// Unreadable answers an entry that is not a known command. The state is
+// unchanged apart from its index. A voter that runs an older version than the
+// proposer must stop, because the others may have understood the entry.
+type Unreadable struct {
+	Err error
+}
+
+// Repeated answers an entry whose index was applied before; it has no effect.
+type Repeated struct {
+	Applied uint64
+}
+
+func (ManifestResult) result() {}
+func (GroupResult) result()    {}
+func (LeaseResult) result()    {}
+func (BatchResult) result()    {}
+func (Unreadable) result()     {}
+func (Repeated) result()       {}
--- /dev/null
+++ b/internal/gwstate/snapshot.go
@@ -0,0 +1,56 @@
+package gwstate
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// snapshotVersion is the version of the snapshot format.
+const snapshotVersion = 1
+
+type snapshot struct {
+	Version   uint64     `cbor:"1,keyasint"`
+	Index     uint64     `cbor:"2,keyasint"`
+	Manifests []Manifest `cbor:"3,keyasint"`
+	Groups    []Group    `cbor:"4,keyasint"`
+	Leases    []Lease    `cbor:"5,keyasint"`
+}
+
+// Snapshot returns the encoded state. Equal states have equal encodings.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	b, err := cbor.Marshal(snapshot{
+		Version: snapshotVersion, Index: s.index, Manifests: s.manifests,
+		Groups: sortedValues(s.groups), Leases: sortedValues(s.leases),
+	})
+	return b, wrap("snapshot", KindEncode, err)
+}
+
+// Restore replaces the state by a snapshot; empty data is the empty state. The
+// wait of every lease starts again at now.
+func (s *State) Restore(data []byte, now time.Time) error {
+	snap := snapshot{Version: snapshotVersion}
+	if len(data) > 0 {
+		if err := cbor.Unmarshal(data, &snap); err != nil {
+			return wrap("restore", KindSnapshot, err)
+		}
+	}
+	if snap.Version != snapshotVersion {
+		return wrap("restore", KindSnapshot, errors.Newf("version %d is not supported", snap.Version))
+	}
+	groups, leases := map[string]Group{}, map[string]Lease{}
+	for _, g := range snap.Groups {
+		groups[g.Name] = g
+	}
+	for _, l := range snap.Leases {
+		leases[l.Group] = l
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index, s.manifests, s.groups, s.leases = snap.Index, snap.Manifests, groups, leases
+	s.clock.restore(leases, now)
+	return nil
+}
--- /dev/null
+++ b/internal/gwstate/state.go
@@ -0,0 +1,113 @@
+package gwstate
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Bounds of the manifest history.
+const (
+	keptTexts   = 20
+	keptDigests = 1000
+)
+
+// State is the replicated state.
+type State struct {
+	clock *LeaseClock
+
+	mu        sync.RWMutex
+	index     uint64
+	manifests []Manifest // oldest first, consecutive numbers
+	groups    map[string]Group
+	leases    map[string]Lease
+}
+
+// New returns an empty state. The drift is the greatest relative difference of
+// the rates of two instances' clocks, for the LeaseClock.
+func New(drift float64) *State {
+	return &State{clock: newLeaseClock(drift), groups: map[string]Group{}, leases: map[string]Lease{}}
+}
+
+// Clock returns the state's lease clock.
+func (s *State) Clock() *LeaseClock { return s.clock }
+
+// Index returns the control index: the log index of the last applied entry.
+func (s *State) Index() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.index
+}
+
+// Manifest returns the current manifest; its number is 0 if there is none.
+func (s *State) Manifest() Manifest {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.current()
+}
+
+func (s *State) current() Manifest {
+	if len(s.manifests) == 0 {
+		return Manifest{}
+	}
+	return s.manifests[len(s.manifests)-1]
+}
+
+// History returns the kept manifests, oldest first. Only the latest have texts.
+func (s *State) History() []Manifest {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Clone(s.manifests)
+}
+
+// Groups returns all groups, sorted by name.
+func (s *State) Groups() []Group {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return sortedValues(s.groups)
+}
+
+// Group returns one group.
+func (s *State) Group(name string) (Group, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	g, ok := s.groups[name]
+	return g, ok
+}
+
+// Lease returns the recorded lease of a group, which may have expired.
+func (s *State) Lease(group string) (Lease, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	l, ok := s.leases[group]
+	return l, ok
+}
+
+// Leases returns all recorded leases, sorted by group.
+func (s *State) Leases() []Lease {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return sortedValues(s.leases)
+}
+
+func sortedValues[V any](m map[string]V) []V {
+	out := make([]V, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[name])
+	}
+	return out
+}
+
+// Observe returns g with Previous filled in for every requested lease that
+// this node, as the leader, has seen expire at another holder.
+func (s *State) Observe(g GrantLeases, now time.Time) GrantLeases {
+	g.Leases = slices.Clone(g.Leases)
+	for i := range g.Leases {
+		g.Leases[i].Previous = 0
+		if seq, ok := s.clock.Expired(g.Leases[i].Group, now); ok {
+			g.Leases[i].Previous = seq
+		}
+	}
+	return g
+}
--- /dev/null
+++ b/internal/gwstate/types.go
@@ -0,0 +1,68 @@
+package gwstate
+
+import (
+	"time"
+
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// Stamp is a proposer's time in milliseconds since 1970 UTC, for reports only.
+type Stamp int64
+
+// Time returns the stamp as a time in UTC.
+func (s Stamp) Time() time.Time { return time.UnixMilli(int64(s)).UTC() }
+
+// Manifest is an accepted manifest.
+type Manifest struct {
+	Number    uint64 `cbor:"1,keyasint" json:"number"`
+	Digest    string `cbor:"2,keyasint" json:"digest"`
+	Text      string `cbor:"3,keyasint,omitempty" json:"text,omitempty"` // "" for old ones
+	Published Stamp  `cbor:"4,keyasint" json:"published"`
+}
+
+// Phase tells whether a change of primary is in progress.
+type Phase uint8
+
+// Phases of a group.
+const (
+	Serving Phase = iota
+	Changing
+)
+
+// String returns the phase's name.
+func (p Phase) String() string {
+	if p == Changing {
+		return "changing"
+	}
+	return "serving"
+}
+
+// Group is the control state of one group.
+type Group struct {
+	Name    string `cbor:"1,keyasint" json:"name"`
+	Primary string `cbor:"2,keyasint" json:"primary"`
+	Term    uint64 `cbor:"3,keyasint" json:"term"`
+	// Start is the position where the term began.
+	Start gwsession.Position `cbor:"4,keyasint" json:"start"`
+	Phase Phase              `cbor:"5,keyasint" json:"phase"`
+	Since Stamp              `cbor:"6,keyasint" json:"since"` // when the phase began
+	// NextTerm is the term to promote at while the phase is Changing.
+	NextTerm uint64 `cbor:"7,keyasint,omitempty" json:"nextTerm,omitempty"`
+	Reason   string `cbor:"8,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// Lease is a write lease as recorded in the log. It stays recorded after it
+// expired, until it is returned or replaced.
+type Lease struct {
+	Group       string        `cbor:"1,keyasint" json:"group"`
+	Term        uint64        `cbor:"2,keyasint" json:"term"`
+	Holder      string        `cbor:"3,keyasint" json:"holder"`
+	Incarnation uint64        `cbor:"4,keyasint" json:"incarnation"`
+	Duration    time.Duration `cbor:"5,keyasint" json:"duration"`
+	Sequence    uint64        `cbor:"6,keyasint" json:"sequence"` // log index of the latest grant
+}
+
+// heldBy reports whether the lease belongs to this run of holder.
+func (l Lease) heldBy(holder string, incarnation uint64) bool {
+	return l.Holder == holder && l.Incarnation == incarnation
+}
--- /dev/null
+++ b/internal/gwstore/log.go
@@ -0,0 +1,260 @@
+package gwstore
+
+import (
+	"fmt"
+	"io"
+	"path"
+	"slices"
+	"strings"
+
+	"gentianward.example/gentianward/pkg/gwquorum"
+)
+
+// Store is the saved state of one voter.
+type Store interface {
+	// Load returns the state as of the last save: entries follow the snapshot.
+	Load() (gwquorum.HardState, gwquorum.Snapshot, []gwquorum.Entry, error)
+	// Save returns after its arguments are synced. Entries replace all saved
+	// ones from the first one's index on.
+	Save(gwquorum.HardState, []gwquorum.Entry, *gwquorum.Snapshot) error
+}
+
+const (
+	snapshotName = "snapshot"
+	logPrefix    = "log-"
+	tempSuffix   = ".tmp"
+)
+
+// Log is a Store in a folder. It is not safe for concurrent use.
+type Log struct {
+	fs     FS
+	folder string
+	lock   io.Closer
+
+	number uint64 // of the current log file
+	file   File
+	bytes  int64
+
+	hard     gwquorum.HardState
+	snapshot gwquorum.Snapshot
+	// tail holds the entries after the snapshot. Their data is shared with the
+	// node's own log.
+	tail []gwquorum.Entry
+
+	stopped error
+}
+
+var _ Store = (*Log)(nil)
+
+// Open reads the state in folder, cuts an incomplete last record and returns a
+// log that is ready for saves. It refuses a folder with a damaged file, naming
+// the file and offset.
+func Open(fs FS, folder string) (*Log, error) {
+	l := &Log{fs: fs, folder: folder}
+	if err := fs.MkdirAll(folder); err != nil {
+		return nil, l.ioError("open", folder, err)
+	}
+	lock, err := fs.Lock(folder)
+	if err != nil {
+		return nil, &Error{Op: "open", Kind: KindLocked, File: folder, Err: err}
+	}
+	l.lock = lock
+	if err := l.open(); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Log) path(name string) string { return path.Join(l.folder, name) }
+
+func (l *Log) logPath(number uint64) string {
+	return l.path(fmt.Sprintf("%s%016x", logPrefix, number))
+}
+
+func (l *Log) ioError(op, file string, err error) error {
+	return &Error{Op: op, Kind: KindIO, File: file, Err: err}
+}
+
+// Load returns the state as of the last save.
+func (l *Log) Load() (gwquorum.HardState, gwquorum.Snapshot, []gwquorum.Entry, error) {
+	if l.stopped != nil {
+		return gwquorum.HardState{}, gwquorum.Snapshot{}, nil, l.stopped
+	}
+	return l.hard, l.snapshot, slices.Clone(l.tail), nil
+}
+
+// Size returns the size of the current log file in bytes. A driver takes a
+// snapshot when it grows too large.
+func (l *Log) Size() int64 { return l.bytes }
+
+// Empty reports whether nothing was ever saved.
+func (l *Log) Empty() bool {
+	return l.hard == gwquorum.HardState{} && l.snapshot.Index == 0 && len(l.snapshot.Members.Voters) == 0 && len(l.tail) == 0
+}
+
+// Save syncs the hard state, entries and snapshot. After a failed save the
+// state on disk is not known, and the log refuses all further saves.
+func (l *Log) Save(hs gwquorum.HardState, entries []gwquorum.Entry, snap *gwquorum.Snapshot) error {
+	if l.stopped != nil {
+		return l.stopped
+	}
+	if err := l.save(hs, entries, snap); err != nil {
+		l.stopped = &Error{Op: "save", Kind: KindStopped, File: l.folder, Err: err}
+		return err
+	}
+	return nil
+}
+
+func (l *Log) save(hs gwquorum.HardState, entries []gwquorum.Entry, snap *gwquorum.Snapshot) error {
+	if snap != nil {
+		return l.saveSnapshot(hs, entries, *snap)
+	}
+	if hs.Term == l.hard.Term && hs.Vote == l.hard.Vote && len(entries) == 0 {
+		return nil
+	}
+	c := change{HardState: hs, Entries: entries}
+	if err := l.check(c); err != nil {
+		return err
+	}
+	b, err := encodeRecord(c)
+	if err != nil {
+		return &Error{Op: "save", Kind: KindEncode, File: l.logPath(l.number), Err: err}
+	}
+	if err := writeSync(l.file, b); err != nil {
+		return l.ioError("save", l.logPath(l.number), err)
+	}
+	l.bytes += int64(len(b))
+	l.apply(c)
+	return nil
+}
+
+func writeSync(f File, b []byte) error {
+	if _, err := f.Write(b); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+// check refuses entries that would leave a gap.
+func (l *Log) check(c change) error {
+	if len(c.Entries) == 0 {
+		return nil
+	}
+	first, last := c.Entries[0].Index, l.snapshot.Index+uint64(len(l.tail))
+	if first > last+1 || first <= l.snapshot.Index {
+		return &Error{
+			Op: "save", Kind: KindEncode, File: l.logPath(l.number),
+			Err: fmt.Errorf("entry %d does not follow entries %d to %d", first, l.snapshot.Index, last),
+		}
+	}
+	return nil
+}
+
+// apply adds a saved change to the state in memory.
+func (l *Log) apply(c change) {
+	l.hard = c.HardState
+	if len(c.Entries) > 0 {
+		keep := c.Entries[0].Index - l.snapshot.Index - 1
+		l.tail = append(slices.Clip(l.tail[:keep]), c.Entries...)
+	}
+}
+
+// saveSnapshot writes the snapshot file and then a new log file that holds only
+// what follows the snapshot.
+func (l *Log) saveSnapshot(hs gwquorum.HardState, entries []gwquorum.Entry, snap gwquorum.Snapshot) error {
+	b, err := encodeRecord(snap)
+	if err != nil {
+		return &Error{Op: "save", Kind: KindEncode, File: l.path(snapshotName), Err: err}
+	}
+	if err := l.replace(l.path(snapshotName), b); err != nil {
+		return err
+	}
+	l.tail = followers(l.snapshot.Index, l.tail, snap)
+	l.snapshot = snap
+	c := change{HardState: hs, Entries: entries}
+	if err := l.check(c); err != nil {
+		return err
+	}
+	l.apply(c)
+	return l.rotate()
+}
+
+// followers returns the entries that remain valid after a snapshot: those that
+// follow it if the entry at its index is the one the snapshot includes.
+func followers(baseIndex uint64, tail []gwquorum.Entry, snap gwquorum.Snapshot) []gwquorum.Entry {
+	last := baseIndex + uint64(len(tail))
+	switch {
+	case snap.Index == baseIndex:
+		return tail
+	case snap.Index < baseIndex || snap.Index > last || tail[snap.Index-baseIndex-1].Term != snap.Term:
+		return nil
+	default:
+		return slices.Clone(tail[snap.Index-baseIndex:])
+	}
+}
+
+// rotate starts a new log file that holds the state in memory.
+func (l *Log) rotate() error {
+	c := change{HardState: l.hard, Entries: l.tail, Base: &base{Index: l.snapshot.Index, Term: l.snapshot.Term}}
+	b, err := encodeRecord(c)
+	if err != nil {
+		return &Error{Op: "rotate", Kind: KindEncode, File: l.logPath(l.number + 1), Err: err}
+	}
+	name := l.logPath(l.number + 1)
+	if err := l.replace(name, b); err != nil {
+		return err
+	}
+	f, err := l.fs.Append(name)
+	if err != nil {
+		return l.ioError("rotate", name, err)
+	}
+	if l.file != nil {
+		l.file.Close()
+		if err := l.fs.Remove(l.logPath(l.number)); err != nil {
+			f.Close()
+			return l.ioError("rotate", l.logPath(l.number), err)
+		}
+	}
+	l.file, l.number, l.bytes = f, l.number+1, int64(len(b))
+	return nil
+}
+
+// replace makes b the durable content of a file, or leaves the file as it was.
+func (l *Log) replace(name string, b []byte) error {
+	temp := name + tempSuffix
+	f, err := l.fs.Create(temp)
+	if err != nil {
+		return l.ioError("replace", temp, err)
+	}
+	defer f.Close()
+	if err := writeSync(f, b); err != nil {
+		return l.ioError("replace", temp, err)
+	}
+	if err := l.fs.Rename(temp, name); err != nil {
+		return l.ioError("replace", name, err)
+	}
+	if err := l.fs.SyncFolder(l.folder); err != nil {
+		return l.ioError("replace", name, err)
+	}
+	return nil
+}
+
+// Close closes the files. It syncs nothing, because every save did.
+func (l *Log) Close() {
+	if l.file != nil {
+		l.file.Close()
+		l.file = nil
+	}
+	if l.lock != nil {
+		l.lock.Close()
+		l.lock = nil
+	}
+	if l.stopped == nil {
+		l.stopped = &Error{Op: "save", Kind: KindStopped, File: l.folder, Err: fmt.Errorf("the log is closed")}
+	}
+}
+
+func isLog(name string) bool {
+	return strings.HasPrefix(name, logPrefix) && !strings.HasSuffix(name, tempSuffix)
+}
--- /dev/null
+++ b/internal/gwstore/memoryfile.go
@@ -0,0 +1,71 @@
+package gwstore
+
+import "slices"
+
+// memoryFile is an open file of a MemoryFS.
+type memoryFile struct {
+	fs    *MemoryFS
+	name  string
+	data  *memoryData
+	epoch int
+}
+
+func (f *memoryFile) check(op Op) error {
+	if f.epoch != f.fs.epoch {
+		return errCrashed
+	}
+	return f.fs.check(op, f.name)
+}
+
+// Write appends b, or the part of it that fits the file system's limit.
+func (f *memoryFile) Write(b []byte) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if err := f.check(OpWrite); err != nil {
+		return 0, err
+	}
+	if f.fs.limit == 0 {
+		f.data.content = append(f.data.content, b...)
+		return len(b), nil
+	}
+	used := 0
+	for _, d := range f.fs.files {
+		used += len(d.content)
+	}
+	fit := min(len(b), max(0, f.fs.limit-used))
+	f.data.content = append(f.data.content, b[:fit]...)
+	if fit < len(b) {
+		return fit, ErrFull
+	}
+	return fit, nil
+}
+
+// Truncate cuts the file to size.
+func (f *memoryFile) Truncate(size int64) error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if err := f.check(OpTruncate); err != nil {
+		return err
+	}
+	f.data.content, f.data.cut = slices.Clone(f.data.content[:size]), true
+	return nil
+}
+
+// Sync makes the content durable.
+func (f *memoryFile) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if err := f.check(OpSync); err != nil {
+		return err
+	}
+	// Appended data only is copied, so that syncing a growing file stays cheap.
+	if n := len(f.data.synced); n <= len(f.data.content) && !f.data.cut {
+		f.data.synced = append(f.data.synced, f.data.content[n:]...)
+		return nil
+	}
+	f.data.synced, f.data.cut = slices.Clone(f.data.content), false
+	return nil
+}
+
+// Close closes the file without syncing it.
+func (f *memoryFile) Close() error { return nil }
--- /dev/null
+++ b/internal/gwstore/open.go
@@ -0,0 +1,183 @@
+package gwstore
+
+import (
+	"io/fs"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"gentianward.example/gentianward/pkg/gwquorum"
+)
+
+// open reads the folder's files into l.
+func (l *Log) open() error {
+	names, err := l.fs.List(l.folder)
+	if err != nil {
+		return l.ioError("open", l.folder, err)
+	}
+	if err := l.removeTemps(names); err != nil {
+		return err
+	}
+	snap, err := l.readSnapshot()
+	if err != nil {
+		return err
+	}
+	logs, err := l.logNumbers(names)
+	if err != nil {
+		return err
+	}
+	if len(logs) == 0 {
+		if snap != nil {
+			// The first open creates a log file before any snapshot is saved.
+			return l.corrupt(l.path(snapshotName), 0, "the snapshot has no log file beside it")
+		}
+		return l.rotate()
+	}
+	l.number = logs[len(logs)-1]
+	if err := l.readLog(); err != nil {
+		return err
+	}
+	if err := l.joinSnapshot(snap); err != nil {
+		return err
+	}
+	// Older files are left when a crash came between a rotation's steps.
+	for _, n := range logs[:len(logs)-1] {
+		if err := l.fs.Remove(l.logPath(n)); err != nil {
+			return l.ioError("open", l.logPath(n), err)
+		}
+	}
+	return nil
+}
+
+func (l *Log) removeTemps(names []string) error {
+	for _, name := range names {
+		if strings.HasSuffix(name, tempSuffix) {
+			if err := l.fs.Remove(l.path(name)); err != nil {
+				return l.ioError("open", l.path(name), err)
+			}
+		}
+	}
+	return nil
+}
+
+func (l *Log) logNumbers(names []string) ([]uint64, error) {
+	var numbers []uint64
+	for _, name := range names {
+		if !isLog(name) {
+			continue
+		}
+		n, err := strconv.ParseUint(strings.TrimPrefix(name, logPrefix), 16, 64)
+		if err != nil {
+			return nil, l.corrupt(l.path(name), 0, "the name has no valid number")
+		}
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	return numbers, nil
+}
+
+func (l *Log) corrupt(file string, offset int, format string, args ...any) error {
+	return &Error{Op: "open", Kind: KindCorrupt, File: file, Offset: int64(offset), Err: errors.Newf(format, args...)}
+}
+
+// readSnapshot returns nil if there is no snapshot.
+func (l *Log) readSnapshot() (*gwquorum.Snapshot, error) {
+	name := l.path(snapshotName)
+	b, err := l.fs.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, l.ioError("open", name, err)
+	}
+	payload, size, ok := nextRecord(b)
+	if !ok || size != len(b) {
+		return nil, l.corrupt(name, 0, "the snapshot is damaged")
+	}
+	var s gwquorum.Snapshot
+	if err := decoder.Unmarshal(payload, &s); err != nil {
+		return nil, l.corrupt(name, 0, "the snapshot cannot be decoded: %v", err)
+	}
+	return &s, nil
+}
+
+// readLog reads the current log file, cuts an incomplete last record and opens
+// the file for writing.
+func (l *Log) readLog() error {
+	name := l.logPath(l.number)
+	b, err := l.fs.ReadFile(name)
+	if err != nil {
+		return l.ioError("open", name, err)
+	}
+	offset := 0
+	for offset < len(b) {
+		payload, size, ok := nextRecord(b[offset:])
+		if !ok {
+			break
+		}
+		var c change
+		if err := decoder.Unmarshal(payload, &c); err != nil {
+			return l.corrupt(name, offset, "the record cannot be decoded: %v", err)
+		}
+		if err := l.replay(c, offset); err != nil {
+			return err
+		}
+		offset += size
+	}
+	if offset < len(b) && hasRecord(b[offset+1:]) {
+		return l.corrupt(name, offset, "the record is damaged and intact ones follow")
+	}
+	if offset == 0 {
+		// A log file gets its name only once its first record is synced.
+		return l.corrupt(name, 0, "the first record is missing")
+	}
+	return l.openFile(name, offset, len(b))
+}
+
+func (l *Log) openFile(name string, size, found int) error {
+	f, err := l.fs.Append(name)
+	if err != nil {
+		return l.ioError("open", name, err)
+	}
+	l.file, l.bytes = f, int64(size)
+	if size == found {
+		return nil
+	}
+	if err := f.Truncate(int64(size)); err != nil {
+		return l.ioError("open", name, err)
+	}
+	if err := f.Sync(); err != nil {
+		return l.ioError("open", name, err)
+	}
+	return nil
+}
+
+func (l *Log) replay(c change, offset int) error {
+	if (offset == 0) != (c.Base != nil) {
+		return l.corrupt(l.logPath(l.number), offset, "a file must begin with its base and hold no other")
+	}
+	if c.Base != nil {
+		l.snapshot = gwquorum.Snapshot{Index: c.Base.Index, Term: c.Base.Term}
+	}
+	if err := l.check(c); err != nil {
+		return l.corrupt(l.logPath(l.number), offset, "%v", err)
+	}
+	l.apply(c)
+	return nil
+}
+
+// joinSnapshot combines the log file with the snapshot, which is newer than the
+// file's base when a crash came before the rotation.
+func (l *Log) joinSnapshot(snap *gwquorum.Snapshot) error {
+	switch {
+	case snap == nil && l.snapshot.Index == 0:
+		return nil
+	case snap == nil || snap.Index < l.snapshot.Index:
+		return l.corrupt(l.path(snapshotName), 0, "the log follows a snapshot of entry %d, which is missing", l.snapshot.Index)
+	}
+	l.tail = followers(l.snapshot.Index, l.tail, *snap)
+	l.snapshot = *snap
+	return nil
+}
--- /dev/null
+++ b/pkg/gwquorum/election.go
@@ -0,0 +1,187 @@
+package gwquorum
+
+import "time"
+
+func (n *Node) resetDeadline() {
+	t := n.cfg.ElectionTimeout
+	n.deadline = n.now.Add(t + time.Duration(n.rand.Int64N(int64(t))))
+}
+
+// hasLeader reports whether a leader was heard so recently that votes for
+// another candidate are refused.
+func (n *Node) hasLeader() bool {
+	if n.role == Leader {
+		return true
+	}
+	return n.leader != "" && n.now.Sub(n.heard) < n.cfg.ElectionTimeout
+}
+
+// follow makes the node a follower in term without a known leader.
+func (n *Node) follow(term uint64) {
+	if term > n.term {
+		n.term, n.vote = term, ""
+	}
+	if n.role == Leader {
+		n.failReads()
+	}
+	n.role, n.leader = Follower, ""
+	n.peers, n.votes, n.transfer = nil, nil, ""
+	n.resetDeadline()
+}
+
+// preCampaign asks the voters whether an election could be won, without
+// changing the term, so that an isolated node does not disturb a working leader
+// when it returns.
+func (n *Node) preCampaign() {
+	m := n.log.members()
+	if !m.IsVoter(n.cfg.ID) {
+		return
+	}
+	n.role, n.leader = PreCandidate, ""
+	n.votes = map[string]bool{n.cfg.ID: true}
+	if n.wonVotes() {
+		n.campaign(false)
+		return
+	}
+	n.askVotes(Message{Kind: MessagePreVote, Term: n.term + 1})
+}
+
+// campaign starts an election in the next term.
+func (n *Node) campaign(transfer bool) {
+	n.role, n.leader = Candidate, ""
+	n.term++
+	n.vote = n.cfg.ID
+	n.votes = map[string]bool{n.cfg.ID: true}
+	n.resetDeadline()
+	if n.wonVotes() {
+		n.lead()
+		return
+	}
+	n.askVotes(Message{Kind: MessageVote, Term: n.term, Transfer: transfer})
+}
+
+func (n *Node) askVotes(m Message) {
+	m.Index, m.LogTerm = n.log.last(), n.log.lastTerm()
+	for _, id := range n.log.members().Voters {
+		if id != n.cfg.ID {
+			m.To = id
+			n.send(m)
+		}
+	}
+}
+
+func (n *Node) countVotes() (granted, refused int) {
+	for _, id := range n.log.members().Voters {
+		v, ok := n.votes[id]
+		switch {
+		case ok && v:
+			granted++
+		case ok:
+			refused++
+		}
+	}
+	return granted, refused
+}
+
+func (n *Node) wonVotes() bool {
+	granted, _ := n.countVotes()
+	return granted >= n.log.members().Quorum()
+}
+
+func (n *Node) lostVotes() bool {
+	m := n.log.members()
+	_, refused := n.countVotes()
+	return len(m.Voters)-refused < m.Quorum()
+}
+
+func (n *Node) onPreVote(m Message) {
+	grant := m.Term > n.term && !n.hasLeader() && n.log.upToDate(m.Index, m.LogTerm)
+	reply := Message{Kind: MessagePreVoteReply, To: m.From, Reject: !grant}
+	if grant {
+		reply.Term = m.Term
+	}
+	n.send(reply)
+}
+
+func (n *Node) onPreVoteReply(m Message) {
+	if m.Reject && m.Term > n.term {
+		n.follow(m.Term)
+		return
+	}
+	if n.role != PreCandidate || !m.Reject && m.Term != n.term+1 {
+		return
+	}
+	n.votes[m.From] = !m.Reject
+	switch {
+	case n.wonVotes():
+		n.campaign(false)
+	case n.lostVotes():
+		n.follow(n.term)
+	}
+}
+
+func (n *Node) onVote(m Message) {
+	free := n.vote == "" && n.leader == "" || n.vote == m.From
+	grant := free && n.role != Leader && n.log.upToDate(m.Index, m.LogTerm)
+	if grant {
+		n.vote, n.role = m.From, Follower
+		n.resetDeadline()
+	}
+	n.send(Message{Kind: MessageVoteReply, To: m.From, Reject: !grant})
+}
+
+func (n *Node) onVoteReply(m Message) {
+	if n.role != Candidate {
+		return
+	}
+	n.votes[m.From] = !m.Reject
+	switch {
+	case n.wonVotes():
+		n.lead()
+	case n.lostVotes():
+		n.follow(n.term)
+	}
+}
+
+// lead makes the node the leader of its term.
+func (n *Node) lead() {
+	n.role, n.leader, n.votes = Leader, n.cfg.ID, nil
+	n.electedAt, n.heartbeat = n.now, n.now
+	n.reads.round = 0
+	n.peers = map[string]*progress{}
+	n.syncPeers()
+	n.firstIndex = n.appendOwn(Entry{Kind: EntryEmpty}).Index
+}
+
+func (n *Node) tickLeader() {
+	if n.transfer != "" && !n.now.Before(n.transferEnd) {
+		n.transfer = ""
+	}
+	if !n.hasActiveQuorum(n.log.members()) {
+		n.follow(n.term)
+		return
+	}
+	if !n.now.Before(n.heartbeat) {
+		n.heartbeat = n.now.Add(n.cfg.Heartbeat)
+		n.broadcast(true)
+	}
+}
+
+// hasActiveQuorum reports whether a quorum of m answered within the election timeout.
+func (n *Node) hasActiveQuorum(m Members) bool {
+	count := 0
+	for _, id := range m.Voters {
+		if n.active(id) {
+			count++
+		}
+	}
+	return count >= m.Quorum()
+}
+
+func (n *Node) active(id string) bool {
+	if id == n.cfg.ID {
+		return true
+	}
+	pr := n.peers[id]
+	return pr != nil && n.now.Sub(pr.acked) < n.cfg.ElectionTimeout
+}
--- /dev/null
+++ b/pkg/gwquorum/log.go
@@ -0,0 +1,139 @@
+package gwquorum
+
+import (
+	"slices"
+)
+
+// memberRecord is a membership that holds from the entry at index on.
+type memberRecord struct {
+	index   uint64
+	members Members
+}
+
+// entryLog is the log in memory: the entries after base.
+type entryLog struct {
+	base, baseTerm uint64
+	entries        []Entry
+	stable         uint64 // greatest synced index
+	commit         uint64
+	applied        uint64
+	// records holds the membership at the snapshot and all later changes, so
+	// that truncating the log restores the earlier membership.
+	records []memberRecord
+}
+
+func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term returns the term of the entry at index; ok is false if the log does not hold it.
+func (l *entryLog) term(index uint64) (term uint64, ok bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.last():
+		return 0, false
+	default:
+		return l.entries[index-l.base-1].Term, true
+	}
+}
+
+// between returns the entries in (after, to].
+func (l *entryLog) between(after, to uint64) []Entry {
+	after = max(after, l.base)
+	if to <= after {
+		return nil
+	}
+	return slices.Clip(l.entries[after-l.base : to-l.base])
+}
+
+// batch returns the entries from index on up to limit bytes, and at least one if there is one.
+func (l *entryLog) batch(index uint64, limit int) []Entry {
+	all := l.between(index-1, l.last())
+	size := 0
+	for i, e := range all {
+		size += e.size()
+		if i > 0 && size > limit {
+			return all[:i:i]
+		}
+	}
+	return all
+}
+
+func (l *entryLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+	for _, e := range entries {
+		if e.Kind == EntryChange && e.Members != nil {
+			l.records = append(l.records, memberRecord{index: e.Index, members: e.Members.Clone()})
+		}
+	}
+}
+
+// truncate drops the entries from index on. The rest is copied, because slices
+// of the old entries may still be in messages.
+func (l *entryLog) truncate(index uint64) {
+	l.entries = slices.Clone(l.entries[:index-l.base-1])
+	l.stable = min(l.stable, index-1)
+	for len(l.records) > 1 && l.records[len(l.records)-1].index >= index {
+		l.records = l.records[:len(l.records)-1]
+	}
+}
+
+// trim drops the entries up to and including index.
+func (l *entryLog) trim(index uint64) {
+	if index <= l.base {
+		return
+	}
+	term, _ := l.term(index)
+	l.entries = slices.Clone(l.entries[index-l.base:])
+	l.base, l.baseTerm = index, term
+}
+
+// reset replaces the log by a snapshot.
+func (l *entryLog) reset(s Snapshot) {
+	l.base, l.baseTerm, l.entries = s.Index, s.Term, nil
+	l.stable, l.commit = s.Index, s.Index
+	l.records = []memberRecord{{index: s.Index, members: s.Members.Clone()}}
+}
+
+func (l *entryLog) members() Members { return l.records[len(l.records)-1].members }
+
+// changeIndex returns the index of the latest membership change.
+func (l *entryLog) changeIndex() uint64 { return l.records[len(l.records)-1].index }
+
+// membersAt returns the membership that holds at index.
+func (l *entryLog) membersAt(index uint64) Members {
+	for _, r := range slices.Backward(l.records) {
+		if r.index <= index {
+			return r.members
+		}
+	}
+	return l.records[0].members
+}
+
+// trimRecords drops the memberships that ended at or before index.
+func (l *entryLog) trimRecords(index uint64) {
+	for len(l.records) > 1 && l.records[1].index <= index {
+		l.records = l.records[1:]
+	}
+}
+
+// upToDate reports whether a log that ends at (index, term) holds at least as much as l.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	last := l.lastTerm()
+	return term > last || term == last && index >= l.last()
+}
+
+// matchHint returns the greatest index up to index whose term is at most term,
+// where the logs of a leader and a follower may agree.
+func (l *entryLog) matchHint(index, term uint64) (uint64, uint64) {
+	for index = min(index, l.last()); index > l.base; index-- {
+		if t, ok := l.term(index); ok && t <= term {
+			return index, t
+		}
+	}
+	return l.base, l.baseTerm
+}
--- /dev/null
+++ b/pkg/gwquorum/node.go
@@ -0,0 +1,298 @@
+package gwquorum
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Node is one member of the replicated log, a pure state machine.
+type Node struct {
+	cfg      Config
+	rand     *rand.Rand
+	now      time.Time
+	term     uint64
+	vote     string
+	saved    HardState // as of the last Advance
+	log      entryLog
+	snapshot Snapshot // the latest, sent to members that are too far behind
+
+	role     Role
+	leader   string
+	heard    time.Time // last message of the leader
+	deadline time.Time // of the next election
+	votes    map[string]bool
+
+	peers       map[string]*progress // leader only, without itself
+	heartbeat   time.Time            // next one
+	electedAt   time.Time
+	firstIndex  uint64 // of the leader's own term
+	transfer    string
+	transferEnd time.Time
+
+	reads reads
+
+	messages    []Message
+	newSnapshot bool
+	restore     bool
+	outstanding bool // between Ready and Advance
+	fault       error
+}
+
+// NewNode returns a node that continues from saved state. A first voter starts
+// with a Snapshot of index 0 that names all first voters; an instance that is
+// to be added later starts with a zero Snapshot. The state machine must be
+// restored from snap; later entries are delivered again as they are committed.
+func NewNode(cfg Config, st HardState, snap Snapshot, entries []Entry) (*Node, error) {
+	if cfg.ID == "" || cfg.Rand == nil {
+		return nil, newError("new node", KindInvalid, "config needs ID and Rand")
+	}
+	n := &Node{cfg: cfg.withDefaults(), rand: rand.New(cfg.Rand), term: st.Term, vote: st.Vote, snapshot: snap}
+	n.log.reset(snap)
+	n.log.applied = snap.Index
+	for _, e := range entries {
+		if e.Index <= snap.Index {
+			continue
+		}
+		if e.Index != n.log.last()+1 || e.Term < n.log.lastTerm() {
+			return nil, newError("new node", KindInconsistent, "entry %d of term %d follows entry %d of term %d",
+				e.Index, e.Term, n.log.last(), n.log.lastTerm())
+		}
+		n.log.append(e)
+	}
+	if st.Commit > n.log.last() {
+		return nil, newError("new node", KindInconsistent, "saved commit index %d is past the last entry %d", st.Commit, n.log.last())
+	}
+	n.log.stable = n.log.last()
+	n.log.commit = max(snap.Index, st.Commit)
+	n.saved = st
+	// A crash between saving a received snapshot and the term it came with
+	// leaves an older term, in which no vote can be missing.
+	if last := n.log.lastTerm(); last > n.term {
+		n.term, n.vote = last, ""
+	}
+	n.reads.next = n.rand.Uint64()
+	return n, nil
+}
+
+func (n *Node) observe(now time.Time) {
+	if now.After(n.now) {
+		n.now = now
+	}
+	if n.deadline.IsZero() {
+		n.resetDeadline()
+	}
+}
+
+// Tick advances time: elections, heartbeats, check-quorum and expiry of reads.
+func (n *Node) Tick(now time.Time) {
+	n.observe(now)
+	if n.fault != nil {
+		return
+	}
+	n.expireReads()
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if !n.now.Before(n.deadline) {
+		n.resetDeadline()
+		n.preCampaign()
+	}
+}
+
+// Step handles a message of another node.
+func (n *Node) Step(m Message, now time.Time) {
+	n.observe(now)
+	if n.fault != nil || m.To != n.cfg.ID || m.From == n.cfg.ID {
+		return
+	}
+	switch m.Kind {
+	case MessagePreVote:
+		n.onPreVote(m)
+		return
+	case MessagePreVoteReply:
+		n.onPreVoteReply(m)
+		return
+	}
+	if m.Term < n.term {
+		n.answerOldTerm(m)
+		return
+	}
+	if m.Term > n.term {
+		if m.Kind == MessageVote && !m.Transfer && n.hasLeader() {
+			return
+		}
+		n.follow(m.Term)
+	}
+	n.stepCurrent(m)
+}
+
+// stepCurrent handles a message of the node's own term.
+func (n *Node) stepCurrent(m Message) {
+	switch m.Kind {
+	case MessageVote:
+		n.onVote(m)
+	case MessageVoteReply:
+		n.onVoteReply(m)
+	case MessageAppend, MessageSnapshot:
+		n.onLeaderMessage(m)
+	case MessageAppendReply:
+		n.onAppendReply(m)
+	case MessageTimeoutNow:
+		if n.role == Follower && n.log.members().IsVoter(n.cfg.ID) {
+			n.campaign(true)
+		}
+	case MessageReadIndex:
+		n.onReadIndex(m)
+	case MessageReadIndexReply:
+		n.onReadIndexReply(m)
+	}
+}
+
+// answerOldTerm tells the sender of an older term about the current one, so
+// that an outdated leader or candidate stops.
+func (n *Node) answerOldTerm(m Message) {
+	switch m.Kind {
+	case MessageAppend, MessageSnapshot:
+		n.send(Message{Kind: MessageAppendReply, To: m.From, Reject: true})
+	case MessageVote:
+		n.send(Message{Kind: MessageVoteReply, To: m.From, Reject: true})
+	}
+}
+
+func (n *Node) send(m Message) {
+	m.From = n.cfg.ID
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.messages = append(n.messages, m)
+}
+
+// fail stops the node because continuing could break a guarantee.
+func (n *Node) fail(format string, args ...any) {
+	n.follow(n.term)
+	n.messages = nil
+	n.fault = &Error{Op: "step", Kind: KindInconsistent, Err: errors.Newf(format, args...)}
+}
+
+// Propose appends data to the log of the leader. The entry is committed when it
+// appears in Ready.Committed with the returned index and term; another term at
+// that index means that it was not.
+func (n *Node) Propose(data []byte) (index, term uint64, err error) {
+	if err := n.checkPropose("propose"); err != nil {
+		return 0, 0, err
+	}
+	e := n.appendOwn(Entry{Kind: EntryData, Data: data})
+	return e.Index, e.Term, nil
+}
+
+func (n *Node) checkPropose(op string) error {
+	switch {
+	case n.fault != nil:
+		return n.fault
+	case n.role != Leader:
+		return &Error{Op: op, Kind: KindNotLeader, Leader: n.leader, Err: errors.New("this node does not lead")}
+	case n.transfer != "":
+		return newError(op, KindPending, "leadership is being transferred to %s", n.transfer)
+	case n.log.last()-n.log.commit >= uint64(n.cfg.Pending):
+		return newError(op, KindBusy, "%d entries are not committed", n.log.last()-n.log.commit)
+	}
+	return nil
+}
+
+func (n *Node) appendOwn(e Entry) Entry {
+	e.Index, e.Term = n.log.last()+1, n.term
+	n.log.append(e)
+	return e
+}
+
+// Compact records that data is the state machine's state after the applied
+// entry at index, so that earlier entries can be dropped.
+func (n *Node) Compact(index uint64, data []byte) error {
+	if index > n.log.applied || index <= n.snapshot.Index {
+		return newError("compact", KindInvalid, "index %d is not between snapshot %d and applied %d", index, n.snapshot.Index, n.log.applied)
+	}
+	term, ok := n.log.term(index)
+	if !ok {
+		return newError("compact", KindInvalid, "the log does not hold entry %d", index)
+	}
+	n.snapshot = Snapshot{Index: index, Term: term, Members: n.log.membersAt(index).Clone(), Data: data}
+	n.newSnapshot = true
+	n.log.trimRecords(index)
+	if index > n.cfg.KeepEntries {
+		n.log.trim(index - n.cfg.KeepEntries)
+	}
+	return nil
+}
+
+// Ready returns the work for the driver. Until Advance is called with it, Ready
+// returns nothing more.
+func (n *Node) Ready() Ready {
+	if n.outstanding {
+		return Ready{HardState: n.saved}
+	}
+	n.flush()
+	hs := HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
+	rd := Ready{
+		HardState: hs,
+		Entries:   n.log.between(n.log.stable, n.log.last()),
+		Messages:  n.messages,
+		Committed: n.log.between(n.log.applied, n.log.commit),
+		Reads:     n.reads.answered,
+		changed:   hs.Term != n.saved.Term || hs.Vote != n.saved.Vote,
+	}
+	if n.newSnapshot {
+		s := n.snapshot
+		rd.Snapshot, rd.Restore = &s, n.restore
+	}
+	if rd.Restore {
+		rd.Committed = n.log.between(n.snapshot.Index, n.log.commit)
+	}
+	n.messages, n.reads.answered = nil, nil
+	n.newSnapshot, n.restore = false, false
+	n.outstanding = !rd.Empty()
+	return rd
+}
+
+// Advance reports that the work of rd is done: saved, sent and applied.
+func (n *Node) Advance(rd Ready) {
+	n.outstanding = false
+	if rd.MustSave() {
+		n.saved = rd.HardState
+	}
+	if rd.Restore {
+		n.log.applied = max(n.log.applied, rd.Snapshot.Index)
+	}
+	if c := len(rd.Committed); c > 0 {
+		n.log.applied = max(n.log.applied, rd.Committed[c-1].Index)
+	}
+	if c := len(rd.Entries); c > 0 {
+		last := rd.Entries[c-1]
+		// Entries that were replaced while they were being saved stay unsaved.
+		if t, ok := n.log.term(last.Index); ok && t == last.Term {
+			n.log.stable = max(n.log.stable, last.Index)
+		}
+	}
+	n.maybeCommit()
+}
+
+// Status returns a description of the node.
+func (n *Node) Status() Status {
+	m := n.log.members()
+	s := Status{
+		ID: n.cfg.ID, Role: n.role, Term: n.term, Leader: n.leader,
+		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(), Snapshot: n.snapshot.Index,
+		Voters: m.Clone().Voters, Learners: m.Clone().Learners, Transferring: n.transfer, Fault: n.fault,
+	}
+	if n.role != Leader {
+		return s
+	}
+	s.LeaderReady = n.log.applied >= n.firstIndex
+	for _, id := range n.peerIDs() {
+		pr := n.peers[id]
+		s.Peers = append(s.Peers, PeerStatus{Instance: id, Learner: m.IsLearner(id), Match: pr.match, Active: n.active(id)})
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/gwquorum/replicate.go
@@ -0,0 +1,257 @@
+package gwquorum
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+type progressState uint8
+
+const (
+	probing     progressState = iota // one message at a time until the logs match
+	replicating                      // messages are sent ahead of replies
+	restoring                        // a snapshot was sent
+)
+
+// progress is the leader's knowledge of one peer.
+type progress struct {
+	state    progressState
+	match    uint64 // greatest index synced on the peer
+	next     uint64 // first index to send
+	commit   uint64 // commit index last sent
+	inflight []uint64
+	probed   bool      // a probe was sent and neither answered nor timed out
+	snapshot time.Time // when the snapshot was sent
+	acked    time.Time // last reply in this term
+	round    uint64    // last confirmation round of reads answered
+}
+
+func (n *Node) peerIDs() []string { return slices.Sorted(maps.Keys(n.peers)) }
+
+// syncPeers makes the peers follow the current membership.
+func (n *Node) syncPeers() {
+	m := n.log.members()
+	for _, id := range m.All() {
+		if id != n.cfg.ID && n.peers[id] == nil {
+			// A new peer counts as active for one election timeout.
+			n.peers[id] = &progress{next: n.log.last() + 1, acked: n.now}
+		}
+	}
+	maps.DeleteFunc(n.peers, func(id string, _ *progress) bool { return !m.IsVoter(id) && !m.IsLearner(id) })
+}
+
+// flush creates the messages for new entries, commit indexes and reads.
+func (n *Node) flush() {
+	if n.role != Leader || n.fault != nil {
+		return
+	}
+	n.broadcast(n.startRound())
+	n.finishReads()
+}
+
+func (n *Node) broadcast(heartbeat bool) {
+	for _, id := range n.peerIDs() {
+		n.sendAppend(id, n.peers[id], heartbeat)
+	}
+}
+
+// sendAppend sends the next entries, or an empty append when there is a new
+// commit index or a heartbeat is due.
+func (n *Node) sendAppend(id string, pr *progress, heartbeat bool) {
+	if heartbeat {
+		pr.probed = false
+	}
+	if pr.state == restoring {
+		n.repeatSnapshot(id, pr, heartbeat)
+		return
+	}
+	prev := pr.next - 1
+	prevTerm, ok := n.log.term(prev)
+	if !ok {
+		n.sendSnapshot(id, pr)
+		return
+	}
+	m := Message{Kind: MessageAppend, To: id, Index: prev, LogTerm: prevTerm, Commit: n.log.commit, Round: n.reads.round}
+	switch {
+	case pr.state == probing && !pr.probed:
+		m.Entries = n.log.batch(pr.next, n.cfg.BatchBytes)
+		pr.probed = true
+	case pr.state == replicating && len(pr.inflight) < n.cfg.Window:
+		m.Entries = n.log.batch(pr.next, n.cfg.BatchBytes)
+		if c := len(m.Entries); c > 0 {
+			pr.next = m.Entries[c-1].Index + 1
+			pr.inflight = append(pr.inflight, pr.next-1)
+		}
+	}
+	news := pr.state == replicating && pr.commit < n.log.commit
+	if len(m.Entries) == 0 && !heartbeat && !news {
+		return
+	}
+	pr.commit = n.log.commit
+	n.send(m)
+	if len(m.Entries) > 0 && pr.state == replicating && pr.next <= n.log.last() {
+		n.sendAppend(id, pr, false)
+	}
+}
+
+func (n *Node) sendSnapshot(id string, pr *progress) {
+	pr.state, pr.snapshot, pr.inflight = restoring, n.now, nil
+	s := n.snapshot
+	n.send(Message{Kind: MessageSnapshot, To: id, Snapshot: &s, Round: n.reads.round})
+}
+
+func (n *Node) repeatSnapshot(id string, pr *progress, heartbeat bool) {
+	switch {
+	case n.now.Sub(pr.snapshot) >= n.cfg.SnapshotTimeout:
+		n.sendSnapshot(id, pr)
+	case heartbeat:
+		// Entry 0 matches in every log; the reply tells the peer's commit index.
+		n.send(Message{Kind: MessageAppend, To: id, Round: n.reads.round})
+	}
+}
+
+func (n *Node) onAppendReply(m Message) {
+	pr := n.peers[m.From]
+	if n.role != Leader || pr == nil {
+		return
+	}
+	pr.acked = n.now
+	pr.round = max(pr.round, min(m.Round, n.reads.round))
+	if m.Reject {
+		n.backOff(pr, m)
+		return
+	}
+	if m.Index > n.log.last() {
+		n.fail("%s reports synced entry %d past the leader's last entry %d", m.From, m.Index, n.log.last())
+		return
+	}
+	pr.match = max(pr.match, m.Index)
+	pr.next = max(pr.next, pr.match+1)
+	pr.inflight = slices.DeleteFunc(pr.inflight, func(i uint64) bool { return i <= pr.match })
+	switch {
+	case pr.state == restoring && pr.match < n.log.base:
+	case pr.state != replicating && m.Index == pr.match:
+		pr.state, pr.next, pr.probed = replicating, pr.match+1, false
+	}
+	n.maybeCommit()
+	n.maybeTransfer(m.From, pr)
+}
+
+// backOff moves a peer whose log does not match at the rejected entry back to
+// where it may match.
+func (n *Node) backOff(pr *progress, m Message) {
+	switch {
+	case pr.state == replicating && m.Index > pr.match:
+		pr.state, pr.next, pr.inflight, pr.probed = probing, pr.match+1, nil, false
+	case pr.state == probing && m.Index == pr.next-1:
+		hint, _ := n.log.matchHint(m.Hint, m.HintTerm)
+		if m.Hint < n.log.base {
+			hint = m.Hint
+		}
+		pr.next = max(min(m.Index, hint+1), pr.match+1)
+		pr.probed = false
+	}
+}
+
+// maybeCommit commits the entries that a quorum has synced. Only an entry of
+// the leader's own term is committed by counting; earlier ones go with it.
+func (n *Node) maybeCommit() {
+	if n.role != Leader {
+		return
+	}
+	m := n.log.members()
+	var matches []uint64
+	for _, id := range m.Voters {
+		switch {
+		case id == n.cfg.ID:
+			matches = append(matches, n.log.stable)
+		case n.peers[id] != nil:
+			matches = append(matches, n.peers[id].match)
+		}
+	}
+	slices.Sort(matches)
+	if len(matches) < m.Quorum() {
+		return
+	}
+	index := matches[len(matches)-m.Quorum()]
+	if t, ok := n.log.term(index); ok && t == n.term && index > n.log.commit {
+		n.log.commit = index
+	}
+}
+
+// onLeaderMessage handles an append or a snapshot of the term's leader.
+func (n *Node) onLeaderMessage(m Message) {
+	if n.role == Leader {
+		n.fail("%s leads term %d as well", m.From, n.term)
+		return
+	}
+	n.role, n.leader, n.votes = Follower, m.From, nil
+	n.heard = n.now
+	n.resetDeadline()
+	if m.Kind == MessageSnapshot {
+		n.onSnapshot(m)
+		return
+	}
+	n.onAppend(m)
+}
+
+func (n *Node) onAppend(m Message) {
+	reply := Message{Kind: MessageAppendReply, To: m.From, Round: m.Round}
+	t, ok := n.log.term(m.Index)
+	switch {
+	case m.Index < n.log.commit:
+		reply.Index = n.log.commit
+	case ok && t == m.LogTerm:
+		if !n.appendEntries(m.Entries) {
+			return
+		}
+		reply.Index = m.Index + uint64(len(m.Entries))
+		n.log.commit = max(n.log.commit, min(m.Commit, reply.Index))
+	default:
+		reply.Reject, reply.Index = true, m.Index
+		reply.Hint, reply.HintTerm = n.log.matchHint(m.Index, m.LogTerm)
+	}
+	n.send(reply)
+}
+
+// appendEntries stores the leader's entries, replacing conflicting ones.
+func (n *Node) appendEntries(entries []Entry) bool {
+	for i, e := range entries {
+		t, ok := n.log.term(e.Index)
+		if ok && t == e.Term {
+			continue
+		}
+		if ok {
+			if e.Index <= n.log.commit {
+				n.fail("entry %d of term %d replaces a committed entry of term %d", e.Index, e.Term, t)
+				return false
+			}
+			n.log.truncate(e.Index)
+		}
+		n.log.append(entries[i:]...)
+		return true
+	}
+	return true
+}
+
+func (n *Node) onSnapshot(m Message) {
+	s := m.Snapshot
+	if s == nil {
+		return
+	}
+	reply := Message{Kind: MessageAppendReply, To: m.From, Round: m.Round}
+	t, ok := n.log.term(s.Index)
+	switch {
+	case s.Index <= n.log.commit:
+		reply.Index = n.log.commit
+	case ok && t == s.Term:
+		n.log.commit = s.Index
+		reply.Index = s.Index
+	default:
+		n.snapshot, n.newSnapshot, n.restore = *s, true, true
+		n.log.reset(*s)
+		reply.Index = s.Index
+	}
+	n.send(reply)
+}
--- /dev/null
+++ b/pkg/gwquorum/types.go
@@ -0,0 +1,179 @@
+package gwquorum
+
+import (
+	"slices"
+)
+
+// HardState is the part of a node's state that must be synced before messages
+// that depend on it are sent.
+type HardState struct {
+	Term uint64 `cbor:"1,keyasint"`
+	Vote string `cbor:"2,keyasint,omitempty"`
+	// Commit is a lower bound of the commit index. It is saved along with other
+	// changes only, because a restarted node learns the rest from the leader.
+	Commit uint64 `cbor:"3,keyasint"`
+}
+
+// EntryKind says what an entry of the log contains.
+type EntryKind uint8
+
+// Kinds of entries.
+const (
+	EntryData   EntryKind = iota // a command for the state machine
+	EntryEmpty                   // written by a new leader to commit the entries of earlier terms
+	EntryChange                  // a membership change
+)
+
+// Entry is one entry of the replicated log. Indexes begin at 1.
+type Entry struct {
+	Index   uint64    `cbor:"1,keyasint"`
+	Term    uint64    `cbor:"2,keyasint"`
+	Kind    EntryKind `cbor:"3,keyasint,omitempty"`
+	Data    []byte    `cbor:"4,keyasint,omitempty"`
+	Members *Members  `cbor:"5,keyasint,omitempty"` // the membership from this entry on, for EntryChange
+}
+
+// entryOverhead is an upper bound of an entry's encoded size without its data and members.
+const entryOverhead = 32
+
+// size returns the approximate encoded size in bytes.
+func (e Entry) size() int {
+	n := entryOverhead + len(e.Data)
+	if e.Members != nil {
+		for _, id := range slices.Concat(e.Members.Voters, e.Members.Learners) {
+			n += len(id) + 2
+		}
+	}
+	return n
+}
+
+// Members is a membership: voters count for quorums, learners only receive the log.
+type Members struct {
+	Voters   []string `cbor:"1,keyasint"`
+	Learners []string `cbor:"2,keyasint,omitempty"`
+}
+
+// Clone returns a deep copy.
+func (m Members) Clone() Members {
+	return Members{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
+}
+
+// IsVoter reports whether id is a voter.
+func (m Members) IsVoter(id string) bool { return slices.Contains(m.Voters, id) }
+
+// IsLearner reports whether id is a learner.
+func (m Members) IsLearner(id string) bool { return slices.Contains(m.Learners, id) }
+
+// All returns the voters and learners, sorted.
+func (m Members) All() []string {
+	ids := slices.Concat(m.Voters, m.Learners)
+	slices.Sort(ids)
+	return ids
+}
+
+// Quorum returns the number of voters that form a majority.
+func (m Members) Quorum() int { return len(m.Voters)/2 + 1 }
+
+// Snapshot is the state machine's state after the entry at Index. The snapshot
+// of a first start has Index 0 and names the first voters.
+type Snapshot struct {
+	Index   uint64  `cbor:"1,keyasint"`
+	Term    uint64  `cbor:"2,keyasint"`
+	Members Members `cbor:"3,keyasint"`
+	Data    []byte  `cbor:"4,keyasint,omitempty"`
+}
+
+// ChangeKind is the kind of a membership change.
+type ChangeKind uint8
+
+// Kinds of membership changes.
+const (
+	AddLearner ChangeKind = iota + 1 // adds an instance that receives the log without a vote
+	Promote                          // makes a learner that has caught up a voter
+	Remove                           // removes a voter or learner
+)
+
+// Change is a membership change of one instance.
+type Change struct {
+	Kind     ChangeKind `cbor:"1,keyasint" json:"kind"`
+	Instance string     `cbor:"2,keyasint" json:"instance"`
+}
+
+// Role is the role of a node.
+type Role uint8
+
+// Roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name.
+func (r Role) String() string {
+	names := [...]string{"follower", "preCandidate", "candidate", "leader"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
+// ReadState answers one ReadIndex call.
+type ReadState struct {
+	ID uint64
+	// Index is the entry that the state machine must have applied before the
+	// read with this ID is answered.
+	Index uint64
+	// Failed is set when the leader changed or did not answer; Index is then 0.
+	Failed bool
+}
+
+// Ready is the work that a node has for its driver.
+type Ready struct {
+	HardState HardState   // to save, always the current one
+	Entries   []Entry     // to save, replacing all saved entries from the first one's index on
+	Snapshot  *Snapshot   // to save, nil if there is none
+	Restore   bool        // the state machine must be replaced by Snapshot
+	Messages  []Message   // to send after the save
+	Committed []Entry     // to apply after the save, in order
+	Reads     []ReadState // answered reads
+
+	changed bool
+}
+
+// MustSave reports whether Save must be called before the messages are sent.
+func (r Ready) MustSave() bool { return r.changed || len(r.Entries) > 0 || r.Snapshot != nil }
+
+// Empty reports whether there is nothing to do.
+func (r Ready) Empty() bool {
+	return !r.MustSave() && len(r.Messages) == 0 && len(r.Committed) == 0 && len(r.Reads) == 0
+}
+
+// Status describes a node for reports.
+type Status struct {
+	ID       string
+	Role     Role
+	Term     uint64
+	Leader   string // "" if unknown
+	Commit   uint64
+	Applied  uint64
+	Last     uint64
+	Snapshot uint64
+	Voters   []string
+	Learners []string
+	// LeaderReady is set on a leader that has applied an entry of its own term
+	// and hence everything that earlier leaders committed.
+	LeaderReady  bool
+	Transferring string       // target of a leadership transfer
+	Peers        []PeerStatus // on the leader, sorted by instance
+	Fault        error        // why the node stopped taking part, nil if it takes part
+}
+
+// PeerStatus is the leader's view of another member.
+type PeerStatus struct {
+	Instance string
+	Learner  bool
+	Match    uint64 // greatest index known to be synced on the peer
+	Active   bool   // answered within the election timeout
+}
