gwpeer: link instances over QUIC with mutual TLS

Instances need one warm connection per pair for calls, streams and datagrams, with errors that say whether a request reached the handler.

--- /dev/null
+++ b/internal/gwpeer/bench_test.go
@@ -0,0 +1,122 @@
+package gwpeer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+)
+
+// users is the number of concurrent users in the benchmarks.
+const users = 64
+
+// measure runs op from a number of goroutines, b.N times in all, and reports
+// the rate and the median and 99th percentile of the latency.
+func measure(b *testing.B, workers int, op func(worker int) error) {
+	b.Helper()
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	hists := make([]*hdrhistogram.Histogram, workers)
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	start := time.Now()
+	for w := range workers {
+		hists[w] = hdrhistogram.New(1, int64(10*time.Second), 3)
+		wg.Go(func() {
+			for left.Add(-1) >= 0 {
+				t := time.Now()
+				if err := op(w); err != nil {
+					b.Error(err)
+					return
+				}
+				_ = hists[w].RecordValue(int64(time.Since(t)))
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(start)
+	b.StopTimer()
+	for _, h := range hists[1:] {
+		hists[0].Merge(h)
+	}
+	b.ReportMetric(float64(b.N)/took.Seconds(), "req/s")
+	b.ReportMetric(float64(hists[0].ValueAtQuantile(50))/1e3, "p50-µs")
+	b.ReportMetric(float64(hists[0].ValueAtQuantile(99))/1e3, "p99-µs")
+}
+
+func benchPair(b *testing.B) (*Node, string) {
+	nodes := cluster(b, "a", "b")
+	serveEcho(nodes[1])
+	_, err := Call[echo, echo](context.Background(), nodes[0], nodes[1].Address(), kindEcho, echo{Text: "warm"})
+	require.NoError(b, err)
+	return nodes[0], nodes[1].Address()
+}
+
+func BenchmarkCall(b *testing.B) {
+	for _, workers := range []int{1, users} {
+		b.Run(benchName(workers), func(b *testing.B) {
+			a, addr := benchPair(b)
+			measure(b, workers, func(int) error {
+				_, err := Call[echo, echo](context.Background(), a, addr, kindEcho, echo{Text: "0123456789"})
+				return err
+			})
+		})
+	}
+}
+
+// BenchmarkStreamPerRequest opens a stream for each exchange of one 100-byte
+// frame in each direction.
+func BenchmarkStreamPerRequest(b *testing.B) {
+	for _, workers := range []int{1, users} {
+		b.Run(benchName(workers), func(b *testing.B) {
+			a, addr := benchPair(b)
+			payload := make([]byte, 100)
+			measure(b, workers, func(int) error {
+				s, err := a.OpenStream(context.Background(), addr, kindStream)
+				if err != nil {
+					return err
+				}
+				defer s.Close()
+				return exchange(s, payload)
+			})
+		})
+	}
+}
+
+// BenchmarkLongStream uses one stream per user for all its exchanges.
+func BenchmarkLongStream(b *testing.B) {
+	for _, workers := range []int{1, users} {
+		b.Run(benchName(workers), func(b *testing.B) {
+			a, addr := benchPair(b)
+			payload := make([]byte, 100)
+			streams := make([]*Stream, workers)
+			for i := range streams {
+				s, err := a.OpenStream(context.Background(), addr, kindStream)
+				require.NoError(b, err)
+				defer s.Close()
+				require.NoError(b, exchange(s, payload))
+				streams[i] = s
+			}
+			measure(b, workers, func(w int) error { return exchange(streams[w], payload) })
+		})
+	}
+}
+
+func exchange(s *Stream, payload []byte) error {
+	if err := s.WriteFrame(1, payload); err != nil {
+		return err
+	}
+	_, _, err := s.ReadFrame()
+	return err
+}
+
+func benchName(workers int) string {
+	if workers == 1 {
+		return "1user"
+	}
+	return "64users"
+}
--- /dev/null
+++ b/internal/gwpeer/codec.go
@@ -0,0 +1,100 @@
+package gwpeer
+
+import (
+	"bytes"
+	"reflect"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Bounds of messages. A decoder that meets a larger value refuses the message.
+const (
+	MaxMessageBytes  = 1 << 20  // one request, response or datagram
+	MaxFrameBytes    = 16 << 20 // payload of one stream frame
+	MaxDatagramBytes = 1200     // fits an initial QUIC packet of 1280 bytes
+
+	maxNesting   = 16
+	maxElements  = 64 << 10 // of an array or map
+	maxPooledBuf = 64 << 10 // larger buffers are left to the garbage collector
+)
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+
+	bufPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+)
+
+func mustEncMode() cbor.UserBufferEncMode {
+	m, err := cbor.EncOptions{
+		Time:        cbor.TimeRFC3339NanoUTC,
+		IndefLength: cbor.IndefLengthForbidden,
+	}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		DefaultMapType:   reflect.TypeFor[map[string]any](),
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Marshal encodes v as CBOR within the bound of a frame.
+func Marshal(v any) ([]byte, error) {
+	b := getBuf()
+	defer putBuf(b)
+	if err := encode(b, v, MaxFrameBytes); err != nil {
+		return nil, err
+	}
+	return bytes.Clone(b.Bytes()), nil
+}
+
+// Unmarshal decodes CBOR into v, ignoring fields that v does not have.
+func Unmarshal(data []byte, v any) error {
+	if len(data) > MaxFrameBytes {
+		return newError("decode", KindInvalid, "", errors.Newf("message of %d bytes exceeds %d", len(data), MaxFrameBytes))
+	}
+	if err := decMode.Unmarshal(data, v); err != nil {
+		return newError("decode", KindInvalid, "", err)
+	}
+	return nil
+}
+
+// encode appends the CBOR of v to b and refuses more than limit bytes of it.
+func encode(b *bytes.Buffer, v any, limit int) error {
+	start := b.Len()
+	if err := encMode.MarshalToBuffer(v, b); err != nil {
+		return newError("encode", KindInvalid, "", err)
+	}
+	if n := b.Len() - start; n > limit {
+		return newError("encode", KindInvalid, "", errors.Newf("message of %d bytes exceeds %d", n, limit))
+	}
+	return nil
+}
+
+func getBuf() *bytes.Buffer {
+	b := bufPool.Get().(*bytes.Buffer)
+	b.Reset()
+	return b
+}
+
+func putBuf(b *bytes.Buffer) {
+	if b.Cap() <= maxPooledBuf {
+		bufPool.Put(b)
+	}
+}
--- /dev/null
+++ b/internal/gwpeer/datagram.go
@@ -0,0 +1,95 @@
+package gwpeer
+
+import (
+	"context"
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+)
+
+// HandleDatagram serves datagrams of a kind. The handler runs on the link's
+// receiving goroutine and must not block.
+func HandleDatagram[Msg any](n *Node, kind Kind, fn func(from string, msg Msg)) {
+	add(&n.handlers, n.handlers.datagrams, kind, func(from string, payload []byte) error {
+		var msg Msg
+		if err := Unmarshal(payload, &msg); err != nil {
+			return err
+		}
+		fn(from, msg)
+		return nil
+	})
+}
+
+// Send sends a datagram of at most MaxDatagramBytes without any guarantee of
+// delivery. Without a link it starts a dial and keeps a few datagrams for its
+// end; to a peer that is known to be down it sends nothing.
+func (n *Node) Send(address string, kind Kind, msg any) error {
+	op := "send " + kind.String()
+	addr, err := parseAddress(address)
+	if err != nil {
+		return newError(op, KindInvalid, address, err)
+	}
+	buf := getBuf()
+	defer putBuf(buf)
+	buf.Write(binary.AppendUvarint(buf.AvailableBuffer(), uint64(kind.ID)))
+	if err := encode(buf, msg, MaxDatagramBytes); err != nil {
+		return newError(op, KindInvalid, address, err)
+	}
+	data := append([]byte(nil), buf.Bytes()...)
+	p := n.peer(addr)
+	if l := p.current.Load(); l != nil && l.alive() {
+		l.touch()
+		if err := l.conn.SendDatagram(data); err != nil {
+			return newError(op, KindNotSent, address, err)
+		}
+		return nil
+	}
+	if err := p.hold(data); err != nil {
+		return newError(op, KindNotSent, address, err)
+	}
+	return nil
+}
+
+// hold starts a dial and keeps a datagram until it ends.
+func (p *peer) hold(data []byte) error {
+	if _, _, err := p.dial(); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.current.Load(); l != nil && l.alive() {
+		return l.conn.SendDatagram(data)
+	}
+	if p.dialing == nil {
+		return errors.New("the peer is down")
+	}
+	if len(p.pending) < maxPending {
+		p.pending = append(p.pending, data)
+	}
+	return nil
+}
+
+func (l *link) receiveDatagrams() {
+	for {
+		data, err := l.conn.ReceiveDatagram(context.Background())
+		if err != nil {
+			return
+		}
+		l.touch()
+		if err := l.dispatch(data); err != nil {
+			l.node.log.Warn("peer datagram refused", "peer", l.instance, "cause", err.Error())
+		}
+	}
+}
+
+func (l *link) dispatch(data []byte) error {
+	id, size := binary.Uvarint(data)
+	if size <= 0 || id > 0xffff {
+		return errors.New("datagram without a kind")
+	}
+	fn, ok := find(&l.node.handlers, l.node.handlers.datagrams, uint16(id))
+	if !ok {
+		return errors.Newf("%s has no handler", Kind{ID: uint16(id)})
+	}
+	return fn(l.instance, data[size:])
+}
--- /dev/null
+++ b/internal/gwpeer/hello.go
@@ -0,0 +1,154 @@
+package gwpeer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// versionRange is the range of protocol versions that a node speaks.
+type versionRange struct{ min, max uint16 }
+
+var supportedVersions = versionRange{min: 1, max: 1}
+
+// choose returns the highest version in both ranges.
+func (v versionRange) choose(w versionRange) (uint16, bool) {
+	lo, hi := max(v.min, w.min), min(v.max, w.max)
+	return hi, lo <= hi && hi > 0
+}
+
+// hello is the first message in each direction of a connection.
+type hello struct {
+	MinVersion uint16 `cbor:"1,keyasint"`
+	MaxVersion uint16 `cbor:"2,keyasint"`
+	Version    uint16 `cbor:"3,keyasint,omitempty"` // chosen by the acceptor
+	Instance   string `cbor:"4,keyasint"`
+	Epoch      uint64 `cbor:"5,keyasint"`
+}
+
+const (
+	maxHelloBytes  = 1024
+	readerBytes    = 4096
+	helloFrameKind = 1
+)
+
+var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readerBytes) }}
+
+func (n *Node) hello() hello {
+	return hello{
+		MinVersion: n.opts.versions.min,
+		MaxVersion: n.opts.versions.max,
+		Instance:   n.opts.Instance,
+		Epoch:      n.epoch,
+	}
+}
+
+// greet is the dialer's side of the hello.
+func (n *Node) greet(ctx context.Context, qc *quic.Conn) (hello, error) {
+	qs, err := qc.OpenStreamSync(ctx)
+	if err != nil {
+		return hello{}, err
+	}
+	deadline, _ := ctx.Deadline()
+	_ = qs.SetDeadline(deadline)
+	if err := writeHello(qs, n.hello()); err != nil {
+		return hello{}, err
+	}
+	h, err := readHello(qs)
+	if err != nil {
+		return hello{}, err
+	}
+	if h.Version < n.opts.versions.min || h.Version > n.opts.versions.max {
+		return hello{}, errors.Newf("the peer chose version %d outside %d to %d", h.Version, n.opts.versions.min, n.opts.versions.max)
+	}
+	return h, checkName(qc, h.Instance)
+}
+
+// acceptLink is the acceptor's side of the hello.
+func (n *Node) acceptLink(qc *quic.Conn) {
+	ctx, cancel := context.WithTimeout(n.ctx, handshakeTimeout)
+	defer cancel()
+	h, code, err := n.answerHello(ctx, qc)
+	if err != nil {
+		n.log.Warn("peer link refused", "address", qc.RemoteAddr().String(), "instance", h.Instance, "cause", err.Error())
+		_ = qc.CloseWithError(code, err.Error())
+		return
+	}
+	l := n.newLink(qc, h, false)
+	if h.Epoch != n.epoch { // otherwise the node dialed itself
+		n.peer(l.remote).register(l)
+	}
+	l.run()
+}
+
+func (n *Node) answerHello(ctx context.Context, qc *quic.Conn) (hello, quic.ApplicationErrorCode, error) {
+	qs, err := qc.AcceptStream(ctx)
+	if err != nil {
+		return hello{}, codeProtocol, err
+	}
+	_ = qs.SetDeadline(time.Now().Add(handshakeTimeout))
+	h, err := readHello(qs)
+	if err != nil {
+		return hello{}, codeProtocol, err
+	}
+	if err := checkName(qc, h.Instance); err != nil {
+		return h, codeName, err
+	}
+	theirs := versionRange{min: h.MinVersion, max: h.MaxVersion}
+	version, ok := n.opts.versions.choose(theirs)
+	if !ok {
+		return h, codeVersion, errors.Newf("no common version: own %d to %d, peer %d to %d",
+			n.opts.versions.min, n.opts.versions.max, theirs.min, theirs.max)
+	}
+	answer := n.hello()
+	answer.Version = version
+	h.Version = version
+	return h, codeProtocol, writeHello(qs, answer)
+}
+
+func writeHello(qs *quic.Stream, h hello) error {
+	payload, err := Marshal(h)
+	if err != nil {
+		return err
+	}
+	b := appendStreamHeader(nil, streamHeader{typ: streamHello})
+	if _, err := qs.Write(appendFrame(b, helloFrameKind, payload)); err != nil {
+		return err
+	}
+	return qs.Close()
+}
+
+func readHello(r io.Reader) (hello, error) {
+	br := bufio.NewReaderSize(r, maxHelloBytes)
+	head, err := readStreamHeader(br)
+	if err != nil {
+		return hello{}, err
+	}
+	if head.typ != streamHello {
+		return hello{}, errors.Newf("the first stream is of type %d, not a hello", head.typ)
+	}
+	_, payload, err := readFrame(br, nil, maxHelloBytes)
+	if err != nil {
+		return hello{}, err
+	}
+	var h hello
+	err = Unmarshal(payload, &h)
+	return h, err
+}
+
+// checkName compares a claimed instance name with the peer's certificate.
+func checkName(qc *quic.Conn, name string) error {
+	certs := qc.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 {
+		return errors.New("the peer has no certificate")
+	}
+	if cn := certs[0].Subject.CommonName; cn != name || name == "" {
+		return errors.Newf("the peer claims instance %q but its certificate names %q", name, cn)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gwpeer/keys.go
@@ -0,0 +1,174 @@
+package gwpeer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Lifetimes of certificates. A clock that is behind by less than clockSkew
+// accepts a new certificate.
+const (
+	AuthorityLifetime = 10 * 365 * 24 * time.Hour
+	InstanceLifetime  = 365 * 24 * time.Hour
+
+	clockSkew = time.Hour
+
+	pemCertificate = "CERTIFICATE"
+	pemKey         = "PRIVATE KEY"
+)
+
+// Authority is the private CA of a deployment; it issues the certificates
+// that instances present to each other.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// Certificate is an issued certificate and its key, both PEM.
+type Certificate struct {
+	CertificatePEM []byte
+	KeyPEM         []byte
+}
+
+// NewAuthority creates an ECDSA P-256 CA whose subject is name.
+func NewAuthority(name string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, keyError("new authority", err)
+	}
+	tmpl, err := template(name, AuthorityLifetime)
+	if err != nil {
+		return nil, keyError("new authority", err)
+	}
+	tmpl.IsCA = true
+	tmpl.BasicConstraintsValid = true
+	tmpl.MaxPathLenZero = true
+	tmpl.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageCRLSign
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, key.Public(), key)
+	if err != nil {
+		return nil, keyError("new authority", err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, keyError("new authority", err)
+	}
+	return &Authority{cert: cert, key: key}, nil
+}
+
+// LoadAuthority reads a CA from the PEM of its certificate and key.
+func LoadAuthority(certPEM, keyPEM []byte) (*Authority, error) {
+	certs, err := parseCertificates(certPEM)
+	if err != nil {
+		return nil, keyError("load authority", err)
+	}
+	block, _ := pem.Decode(keyPEM)
+	if block == nil || block.Type != pemKey {
+		return nil, keyError("load authority", errors.Newf("key file has no %q block", pemKey))
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, keyError("load authority", err)
+	}
+	key, ok := parsed.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, keyError("load authority", errors.Newf("key is %T, not an ECDSA key", parsed))
+	}
+	cert := certs[0]
+	if !cert.IsCA || !key.PublicKey.Equal(cert.PublicKey) {
+		return nil, keyError("load authority", errors.New("the certificate is not a CA with this key"))
+	}
+	return &Authority{cert: cert, key: key}, nil
+}
+
+// CertificatePEM returns the CA's certificate, which peers must trust.
+func (a *Authority) CertificatePEM() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: pemCertificate, Bytes: a.cert.Raw})
+}
+
+// KeyPEM returns the CA's private key.
+func (a *Authority) KeyPEM() ([]byte, error) { return marshalKey(a.key) }
+
+// Issue creates a key and a certificate for an instance reachable at ips.
+func (a *Authority) Issue(instance string, ips ...net.IP) (Certificate, error) {
+	if instance == "" {
+		return Certificate{}, keyError("issue", errors.New("the instance name is empty"))
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Certificate{}, keyError("issue", err)
+	}
+	tmpl, err := template(instance, InstanceLifetime)
+	if err != nil {
+		return Certificate{}, keyError("issue", err)
+	}
+	tmpl.IPAddresses = ips
+	tmpl.KeyUsage = x509.KeyUsageDigitalSignature
+	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, key.Public(), a.key)
+	if err != nil {
+		return Certificate{}, keyError("issue", err)
+	}
+	keyPEM, err := marshalKey(key)
+	if err != nil {
+		return Certificate{}, keyError("issue", err)
+	}
+	certPEM := pem.EncodeToMemory(&pem.Block{Type: pemCertificate, Bytes: der})
+	return Certificate{CertificatePEM: certPEM, KeyPEM: keyPEM}, nil
+}
+
+func template(name string, lifetime time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127))
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name, Organization: []string{"gentianward"}},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(lifetime),
+	}, nil
+}
+
+func marshalKey(key *ecdsa.PrivateKey) ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, err
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: pemKey, Bytes: der}), nil
+}
+
+// parseCertificates returns all certificates of a PEM text, at least one.
+func parseCertificates(text []byte) ([]*x509.Certificate, error) {
+	var certs []*x509.Certificate
+	for {
+		var block *pem.Block
+		block, text = pem.Decode(text)
+		if block == nil {
+			break
+		}
+		if block.Type != pemCertificate {
+			continue
+		}
+		cert, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, err
+		}
+		certs = append(certs, cert)
+	}
+	if len(certs) == 0 {
+		return nil, errors.Newf("no %q block", pemCertificate)
+	}
+	return certs, nil
+}
+
+func keyError(op string, err error) *Error { return newError(op, KindKeys, "", err) }
--- /dev/null
+++ b/internal/gwpeer/link.go
@@ -0,0 +1,217 @@
+package gwpeer
+
+import (
+	"bufio"
+	"context"
+	"crypto/x509"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// Codes with which a connection is closed.
+const (
+	codeClosing    quic.ApplicationErrorCode = 0
+	codeVersion    quic.ApplicationErrorCode = 1
+	codeName       quic.ApplicationErrorCode = 2
+	codeProtocol   quic.ApplicationErrorCode = 3
+	codeUntrusted  quic.ApplicationErrorCode = 4
+	codeSuperseded quic.ApplicationErrorCode = 5
+	codeUnused     quic.ApplicationErrorCode = 6
+)
+
+// Codes with which one stream is reset.
+const (
+	codeDone     quic.StreamErrorCode = 0 // the reader needs no more
+	codeCanceled quic.StreamErrorCode = 1
+	codeRefused  quic.StreamErrorCode = 2 // the handler was not called
+)
+
+// retiredGrace is how long a superseded link stays open after its last
+// stream, so that a peer that still prefers it notices the newer one.
+const retiredGrace = 5 * time.Second
+
+// link is one connection to a peer whose hello has been exchanged.
+type link struct {
+	node     *Node
+	conn     *quic.Conn
+	remote   netip.AddrPort
+	instance string
+	epoch    uint64 // of the peer's process
+	version  uint16
+	dialed   bool // by this node
+	started  time.Time
+	cert     *x509.Certificate
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	streams atomic.Int64 // open now
+	used    atomic.Int64 // unix nanoseconds of the last use
+	retired atomic.Int64 // unix nanoseconds, 0 while current
+}
+
+func (n *Node) newLink(qc *quic.Conn, h hello, dialed bool) *link {
+	l := &link{
+		node:     n,
+		conn:     qc,
+		remote:   addrPort(qc.RemoteAddr()),
+		instance: h.Instance,
+		epoch:    h.Epoch,
+		version:  h.Version,
+		dialed:   dialed,
+		started:  time.Now(),
+		cert:     qc.ConnectionState().TLS.PeerCertificates[0],
+	}
+	l.ctx, l.cancel = context.WithCancel(qc.Context())
+	l.touch()
+	return l
+}
+
+func (l *link) alive() bool { return l.conn.Context().Err() == nil }
+
+func (l *link) touch() { l.used.Store(time.Now().UnixNano()) }
+
+func (l *link) close(code quic.ApplicationErrorCode, reason string) {
+	l.cancel()
+	_ = l.conn.CloseWithError(code, reason)
+}
+
+// run serves the peer's streams and datagrams until the link ends.
+func (l *link) run() {
+	n := l.node
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		l.close(codeClosing, "the node is closed")
+		return
+	}
+	n.links[l] = struct{}{}
+	n.wg.Add(2)
+	n.mu.Unlock()
+	n.log.Info("peer link up", "peer", l.instance, "address", l.remote.String(), "dialed", l.dialed)
+	go func() {
+		defer n.wg.Done()
+		l.receiveDatagrams()
+	}()
+	go func() {
+		defer n.wg.Done()
+		l.acceptStreams()
+		l.ended()
+	}()
+}
+
+func (l *link) ended() {
+	n := l.node
+	l.cancel()
+	cause := context.Cause(l.conn.Context())
+	n.log.Info("peer link down", "peer", l.instance, "address", l.remote.String(), "cause", errString(cause))
+	n.mu.Lock()
+	delete(n.links, l)
+	p := n.peers[l.remote]
+	n.mu.Unlock()
+	if p != nil {
+		p.lost(l)
+	}
+}
+
+func (l *link) acceptStreams() {
+	for {
+		qs, err := l.conn.AcceptStream(context.Background())
+		if err != nil {
+			return
+		}
+		l.streams.Add(1)
+		ok := l.node.goIfOpen(func() {
+			defer l.streams.Add(-1)
+			l.serve(qs)
+		})
+		if !ok {
+			l.streams.Add(-1)
+			refuse(qs)
+		}
+	}
+}
+
+// serve reads a stream's header and runs the handler of its kind.
+func (l *link) serve(qs *quic.Stream) {
+	l.touch()
+	r := getReader(qs)
+	h, err := readStreamHeader(r)
+	if err != nil || h.typ == streamHello {
+		putReader(r)
+		refuse(qs)
+		return
+	}
+	switch h.typ {
+	case streamCall:
+		l.serveCall(qs, r, h)
+	default:
+		l.serveFrames(qs, r, h)
+	}
+}
+
+// maintain closes the link when its peer's certificate is no longer trusted,
+// or when it has been superseded or unused for long enough.
+func (l *link) maintain(now time.Time, id *Identity, rotated bool) {
+	if (rotated || now.After(l.cert.NotAfter)) && !id.trusts(l.cert) {
+		l.close(codeUntrusted, "the certificate is no longer trusted")
+		return
+	}
+	if !l.dialed || l.streams.Load() > 0 {
+		return
+	}
+	idle := now.Sub(time.Unix(0, l.used.Load()))
+	if at := l.retired.Load(); at > 0 && now.Sub(time.Unix(0, at)) > retiredGrace && idle > retiredGrace {
+		l.close(codeSuperseded, "superseded by a newer connection")
+		return
+	}
+	if idle > unusedTimeout {
+		l.close(codeUnused, "unused")
+	}
+}
+
+func (l *link) retire() { l.retired.CompareAndSwap(0, time.Now().UnixNano()) }
+
+// openStream opens a stream; it does not send anything yet.
+func (l *link) openStream(ctx context.Context, kind Kind) (*quic.Stream, error) {
+	qs, err := l.conn.OpenStream()
+	var full *quic.StreamLimitReachedError
+	if err != nil && errors.As(err, &full) {
+		qs, err = l.conn.OpenStreamSync(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if kind.Priority != PriorityNormal {
+		qs.SetPriority(kind.Priority.urgency(), true)
+	}
+	l.streams.Add(1)
+	l.touch()
+	return qs, nil
+}
+
+func refuse(qs *quic.Stream) {
+	qs.CancelRead(codeRefused)
+	qs.CancelWrite(codeRefused)
+}
+
+func getReader(qs *quic.Stream) *bufio.Reader {
+	r := readerPool.Get().(*bufio.Reader)
+	r.Reset(qs)
+	return r
+}
+
+func putReader(r *bufio.Reader) {
+	r.Reset(nil)
+	readerPool.Put(r)
+}
+
+func errString(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/gwpeer/source.go
@@ -0,0 +1,177 @@
+package gwpeer
+
+import (
+	"crypto/hkdf"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// Identity is the certificate that a node presents and the CAs that it trusts.
+type Identity struct {
+	Certificate tls.Certificate
+	Roots       *x509.CertPool
+}
+
+// TLSSource supplies the current identity; a new value takes effect for new
+// connections, and ends those whose peer it no longer trusts.
+type TLSSource interface {
+	Identity() *Identity
+}
+
+// NewIdentity parses an identity from PEM texts; roots may hold several CAs.
+func NewIdentity(rootsPEM, certPEM, keyPEM []byte) (*Identity, error) {
+	cert, err := tls.X509KeyPair(certPEM, keyPEM)
+	if err != nil {
+		return nil, keyError("load identity", err)
+	}
+	roots, err := parseCertificates(rootsPEM)
+	if err != nil {
+		return nil, keyError("load identity", errors.Wrap(err, "ca"))
+	}
+	pool := x509.NewCertPool()
+	for _, c := range roots {
+		pool.AddCert(c)
+	}
+	return &Identity{Certificate: cert, Roots: pool}, nil
+}
+
+// MemorySource is a TLSSource held in memory, for demos and tests.
+type MemorySource struct {
+	id atomic.Pointer[Identity]
+}
+
+// NewMemorySource returns a source with an identity.
+func NewMemorySource(id *Identity) *MemorySource {
+	s := &MemorySource{}
+	s.id.Store(id)
+	return s
+}
+
+// Identity returns the current identity.
+func (s *MemorySource) Identity() *Identity { return s.id.Load() }
+
+// Set replaces the identity.
+func (s *MemorySource) Set(id *Identity) { s.id.Store(id) }
+
+// IssueSource issues a certificate for an instance on loopback addresses and
+// returns a source that trusts only this authority.
+func (a *Authority) IssueSource(instance string) (*MemorySource, error) {
+	cert, err := a.Issue(instance, net.IPv4(127, 0, 0, 1), net.IPv6loopback)
+	if err != nil {
+		return nil, err
+	}
+	id, err := NewIdentity(a.CertificatePEM(), cert.CertificatePEM, cert.KeyPEM)
+	if err != nil {
+		return nil, err
+	}
+	return NewMemorySource(id), nil
+}
+
+// FileSource is a TLSSource read from PEM files.
+type FileSource struct {
+	MemorySource
+	ca, cert, key string
+}
+
+// NewFileSource reads the files; ca may hold several certificates, which lets
+// the old and the new CA be trusted together during a rotation.
+func NewFileSource(ca, cert, key string) (*FileSource, error) {
+	s := &FileSource{ca: ca, cert: cert, key: key}
+	if err := s.Reload(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Reload reads the files again; on an error the previous identity stays.
+func (s *FileSource) Reload() error {
+	var texts [3][]byte
+	for i, name := range []string{s.ca, s.cert, s.key} {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return keyError("reload", err)
+		}
+		texts[i] = text
+	}
+	id, err := NewIdentity(texts[0], texts[1], texts[2])
+	if err != nil {
+		return err
+	}
+	s.Set(id)
+	return nil
+}
+
+// serverConfig verifies client certificates against the roots current at each
+// handshake.
+func serverConfig(src TLSSource) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			id := src.Identity()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{alpn},
+				Certificates: []tls.Certificate{id.Certificate},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    id.Roots,
+				// A resumed session would skip the check of the certificate.
+				SessionTicketsDisabled: true,
+			}, nil
+		},
+	}
+}
+
+// clientConfig verifies that the server's certificate covers the dialed IP.
+func clientConfig(id *Identity, host string) *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		NextProtos:             []string{alpn},
+		Certificates:           []tls.Certificate{id.Certificate},
+		RootCAs:                id.Roots,
+		ServerName:             host,
+		SessionTicketsDisabled: true,
+	}
+}
+
+// leaf returns the parsed certificate of the instance.
+func (id *Identity) leaf() (*x509.Certificate, error) {
+	if id.Certificate.Leaf != nil {
+		return id.Certificate.Leaf, nil
+	}
+	if len(id.Certificate.Certificate) == 0 {
+		return nil, errors.New("no certificate")
+	}
+	return x509.ParseCertificate(id.Certificate.Certificate[0])
+}
+
+// trusts reports whether a peer's certificate is valid under the identity now.
+func (id *Identity) trusts(cert *x509.Certificate) bool {
+	_, err := cert.Verify(x509.VerifyOptions{
+		Roots:     id.Roots,
+		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return err == nil
+}
+
+// resetKey derives the stateless reset key from the private key, so that a
+// restarted process can end the connections of its predecessor at once.
+func (id *Identity) resetKey() (*quic.StatelessResetKey, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(id.Certificate.PrivateKey)
+	if err != nil {
+		return nil, keyError("reset key", err)
+	}
+	var key quic.StatelessResetKey
+	sum, err := hkdf.Key(sha256.New, der, nil, "gentianward stateless reset", len(key))
+	if err != nil {
+		return nil, keyError("reset key", err)
+	}
+	copy(key[:], sum)
+	return &key, nil
+}
