gwmanifest: parse and check manifests and settings

Operators need every problem of a file at once, with its place and the accepted values; encoding/json stops at the first one and has no line.

--- /dev/null
+++ b/internal/gwmanifest/duration.go
@@ -0,0 +1,48 @@
+package gwmanifest
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const durationForm = `a number with a unit (ns, us, ms, s, m, h), such as "200ms"`
+
+// Duration is a time span that is written as a string such as "200ms". It
+// remembers whether the file gave it, which tells "0s" from an omitted field.
+type Duration struct {
+	time.Duration
+	given bool
+}
+
+// NewDuration returns a given duration.
+func NewDuration(d time.Duration) Duration { return Duration{Duration: d, given: true} }
+
+// Given reports whether the file contains the field.
+func (d Duration) Given() bool { return d.given }
+
+// Or returns d if it was given and otherwise a default.
+func (d Duration) Or(def time.Duration) Duration {
+	if d.given {
+		return d
+	}
+	return NewDuration(def)
+}
+
+// MarshalJSON encodes the duration as a string.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.String()) }
+
+// UnmarshalJSON decodes a string such as "200ms".
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return errors.Newf("a duration is %s", durationForm)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return errors.Newf("%q is not a duration", s)
+	}
+	*d = NewDuration(v)
+	return nil
+}
--- /dev/null
+++ b/internal/gwmanifest/manifest.go
@@ -0,0 +1,182 @@
+package gwmanifest
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+)
+
+// Manifest describes a deployment: where it runs, its databases, and the rules
+// of its callers. Operators publish it; instances never change it.
+type Manifest struct {
+	Number     uint64     `json:"number"`
+	Deployment string     `json:"deployment"`
+	Regions    []Region   `json:"regions"`
+	Voters     []Voter    `json:"voters"`
+	Databases  []Database `json:"databases"`
+	Callers    []Caller   `json:"callers"`
+	Classes    []Class    `json:"classes"`
+	Routing    string     `json:"routing"`
+	Limits     Limits     `json:"limits"`
+
+	text []byte
+}
+
+// Region is a named set of data centres with short delays between them.
+type Region struct {
+	Name        string   `json:"name"`
+	DataCentres []string `json:"dataCentres"`
+}
+
+// Voter is an instance that keeps the replicated log on its disk.
+type Voter struct {
+	Instance   string `json:"instance"`
+	Address    string `json:"address"` // peer address, "ip:port"
+	DataCentre string `json:"dataCentre"`
+}
+
+// Database is a database whose data is held by one or more groups.
+type Database struct {
+	Name   string  `json:"name"`
+	Groups []Group `json:"groups"`
+}
+
+// Group is a primary and its replicas; the servers announce themselves.
+type Group struct {
+	Name      string `json:"name"`
+	Copies    int    `json:"copies"`    // backend servers that hold the group's data
+	AllowLoss bool   `json:"allowLoss"` // permits a promotion that may lose acknowledged writes
+}
+
+// Caller is a database user.
+type Caller struct {
+	Name      string   `json:"name"`
+	Verifier  string   `json:"verifier"` // SCRAM-SHA-256 in the format of PostgreSQL
+	Trust     bool     `json:"trust"`    // no password, loopback connections only
+	Class     string   `json:"class"`
+	Databases []string `json:"databases"` // "database" or "database/group"
+}
+
+// Acknowledgement modes of a class.
+const (
+	AcknowledgeReplicated = "replicated" // a replica has confirmed the write
+	AcknowledgePrimary    = "primary"    // the primary has committed the write
+)
+
+// Class is a set of rules for the statements of its callers.
+type Class struct {
+	Name        string   `json:"name"`
+	ReadOnly    bool     `json:"readOnly"`
+	Staleness   Duration `json:"staleness"` // 0: reads as of the session's barrier
+	Weight      int      `json:"weight"`
+	Queue       int      `json:"queue"` // statements waiting per server
+	Deadline    Duration `json:"deadline"`
+	Concurrency int      `json:"concurrency"` // statements at once per server, 0 for no bound
+	Acknowledge string   `json:"acknowledge"`
+	WaitBudget  Duration `json:"waitBudget"` // how long a read waits for a replica to catch up
+	Retry       bool     `json:"retry"`
+}
+
+// Routing modes. All but RoutingSession are baselines for comparison.
+const (
+	RoutingSession     = "session"
+	RoutingPrimaryOnly = "primaryOnly"
+	RoutingRoundRobin  = "roundRobin"
+)
+
+// Limits are bounds that hold for all callers.
+type Limits struct {
+	Drain            Duration `json:"drain"`
+	IdleTransaction  Duration `json:"idleTransaction"`
+	GapWait          Duration `json:"gapWait"`
+	RequestKeyExpiry Duration `json:"requestKeyExpiry"`
+	MessageBytes     int      `json:"messageBytes"`
+}
+
+// Defaults of omitted fields.
+const (
+	DefaultCopies           = 3
+	DefaultWeight           = 1
+	DefaultQueue            = 1024
+	DefaultDeadline         = 10 * time.Second
+	DefaultWaitBudget       = 20 * time.Millisecond
+	DefaultDrain            = 10 * time.Second
+	DefaultIdleTransaction  = 60 * time.Second
+	DefaultGapWait          = 8 * time.Second
+	DefaultRequestKeyExpiry = 24 * time.Hour
+	DefaultMessageBytes     = 8 << 20
+)
+
+// ParseManifest parses and checks a manifest. The error joins one *Error for
+// each problem; name is the file name in them.
+func ParseManifest(name string, text []byte) (*Manifest, error) {
+	m := &Manifest{}
+	c, err := parse("parse manifest", name, text, m)
+	if err != nil {
+		return nil, err
+	}
+	c.manifest(m)
+	if err := c.err(); err != nil {
+		return nil, err
+	}
+	m.text = bytes.Clone(text)
+	return m, nil
+}
+
+// Text returns the text that was parsed; it must not be changed.
+func (m *Manifest) Text() []byte { return m.text }
+
+// Digest returns the SHA-256 of the text in hexadecimal.
+func (m *Manifest) Digest() string {
+	sum := sha256.Sum256(m.text)
+	return hex.EncodeToString(sum[:])
+}
+
+// WithDefaults returns a copy in which every omitted field has its default.
+func (m *Manifest) WithDefaults() *Manifest {
+	out := *m
+	out.Databases = slices.Clone(m.Databases)
+	for i, d := range out.Databases {
+		d.Groups = slices.Clone(d.Groups)
+		for j := range d.Groups {
+			d.Groups[j].Copies = or(d.Groups[j].Copies, DefaultCopies)
+		}
+		out.Databases[i] = d
+	}
+	out.Classes = slices.Clone(m.Classes)
+	for i, c := range out.Classes {
+		out.Classes[i] = c.withDefaults()
+	}
+	out.Routing = or(m.Routing, RoutingSession)
+	out.Limits = m.Limits.withDefaults()
+	return &out
+}
+
+func (c Class) withDefaults() Class {
+	c.Weight = or(c.Weight, DefaultWeight)
+	c.Queue = or(c.Queue, DefaultQueue)
+	c.Deadline = c.Deadline.Or(DefaultDeadline)
+	c.WaitBudget = c.WaitBudget.Or(min(DefaultWaitBudget, c.Deadline.Duration))
+	c.Staleness = c.Staleness.Or(0)
+	c.Acknowledge = or(c.Acknowledge, AcknowledgeReplicated)
+	return c
+}
+
+func (l Limits) withDefaults() Limits {
+	l.Drain = l.Drain.Or(DefaultDrain)
+	l.IdleTransaction = l.IdleTransaction.Or(DefaultIdleTransaction)
+	l.GapWait = l.GapWait.Or(DefaultGapWait)
+	l.RequestKeyExpiry = l.RequestKeyExpiry.Or(DefaultRequestKeyExpiry)
+	l.MessageBytes = or(l.MessageBytes, DefaultMessageBytes)
+	return l
+}
+
+func or[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
