--- /dev/null
+++ b/internal/gwcontrol/consensus.go
@@ -0,0 +1,355 @@
+package gwcontrol
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/pkg/gwquorum"
+)
+
+// Timing and bounds of a voter.
+const (
+	consensusTick  = 20 * time.Millisecond
+	compactEntries = 1000
+	callQueue      = 1024
+	sendQueue      = 256
+)
+
+// Store keeps the state of a voter; Save returns after the sync.
+type Store interface {
+	Load() (gwquorum.HardState, gwquorum.Snapshot, []gwquorum.Entry, error)
+	Save(gwquorum.HardState, []gwquorum.Entry, *gwquorum.Snapshot) error
+}
+
+// ConsensusOptions configures a Consensus.
+type ConsensusOptions struct {
+	Instance string
+	Node     *gwpeer.Node
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+	Store    Store
+	State    *gwstate.State
+	// Voters are the first voters, used when the store is empty.
+	Voters []string
+	// Address returns the peer address of a voter.
+	Address func(instance string) (string, bool)
+	// Applied is called on the driver's goroutine after entries were applied.
+	Applied func()
+}
+
+// Consensus drives the replicated log of one voter.
+//
+// One goroutine owns the node; everything else is passed to it as a function.
+type Consensus struct {
+	ConsensusOptions
+	node  *gwquorum.Node
+	calls chan func()
+
+	proposals map[uint64]proposal
+	reads     map[uint64]chan error
+	nextRead  uint64
+	compacted uint64
+	ready     bool
+	peers     map[string]*sender
+
+	mu     sync.RWMutex
+	status gwquorum.Status
+}
+
+// proposal waits for the entry at its index.
+type proposal struct {
+	term uint64
+	done chan applied
+}
+
+type applied struct {
+	result gwstate.Result
+	err    error
+}
+
+// NewConsensus loads the voter's state from the store.
+func NewConsensus(o ConsensusOptions) (*Consensus, error) {
+	hs, snap, entries, err := o.Store.Load()
+	if err != nil {
+		return nil, err
+	}
+	if snap.Index == 0 && len(entries) == 0 && len(snap.Members.Voters) == 0 {
+		snap.Members.Voters = o.Voters
+	}
+	if snap.Index > 0 {
+		if err := o.State.Restore(snap.Data, o.Clock.Now()); err != nil {
+			return nil, err
+		}
+	}
+	var seed [8]byte
+	_, _ = rand.Read(seed[:])
+	cfg := gwquorum.Config{ID: o.Instance, Rand: mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:]), 0)}
+	node, err := gwquorum.NewNode(cfg, hs, snap, entries)
+	if err != nil {
+		return nil, err
+	}
+	c := &Consensus{
+		ConsensusOptions: o, node: node, calls: make(chan func(), callQueue),
+		proposals: make(map[uint64]proposal), reads: make(map[uint64]chan error),
+		compacted: snap.Index, peers: make(map[string]*sender),
+	}
+	o.Node.HandleStream(kindQuorum, c.serve)
+	return c, nil
+}
+
+// Run drives the node until ctx ends. A failing store ends it as well: a voter
+// that cannot sync must not take part.
+func (c *Consensus) Run(ctx context.Context) error {
+	ticker := c.Clock.NewTicker(consensusTick)
+	defer ticker.Stop()
+	defer c.stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-c.calls:
+			f()
+			c.drain()
+		case <-ticker.Chan():
+			c.node.Tick(c.Clock.Now())
+		}
+		if err := c.work(ctx); err != nil {
+			c.Log.Error("voter stopped taking part", "error", err)
+			return err
+		}
+	}
+}
+
+// drain runs the calls that are waiting, so that one sync serves all of them.
+func (c *Consensus) drain() {
+	for range callQueue {
+		select {
+		case f := <-c.calls:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// work carries out what the node has ready.
+func (c *Consensus) work(ctx context.Context) error {
+	for rd := c.node.Ready(); !rd.Empty(); rd = c.node.Ready() {
+		if rd.MustSave() {
+			if err := c.Store.Save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
+				return err
+			}
+		}
+		for _, m := range rd.Messages {
+			c.send(ctx, m)
+		}
+		if rd.Restore {
+			if err := c.State.Restore(rd.Snapshot.Data, c.Clock.Now()); err != nil {
+				return err
+			}
+		}
+		c.apply(rd.Committed)
+		c.answerReads(rd.Reads)
+		c.node.Advance(rd)
+		if len(rd.Committed) > 0 || rd.Restore {
+			c.Applied()
+		}
+	}
+	c.updateStatus()
+	return c.compact()
+}
+
+func (c *Consensus) apply(entries []gwquorum.Entry) {
+	now := c.Clock.Now()
+	for _, e := range entries {
+		var res gwstate.Result
+		if e.Kind == gwquorum.EntryData {
+			res = c.State.Apply(e.Index, e.Data, now)
+		}
+		p, ok := c.proposals[e.Index]
+		if !ok {
+			continue
+		}
+		delete(c.proposals, e.Index)
+		if p.term != e.Term {
+			p.done <- applied{err: errLostLeadership}
+			continue
+		}
+		p.done <- applied{result: res}
+	}
+}
+
+var errLostLeadership = &Error{Op: "propose", Kind: Unavailable, Detail: "leadership was lost before the entry was committed"}
+
+func (c *Consensus) answerReads(reads []gwquorum.ReadState) {
+	for _, r := range reads {
+		done, ok := c.reads[r.ID]
+		if !ok {
+			continue
+		}
+		delete(c.reads, r.ID)
+		if r.Failed {
+			done <- &Error{Op: "read index", Kind: NotLeader}
+			continue
+		}
+		done <- nil
+	}
+}
+
+// compact takes a snapshot when enough entries have been applied since the last.
+func (c *Consensus) compact() error {
+	index := c.State.Index()
+	if index < c.compacted+compactEntries {
+		return nil
+	}
+	data, err := c.State.Snapshot()
+	if err != nil {
+		return err
+	}
+	if err := c.node.Compact(index, data); err != nil {
+		return err
+	}
+	c.compacted = index
+	return nil
+}
+
+func (c *Consensus) updateStatus() {
+	st := c.node.Status()
+	if st.LeaderReady && !c.ready {
+		c.State.Clock().NewLeader(c.Clock.Now())
+		c.Log.Info("leading the replicated log", "term", st.Term)
+	}
+	c.ready = st.LeaderReady
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.status = st
+}
+
+// Status returns the state of the voter as of the last step.
+func (c *Consensus) Status() gwquorum.Status {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.status
+}
+
+// Leading reports whether this voter leads and has applied what earlier leaders committed.
+func (c *Consensus) Leading() bool { return c.Status().LeaderReady }
+
+// Propose commits cmd and returns the result of applying it. An error of kind
+// Unavailable leaves open whether the command was committed.
+func (c *Consensus) Propose(ctx context.Context, cmd gwstate.Command) (gwstate.Result, error) {
+	data, err := gwstate.Encode(cmd, c.Clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	done := make(chan applied, 1)
+	err = c.do(ctx, func() {
+		if !c.ready {
+			done <- applied{err: c.notLeader("propose")}
+			return
+		}
+		index, term, err := c.node.Propose(data)
+		if err != nil {
+			done <- applied{err: &Error{Op: "propose", Kind: NotLeader, Err: err}}
+			return
+		}
+		c.proposals[index] = proposal{term: term, done: done}
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case a := <-done:
+		return a.result, a.err
+	case <-ctx.Done():
+		return nil, &Error{Op: "propose", Kind: Unavailable, Err: ctx.Err()}
+	}
+}
+
+func (c *Consensus) notLeader(op string) error {
+	return &Error{Op: op, Kind: NotLeader, Detail: c.node.Status().Leader}
+}
+
+// ConfirmLeadership returns nil once a quorum has confirmed, after the call
+// began, that this voter leads.
+func (c *Consensus) ConfirmLeadership(ctx context.Context) error {
+	done := make(chan error, 1)
+	err := c.do(ctx, func() {
+		if !c.ready {
+			done <- c.notLeader("confirm leadership")
+			return
+		}
+		c.nextRead++
+		if err := c.node.ReadIndex(c.nextRead); err != nil {
+			done <- &Error{Op: "confirm leadership", Kind: NotLeader, Err: err}
+			return
+		}
+		c.reads[c.nextRead] = done
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return &Error{Op: "confirm leadership", Kind: Unavailable, Err: ctx.Err()}
+	}
+}
+
+// Change proposes a membership change of one instance.
+func (c *Consensus) Change(ctx context.Context, change gwquorum.Change) error {
+	done := make(chan error, 1)
+	if err := c.do(ctx, func() { done <- c.node.ProposeChange(change) }); err != nil {
+		return err
+	}
+	return <-done
+}
+
+// HandOver asks the most advanced other voter to lead.
+func (c *Consensus) HandOver(ctx context.Context) {
+	_ = c.do(ctx, func() {
+		best, match := "", uint64(0)
+		for _, p := range c.node.Status().Peers {
+			if !p.Learner && p.Active && p.Match >= match {
+				best, match = p.Instance, p.Match
+			}
+		}
+		if best != "" {
+			_ = c.node.TransferLeadership(best)
+		}
+	})
+}
+
+// do runs f on the driver's goroutine.
+func (c *Consensus) do(ctx context.Context, f func()) error {
+	select {
+	case c.calls <- f:
+		return nil
+	case <-ctx.Done():
+		return &Error{Op: "call voter", Kind: Unavailable, Err: ctx.Err()}
+	}
+}
+
+// stop fails everything that still waits.
+func (c *Consensus) stop() {
+	for _, p := range c.proposals {
+		p.done <- applied{err: &Error{Op: "propose", Kind: Unavailable, Detail: "the voter is stopping"}}
+	}
+	for _, done := range c.reads {
+		done <- &Error{Op: "read index", Kind: Unavailable, Detail: "the voter is stopping"}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.status.LeaderReady = false
+	c.status.Role = gwquorum.Follower
+}
--- /dev/null
+++ b/internal/gwcontrol/directory.go
@@ -0,0 +1,168 @@
+package gwcontrol
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServerFacts is what a backend server announces about itself and rarely changes.
+type ServerFacts struct {
+	Server      string `cbor:"1,keyasint" json:"server"`
+	Group       string `cbor:"2,keyasint" json:"group"`
+	DataCentre  string `cbor:"3,keyasint" json:"dataCentre"`
+	Address     string `cbor:"4,keyasint" json:"address"`
+	Slots       int    `cbor:"5,keyasint" json:"slots"`
+	Connections int    `cbor:"6,keyasint" json:"connections"`
+	Leaving     bool   `cbor:"7,keyasint" json:"leaving,omitempty"`
+	// Version orders the facts of one server; the owner raises it with each change.
+	Version uint64 `cbor:"8,keyasint" json:"-"`
+}
+
+// Announcement is the body of an announcement by a backend server.
+type Announcement struct {
+	ServerFacts
+	Role   string `cbor:"9,keyasint" json:"role"`
+	Term   uint64 `cbor:"10,keyasint" json:"term"`
+	Offset uint64 `cbor:"11,keyasint" json:"offset"`
+}
+
+// sameFacts reports whether a and b differ in nothing but the version.
+func sameFacts(a, b ServerFacts) bool {
+	a.Version, b.Version = 0, 0
+	return a == b
+}
+
+// hash identifies the facts, version included.
+func (f ServerFacts) hash() uint64 {
+	d := xxhash.New()
+	for _, s := range []string{f.Server, f.Group, f.DataCentre, f.Address} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[:], f.Version)
+	binary.LittleEndian.PutUint64(b[8:], uint64(f.Slots)<<32|uint64(uint32(f.Connections)))
+	if f.Leaving {
+		b[16] = 1
+	}
+	_, _ = d.Write(b[:])
+	return d.Sum64()
+}
+
+// newer decides between two facts of one server. Equal versions with other
+// content come from two instances that both believed to own the server; the
+// hash makes every instance keep the same one.
+func newer(a, b ServerFacts) bool {
+	if c := cmp.Compare(a.Version, b.Version); c != 0 {
+		return c > 0
+	}
+	return a.hash() > b.hash()
+}
+
+// directorySnapshot is an immutable state of the directory.
+type directorySnapshot struct {
+	servers map[string]ServerFacts
+	groups  map[string][]ServerFacts
+	digest  uint64
+}
+
+// Directory knows the backend servers that have announced themselves anywhere.
+//
+// Reads take a snapshot without a lock; changes are rare.
+type Directory struct {
+	mu      sync.Mutex
+	current atomic.Pointer[directorySnapshot]
+	changed chan struct{}
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	d := &Directory{changed: make(chan struct{})}
+	d.current.Store(&directorySnapshot{})
+	return d
+}
+
+// Server returns the facts of the named server.
+func (d *Directory) Server(name string) (ServerFacts, bool) {
+	f, ok := d.current.Load().servers[name]
+	return f, ok
+}
+
+// Group returns the servers of a group, ordered by name; the caller must not change the slice.
+func (d *Directory) Group(name string) []ServerFacts { return d.current.Load().groups[name] }
+
+// All returns all servers in no particular order.
+func (d *Directory) All() []ServerFacts {
+	return slices.Collect(maps.Values(d.current.Load().servers))
+}
+
+// Digest identifies the content, for comparison with another instance.
+func (d *Directory) Digest() uint64 { return d.current.Load().digest }
+
+// Changed returns a channel that is closed at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Announce records facts that a server announced to its owner, raising the
+// version when they changed, and reports the recorded facts and whether they are new.
+func (d *Directory) Announce(f ServerFacts) (ServerFacts, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, ok := d.current.Load().servers[f.Server]
+	if ok && sameFacts(old, f) {
+		return old, false
+	}
+	f.Version = old.Version + 1
+	d.store([]ServerFacts{f})
+	return f, true
+}
+
+// Merge records facts from another instance and returns those that were new here.
+func (d *Directory) Merge(facts []ServerFacts) []ServerFacts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	servers := d.current.Load().servers
+	var fresh []ServerFacts
+	for _, f := range facts {
+		if old, ok := servers[f.Server]; !ok || newer(f, old) {
+			fresh = append(fresh, f)
+		}
+	}
+	if len(fresh) > 0 {
+		d.store(fresh)
+	}
+	return fresh
+}
+
+func (d *Directory) store(facts []ServerFacts) {
+	old := d.current.Load()
+	next := &directorySnapshot{
+		servers: maps.Clone(old.servers),
+		groups:  make(map[string][]ServerFacts, len(old.groups)+1),
+	}
+	if next.servers == nil {
+		next.servers = make(map[string]ServerFacts, len(facts))
+	}
+	for _, f := range facts {
+		next.servers[f.Server] = f
+	}
+	for _, f := range next.servers {
+		next.groups[f.Group] = append(next.groups[f.Group], f)
+		next.digest ^= f.hash()
+	}
+	for _, g := range next.groups {
+		slices.SortFunc(g, func(a, b ServerFacts) int { return cmp.Compare(a.Server, b.Server) })
+	}
+	d.current.Store(next)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/gwcontrol/error.go
@@ -0,0 +1,66 @@
+package gwcontrol
+
+import "fmt"
+
+// Kind classifies an Error.
+type Kind int
+
+// Kinds of errors.
+const (
+	// BadManifest means that an agreed manifest could not be parsed.
+	BadManifest Kind = iota + 1
+	// Gap means that a delta starts past the state that it is applied to.
+	Gap
+	// NotLeader means that the instance does not lead the replicated log.
+	NotLeader
+	// Refused means that the state machine refused a command.
+	Refused
+	// Unavailable means that no quorum or no leader could be reached in time.
+	Unavailable
+	// UnknownServer means that no backend server of that name has announced itself.
+	UnknownServer
+)
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	switch k {
+	case BadManifest:
+		return "bad manifest"
+	case Gap:
+		return "missing earlier changes"
+	case NotLeader:
+		return "not the leader"
+	case Refused:
+		return "refused"
+	case Unavailable:
+		return "unavailable"
+	case UnknownServer:
+		return "unknown backend server"
+	default:
+		return fmt.Sprintf("kind %d", int(k))
+	}
+}
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	// Detail tells more than the kind, as the name of the leader or the reason of a refusal.
+	Detail string
+	Err    error
+}
+
+// Error formats the operation, the kind, the detail and the cause.
+func (e *Error) Error() string {
+	s := e.Op + ": " + e.Kind.String()
+	if e.Detail != "" {
+		s += ": " + e.Detail
+	}
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/gwcontrol/leader.go
@@ -0,0 +1,211 @@
+package gwcontrol
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwstate"
+)
+
+// codeNotLeader is the code of an answer by a voter that does not lead; the
+// message names the leader.
+const codeNotLeader = "notLeader"
+
+// Client finds the leader of the replicated log and calls it.
+type Client struct {
+	node    *gwpeer.Node
+	clock   clockwork.Clock
+	log     *slog.Logger
+	members *Membership
+	views   *Views
+	// local is this instance's voter, nil if it is none.
+	local *Leader
+
+	mu     sync.Mutex
+	leader string
+}
+
+// NewClient returns a client; local is nil on an instance that is no voter.
+func NewClient(node *gwpeer.Node, clock clockwork.Clock, log *slog.Logger, members *Membership, views *Views, local *Leader) *Client {
+	return &Client{node: node, clock: clock, log: log, members: members, views: views, local: local}
+}
+
+// voters returns the peer addresses of the voters by instance.
+func (c *Client) voters() map[string]string {
+	out := make(map[string]string)
+	m := c.views.Current().Manifest
+	if m == nil {
+		return out
+	}
+	for _, v := range m.Manifest().Voters {
+		out[v.Instance] = v.Address
+	}
+	return out
+}
+
+// Leader returns the last known leader, "" if unknown.
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+func (c *Client) setLeader(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = instance
+}
+
+// candidates returns the voters to ask, the presumed leader first.
+func (c *Client) candidates() []string {
+	voters := c.voters()
+	known := c.Leader()
+	var out []string
+	for name := range voters {
+		if name != known {
+			out = append(out, name)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	if _, ok := voters[known]; ok {
+		out = append([]string{known}, out...)
+	}
+	return out
+}
+
+// Timing of calls to the leader.
+const (
+	leaderAttempt = 700 * time.Millisecond
+	leaderPause   = 30 * time.Millisecond
+)
+
+// callLeader calls the leader until it answers or ctx ends. Requests to it are
+// idempotent, so that a lost answer is made up for by another call.
+func callLeader[Req, Resp any](ctx context.Context, c *Client, kind gwpeer.Kind, req Req, local func(context.Context, Req) (Resp, error)) (Resp, error) {
+	var last error
+	for ctx.Err() == nil {
+		for _, name := range c.candidates() {
+			resp, err := callVoter(ctx, c, name, kind, req, local)
+			if err == nil {
+				c.setLeader(name)
+				return resp, nil
+			}
+			if final(err) {
+				return resp, err
+			}
+			last = err
+			if hint := leaderHint(err); hint != "" && hint != name {
+				c.setLeader(hint)
+				break
+			}
+			c.setLeader("")
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.clock.After(leaderPause):
+		}
+	}
+	var zero Resp
+	if last == nil {
+		last = ctx.Err()
+	}
+	return zero, &Error{Op: "call leader", Kind: Unavailable, Detail: kind.Name, Err: last}
+}
+
+func callVoter[Req, Resp any](ctx context.Context, c *Client, name string, kind gwpeer.Kind, req Req, local func(context.Context, Req) (Resp, error)) (Resp, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderAttempt)
+	defer cancel()
+	if c.local != nil && c.local.Instance() == name {
+		return local(ctx, req)
+	}
+	return gwpeer.Call[Req, Resp](ctx, c.node, c.voters()[name], kind, req)
+}
+
+// final reports whether err is the leader's own answer.
+func final(err error) bool {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind == Refused
+	}
+	code, remote := gwpeer.RemoteCode(err)
+	return remote && code == Refused.String()
+}
+
+// leaderHint returns the leader that a voter named, "" if it named none.
+func leaderHint(err error) string {
+	var e *Error
+	if errors.As(err, &e) && e.Kind == NotLeader {
+		return e.Detail
+	}
+	var p *gwpeer.Error
+	if errors.As(err, &p) && p.Code == codeNotLeader && p.Err != nil {
+		return p.Err.Error()
+	}
+	return ""
+}
+
+// remoteError turns an error of a leader's service into one with a code.
+func remoteError(err error) error {
+	var e *Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	switch e.Kind {
+	case NotLeader:
+		return gwpeer.Codef(codeNotLeader, "%s", e.Detail)
+	case Refused:
+		return gwpeer.Codef(Refused.String(), "%s", e.Detail)
+	default:
+		return err
+	}
+}
+
+// Leader serves the calls that only the leader of the replicated log answers.
+type Leader struct {
+	consensus *Consensus
+	state     *gwstate.State
+	clock     clockwork.Clock
+	log       *slog.Logger
+	drift     float64
+
+	// Owners carries out the steps of a change of primary at the owners.
+	owners Owners
+
+	mu       sync.Mutex
+	changing map[string]bool
+}
+
+// NewLeader registers the leader's services at the node of a voter.
+func NewLeader(node *gwpeer.Node, c *Consensus) *Leader {
+	l := &Leader{consensus: c, state: c.State, clock: c.Clock, log: c.Log, changing: make(map[string]bool)}
+	serveLeader(node, kindLease, l.Lease)
+	serveLeader(node, kindReturn, l.Return)
+	serveLeader(node, kindPublish, l.Publish)
+	serveLeader(node, kindStart, l.StartGroup)
+	serveLeader(node, kindSuspect, l.Suspect)
+	serveLeader(node, kindHistory, l.History)
+	return l
+}
+
+// Instance returns the name of the voter.
+func (l *Leader) Instance() string { return l.consensus.Instance }
+
+// Attach sets the owners that changes of primary call.
+func (l *Leader) Attach(o Owners) { l.owners = o }
+
+func serveLeader[Req, Resp any](node *gwpeer.Node, kind gwpeer.Kind, f func(context.Context, Req) (Resp, error)) {
+	gwpeer.Handle(node, kind, func(ctx context.Context, _ string, req Req) (Resp, error) {
+		resp, err := f(ctx, req)
+		if err != nil {
+			return resp, remoteError(err)
+		}
+		return resp, nil
+	})
+}
--- /dev/null
+++ b/internal/gwcontrol/membership.go
@@ -0,0 +1,183 @@
+package gwcontrol
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/pkg/gwlease"
+	"gentianward.example/gentianward/pkg/gwmember"
+)
+
+// Topology is the set of live instances that this instance can reach; it is immutable.
+type Topology struct {
+	Self    gwmember.Member
+	Live    []gwmember.Member
+	byName  map[string]gwmember.Member
+	regions map[string]string
+	places  *gwlease.Placement
+}
+
+func newTopology(self gwmember.Member, live []gwmember.Member) *Topology {
+	t := &Topology{
+		Self:    self,
+		Live:    live,
+		byName:  make(map[string]gwmember.Member, len(live)),
+		regions: make(map[string]string),
+		places:  gwlease.NewPlacement(live),
+	}
+	for _, m := range live {
+		t.byName[m.Instance] = m
+		t.regions[m.DataCentre] = m.Region
+	}
+	return t
+}
+
+// Member returns the live member of that name.
+func (t *Topology) Member(instance string) (gwmember.Member, bool) {
+	m, ok := t.byName[instance]
+	return m, ok
+}
+
+// Owner returns the instance that owns a backend server in dataCentre; region
+// is used when no instance of the data centre is reachable.
+func (t *Topology) Owner(server, dataCentre, region string) (gwmember.Member, bool) {
+	name, ok := t.places.Owner(server, dataCentre, region)
+	if !ok {
+		return gwmember.Member{}, false
+	}
+	return t.Member(name)
+}
+
+// Membership runs the failure detection of one instance.
+type Membership struct {
+	node  *gwpeer.Node
+	clock clockwork.Clock
+	log   *slog.Logger
+	// ahead is called when a peer has a newer version of the agreed state.
+	ahead func(gwmember.PeerAhead)
+
+	mu      sync.Mutex
+	members *gwmember.Members
+	changed chan struct{}
+	topo    atomic.Pointer[Topology]
+}
+
+// NewMembership returns a membership that knows only self and joins through cfg.Seeds.
+func NewMembership(node *gwpeer.Node, clock clockwork.Clock, log *slog.Logger, cfg gwmember.Config, ahead func(gwmember.PeerAhead)) *Membership {
+	m := &Membership{node: node, clock: clock, log: log, ahead: ahead, members: gwmember.New(cfg), changed: make(chan struct{})}
+	m.topo.Store(newTopology(cfg.Self, []gwmember.Member{cfg.Self}))
+	gwpeer.HandleDatagram(node, kindMember, m.receive)
+	return m
+}
+
+// Topology returns the reachable live instances.
+func (m *Membership) Topology() *Topology { return m.topo.Load() }
+
+// Changed returns a channel that is closed at the next change of the topology.
+func (m *Membership) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// SetVersion sets the version of the agreed state that messages carry.
+func (m *Membership) SetVersion(v gwmember.Version) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members.SetVersion(v)
+}
+
+// Run advances the failure detection until ctx ends.
+func (m *Membership) Run(ctx context.Context) {
+	ticker := m.clock.NewTicker(gwmember.DefaultTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			m.step(func() []gwmember.Action { return m.members.Tick(m.clock.Now()) })
+		}
+	}
+}
+
+// Leave announces a planned stop; Run must go on for a few ticks.
+func (m *Membership) Leave() {
+	m.step(func() []gwmember.Action { return m.members.Leave(m.clock.Now()) })
+}
+
+// State returns the status of an instance as this one sees it.
+func (m *Membership) State(instance string) gwmember.Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.State(instance)
+}
+
+// Relay reports whether this instance is a relay of its data centre.
+func (m *Membership) Relay() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.Relay()
+}
+
+func (m *Membership) receive(from string, msg gwmember.Message) {
+	m.step(func() []gwmember.Action { return m.members.Receive(from, msg, m.clock.Now()) })
+}
+
+// step runs one transition and carries out its actions outside the lock.
+func (m *Membership) step(f func() []gwmember.Action) {
+	m.mu.Lock()
+	actions := f()
+	moved := slices.ContainsFunc(actions, changesTopology)
+	if moved {
+		m.publish()
+	}
+	m.mu.Unlock()
+	for _, a := range actions {
+		m.perform(a)
+	}
+}
+
+func changesTopology(a gwmember.Action) bool {
+	switch a.(type) {
+	case gwmember.MemberChanged, gwmember.DataCentreChanged:
+		return true
+	default:
+		return false
+	}
+}
+
+// publish replaces the topology; the caller holds the lock.
+func (m *Membership) publish() {
+	self := m.members.Self()
+	var live []gwmember.Member
+	for _, v := range m.members.Live() {
+		if v.DataCentre == self.DataCentre || m.members.Reachable(v.DataCentre) {
+			live = append(live, v)
+		}
+	}
+	m.topo.Store(newTopology(self, live))
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Membership) perform(a gwmember.Action) {
+	switch a := a.(type) {
+	case gwmember.SendMessage:
+		if err := m.node.Send(a.To, kindMember, a.Message); err != nil {
+			m.log.Debug("membership message not sent", "to", a.To, "error", err)
+		}
+	case gwmember.MemberChanged:
+		m.log.Info("member changed", "member", a.Member.Instance, "status", a.Status.String(), "incarnation", a.Member.Incarnation)
+	case gwmember.DataCentreChanged:
+		m.log.Info("data centre reachability changed", "dataCentre", a.DataCentre, "reachable", a.Reachable)
+	case gwmember.PeerAhead:
+		m.ahead(a)
+	}
+}
--- /dev/null
+++ b/internal/gwcontrol/spread.go
@@ -0,0 +1,214 @@
+package gwcontrol
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/pkg/gwmember"
+)
+
+// Timing of dissemination.
+const (
+	pullTimeout       = 2 * time.Second
+	directoryInterval = 2 * time.Second
+)
+
+// pullView asks for what changed after Index and Number.
+type pullView struct {
+	Index  uint64 `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// viewMoved tells that the sender's view is at a newer version.
+type viewMoved struct {
+	Version gwmember.Version `cbor:"1,keyasint"`
+	// Forward asks a relay to tell its own data centre.
+	Forward bool `cbor:"2,keyasint,omitempty"`
+}
+
+// pullDirectory offers facts and asks for those that the sender lacks.
+type pullDirectory struct {
+	Digest uint64        `cbor:"1,keyasint"`
+	Facts  []ServerFacts `cbor:"2,keyasint,omitempty"`
+	// Forward asks a relay to tell its own data centre.
+	Forward bool `cbor:"3,keyasint,omitempty"`
+}
+
+type directoryFacts struct {
+	Facts []ServerFacts `cbor:"1,keyasint,omitempty"`
+}
+
+// Spreader keeps the view and the directory of this instance equal to those of
+// the others. Changes are sent to the own data centre and to one member of each
+// other data centre, which sends them on; a comparison with a random peer
+// repairs what was lost.
+type Spreader struct {
+	node      *gwpeer.Node
+	clock     clockwork.Clock
+	log       *slog.Logger
+	members   *Membership
+	views     *Views
+	directory *Directory
+	pulls     chan gwmember.Member
+}
+
+// NewSpreader returns a spreader; Attach it to a membership before Run.
+func NewSpreader(node *gwpeer.Node, clock clockwork.Clock, log *slog.Logger, views *Views, directory *Directory) *Spreader {
+	s := &Spreader{node: node, clock: clock, log: log, views: views, directory: directory, pulls: make(chan gwmember.Member, 16)}
+	gwpeer.Handle(node, kindPullView, func(_ context.Context, _ string, r pullView) (ViewDelta, error) {
+		return s.views.Current().Since(r.Index, r.Number), nil
+	})
+	gwpeer.HandleDatagram(node, kindViewMoved, s.onViewMoved)
+	gwpeer.Handle(node, kindDirectory, s.onDirectory)
+	return s
+}
+
+// Attach sets the membership whose members the spreader talks to.
+func (s *Spreader) Attach(m *Membership) { s.members = m }
+
+// Ahead is the membership's report of a peer with a newer view.
+func (s *Spreader) Ahead(a gwmember.PeerAhead) { s.pullFrom(a.Member) }
+
+// pullFrom requests a pull; one that is already waiting suffices.
+func (s *Spreader) pullFrom(m gwmember.Member) {
+	select {
+	case s.pulls <- m:
+	default:
+	}
+}
+
+// Run pulls views from peers that are ahead and compares directories until ctx ends.
+func (s *Spreader) Run(ctx context.Context) {
+	ticker := s.clock.NewTicker(directoryInterval)
+	defer ticker.Stop()
+	changed := s.views.Changed()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.pulls:
+			s.pull(ctx, m)
+		case <-changed:
+			changed = s.views.Changed()
+			s.members.SetVersion(s.version())
+			s.tellView(false)
+		case <-ticker.Chan():
+			s.compareDirectory(ctx)
+		}
+	}
+}
+
+func (s *Spreader) version() gwmember.Version {
+	v := s.views.Current()
+	return gwmember.Version{ManifestNumber: v.Number, ControlIndex: v.Index}
+}
+
+func (s *Spreader) pull(ctx context.Context, m gwmember.Member) {
+	v := s.views.Current()
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	delta, err := gwpeer.Call[pullView, ViewDelta](ctx, s.node, m.Address, kindPullView, pullView{Index: v.Index, Number: v.Number})
+	if err != nil {
+		s.log.Debug("view not pulled", "from", m.Instance, "error", err)
+		return
+	}
+	if _, err := s.views.Apply(delta); err != nil {
+		s.log.Warn("view not applied", "from", m.Instance, "error", err)
+	}
+}
+
+// targets returns the members to tell about a change: all of the own data
+// centre, and one of each other, which tells its own.
+func (s *Spreader) targets(ownOnly bool) (near, far []gwmember.Member) {
+	t := s.members.Topology()
+	others := make(map[string][]gwmember.Member)
+	for _, m := range t.Live {
+		switch {
+		case m.Instance == t.Self.Instance:
+		case m.DataCentre == t.Self.DataCentre:
+			near = append(near, m)
+		case !ownOnly:
+			others[m.DataCentre] = append(others[m.DataCentre], m)
+		}
+	}
+	for _, list := range others {
+		far = append(far, list[rand.IntN(len(list))])
+	}
+	return near, far
+}
+
+// tellView tells others that this instance has a newer view.
+func (s *Spreader) tellView(ownOnly bool) {
+	near, far := s.targets(ownOnly)
+	msg := viewMoved{Version: s.version()}
+	for _, m := range near {
+		_ = s.node.Send(m.Address, kindViewMoved, msg)
+	}
+	msg.Forward = true
+	for _, m := range far {
+		_ = s.node.Send(m.Address, kindViewMoved, msg)
+	}
+}
+
+func (s *Spreader) onViewMoved(from string, msg viewMoved) {
+	if s.members == nil || !msg.Version.Ahead(s.version()) {
+		return
+	}
+	if m, ok := s.members.Topology().Member(from); ok {
+		s.pullFrom(m)
+	}
+}
+
+// Tell sends new facts of backend servers to the other instances.
+func (s *Spreader) Tell(ctx context.Context, facts []ServerFacts, ownOnly bool) {
+	near, far := s.targets(ownOnly)
+	msg := pullDirectory{Digest: s.directory.Digest(), Facts: facts}
+	for _, m := range near {
+		go s.exchange(ctx, m, msg)
+	}
+	msg.Forward = true
+	for _, m := range far {
+		go s.exchange(ctx, m, msg)
+	}
+}
+
+// compareDirectory compares digests with one random peer.
+func (s *Spreader) compareDirectory(ctx context.Context) {
+	t := s.members.Topology()
+	if len(t.Live) < 2 {
+		return
+	}
+	m := t.Live[rand.IntN(len(t.Live))]
+	if m.Instance != t.Self.Instance {
+		s.exchange(ctx, m, pullDirectory{Digest: s.directory.Digest()})
+	}
+}
+
+func (s *Spreader) exchange(ctx context.Context, m gwmember.Member, msg pullDirectory) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	answer, err := gwpeer.Call[pullDirectory, directoryFacts](ctx, s.node, m.Address, kindDirectory, msg)
+	if err != nil {
+		s.log.Debug("directory not compared", "with", m.Instance, "error", err)
+		return
+	}
+	s.directory.Merge(answer.Facts)
+}
+
+// onDirectory merges offered facts, passes new ones on when asked to, and
+// answers a different digest with all facts.
+func (s *Spreader) onDirectory(ctx context.Context, _ string, msg pullDirectory) (directoryFacts, error) {
+	fresh := s.directory.Merge(msg.Facts)
+	if msg.Forward && len(fresh) > 0 && s.members != nil {
+		s.Tell(context.WithoutCancel(ctx), fresh, true)
+	}
+	if len(msg.Facts) > 0 || msg.Digest == s.directory.Digest() {
+		return directoryFacts{}, nil
+	}
+	return directoryFacts{Facts: s.directory.All()}, nil
+}
--- /dev/null
+++ b/internal/gwcontrol/view.go
@@ -0,0 +1,133 @@
+package gwcontrol
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// GroupView is the agreed state of one group.
+type GroupView struct {
+	Group   string             `cbor:"1,keyasint"`
+	Primary string             `cbor:"2,keyasint"`
+	Term    uint64             `cbor:"3,keyasint"`
+	Start   gwsession.Position `cbor:"4,keyasint"`
+	// Changing means that a change of primary has begun and no lease is granted.
+	Changing bool `cbor:"5,keyasint"`
+	// Index is the place in the replicated log of the last change.
+	Index uint64 `cbor:"6,keyasint"`
+}
+
+// Diverged reports whether a server at p holds writes that the group does not have.
+func (g GroupView) Diverged(p gwsession.Position) bool {
+	return p.Term < g.Term && p.Offset > g.Start.Offset
+}
+
+// View is the agreed state as one instance knows it; it is immutable.
+type View struct {
+	// Index is the place in the replicated log up to which the view is complete.
+	Index uint64
+	// Manifest is nil until one has been accepted; its defaults are filled in.
+	Manifest *gwmanifest.Index
+	Number   uint64
+	Text     []byte
+	Groups   map[string]GroupView
+}
+
+// ViewDelta is what changed between two indexes.
+type ViewDelta struct {
+	From   uint64      `cbor:"1,keyasint"`
+	Index  uint64      `cbor:"2,keyasint"`
+	Number uint64      `cbor:"3,keyasint"`
+	Text   []byte      `cbor:"4,keyasint"`
+	Groups []GroupView `cbor:"5,keyasint"`
+}
+
+// Since returns what a reader at the given index and manifest number lacks.
+func (v *View) Since(index, number uint64) ViewDelta {
+	d := ViewDelta{From: index, Index: v.Index, Number: v.Number}
+	if v.Number > number {
+		d.Text = v.Text
+	}
+	for _, g := range v.Groups {
+		if g.Index > index {
+			d.Groups = append(d.Groups, g)
+		}
+	}
+	return d
+}
+
+// With returns the view after d. The index, the manifest number and the state
+// of each group never go back.
+func (v *View) With(d ViewDelta) (*View, error) {
+	next := *v
+	next.Index = max(v.Index, d.Index)
+	if d.Number > v.Number && len(d.Text) > 0 {
+		m, err := gwmanifest.ParseManifest("agreed manifest", d.Text)
+		if err != nil {
+			return nil, &Error{Op: "apply view", Kind: BadManifest, Err: err}
+		}
+		next.Manifest, next.Number, next.Text = m.WithDefaults().Index(), d.Number, d.Text
+	}
+	if len(d.Groups) > 0 {
+		next.Groups = maps.Clone(v.Groups)
+		if next.Groups == nil {
+			next.Groups = make(map[string]GroupView, len(d.Groups))
+		}
+		for _, g := range d.Groups {
+			if g.Index > next.Groups[g.Group].Index {
+				next.Groups[g.Group] = g
+			}
+		}
+	}
+	return &next, nil
+}
+
+// Views holds the current view of one instance.
+type Views struct {
+	mu      sync.Mutex
+	current atomic.Pointer[View]
+	changed chan struct{}
+}
+
+// NewViews returns an empty view.
+func NewViews() *Views {
+	v := &Views{changed: make(chan struct{})}
+	v.current.Store(&View{})
+	return v
+}
+
+// Current returns the view; it is never nil.
+func (v *Views) Current() *View { return v.current.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (v *Views) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// Apply advances the view by d and reports whether anything changed. A delta
+// that starts past the present index is refused, because it would leave a gap.
+func (v *Views) Apply(d ViewDelta) (bool, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.current.Load()
+	if d.From > old.Index {
+		return false, &Error{Op: "apply view", Kind: Gap}
+	}
+	next, err := old.With(d)
+	if err != nil {
+		return false, err
+	}
+	if next.Index == old.Index && next.Number == old.Number {
+		return false, nil
+	}
+	v.current.Store(next)
+	close(v.changed)
+	v.changed = make(chan struct{})
+	return true, nil
+}
--- /dev/null
+++ b/internal/gwowner/admission.go
@@ -0,0 +1,152 @@
+package gwowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/pkg/gwlimit"
+)
+
+// admission gives the slots of one server to waiting requests.
+type admission struct {
+	clock clockwork.Clock
+
+	mu    sync.Mutex
+	queue *gwlimit.FairQueue
+	timer clockwork.Timer
+	// urgent counts statements of open transactions, which run without a slot.
+	urgent int
+}
+
+func newAdmission(clock clockwork.Clock, slots int) *admission {
+	return &admission{clock: clock, queue: gwlimit.NewFairQueue(slots)}
+}
+
+// setLimits replaces the number of slots and the limits of the classes.
+func (a *admission) setLimits(slots int, classes []gwlimit.Class) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.SetSlots(slots)
+	for _, c := range classes {
+		a.queue.SetClass(c)
+	}
+	a.dispatch()
+}
+
+func (a *admission) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Close()
+}
+
+// load returns the number of requests waiting and running.
+func (a *admission) load() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	waiting, running := a.queue.Len()
+	return waiting + running + a.urgent
+}
+
+// grant is the reference of a queued item: its channel is closed when the item
+// gets a slot, after err has been set when it is refused instead.
+type grant struct {
+	done chan struct{}
+	err  error
+}
+
+// acquire waits for a slot and returns the function that gives it back.
+func (a *admission) acquire(ctx context.Context, class string, deadline time.Time) (func(), error) {
+	g := &grant{done: make(chan struct{})}
+	it := &gwlimit.Item{Class: class, Deadline: deadline, Ref: g}
+	if err := a.push(it); err != nil {
+		return nil, err
+	}
+	select {
+	case <-g.done:
+	case <-ctx.Done():
+		if a.withdraw(it) {
+			return nil, ctx.Err()
+		}
+		<-g.done
+	}
+	if g.err != nil {
+		return nil, g.err
+	}
+	return func() { a.release(it) }, nil
+}
+
+// acquireUrgent admits a statement of an open transaction at once.
+//
+// Such a statement may hold locks that the statements in the slots wait for, so
+// that waiting for a slot itself would block all of them until their deadlines.
+// The number of connections bounds these statements.
+func (a *admission) acquireUrgent() func() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.urgent++
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.urgent--
+	}
+}
+
+func (a *admission) push(it *gwlimit.Item) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.queue.Push(it, a.clock.Now()); err != nil {
+		return err
+	}
+	a.dispatch()
+	return nil
+}
+
+func (a *admission) withdraw(it *gwlimit.Item) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.Remove(it)
+}
+
+func (a *admission) release(it *gwlimit.Item) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Done(it)
+	a.dispatch()
+}
+
+// dispatch refuses expired requests and gives free slots away.
+func (a *admission) dispatch() {
+	now := a.clock.Now()
+	for _, it := range a.queue.Expire(now) {
+		g := it.Ref.(*grant)
+		g.err = &gwlimit.Error{Op: "admit", Kind: gwlimit.Expired, Class: it.Class}
+		close(g.done)
+	}
+	for it := a.queue.Pop(now); it != nil; it = a.queue.Pop(now) {
+		close(it.Ref.(*grant).done)
+	}
+	a.schedule(now)
+}
+
+// schedule arranges for the next deadline while requests wait.
+func (a *admission) schedule(now time.Time) {
+	if a.timer != nil {
+		a.timer.Stop()
+		a.timer = nil
+	}
+	if waiting, _ := a.queue.Len(); waiting == 0 {
+		return
+	}
+	if at, ok := a.queue.NextExpiry(); ok {
+		a.timer = a.clock.AfterFunc(at.Sub(now), a.expire)
+	}
+}
+
+func (a *admission) expire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dispatch()
+}
--- /dev/null
+++ b/internal/gwowner/owner.go
@@ -0,0 +1,341 @@
+package gwowner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/pkg/gwlimit"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// Leases tells which write leases this instance holds.
+type Leases interface {
+	// Valid reports whether writes to group may be acknowledged at term now.
+	Valid(group string, term uint64) bool
+	// GiveUp ends the use of the group's lease at once and returns it.
+	GiveUp(ctx context.Context, group string)
+}
+
+// Metrics receives measurements of an owner.
+type Metrics interface {
+	// QueueWait is the time that a request waited for a slot.
+	QueueWait(class, group string, d time.Duration)
+	// ConfirmWait is the time from a commit to its confirmation by a replica.
+	ConfirmWait(class, group string, d time.Duration)
+}
+
+// SuspectFunc reports to the leader of the replicated log that a primary
+// cannot be reached or is leaving.
+type SuspectFunc func(ctx context.Context, group string, term uint64, reason string)
+
+// Options configures an Owner.
+type Options struct {
+	Node      *gwpeer.Node
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Views     *gwcontrol.Views
+	Directory *gwcontrol.Directory
+	Members   *gwcontrol.Membership
+	Leases    Leases
+	Metrics   Metrics
+	Suspect   SuspectFunc
+	// Backend completes the connection options of a server, as its user.
+	Backend func(f gwcontrol.ServerFacts) gwbackend.Options
+}
+
+// Owner holds the backend servers that this instance owns.
+type Owner struct {
+	node      *gwpeer.Node
+	clock     clockwork.Clock
+	log       *slog.Logger
+	views     *gwcontrol.Views
+	directory *gwcontrol.Directory
+	members   *gwcontrol.Membership
+	leases    Leases
+	metrics   Metrics
+	suspected SuspectFunc
+	connect   func(f gwcontrol.ServerFacts) gwbackend.Options
+
+	mu      sync.RWMutex
+	servers map[string]*server
+	closing sync.WaitGroup
+	ctx     context.Context
+}
+
+// New returns an owner of no servers and registers its handlers at the node.
+func New(o Options) *Owner {
+	w := &Owner{
+		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
+		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, connect: o.Backend,
+		servers: make(map[string]*server), ctx: context.Background(),
+	}
+	w.register()
+	return w
+}
+
+func (o *Owner) server(name string) *server {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.servers[name]
+}
+
+func (o *Owner) all() []*server {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	out := make([]*server, 0, len(o.servers))
+	for _, s := range o.servers {
+		out = append(out, s)
+	}
+	return out
+}
+
+// Primaries returns the groups whose primary this instance owns, with their terms.
+func (o *Owner) Primaries() map[string]uint64 {
+	groups := o.views.Current().Groups
+	out := make(map[string]uint64)
+	for _, s := range o.all() {
+		if g := groups[s.facts.Group]; g.Primary == s.facts.Server && !g.Changing {
+			out[g.Group] = g.Term
+		}
+	}
+	return out
+}
+
+// Intervals of the controller.
+const (
+	reconcileInterval = 500 * time.Millisecond
+	freshnessInterval = 200 * time.Millisecond
+)
+
+// Run keeps the owned servers equal to those that this instance should own,
+// and supervises them, until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	o.ctx = ctx
+	reconcile := o.clock.NewTicker(reconcileInterval)
+	defer reconcile.Stop()
+	fresh := o.clock.NewTicker(freshnessInterval)
+	defer fresh.Stop()
+	for {
+		members, servers, view := o.members.Changed(), o.directory.Changed(), o.views.Changed()
+		o.reconcile()
+		select {
+		case <-ctx.Done():
+			o.closeAll()
+			return
+		case <-members:
+		case <-servers:
+		case <-view:
+			o.superviseAll(ctx)
+		case <-reconcile.Chan():
+		case <-fresh.Chan():
+			o.superviseAll(ctx)
+		}
+	}
+}
+
+// owns reports whether this instance should own the server.
+func (o *Owner) owns(f gwcontrol.ServerFacts) bool {
+	t := o.members.Topology()
+	m, ok := t.Owner(f.Server, f.DataCentre, o.region(f.DataCentre))
+	return ok && m.Instance == t.Self.Instance
+}
+
+func (o *Owner) region(dataCentre string) string {
+	if m := o.views.Current().Manifest; m != nil {
+		if r, ok := m.Region(dataCentre); ok {
+			return r
+		}
+	}
+	return ""
+}
+
+func (o *Owner) reconcile() {
+	for _, f := range o.directory.All() {
+		s := o.server(f.Server)
+		switch owned := o.owns(f); {
+		case owned && s == nil:
+			o.open(f)
+		case !owned && s != nil:
+			o.release(s)
+		case owned && s.facts != f:
+			o.update(s, f)
+		}
+	}
+}
+
+func (o *Owner) open(f gwcontrol.ServerFacts) {
+	ctx, cancel := context.WithCancel(o.ctx)
+	s := &server{owner: o, facts: f, cancel: cancel, admission: newAdmission(o.clock, max(1, f.Slots))}
+	opts := o.connect(f)
+	opts.OnPosition = nil
+	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Pool: gwbackend.PoolOptions{
+		Options: opts, Limit: f.Connections, MinIdle: max(1, f.Slots), Clock: o.clock, Logger: o.log,
+	}})
+	s.confirm = newConfirmer(o.clock, o.Await, func() []string { return o.replicas(f.Group, f.Server) })
+	s.applyLimits(o.views.Current())
+	o.mu.Lock()
+	o.servers[f.Server] = s
+	o.mu.Unlock()
+	o.log.Info("backend server owned", "server", f.Server, "group", f.Group, "address", f.Address)
+	go s.followView(ctx)
+}
+
+// release hands a server over to its new owner: nothing new is admitted, and
+// the connections are closed as their work ends.
+func (o *Owner) release(s *server) {
+	o.mu.Lock()
+	delete(o.servers, s.facts.Server)
+	o.mu.Unlock()
+	s.admission.close()
+	s.cancel()
+	o.log.Info("backend server released", "server", s.facts.Server, "group", s.facts.Group)
+	o.closing.Add(1)
+	go func() {
+		defer o.closing.Done()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), o.drainLimit())
+		defer cancel()
+		if g := s.group(); g.Primary == s.facts.Server {
+			defer o.leases.GiveUp(ctx, s.facts.Group)
+		}
+		if err := s.backend.Close(ctx); err != nil {
+			o.log.Warn("backend server closed with work in flight", "server", s.facts.Server, "error", err)
+		}
+	}()
+}
+
+// update applies changed facts. A new address or group needs new connections.
+func (o *Owner) update(s *server, f gwcontrol.ServerFacts) {
+	if f.Address != s.facts.Address || f.Group != s.facts.Group {
+		o.release(s)
+		o.open(f)
+		return
+	}
+	s.setFacts(f)
+	s.backend.Pool().SetLimit(f.Connections)
+	s.applyLimits(o.views.Current())
+}
+
+func (o *Owner) closeAll() {
+	for _, s := range o.all() {
+		o.release(s)
+	}
+	o.closing.Wait()
+}
+
+// replicas returns the names of the group's servers other than primary.
+func (o *Owner) replicas(group, primary string) []string {
+	var out []string
+	for _, f := range o.directory.Group(group) {
+		if f.Server != primary {
+			out = append(out, f.Server)
+		}
+	}
+	return out
+}
+
+func (o *Owner) drainLimit() time.Duration {
+	if m := o.views.Current().Manifest; m != nil {
+		return m.Manifest().Limits.Drain.Duration
+	}
+	return defaultDrain
+}
+
+func (o *Owner) idleLimit() time.Duration {
+	if m := o.views.Current().Manifest; m != nil {
+		return m.Manifest().Limits.IdleTransaction.Duration
+	}
+	return defaultIdle
+}
+
+// Limits used before a manifest is known.
+const (
+	defaultDrain = 10 * time.Second
+	defaultIdle  = time.Minute
+)
+
+// followView applies the limits of each new manifest to the server.
+func (s *server) followView(ctx context.Context) {
+	for {
+		changed := s.owner.views.Changed()
+		s.applyLimits(s.owner.views.Current())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (s *server) applyLimits(v *gwcontrol.View) {
+	if v.Manifest == nil {
+		return
+	}
+	var classes []gwlimit.Class
+	for _, c := range v.Manifest.Manifest().Classes {
+		classes = append(classes, gwlimit.Class{Name: c.Name, Weight: c.Weight, Queue: c.Queue, Concurrency: c.Concurrency})
+	}
+	s.admission.setLimits(max(1, s.slots()), classes)
+}
+
+func (s *server) slots() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.facts.Slots
+}
+
+func (s *server) setFacts(f gwcontrol.ServerFacts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.facts = f
+}
+
+// Await waits until a replica has reached p, at its owner, and returns its position.
+func (o *Owner) Await(ctx context.Context, name string, p gwsession.Position) (gwsession.Position, error) {
+	if s := o.server(name); s != nil {
+		r, err := s.backend.WaitPosition(ctx, p)
+		return r.Position, err
+	}
+	address, err := o.ownerAddress(name)
+	if err != nil {
+		return gwsession.Position{}, err
+	}
+	return gwpeer.Call[await, gwsession.Position](ctx, o.node, address, gwcontrol.KindAwait, await{Server: name, Position: p})
+}
+
+// Barrier asks the owner of the group's primary for a position that covers
+// every write acknowledged before the call.
+func (o *Owner) Barrier(ctx context.Context, group string) (gwsession.Position, error) {
+	g, ok := o.views.Current().Groups[group]
+	if !ok {
+		return gwsession.Position{}, &gwcontrol.Error{Op: "barrier", Kind: gwcontrol.UnknownServer, Detail: "group " + group + " has no primary yet"}
+	}
+	if s := o.server(g.Primary); s != nil {
+		return s.barrier(ctx)
+	}
+	address, err := o.ownerAddress(g.Primary)
+	if err != nil {
+		return gwsession.Position{}, err
+	}
+	return gwpeer.Call[barrier, gwsession.Position](ctx, o.node, address, gwcontrol.KindBarrier, barrier{Group: group})
+}
+
+// ownerAddress returns the peer address of the instance that owns a server.
+func (o *Owner) ownerAddress(name string) (string, error) {
+	f, ok := o.directory.Server(name)
+	if !ok {
+		return "", &gwcontrol.Error{Op: "find owner", Kind: gwcontrol.UnknownServer, Detail: name}
+	}
+	t := o.members.Topology()
+	m, ok := t.Owner(name, f.DataCentre, o.region(f.DataCentre))
+	if !ok || m.Instance == t.Self.Instance {
+		return "", &gwcontrol.Error{Op: "find owner", Kind: gwcontrol.UnknownServer, Detail: name + " is not owned yet"}
+	}
+	return m.Address, nil
+}
--- /dev/null
+++ b/internal/gwowner/server.go
@@ -0,0 +1,261 @@
+package gwowner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/pkg/gwlimit"
+	"gentianward.example/gentianward/pkg/gwoutcome"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// server is one owned backend server.
+type server struct {
+	owner     *Owner
+	facts     gwcontrol.ServerFacts
+	backend   *gwbackend.Server
+	admission *admission
+	confirm   *confirmer
+	cancel    context.CancelFunc
+
+	mu        sync.Mutex
+	health    gwoutcome.Health
+	freshness gwsession.Freshness
+	// freshTerm is the group's term to which freshness applies.
+	freshTerm uint64
+	// base is the term for which committed covers every earlier acknowledged write.
+	base      uint64
+	committed gwsession.Position
+	// leased is the last time at which the lease of the primary was seen valid.
+	leased time.Time
+	// pinned counts open transactions.
+	pinned int
+	// checking means that a supervision of the server is running.
+	checking bool
+	openedAt time.Time
+	// followed is the last term whose primary the server was told to follow.
+	followed uint64
+}
+
+// group returns the agreed state of the server's group.
+func (s *server) group() gwcontrol.GroupView {
+	return s.owner.views.Current().Groups[s.facts.Group]
+}
+
+// holdsLease reports whether this instance may acknowledge writes at term.
+func (s *server) holdsLease(term uint64) bool {
+	return term != 0 && s.owner.leases.Valid(s.facts.Group, term)
+}
+
+// position returns the last known position of the server.
+func (s *server) position() gwsession.Position {
+	r, _, _ := s.backend.Report()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.committed.AtLeast(r.Position) {
+		return s.committed
+	}
+	return r.Position
+}
+
+// noteCommit records the position of a commit at the primary.
+func (s *server) noteCommit(p gwsession.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.AtLeast(s.committed) {
+		s.committed = p
+	}
+}
+
+// barrier returns a position that covers every write acknowledged before the
+// call, provided that the lease holds after it.
+func (s *server) barrier(ctx context.Context) (gwsession.Position, error) {
+	g := s.group()
+	if g.Primary != s.facts.Server || g.Changing || !s.holdsLease(g.Term) {
+		return gwsession.Position{}, errNoLease
+	}
+	p, known := s.barrierPosition(g.Term)
+	if !known {
+		r, err := s.backend.Refresh(ctx)
+		if err != nil {
+			return gwsession.Position{}, err
+		}
+		p = s.setBase(g.Term, r.Position)
+	}
+	if !s.holdsLease(g.Term) {
+		return gwsession.Position{}, errNoLease
+	}
+	return p, nil
+}
+
+var errNoLease = errors.New("the owner holds no lease for the group's primary")
+
+func (s *server) barrierPosition(term uint64) (gwsession.Position, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.committed, s.base == term
+}
+
+// setBase records that p, read from the primary under the lease of term, covers
+// every write that an earlier owner acknowledged.
+func (s *server) setBase(term uint64, p gwsession.Position) gwsession.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.AtLeast(s.committed) {
+		s.committed = p
+	}
+	s.base = term
+	return s.committed
+}
+
+// staleness returns an upper bound of how old the server's data is.
+func (s *server) staleness(g gwcontrol.GroupView) (time.Duration, bool) {
+	now := s.owner.clock.Now()
+	primary := g.Primary == s.facts.Server
+	leased := primary && s.holdsLease(g.Term)
+	r, _, _ := s.backend.Report()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case leased:
+		s.leased = now
+		return 0, true
+	case primary && !s.leased.IsZero():
+		return now.Sub(s.leased), true
+	}
+	if s.freshTerm != g.Term {
+		return 0, false
+	}
+	s.freshness.Reached(r.Position)
+	return s.freshness.Staleness(now)
+}
+
+// answered records the primary's position as of the time a question was sent.
+func (s *server) answered(term uint64, sent time.Time, p gwsession.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.freshTerm != term {
+		s.freshness.Reset()
+		s.freshTerm = term
+	}
+	s.freshness.Answered(sent, p)
+}
+
+// report describes the server to an entry instance.
+func (s *server) report() Report {
+	g := s.group()
+	staleness, known := s.staleness(g)
+	return Report{
+		Position:       s.position(),
+		Staleness:      staleness,
+		StalenessKnown: known,
+		Load:           float64(s.admission.load()) / float64(max(1, s.facts.Slots)),
+	}
+}
+
+// observe records how an attempt ended for the decision on ejection.
+func (s *server) observe(e gwoutcome.Event) {
+	s.mu.Lock()
+	ejected := s.health.Observe(e, s.owner.clock.Now())
+	s.mu.Unlock()
+	if ejected {
+		s.owner.log.Warn("backend server ejected", "server", s.facts.Server, "group", s.facts.Group, "cause", e.String())
+		s.owner.suspect(s)
+	}
+}
+
+func (s *server) ejected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.Ejected(s.owner.clock.Now())
+}
+
+// execution is the end of one statement at the backend server.
+type execution struct {
+	gwbackend.Result
+	event  gwoutcome.Event
+	detail string
+	conn   *gwbackend.Conn
+}
+
+// run takes a slot and a connection and sends the request. The caller gets the
+// connection in the execution when the transaction is still open.
+func (s *server) run(ctx context.Context, req *Request, deadline time.Time, sink gwbackend.Sink, ready func() bool) execution {
+	release, err := s.admission.acquire(ctx, req.Class, deadline)
+	if err != nil {
+		return execution{event: admissionEvent(err), detail: err.Error()}
+	}
+	defer release()
+	conn, err := s.backend.Pool().Acquire(ctx)
+	if err != nil {
+		e := acquireEvent(err)
+		s.observe(e)
+		return execution{event: e, detail: err.Error()}
+	}
+	if ready != nil && !ready() {
+		s.backend.Pool().Release(conn, true)
+		return execution{event: gwoutcome.NoLease, detail: errNoLease.Error()}
+	}
+	x := s.exchange(ctx, conn, req.Request, sink)
+	if x.event == gwoutcome.Answered && x.TxStatus != 'I' {
+		x.conn = conn
+		return x
+	}
+	s.backend.Pool().Release(conn, x.event == gwoutcome.Answered)
+	return x
+}
+
+// exchange sends one request on a connection and classifies its end.
+func (s *server) exchange(ctx context.Context, conn *gwbackend.Conn, req gwbackend.Request, sink gwbackend.Sink) execution {
+	res, err := conn.Exchange(ctx, req, sink)
+	x := execution{Result: res, event: exchangeEvent(ctx, res, err)}
+	if err != nil {
+		x.detail = err.Error()
+	}
+	s.observe(x.event)
+	return x
+}
+
+// sqlReadOnly is the SQLSTATE of a write that reached a replica.
+const sqlReadOnly = "25006"
+
+func exchangeEvent(ctx context.Context, res gwbackend.Result, err error) gwoutcome.Event {
+	switch {
+	case err == nil:
+		return gwoutcome.Answered
+	case gwbackend.KindOf(err) == gwbackend.KindSink:
+		return gwoutcome.PeerBroken
+	case !res.Sent:
+		return gwoutcome.BrokenBeforeSend
+	case ctx.Err() != nil:
+		return gwoutcome.TimedOut
+	default:
+		return gwoutcome.BrokenAfterSend
+	}
+}
+
+func acquireEvent(err error) gwoutcome.Event {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return gwoutcome.Expired
+	case gwbackend.ServerError(err) != nil:
+		return gwoutcome.ServerRefused
+	default:
+		return gwoutcome.DialFailed
+	}
+}
+
+func admissionEvent(err error) gwoutcome.Event {
+	var e *gwlimit.Error
+	if errors.As(err, &e) && e.Kind == gwlimit.QueueFull {
+		return gwoutcome.QueueFull
+	}
+	if errors.As(err, &e) && e.Kind == gwlimit.Closed {
+		return gwoutcome.NotOwner
+	}
+	return gwoutcome.Expired
+}
--- /dev/null
+++ b/internal/gwowner/session.go
@@ -0,0 +1,352 @@
+package gwowner
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/pkg/gwoutcome"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// Session runs the requests of one caller at this owner. It holds a connection
+// while a transaction is open. It is not safe for concurrent use.
+type Session struct {
+	owner *Owner
+	open  *transaction
+}
+
+// transaction is an open transaction with its connection.
+type transaction struct {
+	server *server
+	conn   *gwbackend.Conn
+	term   uint64
+	write  bool
+
+	mu    sync.Mutex
+	busy  bool
+	ended bool
+	timer clockwork.Timer
+}
+
+// NewSession returns a session without an open transaction.
+func (o *Owner) NewSession() *Session { return &Session{owner: o} }
+
+// Exec runs one request and writes its answer to out.
+func (s *Session) Exec(ctx context.Context, req *Request, out io.Writer) Result {
+	now := s.owner.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
+	defer cancel()
+	if s.open != nil {
+		return s.continueTransaction(ctx, req, out)
+	}
+	srv := s.owner.server(req.Server)
+	if srv == nil {
+		return failed(gwoutcome.NotOwner, "this instance does not own backend server "+req.Server)
+	}
+	var r Result
+	if req.Access == Write {
+		r = s.write(ctx, srv, req, now.Add(req.Timeout), out)
+	} else {
+		r = s.read(ctx, srv, req, now.Add(req.Timeout), out)
+	}
+	r.Report = srv.report()
+	return r
+}
+
+// Close rolls back the open transaction, if any.
+func (s *Session) Close() {
+	if t := s.open; t != nil && t.end() {
+		t.server.discard(t.conn)
+	}
+	s.open = nil
+}
+
+func (s *Session) read(ctx context.Context, srv *server, req *Request, deadline time.Time, out io.Writer) Result {
+	g := srv.group()
+	primary := g.Primary == srv.facts.Server
+	if !req.AnyTerm {
+		if r, ok := srv.readable(ctx, req, g); !ok {
+			return r
+		}
+	}
+	// The primary proves by its lease that no later primary has taken writes.
+	underLease := primary && !req.AnyTerm && srv.holdsLease(g.Term)
+	sink := &heldSink{out: out, limit: holdReadBytes}
+	x := srv.run(ctx, req, deadline, sink, nil)
+	if x.event != gwoutcome.Answered {
+		return x.failure(sink)
+	}
+	if isReadOnlyError(x.Result) && !sink.relayed {
+		s.keep(srv, x, g.Term, false)
+		s.Close()
+		return failed(gwoutcome.ServerReadOnly, "the statement writes and the server is a replica")
+	}
+	if underLease && !srv.holdsLease(g.Term) {
+		s.keep(srv, x, g.Term, false)
+		s.Close()
+		return x.stale(sink)
+	}
+	if !x.Position.IsZero() {
+		// A statement that looked like a read has written.
+		return s.acknowledge(ctx, srv, req, g, x, sink)
+	}
+	s.keep(srv, x, g.Term, false)
+	return x.finish(sink)
+}
+
+// stale is the result of a read at a primary whose lease ended meanwhile.
+func (x execution) stale(sink *heldSink) Result {
+	r := failed(gwoutcome.TooStale, "the primary's lease ended during the read")
+	r.Relayed = sink.relayed
+	return r
+}
+
+// readable checks that the server satisfies the position and staleness of req,
+// waiting for the position when the request allows.
+func (s *server) readable(ctx context.Context, req *Request, g gwcontrol.GroupView) (Result, bool) {
+	if g.Primary == s.facts.Server && s.holdsLease(g.Term) {
+		return Result{}, true
+	}
+	p := s.position()
+	if g.Diverged(p) {
+		return failed(gwoutcome.TooStale, "the server holds writes that its group has dropped"), false
+	}
+	if !p.AtLeast(req.Position) {
+		wctx, cancel := context.WithTimeout(ctx, req.MaxWait)
+		defer cancel()
+		reached, err := s.backend.WaitPosition(wctx, req.Position)
+		if err != nil || !reached.Position.AtLeast(req.Position) {
+			return failed(gwoutcome.TooStale, "the server has not reached position "+req.Position.String()), false
+		}
+	}
+	if req.Staleness > 0 {
+		if staleness, known := s.staleness(g); !known || staleness > req.Staleness {
+			return failed(gwoutcome.TooStale, "the server's data is older than the class accepts"), false
+		}
+	}
+	return Result{}, true
+}
+
+func (s *Session) write(ctx context.Context, srv *server, req *Request, deadline time.Time, out io.Writer) Result {
+	g := srv.group()
+	switch {
+	case g.Primary != srv.facts.Server || g.Changing:
+		return failed(gwoutcome.ServerReadOnly, "the server is not the group's primary")
+	case !srv.holdsLease(g.Term):
+		return failed(gwoutcome.NoLease, errNoLease.Error())
+	}
+	sink := &heldSink{out: out, limit: holdWriteBytes}
+	if req.Key != "" {
+		return s.writeKeyed(ctx, srv, req, g, deadline, sink)
+	}
+	x := srv.run(ctx, req, deadline, sink, func() bool { return srv.holdsLease(g.Term) })
+	if x.event != gwoutcome.Answered {
+		r := x.failure(sink)
+		r.Term = g.Term
+		return r
+	}
+	if isReadOnlyError(x.Result) && !sink.relayed {
+		s.owner.suspect(srv)
+		return failed(gwoutcome.ServerReadOnly, "the server refuses writes")
+	}
+	if !x.Position.IsZero() {
+		return s.acknowledge(ctx, srv, req, g, x, sink)
+	}
+	s.keep(srv, x, g.Term, true)
+	return x.finish(sink)
+}
+
+// acknowledge passes the answer on once the commit at x.Position is confirmed
+// and the lease still holds.
+func (s *Session) acknowledge(ctx context.Context, srv *server, req *Request, g gwcontrol.GroupView, x execution, sink *heldSink) Result {
+	s.keep(srv, x, g.Term, true)
+	if e := srv.settle(ctx, req, g, x.Position); e != gwoutcome.Answered {
+		s.Close()
+		r := failed(e, settleDetail(e))
+		r.Term, r.Relayed = g.Term, sink.relayed
+		return r
+	}
+	r := x.finish(sink)
+	r.Position, r.Term = x.Position, g.Term
+	return r
+}
+
+func settleDetail(e gwoutcome.Event) string {
+	if e == gwoutcome.Unconfirmed {
+		return "the write was committed and no replica confirmed it in time"
+	}
+	return "the write was committed and the primary's lease ended before it was acknowledged"
+}
+
+// settle decides whether a commit may be acknowledged.
+func (s *server) settle(ctx context.Context, req *Request, g gwcontrol.GroupView, p gwsession.Position) gwoutcome.Event {
+	if p.Term != g.Term {
+		return gwoutcome.LeaseLost
+	}
+	if !req.PrimaryAcknowledges {
+		started := s.owner.clock.Now()
+		if err := s.confirm.wait(ctx, p); err != nil {
+			return gwoutcome.Unconfirmed
+		}
+		s.owner.metrics.ConfirmWait(req.Class, s.facts.Group, s.owner.clock.Since(started))
+	}
+	if !s.holdsLease(g.Term) {
+		return gwoutcome.LeaseLost
+	}
+	s.noteCommit(p)
+	return gwoutcome.Answered
+}
+
+// keep holds the connection while the transaction is open.
+func (s *Session) keep(srv *server, x execution, term uint64, write bool) {
+	if x.conn == nil || s.open != nil {
+		return
+	}
+	t := &transaction{server: srv, conn: x.conn, term: term, write: write}
+	s.open = t
+	srv.pin(1)
+	t.armIdle(s.owner.idleLimit())
+}
+
+func (s *Session) continueTransaction(ctx context.Context, req *Request, out io.Writer) Result {
+	t := s.open
+	if !t.begin() {
+		s.open = nil
+		return failed(gwoutcome.BrokenBeforeSend, "the transaction was rolled back because it was idle for too long")
+	}
+	sink := &heldSink{out: out, limit: holdReadBytes}
+	release := t.server.admission.acquireUrgent()
+	x := t.server.exchange(ctx, t.conn, req.Request, sink)
+	release()
+	if x.event != gwoutcome.Answered {
+		s.leave(false)
+		r := x.failure(sink)
+		r.Term = t.term
+		return r
+	}
+	if x.TxStatus != 'I' {
+		t.armIdle(s.owner.idleLimit())
+		return x.finish(sink)
+	}
+	s.leave(true)
+	if x.Position.IsZero() {
+		return x.finish(sink)
+	}
+	if e := t.server.settle(ctx, req, gwcontrol.GroupView{Term: t.term}, x.Position); e != gwoutcome.Answered {
+		r := failed(e, settleDetail(e))
+		r.Term, r.Relayed = t.term, sink.relayed
+		return r
+	}
+	r := x.finish(sink)
+	r.Position, r.Term = x.Position, t.term
+	return r
+}
+
+// leave gives the connection of a finished transaction back.
+func (s *Session) leave(reusable bool) {
+	t := s.open
+	s.open = nil
+	t.mu.Lock()
+	t.ended = true
+	t.mu.Unlock()
+	t.server.pin(-1)
+	t.server.backend.Pool().Release(t.conn, reusable)
+}
+
+// begin claims the transaction for a statement, unless the idle limit ended it.
+func (t *transaction) begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	if t.ended {
+		return false
+	}
+	t.busy = true
+	return true
+}
+
+// end marks the transaction as ended and reports whether it was open.
+func (t *transaction) end() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	open := !t.ended
+	t.ended = true
+	return open
+}
+
+func (t *transaction) armIdle(limit time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy = false
+	t.timer = t.server.owner.clock.AfterFunc(limit, t.expire)
+}
+
+// expire rolls back a transaction that was idle for too long, so that it does
+// not keep its connection and locks from others.
+func (t *transaction) expire() {
+	t.mu.Lock()
+	idle := !t.busy && !t.ended
+	if idle {
+		t.ended = true
+	}
+	t.mu.Unlock()
+	if idle {
+		t.server.discard(t.conn)
+	}
+}
+
+// discard closes the connection of an abandoned transaction, which rolls it back.
+func (s *server) discard(conn *gwbackend.Conn) {
+	s.pin(-1)
+	s.backend.Pool().Release(conn, false)
+}
+
+func (s *server) pin(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pinned += n
+}
+
+// finish passes the held answer on.
+func (x execution) finish(sink *heldSink) Result {
+	if err := sink.flush(); err != nil {
+		return Result{Event: gwoutcome.PeerBroken, State: gwoutcome.StateConnectionUnknown, Message: err.Error(), TxStatus: x.TxStatus}
+	}
+	r := Result{Event: gwoutcome.Answered, TxStatus: x.TxStatus, Relayed: true}
+	if x.ServerError != nil {
+		r.SQLError = x.ServerError.Code
+	}
+	return r
+}
+
+// failure describes an exchange that was not answered completely.
+func (x execution) failure(sink *heldSink) Result {
+	r := failed(x.event, x.detail)
+	r.Relayed = sink.relayed
+	return r
+}
+
+func isReadOnlyError(r gwbackend.Result) bool {
+	return r.ServerError != nil && r.ServerError.Code == sqlReadOnly && r.TxStatus == 'I'
+}
+
+// readyForQuery is an encoded ReadyForQuery outside a transaction.
+var readyForQuery = func() []byte {
+	b, err := (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(nil)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}()
--- /dev/null
+++ b/internal/gwowner/supervise.go
@@ -0,0 +1,166 @@
+package gwowner
+
+import (
+	"context"
+	"time"
+
+	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwcontrol"
+)
+
+// Timing of supervision.
+const (
+	// primaryTimeout is how long a primary may fail to answer before a change is asked for.
+	primaryTimeout = 400 * time.Millisecond
+	askTimeout     = time.Second
+	followTimeout  = 3 * time.Second
+)
+
+// superviseAll checks every owned server in its own goroutine, unless the
+// previous check is still running.
+func (o *Owner) superviseAll(ctx context.Context) {
+	for _, s := range o.all() {
+		if s.beginCheck() {
+			go func() {
+				defer s.endCheck()
+				s.supervise(ctx)
+			}()
+		}
+	}
+}
+
+func (s *server) beginCheck() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.checking {
+		return false
+	}
+	s.checking = true
+	return true
+}
+
+func (s *server) endCheck() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checking = false
+}
+
+func (s *server) supervise(ctx context.Context) {
+	g := s.group()
+	switch {
+	case g.Term == 0 || g.Changing:
+	case g.Primary == s.facts.Server:
+		s.supervisePrimary(ctx, g)
+	default:
+		s.superviseReplica(ctx, g)
+	}
+}
+
+// supervisePrimary asks for a change of primary when the server does not
+// answer, is leaving, or is not the primary of the agreed term.
+func (s *server) supervisePrimary(ctx context.Context, g gwcontrol.GroupView) {
+	r, at, err := s.backend.Report()
+	now := s.owner.clock.Now()
+	s.mu.Lock()
+	if s.openedAt.IsZero() {
+		s.openedAt = now
+	}
+	silent := now.Sub(later(at, s.openedAt))
+	leaving := s.facts.Leaving
+	s.mu.Unlock()
+	switch {
+	case leaving:
+		s.requestChange(ctx, g, "the primary is leaving")
+	case err != nil && silent > primaryTimeout:
+		s.requestChange(ctx, g, "the primary does not answer: "+err.Error())
+	case err == nil && !at.IsZero() && r.Position.Term > g.Term:
+		s.owner.log.Warn("primary reports a later term", "server", s.facts.Server, "group", g.Group, "term", g.Term, "reported", r.Position.Term)
+	case err == nil && r.Role == gwbackend.RoleReplica && r.Position.Term <= g.Term && silent < primaryTimeout:
+		// The server restarted or lost a promotion; it is promoted again at the agreed term.
+		s.repromote(ctx, g)
+	default:
+		_, _ = s.staleness(g) // records that the lease is seen valid
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (s *server) repromote(ctx context.Context, g gwcontrol.GroupView) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if _, err := s.backend.Promote(ctx, g.Term); err != nil {
+		s.requestChange(ctx, g, "the primary runs as a replica: "+err.Error())
+	}
+}
+
+// requestChange gives the lease up first: nothing is acknowledged any more, so
+// that the change need not wait for the lease to expire.
+func (s *server) requestChange(ctx context.Context, g gwcontrol.GroupView, reason string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	s.owner.leases.GiveUp(ctx, g.Group)
+	s.owner.suspected(ctx, g.Group, g.Term, reason)
+}
+
+// suspect looks at a server again at once after its ejection.
+func (o *Owner) suspect(s *server) {
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, primaryTimeout)
+		defer cancel()
+		if _, err := s.backend.Refresh(ctx); err == nil {
+			return
+		}
+		if g := s.group(); g.Primary == s.facts.Server && !g.Changing {
+			s.requestChange(o.ctx, g, "the primary refuses connections")
+		}
+	}()
+}
+
+// superviseReplica makes the server follow the agreed primary and keeps its
+// freshness known.
+func (s *server) superviseReplica(ctx context.Context, g gwcontrol.GroupView) {
+	r, _, err := s.backend.Report()
+	if err == nil && (r.Role == gwbackend.RolePrimary || r.Position.Term < g.Term) {
+		s.follow(ctx, g, r)
+	}
+	s.askFreshness(ctx, g)
+}
+
+// follow makes the server a replica of the agreed primary. What it has beyond
+// the start of the term was never acknowledged and is dropped.
+func (s *server) follow(ctx context.Context, g gwcontrol.GroupView, r gwbackend.Report) {
+	s.mu.Lock()
+	done := s.followed == g.Term && r.Role == gwbackend.RoleReplica
+	s.mu.Unlock()
+	f, ok := s.owner.directory.Server(g.Primary)
+	if done || !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	dropped, err := s.backend.Follow(ctx, g.Term, f.Address)
+	if err != nil {
+		s.owner.log.Warn("backend server does not follow", "server", s.facts.Server, "group", g.Group, "term", g.Term, "error", err)
+		return
+	}
+	s.mu.Lock()
+	s.followed = g.Term
+	s.mu.Unlock()
+	s.owner.log.Info("backend server follows", "server", s.facts.Server, "group", g.Group, "term", g.Term, "primary", g.Primary, "dropped", dropped)
+}
+
+func (s *server) askFreshness(ctx context.Context, g gwcontrol.GroupView) {
+	sent := s.owner.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	p, err := s.owner.Barrier(ctx, g.Group)
+	if err != nil {
+		return
+	}
+	s.answered(g.Term, sent, p)
+}
--- /dev/null
+++ b/internal/gwstate/renew.go
@@ -0,0 +1,46 @@
+package gwstate
+
+import "time"
+
+// GroupTerm names a group at one term.
+type GroupTerm struct {
+	Group string `cbor:"1,keyasint" json:"group"`
+	Term  uint64 `cbor:"2,keyasint" json:"term"`
+}
+
+// Renew extends the leases that holder has, without a log entry, and returns
+// the refused groups.
+//
+// Only a leader whose leadership a quorum confirmed after the request arrived
+// may call it. A later leader restarts the waits of all leases when it is
+// ready, which is after that confirmation, so that it needs no record of the
+// renewal.
+func (s *State) Renew(holder string, incarnation uint64, groups []GroupTerm, now time.Time) map[string]Refusal {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	refused := make(map[string]Refusal)
+	for _, gt := range groups {
+		if refusal := s.checkRenewal(holder, incarnation, gt); refusal != Accepted {
+			refused[gt.Group] = refusal
+			continue
+		}
+		s.clock.record(s.leases[gt.Group], now)
+	}
+	return refused
+}
+
+func (s *State) checkRenewal(holder string, incarnation uint64, gt GroupTerm) Refusal {
+	g, known := s.groups[gt.Group]
+	lease, leased := s.leases[gt.Group]
+	switch {
+	case !known:
+		return GroupUnknown
+	case g.Phase == Changing:
+		return GroupChanging
+	case g.Term != gt.Term || lease.Term != gt.Term:
+		return TermMismatch
+	case !leased || !lease.heldBy(holder, incarnation):
+		return LeaseNotHeld
+	}
+	return Accepted
+}
