gwbackend: pool, dialect and position watcher

Cause: an owner instance holds all connections to a server and tracks its position. Change: Pool (limit, reserved control connection, waiters in order, warm connections, drain), the stand-in dialect, and Server with one position poll for all waiters.

--- a/internal/gwbackend/conn.go
+++ b/internal/gwbackend/conn.go
@@ -71,6 +71,7 @@
 	wbuf       []byte
 	tx         byte
 	stateful   bool // session state, such as a setting, may differ from a new connection's
+	control    bool // the pool's connection for control statements
 
 	// Used by the reader goroutine only.
 	rbuf   []byte
--- /dev/null
+++ b/internal/gwbackend/dialect.go
@@ -0,0 +1,130 @@
+package gwbackend
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// Role is what a server does in its group.
+type Role string
+
+// Roles.
+const (
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
+)
+
+// Report is a server's account of its role and log.
+type Report struct {
+	Role            Role               `json:"role" cbor:"1,keyasint"`
+	Position        gwsession.Position `json:"position" cbor:"2,keyasint"`
+	PreviousTermEnd uint64             `json:"previousTermEnd" cbor:"3,keyasint"` // offset at which the position's term began
+}
+
+// Dialect is everything that is specific to one database product. Its methods
+// run control statements; their errors are of this package's type.
+type Dialect interface {
+	// Position asks for role, term and position.
+	Position(ctx context.Context, c *Conn) (Report, error)
+	// Promote makes the server the primary of the term, and returns the
+	// position at which the term begins.
+	Promote(ctx context.Context, c *Conn, term uint64) (gwsession.Position, error)
+	// Follow makes the server a replica of the primary at the address, and
+	// returns how many log entries it dropped for that.
+	Follow(ctx context.Context, c *Conn, term uint64, primaryAddress string) (dropped uint64, err error)
+	// Fence makes the server refuse writes of terms before the given one.
+	Fence(ctx context.Context, c *Conn, term uint64) (Report, error)
+}
+
+// StandinDialect is the Dialect of the project's database stand-in.
+type StandinDialect struct{}
+
+var _ Dialect = StandinDialect{}
+
+// Position implements Dialect.
+func (StandinDialect) Position(ctx context.Context, c *Conn) (Report, error) {
+	return reportOf(c.QueryRow(ctx, "SHOW gentianward.position"))
+}
+
+// Fence implements Dialect.
+func (StandinDialect) Fence(ctx context.Context, c *Conn, term uint64) (Report, error) {
+	return reportOf(c.QueryRow(ctx, fmt.Sprintf("GENTIANWARD FENCE %d", term)))
+}
+
+// Promote implements Dialect.
+func (StandinDialect) Promote(ctx context.Context, c *Conn, term uint64) (gwsession.Position, error) {
+	row, err := c.QueryRow(ctx, fmt.Sprintf("GENTIANWARD PROMOTE %d", term))
+	if err != nil {
+		return gwsession.Position{}, err
+	}
+	return row.position()
+}
+
+// Follow implements Dialect.
+func (StandinDialect) Follow(ctx context.Context, c *Conn, term uint64, primaryAddress string) (uint64, error) {
+	if strings.ContainsRune(primaryAddress, 0) {
+		return 0, c.error(KindNotSent, errors.New("primary address contains NUL"))
+	}
+	quoted := "'" + strings.ReplaceAll(primaryAddress, "'", "''") + "'"
+	row, err := c.QueryRow(ctx, fmt.Sprintf("GENTIANWARD FOLLOW %d %s", term, quoted))
+	if err != nil {
+		return 0, err
+	}
+	return row.number("dropped")
+}
+
+func reportOf(row Row, err error) (Report, error) {
+	if err != nil {
+		return Report{}, err
+	}
+	r := Report{Role: Role(row.Get("role"))}
+	if r.Role != RolePrimary && r.Role != RoleReplica {
+		return Report{}, row.error(errors.Newf("role %q", r.Role))
+	}
+	if r.Position, err = row.position(); err != nil {
+		return Report{}, err
+	}
+	if row.Get("previousTermEnd") != "" {
+		r.PreviousTermEnd, err = row.number("previousTermEnd")
+	}
+	return r, err
+}
+
+// position reads the columns term and offset, or the column position of the
+// form "term/offset".
+func (r Row) position() (gwsession.Position, error) {
+	if text := r.Get("position"); text != "" {
+		p, err := gwsession.ParsePosition(text)
+		if err != nil {
+			return p, r.error(err)
+		}
+		return p, nil
+	}
+	term, err := r.number("term")
+	if err != nil {
+		return gwsession.Position{}, err
+	}
+	offset, err := r.number("offset")
+	if err != nil {
+		return gwsession.Position{}, err
+	}
+	return gwsession.Position{Term: term, Offset: offset}, nil
+}
+
+func (r Row) number(column string) (uint64, error) {
+	n, err := strconv.ParseUint(r.Get(column), 10, 64)
+	if err != nil {
+		return 0, r.error(errors.Wrapf(err, "column %q", column))
+	}
+	return n, nil
+}
+
+func (r Row) error(err error) error {
+	return &Error{Op: "read answer", Kind: KindServer, Server: r.server, Err: err}
+}
--- /dev/null
+++ b/internal/gwbackend/poolcontrol.go
@@ -0,0 +1,228 @@
+package gwbackend
+
+import (
+	"context"
+	"time"
+)
+
+// AcquireControl returns the connection that is reserved for control
+// statements, which are run one at a time. With a limit of 1 there is no
+// reserved one and it competes with requests.
+func (p *Pool) AcquireControl(ctx context.Context) (*Conn, error) {
+	select {
+	case <-p.control:
+	case <-ctx.Done():
+		return nil, p.error("acquire control", context.Cause(ctx))
+	}
+	p.mu.Lock()
+	closed, reserved, c := p.closed, p.limit > 1, p.controlConn
+	p.mu.Unlock()
+	var err error
+	switch {
+	case closed:
+		err = p.error("acquire control", ErrClosed)
+	case !reserved:
+		p.control <- struct{}{}
+		return p.Acquire(ctx)
+	case c != nil && c.Usable():
+		return c, nil
+	default:
+		c, err = p.dialControl(ctx)
+	}
+	if err != nil {
+		p.control <- struct{}{}
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *Pool) dialControl(ctx context.Context) (*Conn, error) {
+	c, err := p.connect(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Dials++
+	if err != nil {
+		p.stats.DialErrors++
+		return nil, err
+	}
+	c.control = true
+	p.controlConn = c
+	return c, nil
+}
+
+func (p *Pool) releaseControl(c *Conn, reusable bool) {
+	p.mu.Lock()
+	drop := !reusable || !c.Usable() || c.tx != 'I' || p.closed || p.limit < 2
+	p.mu.Unlock()
+	if drop {
+		p.dropControl(c)
+	}
+	p.control <- struct{}{}
+}
+
+// dropControl closes the control connection. Its token is held.
+func (p *Pool) dropControl(c *Conn) {
+	_ = c.Close()
+	p.mu.Lock()
+	p.controlConn = nil
+	p.stats.Discards++
+	p.checkEmpty()
+	p.mu.Unlock()
+}
+
+// SetLimit changes the connection limit. Idle connections above it are closed
+// at once, those in use when they are released.
+func (p *Pool) SetLimit(n int) {
+	p.mu.Lock()
+	p.limit = max(1, n)
+	var closing []*Conn
+	for p.surplus() && len(p.idle) > 0 {
+		closing = append(closing, p.takeOldest())
+	}
+	p.dialMore()
+	dropControl := p.limit < 2
+	p.mu.Unlock()
+	closeAll(closing)
+	if !dropControl {
+		return
+	}
+	select {
+	case <-p.control:
+		p.mu.Lock()
+		c := p.controlConn
+		p.mu.Unlock()
+		if c != nil {
+			p.dropControl(c)
+		}
+		p.control <- struct{}{}
+	default: // in use; dropped on release
+	}
+}
+
+// takeOldest removes the least recently used idle connection. p.mu is held.
+func (p *Pool) takeOldest() *Conn {
+	c := p.idle[0].c
+	p.idle = append(p.idle[:0], p.idle[1:]...)
+	return c
+}
+
+func closeAll(conns []*Conn) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// Stats returns the pool's state and counters.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stats
+	s.Limit, s.Idle, s.InUse, s.Dialing = p.limit, len(p.idle), len(p.used), p.dialing
+	s.Waiting = p.waiters.Len()
+	s.Open = s.Idle + s.InUse
+	if p.controlConn != nil {
+		s.Open++
+	}
+	return s
+}
+
+// sweepLoop closes expired idle connections and restores the warm ones.
+func (p *Pool) sweepLoop() {
+	defer p.wg.Done()
+	t := p.o.Clock.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-t.Chan():
+			p.sweep(p.o.Clock.Now())
+		}
+	}
+}
+
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	var closing []*Conn
+	for len(p.idle) > p.o.MinIdle && now.Sub(p.idle[0].since) >= p.o.IdleTimeout {
+		closing = append(closing, p.takeOldest())
+	}
+	p.dialMore()
+	p.mu.Unlock()
+	closeAll(closing)
+}
+
+// Close refuses new work, waits for connections in use to be released, and
+// closes all. When ctx ends first, connections in use are cut and ctx's error
+// is returned.
+func (p *Pool) Close(ctx context.Context) error {
+	p.mu.Lock()
+	first := !p.closed
+	p.closed = true
+	var closing []*Conn
+	for len(p.idle) > 0 {
+		closing = append(closing, p.takeOldest())
+	}
+	for p.serveWaiter(grant{err: ErrClosed}) {
+		continue
+	}
+	p.mu.Unlock()
+	closeAll(closing)
+	if first {
+		go p.closeControl()
+	}
+	var err error
+	select {
+	case <-p.empty:
+	case <-ctx.Done():
+		err = p.error("close", ctx.Err())
+		p.cut()
+	}
+	p.stop()
+	p.wg.Wait()
+	return err
+}
+
+// closeControl closes the control connection once it is free.
+func (p *Pool) closeControl() {
+	<-p.control
+	p.mu.Lock()
+	c := p.controlConn
+	p.mu.Unlock()
+	if c != nil {
+		p.dropControl(c)
+	}
+	p.control <- struct{}{}
+	p.mu.Lock()
+	p.checkEmpty()
+	p.mu.Unlock()
+}
+
+// cut ends the connections in use, whose requests then fail.
+func (p *Pool) cut() {
+	p.mu.Lock()
+	conns := make([]*Conn, 0, len(p.used)+1)
+	for c := range p.used {
+		conns = append(conns, c)
+	}
+	if p.controlConn != nil {
+		conns = append(conns, p.controlConn)
+	}
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.unusable.Store(true)
+		_ = c.nc.Close()
+	}
+}
+
+// checkEmpty reports the end of the last connection to Close. p.mu is held.
+func (p *Pool) checkEmpty() {
+	if !p.closed || p.opened() > 0 || p.controlConn != nil {
+		return
+	}
+	select {
+	case <-p.empty:
+	default:
+		close(p.empty)
+	}
+}
--- /dev/null
+++ b/internal/gwbackend/server.go
@@ -0,0 +1,286 @@
+package gwbackend
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+const (
+	defaultPollInterval = 200 * time.Millisecond
+	defaultWaitInterval = 3 * time.Millisecond
+	pollTimeout         = time.Second
+
+	// fullPollEvery poll intervals the server is asked even while it reports
+	// positions by itself, since those reports do not carry its role.
+	fullPollEvery = 5
+)
+
+// ServerOptions configures a Server.
+type ServerOptions struct {
+	Pool         PoolOptions
+	Dialect      Dialect       // nil: StandinDialect
+	PollInterval time.Duration // position queries without waiters; 0: 200 ms
+	WaitInterval time.Duration // position queries with waiters; 0: 3 ms
+}
+
+// Server is one backend server: its pool, its dialect and its position.
+type Server struct {
+	o    ServerOptions
+	pool *Pool
+	stop context.CancelFunc
+	done chan struct{}
+	kick chan struct{} // wakes the poll loop for a new waiter
+
+	mu       sync.Mutex
+	report   Report
+	at       time.Time // when the report was known to hold
+	polledAt time.Time // start of the last successful query
+	observed time.Time // last position that the server sent by itself
+	err      error     // of the last query
+	waiters  map[*positionWaiter]struct{}
+}
+
+type positionWaiter struct {
+	position gwsession.Position
+	reached  chan Report
+}
+
+// NewServer starts a server's pool and position watcher.
+func NewServer(o ServerOptions) *Server {
+	o.Pool.setDefaults()
+	if o.Dialect == nil {
+		o.Dialect = StandinDialect{}
+	}
+	if o.PollInterval <= 0 {
+		o.PollInterval = defaultPollInterval
+	}
+	if o.WaitInterval <= 0 {
+		o.WaitInterval = defaultWaitInterval
+	}
+	s := &Server{
+		done: make(chan struct{}), kick: make(chan struct{}, 1),
+		waiters: make(map[*positionWaiter]struct{}),
+	}
+	next := o.Pool.OnPosition
+	o.Pool.OnPosition = func(p gwsession.Position) {
+		s.observe(p)
+		if next != nil {
+			next(p)
+		}
+	}
+	s.o = o
+	s.pool = NewPool(o.Pool)
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	go s.watch(ctx)
+	return s
+}
+
+// Pool returns the server's connections.
+func (s *Server) Pool() *Pool { return s.pool }
+
+// Report returns the last known report and the time at which it held, zero if
+// there is none yet. err is that of the last query, nil if it succeeded.
+func (s *Server) Report() (r Report, at time.Time, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report, s.at, s.err
+}
+
+// Refresh asks the server for its report now.
+func (s *Server) Refresh(ctx context.Context) (Report, error) {
+	return s.query(ctx, func(ctx context.Context, c *Conn) (Report, error) {
+		return s.o.Dialect.Position(ctx, c)
+	})
+}
+
+// Fence makes the server refuse writes of terms before the given one.
+func (s *Server) Fence(ctx context.Context, term uint64) (Report, error) {
+	return s.query(ctx, func(ctx context.Context, c *Conn) (Report, error) {
+		return s.o.Dialect.Fence(ctx, c, term)
+	})
+}
+
+// Promote makes the server the primary of the term.
+func (s *Server) Promote(ctx context.Context, term uint64) (start gwsession.Position, err error) {
+	_, err = s.query(ctx, func(ctx context.Context, c *Conn) (Report, error) {
+		var err error
+		if start, err = s.o.Dialect.Promote(ctx, c, term); err != nil {
+			return Report{}, err
+		}
+		return s.o.Dialect.Position(ctx, c)
+	})
+	return start, err
+}
+
+// Follow makes the server a replica of the primary at the address.
+func (s *Server) Follow(ctx context.Context, term uint64, primaryAddress string) (dropped uint64, err error) {
+	_, err = s.query(ctx, func(ctx context.Context, c *Conn) (Report, error) {
+		var err error
+		if dropped, err = s.o.Dialect.Follow(ctx, c, term, primaryAddress); err != nil {
+			return Report{}, err
+		}
+		return s.o.Dialect.Position(ctx, c)
+	})
+	return dropped, err
+}
+
+// query runs control statements that end in a report.
+func (s *Server) query(ctx context.Context, fn func(context.Context, *Conn) (Report, error)) (Report, error) {
+	c, err := s.pool.AcquireControl(ctx)
+	if err != nil {
+		s.noteError(err)
+		return Report{}, err
+	}
+	start := s.now()
+	r, err := fn(ctx, c)
+	s.pool.Release(c, c.Usable())
+	if err != nil {
+		s.noteError(err)
+		return Report{}, err
+	}
+	s.update(r, start)
+	return r, nil
+}
+
+func (s *Server) now() time.Time { return s.o.Pool.Clock.Now() }
+
+func (s *Server) noteError(err error) {
+	s.mu.Lock()
+	s.err = err
+	s.mu.Unlock()
+}
+
+// update takes the answer of a query that was sent at start. A position may go
+// back, when the server dropped the end of its log; but not behind one that
+// the server sent after the query.
+func (s *Server) update(r Report, start time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if start.Before(s.polledAt) {
+		return
+	}
+	if s.observed.After(start) && s.report.Position.Compare(r.Position) > 0 {
+		r.Position = s.report.Position
+	}
+	s.report, s.at, s.polledAt, s.err = r, start, start, nil
+	s.wake()
+}
+
+// observe takes a position that the server sent by itself.
+func (s *Server) observe(p gwsession.Position) {
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observed = now
+	if s.polledAt.IsZero() || p.Compare(s.report.Position) < 0 {
+		return
+	}
+	s.report.Position, s.at = p, now
+	s.wake()
+}
+
+// wake ends the waits for positions that are reached. s.mu is held.
+func (s *Server) wake() {
+	for w := range s.waiters {
+		if s.report.Position.AtLeast(w.position) {
+			delete(s.waiters, w)
+			w.reached <- s.report
+		}
+	}
+}
+
+// WaitPosition waits until the server has reached the position. All waiters
+// share one sequence of queries. Errors are of KindNotSent.
+func (s *Server) WaitPosition(ctx context.Context, p gwsession.Position) (Report, error) {
+	s.mu.Lock()
+	if !s.polledAt.IsZero() && s.report.Position.AtLeast(p) {
+		r := s.report
+		s.mu.Unlock()
+		return r, nil
+	}
+	w := &positionWaiter{position: p, reached: make(chan Report, 1)}
+	s.waiters[w] = struct{}{}
+	s.mu.Unlock()
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+	var err error
+	select {
+	case r := <-w.reached:
+		return r, nil
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	case <-s.done:
+		err = ErrClosed
+	}
+	s.mu.Lock()
+	delete(s.waiters, w)
+	at := s.report.Position
+	s.mu.Unlock()
+	return Report{}, &Error{Op: "wait for position", Kind: KindNotSent, Server: s.o.Pool.Name, Err: errors.Wrapf(err, "position %s, waiting for %s", at, p)}
+}
+
+// watch asks for the position until ctx ends.
+func (s *Server) watch(ctx context.Context) {
+	defer close(s.done)
+	for {
+		failed := false
+		if s.due() {
+			failed = s.poll(ctx) != nil
+		}
+		wait := s.o.PollInterval
+		kick := s.kick
+		switch {
+		case failed:
+			kick = nil // a server that refuses connections is not asked more often for waiters
+		case s.waiting():
+			wait = s.o.WaitInterval
+		}
+		t := s.o.Pool.Clock.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.Chan():
+		case <-kick:
+			t.Stop()
+		}
+	}
+}
+
+func (s *Server) waiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiters) > 0
+}
+
+// due reports whether a query is needed: not while the server itself keeps
+// reporting its position and nobody waits.
+func (s *Server) due() bool {
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiters) > 0 || now.Sub(s.observed) >= s.o.PollInterval ||
+		now.Sub(s.polledAt) >= fullPollEvery*s.o.PollInterval
+}
+
+func (s *Server) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	_, err := s.Refresh(ctx)
+	return err
+}
+
+// Close stops the watcher and drains the pool.
+func (s *Server) Close(ctx context.Context) error {
+	s.stop()
+	<-s.done
+	return s.pool.Close(ctx)
+}
