gwstandin: add a database stand-in with replication and faults

Cause: tests, demo and measurements need a group of database servers, and no server may be installed. Change: PostgreSQL wire protocol (simple and extended) over SQLite in memory; a replication log of committed write statements; data copies built from the log, so that readers do not wait for an open write transaction; fence, promote and follow; announcements, slots, limits and faults; subcommand standin. SQLite is used through its C interface, because database/sql tells neither where a statement ends nor whether it writes.

--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -13,6 +13,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&standinCmd{}, "")
 	subcommands.Register(&versionCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/internal/gwstandin/fault.go
@@ -0,0 +1,116 @@
+package gwstandin
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Fault is the set of faults in force. The zero value is a healthy server.
+type Fault struct {
+	// Frozen stops the server without closing anything: no statement is read
+	// or answered, nothing is replicated or announced.
+	Frozen bool
+	// RefusePeers are the addresses of servers with which replication is cut,
+	// in both directions.
+	RefusePeers []string
+	// CutClients reports whether traffic with a client address is cut. No bytes
+	// pass in either direction while it is, and they pass when it ends, like in
+	// a network partition.
+	CutClients func(remote net.Addr) bool
+	// CutAnnounce reports whether announcements to a URL are cut.
+	CutAnnounce func(url string) bool
+	// ReplicaLag is added to the replication delay of a replica.
+	ReplicaLag time.Duration
+	// LoseAnswers is the number of next commits after which the connection is
+	// closed instead of answered.
+	LoseAnswers int
+}
+
+// faults holds the faults in force and wakes those that wait for their end.
+type faults struct {
+	mu      sync.Mutex
+	current *Fault
+	lose    int
+	changed chan struct{}
+}
+
+func newFaults() *faults { return &faults{current: &Fault{}, changed: make(chan struct{})} }
+
+func (f *faults) set(fault Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current = &fault
+	f.lose = fault.LoseAnswers
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *faults) get() (*Fault, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current, f.changed
+}
+
+// wait blocks while blocked reports true for the faults in force.
+func (f *faults) wait(ctx context.Context, blocked func(*Fault) bool) error {
+	for {
+		fault, changed := f.get()
+		if !blocked(fault) {
+			return ctx.Err()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// thaw blocks while the server is frozen.
+func (f *faults) thaw(ctx context.Context) error {
+	return f.wait(ctx, func(fault *Fault) bool { return fault.Frozen })
+}
+
+// takeLostAnswer reports whether the answer to a commit must be lost.
+func (f *faults) takeLostAnswer() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lose == 0 {
+		return false
+	}
+	f.lose--
+	return true
+}
+
+func (f *Fault) refuses(peer string) bool { return slices.Contains(f.RefusePeers, peer) }
+
+// gatedConn is a client connection that stalls while a fault cuts it.
+type gatedConn struct {
+	net.Conn
+	ctx    context.Context
+	faults *faults
+}
+
+func (c *gatedConn) cut(f *Fault) bool {
+	return f.Frozen || f.CutClients != nil && f.CutClients(c.RemoteAddr())
+}
+
+// Read returns data only while the connection is not cut.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if gateErr := c.faults.wait(c.ctx, c.cut); gateErr != nil {
+		return 0, gateErr
+	}
+	return n, err
+}
+
+// Write waits until the connection is not cut.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if err := c.faults.wait(c.ctx, c.cut); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/internal/gwstandin/group_test.go
@@ -0,0 +1,235 @@
+package gwstandin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against lost or reordered replicated writes, arguments that change
+// type, and writes accepted by a replica.
+func TestReplication(t *testing.T) {
+	p, r, _ := startGroup(t)
+	conn, replica := connect(t, p), connect(t, r)
+	exec(t, conn, "create table v (id integer, x)")
+	for i := range 500 {
+		exec(t, conn, "insert into v values ($1, $2)", i, float64(i)/2)
+	}
+	exec(t, conn, "insert into v values ($1, $2::bytea)", -1, []byte("b"))
+	exec(t, conn, "insert into v values ($1, $2)", -2, nil)
+	caughtUp(t, p, r)
+	check := "select group_concat(id || typeof(x) || coalesce(x, '')) from v"
+	assert.Equal(t, query[string](t, conn, check), query[string](t, replica, check))
+	for _, sql := range []string{"insert into v values (1, 2)", "create table w (id integer)", "with n as (select 1) delete from v"} {
+		_, err := replica.Exec(testContext(t), sql)
+		assert.Equal(t, stateReadOnly, state(t, err), sql)
+	}
+	late := startServer(t, Options{Role: RoleReplica, PrimaryAddress: p.Address()})
+	caughtUp(t, p, late)
+	assert.Equal(t, int64(502), query[int64](t, connect(t, late), "select count(*) from v"))
+}
+
+// Guards against a replaced primary that still commits, and against a change
+// of primary that loses replicated writes or keeps unreplicated ones.
+func TestChangeOfPrimary(t *testing.T) {
+	p, r1, r2 := startGroup(t)
+	old := connect(t, p)
+	exec(t, old, "create table v (id integer)")
+	caughtUp(t, p, r1)
+	caughtUp(t, p, r2)
+	p.SetFault(Fault{RefusePeers: []string{r1.Address(), r2.Address()}})
+	exec(t, old, "insert into v values (1)")
+	exec(t, old, "insert into v values (2)")
+
+	exec(t, old, "begin")
+	exec(t, old, "insert into v values (3)")
+	for range 2 {
+		var role, term, offset, began string
+		require.NoError(t, old.QueryRow(testContext(t), "GENTIANWARD FENCE 2").Scan(&role, &term, &offset, &began))
+		assert.Equal(t, []string{"primary", "1", "3", "0"}, []string{role, term, offset, began})
+	}
+	_, err := old.Exec(testContext(t), "commit")
+	assert.Equal(t, stateReadOnly, state(t, err))
+	_, err = old.Exec(testContext(t), "insert into v values (4)")
+	assert.Equal(t, stateReadOnly, state(t, err))
+
+	next := connect(t, r1)
+	for range 2 {
+		assert.Equal(t, "2/1", query[string](t, next, "GENTIANWARD PROMOTE 2"))
+	}
+	for _, term := range []int{1, 2} {
+		_, err := connect(t, p).Exec(testContext(t), fmt.Sprintf("GENTIANWARD PROMOTE %d", term-1))
+		assert.Equal(t, stateWrongState, state(t, err))
+	}
+	exec(t, next, "insert into v values (5)")
+	for i := range 2 {
+		sql := fmt.Sprintf("GENTIANWARD FOLLOW 2 '%s'", r1.Address())
+		assert.Equal(t, "0", query[string](t, connect(t, r2), sql), i)
+	}
+	p.SetFault(Fault{})
+	for range 2 {
+		assert.Equal(t, "2", query[string](t, old, fmt.Sprintf("GENTIANWARD FOLLOW 2 '%s'", r1.Address())))
+	}
+	for _, s := range []*Server{p, r2} {
+		caughtUp(t, r1, s)
+		assert.Equal(t, RoleReplica, s.Role())
+		assert.Equal(t, "5", query[string](t, connect(t, s), "select group_concat(id) from v"))
+	}
+	assert.Equal(t, Report{Role: RoleReplica, Position: r1.Position(), PreviousTermEnd: 1}, p.Report())
+}
+
+// Guards against a fenced replica whose log still grows by the old term.
+func TestFenceStopsReplication(t *testing.T) {
+	p, r, other := startGroup(t)
+	conn := connect(t, p)
+	exec(t, conn, "create table v (id integer)")
+	caughtUp(t, p, r)
+	at := r.Fence(2).Position
+	exec(t, conn, "insert into v values (1)")
+	caughtUp(t, p, other)
+	time.Sleep(3 * replicationRetry)
+	assert.Equal(t, at, r.Position())
+	assert.Equal(t, at, r.Fence(1).Position)
+}
+
+// Guards against a restart that loses committed writes, keeps uncommitted ones,
+// or forgets role, term or fence.
+func TestCrashAndRestart(t *testing.T) {
+	p, r, _ := startGroup(t)
+	conn := connect(t, p)
+	exec(t, conn, "create table v (id integer)")
+	exec(t, conn, "insert into v values (1)")
+	exec(t, conn, "begin")
+	exec(t, conn, "insert into v values (2)")
+	address := p.Address()
+	p.Crash()
+	_, err := conn.Exec(testContext(t), "commit")
+	require.Error(t, err)
+	_, err = pgx.Connect(testContext(t), "postgres://test@"+address+"/db")
+	require.Error(t, err)
+	require.NoError(t, p.Restart(testContext(t)))
+	assert.Equal(t, address, p.Address())
+	conn = connect(t, p)
+	assert.Equal(t, "1", query[string](t, conn, "select group_concat(id) from v"))
+	exec(t, conn, "insert into v values (3)")
+	caughtUp(t, p, r)
+
+	p.Fence(5)
+	p.Crash()
+	require.NoError(t, p.Restart(testContext(t)))
+	_, err = connect(t, p).Exec(testContext(t), "insert into v values (4)")
+	assert.Equal(t, stateReadOnly, state(t, err))
+}
+
+// Guards against a lost answer that is still sent, or whose write is lost.
+func TestLoseAnswer(t *testing.T) {
+	s := startServer(t, Options{})
+	conn := connect(t, s)
+	exec(t, conn, "create table v (id integer)")
+	s.SetFault(Fault{LoseAnswers: 1})
+	_, err := conn.Exec(testContext(t), "insert into v values (1)")
+	require.Error(t, err)
+	conn = connect(t, s)
+	assert.Equal(t, int64(1), query[int64](t, conn, "select count(*) from v"))
+	exec(t, conn, "insert into v values (2)")
+}
+
+// Guards against a frozen or cut server that answers, and against connections
+// that do not survive the end of the fault.
+func TestFreezeAndCut(t *testing.T) {
+	s := startServer(t, Options{})
+	conn := connect(t, s)
+	faults := []Fault{
+		{Frozen: true},
+		{CutClients: func(remote net.Addr) bool { return remote.String() == conn.PgConn().Conn().LocalAddr().String() }},
+	}
+	for _, fault := range faults {
+		s.SetFault(fault)
+		done := make(chan error, 1)
+		go func() {
+			_, err := conn.Exec(context.Background(), "select 1")
+			done <- err
+		}()
+		select {
+		case err := <-done:
+			t.Fatalf("answered during the fault: %v", err)
+		case <-time.After(30 * time.Millisecond):
+		}
+		if !fault.Frozen {
+			connect(t, s)
+		}
+		s.SetFault(Fault{})
+		require.NoError(t, <-done)
+	}
+}
+
+// Guards against a lag that is ignored or that outlives the fault.
+func TestReplicaLag(t *testing.T) {
+	p, r, other := startGroup(t)
+	conn := connect(t, p)
+	exec(t, conn, "create table v (id integer)")
+	caughtUp(t, p, r)
+	r.SetFault(Fault{ReplicaLag: time.Hour})
+	exec(t, conn, "insert into v values (1)")
+	caughtUp(t, p, other)
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, uint64(1), r.Position().Offset)
+	r.SetFault(Fault{})
+	caughtUp(t, p, r)
+}
+
+// Guards against announcements that are missing, late after a change, or wrong.
+func TestAnnounce(t *testing.T) {
+	got := make(chan Announcement, 100)
+	instance := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var a Announcement
+		if r.URL.Path == announcePath && json.NewDecoder(r.Body).Decode(&a) == nil {
+			got <- a
+		}
+	}))
+	defer instance.Close()
+	s := startServer(t, Options{Name: "a", Group: "g", DataCentre: "d", Role: RoleReplica, Slots: 2, Connections: 16, Announce: []string{instance.URL}})
+	want := Announcement{Server: "a", Group: "g", DataCentre: "d", Address: s.Address(), Role: RoleReplica, Slots: 2, Connections: 16}
+	assert.Equal(t, want, <-got)
+	_, err := s.Promote(4)
+	require.NoError(t, err)
+	want.Role, want.Term = RolePrimary, 4
+	assert.Equal(t, want, <-got)
+	s.Leave()
+	want.Leaving = true
+	assert.Equal(t, want, <-got)
+	assert.Equal(t, want, <-got, "the periodic one")
+}
+
+// Guards against wrong cuts when a diverged log is compared with its primary's.
+func TestCommonPrefix(t *testing.T) {
+	primary := []termStart{{1, 0}, {2, 5}, {4, 9}}
+	tests := []struct {
+		name   string
+		terms  []termStart
+		length uint64
+		want   uint64
+	}{
+		{name: "empty", want: 0},
+		{name: "behind", terms: []termStart{{1, 0}}, length: 3, want: 3},
+		{name: "tail of an old term", terms: []termStart{{1, 0}}, length: 8, want: 5},
+		{name: "tail of a lost term", terms: []termStart{{1, 0}, {2, 5}, {3, 7}}, length: 9, want: 7},
+		{name: "term without entries", terms: []termStart{{1, 0}, {2, 5}, {3, 9}}, length: 9, want: 9},
+		{name: "equal", terms: primary, length: 12, want: 12},
+		{name: "other group", terms: []termStart{{7, 0}}, length: 12, want: 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, tt.want, commonPrefix(tt.terms, tt.length, primary, 12))
+		})
+	}
+}
--- /dev/null
+++ b/internal/gwstandin/keyword.go
@@ -0,0 +1,116 @@
+package gwstandin
+
+import "strings"
+
+// action says how a statement is executed, by its leading keyword.
+type action uint8
+
+const (
+	actionSQLite action = iota // left to SQLite, which tells whether it writes
+	actionEmpty
+	actionBegin
+	actionCommit
+	actionRollback
+	actionSavepoint
+	actionRollbackTo
+	actionSet
+	actionDeallocate
+	actionShow
+	actionControl
+	actionRefused
+)
+
+var actions = map[string]action{
+	"":            actionEmpty,
+	"BEGIN":       actionBegin,
+	"START":       actionBegin,
+	"COMMIT":      actionCommit,
+	"END":         actionCommit,
+	"ROLLBACK":    actionRollback,
+	"ABORT":       actionRollback,
+	"SAVEPOINT":   actionSavepoint,
+	"RELEASE":     actionSavepoint,
+	"SET":         actionSet,
+	"RESET":       actionSet,
+	"DISCARD":     actionDeallocate,
+	"DEALLOCATE":  actionDeallocate,
+	"SHOW":        actionShow,
+	"GENTIANWARD": actionControl,
+	"ATTACH":      actionRefused,
+	"DETACH":      actionRefused,
+	"PRAGMA":      actionRefused,
+	"VACUUM":      actionRefused,
+}
+
+// classify returns the leading keyword in upper case and the action.
+func classify(sql string) (keyword string, a action) {
+	keyword, rest := leadingKeyword(sql)
+	a = actions[keyword]
+	if a == actionRollback {
+		for _, word := range strings.Fields(strings.ToUpper(rest)) {
+			if word == "TO" {
+				return keyword, actionRollbackTo
+			}
+		}
+	}
+	return keyword, a
+}
+
+// leadingKeyword returns the first word in upper case, after white space,
+// comments and empty statements, and the text that follows it.
+func leadingKeyword(sql string) (keyword, rest string) {
+	for {
+		sql = strings.TrimLeft(sql, " \t\r\n\f;")
+		var end string
+		switch {
+		case strings.HasPrefix(sql, "--"):
+			end = "\n"
+		case strings.HasPrefix(sql, "/*"):
+			end = "*/"
+		default:
+			n := 0
+			for n < len(sql) && (sql[n]|0x20 >= 'a' && sql[n]|0x20 <= 'z') {
+				n++
+			}
+			if n == 0 && sql != "" {
+				n = 1 // such as an opening parenthesis: left to SQLite
+			}
+			return strings.ToUpper(sql[:n]), sql[n:]
+		}
+		_, after, ok := strings.Cut(sql, end)
+		if !ok {
+			return "", ""
+		}
+		sql = after
+	}
+}
+
+// cutStatement splits off the first statement of a text whose first statement
+// is not SQLite's. Those statements contain no semicolons.
+func cutStatement(sql string) (first, rest string) {
+	sql = strings.TrimLeft(sql, " \t\r\n\f;")
+	first, rest, _ = strings.Cut(sql, ";")
+	return first, rest
+}
+
+// commandTag returns the tag of a statement that SQLite executed.
+func commandTag(keyword, sql string, readOnly bool) (tag string, counted bool) {
+	switch keyword {
+	case "INSERT", "REPLACE":
+		return "INSERT 0 ", true
+	case "UPDATE", "DELETE":
+		return keyword + " ", true
+	case "CREATE", "DROP", "ALTER":
+		_, rest := leadingKeyword(sql)
+		object, _ := leadingKeyword(rest)
+		return strings.TrimSpace(keyword + " " + object), false
+	}
+	switch {
+	case readOnly:
+		return "SELECT ", true
+	case keyword == "WITH":
+		return "INSERT 0 ", true
+	default:
+		return keyword, false
+	}
+}
--- /dev/null
+++ b/internal/gwstandin/options.go
@@ -0,0 +1,85 @@
+package gwstandin
+
+import (
+	"log/slog"
+	"net"
+	"runtime"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Role is the role of a server in its group.
+type Role string
+
+const (
+	// RolePrimary accepts writes.
+	RolePrimary Role = "primary"
+	// RoleReplica follows a primary and refuses writes.
+	RoleReplica Role = "replica"
+)
+
+// Options configures a server.
+type Options struct {
+	Name       string
+	Group      string
+	DataCentre string
+	Address    string // listen address; port 0 selects a free port, which a restart keeps
+	Role       Role
+	Term       uint64 // first term of a primary, at least 1; a replica refuses primaries of older terms
+
+	// PrimaryAddress is the server that a replica follows. A replica without
+	// it waits for FOLLOW.
+	PrimaryAddress string
+
+	Slots            int // statements executing at once; 0 is unlimited
+	Connections      int // client connections; 0 is unlimited
+	ConnectCost      time.Duration
+	ReplicationDelay time.Duration // between commit on the primary and its effect on this replica
+	StatementCost    time.Duration // time for which a statement occupies its slot
+	Readers          int           // copies of the data that serve reads; 0 selects by the number of cores
+
+	Announce []string // URLs of instances; "/v1/announce" is added to a URL without a path
+	Logger   *slog.Logger
+	Clock    clockwork.Clock
+}
+
+const (
+	defaultListenAddress = "127.0.0.1:0"
+	maxDefaultReaders    = 4 // every copy holds all data
+)
+
+func (o *Options) complete() error {
+	if o.Role == "" {
+		o.Role = RolePrimary
+	}
+	if o.Role != RolePrimary && o.Role != RoleReplica {
+		return newError("start", KindOption, "", "role %q is not %q or %q", o.Role, RolePrimary, RoleReplica)
+	}
+	if o.Address == "" {
+		o.Address = defaultListenAddress
+	}
+	if _, _, err := net.SplitHostPort(o.Address); err != nil {
+		return newError("start", KindOption, "", "address %q: %v", o.Address, err)
+	}
+	if o.Slots < 0 || o.Connections < 0 || o.Readers < 0 {
+		return newError("start", KindOption, "", "slots, connections and readers must not be negative")
+	}
+	if o.Role == RolePrimary {
+		o.Term = max(o.Term, 1)
+	}
+	if o.Readers == 0 {
+		o.Readers = min(maxDefaultReaders, runtime.GOMAXPROCS(0))
+		if o.Slots > 0 {
+			o.Readers = min(o.Readers, o.Slots)
+		}
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	o.Logger = o.Logger.With("server", o.Name, "group", o.Group)
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gwstandin/wire_test.go
@@ -0,0 +1,227 @@
+package gwstandin
+
+import (
+	"context"
+	"database/sql"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	_ "github.com/jackc/pgx/v5/stdlib"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against values that change on their way through pgx's default
+// protocol: described types, binary results and inferred parameters.
+func TestValues(t *testing.T) {
+	conn := connect(t, startServer(t, Options{}))
+	assert.Equal(t, "CREATE TABLE", exec(t, conn, "create table v (id integer primary key, f real, s text, b blob, ok boolean)"))
+	assert.Equal(t, "INSERT 0 1", exec(t, conn, "insert into v values ($1, $2, $3, $4, $5::bool)", 7, 1.5, "007", []byte{0, 255}, true))
+
+	var id int64
+	var f float64
+	var s string
+	var b []byte
+	var ok bool
+	row := conn.QueryRow(testContext(t), "select id, f, s, b, ok from v where ok and id + 1 <= $1", 8)
+	require.NoError(t, row.Scan(&id, &f, &s, &b, &ok))
+	assert.Equal(t, []any{int64(7), 1.5, "007", []byte{0, 255}, true}, []any{id, f, s, b, ok})
+
+	assert.Equal(t, int64(1), query[int64](t, conn, "select count(*) from v"))
+	assert.Nil(t, query[*string](t, conn, "select null"))
+	assert.Equal(t, "x", query[string](t, conn, "select $2 || $1", "", "x"))
+	assert.Equal(t, int64(8), query[int64](t, conn, "insert into v (s) values ('a') returning id"))
+	assert.Equal(t, "UPDATE 2", exec(t, conn, "update v set f = 2"))
+}
+
+// Guards against database/sql or the simple protocol failing where pgx's
+// default protocol works.
+func TestClients(t *testing.T) {
+	s := startServer(t, Options{})
+	db, err := sql.Open("pgx", "postgres://test@"+s.Address()+"/db")
+	require.NoError(t, err)
+	defer db.Close()
+	require.NoError(t, db.Ping())
+	_, err = db.Exec("create table v (id integer primary key, s text); insert into v values (1, 'a;b'); insert into v values (2, 'c')")
+	require.NoError(t, err)
+	tx, err := db.Begin()
+	require.NoError(t, err)
+	_, err = tx.Exec("update v set s = $1 where id = $2", "d", 1)
+	require.NoError(t, err)
+	require.NoError(t, tx.Commit())
+	var got string
+	require.NoError(t, db.QueryRow("select s from v where id = $1", 1).Scan(&got))
+	assert.Equal(t, "d", got)
+
+	conn := connect(t, s)
+	for _, mode := range []pgx.QueryExecMode{
+		pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec, pgx.QueryExecModeDescribeExec, pgx.QueryExecModeCacheDescribe,
+	} {
+		assert.Equal(t, int64(2), query[int64](t, conn, "select id from v where s = $1", mode, "c"), mode.String())
+	}
+}
+
+// Guards against wrong SQLSTATE codes and transaction states, by which callers
+// decide whether a statement ran.
+func TestErrors(t *testing.T) {
+	conn := connect(t, startServer(t, Options{}))
+	exec(t, conn, "create table v (id integer primary key, s text not null)")
+	exec(t, conn, "insert into v values (1, 'a')")
+	tests := []struct{ sql, want string }{
+		{"insert into v values (1, 'b')", stateUnique},
+		{"insert into v values (2, null)", stateNotNull},
+		{"select * from missing", stateUndefinedTable},
+		{"select missing from v", stateUndefinedColumn},
+		{"selec 1", stateSyntax},
+		{"attach 'x' as y", stateNotSupported},
+		{"show missing", stateUndefinedObject},
+	}
+	for _, tt := range tests {
+		_, err := conn.Exec(testContext(t), tt.sql)
+		assert.Equal(t, tt.want, state(t, err), tt.sql)
+		_, err = conn.Exec(testContext(t), tt.sql, pgx.QueryExecModeCacheDescribe)
+		assert.Equal(t, tt.want, state(t, err), tt.sql)
+		assert.Equal(t, txIdle, conn.PgConn().TxStatus())
+	}
+
+	exec(t, conn, "begin")
+	_, err := conn.Exec(testContext(t), "insert into v values (1, 'b')")
+	require.Error(t, err)
+	assert.Equal(t, txFailed, conn.PgConn().TxStatus())
+	_, err = conn.Exec(testContext(t), "select 1")
+	assert.Equal(t, stateFailedTransaction, state(t, err))
+	assert.Equal(t, "ROLLBACK", exec(t, conn, "commit"))
+	assert.Equal(t, txIdle, conn.PgConn().TxStatus())
+}
+
+// Guards against reads that see uncommitted writes, that wait for them, or
+// that miss committed ones.
+func TestIsolation(t *testing.T) {
+	s := startServer(t, Options{})
+	a, b := connect(t, s), connect(t, s)
+	exec(t, a, "create table v (id integer primary key)")
+	exec(t, a, "begin")
+	exec(t, a, "insert into v values (1)")
+	assert.Equal(t, int64(1), query[int64](t, a, "select count(*) from v"))
+	assert.Equal(t, int64(0), query[int64](t, b, "select count(*) from v"))
+	exec(t, a, "savepoint p")
+	exec(t, a, "insert into v values (2)")
+	exec(t, a, "rollback to savepoint p")
+	exec(t, a, "commit")
+	assert.Equal(t, int64(1), query[int64](t, b, "select count(*) from v"))
+	exec(t, a, "begin")
+	exec(t, a, "delete from v")
+	exec(t, a, "rollback")
+	assert.Equal(t, int64(1), query[int64](t, b, "select count(*) from v"))
+
+	// The statements of one batch up to Sync are one transaction.
+	batch := &pgx.Batch{}
+	batch.Queue("insert into v values ($1)", 5)
+	batch.Queue("insert into v values ($1)", 1)
+	require.Error(t, b.SendBatch(testContext(t), batch).Close())
+	assert.Equal(t, int64(1), query[int64](t, a, "select count(*) from v"))
+}
+
+// Guards against a position that is missing, early, or counted per statement.
+func TestPositionAfterCommit(t *testing.T) {
+	s := startServer(t, Options{Term: 3})
+	conn := connect(t, s)
+	position := func() string { return conn.PgConn().ParameterStatus(positionParameter) }
+	exec(t, conn, "create table v (id integer)")
+	assert.Equal(t, "3/1", position())
+	exec(t, conn, "begin")
+	exec(t, conn, "insert into v values ($1)", 1)
+	exec(t, conn, "insert into v values ($1)", 2)
+	assert.Equal(t, "3/1", position())
+	exec(t, conn, "commit")
+	assert.Equal(t, "3/2", position())
+	query[int64](t, conn, "select count(*) from v")
+	exec(t, conn, "begin")
+	exec(t, conn, "commit")
+	assert.Equal(t, "3/2", position())
+	var role, term, offset, began string
+	require.NoError(t, conn.QueryRow(testContext(t), "SHOW gentianward.position").Scan(&role, &term, &offset, &began))
+	assert.Equal(t, []string{"primary", "3", "2", "0"}, []string{role, term, offset, began})
+}
+
+// Guards against rows lost or repeated when a portal is read in parts.
+func TestPortalSuspension(t *testing.T) {
+	conn := connect(t, startServer(t, Options{}))
+	exec(t, conn, "create table v (id integer)")
+	exec(t, conn, "insert into v values (1), (2), (3)")
+	f := conn.PgConn().Frontend()
+	f.SendParse(&parseMessage{Query: "select id from v order by id"})
+	f.SendBind(&bindMessage{})
+	for range 3 {
+		f.SendExecute(&executeMessage{MaxRows: 2})
+	}
+	f.SendSync(&syncMessage{})
+	require.NoError(t, f.Flush())
+	assert.Equal(t, "12DDsDCCZ", receiveKinds(t, f))
+}
+
+// Guards against a cancel request that is ignored or that ends the session,
+// and against one that also cancels the next statement.
+func TestCancel(t *testing.T) {
+	s := startServer(t, Options{StatementCost: 20 * time.Millisecond})
+	conn := connect(t, s)
+	slow := "with recursive n(i) as (select 1 union all select i + 1 from n) select count(*) from n"
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), slow)
+		done <- err
+	}()
+	var err error
+	eventually(t, "the statement is canceled", func() bool {
+		assert.NoError(t, conn.PgConn().CancelRequest(testContext(t)))
+		select {
+		case err = <-done:
+			return true
+		case <-time.After(10 * time.Millisecond):
+			return false
+		}
+	})
+	assert.Equal(t, stateQueryCanceled, state(t, err))
+	assert.Equal(t, int64(1), query[int64](t, conn, "select 1"))
+}
+
+// Guards against more clients than the limit, and against places that are not freed.
+func TestConnectionLimit(t *testing.T) {
+	s := startServer(t, Options{Connections: 1})
+	conn := connect(t, s)
+	_, err := pgx.Connect(testContext(t), "postgres://test@"+s.Address()+"/db")
+	assert.Equal(t, stateTooManyConnections, state(t, err))
+	require.NoError(t, conn.Close(testContext(t)))
+	eventually(t, "the place is free", func() bool {
+		again, err := pgx.Connect(testContext(t), "postgres://test@"+s.Address()+"/db")
+		return err == nil && again.Close(testContext(t)) == nil
+	})
+}
+
+// Guards against statements that run beside the slots, and against a deadlock
+// between waiting for a slot and waiting for the writer lock.
+func TestSlots(t *testing.T) {
+	const cost, statements = 20 * time.Millisecond, 6
+	s := startServer(t, Options{Slots: 2, StatementCost: cost})
+	writer := connect(t, s)
+	exec(t, writer, "create table v (id integer)")
+	exec(t, writer, "begin")
+	exec(t, writer, "insert into v values (0)")
+	done := make(chan error, statements)
+	start := time.Now()
+	for i := range statements {
+		conn := connect(t, s)
+		go func() {
+			_, err := conn.Exec(context.Background(), "insert into v values ($1)", i)
+			done <- err
+		}()
+	}
+	exec(t, writer, "insert into v values (0)")
+	exec(t, writer, "commit")
+	for range statements {
+		require.NoError(t, <-done)
+	}
+	assert.GreaterOrEqual(t, time.Since(start), (statements+2)/2*cost)
+	assert.Equal(t, int64(statements+2), query[int64](t, writer, "select count(*) from v"))
+}
