--- a/internal/gwmanifest/checkmanifest.go
+++ b/internal/gwmanifest/checkmanifest.go
@@ -35,7 +35,7 @@
 // manifest checks the meaning of a manifest whose types are right.
 func (c *checker) manifest(m *Manifest) {
 	if m.Number < 1 {
-		c.value("number", "1 or more", "%d", m.Number)
+		c.value("number", "1 or more", "the value is %d", m.Number)
 	}
 	c.name("deployment", m.Deployment)
 	centres := c.regions(m)
--- a/internal/gwmanifest/checksettings.go
+++ b/internal/gwmanifest/checksettings.go
@@ -27,7 +27,7 @@
 	c.files(s)
 	c.sessionKey(s.SessionKey)
 	if c.given("maxClockDrift") && !(s.MaxClockDrift > 0 && s.MaxClockDrift <= maxClockDrift) {
-		c.value("maxClockDrift", "a fraction above 0, up to 0.5", "%v", s.MaxClockDrift)
+		c.value("maxClockDrift", "a fraction above 0, up to 0.5", "the value is %v", s.MaxClockDrift)
 	}
 }
 
--- a/internal/gwmanifest/duration.go
+++ b/internal/gwmanifest/duration.go
@@ -31,7 +31,7 @@
 }
 
 // MarshalJSON encodes the duration as a string.
-func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.String()) }
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(short(d.Duration)) }
 
 // UnmarshalJSON decodes a string such as "200ms".
 func (d *Duration) UnmarshalJSON(b []byte) error {
--- a/internal/gwmanifest/parse.go
+++ b/internal/gwmanifest/parse.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"reflect"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -25,7 +27,7 @@
 	op, file string
 	text     []byte
 	root     hujson.Value
-	errs     []error
+	errs     []*Error
 	more     int // problems beyond maxProblems
 }
 
@@ -61,12 +63,19 @@
 	return c, c.err()
 }
 
-// err joins the problems found so far.
+// err joins the problems found so far in the order of their places.
 func (c *checker) err() error {
+	slices.SortStableFunc(c.errs, func(a, b *Error) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	var errs []error
+	for _, e := range c.errs {
+		errs = append(errs, e)
+	}
 	if c.more > 0 {
-		return errors.Join(append(c.errs, fmt.Errorf("%s: %d more problems", c.file, c.more))...)
+		errs = append(errs, fmt.Errorf("%s: %d more problems", c.file, c.more))
 	}
-	return errors.Join(c.errs...)
+	return errors.Join(errs...)
 }
 
 // at adds a problem at a byte offset.
--- a/internal/gwmanifest/rules.go
+++ b/internal/gwmanifest/rules.go
@@ -57,19 +57,31 @@
 
 func (c *checker) number(path string, n, lo, hi int) {
 	if c.given(path) && (n < lo || n > hi) {
-		c.value(path, fmt.Sprintf("%d to %d", lo, hi), "%d", n)
+		c.value(path, fmt.Sprintf("%d to %d", lo, hi), "the value is %d", n)
 	}
 }
 
 func (c *checker) span(path string, d Duration, lo, hi time.Duration) {
 	if d.Given() && (d.Duration < lo || d.Duration > hi) {
-		c.value(path, fmt.Sprintf("%s to %s", lo, hi), "%q", d.String())
+		c.value(path, short(lo)+" to "+short(hi), "the value is %q", short(d.Duration))
 	}
 }
 
+// short formats a duration without zero minutes and seconds.
+func short(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
 func (c *checker) oneOf(path, s string, accepted ...string) {
 	if c.given(path) && !slices.Contains(accepted, s) {
-		c.value(path, strings.Join(accepted, ", "), "%q", s)
+		c.value(path, strings.Join(accepted, ", "), "the value is %q", s)
 	}
 }
 
