gwfilter, gwdaemon: route callers' requests and put an instance together

Cause: the parts have to run as one instance. Change: filter chain with consistency, retry and routing; daemon with callers, announcements and the operator interface; graceful stop and abrupt kill.

--- a/internal/gwcontrol/kinds.go
+++ b/internal/gwcontrol/kinds.go
@@ -9,14 +9,13 @@
 	kindPullView  = gwpeer.Kind{ID: 3, Name: "pullView", Priority: gwpeer.PriorityControl}
 	kindViewMoved = gwpeer.Kind{ID: 4, Name: "viewMoved", Priority: gwpeer.PriorityControl}
 	kindDirectory = gwpeer.Kind{ID: 5, Name: "directory", Priority: gwpeer.PriorityControl}
-	kindAnnounce  = gwpeer.Kind{ID: 6, Name: "announce", Priority: gwpeer.PriorityControl}
-	kindLease     = gwpeer.Kind{ID: 7, Name: "lease", Priority: gwpeer.PriorityControl}
-	kindReturn    = gwpeer.Kind{ID: 8, Name: "returnLease", Priority: gwpeer.PriorityControl}
-	kindPublish   = gwpeer.Kind{ID: 9, Name: "publish", Priority: gwpeer.PriorityControl}
-	kindStart     = gwpeer.Kind{ID: 10, Name: "startGroup", Priority: gwpeer.PriorityControl}
-	kindSuspect   = gwpeer.Kind{ID: 11, Name: "suspectPrimary", Priority: gwpeer.PriorityControl}
-	kindHistory   = gwpeer.Kind{ID: 12, Name: "history", Priority: gwpeer.PriorityControl}
-	kindStatus    = gwpeer.Kind{ID: 13, Name: "status", Priority: gwpeer.PriorityControl}
+
+	kindLease   = gwpeer.Kind{ID: 7, Name: "lease", Priority: gwpeer.PriorityControl}
+	kindReturn  = gwpeer.Kind{ID: 8, Name: "returnLease", Priority: gwpeer.PriorityControl}
+	kindPublish = gwpeer.Kind{ID: 9, Name: "publish", Priority: gwpeer.PriorityControl}
+	kindStart   = gwpeer.Kind{ID: 10, Name: "startGroup", Priority: gwpeer.PriorityControl}
+	kindSuspect = gwpeer.Kind{ID: 11, Name: "suspectPrimary", Priority: gwpeer.PriorityControl}
+	kindHistory = gwpeer.Kind{ID: 12, Name: "history", Priority: gwpeer.PriorityControl}
 
 	// KindExec carries the requests of callers' sessions.
 	KindExec = gwpeer.Kind{ID: 32, Name: "exec"}
--- /dev/null
+++ b/internal/gwdaemon/announce.go
@@ -0,0 +1,118 @@
+package gwdaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwpeer"
+)
+
+// kindAnnounced passes an announcement on to the owner of the server.
+var kindAnnounced = gwpeer.Kind{ID: 67, Name: "announced", Priority: gwpeer.PriorityControl}
+
+// Bounds of announcements.
+const (
+	maxNameBytes   = 128
+	maxSlots       = 1 << 16
+	maxConnections = 1 << 16
+)
+
+// checkAnnouncement refuses announcements that could not be served.
+func checkAnnouncement(a gwcontrol.Announcement) error {
+	for _, f := range []struct{ field, value string }{{"server", a.Server}, {"group", a.Group}, {"dataCentre", a.DataCentre}} {
+		if f.value == "" || len(f.value) > maxNameBytes {
+			return fmt.Errorf("announcement: %s must have 1 to %d characters", f.field, maxNameBytes)
+		}
+	}
+	if _, _, err := net.SplitHostPort(a.Address); err != nil {
+		return fmt.Errorf("announcement of %s: address %q is not of the form host:port", a.Server, a.Address)
+	}
+	if a.Slots < 0 || a.Slots > maxSlots || a.Connections < 0 || a.Connections > maxConnections {
+		return fmt.Errorf("announcement of %s: slots and connections must be between 0 and %d", a.Server, maxSlots)
+	}
+	if a.Role != "primary" && a.Role != "replica" {
+		return fmt.Errorf("announcement of %s: role %q is neither primary nor replica", a.Server, a.Role)
+	}
+	return nil
+}
+
+// Values for servers that announce no limit.
+const (
+	unlimitedSlots       = 1024
+	unlimitedConnections = 1024
+)
+
+// Announce takes an announcement of a backend server, here or at its owner.
+func (i *Instance) Announce(ctx context.Context, a gwcontrol.Announcement) error {
+	if a.Slots == 0 {
+		a.Slots = unlimitedSlots
+	}
+	if a.Connections == 0 {
+		a.Connections = unlimitedConnections
+	}
+	region := ""
+	if m := i.views.Current().Manifest; m != nil {
+		region, _ = m.Region(a.DataCentre)
+	}
+	t := i.members.Topology()
+	m, ok := t.Owner(a.Server, a.DataCentre, region)
+	if !ok || m.Instance == t.Self.Instance {
+		i.record(ctx, a)
+		return nil
+	}
+	_, err := gwpeer.Call[gwcontrol.Announcement, gwcontrol.Empty](ctx, i.node, m.Address, kindAnnounced, a)
+	return err
+}
+
+func (i *Instance) serveAnnouncements() {
+	gwpeer.Handle(i.node, kindAnnounced, func(ctx context.Context, _ string, a gwcontrol.Announcement) (gwcontrol.Empty, error) {
+		if err := checkAnnouncement(a); err != nil {
+			return gwcontrol.Empty{}, err
+		}
+		i.record(context.WithoutCancel(ctx), a)
+		return gwcontrol.Empty{}, nil
+	})
+}
+
+// record keeps the facts of an owned server, tells the others when they are
+// new, and reports the first primary of a group to the leader.
+func (i *Instance) record(ctx context.Context, a gwcontrol.Announcement) {
+	if facts, changed := i.directory.Announce(a.ServerFacts); changed {
+		i.Log.Info("backend server announced", "server", a.Server, "group", a.Group, "address", a.Address, "leaving", a.Leaving)
+		i.spreader.Tell(context.WithoutCancel(ctx), []gwcontrol.ServerFacts{facts}, false)
+	}
+	v := i.views.Current()
+	if _, known := v.Groups[a.Group]; known || a.Role != "primary" || v.Manifest == nil {
+		return
+	}
+	if _, ok := v.Manifest.GroupNamed(a.Group); !ok {
+		return
+	}
+	i.startGroup(ctx, a)
+}
+
+// startGroup reports the first primary of a group, once at a time.
+func (i *Instance) startGroup(ctx context.Context, a gwcontrol.Announcement) {
+	i.mu.Lock()
+	running := i.starting[a.Group]
+	i.starting[a.Group] = true
+	i.mu.Unlock()
+	if running {
+		return
+	}
+	go func() {
+		defer func() {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			delete(i.starting, a.Group)
+		}()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpTimeout)
+		defer cancel()
+		if err := i.client.StartGroup(ctx, a); err != nil && !errors.Is(err, context.Canceled) {
+			i.Log.Warn("group not started", "group", a.Group, "primary", a.Server, "error", err)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/gwdaemon/daemon.go
@@ -0,0 +1,334 @@
+package gwdaemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwfilter"
+	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/internal/gwowner"
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/internal/gwstore"
+	"gentianward.example/gentianward/internal/gwwire"
+	"gentianward.example/gentianward/pkg/gwmember"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// tokenLifetime is how long a session token is valid.
+const tokenLifetime = 24 * time.Hour
+
+// backendUser is the user of connections to backend servers.
+const backendUser = "gentianward"
+
+// Options configures an instance. Settings must have their defaults.
+type Options struct {
+	Settings *gwmanifest.Settings
+	// Manifest is the manifest of a first start; nil on other instances.
+	Manifest *gwmanifest.Manifest
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+	TLS      gwpeer.TLSSource
+	// CallerTLS is nil when callers connect in cleartext.
+	CallerTLS  *tls.Config
+	SessionKey []byte
+	Shape      gwpeer.Shaper
+	// FS holds the data folder of a voter; nil on other instances.
+	FS gwstore.FS
+	// DialBackend opens connections to backend servers; nil for the default.
+	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
+	// Events receives a line for each event worth telling a person; may be nil.
+	Telemetry Telemetry
+}
+
+// Telemetry receives the measurements of an instance.
+type Telemetry interface {
+	gwfilter.Observer
+	gwowner.Metrics
+	http.Handler
+}
+
+// Instance is one running instance.
+type Instance struct {
+	Options
+
+	node      *gwpeer.Node
+	views     *gwcontrol.Views
+	directory *gwcontrol.Directory
+	spreader  *gwcontrol.Spreader
+	members   *gwcontrol.Membership
+	consensus *gwcontrol.Consensus
+	leader    *gwcontrol.Leader
+	client    *gwcontrol.Client
+	keeper    *gwcontrol.Keeper
+	owner     *gwowner.Owner
+	entry     *gwfilter.Entry
+	wire      *gwwire.Server
+	operator  *http.Server
+	saver     *viewSaver
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	stopping bool
+	starting map[string]bool
+}
+
+// Start starts an instance; it serves callers once it knows a manifest.
+func Start(ctx context.Context, o Options) (*Instance, error) {
+	i := &Instance{Options: o, views: gwcontrol.NewViews(), directory: gwcontrol.NewDirectory(), starting: make(map[string]bool)}
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	i.cancel = cancel
+	if err := i.start(run); err != nil {
+		cancel()
+		if i.node != nil {
+			_ = i.node.Close()
+		}
+		return nil, err
+	}
+	return i, nil
+}
+
+func (i *Instance) start(ctx context.Context) error {
+	s := i.Settings
+	node, err := gwpeer.Listen(ctx, gwpeer.Options{Address: s.PeerAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shape: i.Shape})
+	if err != nil {
+		return err
+	}
+	i.node = node
+	if err := i.loadView(); err != nil {
+		return err
+	}
+	i.joinMembers()
+	if err := i.startVoter(); err != nil {
+		return err
+	}
+	i.buildControl(ctx)
+	i.entry = gwfilter.New(gwfilter.Options{
+		Node: node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
+		Owner: i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry,
+	})
+	if err := i.listen(ctx); err != nil {
+		return err
+	}
+	i.run(ctx)
+	return nil
+}
+
+func (i *Instance) joinMembers() {
+	s := i.Settings
+	self := gwmember.Member{
+		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Address: i.node.Address(),
+		OperatorAddress: s.OperatorAddress, Incarnation: uint64(i.Clock.Now().UnixNano()),
+	}
+	i.spreader = gwcontrol.NewSpreader(i.node, i.Clock, i.Log, i.views, i.directory)
+	i.members = gwcontrol.NewMembership(i.node, i.Clock, i.Log, gwmember.Config{Self: self, Seeds: s.Seeds}, i.spreader.Ahead)
+	i.spreader.Attach(i.members)
+}
+
+// startVoter opens the replicated log if this instance has a data folder and
+// the manifest lists it.
+func (i *Instance) startVoter() error {
+	if i.FS == nil || i.Settings.DataFolder == "" {
+		return nil
+	}
+	m := i.firstManifest()
+	if m == nil {
+		return nil
+	}
+	if _, ok := m.Voter(i.Settings.Instance); !ok {
+		return nil
+	}
+	log, err := gwstore.Open(i.FS, i.Settings.DataFolder)
+	if err != nil {
+		return err
+	}
+	state := gwstate.New(i.Settings.MaxClockDrift)
+	i.consensus, err = gwcontrol.NewConsensus(gwcontrol.ConsensusOptions{
+		Instance: i.Settings.Instance, Node: i.node, Clock: i.Clock, Log: i.Log, Store: log, State: state,
+		Voters: voterNames(m), Address: i.voterAddress, Applied: i.applied,
+	})
+	if err != nil {
+		return err
+	}
+	i.leader = gwcontrol.NewLeader(i.node, i.consensus)
+	return nil
+}
+
+// firstManifest returns the agreed manifest, or that of the first start.
+func (i *Instance) firstManifest() *gwmanifest.Index {
+	if m := i.views.Current().Manifest; m != nil {
+		return m
+	}
+	if i.Manifest != nil {
+		return i.Manifest.WithDefaults().Index()
+	}
+	return nil
+}
+
+func voterNames(m *gwmanifest.Index) []string {
+	var out []string
+	for _, v := range m.Manifest().Voters {
+		out = append(out, v.Instance)
+	}
+	return out
+}
+
+func (i *Instance) voterAddress(instance string) (string, bool) {
+	m := i.firstManifest()
+	if m == nil {
+		return "", false
+	}
+	v, ok := m.Voter(instance)
+	return v.Address, ok
+}
+
+func (i *Instance) buildControl(ctx context.Context) {
+	s := i.Settings
+	i.client = gwcontrol.NewClient(i.node, i.Clock, i.Log, i.members, i.views, i.leader)
+	i.keeper = gwcontrol.NewKeeper(i.client, i.Clock, i.Log, s.Instance, i.members.Topology().Self.Incarnation, s.MaxClockDrift,
+		func() map[string]uint64 { return i.owner.Primaries() })
+	i.owner = gwowner.New(ctx, gwowner.Options{
+		Node: i.node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
+		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
+	})
+	if i.leader != nil {
+		i.leader.Attach(i.owner)
+	}
+	i.serveAnnouncements()
+	i.serveOperators()
+}
+
+func (i *Instance) backendOptions(f gwcontrol.ServerFacts) gwbackend.Options {
+	database := f.Group
+	if m := i.views.Current().Manifest; m != nil {
+		if g, ok := m.GroupNamed(f.Group); ok {
+			database = g.Database
+		}
+	}
+	return gwbackend.Options{Name: f.Server, Address: f.Address, User: backendUser, Database: database, DialContext: i.DialBackend}
+}
+
+func (i *Instance) listen(ctx context.Context) error {
+	s := i.Settings
+	callers, err := net.Listen("tcp", s.CallerAddress)
+	if err != nil {
+		return err
+	}
+	operators, err := net.Listen("tcp", s.OperatorAddress)
+	if err != nil {
+		_ = callers.Close()
+		return err
+	}
+	i.wire, err = gwwire.Serve(ctx, gwwire.Options{
+		Listener: callers, TLS: i.CallerTLS, Handler: i.entry, Lookup: i.entry.Lookup, TrustLoopback: s.TrustLoopback,
+		Logger: i.Log,
+	})
+	if err != nil {
+		return err
+	}
+	i.operator = &http.Server{Handler: i.routes(), ReadHeaderTimeout: httpTimeout}
+	i.wg.Go(func() {
+		if err := i.operator.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
+			i.Log.Error("operator listener failed", "error", err)
+		}
+	})
+	return nil
+}
+
+func (i *Instance) run(ctx context.Context) {
+	i.wg.Go(func() { i.members.Run(ctx) })
+	i.wg.Go(func() { i.spreader.Run(ctx) })
+	i.wg.Go(func() { i.owner.Run(ctx) })
+	i.wg.Go(func() { i.keeper.Run(ctx) })
+	i.wg.Go(func() { i.followView(ctx) })
+	if i.consensus != nil {
+		i.wg.Go(func() { _ = i.consensus.Run(ctx) })
+		i.wg.Go(func() { i.leader.Run(ctx) })
+		i.wg.Go(func() { i.publishFirst(ctx) })
+	}
+}
+
+// CallerAddress returns the address that callers connect to.
+func (i *Instance) CallerAddress() string { return i.wire.Address().String() }
+
+// PeerAddress returns the address of the links to other instances.
+func (i *Instance) PeerAddress() string { return i.node.Address() }
+
+// Name returns the name of the instance.
+func (i *Instance) Name() string { return i.Settings.Instance }
+
+// View returns the agreed state as this instance knows it.
+func (i *Instance) View() *gwcontrol.View { return i.views.Current() }
+
+// Members returns the live instances that this one can reach.
+func (i *Instance) Members() []gwmember.Member { return i.members.Topology().Live }
+
+// Leading reports whether this instance leads the replicated log.
+func (i *Instance) Leading() bool { return i.consensus != nil && i.consensus.Leading() }
+
+// Leases returns the groups whose write lease this instance holds.
+func (i *Instance) Leases() []string {
+	var out []string
+	for group, term := range i.owner.Primaries() {
+		if i.keeper.Valid(group, term) {
+			out = append(out, group)
+		}
+	}
+	return out
+}
+
+// Block drops all packets to and from the links of another instance.
+func (i *Instance) Block(peerAddress string, blocked bool) { i.node.Block(peerAddress, blocked) }
+
+// Ready reports whether the instance can serve callers.
+func (i *Instance) Ready() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.stopping && i.views.Current().Manifest != nil
+}
+
+// Stop is a graceful shutdown: ownership and leases move to other instances,
+// requests in flight are finished, then the links are closed. When ctx ends
+// first, the rest is cut.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.mu.Lock()
+	i.stopping = true
+	i.mu.Unlock()
+	i.members.Leave()
+	if i.consensus != nil && i.consensus.Leading() {
+		i.consensus.HandOver(ctx)
+	}
+	err := i.wire.Drain(ctx)
+	i.owner.Release(ctx)
+	i.keeper.Stop(ctx)
+	i.shut()
+	return err
+}
+
+// Kill ends the instance at once, as a crash would: nothing is announced,
+// returned or finished.
+func (i *Instance) Kill() {
+	for _, m := range i.members.Topology().Live {
+		i.node.Block(m.Address, true)
+	}
+	i.shut()
+}
+
+func (i *Instance) shut() {
+	i.cancel()
+	_ = i.operator.Close()
+	_ = i.node.Close()
+	i.wg.Wait()
+}
--- /dev/null
+++ b/internal/gwdaemon/view.go
@@ -0,0 +1,153 @@
+package gwdaemon
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"path"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/internal/gwstore"
+)
+
+// viewFile keeps the view of an instance with a data folder, so that a restart
+// does not bring back an older manifest while the voter does not know yet what
+// has been committed.
+const viewFile = "view"
+
+// viewSaver writes the view to the data folder.
+type viewSaver struct {
+	fs     gwstore.FS
+	folder string
+}
+
+// save replaces the file; the view is durable when it returns.
+func (s *viewSaver) save(v *gwcontrol.View) error {
+	b, err := cbor.Marshal(v.Since(0, 0))
+	if err != nil {
+		return err
+	}
+	temporary, name := path.Join(s.folder, viewFile+".new"), path.Join(s.folder, viewFile)
+	f, err := s.fs.Create(temporary)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(b); err != nil {
+		_ = f.Close()
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := s.fs.Rename(temporary, name); err != nil {
+		return err
+	}
+	return s.fs.SyncFolder(s.folder)
+}
+
+func (s *viewSaver) load() (gwcontrol.ViewDelta, error) {
+	var d gwcontrol.ViewDelta
+	b, err := s.fs.ReadFile(path.Join(s.folder, viewFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return d, nil
+	}
+	if err != nil {
+		return d, err
+	}
+	return d, cbor.Unmarshal(b, &d)
+}
+
+// loadView starts with the view that an earlier run saved.
+func (i *Instance) loadView() error {
+	if i.FS == nil || i.Settings.DataFolder == "" {
+		return nil
+	}
+	if err := i.FS.MkdirAll(i.Settings.DataFolder); err != nil {
+		return err
+	}
+	i.saver = &viewSaver{fs: i.FS, folder: i.Settings.DataFolder}
+	d, err := i.saver.load()
+	if err != nil || d.Number == 0 {
+		return err
+	}
+	_, err = i.views.Apply(d)
+	return err
+}
+
+// followView saves each new view.
+func (i *Instance) followView(ctx context.Context) {
+	for {
+		changed := i.views.Changed()
+		if v := i.views.Current(); i.saver != nil && v.Number > 0 {
+			if err := i.saver.save(v); err != nil {
+				i.Log.Error("view not saved", "error", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// applied turns the replicated state into the view of this instance.
+func (i *Instance) applied() {
+	state := i.consensus.State
+	old := i.views.Current()
+	d := gwcontrol.ViewDelta{From: old.Index, Index: state.Index()}
+	if m := state.Manifest(); m.Number > old.Number {
+		d.Number, d.Text = m.Number, []byte(m.Text)
+	} else {
+		d.Number = old.Number
+	}
+	for _, g := range state.Groups() {
+		v := gwcontrol.GroupView{
+			Group: g.Name, Primary: g.Primary, Term: g.Term, Start: g.Start,
+			Changing: g.Phase == gwstate.Changing, Index: d.Index,
+		}
+		known := old.Groups[g.Name]
+		known.Index = d.Index
+		if known != v {
+			d.Groups = append(d.Groups, v)
+		}
+	}
+	if d.Index <= old.Index {
+		// A restarted voter applies again what its saved view already has.
+		return
+	}
+	if _, err := i.views.Apply(d); err != nil {
+		i.Log.Error("agreed state not applied", "error", err)
+	}
+}
+
+// publishFirst publishes the manifest of a first start once this voter leads.
+func (i *Instance) publishFirst(ctx context.Context) {
+	ticker := i.Clock.NewTicker(firstPublishInterval)
+	defer ticker.Stop()
+	for i.Manifest != nil && i.views.Current().Number == 0 {
+		if i.consensus.Leading() {
+			cctx, cancel := context.WithTimeout(ctx, time.Second)
+			_, err := i.leader.Publish(cctx, gwcontrol.PublishRequest{Text: i.Manifest.Text()})
+			cancel()
+			if err != nil {
+				i.Log.Warn("first manifest not published", "error", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+const firstPublishInterval = 20 * time.Millisecond
--- /dev/null
+++ b/internal/gwfilter/entry.go
@@ -0,0 +1,158 @@
+package gwfilter
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/internal/gwowner"
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwwire"
+	"gentianward.example/gentianward/pkg/gwoutcome"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// SQLSTATEs of refused sessions and statements.
+const (
+	stateCannotConnect = "57P03"
+	stateUndefinedDB   = "3D000"
+	stateNoPrivilege   = "42501"
+	stateBadToken      = "28000"
+	stateUnsupported   = "0A000"
+	stateReadOnlyClass = "25006"
+	stateInvalidValue  = "22023"
+)
+
+// Observation is one finished request.
+type Observation struct {
+	Class, Group string
+	Read         bool
+	// Replica means that a replica served the read.
+	Replica bool
+	// CrossRegion means that the server is in another region.
+	CrossRegion bool
+	Event       gwoutcome.Event
+	Duration    time.Duration
+	Bytes       int64
+	// Staleness of a read at a replica, if known.
+	Staleness time.Duration
+}
+
+// Observer receives every finished request.
+type Observer interface{ Observe(o Observation) }
+
+// Options configures an Entry.
+type Options struct {
+	Node      *gwpeer.Node
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Views     *gwcontrol.Views
+	Directory *gwcontrol.Directory
+	Members   *gwcontrol.Membership
+	Owner     *gwowner.Owner
+	Signer    *gwsession.Signer
+	Observer  Observer
+}
+
+// Entry serves the callers of one instance.
+type Entry struct {
+	Options
+	chain    handler
+	barriers *barriers
+	servers  *serverTable
+	streams  *streamPool
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	turn   uint64
+	budget *gwoutcome.Budget
+}
+
+// Parameters of the retry budget.
+const (
+	retryRatio = 0.2
+	retryBurst = 100
+)
+
+// New returns an entry.
+func New(o Options) *Entry {
+	e := &Entry{
+		Options:  o,
+		barriers: newBarriers(o.Owner.Barrier),
+		servers:  newServerTable(),
+		streams:  newStreamPool(o.Node),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		budget:   gwoutcome.NewBudget(retryRatio, retryBurst),
+	}
+	e.chain = chain(e.execute, e.observe, e.bound, e.consistency, e.retry)
+	return e
+}
+
+// Lookup returns the credential of a caller from the manifest.
+func (e *Entry) Lookup(_ context.Context, s gwwire.Startup) (gwwire.Credential, bool, error) {
+	m := e.Views.Current().Manifest
+	if m == nil {
+		return gwwire.Credential{}, false, gwwire.Fatal(stateCannotConnect, "the instance has no manifest yet")
+	}
+	c, ok := m.Caller(s.User)
+	return gwwire.Credential{Verifier: c.Verifier, Trust: c.Trust}, ok, nil
+}
+
+// Authenticate creates the session of a caller whose identity is proved.
+func (e *Entry) Authenticate(_ context.Context, s gwwire.Startup) (gwwire.Session, error) {
+	m := e.Views.Current().Manifest
+	if m == nil {
+		return nil, gwwire.Fatal(stateCannotConnect, "the instance has no manifest yet")
+	}
+	group, ok := m.Group(s.Database)
+	if !ok {
+		return nil, gwwire.Fatal(stateUndefinedDB, "database \""+s.Database+"\" is not in the manifest; a group is selected with database/group")
+	}
+	caller, ok := m.Caller(s.User)
+	if !ok || !caller.Allows(group) {
+		return nil, gwwire.Fatal(stateNoPrivilege, "caller \""+s.User+"\" may not use database \""+s.Database+"\"")
+	}
+	ses := &session{entry: e, caller: caller.Name, class: caller.Class, group: group.Name}
+	if token := s.SessionToken(); token != "" {
+		if err := ses.present(token); err != nil {
+			return nil, gwwire.Fatal(stateBadToken, err.Error())
+		}
+	}
+	return ses, nil
+}
+
+// rules are what the current manifest says about a request.
+type rules struct {
+	class   gwmanifest.Class
+	limits  gwmanifest.Limits
+	routing string
+}
+
+func (e *Entry) rules(class string) rules {
+	m := e.Views.Current().Manifest
+	if m == nil {
+		return rules{}
+	}
+	c, _ := m.Class(class)
+	return rules{class: c, limits: m.Manifest().Limits, routing: m.Manifest().Routing}
+}
+
+// random runs f with the entry's source of random numbers.
+func (e *Entry) random(f func(*rand.Rand)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e.rng)
+}
+
+func (e *Entry) nextTurn() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.turn++
+	return e.turn
+}
--- /dev/null
+++ b/internal/gwfilter/retry.go
@@ -0,0 +1,177 @@
+package gwfilter
+
+import (
+	"context"
+	"time"
+
+	"gentianward.example/gentianward/internal/gwowner"
+	"gentianward.example/gentianward/pkg/gwoutcome"
+	"gentianward.example/gentianward/pkg/gwroute"
+)
+
+// Timing of retries.
+const (
+	barrierTimeout = 500 * time.Millisecond
+	// refreshPause is the longest wait between two looks at the agreed state
+	// during a change of primary.
+	refreshPause = 10 * time.Millisecond
+)
+
+// retry attempts a request until it is answered, its outcome is final, or the
+// wait for a primary has passed.
+func (e *Entry) retry(next handler) handler {
+	return func(ctx context.Context, r *request) gwowner.Result {
+		if r.session.transaction != nil {
+			return next(ctx, r)
+		}
+		e.firstAttempt()
+		for attempts := 1; ; {
+			res := next(ctx, r)
+			if res.Relayed && res.Event != gwoutcome.Answered && r.w.Discard() {
+				res.Relayed = false
+			}
+			if gwoutcome.CountsAsFailure(res.Event) {
+				attempts++
+			}
+			if res.Event == gwoutcome.Answered || !e.again(ctx, r, res, attempts) {
+				return res
+			}
+		}
+	}
+}
+
+func (e *Entry) firstAttempt() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget.Request()
+}
+
+// again decides whether the request is attempted again, and waits before it.
+func (e *Entry) again(ctx context.Context, r *request, res gwowner.Result, attempts int) bool {
+	decision := gwoutcome.ShouldRetry(res.Event, gwoutcome.Request{
+		Read: r.read(), Repeatable: r.rules.class.Retry || r.rules.class.ReadOnly, Relayed: res.Relayed,
+		Remaining: r.deadline.Sub(e.Clock.Now()), Attempts: attempts,
+	})
+	switch decision {
+	case gwoutcome.Elsewhere:
+		return e.elsewhere(ctx, r, res)
+	case gwoutcome.Refresh:
+		return e.waitForChange(ctx, r)
+	default:
+		return r.read() && res.Event == gwoutcome.ServerReadOnly && e.asWrite(r)
+	}
+}
+
+// elsewhere excludes the server that failed. Once all have refused, they are
+// asked again after a pause, for as long as callers wait during a change.
+func (e *Entry) elsewhere(ctx context.Context, r *request, res gwowner.Result) bool {
+	if res.Event == noServer {
+		r.need.Excluded = nil
+		return e.waitForChange(ctx, r)
+	}
+	if gwoutcome.CountsAsFailure(res.Event) && !e.takeRetry() {
+		return false
+	}
+	if r.need.Excluded == nil {
+		r.need.Excluded = make(map[string]bool)
+	}
+	r.need.Excluded[r.served.Name] = true
+	return true
+}
+
+// noServer is the event of a request for which no server could be chosen.
+const noServer = gwoutcome.TooStale
+
+func (e *Entry) takeRetry() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget.Take()
+}
+
+// asWrite sends a statement that looked like a read to the primary.
+func (e *Entry) asWrite(r *request) bool {
+	if r.rules.class.ReadOnly || r.need.Write {
+		return false
+	}
+	r.stmt = stmtWrite
+	r.need.Write = true
+	r.exec.Access = gwowner.Write
+	return true
+}
+
+// waitForChange waits a moment for the agreed state to change. It reports
+// false once the caller has waited as long as it may for a primary.
+func (e *Entry) waitForChange(ctx context.Context, r *request) bool {
+	waited := e.Clock.Since(r.started)
+	limit := r.rules.limits.GapWait.Duration
+	if waited >= limit {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-e.Views.Changed():
+	case <-e.Members.Changed():
+	case <-e.Clock.After(min(refreshPause, limit-waited)):
+	}
+	return true
+}
+
+// execute chooses a server and runs the request at its owner.
+func (e *Entry) execute(ctx context.Context, r *request) gwowner.Result {
+	s := r.session
+	r.exec.Timeout = r.deadline.Sub(e.Clock.Now())
+	if s.transaction != nil {
+		return e.inTransaction(ctx, r)
+	}
+	if r.rules.class.ReadOnly && r.stmt == stmtWrite {
+		return gwowner.Result{Event: gwoutcome.Expired, State: stateReadOnlyClass, Message: "not run: class " + s.class + " is read-only", TxStatus: 'I'}
+	}
+	if r.need.Policy == gwroute.RoundRobin {
+		r.need.Turn = e.nextTurn()
+	}
+	switch c := e.choose(r).(type) {
+	case gwroute.Serve:
+		return e.serve(ctx, r, c)
+	case gwroute.Reject:
+		r.served = gwroute.Server{}
+		if r.need.Write {
+			return notRun(gwoutcome.NoLease, c.Reason)
+		}
+		return notRun(noServer, c.Reason)
+	}
+	return gwowner.Result{}
+}
+
+// serve runs the request at the owner of the chosen server.
+func (e *Entry) serve(ctx context.Context, r *request, c gwroute.Serve) gwowner.Result {
+	r.served = c.Server
+	r.exec.Server = c.Server.Name
+	up, err := e.upstream(ctx, c.Server.Name)
+	if err != nil {
+		return notRun(gwoutcome.PeerUnreachable, err.Error())
+	}
+	started := e.Clock.Now()
+	res := up.Exec(ctx, &r.exec, r)
+	e.servers.note(c.Server.Name, res, started, e.Clock.Now(), r.exec.MaxWait)
+	s := r.session
+	if res.Event == gwoutcome.Answered && res.TxStatus != 'I' {
+		s.transaction, s.server, s.write = up, c.Server.Name, r.need.Write
+		return res
+	}
+	up.Close()
+	return res
+}
+
+// inTransaction sends a request over the open transaction's connection.
+func (e *Entry) inTransaction(ctx context.Context, r *request) gwowner.Result {
+	s := r.session
+	r.exec.Server = s.server
+	r.served = gwroute.Server{Name: s.server, Primary: s.write}
+	res := s.transaction.Exec(ctx, &r.exec, r)
+	if res.Event != gwoutcome.Answered || res.TxStatus == 'I' {
+		s.transaction.Close()
+		s.transaction = nil
+	}
+	return res
+}
--- /dev/null
+++ b/internal/gwfilter/servers.go
@@ -0,0 +1,251 @@
+package gwfilter
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwowner"
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/pkg/gwoutcome"
+	"gentianward.example/gentianward/pkg/gwroute"
+)
+
+// serverShards divides the table of servers, each part under its own lock.
+const serverShards = 64
+
+// serverTable holds what answers have told about servers.
+type serverTable struct{ shards [serverShards]serverShard }
+
+type serverShard struct {
+	mu      sync.Mutex
+	servers map[string]*serverStat
+}
+
+// serverStat is what this instance knows about one server.
+type serverStat struct {
+	report  gwowner.Report
+	at      time.Time
+	latency time.Duration
+	// lag is the expected replication lag as of lagAt.
+	lag    time.Duration
+	lagAt  time.Time
+	health gwoutcome.Health
+}
+
+func newServerTable() *serverTable {
+	t := &serverTable{}
+	for i := range t.shards {
+		t.shards[i].servers = make(map[string]*serverStat)
+	}
+	return t
+}
+
+func (t *serverTable) shard(name string) *serverShard {
+	return &t.shards[xxhash.Sum64String(name)%serverShards]
+}
+
+// Weights of moving averages and decays.
+const (
+	latencyWeight = 0.2
+	maxLag        = 2 * time.Second
+	lagHalfLife   = time.Second
+)
+
+// note records the end of an attempt.
+func (t *serverTable) note(name string, res gwowner.Result, started, now time.Time, waited time.Duration) {
+	sh := t.shard(name)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	st, ok := sh.servers[name]
+	if !ok {
+		st = &serverStat{}
+		sh.servers[name] = st
+	}
+	if res.Event == gwoutcome.DialFailed || res.Event == gwoutcome.PeerUnreachable {
+		st.health.Observe(gwoutcome.DialFailed, now)
+	}
+	if res.Event == gwoutcome.Answered {
+		st.health.Observe(res.Event, now)
+		took := now.Sub(started)
+		st.latency += time.Duration(latencyWeight * float64(took-st.latency))
+		st.lag, st.lagAt = st.lagNow(now)*4/5, now
+	}
+	if res.Event == gwoutcome.TooStale {
+		st.lag, st.lagAt = min(maxLag, st.lagNow(now)+max(waited, time.Millisecond)), now
+	}
+	if !res.Report.Position.IsZero() {
+		st.report, st.at = res.Report, now
+	}
+}
+
+// lagNow is the expected lag, which is forgotten over time so that a replica
+// that was behind is tried again.
+func (st *serverStat) lagNow(now time.Time) time.Duration {
+	if st.lag == 0 {
+		return 0
+	}
+	return time.Duration(float64(st.lag) * math.Exp2(-float64(now.Sub(st.lagAt))/float64(lagHalfLife)))
+}
+
+// fill adds what is known about the server to s.
+func (t *serverTable) fill(s *gwroute.Server, now time.Time) {
+	sh := t.shard(s.Name)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	st, ok := sh.servers[s.Name]
+	if !ok {
+		return
+	}
+	s.Position, s.ReportedAt = st.report.Position, st.at
+	if st.report.StalenessKnown {
+		s.FreshAsOf = st.at.Add(-st.report.Staleness)
+	}
+	s.Load, s.Latency, s.Lag = st.report.Load, st.latency, st.lagNow(now)
+	s.Unusable = s.Unusable || st.health.Ejected(now)
+}
+
+// choose returns the server for the request.
+func (e *Entry) choose(r *request) gwroute.Choice {
+	now := e.Clock.Now()
+	servers := e.candidates(r.session.group, now)
+	var c gwroute.Choice
+	e.random(func(rng *rand.Rand) { c = gwroute.Choose(r.need, servers, now, rng) })
+	return c
+}
+
+func (e *Entry) candidates(group string, now time.Time) []gwroute.Server {
+	view := e.Views.Current()
+	g := view.Groups[group]
+	t := e.Members.Topology()
+	facts := e.Directory.Group(group)
+	out := make([]gwroute.Server, 0, len(facts))
+	for _, f := range facts {
+		s := gwroute.Server{Name: f.Server, Primary: f.Server == g.Primary, Unusable: f.Leaving, Distance: e.distance(view, t, f)}
+		e.servers.fill(&s, now)
+		if s.Primary {
+			// A primary that fails is replaced, not avoided; only while it is
+			// replaced or leaving nothing is sent to it.
+			s.Unusable = g.Changing || f.Leaving
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func (e *Entry) distance(view *gwcontrol.View, t *gwcontrol.Topology, f gwcontrol.ServerFacts) gwroute.Distance {
+	if f.DataCentre == t.Self.DataCentre {
+		return gwroute.SameDataCentre
+	}
+	if view.Manifest != nil {
+		if region, ok := view.Manifest.Region(f.DataCentre); ok && region == t.Self.Region {
+			return gwroute.SameRegion
+		}
+	}
+	return gwroute.OtherRegion
+}
+
+// localUpstream runs requests at the owner in this process.
+type localUpstream struct{ session *gwowner.Session }
+
+// Exec runs one request.
+func (u localUpstream) Exec(ctx context.Context, req *gwowner.Request, out writer) gwowner.Result {
+	return u.session.Exec(ctx, req, out)
+}
+
+// Close ends the session at the owner.
+func (u localUpstream) Close() { u.session.Close() }
+
+// upstream returns the way to the owner of a server.
+func (e *Entry) upstream(ctx context.Context, server string) (upstream, error) {
+	f, _ := e.Directory.Server(server)
+	region := ""
+	if m := e.Views.Current().Manifest; m != nil {
+		region, _ = m.Region(f.DataCentre)
+	}
+	t := e.Members.Topology()
+	m, ok := t.Owner(server, f.DataCentre, region)
+	if !ok {
+		return nil, &gwcontrol.Error{Op: "find owner", Kind: gwcontrol.UnknownServer, Detail: server}
+	}
+	if m.Instance == t.Self.Instance {
+		return localUpstream{session: e.Owner.NewSession()}, nil
+	}
+	return e.streams.get(ctx, m.Address)
+}
+
+// maxIdleStreams bounds the idle streams that are kept for one owner.
+const maxIdleStreams = 256
+
+// streamPool keeps idle streams to owners. A stream per request costs more
+// than four times as much as an idle one that is used again.
+type streamPool struct {
+	node *gwpeer.Node
+	mu   sync.Mutex
+	idle map[string][]*gwowner.Remote
+}
+
+func newStreamPool(node *gwpeer.Node) *streamPool {
+	return &streamPool{node: node, idle: make(map[string][]*gwowner.Remote)}
+}
+
+// pooledUpstream is a stream to an owner that goes back to the pool.
+type pooledUpstream struct {
+	*gwowner.Remote
+	pool    *streamPool
+	address string
+	// dirty means that a transaction may be open at the owner.
+	dirty bool
+}
+
+func (p *streamPool) get(ctx context.Context, address string) (upstream, error) {
+	if r := p.take(address); r != nil {
+		return &pooledUpstream{Remote: r, pool: p, address: address}, nil
+	}
+	st, err := p.node.OpenStream(ctx, address, gwcontrol.KindExec)
+	if err != nil {
+		return nil, err
+	}
+	return &pooledUpstream{Remote: gwowner.NewRemote(st), pool: p, address: address}, nil
+}
+
+func (p *streamPool) take(address string) *gwowner.Remote {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	r := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return r
+}
+
+func (p *streamPool) put(address string, r *gwowner.Remote) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= maxIdleStreams {
+		return false
+	}
+	p.idle[address] = append(p.idle[address], r)
+	return true
+}
+
+// Exec runs one request at the owner.
+func (u *pooledUpstream) Exec(ctx context.Context, req *gwowner.Request, out writer) gwowner.Result {
+	res := u.Remote.Exec(ctx, req, out)
+	u.dirty = res.TxStatus != 'I' || u.Broken()
+	return res
+}
+
+// Close gives the stream back, or ends it when a transaction is open on it.
+func (u *pooledUpstream) Close() {
+	if u.dirty || !u.pool.put(u.address, u.Remote) {
+		u.Remote.Close()
+	}
+}
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -65,16 +65,20 @@
 
 	mu      sync.RWMutex
 	servers map[string]*server
-	closing sync.WaitGroup
-	ctx     context.Context
+	// draining holds released servers whose work has not ended; the lease of a
+	// primary among them is kept until it has.
+	draining map[*server]bool
+	released bool
+	closing  sync.WaitGroup
+	ctx      context.Context
 }
 
 // New returns an owner of no servers and registers its handlers at the node.
-func New(o Options) *Owner {
+func New(ctx context.Context, o Options) *Owner {
 	w := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
 		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, connect: o.Backend,
-		servers: make(map[string]*server), ctx: context.Background(),
+		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	w.register()
 	return w
@@ -100,7 +104,7 @@
 func (o *Owner) Primaries() map[string]uint64 {
 	groups := o.views.Current().Groups
 	out := make(map[string]uint64)
-	for _, s := range o.all() {
+	for _, s := range append(o.all(), o.allDraining()...) {
 		if g := groups[s.facts.Group]; g.Primary == s.facts.Server && !g.Changing {
 			out[g.Group] = g.Term
 		}
@@ -108,6 +112,16 @@
 	return out
 }
 
+func (o *Owner) allDraining() []*server {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	out := make([]*server, 0, len(o.draining))
+	for s := range o.draining {
+		out = append(out, s)
+	}
+	return out
+}
+
 // Intervals of the controller.
 const (
 	reconcileInterval = 500 * time.Millisecond
@@ -117,7 +131,6 @@
 // Run keeps the owned servers equal to those that this instance should own,
 // and supervises them, until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
-	o.ctx = ctx
 	reconcile := o.clock.NewTicker(reconcileInterval)
 	defer reconcile.Stop()
 	fresh := o.clock.NewTicker(freshnessInterval)
@@ -127,7 +140,7 @@
 		o.reconcile()
 		select {
 		case <-ctx.Done():
-			o.closeAll()
+			o.cutAll()
 			return
 		case <-members:
 		case <-servers:
@@ -142,9 +155,12 @@
 
 // owns reports whether this instance should own the server.
 func (o *Owner) owns(f gwcontrol.ServerFacts) bool {
+	o.mu.RLock()
+	released := o.released
+	o.mu.RUnlock()
 	t := o.members.Topology()
 	m, ok := t.Owner(f.Server, f.DataCentre, o.region(f.DataCentre))
-	return ok && m.Instance == t.Self.Instance
+	return ok && !released && m.Instance == t.Self.Instance
 }
 
 func (o *Owner) region(dataCentre string) string {
@@ -192,6 +208,7 @@
 func (o *Owner) release(s *server) {
 	o.mu.Lock()
 	delete(o.servers, s.facts.Server)
+	o.draining[s] = true
 	o.mu.Unlock()
 	s.admission.close()
 	s.cancel()
@@ -201,12 +218,15 @@
 		defer o.closing.Done()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), o.drainLimit())
 		defer cancel()
-		if g := s.group(); g.Primary == s.facts.Server {
-			defer o.leases.GiveUp(ctx, s.facts.Group)
-		}
 		if err := s.backend.Close(ctx); err != nil {
 			o.log.Warn("backend server closed with work in flight", "server", s.facts.Server, "error", err)
 		}
+		o.mu.Lock()
+		delete(o.draining, s)
+		o.mu.Unlock()
+		if g := s.group(); g.Primary == s.facts.Server {
+			o.leases.GiveUp(ctx, s.facts.Group)
+		}
 	}()
 }
 
@@ -222,10 +242,33 @@
 	s.applyLimits(o.views.Current())
 }
 
-func (o *Owner) closeAll() {
+// Release hands every server over and waits until their work has ended or ctx ends.
+func (o *Owner) Release(ctx context.Context) {
+	o.mu.Lock()
+	o.released = true
+	o.mu.Unlock()
 	for _, s := range o.all() {
 		o.release(s)
 	}
+	done := make(chan struct{})
+	go func() {
+		o.closing.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// cutAll closes all connections at once.
+func (o *Owner) cutAll() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, s := range append(o.all(), o.allDraining()...) {
+		s.cancel()
+		_ = s.backend.Close(ctx)
+	}
 	o.closing.Wait()
 }
 
--- a/pkg/gwroute/route.go
+++ b/pkg/gwroute/route.go
@@ -204,10 +204,10 @@
 
 // ExpectedWait estimates how long the server needs until it satisfies need.
 //
-// A replica whose report is older than its lag is expected to have caught up,
-// because the position that it reported then has advanced since.
+// What a server reported longer ago than reportLifetime says nothing about now:
+// it is expected to have caught up, and its owner is asked again.
 func (s Server) ExpectedWait(need Need, now time.Time) time.Duration {
-	if s.Primary {
+	if s.Primary || now.Sub(s.ReportedAt) >= reportLifetime {
 		return 0
 	}
 	wait := time.Duration(0)
@@ -220,26 +220,16 @@
 	return wait
 }
 
-// staleWait estimates the wait until a replica is known to be fresh enough. A
-// replica that has never been known as fresh is never chosen; one that was
-// fresh enough when it reported is.
+// staleWait estimates the wait until a replica is known to be fresh enough.
 func (s Server) staleWait(need Need, now time.Time) time.Duration {
 	if s.FreshAsOf.IsZero() {
 		return never
 	}
-	staleness := s.ReportedAt.Sub(s.FreshAsOf)
-	if now.Sub(s.ReportedAt) < reportLifetime {
-		staleness = now.Sub(s.FreshAsOf)
-	}
-	if staleness <= need.Staleness {
-		return 0
-	}
-	return staleness - need.Staleness
+	return max(0, now.Sub(s.FreshAsOf)-need.Staleness)
 }
 
 const (
 	never = time.Duration(1<<63 - 1)
-	// reportLifetime is how long a reported freshness is taken as current. An
-	// older one says nothing about now, and the owner is asked again.
+	// reportLifetime is how long a report is taken as current.
 	reportLifetime = time.Second
 )
