--- /dev/null
+++ b/internal/gwtelemetry/label.go
@@ -0,0 +1,61 @@
+package gwtelemetry
+
+import "strings"
+
+// Label is a name and value that distinguish series of one metric.
+type Label struct{ Name, Value string }
+
+// Bounds of labels.
+const (
+	maxValueBytes = 128
+	maxValues     = 1024 // of one label of one metric
+)
+
+var escaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// escape makes a value valid in the text format and bounds its length.
+func escape(value string) string {
+	if len(value) > maxValueBytes {
+		value = value[:maxValueBytes]
+	}
+	return escaper.Replace(strings.ToValidUTF8(value, "\uFFFD"))
+}
+
+// metricName formats a name with its labels.
+func metricName(name string, labels ...Label) string {
+	if len(labels) == 0 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	sep := byte('{')
+	for _, l := range labels {
+		b.WriteByte(sep)
+		b.WriteString(l.Name)
+		b.WriteString(`="`)
+		b.WriteString(escape(l.Value))
+		b.WriteByte('"')
+		sep = ','
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+// bounded returns the value, or "other" once a label has too many values. The
+// caller holds the lock.
+func (m *Metrics) bounded(metric, label, value string) string {
+	key := metric + "\x00" + label
+	seen := m.values[key]
+	if seen == nil {
+		seen = map[string]struct{}{}
+		m.values[key] = seen
+	}
+	if _, ok := seen[value]; ok {
+		return value
+	}
+	if len(seen) >= maxValues {
+		return other
+	}
+	seen[value] = struct{}{}
+	return value
+}
--- /dev/null
+++ b/internal/gwtelemetry/metrics.go
@@ -0,0 +1,210 @@
+package gwtelemetry
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Outcome is how a request ended.
+type Outcome uint8
+
+// Outcomes of requests.
+const (
+	Done    Outcome = iota // the complete response was passed on
+	NotRun                 // the request certainly did not run
+	Unknown                // the request may have run
+	outcomes
+)
+
+// String returns the label value of the outcome.
+func (o Outcome) String() string {
+	switch o {
+	case Done:
+		return "done"
+	case NotRun:
+		return "notRun"
+	default:
+		return "unknown"
+	}
+}
+
+// maxSeries bounds the pairs of class and group that have their own metrics.
+// Each pair costs about 100 lines of a scrape.
+const maxSeries = 512
+
+// other is the label value of everything beyond a bound.
+const other = "other"
+
+// Upper bounds of histogram buckets.
+var (
+	secondBuckets = metrics.ExponentialBuckets(0.0001, 2, 20) // 100 µs to 52 s
+	gapBuckets    = metrics.ExponentialBuckets(0.05, 1.5, 16) // 50 ms to 22 s; the limit is 12 s
+	byteBuckets   = metrics.ExponentialBuckets(64, 4, 10)     // 64 B to 16 MiB
+)
+
+// Metrics is the set of one instance.
+type Metrics struct {
+	set *metrics.Set
+
+	mu     sync.RWMutex
+	series map[seriesKey]*Series
+	gaps   map[string]*metrics.PrometheusHistogram
+	values map[string]map[string]struct{} // label values by metric and label
+}
+
+type seriesKey struct{ class, group string }
+
+// New returns an empty set.
+func New() *Metrics {
+	return &Metrics{
+		set:    metrics.NewSet(),
+		series: map[seriesKey]*Series{},
+		gaps:   map[string]*metrics.PrometheusHistogram{},
+		values: map[string]map[string]struct{}{},
+	}
+}
+
+// Series holds the metrics of one class and group. Callers keep it, since the
+// look-up takes a lock.
+type Series struct {
+	latency     *metrics.PrometheusHistogram
+	queueWait   *metrics.PrometheusHistogram
+	staleness   *metrics.PrometheusHistogram
+	regionBytes *metrics.PrometheusHistogram
+	replica     *metrics.Counter
+	primary     *metrics.Counter
+	outcome     [outcomes]*metrics.Counter
+}
+
+// Series returns the metrics of a class and group; beyond the bound it returns
+// those of class and group "other".
+func (m *Metrics) Series(class, group string) *Series {
+	key := seriesKey{class: class, group: group}
+	m.mu.RLock()
+	s := m.series[key]
+	m.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.series[key]; s != nil {
+		return s
+	}
+	if len(m.series) >= maxSeries {
+		key = seriesKey{class: other, group: other}
+	}
+	s = m.series[key]
+	if s == nil {
+		s = m.newSeries(key)
+		m.series[key] = s
+	}
+	return s
+}
+
+func (m *Metrics) newSeries(key seriesKey) *Series {
+	labels := []Label{{"class", key.class}, {"group", key.group}}
+	hist := func(name string, buckets []float64) *metrics.PrometheusHistogram {
+		return m.set.GetOrCreatePrometheusHistogramExt(metricName(name, labels...), buckets)
+	}
+	count := func(name, label, value string) *metrics.Counter {
+		return m.set.GetOrCreateCounter(metricName(name, append(labels[:2:2], Label{label, value})...))
+	}
+	s := &Series{
+		latency:     hist("gentianward_latency_seconds", secondBuckets),
+		queueWait:   hist("gentianward_queue_wait_seconds", secondBuckets),
+		staleness:   hist("gentianward_staleness_seconds", secondBuckets),
+		regionBytes: hist("gentianward_region_bytes", byteBuckets),
+		replica:     count("gentianward_reads_total", "server", "replica"),
+		primary:     count("gentianward_reads_total", "server", "primary"),
+	}
+	for o := range outcomes {
+		s.outcome[o] = count("gentianward_requests_total", "outcome", o.String())
+	}
+	return s
+}
+
+// Latency records the time from a request to its complete response.
+func (s *Series) Latency(d time.Duration) { s.latency.Update(d.Seconds()) }
+
+// QueueWait records the time that a request waited for a slot.
+func (s *Series) QueueWait(d time.Duration) { s.queueWait.Update(d.Seconds()) }
+
+// Staleness records the age of the data that a read saw.
+func (s *Series) Staleness(d time.Duration) { s.staleness.Update(d.Seconds()) }
+
+// RegionBytes records the bytes that a request sent and received between
+// regions.
+func (s *Series) RegionBytes(n int) { s.regionBytes.Update(float64(n)) }
+
+// Outcome counts a request by how it ended.
+func (s *Series) Outcome(o Outcome) { s.outcome[min(o, Unknown)].Inc() }
+
+// Read counts a read by the kind of server that answered it.
+func (s *Series) Read(replica bool) {
+	if replica {
+		s.replica.Inc()
+		return
+	}
+	s.primary.Inc()
+}
+
+// Reads returns how many reads replicas and primaries have answered.
+func (m *Metrics) Reads() (replica, primary uint64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, s := range m.series {
+		replica += s.replica.Get()
+		primary += s.primary.Get()
+	}
+	return replica, primary
+}
+
+// FailoverGap records the time in which a group acknowledged no writes during
+// a change of primary.
+func (m *Metrics) FailoverGap(group string, d time.Duration) {
+	m.mu.Lock()
+	h := m.gaps[group]
+	if h == nil {
+		group = m.bounded("gentianward_failover_gap_seconds", "group", group)
+		h = m.set.GetOrCreatePrometheusHistogramExt(metricName("gentianward_failover_gap_seconds", Label{"group", group}), gapBuckets)
+		m.gaps[group] = h
+	}
+	m.mu.Unlock()
+	h.Update(d.Seconds())
+}
+
+// Counter returns a counter; callers keep it where it is used often.
+func (m *Metrics) Counter(name string, labels ...Label) *metrics.Counter {
+	return m.set.GetOrCreateCounter(m.name(name, labels))
+}
+
+// Histogram returns a histogram of seconds.
+func (m *Metrics) Histogram(name string, labels ...Label) *metrics.PrometheusHistogram {
+	return m.set.GetOrCreatePrometheusHistogramExt(m.name(name, labels), secondBuckets)
+}
+
+// Gauge registers a function that is called at each scrape.
+func (m *Metrics) Gauge(name string, f func() float64, labels ...Label) {
+	m.set.GetOrCreateGauge(m.name(name, labels), f)
+}
+
+func (m *Metrics) name(name string, labels []Label) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	bounded := make([]Label, len(labels))
+	for i, l := range labels {
+		bounded[i] = Label{l.Name, m.bounded(name, l.Name, l.Value)}
+	}
+	return metricName(name, bounded...)
+}
+
+// ServeHTTP serves the set and the metrics of the process.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
