gentianward: add the subcommands check and keys

Build pipelines need an exit code and JSON for wrong files; operators need a CA and certificates without other tools.

Settings are compared with a manifest given beside them. Key files are never overwritten; replaced files are renamed, and a rotation trusts both CAs until it is finished.

--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -13,6 +13,8 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&checkCmd{}, "")
+	subcommands.Register(&keysCmd{}, "")
 	subcommands.Register(&versionCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/internal/gwmanifest/manifest_test.go
+++ b/internal/gwmanifest/manifest_test.go
@@ -99,7 +99,7 @@
 func TestCheckSettings(t *testing.T) {
 	x := loadExample(t, "hanbit")
 	s := &Settings{Instance: "seoul-mapo-1", DataCentre: "seoul-mapo", Region: "busan", PeerAddress: "127.0.0.1:1"}
-	assert.Len(t, Problems(x.CheckSettings(s)), 3)
+	assert.Len(t, Problems(x.CheckSettings(s)), 3, "region, address and data folder")
 	s = &Settings{Instance: "seoul-mapo-7", DataCentre: "daegu", Region: "seoul"}
 	assert.Len(t, Problems(x.CheckSettings(s)), 1)
 }
--- a/internal/gwmanifest/settings.go
+++ b/internal/gwmanifest/settings.go
@@ -1,6 +1,10 @@
 package gwmanifest
 
-import "path/filepath"
+import (
+	"path/filepath"
+
+	"github.com/tailscale/hujson"
+)
 
 // Settings are the local configuration of one instance.
 type Settings struct {
@@ -19,7 +23,9 @@
 	SessionKey      string    `json:"sessionKey"` // hexadecimal, equal on all instances
 	MaxClockDrift   float64   `json:"maxClockDrift"`
 
-	file string
+	file string // with the text and tree, the source of places in errors
+	text []byte
+	root hujson.Value
 }
 
 // Keys are the PEM files of the links between instances.
@@ -51,7 +57,7 @@
 	if err := c.err(); err != nil {
 		return nil, err
 	}
-	s.file = name
+	s.file, s.text, s.root = name, c.text, c.root
 	return s, nil
 }
 
--- a/internal/gwpeer/errors.go
+++ b/internal/gwpeer/errors.go
@@ -54,6 +54,9 @@
 
 // Error formats the operation, peer, kind and cause.
 func (e *Error) Error() string {
+	if e.Kind == KindKeys {
+		return "keys " + e.Op + ": " + e.Err.Error()
+	}
 	s := "peer " + e.Op
 	if e.Address != "" {
 		s += " " + e.Address
--- /dev/null
+++ b/internal/gwpeer/keyfolder.go
@@ -0,0 +1,200 @@
+package gwpeer
+
+import (
+	"bytes"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Names of the files in a key folder. An instance has NAME.pem and NAME.key.
+const (
+	caFile    = "ca.pem" // trusted CAs, the issuing one first
+	caKeyFile = "ca.key" // key of the issuing CA
+	caName    = "ca"
+
+	maxArchives = 100 // files replaced in one second
+)
+
+// KeyFolder holds the CA of a deployment and the certificates that it issued.
+// No file in it is ever overwritten: replaced files are renamed.
+type KeyFolder struct {
+	Path string
+	Now  time.Time // names the replaced files
+}
+
+// Init creates the folder and a CA in it, and returns the files written.
+func (k KeyFolder) Init(name string) ([]string, error) {
+	if err := os.MkdirAll(k.Path, 0o700); err != nil {
+		return nil, keyError("init", err)
+	}
+	for _, f := range []string{caFile, caKeyFile} {
+		if err := k.absent(f); err != nil {
+			return nil, err
+		}
+	}
+	a, err := NewAuthority(name)
+	if err != nil {
+		return nil, err
+	}
+	return k.writeAuthority(a, nil)
+}
+
+// Issue creates the certificate and key of an instance reachable at ips. With
+// renew, existing files are renamed first.
+func (k KeyFolder) Issue(instance string, ips []net.IP, renew bool) ([]string, error) {
+	if instance == caName || instance != filepath.Base(instance) || strings.HasPrefix(instance, ".") {
+		return nil, keyError("issue", errors.Newf("%q is not an instance name", instance))
+	}
+	if len(ips) == 0 {
+		return nil, keyError("issue", errors.New("at least one IP address is required"))
+	}
+	a, err := k.Authority()
+	if err != nil {
+		return nil, err
+	}
+	cert, err := a.Issue(instance, ips...)
+	if err != nil {
+		return nil, err
+	}
+	certFile, keyFile := instance+".pem", instance+".key"
+	for _, f := range []string{certFile, keyFile} {
+		if renew {
+			err = k.archive(f)
+		} else {
+			err = k.absent(f)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return k.write(map[string][]byte{certFile: cert.CertificatePEM, keyFile: cert.KeyPEM}, keyFile, certFile)
+}
+
+// Rotate creates a new CA that issues from now on. The previous ones stay
+// trusted until Finish.
+func (k KeyFolder) Rotate(name string) ([]string, error) {
+	if _, err := k.Authority(); err != nil {
+		return nil, err
+	}
+	trusted, err := os.ReadFile(k.file(caFile))
+	if err != nil {
+		return nil, keyError("rotate", err)
+	}
+	a, err := NewAuthority(name)
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range []string{caKeyFile, caFile} {
+		if err := k.archive(f); err != nil {
+			return nil, err
+		}
+	}
+	return k.writeAuthority(a, trusted)
+}
+
+// Finish ends a rotation: only the issuing CA stays trusted.
+func (k KeyFolder) Finish() ([]string, error) {
+	a, err := k.Authority()
+	if err != nil {
+		return nil, err
+	}
+	if err := k.archive(caFile); err != nil {
+		return nil, err
+	}
+	return k.write(map[string][]byte{caFile: a.CertificatePEM()}, caFile)
+}
+
+// Authority loads the issuing CA.
+func (k KeyFolder) Authority() (*Authority, error) {
+	cert, err := os.ReadFile(k.file(caFile))
+	if err != nil {
+		return nil, keyError("load authority", err)
+	}
+	key, err := os.ReadFile(k.file(caKeyFile))
+	if err != nil {
+		return nil, keyError("load authority", err)
+	}
+	return LoadAuthority(cert, key)
+}
+
+func (k KeyFolder) file(name string) string { return filepath.Join(k.Path, name) }
+
+func (k KeyFolder) writeAuthority(a *Authority, trusted []byte) ([]string, error) {
+	key, err := a.KeyPEM()
+	if err != nil {
+		return nil, err
+	}
+	bundle := bytes.Join([][]byte{a.CertificatePEM(), trusted}, nil)
+	return k.write(map[string][]byte{caKeyFile: key, caFile: bundle}, caKeyFile, caFile)
+}
+
+// write creates files in the given order; keys are readable by the owner only.
+func (k KeyFolder) write(texts map[string][]byte, order ...string) ([]string, error) {
+	var written []string
+	for _, name := range order {
+		mode := fs.FileMode(0o644)
+		if strings.HasSuffix(name, ".key") {
+			mode = 0o600
+		}
+		if err := createFile(k.file(name), texts[name], mode); err != nil {
+			return written, keyError("write", err)
+		}
+		written = append(written, k.file(name))
+	}
+	return written, nil
+}
+
+func createFile(path string, text []byte, mode fs.FileMode) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, mode)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(text); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func (k KeyFolder) absent(name string) error {
+	_, err := os.Lstat(k.file(name))
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return nil
+	case err != nil:
+		return keyError("write", err)
+	default:
+		return keyError("write", errors.Newf("%s exists and is not overwritten", k.file(name)))
+	}
+}
+
+// archive renames a file to a free name with the time in it.
+func (k KeyFolder) archive(name string) error {
+	if _, err := os.Lstat(k.file(name)); errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	ext := filepath.Ext(name)
+	stem := strings.TrimSuffix(name, ext) + "-" + k.Now.UTC().Format("20060102T150405")
+	old := stem + ext + ".old"
+	for i := 2; k.absent(old) != nil; i++ {
+		if i > maxArchives {
+			return k.absent(old)
+		}
+		old = stem + "-" + strconv.Itoa(i) + ext + ".old"
+	}
+	if err := os.Rename(k.file(name), k.file(old)); err != nil {
+		return keyError("write", err)
+	}
+	return nil
+}
--- a/internal/gwpeer/source.go
+++ b/internal/gwpeer/source.go
@@ -151,13 +151,30 @@
 	return x509.ParseCertificate(id.Certificate.Certificate[0])
 }
 
+// Verify reports whether the own certificate is valid now and issued by a
+// trusted CA, without which no peer accepts it.
+func (id *Identity) Verify() error {
+	leaf, err := id.leaf()
+	if err == nil {
+		err = id.check(leaf)
+	}
+	if err != nil {
+		return keyError("verify", err)
+	}
+	return nil
+}
+
 // trusts reports whether a peer's certificate is valid under the identity now.
 func (id *Identity) trusts(cert *x509.Certificate) bool {
+	return id.check(cert) == nil
+}
+
+func (id *Identity) check(cert *x509.Certificate) error {
 	_, err := cert.Verify(x509.VerifyOptions{
 		Roots:     id.Roots,
 		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
 	})
-	return err == nil
+	return err
 }
 
 // resetKey derives the stateless reset key from the private key, so that a
