gwpeer: reuse idle streams for calls and pooled exchanges

A request that opens its own stream pays for the stream's set-up and end in the connection's single loop. Frames carry the number of their exchange, so that a late frame is never read as the response to the next request.

--- a/internal/gwpeer/bench_test.go
+++ b/internal/gwpeer/bench_test.go
@@ -106,6 +106,20 @@
 	}
 }
 
+// BenchmarkStreamPool takes a pooled stream for each exchange.
+func BenchmarkStreamPool(b *testing.B) {
+	for _, workers := range []int{1, users} {
+		b.Run(benchName(workers), func(b *testing.B) {
+			a, addr := benchPair(b)
+			payload := make([]byte, 100)
+			pool := a.NewStreamPool(kindStream)
+			measure(b, workers, func(int) error {
+				return pool.Do(context.Background(), addr, func(s *Stream) error { return exchange(s, payload) })
+			})
+		})
+	}
+}
+
 func exchange(s *Stream, payload []byte) error {
 	if err := s.WriteFrame(1, payload); err != nil {
 		return err
--- a/internal/gwpeer/frame.go
+++ b/internal/gwpeer/frame.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
-	"time"
+	"math"
 
 	"github.com/cockroachdb/errors"
 )
@@ -20,22 +20,27 @@
 
 // streamHeader precedes the first frame of a stream.
 //
-// Wire format: type byte, uvarint kind, uvarint timeout in microseconds (0 for
-// none).
+// Wire format: type byte, uvarint kind.
 type streamHeader struct {
-	typ     streamType
-	kind    uint16
-	timeout time.Duration
+	typ  streamType
+	kind uint16
 }
 
-// frameHeaderBytes is the size of a frame's header: kind byte and big-endian
-// 32-bit payload length.
-const frameHeaderBytes = 5
+// frameHeader precedes each payload.
+//
+// Wire format: kind byte, big-endian 16-bit exchange, big-endian 32-bit length
+// of the payload. The exchange numbers the requests of a reused stream, so that
+// a late frame of one request is never taken for a response to the next.
+type frameHeader struct {
+	kind     byte
+	exchange uint16
+	size     uint32
+}
+
+const frameHeaderBytes = 7
 
 func appendStreamHeader(b []byte, h streamHeader) []byte {
-	b = append(b, byte(h.typ))
-	b = binary.AppendUvarint(b, uint64(h.kind))
-	return binary.AppendUvarint(b, uint64(max(h.timeout, 0)/time.Microsecond))
+	return binary.AppendUvarint(append(b, byte(h.typ)), uint64(h.kind))
 }
 
 func readStreamHeader(r *bufio.Reader) (streamHeader, error) {
@@ -50,54 +55,42 @@
 	if err != nil {
 		return streamHeader{}, err
 	}
-	if kind > 0xffff {
+	if kind > math.MaxUint16 {
 		return streamHeader{}, errors.Newf("kind %d exceeds 16 bits", kind)
 	}
-	micros, err := binary.ReadUvarint(r)
-	if err != nil {
-		return streamHeader{}, err
-	}
-	if micros > uint64(24*time.Hour/time.Microsecond) {
-		return streamHeader{}, errors.Newf("timeout of %d microseconds exceeds a day", micros)
-	}
-	return streamHeader{
-		typ:     streamType(typ),
-		kind:    uint16(kind),
-		timeout: time.Duration(micros) * time.Microsecond,
-	}, nil
+	return streamHeader{typ: streamType(typ), kind: uint16(kind)}, nil
 }
 
-func appendFrame(b []byte, kind byte, payload []byte) []byte {
-	b = append(b, kind, 0, 0, 0, 0)
-	putFrameLen(b[len(b)-frameHeaderBytes:], len(payload))
+func appendFrame(b []byte, kind byte, exchange uint16, payload []byte) []byte {
+	b = append(b, kind)
+	b = binary.BigEndian.AppendUint16(b, exchange)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(payload)))
 	return append(b, payload...)
 }
 
-// putFrameLen stores the payload length in a frame header.
-func putFrameLen(header []byte, size int) {
-	binary.BigEndian.PutUint32(header[1:frameHeaderBytes], uint32(size))
-}
-
 // readFrame reads one frame, storing its payload in buf when that is large
 // enough. A length over limit is an error before any payload is read.
-func readFrame(r *bufio.Reader, buf []byte, limit int) (kind byte, payload []byte, err error) {
+func readFrame(r *bufio.Reader, buf []byte, limit int) (h frameHeader, payload []byte, err error) {
 	head, err := r.Peek(frameHeaderBytes)
 	if err != nil {
 		if errors.Is(err, io.EOF) && len(head) > 0 {
 			err = io.ErrUnexpectedEOF
 		}
-		return 0, nil, err
+		return h, nil, err
+	}
+	h = frameHeader{
+		kind:     head[0],
+		exchange: binary.BigEndian.Uint16(head[1:]),
+		size:     binary.BigEndian.Uint32(head[3:]),
 	}
-	kind = head[0]
-	size := binary.BigEndian.Uint32(head[1:])
-	if uint64(size) > uint64(limit) {
-		return 0, nil, newError("read frame", KindInvalid, "", errors.Newf("frame of %d bytes exceeds %d", size, limit))
+	if uint64(h.size) > uint64(limit) {
+		return h, nil, newError("read frame", KindInvalid, "", errors.Newf("frame of %d bytes exceeds %d", h.size, limit))
 	}
 	if _, err := r.Discard(frameHeaderBytes); err != nil {
-		return 0, nil, err
+		return h, nil, err
 	}
-	payload, err = readPayload(r, buf[:0], int(size))
-	return kind, payload, err
+	payload, err = readPayload(r, buf[:0], int(h.size))
+	return h, payload, err
 }
 
 // readPayload grows the buffer in steps, so that a length that the sender
--- a/internal/gwpeer/hello.go
+++ b/internal/gwpeer/hello.go
@@ -117,7 +117,7 @@
 		return err
 	}
 	b := appendStreamHeader(nil, streamHeader{typ: streamHello})
-	if _, err := qs.Write(appendFrame(b, helloFrameKind, payload)); err != nil {
+	if _, err := qs.Write(appendFrame(b, helloFrameKind, 0, payload)); err != nil {
 		return err
 	}
 	return qs.Close()
--- a/internal/gwpeer/link.go
+++ b/internal/gwpeer/link.go
@@ -145,11 +145,34 @@
 		refuse(qs)
 		return
 	}
-	switch h.typ {
-	case streamCall:
-		l.serveCall(qs, r, h)
-	default:
-		l.serveFrames(qs, r, h)
+	l.streams.Add(1) // released by the stream
+	s := &Stream{link: l, qs: qs, address: l.remote.String(), r: r}
+	defer func() { _ = s.Close() }()
+	ctx, cancel := l.handlerContext(qs)
+	defer cancel()
+	if h.typ == streamCall {
+		l.serveCalls(ctx, s, h.kind)
+		return
+	}
+	fn, ok := find(&l.node.handlers, l.node.handlers.streams, h.kind)
+	if !ok {
+		s.reset(codeRefused)
+		return
+	}
+	fn(ctx, l.instance, s)
+}
+
+// handlerContext ends with the link or when the peer cancels the stream.
+func (l *link) handlerContext(qs *quic.Stream) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(l.ctx)
+	stop := context.AfterFunc(qs.Context(), func() {
+		if !errors.Is(context.Cause(qs.Context()), quic.ErrStreamClosed) {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
 	}
 }
 
--- a/internal/gwpeer/node.go
+++ b/internal/gwpeer/node.go
@@ -71,7 +71,11 @@
 	peers    map[netip.AddrPort]*peer
 	links    map[*link]struct{}
 	handlers handlers
+	pools    []*StreamPool
 	closed   bool
+
+	callPools  sync.Map // of *StreamPool by kind ID
+	callPoolMu sync.Mutex
 }
 
 var errClosed = errors.New("the node is closed")
@@ -252,8 +256,11 @@
 		case now := <-ticker.C:
 			id := n.opts.TLS.Identity()
 			n.mu.RLock()
-			links := n.linkList()
+			links, pools := n.linkList(), n.pools
 			n.mu.RUnlock()
+			for _, p := range pools {
+				p.sweep(now)
+			}
 			for _, l := range links {
 				l.maintain(now, id, id != checked)
 			}
--- a/internal/gwpeer/stream.go
+++ b/internal/gwpeer/stream.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
@@ -13,9 +15,12 @@
 // Stream carries frames in both directions. One goroutine may read while
 // another writes; Close and Cancel may be called from any goroutine.
 type Stream struct {
-	link    *link
-	qs      *quic.Stream
-	address string
+	link     *link
+	qs       *quic.Stream
+	address  string
+	opener   bool
+	exchange atomic.Uint32 // number of the current request; the opener counts
+	idleAt   time.Time     // set by the pool
 
 	wmu    sync.Mutex
 	head   []byte // stream header, sent with the first frame
@@ -32,6 +37,10 @@
 // HandleStream serves streams of a kind. The handler starts when the first
 // frame arrives; its context ends when the peer cancels or the link is lost.
 // The stream is closed when the handler returns.
+//
+// An opener may reuse a stream for several requests. The handler of such a
+// kind reads and answers one request after the other until ReadFrame returns
+// io.EOF.
 func (n *Node) HandleStream(kind Kind, fn func(ctx context.Context, from string, s *Stream)) {
 	add(&n.handlers, n.handlers.streams, kind, streamHandler(fn))
 }
@@ -39,6 +48,10 @@
 // OpenStream opens a stream to the peer at an "ip:port". Nothing is sent
 // before the first frame. ctx bounds only the opening; see Stream.CancelOn.
 func (n *Node) OpenStream(ctx context.Context, address string, kind Kind) (*Stream, error) {
+	return n.openStream(ctx, address, kind, streamFrames)
+}
+
+func (n *Node) openStream(ctx context.Context, address string, kind Kind, typ streamType) (*Stream, error) {
 	l, err := n.link(ctx, address)
 	if err != nil {
 		return nil, newError("open stream "+kind.String(), KindNotSent, address, err)
@@ -47,30 +60,16 @@
 	if err != nil {
 		return nil, newError("open stream "+kind.String(), KindNotSent, address, err)
 	}
-	s := &Stream{link: l, qs: qs, address: address, r: getReader(qs)}
-	s.head = appendStreamHeader(nil, streamHeader{typ: streamFrames, kind: kind.ID})
+	s := &Stream{link: l, qs: qs, address: address, opener: true, r: getReader(qs)}
+	s.head = appendStreamHeader(nil, streamHeader{typ: typ, kind: kind.ID})
 	return s, nil
 }
 
-func (l *link) serveFrames(qs *quic.Stream, r *bufio.Reader, h streamHeader) {
-	fn, ok := find(&l.node.handlers, l.node.handlers.streams, h.kind)
-	if !ok {
-		putReader(r)
-		refuse(qs)
-		return
-	}
-	s := &Stream{link: l, qs: qs, address: l.remote.String(), r: r}
-	ctx, cancel := l.handlerContext(qs, 0)
-	defer cancel()
-	l.streams.Add(1) // released by Close
-	defer func() { _ = s.Close() }()
-	fn(ctx, l.instance, s)
-}
-
 // Peer returns the name of the instance at the other end.
 func (s *Stream) Peer() string { return s.link.instance }
 
-// CancelOn cancels the stream when ctx ends, until stop is called.
+// CancelOn cancels the stream when ctx ends, until stop is called. A stream
+// whose stop returns false is being canceled and must not be reused.
 func (s *Stream) CancelOn(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, s.Cancel)
 }
@@ -87,9 +86,9 @@
 		return newError("write frame", KindNotSent, s.address, errors.New("the stream is closed"))
 	}
 	s.wbuf = append(s.wbuf[:0], s.head...)
-	s.wbuf = appendFrame(s.wbuf, kind, payload)
-	n, err := s.qs.Write(s.wbuf)
+	s.wbuf = appendFrame(s.wbuf, kind, uint16(s.exchange.Load()), payload)
 	size := len(s.wbuf)
+	n, err := s.qs.Write(s.wbuf)
 	if cap(s.wbuf) > maxPooledBuf {
 		s.wbuf = nil
 	}
@@ -103,28 +102,41 @@
 // ReadFrame returns the next frame; the payload is valid until the next call.
 // The error is io.EOF itself after the peer has closed its side.
 func (s *Stream) ReadFrame() (kind byte, payload []byte, err error) {
+	return s.readFrame(MaxFrameBytes)
+}
+
+func (s *Stream) readFrame(limit int) (kind byte, payload []byte, err error) {
 	s.rmu.Lock()
 	defer s.rmu.Unlock()
 	if s.r == nil {
 		return 0, nil, newError("read frame", KindCanceled, s.address, errors.New("the stream is closed"))
 	}
-	kind, payload, err = readFrame(s.r, s.rbuf, MaxFrameBytes)
-	if errors.Is(err, io.EOF) {
+	h, payload, err := readFrame(s.r, s.rbuf, limit)
+	switch {
+	case errors.Is(err, io.EOF):
 		return 0, nil, io.EOF
-	}
-	if err != nil {
+	case err != nil:
 		return 0, nil, s.fail("read frame", false, err)
+	case !s.opener:
+		s.exchange.Store(uint32(h.exchange))
+	case h.exchange != uint16(s.exchange.Load()):
+		return 0, nil, newError("read frame", KindInvalid, s.address,
+			errors.Newf("frame of request %d during request %d", h.exchange, s.exchange.Load()))
 	}
+	s.rbuf = nil
 	if cap(payload) <= maxPooledBuf {
 		s.rbuf = payload
-	} else {
-		s.rbuf = nil
 	}
-	return kind, payload, nil
+	return h.kind, payload, nil
 }
 
 // fail classifies an error of the QUIC stream.
 func (s *Stream) fail(op string, notSent bool, err error) error {
+	var own *Error
+	if errors.As(err, &own) {
+		own.Address = s.address
+		return own
+	}
 	var reset *quic.StreamError
 	kind := KindUnknown
 	switch {
@@ -144,39 +156,36 @@
 func (s *Stream) CloseWrite() error {
 	s.wmu.Lock()
 	defer s.wmu.Unlock()
-	return s.closeWrite()
-}
-
-func (s *Stream) closeWrite() error {
 	if s.closed {
 		return nil
 	}
 	s.closed = true
-	if s.head != nil { // nothing was sent, so the peer need not learn of it
+	if s.head != nil { // the peer must not wait for the header
 		s.qs.CancelWrite(codeCanceled)
 		return nil
 	}
 	return s.qs.Close()
 }
 
-// Close ends both sides. Frames written so far are delivered, frames that the
-// peer sends are discarded. A closed stream may be closed again.
+// Close ends both sides after a write that is under way. Frames written so far
+// are delivered, frames that the peer sends are discarded. A closed stream may
+// be closed again.
 func (s *Stream) Close() error {
-	s.wmu.Lock()
-	err := s.closeWrite()
-	s.wmu.Unlock()
+	err := s.CloseWrite()
 	s.release(codeDone)
 	return err
 }
 
 // Cancel ends both sides at once; frames on the way may be lost, and the
 // context of the peer's handler ends.
-func (s *Stream) Cancel() {
-	s.qs.CancelWrite(codeCanceled) // before the lock, which a blocked write holds
+func (s *Stream) Cancel() { s.reset(codeCanceled) }
+
+func (s *Stream) reset(code quic.StreamErrorCode) {
+	s.qs.CancelWrite(code) // before the lock, which a blocked write holds
 	s.wmu.Lock()
 	s.closed = true
 	s.wmu.Unlock()
-	s.release(codeCanceled)
+	s.release(code)
 }
 
 // release stops the reader and returns it to the pool after its last use.
@@ -191,3 +200,17 @@
 		s.link.touch()
 	})
 }
+
+// reusable reports whether a next request can use the stream: both sides are
+// open, no frame is left over, and the link is current.
+func (s *Stream) reusable() bool {
+	if !s.link.alive() || s.link.retired.Load() != 0 || s.qs.Context().Err() != nil {
+		return false
+	}
+	s.wmu.Lock()
+	open := !s.closed && s.head == nil
+	s.wmu.Unlock()
+	s.rmu.Lock()
+	defer s.rmu.Unlock()
+	return open && s.r != nil && s.r.Buffered() == 0
+}
