--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -14,6 +14,8 @@
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&standinCmd{}, "")
+	subcommands.Register(&checkCmd{}, "")
+	subcommands.Register(&keysCmd{}, "")
 	subcommands.Register(&versionCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
