gwlease: test that a lease has one holder

A property test drives holders and a granter with drifting clocks through lost, repeated and reordered messages, restarts and replaced tables. It found that a granter restored from a table that was lost shortly before granted at once; the table copy now says that it is incomplete and Restore waits.

--- a/pkg/gwlease/granter.go
+++ b/pkg/gwlease/granter.go
@@ -19,6 +19,14 @@
 	Floor uint64 `json:"floor" cbor:"7,keyasint"`
 }
 
+// Table is a copy of a granting table.
+type Table struct {
+	// Leases is ordered by group.
+	Leases []Lease `json:"leases" cbor:"1,keyasint"`
+	// Incomplete is set if the table was copied during the wait after Suspend.
+	Incomplete bool `json:"incomplete,omitempty" cbor:"2,keyasint,omitempty"`
+}
+
 // Granter is the table of write leases. It is not safe for concurrent use.
 //
 // Grant, Return, Release and Raise change the table without regard to the
@@ -168,21 +176,26 @@
 	return l.Lease, true
 }
 
-// Leases returns the whole table ordered by group, for snapshots.
-func (g *Granter) Leases() []Lease {
+// Table returns a copy of the table for snapshots.
+func (g *Granter) Table(now time.Time) Table {
 	all := make([]Lease, 0, len(g.leases))
 	for _, l := range g.leases {
 		all = append(all, l.Lease)
 	}
 	sortLeases(all)
-	return all
+	return Table{Leases: all, Incomplete: now.Before(g.start)}
 }
 
 // Restore replaces the table. Every held lease counts from now, because the
-// time of its grant is not known on this clock.
-func (g *Granter) Restore(leases []Lease, now time.Time) {
-	g.leases = make(map[string]*grant, len(leases))
-	for _, l := range leases {
+// time of its grant is not known on this clock. An incomplete table makes the
+// granter wait as after Suspend.
+func (g *Granter) Restore(table Table, now time.Time) {
+	g.leases = make(map[string]*grant, len(table.Leases))
+	g.start = time.Time{}
+	if table.Incomplete {
+		g.Suspend(now)
+	}
+	for _, l := range table.Leases {
 		g.leases[l.Group] = &grant{Lease: l, deadline: now.Add(g.cfg.blocked())}
 	}
 }
