gwbackend: test exchange, pool and position watcher

Cause: the outcomes of an exchange decide what callers are told. Change: tests against a scripted fake server, and a fuzz target for batches.

--- /dev/null
+++ b/internal/gwbackend/exchange_test.go
@@ -0,0 +1,281 @@
+package gwbackend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// encode returns a batch of messages that ends in Sync.
+func encode(t testing.TB, messages ...pgproto3.FrontendMessage) []byte {
+	var b []byte
+	var err error
+	for _, m := range append(messages, &pgproto3.Sync{}) {
+		b, err = m.Encode(b)
+		require.NoError(t, err)
+	}
+	return b
+}
+
+// use returns a batch that binds and executes each statement.
+func use(t testing.TB, sts ...Statement) Request {
+	var messages []pgproto3.FrontendMessage
+	for _, st := range sts {
+		messages = append(messages, &pgproto3.Bind{PreparedStatement: st.Name}, &pgproto3.Execute{})
+	}
+	return Request{Messages: encode(t, messages...), Prepared: sts}
+}
+
+// types returns the message types of an answer.
+func types(b []byte) string {
+	var s strings.Builder
+	for len(b) >= headerBytes {
+		s.WriteByte(b[0])
+		b = b[min(frameSize(b), len(b)):]
+	}
+	return s.String()
+}
+
+// Guards against ParseComplete messages that the caller did not ask for, or
+// that are missing, and against statements parsed twice or not at all.
+func TestPreparedStatements(t *testing.T) {
+	f := startFake(t, nil)
+	c := f.dial(t)
+	a, b := NewStatement("a", nil), NewStatement("b", []uint32{23})
+	parseA := &pgproto3.Parse{Name: a.Name, Query: a.SQL}
+	bindA := &pgproto3.Bind{PreparedStatement: a.Name}
+	steps := []struct {
+		name    string
+		req     Request
+		answer  string
+		parsed  []string
+		dropped bool
+	}{
+		{name: "missing statement", req: use(t, a), answer: "2TDCZ", parsed: []string{"parse a"}},
+		{name: "present statement", req: use(t, a), answer: "2TDCZ"},
+		{name: "one of two missing", req: use(t, a, b), answer: "2TDC2TDCZ", parsed: []string{"parse b"}},
+		{name: "Parse of a present statement", req: Request{Messages: encode(t, parseA, bindA)}, answer: "12Z"},
+		{name: "Parse twice in one batch", req: Request{Messages: encode(t, parseA, parseA, &pgproto3.Close{ObjectType: 'P'})}, answer: "113Z"},
+		{name: "failed Parse", req: Request{Messages: encode(t, &pgproto3.Parse{Name: "gw_1", Query: "bad"})}, answer: "EZ", parsed: []string{"parse bad"}},
+		{name: "parsed again after 42P05", req: use(t, a), answer: "2TDCZ", parsed: []string{"parse a"}},
+		{name: "unknown name", req: Request{Messages: encode(t, &pgproto3.Bind{PreparedStatement: MissingStatement})}, answer: "EZ"},
+	}
+	for _, s := range steps {
+		var got bytes.Buffer
+		res, err := c.Exchange(t.Context(), s.req, &got)
+		require.NoError(t, err, s.name)
+		require.True(t, res.Complete && res.Sent && res.TxStatus == 'I', s.name)
+		require.Equal(t, s.answer, types(got.Bytes()), s.name)
+		require.Equal(t, s.parsed, f.take(), s.name)
+	}
+}
+
+// Guards against a statement that runs in place of another one whose name has
+// the same hash.
+func TestHashCollision(t *testing.T) {
+	f := startFake(t, nil)
+	c := f.dial(t)
+	one, two := Statement{Name: "gw_x", SQL: "one"}, Statement{Name: "gw_x", SQL: "two"}
+	for _, st := range []Statement{one, two, one} {
+		var got bytes.Buffer
+		_, err := c.Exchange(t.Context(), use(t, st), &got)
+		require.NoError(t, err)
+		require.Contains(t, got.String(), st.SQL)
+		require.Equal(t, "2TDCZ", types(got.Bytes()))
+	}
+}
+
+// Guards against unbounded prepared statements on a server connection.
+func TestStatementLimit(t *testing.T) {
+	f := startFake(t, nil)
+	o := f.options()
+	o.Statements = 2
+	c, err := Dial(t.Context(), o)
+	require.NoError(t, err)
+	defer c.Close()
+	for _, sql := range []string{"a", "b", "c", "d", "a", "e", "f"} {
+		var got bytes.Buffer
+		_, err := c.Exchange(t.Context(), use(t, NewStatement(sql, nil)), &got)
+		require.NoError(t, err)
+		require.Equal(t, "2TDCZ", types(got.Bytes()))
+	}
+	f.each(func(s *fakeSession) { require.LessOrEqual(t, len(s.statements), 3) })
+}
+
+// Guards against positions that reach the caller or get lost.
+func TestPosition(t *testing.T) {
+	f := startFake(t, map[string]func(s *fakeSession){
+		"write": func(s *fakeSession) {
+			s.send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")},
+				&pgproto3.ParameterStatus{Name: "gentianward.position", Value: "3/14"},
+				&pgproto3.ParameterStatus{Name: "TimeZone", Value: "UTC"})
+		},
+	})
+	o := f.options()
+	seen := make(chan gwsession.Position, 4)
+	o.OnPosition = func(p gwsession.Position) { seen <- p }
+	c, err := Dial(t.Context(), o)
+	require.NoError(t, err)
+	defer c.Close()
+	require.Equal(t, gwsession.Position{Term: 1, Offset: 1}, <-seen, "sent together with ReadyForQuery at startup")
+	var got bytes.Buffer
+	res, err := c.Exchange(t.Context(), Query("write"), &got)
+	require.NoError(t, err)
+	require.Equal(t, "CSZ", types(got.Bytes()))
+	require.Equal(t, gwsession.Position{Term: 3, Offset: 14}, res.Position)
+	require.Equal(t, []string{"INSERT 0 1"}, res.CommandTags)
+	require.Equal(t, res.Position, <-seen)
+	f.push(t, &pgproto3.ParameterStatus{Name: "gentianward.position", Value: "3/15"})
+	require.Equal(t, gwsession.Position{Term: 3, Offset: 15}, <-seen)
+}
+
+// Guards against a wrong account of what happened to a request: "not sent"
+// for one that may have run, or the reuse of a connection whose answer is
+// outstanding.
+func TestOutcomes(t *testing.T) {
+	cancelable := func(s *fakeSession) {
+		<-s.f.canceled
+		s.fail("ERROR", "57014", "canceling statement due to user request")
+	}
+	f := startFake(t, map[string]func(s *fakeSession){
+		"cut":    func(s *fakeSession) { _ = s.nc.Close() },
+		"half":   func(s *fakeSession) { s.row("a", "b"); _ = s.be.Flush(); _ = s.nc.Close() },
+		"fatal":  func(s *fakeSession) { s.fail("FATAL", "57P01", "stop"); _ = s.be.Flush(); _ = s.nc.Close() },
+		"error":  func(s *fakeSession) { s.fail("ERROR", "22012", "division by zero") },
+		"wait":   cancelable,
+		"frozen": func(s *fakeSession) { <-s.f.canceled; time.Sleep(100 * time.Millisecond); _ = s.nc.Close() },
+		"copy": func(s *fakeSession) {
+			s.send(&pgproto3.CopyInResponse{})
+			_ = s.be.Flush()
+			_, _ = s.be.Receive()
+			s.fail("ERROR", "57014", "COPY failed")
+		},
+	})
+	tests := []struct {
+		sql, answer, code string
+		kind              Kind
+		usable            bool
+	}{
+		{sql: "ok", answer: "TDCZ", usable: true},
+		{sql: "error", answer: "EZ", code: "22012", usable: true},
+		{sql: "copy", answer: "EZ", code: "0A000", usable: true},
+		{sql: "cut", kind: KindIncomplete},
+		{sql: "half", answer: "TDC", kind: KindIncomplete},
+		{sql: "fatal", code: "57P01", kind: KindIncomplete},
+		{sql: "wait", answer: "EZ", code: "57014"},
+		{sql: "frozen", kind: KindIncomplete},
+	}
+	for _, tt := range tests {
+		t.Run(tt.sql, func(t *testing.T) {
+			o := f.options()
+			o.CancelGrace = 50 * time.Millisecond
+			c, err := Dial(t.Context(), o)
+			require.NoError(t, err)
+			defer c.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			var got bytes.Buffer
+			res, err := c.Exchange(ctx, Query(tt.sql), &got)
+			require.Equal(t, tt.kind, KindOf(err), "%v", err)
+			require.Equal(t, tt.answer, types(got.Bytes()))
+			require.True(t, res.Sent)
+			require.Equal(t, tt.kind == 0, res.Complete)
+			require.Equal(t, tt.usable, c.Usable())
+			if tt.code != "" {
+				require.Equal(t, tt.code, res.ServerError.Code)
+			}
+			if !tt.usable {
+				res, err = c.Exchange(t.Context(), Query("ok"), nil)
+				require.Equal(t, KindNotSent, KindOf(err))
+				require.False(t, res.Sent)
+			}
+		})
+	}
+}
+
+// Guards against requests that leave the server waiting, or that would be
+// answered by more than one ReadyForQuery.
+func TestBadRequest(t *testing.T) {
+	c := startFake(t, nil).dial(t)
+	query := Query("x").Messages
+	bad := [][]byte{
+		nil, query[:3], query[:len(query)-1], append(bytes.Clone(query), query...),
+		{'H', 0, 0, 0, 4},
+		{'S', 0, 0, 0, 4, 'S', 0, 0, 0, 4},
+		{'Q', 0, 0, 0, 1},
+		{'X', 0, 0, 0, 4},
+	}
+	for _, messages := range bad {
+		_, err := c.Exchange(t.Context(), Request{Messages: messages}, nil)
+		require.ErrorIs(t, err, ErrBadRequest)
+		require.Equal(t, KindNotSent, KindOf(err))
+	}
+	_, err := c.Exchange(t.Context(), Query("x"), nil)
+	require.NoError(t, err)
+}
+
+type failingSink struct{}
+
+func (failingSink) Write([]byte) (int, error) { return 0, errors.New("caller is gone") }
+
+// Guards against the loss of a connection when only the caller is gone, and
+// against a session that inherits an open transaction.
+func TestSinkFailureAndReset(t *testing.T) {
+	f := startFake(t, nil)
+	c := f.dial(t)
+	res, err := c.Exchange(t.Context(), Query("BEGIN"), failingSink{})
+	require.Equal(t, KindSink, KindOf(err))
+	require.True(t, res.Complete && c.Usable())
+	require.Equal(t, byte('T'), c.TxStatus())
+	require.NoError(t, c.Reset(t.Context()))
+	require.Equal(t, byte('I'), c.TxStatus())
+	require.Equal(t, []string{"query BEGIN", "query ROLLBACK"}, f.take())
+}
+
+// Guards against answers that are cut or reordered when messages are larger
+// than the read buffer or span several reads.
+func TestLargeAnswer(t *testing.T) {
+	f := startFake(t, map[string]func(s *fakeSession){"large": func(s *fakeSession) {
+		for i := range 40 {
+			s.send(&pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte{byte(i)}, i*i*40)}})
+		}
+		s.fail("ERROR", "22012", strings.Repeat("long", 10_000))
+	}})
+	c := f.dial(t)
+	for range 3 {
+		var got bytes.Buffer
+		res, err := c.Exchange(t.Context(), Query("large"), &got)
+		require.NoError(t, err)
+		require.Equal(t, strings.Repeat("D", 40)+"EZ", types(got.Bytes()))
+		require.Len(t, res.ServerError.Message, 40_000)
+		require.Equal(t, int64(got.Len()), res.AnswerBytes)
+	}
+}
+
+// FuzzPrepare guards against panics on, and wrong rewriting of, malformed
+// batches, which other instances forward.
+func FuzzPrepare(f *testing.F) {
+	f.Add(encode(f, &pgproto3.Parse{Name: "gw_1", Query: "q", ParameterOIDs: []uint32{1}}, &pgproto3.Close{ObjectType: 'S', Name: "x"}))
+	f.Add(Query("x").Messages)
+	f.Fuzz(func(t *testing.T, messages []byte) {
+		c := &Conn{statements: statementCache{limit: 4}}
+		c.statements.add(NewStatement("q", nil))
+		out, err := c.prepare(&c.x, Request{Messages: messages})
+		if err != nil {
+			return
+		}
+		require.Equal(t, len(types(messages)), len(types(out)))
+		require.Len(t, c.x.parses, strings.Count(types(out), "P"))
+		if strings.Contains(types(out), "P") {
+			require.Len(t, c.x.closes, strings.Count(types(out), "C"))
+		}
+	})
+}
--- /dev/null
+++ b/internal/gwbackend/pool_test.go
@@ -0,0 +1,266 @@
+package gwbackend
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+func newPool(t testing.TB, o PoolOptions) *Pool {
+	p := NewPool(o)
+	t.Cleanup(func() { _ = p.Close(within(t, time.Second)) })
+	return p
+}
+
+func eventually(t testing.TB, cond func() bool, what string) {
+	require.Eventually(t, cond, 5*time.Second, time.Millisecond, what)
+}
+
+// Guards against more connections than the server allows, and against a
+// control statement that waits behind requests.
+func TestPoolLimit(t *testing.T) {
+	f := startFake(t, nil)
+	p := newPool(t, PoolOptions{Options: f.options(), Limit: 4, MinIdle: 2})
+	var g errgroup.Group
+	for range 20 {
+		g.Go(func() error {
+			for range 20 {
+				c, err := p.Acquire(within(t, 5*time.Second))
+				if err != nil {
+					return err
+				}
+				if _, err := c.Exchange(t.Context(), Query("x"), nil); err != nil {
+					return err
+				}
+				p.Release(c, true)
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	var held []*Conn
+	for range 3 {
+		c, err := p.Acquire(within(t, time.Second))
+		require.NoError(t, err)
+		held = append(held, c)
+	}
+	control, err := p.AcquireControl(within(t, time.Second))
+	require.NoError(t, err)
+	_, err = p.Acquire(within(t, 20*time.Millisecond))
+	require.Equal(t, KindNotSent, KindOf(err))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Equal(t, 4, p.Stats().Open)
+	for _, c := range append(held, control) {
+		p.Release(c, true)
+	}
+	require.LessOrEqual(t, f.peak, 4)
+}
+
+// Guards against waiters that are overtaken, or that block others after they
+// have given up.
+func TestPoolOrder(t *testing.T) {
+	f := startFake(t, nil)
+	p := newPool(t, PoolOptions{Options: f.options(), Limit: 2})
+	c, err := p.Acquire(within(t, time.Second))
+	require.NoError(t, err)
+	order := make(chan int, 3)
+	var wg sync.WaitGroup
+	for i, waiting := range []int{1, 2, 2, 3} {
+		ctx, cancel := context.WithCancel(t.Context())
+		wg.Go(func() {
+			c, err := p.Acquire(ctx)
+			if err != nil {
+				return
+			}
+			order <- i
+			p.Release(c, true)
+		})
+		eventually(t, func() bool { return p.Stats().Waiting == waiting }, "queued")
+		if i == 1 {
+			cancel()
+			eventually(t, func() bool { return p.Stats().Waiting == 1 }, "gave up")
+		}
+		defer cancel()
+	}
+	p.Release(c, true)
+	wg.Wait()
+	require.Equal(t, []int{0, 2, 3}, []int{<-order, <-order, <-order})
+}
+
+// Guards against requests that pay for a dial while the pool is warm, and
+// against idle connections that are kept for ever or used after the server
+// closed them.
+func TestPoolIdle(t *testing.T) {
+	f := startFake(t, nil)
+	clock := clockwork.NewFakeClock()
+	p := newPool(t, PoolOptions{Options: f.options(), Limit: 8, MinIdle: 2, IdleTimeout: time.Minute, Clock: clock})
+	eventually(t, func() bool { return p.Stats().Idle == 2 }, "warm")
+	var held []*Conn
+	for i := range 4 {
+		eventually(t, func() bool { return p.Stats().Idle == 2 }, "warm again")
+		c, err := p.Acquire(within(t, time.Second))
+		require.NoError(t, err)
+		held = append(held, c)
+		require.Zero(t, p.Stats().Waits, "acquisition %d waited for a dial", i)
+	}
+	for _, c := range held {
+		p.Release(c, true)
+	}
+	eventually(t, func() bool { return p.Stats().Idle >= 6 }, "released")
+	clock.Advance(2 * time.Minute)
+	eventually(t, func() bool { return p.Stats().Idle == 2 }, "expired")
+	f.each(func(s *fakeSession) { _ = s.nc.Close() })
+	eventually(t, func() bool { return p.Stats().Discards >= 2 && p.Stats().Idle == 2 }, "replaced")
+	c, err := p.Acquire(within(t, time.Second))
+	require.NoError(t, err)
+	_, err = c.Exchange(t.Context(), Query("x"), nil)
+	require.NoError(t, err)
+	p.Release(c, true)
+}
+
+// Guards against a session that inherits the transaction or the settings of
+// another, and against a broken connection that is handed out.
+func TestPoolReset(t *testing.T) {
+	f := startFake(t, map[string]func(s *fakeSession){
+		"set":         func(s *fakeSession) { s.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")}) },
+		"DISCARD ALL": func(s *fakeSession) { s.send(&pgproto3.CommandComplete{CommandTag: []byte("DISCARD ALL")}) },
+		"cut":         func(s *fakeSession) { _ = s.nc.Close() },
+	})
+	p := newPool(t, PoolOptions{Options: f.options(), Limit: 2})
+	run := func(sql string) {
+		c, err := p.Acquire(within(t, time.Second))
+		require.NoError(t, err)
+		require.Equal(t, byte('I'), c.TxStatus())
+		_, _ = c.Exchange(t.Context(), Query(sql), nil)
+		p.Release(c, true)
+	}
+	for _, sql := range []string{"BEGIN", "set", "cut", "x"} {
+		run(sql)
+	}
+	require.Equal(t, []string{"query BEGIN", "query ROLLBACK", "query set", "query DISCARD ALL", "query cut", "query x"}, f.take())
+	require.Equal(t, uint64(1), p.Stats().Discards)
+}
+
+// Guards against a limit change or a close that cuts requests in flight or
+// leaves connections behind.
+func TestPoolSetLimitAndClose(t *testing.T) {
+	f := startFake(t, nil)
+	p := NewPool(PoolOptions{Options: f.options(), Limit: 6, MinIdle: 5})
+	eventually(t, func() bool { return p.Stats().Idle == 5 }, "warm")
+	c, err := p.Acquire(within(t, time.Second))
+	require.NoError(t, err)
+	p.SetLimit(3)
+	eventually(t, func() bool { return p.Stats().Open == 2 }, "shrunk")
+	closed := make(chan error)
+	go func() { closed <- p.Close(within(t, 5*time.Second)) }()
+	eventually(t, func() bool {
+		c, err := p.Acquire(t.Context())
+		if err == nil {
+			p.Release(c, true)
+		}
+		return err != nil
+	}, "closing")
+	_, err = c.Exchange(t.Context(), Query("x"), nil)
+	require.NoError(t, err)
+	p.Release(c, true)
+	require.NoError(t, <-closed)
+	require.Zero(t, p.Stats().Open)
+}
+
+// Guards against waiters that hang, instead of failing as not sent, when the
+// server refuses connections.
+func TestPoolDialFailure(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	p := newPool(t, PoolOptions{Options: Options{Address: l.Addr().String(), User: "u", Database: "d"}, Limit: 3, MinIdle: 1})
+	var g errgroup.Group
+	for range 5 {
+		g.Go(func() error {
+			_, err := p.Acquire(within(t, 5*time.Second))
+			require.Equal(t, KindNotSent, KindOf(err))
+			require.NotErrorIs(t, err, context.DeadlineExceeded)
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+}
+
+// Guards against waits that miss a position, or that each query the server.
+func TestWaitPosition(t *testing.T) {
+	var mu sync.Mutex
+	queries, position := 0, "5"
+	f := startFake(t, map[string]func(s *fakeSession){
+		"SHOW gentianward.position": func(s *fakeSession) {
+			mu.Lock()
+			defer mu.Unlock()
+			queries++
+			s.row("role term offset previousterm_unused previoustermend", "replica 2 "+position+" 0 3")
+		},
+	})
+	s := NewServer(ServerOptions{Pool: PoolOptions{Options: f.options(), Limit: 3}})
+	defer func() { require.NoError(t, s.Close(within(t, time.Second))) }()
+	r, err := s.WaitPosition(within(t, time.Second), gwsession.Position{Term: 2, Offset: 5})
+	require.NoError(t, err)
+	require.Equal(t, Report{Role: RoleReplica, Position: gwsession.Position{Term: 2, Offset: 5}, PreviousTermEnd: 3}, r)
+	_, err = s.WaitPosition(within(t, 20*time.Millisecond), gwsession.Position{Term: 3})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	mu.Lock()
+	before := queries
+	mu.Unlock()
+	var g errgroup.Group
+	for range 50 {
+		g.Go(func() error {
+			_, err := s.WaitPosition(within(t, 5*time.Second), gwsession.Position{Term: 2, Offset: 9})
+			return err
+		})
+	}
+	time.Sleep(30 * time.Millisecond)
+	mu.Lock()
+	position = "9"
+	mu.Unlock()
+	require.NoError(t, g.Wait())
+	mu.Lock()
+	require.Less(t, queries-before, 50, "queries are shared")
+	mu.Unlock()
+	// A position that the server sends by itself ends a wait without a query.
+	f.push(t, &pgproto3.ParameterStatus{Name: positionParameter, Value: "2/20"})
+	_, err = s.WaitPosition(within(t, 5*time.Second), gwsession.Position{Term: 2, Offset: 20})
+	require.NoError(t, err)
+}
+
+// Guards against control statements that differ from the stand-in's, and
+// against errors of the server that are lost.
+func TestStandinDialect(t *testing.T) {
+	f := startFake(t, map[string]func(s *fakeSession){
+		"SHOW gentianward.position":             func(s *fakeSession) { s.row("role term offset previousTermEnd", "primary 4 8 7") },
+		"GENTIANWARD FENCE 5":                   func(s *fakeSession) { s.row("role term offset previousTermEnd", "primary 4 8 7") },
+		"GENTIANWARD PROMOTE 5":                 func(s *fakeSession) { s.row("position", "5/8") },
+		"GENTIANWARD FOLLOW 5 '127.0.0.1:1''x'": func(s *fakeSession) { s.row("dropped", "2") },
+		"GENTIANWARD FENCE 1":                   func(s *fakeSession) { s.fail("ERROR", "55000", "older term") },
+	})
+	s := NewServer(ServerOptions{Pool: PoolOptions{Options: f.options(), Limit: 3}})
+	defer func() { require.NoError(t, s.Close(within(t, time.Second))) }()
+	ctx := within(t, 5*time.Second)
+	r, err := s.Fence(ctx, 5)
+	require.NoError(t, err)
+	require.Equal(t, Report{Role: RolePrimary, Position: gwsession.Position{Term: 4, Offset: 8}, PreviousTermEnd: 7}, r)
+	start, err := s.Promote(ctx, 5)
+	require.NoError(t, err)
+	require.Equal(t, gwsession.Position{Term: 5, Offset: 8}, start)
+	dropped, err := s.Follow(ctx, 5, "127.0.0.1:1'x")
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), dropped)
+	_, err = s.Fence(ctx, 1)
+	require.Equal(t, KindServer, KindOf(err))
+	require.Equal(t, "55000", ServerError(err).Code)
+}
