gwdeploy: run a whole deployment in one process and test the whole path

Cause: a statement has to reach the right backend server through any instance. Change: deployments from the example files with real sockets, delays and faults; first test of read-your-writes at every instance without a token.

--- a/internal/gwcontrol/lease.go
+++ b/internal/gwcontrol/lease.go
@@ -14,7 +14,7 @@
 
 // leaseAnswer is the leader's answer to a request for leases.
 type leaseAnswer struct {
-	gwlease.Answer
+	gwlease.Answer `cbor:"1,keyasint"`
 	// Sequences are those of the granted leases, for returning them.
 	Sequences map[string]uint64 `cbor:"16,keyasint,omitempty"`
 }
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -332,3 +332,6 @@
 	_ = i.node.Close()
 	i.wg.Wait()
 }
+
+// KnownServers returns how many backend servers of a group have announced themselves.
+func (i *Instance) KnownServers(group string) int { return len(i.directory.Group(group)) }
--- /dev/null
+++ b/internal/gwdaemon/telemetry.go
@@ -0,0 +1,52 @@
+package gwdaemon
+
+import (
+	"time"
+
+	"gentianward.example/gentianward/internal/gwfilter"
+	"gentianward.example/gentianward/internal/gwtelemetry"
+	"gentianward.example/gentianward/pkg/gwoutcome"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// telemetry passes measurements on to the metrics of an instance.
+type telemetry struct{ *gwtelemetry.Metrics }
+
+// NewTelemetry returns the metrics of one instance.
+func NewTelemetry() Telemetry { return telemetry{gwtelemetry.New()} }
+
+// Observe records a finished request.
+func (t telemetry) Observe(o gwfilter.Observation) {
+	s := t.Series(o.Class, o.Group)
+	s.Latency(o.Duration)
+	switch gwoutcome.Of(o.Event, gwsession.Position{}).(type) {
+	case gwoutcome.Done:
+		s.Outcome(gwtelemetry.Done)
+	case gwoutcome.NotRun:
+		s.Outcome(gwtelemetry.NotRun)
+	case gwoutcome.Unknown:
+		s.Outcome(gwtelemetry.Unknown)
+	}
+	if o.Event != gwoutcome.Answered {
+		return
+	}
+	if o.Read {
+		s.Read(o.Replica)
+	}
+	if o.Replica {
+		s.Staleness(o.Staleness)
+	}
+	if o.CrossRegion {
+		s.RegionBytes(int(o.Bytes))
+	}
+}
+
+// QueueWait records the time that a request waited for a slot.
+func (t telemetry) QueueWait(class, group string, d time.Duration) {
+	t.Series(class, group).QueueWait(d)
+}
+
+// ConfirmWait records the time from a commit to its confirmation by a replica.
+func (t telemetry) ConfirmWait(class, group string, d time.Duration) {
+	t.Histogram("gentianward_confirm_wait_seconds", gwtelemetry.Label{Name: "class", Value: class}, gwtelemetry.Label{Name: "group", Value: group}).Update(d.Seconds())
+}
--- /dev/null
+++ b/internal/gwdeploy/deployment.go
@@ -0,0 +1,402 @@
+package gwdeploy
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/internal/gwdaemon"
+	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwstandin"
+	"gentianward.example/gentianward/internal/gwstore"
+)
+
+// Options configures a deployment.
+type Options struct {
+	Plan *Plan
+	// Delay applies the plan's delays and bandwidth.
+	Delay bool
+	// FixedPorts uses the caller addresses of the example settings; otherwise
+	// free ports are chosen.
+	FixedPorts bool
+	// Unlimited removes the slots, the connection limit and the connect cost of
+	// the stand-ins, for measurements of throughput.
+	Unlimited bool
+	// ReplicationDelay is added to the delay between data centres.
+	ReplicationDelay time.Duration
+	// Edit changes the manifest before it is used; may be nil.
+	Edit func(*gwmanifest.Manifest)
+	Log  *slog.Logger
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Options
+	Network *gwpeer.Network
+	Servers []*gwstandin.Server
+
+	clock     clockwork.Clock
+	authority *gwpeer.Authority
+	manifest  *gwmanifest.Manifest
+	places    map[string]string // data centre of each stand-in
+
+	mu        sync.Mutex
+	instances []*Node
+	cut       map[[2]string]bool
+}
+
+// Node is one instance of a deployment, running or not.
+type Node struct {
+	Settings *gwmanifest.Settings
+	// Source is the loopback address from which it connects to backend servers.
+	Source net.IP
+	tls    gwpeer.TLSSource
+	fs     *gwstore.MemoryFS
+
+	mu       sync.Mutex
+	instance *gwdaemon.Instance
+}
+
+// Instance returns the running instance, nil if it was killed or stopped.
+func (n *Node) Instance() *gwdaemon.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.instance
+}
+
+func (n *Node) set(i *gwdaemon.Instance) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.instance = i
+}
+
+// Start starts the stand-ins and the instances and returns without waiting for
+// them to be ready.
+func Start(ctx context.Context, o Options) (*Deployment, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	authority, err := gwpeer.NewAuthority("gentianward " + o.Plan.Name)
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{
+		Options: o, clock: clockwork.NewRealClock(), authority: authority,
+		places: make(map[string]string), cut: make(map[[2]string]bool),
+	}
+	network := gwpeer.NetworkOptions{}
+	if o.Delay {
+		network = gwpeer.NetworkOptions{Within: o.Plan.Within, Between: o.Plan.Between, Bandwidth: o.Plan.Bandwidth}
+	}
+	d.Network = gwpeer.NewNetwork(network)
+	if err := d.prepare(); err != nil {
+		return nil, err
+	}
+	for _, n := range d.instances {
+		if err := d.startInstance(ctx, n); err != nil {
+			d.Close()
+			return nil, err
+		}
+	}
+	if err := d.startServers(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// prepare gives every instance its addresses and writes them into the manifest.
+func (d *Deployment) prepare() error {
+	addresses := make(map[string]string)
+	for i, s := range d.Plan.Settings {
+		settings := *s
+		settings.Bootstrap, settings.TrustLoopback = "", true
+		if !d.FixedPorts {
+			settings.CallerAddress = "127.0.0.1:0"
+		}
+		peer, err := freeAddress("udp")
+		if err != nil {
+			return err
+		}
+		operator, err := freeAddress("tcp")
+		if err != nil {
+			return err
+		}
+		settings.PeerAddress, settings.OperatorAddress = peer, operator
+		if err := d.Network.Place(peer, s.DataCentre, s.Region); err != nil {
+			return err
+		}
+		addresses[s.Instance] = peer
+		source, err := d.authority.IssueSource(s.Instance)
+		if err != nil {
+			return err
+		}
+		d.instances = append(d.instances, &Node{
+			Settings: &settings, Source: net.IPv4(127, 0, 1, byte(i+1)), tls: source, fs: gwstore.NewMemoryFS(),
+		})
+	}
+	return d.writeManifest(addresses)
+}
+
+func (d *Deployment) writeManifest(addresses map[string]string) error {
+	m := *d.Plan.Manifest.WithDefaults()
+	m.Voters = append([]gwmanifest.Voter(nil), m.Voters...)
+	for i, v := range m.Voters {
+		m.Voters[i].Address = addresses[v.Instance]
+	}
+	m.Callers = append([]gwmanifest.Caller(nil), m.Callers...)
+	for i := range m.Callers {
+		m.Callers[i].Trust, m.Callers[i].Verifier = true, ""
+	}
+	if d.Edit != nil {
+		d.Edit(&m)
+	}
+	text, err := json.Marshal(&m)
+	if err != nil {
+		return err
+	}
+	d.manifest, err = gwmanifest.ParseManifest(d.Plan.Name, text)
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for _, v := range m.Voters {
+		seeds = append(seeds, v.Address)
+	}
+	for _, n := range d.instances {
+		n.Settings.Seeds = nil
+		for _, s := range seeds {
+			if s != n.Settings.PeerAddress {
+				n.Settings.Seeds = append(n.Settings.Seeds, s)
+			}
+		}
+	}
+	return nil
+}
+
+// freeAddress returns a loopback address with a free port.
+func freeAddress(network string) (string, error) {
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		defer c.Close()
+		return c.LocalAddr().String(), nil
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (d *Deployment) startInstance(ctx context.Context, n *Node) error {
+	key, err := hex.DecodeString(n.Settings.SessionKey)
+	if err != nil {
+		return err
+	}
+	o := gwdaemon.Options{
+		Settings: n.Settings, Manifest: d.manifest, Clock: d.clock, Log: d.Log.With("instance", n.Settings.Instance),
+		TLS: n.tls, SessionKey: key, Shape: d.Network, DialBackend: d.dialer(n), Telemetry: gwdaemon.NewTelemetry(),
+	}
+	if n.Settings.DataFolder != "" {
+		o.FS = n.fs
+	}
+	i, err := gwdaemon.Start(ctx, o)
+	if err != nil {
+		return err
+	}
+	n.set(i)
+	d.applyCuts()
+	return nil
+}
+
+// dialer connects to backend servers from the instance's own source address,
+// so that a stand-in can tell which instance a connection comes from.
+func (d *Deployment) dialer(n *Node) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: n.Source}}
+	return dialer.DialContext
+}
+
+func (d *Deployment) startServers(ctx context.Context) error {
+	var urls []string
+	for _, n := range d.instances {
+		urls = append(urls, "http://"+n.Settings.OperatorAddress)
+	}
+	centres := d.Plan.dataCentres()
+	for _, db := range d.manifest.Databases {
+		for g, group := range db.Groups {
+			if err := d.startGroup(ctx, group.Name, g, centres, urls); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// startGroup starts one stand-in in each data centre; the primaries of the
+// groups are spread over the data centres.
+func (d *Deployment) startGroup(ctx context.Context, group string, index int, centres, urls []string) error {
+	primary := ""
+	for i := range centres {
+		dc := centres[(index+i)%len(centres)]
+		o := gwstandin.Options{
+			Name: group + "-" + dc, Group: group, DataCentre: dc, Address: "127.0.0.1:0", Role: gwstandin.RoleReplica,
+			Slots: d.Plan.Slots, Connections: d.Plan.Connections, ConnectCost: d.Plan.ConnectCost,
+			ReplicationDelay: d.ReplicationDelay, Announce: d.nearest(dc, urls), Logger: d.Log.With("server", group+"-"+dc),
+		}
+		if d.Delay {
+			o.ReplicationDelay += d.Plan.delay(centres[index%len(centres)], dc)
+		}
+		if d.Unlimited {
+			o.Slots, o.Connections, o.ConnectCost = 0, 0, 0
+		}
+		if i == 0 {
+			o.Role, o.Term = gwstandin.RolePrimary, 1
+		} else {
+			o.PrimaryAddress = primary
+		}
+		s, err := gwstandin.Start(ctx, o)
+		if err != nil {
+			return err
+		}
+		if i == 0 {
+			primary = s.Address()
+		}
+		d.places[o.Name] = dc
+		d.Servers = append(d.Servers, s)
+	}
+	return nil
+}
+
+// nearest returns the URLs of the instances in a data centre, through which the
+// platform's balancer passes announcements.
+func (d *Deployment) nearest(dc string, urls []string) []string {
+	var out []string
+	for i, n := range d.instances {
+		if n.Settings.DataCentre == dc {
+			out = append(out, urls[i])
+		}
+	}
+	return out
+}
+
+// Instances returns all instances in the order of the plan.
+func (d *Deployment) Instances() []*Node { return d.instances }
+
+// Instance returns the instance of that name, nil if there is none.
+func (d *Deployment) Instance(name string) *Node {
+	for _, n := range d.instances {
+		if n.Settings.Instance == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// Server returns the stand-in of that name, nil if there is none.
+func (d *Deployment) Server(name string) *gwstandin.Server {
+	for _, s := range d.Servers {
+		if s.Name() == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// URL returns the address that a caller uses for a group at an instance.
+func (d *Deployment) URL(n *Node, caller, group string) string {
+	i := n.Instance()
+	if i == nil {
+		return ""
+	}
+	return fmt.Sprintf("postgres://%s@%s/%s%%2F%s?sslmode=disable", caller, i.CallerAddress(), d.manifest.Databases[0].Name, group)
+}
+
+// Groups returns the names of the groups.
+func (d *Deployment) Groups() []string {
+	var out []string
+	for _, db := range d.manifest.Databases {
+		for _, g := range db.Groups {
+			out = append(out, g.Name)
+		}
+	}
+	return out
+}
+
+// readyPoll is how often readiness is looked at.
+const readyPoll = 5 * time.Millisecond
+
+// WaitReady waits until every running instance knows the manifest and every
+// group has a primary whose lease is held.
+func (d *Deployment) WaitReady(ctx context.Context) error {
+	for {
+		missing := d.missing()
+		if missing == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &Error{Op: "wait until ready", Kind: NotReady, Detail: missing, Err: ctx.Err()}
+		case <-d.clock.After(readyPoll):
+		}
+	}
+}
+
+// missing names something that is not ready yet, "" if all is.
+func (d *Deployment) missing() string {
+	leases := make(map[string]bool)
+	for _, n := range d.instances {
+		i := n.Instance()
+		if i == nil {
+			continue
+		}
+		if !i.Ready() {
+			return "instance " + n.Settings.Instance + " has no manifest"
+		}
+		for _, g := range i.Leases() {
+			leases[g] = true
+		}
+		for _, g := range d.Groups() {
+			if i.View().Groups[g].Primary == "" {
+				return "instance " + n.Settings.Instance + " knows no primary of group " + g
+			}
+			if i.KnownServers(g) < len(d.Plan.dataCentres()) {
+				return "instance " + n.Settings.Instance + " does not know all servers of group " + g
+			}
+		}
+	}
+	for _, g := range d.Groups() {
+		if !leases[g] {
+			return "no instance holds the lease of group " + g
+		}
+	}
+	return ""
+}
+
+// Close ends everything at once.
+func (d *Deployment) Close() {
+	var wg sync.WaitGroup
+	for _, n := range d.instances {
+		if i := n.Instance(); i != nil {
+			wg.Go(i.Kill)
+		}
+	}
+	wg.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, s := range d.Servers {
+		wg.Go(func() { _ = s.Stop(ctx) })
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/gwdeploy/path_test.go
@@ -0,0 +1,63 @@
+package gwdeploy
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+)
+
+// startTest runs a deployment until the test ends.
+func startTest(t testing.TB, o Options) *Deployment {
+	t.Helper()
+	if o.Plan == nil {
+		p, err := NewPlan(Ecodour)
+		require.NoError(t, err)
+		o.Plan = p
+	}
+	if os.Getenv("GENTIANWARD_TEST_LOG") != "" {
+		o.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	d, err := Start(ctx, o)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	require.NoError(t, d.WaitReady(ctx))
+	return d
+}
+
+// connect opens a caller's connection to an instance.
+func connect(t testing.TB, d *Deployment, instance int, caller, group string) *pgx.Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c, err := pgx.Connect(ctx, d.URL(d.Instances()[instance], caller, group))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+// Guards against a session that does not read its own write, at the instance
+// of the write and at every other one, without a token.
+func TestReadYourWritesThroughAnyInstance(t *testing.T) {
+	d := startTest(t, Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	first := connect(t, d, 0, "adviser", "foyers-1")
+	_, err := first.Exec(ctx, "create table visit (id int primary key, note text)")
+	require.NoError(t, err)
+	for id := range len(d.Instances()) {
+		_, err = first.Exec(ctx, "insert into visit (id, note) values ($1, $2)", id, "aerator fitted")
+		require.NoError(t, err)
+		for _, c := range []*pgx.Conn{first, connect(t, d, id, "adviser", "foyers-1")} {
+			var note string
+			require.NoError(t, c.QueryRow(ctx, "select note from visit where id = $1", id).Scan(&note))
+			require.Equal(t, "aerator fitted", note)
+		}
+	}
+}
--- a/internal/gwmanifest/manifest.go
+++ b/internal/gwmanifest/manifest.go
@@ -74,7 +74,7 @@
 	Queue       int      `json:"queue"` // statements waiting per server
 	Deadline    Duration `json:"deadline"`
 	Concurrency int      `json:"concurrency"` // statements at once per server, 0 for no bound
-	Acknowledge string   `json:"acknowledge"`
+	Acknowledge string   `json:"acknowledge,omitempty"`
 	WaitBudget  Duration `json:"waitBudget"` // how long a read waits for a replica to catch up
 	Retry       bool     `json:"retry"`
 }
@@ -160,7 +160,9 @@
 	c.Deadline = c.Deadline.Or(DefaultDeadline)
 	c.WaitBudget = c.WaitBudget.Or(min(DefaultWaitBudget, c.Deadline.Duration))
 	c.Staleness = c.Staleness.Or(0)
-	c.Acknowledge = or(c.Acknowledge, AcknowledgeReplicated)
+	if !c.ReadOnly {
+		c.Acknowledge = or(c.Acknowledge, AcknowledgeReplicated)
+	}
 	return c
 }
 
--- a/internal/gwmanifest/walk.go
+++ b/internal/gwmanifest/walk.go
@@ -108,7 +108,7 @@
 	var names []string
 	for i := range t.NumField() {
 		f := t.Field(i)
-		if name := f.Tag.Get("json"); name != "" {
+		if name, _, _ := strings.Cut(f.Tag.Get("json"), ","); name != "" {
 			fields[name] = f.Type
 			names = append(names, name)
 		}
--- a/internal/gwowner/message.go
+++ b/internal/gwowner/message.go
@@ -39,8 +39,8 @@
 	PrimaryAcknowledges bool `cbor:"10,keyasint,omitempty"`
 	// AnyTerm skips the checks of position, staleness and lease for reads, as
 	// the baseline policies do.
-	AnyTerm bool `cbor:"11,keyasint,omitempty"`
-	gwbackend.Request
+	AnyTerm           bool `cbor:"11,keyasint,omitempty"`
+	gwbackend.Request `cbor:"20,keyasint"`
 }
 
 // Report is what the owner tells about a server with every answer.
