demo: run a deployment with faults from one command

Cause: a newcomer needs the whole path without files. Change: demo subcommand, one line an event; directories are compared at once when the membership changes, and an instance owns nothing before it has joined. Conclusion: random comparisons every 2 s were the cause.

--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(&standinCmd{}, "")
 	subcommands.Register(&checkCmd{}, "")
 	subcommands.Register(&keysCmd{}, "")
+	subcommands.Register(&demoCmd{}, "")
 	subcommands.Register(&versionCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/internal/gwcontrol/membership.go
+++ b/internal/gwcontrol/membership.go
@@ -119,6 +119,13 @@
 	return m.members.State(instance)
 }
 
+// Joined reports whether this instance has met the others.
+func (m *Membership) Joined() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.Joined()
+}
+
 // Relay reports whether this instance is a relay of its data centre.
 func (m *Membership) Relay() bool {
 	m.mu.Lock()
--- a/internal/gwcontrol/spread.go
+++ b/internal/gwcontrol/spread.go
@@ -16,6 +16,8 @@
 const (
 	pullTimeout       = 2 * time.Second
 	directoryInterval = 2 * time.Second
+	// repairInterval is the time between two comparisons while directories differ.
+	repairInterval = 50 * time.Millisecond
 )
 
 // pullView asks for what changed after Index and Number.
@@ -41,6 +43,8 @@
 
 type directoryFacts struct {
 	Facts []ServerFacts `cbor:"1,keyasint,omitempty"`
+	// Digest is that of the sender's directory.
+	Digest uint64 `cbor:"2,keyasint"`
 }
 
 // Spreader keeps the view and the directory of this instance equal to those of
@@ -84,8 +88,7 @@
 
 // Run pulls views from peers that are ahead and compares directories until ctx ends.
 func (s *Spreader) Run(ctx context.Context) {
-	ticker := s.clock.NewTicker(directoryInterval)
-	defer ticker.Stop()
+	go s.repairDirectory(ctx)
 	changed := s.views.Changed()
 	for {
 		select {
@@ -97,8 +100,25 @@
 			changed = s.views.Changed()
 			s.members.SetVersion(s.version())
 			s.tellView(false)
-		case <-ticker.Chan():
-			s.compareDirectory(ctx)
+		}
+	}
+}
+
+// repairDirectory compares directories with random peers: at once when the
+// membership changes, and quickly for as long as a comparison finds a difference.
+func (s *Spreader) repairDirectory(ctx context.Context) {
+	pause := repairInterval
+	for {
+		members := s.members.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-members:
+		case <-s.clock.After(pause):
+		}
+		pause = directoryInterval
+		if !s.compareDirectory(ctx) {
+			pause = repairInterval
 		}
 	}
 }
@@ -169,35 +189,52 @@
 	near, far := s.targets(ownOnly)
 	msg := pullDirectory{Digest: s.directory.Digest(), Facts: facts}
 	for _, m := range near {
-		go s.exchange(ctx, m, msg)
+		go s.offer(ctx, m, msg)
 	}
 	msg.Forward = true
 	for _, m := range far {
-		go s.exchange(ctx, m, msg)
+		go s.offer(ctx, m, msg)
 	}
 }
 
-// compareDirectory compares digests with one random peer.
-func (s *Spreader) compareDirectory(ctx context.Context) {
+// offer sends facts to a peer; a comparison makes up for a failure.
+func (s *Spreader) offer(ctx context.Context, m gwmember.Member, msg pullDirectory) {
+	_, _ = s.exchange(ctx, m, msg)
+}
+
+// compareDirectory compares the directory with that of a random peer, exchanges
+// what either lacks, and reports whether they were equal.
+func (s *Spreader) compareDirectory(ctx context.Context) bool {
 	t := s.members.Topology()
 	if len(t.Live) < 2 {
-		return
+		return false
 	}
 	m := t.Live[rand.IntN(len(t.Live))]
-	if m.Instance != t.Self.Instance {
-		s.exchange(ctx, m, pullDirectory{Digest: s.directory.Digest()})
+	if m.Instance == t.Self.Instance {
+		return false
 	}
+	before := s.directory.Digest()
+	theirs, err := s.exchange(ctx, m, pullDirectory{Digest: before})
+	if err != nil {
+		return true
+	}
+	if theirs != s.directory.Digest() {
+		_, _ = s.exchange(ctx, m, pullDirectory{Digest: before, Facts: s.directory.All()})
+	}
+	return theirs == before
 }
 
-func (s *Spreader) exchange(ctx context.Context, m gwmember.Member, msg pullDirectory) {
+// exchange sends facts or a digest to a peer, merges its answer and returns its digest.
+func (s *Spreader) exchange(ctx context.Context, m gwmember.Member, msg pullDirectory) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	answer, err := gwpeer.Call[pullDirectory, directoryFacts](ctx, s.node, m.Address, kindDirectory, msg)
 	if err != nil {
-		s.log.Debug("directory not compared", "with", m.Instance, "error", err)
-		return
+		s.log.Debug("directory not exchanged", "with", m.Instance, "error", err)
+		return 0, err
 	}
 	s.directory.Merge(answer.Facts)
+	return answer.Digest, nil
 }
 
 // onDirectory merges offered facts, passes new ones on when asked to, and
@@ -207,8 +244,9 @@
 	if msg.Forward && len(fresh) > 0 && s.members != nil {
 		s.Tell(context.WithoutCancel(ctx), fresh, true)
 	}
-	if len(msg.Facts) > 0 || msg.Digest == s.directory.Digest() {
-		return directoryFacts{}, nil
+	digest := s.directory.Digest()
+	if len(msg.Facts) > 0 || msg.Digest == digest {
+		return directoryFacts{Digest: digest}, nil
 	}
-	return directoryFacts{Facts: s.directory.All()}, nil
+	return directoryFacts{Facts: s.directory.All(), Digest: digest}, nil
 }
--- a/internal/gwdeploy/deployment.go
+++ b/internal/gwdeploy/deployment.go
@@ -400,3 +400,15 @@
 	}
 	wg.Wait()
 }
+
+// Callers returns the names of the callers of the manifest.
+func (d *Deployment) Callers() []string {
+	var out []string
+	for _, c := range d.manifest.Callers {
+		out = append(out, c.Name)
+	}
+	return out
+}
+
+// FirstCaller returns the caller that the manifest names first.
+func (d *Deployment) FirstCaller() string { return d.manifest.Callers[0].Name }
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -160,7 +160,8 @@
 	o.mu.RUnlock()
 	t := o.members.Topology()
 	m, ok := t.Owner(f.Server, f.DataCentre, o.region(f.DataCentre))
-	return ok && !released && m.Instance == t.Self.Instance
+	// An instance that knows only itself would own everything.
+	return ok && !released && m.Instance == t.Self.Instance && o.members.Joined() && o.views.Current().Manifest != nil
 }
 
 func (o *Owner) region(dataCentre string) string {
