--- /dev/null
+++ b/pkg/gwlease/bench_test.go
@@ -0,0 +1,100 @@
+package gwlease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// BenchmarkPlacement measures all owners of 9,900 servers over 3,000 instances
+// (one pass), the owners of one data centre after a change in it, and the index.
+func BenchmarkPlacement(b *testing.B) {
+	live := deployment(3000)
+	type server struct{ name, dc, region string }
+	servers := make([]server, 9900)
+	for i := range servers {
+		dc := i / 3 % 12
+		servers[i] = server{fmt.Sprintf("server-%04d", i), fmt.Sprintf("dc-%02d", dc), fmt.Sprintf("region-%d", dc/4)}
+	}
+	p := NewPlacement(live)
+	b.Run("index", func(b *testing.B) {
+		for b.Loop() {
+			p = NewPlacement(live)
+		}
+	})
+	b.Run("all", func(b *testing.B) {
+		var owned map[string]int
+		for b.Loop() {
+			owned = make(map[string]int, len(live))
+			for _, s := range servers {
+				owner, _ := p.Owner(s.name, s.dc, s.region)
+				owned[owner]++
+			}
+		}
+		most := 0
+		for _, n := range owned {
+			most = max(most, n)
+		}
+		b.ReportMetric(float64(most), "most_servers")
+		b.ReportMetric(float64(len(servers))/float64(len(live)), "mean_servers")
+	})
+	b.Run("dataCentre", func(b *testing.B) {
+		for b.Loop() {
+			for _, s := range servers {
+				if s.dc == "dc-03" {
+					p.Owner(s.name, s.dc, s.region)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkRenewal measures one renewal by number of groups: the size of its
+// messages and the time of holder and granter together, CBOR included.
+func BenchmarkRenewal(b *testing.B) {
+	for _, groups := range []int{1, 3, 4, 10} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			now := time.Unix(1, 0)
+			h, g := NewHolder("instance-0042.rennes-a", uint64(now.UnixMilli()), Config{}), NewGranter(Config{})
+			for i := range groups {
+				h.Want(fmt.Sprintf("database-%04d", i), 70_000)
+			}
+			var request, answer []byte
+			for b.Loop() {
+				now = now.Add(time.Second)
+				req, _ := h.Request(now)
+				request, _ = cbor.Marshal(req)
+				var got Request
+				require.NoError(b, cbor.Unmarshal(request, &got))
+				answer, _ = cbor.Marshal(g.Grant(got, now))
+				var a Answer
+				require.NoError(b, cbor.Unmarshal(answer, &a))
+				h.Answer(a, now)
+			}
+			b.ReportMetric(float64(len(request)), "request_bytes")
+			b.ReportMetric(float64(len(answer)), "answer_bytes")
+		})
+	}
+}
+
+// BenchmarkGranter measures the table of 3,300 leases: the bytes of its copy
+// and the time to find expired leases.
+func BenchmarkGranter(b *testing.B) {
+	now := time.Unix(1, 0)
+	g := NewGranter(Config{})
+	for i := range 3300 {
+		h := NewHolder(fmt.Sprintf("instance-%04d.rennes-a", i*10/11), 1, Config{})
+		h.Want(fmt.Sprintf("database-%04d", i), 70_000)
+		req, _ := h.Request(now)
+		g.Grant(req, now)
+	}
+	table, err := cbor.Marshal(g.Table(now))
+	require.NoError(b, err)
+	for b.Loop() {
+		g.Expired(now)
+	}
+	b.ReportMetric(float64(len(table)), "table_bytes")
+}
--- a/pkg/gwlease/lease_test.go
+++ b/pkg/gwlease/lease_test.go
@@ -25,7 +25,7 @@
 	cfg      Config
 	clocks   []*clock // the last one is the granter's
 	holders  []*Holder
-	epoch    uint64
+	epochs   map[string]uint64 // by name; other names use the same numbers
 	granter  *Granter
 	messages []any
 }
@@ -37,19 +37,23 @@
 
 // newWorld has two processes with the same name, as after a mistaken start.
 func newWorld(t *rapid.T) *world {
-	w := &world{cfg: Config{Drift: testDrift}}
+	w := &world{cfg: Config{Drift: testDrift}, epochs: make(map[string]uint64)}
 	for i := range 4 {
 		rate := rapid.SampledFrom([]float64{1 - testDrift, 1, 1 + testDrift}).Draw(t, "rate")
 		w.clocks = append(w.clocks, &clock{now: time.Unix(int64(1000*i), 0), rate: rate})
 	}
 	for _, name := range []string{"h", "h", "i"} {
-		w.epoch++
-		w.holders = append(w.holders, NewHolder(name, w.epoch, w.cfg))
+		w.holders = append(w.holders, w.newHolder(name))
 	}
 	w.granter = NewGranter(w.cfg)
 	return w
 }
 
+func (w *world) newHolder(name string) *Holder {
+	w.epochs[name]++
+	return NewHolder(name, w.epochs[name], w.cfg)
+}
+
 func (w *world) time(i int) time.Time { return w.clocks[i].now }
 
 func (w *world) granterTime() time.Time { return w.time(len(w.holders)) }
@@ -138,8 +142,7 @@
 			},
 			"restart holder": func(t *rapid.T) {
 				i := holder.Draw(t, "holder")
-				w.epoch++
-				w.holders[i] = NewHolder(w.holders[i].instance, w.epoch, w.cfg)
+				w.holders[i] = w.newHolder(w.holders[i].instance)
 			},
 			"replace granter": func(t *rapid.T) { // by a voter with the same table and another clock
 				table := w.granter.Table(w.granterTime())
@@ -165,7 +168,8 @@
 	returned, _ := h.ReturnAll()
 	h.Want("g", 1)
 	late, _ := h.Request(now)
-	g.Grant(early, now)
+	h.Answer(g.Grant(early, now), now)
+	require.False(t, h.Valid("g", 1, now), "the return under way may free this grant")
 	h.Answer(g.Grant(late, now), now)
 	g.Grant(early, now) // repeated
 	g.Return(returned)
@@ -177,6 +181,9 @@
 	g.Return(again)
 	assert.Equal(t, ReasonReordered, g.Grant(late, now).Refused[0].Reason, "request older than the return")
 	assert.Empty(t, g.Grant(other, now).Refused)
+	g.Return(Return{Holder: "h", Epoch: 2, Sequence: 9, Groups: late.Groups})
+	_, held := g.Holder("g")
+	assert.True(t, held, "return by another holder with the same epoch")
 }
 
 // Guards against a copy of a table that was lost shortly before and grants at once. TestOneHolder found it.
--- a/pkg/gwlease/owner.go
+++ b/pkg/gwlease/owner.go
@@ -1,7 +1,6 @@
 package gwlease
 
 import (
-	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,15 +83,15 @@
 		return "", false
 	}
 	key := xxhash.Sum64String(server)
-	best := pool[0]
-	top := score(key, best.hash)
-	for _, c := range pool[1:] {
-		s := score(key, c.hash)
-		if s > top || s == top && c.name < best.name {
-			best, top = c, s
+	best := 0
+	top := score(key, pool[0].hash)
+	for i := 1; i < len(pool); i++ {
+		s := score(key, pool[i].hash)
+		if s > top || s == top && pool[i].name < pool[best].name {
+			best, top = i, s
 		}
 	}
-	return best.name, true
+	return pool[best].name, true
 }
 
 // Owners returns up to n instances, the owner first.
@@ -141,11 +140,14 @@
 	return 1
 }
 
-// score combines the hashes of a server and an instance. Hashing the two
-// hashes costs the same for names of any length.
+// score combines the xxhash of a server's and an instance's name by the
+// 64-bit finalizer of MurmurHash3. Hashing the two hashes with xxhash took
+// 4.1 ms instead of 1.1 ms for the servers of one data centre.
 func score(server, instance uint64) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], server)
-	binary.LittleEndian.PutUint64(b[8:], instance)
-	return xxhash.Sum64(b[:])
+	x := server ^ instance
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
