--- /dev/null
+++ b/internal/gwwire/bench_test.go
@@ -0,0 +1,181 @@
+package gwwire
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"strconv"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwbackend"
+)
+
+func encodeAll[M interface {
+	Encode([]byte) ([]byte, error)
+}](t testing.TB, messages ...M) []byte {
+	var b []byte
+	for _, m := range messages {
+		var err error
+		b, err = m.Encode(b)
+		require.NoError(t, err)
+	}
+	return b
+}
+
+// cannedServer answers each request, whatever it is, with answer.
+func cannedServer(t testing.TB, answer []byte) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				buf := make([]byte, 64<<10)
+				reply := encodeAll[pgproto3.BackendMessage](t, &pgproto3.AuthenticationOk{}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+				for {
+					n, err := nc.Read(buf)
+					if err != nil {
+						return
+					}
+					if buf[0] == 'X' && n == headerBytes {
+						return
+					}
+					if _, err := nc.Write(reply); err != nil {
+						return
+					}
+					reply = answer
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func startupMessage() []byte {
+	return []byte("\x00\x00\x00\x10\x00\x03\x00\x00user\x00u\x00\x00")
+}
+
+// open connects and reads up to the first ReadyForQuery.
+func open(t testing.TB, address string) net.Conn {
+	nc, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	_, err = nc.Write(startupMessage())
+	require.NoError(t, err)
+	buf := make([]byte, headerBytes)
+	for buf[0] != 'Z' {
+		_, err = io.ReadFull(nc, buf)
+		require.NoError(t, err)
+		_, err = io.CopyN(io.Discard, nc, int64(binary.BigEndian.Uint32(buf[1:]))-4)
+		require.NoError(t, err)
+	}
+	return nc
+}
+
+type oneConn struct{ c *gwbackend.Conn }
+
+func (o oneConn) Authenticate(context.Context, Startup) (Session, error) { return o, nil }
+func (o oneConn) Close()                                                 {}
+func (o oneConn) Handle(ctx context.Context, req Request, w ResponseWriter) error {
+	_, err := o.c.Exchange(ctx, req.Backend(), w)
+	return err
+}
+
+// BenchmarkRoundTrip measures one request, directly and through the proxy; the
+// difference is the proxy's cost. Client and server allocate nothing.
+func BenchmarkRoundTrip(b *testing.B) {
+	st := gwbackend.NewStatement("select name from households where id = $1", []uint32{23})
+	row := &pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte{'x'}, 100)}}
+	tag := &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}
+	ready := &pgproto3.ReadyForQuery{TxStatus: 'I'}
+	rows := make([]pgproto3.BackendMessage, 1000)
+	for i := range rows {
+		rows[i] = row
+	}
+	simple := encodeAll[pgproto3.BackendMessage](b, fakeColumns, row, tag, ready)
+	cases := []struct {
+		name            string
+		request, answer []byte
+	}{
+		{"simple", encodeAll[pgproto3.FrontendMessage](b, &pgproto3.Query{String: st.SQL}), simple},
+		{
+			"extended", encodeAll[pgproto3.FrontendMessage](b, &pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{{0, 0, 0, 1}}},
+				&pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Sync{}),
+			encodeAll[pgproto3.BackendMessage](b, &pgproto3.BindComplete{}, fakeColumns, row, tag, ready),
+		},
+		{"1000rows", encodeAll[pgproto3.FrontendMessage](b, &pgproto3.Query{String: st.SQL}), encodeAll(b, append(rows, tag, ready)...)},
+	}
+	for _, c := range cases {
+		address := cannedServer(b, c.answer)
+		backend, err := gwbackend.Dial(b.Context(), gwbackend.Options{Address: address, User: "u", Database: "d"})
+		require.NoError(b, err)
+		s := serve(b, Options{Handler: oneConn{backend}})
+		for name, target := range map[string]string{"direct": address, "proxy": s.Address().String()} {
+			b.Run(c.name+"/"+name, func(b *testing.B) {
+				nc := open(b, target)
+				defer nc.Close()
+				answer := make([]byte, len(c.answer))
+				b.ReportAllocs()
+				for b.Loop() {
+					_, _ = nc.Write(c.request)
+					if _, err := io.ReadFull(nc, answer); err != nil {
+						b.Fatal(err)
+					}
+				}
+				require.Equal(b, c.answer, answer)
+			})
+		}
+		require.NoError(b, backend.Close())
+	}
+}
+
+func residentBytes(t testing.TB) float64 {
+	b, err := os.ReadFile("/proc/self/statm")
+	require.NoError(t, err)
+	pages, err := strconv.ParseFloat(string(bytes.Fields(b)[1]), 64)
+	require.NoError(t, err)
+	return pages * float64(os.Getpagesize())
+}
+
+// BenchmarkIdleSessions measures the memory of 4,300 idle sessions that have
+// each run one request. Target: 11 KB each. The clients' ends of the
+// connections are part of the figures.
+func BenchmarkIdleSessions(b *testing.B) {
+	const sessions = 4300
+	for b.Loop() {
+		s := serve(b, Options{Handler: echo{}})
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		resident := residentBytes(b)
+		conns := make([]net.Conn, sessions)
+		query := encodeAll[pgproto3.FrontendMessage](b, &pgproto3.Query{String: "set x"})
+		answer := make([]byte, 14) // CommandComplete and ReadyForQuery
+		for i := range conns {
+			conns[i] = open(b, s.Address().String())
+			_, _ = conns[i].Write(query)
+			_, err := io.ReadFull(conns[i], answer)
+			require.NoError(b, err)
+		}
+		b.ReportMetric((residentBytes(b)-resident)/sessions, "resident-B/session")
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/sessions, "heap-B/session")
+		b.ReportMetric(float64(after.StackInuse-before.StackInuse)/sessions, "stack-B/session")
+		for _, nc := range conns {
+			_ = nc.Close()
+		}
+		require.NoError(b, s.Drain(context.Background()))
+	}
+}
--- /dev/null
+++ b/internal/gwwire/lifecycle_test.go
@@ -0,0 +1,198 @@
+package gwwire
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"gentianward.example/gentianward/internal/gwbackend"
+)
+
+func conns(c ...*gwbackend.Conn) []*gwbackend.Conn { return c }
+
+type forwarder chan CancelKey
+
+func (f forwarder) ForwardCancel(_ context.Context, key CancelKey) { f <- key }
+
+// Guards against cancel requests that miss their session, on this instance or
+// on another one.
+func TestCancel(t *testing.T) {
+	f := startFake(t)
+	s := serve(t, Options{Handler: &proxy{conns: conns(f.dial(t))}, CancelPrefix: 7})
+	other := serve(t, Options{Handler: echo{}, Cancel: forwarder(make(chan CancelKey, 1))})
+	c := connect(t, s.url("u"))
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "wait", pgx.QueryExecModeSimpleProtocol)
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return s.Stats().Requests == 1 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, uint16(7), CancelKey{ProcessID: c.PgConn().PID()}.Prefix())
+	require.NoError(t, c.PgConn().CancelRequest(t.Context()))
+	require.Equal(t, "57014", codeOf(<-done))
+
+	stranger := connect(t, other.url("u")).PgConn()
+	h, err := stranger.Hijack()
+	require.NoError(t, err)
+	h.SecretKey[0]++
+	h.PID = 0x00070001
+	again, err := pgconn.Construct(h)
+	require.NoError(t, err)
+	require.NoError(t, again.CancelRequest(t.Context()))
+	require.Equal(t, uint16(7), (<-other.o.Cancel.(forwarder)).Prefix())
+	require.NoError(t, again.Close(t.Context()))
+}
+
+// Guards against a drain that cuts a request or a transaction, that waits for
+// idle sessions, or that never ends.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	s := serve(t, Options{Handler: echo{handle: func(ctx context.Context, req Request, w ResponseWriter) error {
+		status := byte('I')
+		switch req.SQL {
+		case "begin":
+			status = 'T'
+		case "slow":
+			<-release
+		case "stuck":
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		w.Complete(req, "SET", status)
+		return nil
+	}}})
+	idle, busy, open, stuck := connect(t, s.url("u")), connect(t, s.url("u")), connect(t, s.url("u")), connect(t, s.url("u"))
+	exec := func(c *pgx.Conn, sql string) error {
+		_, err := c.Exec(context.Background(), sql, pgx.QueryExecModeSimpleProtocol)
+		return err
+	}
+	require.NoError(t, exec(open, "begin"))
+	slow, hung := make(chan error, 1), make(chan error, 1)
+	go func() { slow <- exec(busy, "slow") }()
+	go func() { hung <- exec(stuck, "stuck") }()
+	require.Eventually(t, func() bool { return s.Stats().Requests == 3 }, 5*time.Second, time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(ctx) }()
+	require.Eventually(t, func() bool { return s.Stats().Open == 3 }, 5*time.Second, time.Millisecond, "idle session ends")
+	require.Error(t, exec(idle, "x"))
+	_, err := pgx.Connect(t.Context(), s.url("u"))
+	require.Error(t, err, "no longer accepted")
+	close(release)
+	require.NoError(t, <-slow)
+	require.NoError(t, exec(open, "x in transaction"), "the transaction goes on")
+	require.Eventually(t, func() bool { return s.Stats().Open == 1 }, 5*time.Second, time.Millisecond, "ends after the transaction")
+	cancel()
+	require.ErrorIs(t, <-drained, context.Canceled)
+	require.Error(t, <-hung)
+	require.Zero(t, s.Stats().Open)
+}
+
+// Guards against an idle session that is ended without the reason.
+func TestDrainTellsReason(t *testing.T) {
+	s := serve(t, Options{Handler: echo{}})
+	r := rawConnect(t, s)
+	require.NoError(t, s.Drain(t.Context()))
+	require.Equal(t, "E57P01!", r.receive('!'))
+}
+
+// Guards against transactions that stay open for ever.
+func TestIdleTransaction(t *testing.T) {
+	s := serve(t, Options{Handler: echo{}, Limits: Limits{IdleTransaction: 30 * time.Millisecond}})
+	r := rawConnect(t, s)
+	r.send(&pgproto3.Query{String: "x"})
+	require.Equal(t, "CZ", r.receive('Z'))
+	time.Sleep(60 * time.Millisecond) // outside of a transaction there is no timeout
+	r.send(&pgproto3.Query{String: "begin"})
+	require.Equal(t, "CZ", r.receive('Z'))
+	require.Equal(t, "E25P03!", r.receive('!'))
+}
+
+// Guards against answers of handlers that leave the caller waiting or get it
+// out of step.
+func TestHandlerAnswers(t *testing.T) {
+	row, err := (&pgproto3.DataRow{Values: [][]byte{[]byte("value")}}).Encode(nil)
+	require.NoError(t, err)
+	refusal := &pgconn.PgError{Code: "25006", Message: "read-only"}
+	tests := []struct {
+		name   string
+		handle func(w ResponseWriter) error
+		want   string
+	}{
+		{"nothing", func(ResponseWriter) error { return nil }, "EXX000Z"},
+		{"error", func(w ResponseWriter) error { w.Error(refusal, 'I'); return nil }, "E25006Z"},
+		{"parameter after the answer", func(w ResponseWriter) error {
+			_, _ = w.Write([]byte("C\x00\x00\x00\x06x\x00Z\x00\x00\x00\x05I"))
+			w.ParameterStatus(SessionParameter, "token")
+			return nil
+		}, "CSZ"},
+		{"discarded", func(w ResponseWriter) error {
+			_, _ = w.Write(row[:3])
+			if !w.Discard() {
+				return errors.New("cannot discard")
+			}
+			w.Error(refusal, 'I')
+			return nil
+		}, "E25006Z"},
+		{"fatal", func(ResponseWriter) error { return Fatal("57P01", "stop") }, "E57P01!"},
+		{"part of a message", func(w ResponseWriter) error { _, _ = w.Write(row[:len(row)-2]); return nil }, "!"},
+		{"error within a message", func(w ResponseWriter) error {
+			_, _ = w.Write(row[:7])
+			w.Error(refusal, 'I')
+			return nil
+		}, "!"},
+	}
+	for _, tt := range tests {
+		s := serve(t, Options{Handler: echo{handle: func(_ context.Context, _ Request, w ResponseWriter) error { return tt.handle(w) }}})
+		r := rawConnect(t, s)
+		r.send(&pgproto3.Query{String: "x"})
+		require.Equal(t, tt.want, r.receive(tt.want[len(tt.want)-1]), tt.name)
+	}
+}
+
+type recorder struct {
+	discardConn
+	got []byte
+}
+
+func (r *recorder) Write(p []byte) (int, error) {
+	r.got = append(r.got, p...)
+	return len(p), nil
+}
+
+// Guards against answers that change with the way in which they are cut into
+// writes.
+func TestResponderSplits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var want, all []byte
+		for _, size := range rapid.SliceOfN(rapid.IntRange(0, 3*pooledBufferBytes), 0, 8).Draw(t, "sizes") {
+			b, err := (&pgproto3.DataRow{Values: [][]byte{make([]byte, size)}}).Encode(nil)
+			require.NoError(t, err)
+			all = append(all, b...)
+		}
+		want = append(want, all...)
+		all = append(all, "Z\x00\x00\x00\x05T"...)
+		r := &recorder{}
+		w := &responder{nc: r, timeout: time.Second}
+		w.begin()
+		for rest := all; len(rest) > 0; {
+			n := min(len(rest), rapid.IntRange(1, 2*pooledBufferBytes).Draw(t, "write"))
+			if rapid.Bool().Draw(t, "short") {
+				n = min(n, 3)
+			}
+			_, err := w.Write(rest[:n])
+			require.NoError(t, err)
+			rest = rest[n:]
+		}
+		require.NoError(t, w.release())
+		require.Equal(t, byte('T'), w.status)
+		require.Equal(t, string(want), string(r.got))
+	})
+}
