gwbackend, gwwire: read long answers in larger pieces; test concurrent callers

Cause: a 120 kB answer took 8 reads and 8 writes of 16 KiB each; sessions that are cut could wait 30 s for a caller that does not read. Change: pooled 64 KiB read buffers during long answers; cut sessions are closed after 1 s; DEALLOCATE of one name has the statements of the connection parsed again; tests of concurrent and of slow callers.

--- a/internal/gwbackend/conn.go
+++ b/internal/gwbackend/conn.go
@@ -18,8 +18,9 @@
 
 const (
 	readBufferBytes   = 16 << 10
-	maxInspectedBytes = 1 << 20 // bound of a message that is read as a whole, such as an error
-	maxDrainedBytes   = 1 << 20 // answer bytes read after the sink failed; above that a new connection is cheaper
+	largeBufferBytes  = 64 << 10 // reads of 64 KiB instead of 16 KiB make a 120 kB answer cheaper
+	maxInspectedBytes = 1 << 20  // bound of a message that is read as a whole, such as an error
+	maxDrainedBytes   = 1 << 20  // answer bytes read after the sink failed; above that a new connection is cheaper
 
 	defaultStatements    = 256
 	defaultCancelGrace   = 250 * time.Millisecond
@@ -74,7 +75,9 @@
 	control    bool // the pool's connection for control statements
 
 	// Used by the reader goroutine only.
-	rbuf   []byte
+	small  []byte  // held by the connection
+	large  *[]byte // pooled, during a long answer
+	rbuf   []byte  // small, *large or a larger one
 	r, w   int
 	remain int // bytes of a passed message that are not in rbuf yet
 }
@@ -110,8 +113,9 @@
 	c := &Conn{
 		o: o, nc: h.Conn, pid: h.PID, secret: h.SecretKey, params: h.ParameterStatuses,
 		finished: make(chan struct{}, 1), readerDone: make(chan struct{}),
-		tx: 'I', rbuf: make([]byte, readBufferBytes),
+		tx: 'I', small: make([]byte, readBufferBytes),
 	}
+	c.rbuf = c.small
 	c.statements.limit = o.Statements
 	if p, err := gwsession.ParsePosition(c.params[positionParameter]); err == nil && o.OnPosition != nil {
 		o.OnPosition(p)
--- a/internal/gwbackend/exchange.go
+++ b/internal/gwbackend/exchange.go
@@ -155,6 +155,8 @@
 			c.stateful = false
 		case "DEALLOCATE ALL":
 			c.statements.clear()
+		case "DEALLOCATE": // of a name that the tag does not tell
+			c.statements.evictAll()
 		case "SET", "PREPARE", "LISTEN", "DECLARE CURSOR", "LOAD", "CREATE TABLE":
 			c.stateful = true
 		}
--- a/internal/gwbackend/prepare.go
+++ b/internal/gwbackend/prepare.go
@@ -91,6 +91,11 @@
 	if x.simple {
 		return
 	}
+	s.evictAll()
+}
+
+// evictAll has every statement closed, whether the server has it or not.
+func (s *statementCache) evictAll() {
 	for s.order.Len() > 0 {
 		s.evict(s.order.Back())
 	}
--- a/internal/gwbackend/reader.go
+++ b/internal/gwbackend/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -35,18 +36,7 @@
 // unchanged reach the sink in one call. x is nil while no answer is expected.
 func (c *Conn) process(x *exchange) error {
 	run := c.r // start of the bytes to be passed
-	for {
-		if c.remain > 0 {
-			n := min(c.remain, c.w-c.r)
-			c.r += n
-			c.remain -= n
-			if c.remain > 0 {
-				break
-			}
-		}
-		if c.w-c.r < headerBytes {
-			break
-		}
+	for c.skipPassed() && c.w-c.r >= headerBytes {
 		typ, n := c.rbuf[c.r], frameSize(c.rbuf[c.r:])
 		if n < headerBytes {
 			return errors.Wrap(ErrProtocol, "message length below 4")
@@ -84,23 +74,54 @@
 			return x.sinkErr
 		}
 	}
-	c.compact()
+	c.compact(x != nil && (c.large != nil || c.w == len(c.rbuf)))
 	return nil
 }
 
-// compact moves an incomplete message to the start of rbuf and makes room for
-// the rest of it.
-func (c *Conn) compact() {
-	n := copy(c.rbuf, c.rbuf[c.r:c.w])
-	c.r, c.w = 0, n
+// skipPassed moves past the bytes of a passed message. It reports false if
+// some are still to come.
+func (c *Conn) skipPassed() bool {
+	n := min(c.remain, c.w-c.r)
+	c.r += n
+	c.remain -= n
+	return c.remain == 0
+}
+
+// largeBuffers are read buffers for answers that fill the usual one: fewer,
+// larger reads and writes make such an answer cheaper.
+var largeBuffers = sync.Pool{New: func() any {
+	b := make([]byte, largeBufferBytes)
+	return &b
+}}
+
+// compact moves an incomplete message to the start of a read buffer that has
+// room for the rest of it. long says that a long answer goes on.
+func (c *Conn) compact(long bool) {
+	rest := c.rbuf[c.r:c.w]
 	need := readBufferBytes
-	if n >= headerBytes {
-		need = max(need, frameSize(c.rbuf))
+	if long {
+		need = largeBufferBytes
+	}
+	if len(rest) >= headerBytes {
+		need = max(need, frameSize(rest))
+	}
+	unused := c.large
+	switch {
+	case need <= readBufferBytes:
+		c.rbuf, c.large = c.small, nil
+	case need <= largeBufferBytes:
+		if c.large == nil {
+			c.large = largeBuffers.Get().(*[]byte)
+		}
+		c.rbuf, unused = *c.large, nil
+	case len(c.rbuf) < need:
+		c.rbuf, c.large = make([]byte, need), nil
+	default:
+		unused = nil
 	}
-	if len(c.rbuf) != need && n <= need {
-		b := make([]byte, need)
-		copy(b, c.rbuf[:n])
-		c.rbuf = b
+	c.r, c.w = 0, copy(c.rbuf, rest)
+	if unused != nil {
+		largeBuffers.Put(unused)
 	}
 }
 
--- a/internal/gwwire/fake_test.go
+++ b/internal/gwwire/fake_test.go
@@ -86,6 +86,7 @@
 	switch m := m.(type) {
 	case *pgproto3.Query:
 		s.run(m.String, true)
+		s.failed = false
 		s.be.Send(&pgproto3.ReadyForQuery{TxStatus: s.tx})
 	case *pgproto3.Sync:
 		s.failed = false
--- a/internal/gwwire/lifecycle_test.go
+++ b/internal/gwwire/lifecycle_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"gentianward.example/gentianward/internal/gwbackend"
@@ -196,3 +199,125 @@
 		require.Equal(t, string(want), string(r.got))
 	})
 }
+
+// pooled is a Handler that takes a connection of a pool for each request or
+// transaction.
+type pooled struct{ pool *gwbackend.Pool }
+
+type pooledSession struct {
+	pool *gwbackend.Pool
+	conn *gwbackend.Conn
+}
+
+func (p pooled) Authenticate(context.Context, Startup) (Session, error) {
+	return &pooledSession{pool: p.pool}, nil
+}
+
+func (s *pooledSession) Handle(ctx context.Context, req Request, w ResponseWriter) error {
+	if s.conn == nil {
+		c, err := s.pool.Acquire(ctx)
+		if err != nil {
+			return err
+		}
+		s.conn = c
+	}
+	res, err := s.conn.Exchange(ctx, req.Backend(), w)
+	if res.TxStatus != 'T' {
+		s.Close()
+	}
+	return err
+}
+
+func (s *pooledSession) Close() {
+	if s.conn != nil {
+		s.pool.Release(s.conn, true)
+		s.conn = nil
+	}
+}
+
+// Guards against a caller that receives the answer to another caller's request
+// (promise 4), or transactions that are interleaved on one connection
+// (promise 3), while other callers cancel, fail and disappear.
+func TestConcurrentCallers(t *testing.T) {
+	f := startFake(t)
+	pool := gwbackend.NewPool(gwbackend.PoolOptions{
+		Options: gwbackend.Options{Address: f.listener.Addr().String(), User: "u", Database: "d", Statements: 8}, Limit: 5, MinIdle: 1,
+	})
+	s := serve(t, Options{Handler: pooled{pool}})
+	var g errgroup.Group
+	for caller := range 12 {
+		g.Go(func() error {
+			for round := range 4 {
+				if err := callSeveralTimes(s.url("u"), caller, round); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	require.NoError(t, s.Drain(t.Context()))
+	require.NoError(t, pool.Close(t.Context()))
+}
+
+func callSeveralTimes(url string, caller, round int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer c.Close(ctx)
+	modes := []pgx.QueryExecMode{pgx.QueryExecModeCacheStatement, pgx.QueryExecModeDescribeExec, pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol}
+	check := func(q interface {
+		QueryRow(ctx context.Context, sql string, args ...any) pgx.Row
+	}, n int,
+	) error {
+		want, got := fmt.Sprintf("select %d.%d.%d", caller, round, n%20), ""
+		if err := q.QueryRow(ctx, want, modes[n%len(modes)]).Scan(&got); err != nil || got != want {
+			return fmt.Errorf("caller %d got %q for %q: %w", caller, got, want, err)
+		}
+		return nil
+	}
+	for n := range 30 {
+		if err := check(c, n); err != nil {
+			return err
+		}
+		if _, err := c.Exec(ctx, "fail", modes[n%len(modes)]); codeOf(err) != "22012" {
+			return fmt.Errorf("caller %d: %w", caller, err)
+		}
+	}
+	tx, err := c.Begin(ctx)
+	if err != nil {
+		return err
+	}
+	for n := range 5 {
+		if err := check(tx, n); err != nil {
+			return err
+		}
+	}
+	if caller%3 == 0 {
+		return c.Close(ctx) // disappears inside the transaction
+	}
+	return tx.Commit(ctx)
+}
+
+// Guards against a caller that does not read and so holds its request, and the
+// connection to the server, for ever.
+func TestSlowCaller(t *testing.T) {
+	row, err := (&pgproto3.DataRow{Values: [][]byte{make([]byte, 1<<20)}}).Encode(nil)
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	s := serve(t, Options{Limits: Limits{WriteTimeout: 50 * time.Millisecond}, Handler: echo{handle: func(_ context.Context, _ Request, w ResponseWriter) error {
+		for {
+			if _, err := w.Write(row); err != nil {
+				ended <- err
+				return err
+			}
+		}
+	}}})
+	r := rawConnect(t, s)
+	r.send(&pgproto3.Query{String: "x"})
+	require.ErrorIs(t, <-ended, os.ErrDeadlineExceeded)
+	require.Eventually(t, func() bool { return s.Stats().Open == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/internal/gwwire/server.go
+++ b/internal/gwwire/server.go
@@ -106,11 +106,18 @@
 	return fail("drain", KindShutdown, "", ctx.Err())
 }
 
+// cutGrace is the time in which sessions that are cut can tell their callers
+// so. A write to a caller that does not read would take longer.
+const cutGrace = time.Second
+
 // cut ends all sessions at once.
 func (s *Server) cut() {
 	s.draining.Store(true)
 	_ = s.o.Listener.Close()
 	s.sessions.each((*conn).cut)
+	time.AfterFunc(cutGrace, func() {
+		s.sessions.each(func(c *conn) { _ = c.in.nc.Close() })
+	})
 }
 
 const acceptRetryDelay = 10 * time.Millisecond
