gwstandin: read the log and the faults without locks, complete the tests

Cause: every statement took the locks of the log and of the faults several times, and each commit built an error with a stack trace that it did not use. A cut of clients also cut replicas, and text that is not UTF-8 would have stopped replication. Change: the log and the faults are replaced as a whole behind atomic pointers; the error is built on refusal only; a replica's connection is told apart before the cut applies; such text is refused with 22021.

--- a/cmd/gentianward/standin.go
+++ b/cmd/gentianward/standin.go
@@ -23,6 +23,7 @@
 	o        gwstandin.Options
 	role     string
 	announce string
+	leave    time.Duration
 }
 
 func (*standinCmd) Name() string     { return "standin" }
@@ -44,6 +45,7 @@
 	f.DurationVar(&c.o.ConnectCost, "connectCost", 12*time.Millisecond, "time that a new connection takes")
 	f.DurationVar(&c.o.ReplicationDelay, "replicationDelay", 0, "delay of replication to this replica")
 	f.DurationVar(&c.o.StatementCost, "statementCost", 0, "time that a statement occupies its slot")
+	f.DurationVar(&c.leave, "leave", 2*time.Second, "time between the announcement that the server leaves and its end")
 	f.StringVar(&c.announce, "announce", "", "comma-separated URLs of instances to announce to")
 }
 
@@ -63,6 +65,8 @@
 	c.o.Logger.Info("serving", "server", c.o.Name, "address", server.Address(), "role", c.role)
 	<-ctx.Done()
 	server.Leave()
+	stop() // a second signal ends the process at once
+	time.Sleep(c.leave)
 	stopCtx, cancel := context.WithTimeout(context.Background(), standinStopTimeout)
 	defer cancel()
 	if err := server.Stop(stopCtx); err != nil {
--- a/internal/gwstandin/database.go
+++ b/internal/gwstandin/database.go
@@ -107,7 +107,7 @@
 	if err != nil || st == nil {
 		return nil, err
 	}
-	if strings.Trim(sql[n:], "; \t\r\n") != "" {
+	if keyword, _ := leadingKeyword(sql[n:]); keyword != "" {
 		st.finalize()
 		return nil, newError("parse", KindStatement, stateSyntax, "cannot insert multiple commands into a prepared statement")
 	}
--- a/internal/gwstandin/errors.go
+++ b/internal/gwstandin/errors.go
@@ -44,6 +44,7 @@
 	stateConnectionFailure    = "08006"
 	stateProtocolViolation    = "08P01"
 	stateNotSupported         = "0A000"
+	stateInvalidEncoding      = "22021"
 	stateInvalidText          = "22P02"
 	stateInvalidBinary        = "22P03"
 	stateConstraint           = "23000"
--- a/internal/gwstandin/execute.go
+++ b/internal/gwstandin/execute.go
@@ -30,6 +30,9 @@
 // prepare parses one statement. Statements of SQLite are compiled on the copy
 // that the session would read now.
 func (c *session) prepare(sql string) (*prepared, error) {
+	if err := checkText("parse", sql); err != nil {
+		return nil, err
+	}
 	p := &prepared{sql: sql}
 	p.keyword, p.action = classify(sql)
 	switch p.action {
--- a/internal/gwstandin/fault.go
+++ b/internal/gwstandin/fault.go
@@ -4,7 +4,7 @@
 	"context"
 	"net"
 	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,27 +31,31 @@
 
 // faults holds the faults in force and wakes those that wait for their end.
 type faults struct {
-	mu      sync.Mutex
-	current *Fault
-	lose    int
-	changed chan struct{}
+	current atomic.Pointer[faultState] // read several times in each statement
+	lose    atomic.Int64
 }
 
-func newFaults() *faults { return &faults{current: &Fault{}, changed: make(chan struct{})} }
+// faultState is replaced as a whole.
+type faultState struct {
+	fault   Fault
+	changed chan struct{} // closed when the state is replaced
+}
+
+func newFaults() *faults {
+	f := &faults{}
+	f.current.Store(&faultState{changed: make(chan struct{})})
+	return f
+}
 
 func (f *faults) set(fault Fault) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.current = &fault
-	f.lose = fault.LoseAnswers
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.lose.Store(int64(fault.LoseAnswers))
+	old := f.current.Swap(&faultState{fault: fault, changed: make(chan struct{})})
+	close(old.changed)
 }
 
 func (f *faults) get() (*Fault, <-chan struct{}) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.current, f.changed
+	state := f.current.Load()
+	return &state.fault, state.changed
 }
 
 // wait blocks while blocked reports true for the faults in force.
@@ -76,26 +80,30 @@
 
 // takeLostAnswer reports whether the answer to a commit must be lost.
 func (f *faults) takeLostAnswer() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.lose == 0 {
+	if f.lose.Load() <= 0 {
 		return false
 	}
-	f.lose--
-	return true
+	return f.lose.Add(-1) >= 0
 }
 
 func (f *Fault) refuses(peer string) bool { return slices.Contains(f.RefusePeers, peer) }
 
-// gatedConn is a client connection that stalls while a fault cuts it.
+// gatedConn is an accepted connection that stalls while a fault cuts it.
 type gatedConn struct {
 	net.Conn
 	ctx    context.Context
 	faults *faults
+	client bool // known not to be a replica's, to which CutClients does not apply
 }
 
 func (c *gatedConn) cut(f *Fault) bool {
-	return f.Frozen || f.CutClients != nil && f.CutClients(c.RemoteAddr())
+	return f.Frozen || c.client && f.CutClients != nil && f.CutClients(c.RemoteAddr())
+}
+
+// isClient marks the connection as a client's and waits until it is not cut.
+func (c *gatedConn) isClient() error {
+	c.client = true
+	return c.faults.wait(c.ctx, c.cut)
 }
 
 // Read returns data only while the connection is not cut.
--- a/internal/gwstandin/group_test.go
+++ b/internal/gwstandin/group_test.go
@@ -7,10 +7,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -87,6 +90,38 @@
 	assert.Equal(t, Report{Role: RoleReplica, Position: r1.Position(), PreviousTermEnd: 1}, p.Report())
 }
 
+// Guards against writes that are acknowledged but lost, or done twice, when a
+// fence and a promotion meet concurrent writers.
+func TestFenceUnderLoad(t *testing.T) {
+	const writers = 8
+	p, r, _ := startGroup(t)
+	exec(t, connect(t, p), "create table v (n integer)")
+	exec(t, connect(t, p), "insert into v values (0)")
+	var done atomic.Int64
+	var wg sync.WaitGroup
+	for range writers {
+		conn := connect(t, p)
+		wg.Go(func() {
+			for {
+				if _, err := conn.Exec(context.Background(), "update v set n = n + 1"); err != nil {
+					assert.Equal(t, stateReadOnly, state(t, err))
+					return
+				}
+				done.Add(1)
+			}
+		})
+	}
+	eventually(t, "writers run", func() bool { return done.Load() > 100 })
+	fenced := p.Fence(2).Position
+	wg.Wait()
+	assert.Equal(t, fenced, p.Position())
+	assert.Equal(t, uint64(done.Load())+2, fenced.Offset)
+	caughtUp(t, p, r)
+	_, err := r.Promote(2)
+	require.NoError(t, err)
+	assert.Equal(t, done.Load(), query[int64](t, connect(t, r), "select n from v"))
+}
+
 // Guards against a fenced replica whose log still grows by the old term.
 func TestFenceStopsReplication(t *testing.T) {
 	p, r, other := startGroup(t)
@@ -167,11 +202,72 @@
 		if !fault.Frozen {
 			connect(t, s)
 		}
+		assert.Len(t, done, 0)
 		s.SetFault(Fault{})
 		require.NoError(t, <-done)
 	}
 }
 
+// Guards against a cut of clients that also cuts replication, and against an
+// isolated peer that still receives writes.
+func TestCutsAreSeparate(t *testing.T) {
+	p, r1, r2 := startGroup(t)
+	conn := connect(t, p)
+	exec(t, conn, "create table v (id integer)")
+	caughtUp(t, p, r1)
+	caughtUp(t, p, r2)
+	p.SetFault(Fault{CutClients: func(net.Addr) bool { return true }})
+	late := startServer(t, Options{Role: RoleReplica, PrimaryAddress: p.Address()})
+	caughtUp(t, p, late)
+
+	p.SetFault(Fault{})
+	r1.SetFault(Fault{RefusePeers: []string{p.Address()}})
+	exec(t, conn, "insert into v values (1)")
+	caughtUp(t, p, r2)
+	assert.Equal(t, uint64(1), r1.Position().Offset)
+	r1.SetFault(Fault{})
+	caughtUp(t, p, r1)
+}
+
+// Guards against FOLLOW that reports success without the primary, and against
+// a server that stops trying or keeps writing meanwhile.
+func TestFollowUnreachablePrimary(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	old := startServer(t, Options{Clock: clock})
+	next := startServer(t, Options{Role: RoleReplica, PrimaryAddress: old.Address()})
+	conn := connect(t, old)
+	exec(t, conn, "create table v (id integer)")
+	caughtUp(t, old, next)
+	_, err := next.Promote(2)
+	require.NoError(t, err)
+	exec(t, conn, "insert into v values (1)")
+	next.Crash()
+
+	failed := make(chan error, 1)
+	go func() {
+		_, err := old.Follow(context.Background(), 2, next.Address())
+		failed <- err
+	}()
+	require.NoError(t, clock.BlockUntilContext(testContext(t), 2))
+	clock.Advance(followTimeout)
+	var e *Error
+	require.ErrorAs(t, <-failed, &e)
+	assert.Equal(t, KindConnection, e.Kind)
+	_, err = conn.Exec(testContext(t), "insert into v values (2)")
+	assert.Equal(t, stateReadOnly, state(t, err))
+
+	require.NoError(t, next.Restart(testContext(t)))
+	go func() {
+		for old.Position() != next.Position() {
+			clock.Advance(replicationRetry)
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	dropped, err := old.Follow(testContext(t), 2, next.Address())
+	require.NoError(t, err)
+	assert.Equal(t, uint64(1), dropped)
+}
+
 // Guards against a lag that is ignored or that outlives the fault.
 func TestReplicaLag(t *testing.T) {
 	p, r, other := startGroup(t)
--- a/internal/gwstandin/helper_test.go
+++ b/internal/gwstandin/helper_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 )
@@ -75,3 +76,18 @@
 func caughtUp(t testing.TB, from, to *Server) {
 	eventually(t, "replica reaches the primary's position", func() bool { return to.Position() == from.Position() })
 }
+
+// receiveKinds returns the type bytes of the messages up to ReadyForQuery.
+func receiveKinds(t testing.TB, f *pgproto3.Frontend) string {
+	kinds := ""
+	for {
+		msg, err := f.Receive()
+		require.NoError(t, err)
+		encoded, err := msg.Encode(nil)
+		require.NoError(t, err)
+		kinds += string(encoded[0])
+		if encoded[0] == 'Z' {
+			return kinds
+		}
+	}
+}
--- a/internal/gwstandin/keyword.go
+++ b/internal/gwstandin/keyword.go
@@ -86,11 +86,17 @@
 }
 
 // cutStatement splits off the first statement of a text whose first statement
-// is not SQLite's. Those statements contain no semicolons.
+// is not SQLite's. It ends at a semicolon or a comment; quotes are not
+// considered, because no such statement needs these characters in quotes.
 func cutStatement(sql string) (first, rest string) {
-	sql = strings.TrimLeft(sql, " \t\r\n\f;")
-	first, rest, _ = strings.Cut(sql, ";")
-	return first, rest
+	_, after := leadingKeyword(sql)
+	end := len(sql)
+	for _, mark := range []string{";", "--", "/*"} {
+		if i := strings.Index(after, mark); i >= 0 {
+			end = min(end, len(sql)-len(after)+i)
+		}
+	}
+	return sql[:end], sql[end:]
 }
 
 // commandTag returns the tag of a statement that SQLite executed.
--- a/internal/gwstandin/replicate.go
+++ b/internal/gwstandin/replicate.go
@@ -44,7 +44,7 @@
 	Terms   []termStart `cbor:"4,keyasint,omitempty"`
 }
 
-func (f *frame) term() uint64 { return view{terms: f.Terms}.term() }
+func (f *frame) term() uint64 { return (&view{terms: f.Terms}).term() }
 
 // decMode restores integer arguments as int64, as they were bound.
 var decMode = func() cbor.DecMode {
--- a/internal/gwstandin/replog.go
+++ b/internal/gwstandin/replog.go
@@ -1,7 +1,9 @@
 package gwstandin
 
 import (
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"gentianward.example/gentianward/pkg/gwsession"
 )
@@ -23,35 +25,40 @@
 	Offset uint64 `cbor:"2,keyasint" json:"offset"`
 }
 
-// repLog is the replication log of one server. Entry i has offset i+1. A
-// slice of entries that was handed out is never overwritten.
+// repLog is the replication log of one server. Entry i has offset i+1. Readers
+// load the current view without a lock; a view never changes.
 type repLog struct {
-	mu      sync.RWMutex
-	entries []*entry
-	terms   []termStart
-	changed chan struct{}
+	mu      sync.Mutex // serializes changes
+	current atomic.Pointer[view]
 }
 
-func newRepLog() *repLog { return &repLog{changed: make(chan struct{})} }
-
 // view is the state of the log at one moment.
 type view struct {
 	entries []*entry
 	terms   []termStart
-	changed <-chan struct{} // closed at the next change
+	changed chan struct{} // closed at the next change
+}
+
+func newRepLog() *repLog {
+	l := &repLog{}
+	l.current.Store(&view{changed: make(chan struct{})})
+	return l
 }
 
-func (l *repLog) view() view {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	return view{entries: l.entries, terms: l.terms, changed: l.changed}
+func (l *repLog) view() *view { return l.current.Load() }
+
+// replace is called with mu held.
+func (l *repLog) replace(entries []*entry, terms []termStart) *view {
+	v := &view{entries: entries, terms: terms, changed: make(chan struct{})}
+	close(l.current.Swap(v).changed)
+	return v
 }
 
-func (v view) position() gwsession.Position {
+func (v *view) position() gwsession.Position {
 	return gwsession.Position{Term: v.term(), Offset: uint64(len(v.entries))}
 }
 
-func (v view) term() uint64 {
+func (v *view) term() uint64 {
 	if len(v.terms) == 0 {
 		return 0
 	}
@@ -59,7 +66,7 @@
 }
 
 // termBegan returns the offset at which the current term began.
-func (v view) termBegan() uint64 {
+func (v *view) termBegan() uint64 {
 	if len(v.terms) == 0 {
 		return 0
 	}
@@ -68,28 +75,21 @@
 
 func (l *repLog) position() gwsession.Position { return l.view().position() }
 
-func (l *repLog) notify() {
-	close(l.changed)
-	l.changed = make(chan struct{})
-}
-
-// append adds committed transactions and returns the new position.
-func (l *repLog) append(entries ...*entry) gwsession.Position {
+// append adds a committed transaction and returns the new position.
+func (l *repLog) append(e *entry) gwsession.Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries = append(l.entries, entries...)
-	l.notify()
-	return gwsession.Position{Term: l.terms[len(l.terms)-1].Term, Offset: uint64(len(l.entries))}
+	v := l.view()
+	return l.replace(append(v.entries, e), v.terms).position()
 }
 
 // startTerm begins a term at the end of the log.
 func (l *repLog) startTerm(term uint64) gwsession.Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	offset := uint64(len(l.entries))
-	l.terms = append(l.terms[:len(l.terms):len(l.terms)], termStart{Term: term, Offset: offset})
-	l.notify()
-	return gwsession.Position{Term: term, Offset: offset}
+	v := l.view()
+	start := termStart{Term: term, Offset: uint64(len(v.entries))}
+	return l.replace(v.entries, append(slices.Clip(v.terms), start)).position()
 }
 
 // receive adds entries that follow offset from, and the terms of the primary
@@ -97,25 +97,24 @@
 func (l *repLog) receive(from uint64, entries []*entry, terms []termStart) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if from != uint64(len(l.entries)) {
+	v := l.view()
+	if from != uint64(len(v.entries)) {
 		return false
 	}
-	l.entries = append(l.entries, entries...)
-	l.terms = reached(terms, uint64(len(l.entries)))
-	l.notify()
+	all := append(v.entries, entries...)
+	l.replace(all, reached(terms, uint64(len(all))))
 	return true
 }
 
 // truncate drops the entries after offset, takes over the primary's terms and
-// returns the number of dropped entries.
+// returns the number of dropped entries. The dropped entries stay intact for
+// the holders of older views.
 func (l *repLog) truncate(offset uint64, terms []termStart) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	dropped := uint64(len(l.entries)) - offset
-	l.entries = l.entries[:offset:offset]
-	l.terms = reached(terms, offset)
-	l.notify()
-	return dropped
+	v := l.view()
+	l.replace(v.entries[:offset:offset], reached(terms, offset))
+	return uint64(len(v.entries)) - offset
 }
 
 // reached returns the terms that began at or before offset.
--- a/internal/gwstandin/server.go
+++ b/internal/gwstandin/server.go
@@ -99,7 +99,9 @@
 		r.wg.Go(func() { s.announce(r.ctx, url) })
 	}
 	if s.follow != nil {
-		s.startFollow(r, newFollow(s.follow.term, s.follow.address))
+		f := newFollow(s.follow.term, s.follow.address)
+		f.dropped = s.follow.dropped
+		s.startFollow(r, f)
 	}
 	return nil
 }
--- a/internal/gwstandin/session.go
+++ b/internal/gwstandin/session.go
@@ -25,7 +25,7 @@
 type session struct {
 	server  *Server
 	run     *run
-	conn    net.Conn
+	conn    *gatedConn
 	backend *pgproto3.Backend
 	out     []byte
 	id      uint32
@@ -104,6 +104,12 @@
 		if err != nil {
 			return nil, err
 		}
+		if m, ok := msg.(*pgproto3.StartupMessage); ok && m.Parameters[replicationParameter] == replicationValue {
+			return m.Parameters, nil
+		}
+		if err := c.conn.isClient(); err != nil {
+			return nil, err
+		}
 		switch m := msg.(type) {
 		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
 			if _, err := c.conn.Write([]byte{'N'}); err != nil {
--- a/internal/gwstandin/store.go
+++ b/internal/gwstandin/store.go
@@ -201,9 +201,11 @@
 	// The fence is checked, the data are committed and the log is extended in
 	// one step, so that no write is acknowledged after a fence was confirmed.
 	s.mu.Lock()
-	err := errNotWritable("COMMIT")
+	var err error
 	if s.writable() {
 		err = s.writer.db.exec("COMMIT")
+	} else {
+		err = errNotWritable("COMMIT")
 	}
 	if err != nil {
 		s.mu.Unlock()
--- a/internal/gwstandin/value.go
+++ b/internal/gwstandin/value.go
@@ -230,7 +230,18 @@
 	return decodeText(string(raw), oid)
 }
 
+// checkText refuses text that PostgreSQL refuses and that replication cannot carry.
+func checkText(op, s string) error {
+	if !utf8.ValidString(s) || strings.IndexByte(s, 0) >= 0 {
+		return newError(op, KindStatement, stateInvalidEncoding, "invalid byte sequence for encoding \"UTF8\"")
+	}
+	return nil
+}
+
 func decodeText(s string, oid uint32) (any, error) {
+	if err := checkText("bind", s); err != nil {
+		return nil, err
+	}
 	var v any
 	var err error
 	switch oid {
@@ -328,7 +339,7 @@
 		}
 		return boolValue(raw[0] != 0), nil
 	case pgtype.TextOID, pgtype.VarcharOID, pgtype.BPCharOID, pgtype.NameOID, pgtype.JSONOID:
-		return string(raw), nil
+		return string(raw), checkText("bind", string(raw))
 	case pgtype.ByteaOID:
 		return append([]byte{}, raw...), nil
 	case oidUnknown, pgtype.UnknownOID:
--- a/internal/gwstandin/wire_test.go
+++ b/internal/gwstandin/wire_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	_ "github.com/jackc/pgx/v5/stdlib"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -62,6 +63,57 @@
 	}
 }
 
+// Guards against comments, empty statements and quoted semicolons that hide a
+// statement, repeat it or split it.
+func TestStatementBoundaries(t *testing.T) {
+	conn := connect(t, startServer(t, Options{}))
+	exec(t, conn, "create table v (s text)")
+	tests := []struct {
+		sql  string
+		want string // last command tag
+	}{
+		{"", ""},
+		{" ; -- none\n;", ""},
+		{"/* a;b */ begin; commit -- c;d", "COMMIT"},
+		{"/* requestKey=1 */ insert into v values ('a;b'); -- end", "INSERT 0 1"},
+		{"insert into v values ('c'); select * from v; /* end; */", "SELECT 2"},
+		{"create trigger r after insert on v begin delete from v; delete from v; end; delete from v", "DELETE 2"},
+		{"set x = 1; show timezone; discard all", "DISCARD"},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, tt.want, exec(t, conn, tt.sql, pgx.QueryExecModeSimpleProtocol), tt.sql)
+	}
+	assert.Equal(t, "UPDATE 0", exec(t, conn, "update v set s = $1; -- end", "x"))
+	_, err := conn.Exec(testContext(t), "update v set s = $1; delete from v", "x")
+	assert.Equal(t, stateSyntax, state(t, err))
+}
+
+// Guards against undeclared parameters that lose their text or compare wrongly
+// with numbers.
+func TestInferValue(t *testing.T) {
+	tests := []struct {
+		in   string
+		want any
+	}{
+		{"", ""},
+		{"12", int64(12)},
+		{"-3", int64(-3)},
+		{"007", "007"},
+		{"-0", "-0"},
+		{"1e3", "1e3"},
+		{"1.5", 1.5},
+		{"1.50", "1.50"},
+		{"9223372036854775808", "9223372036854775808"},
+		{`\x00ff`, []byte{0, 255}},
+		{`\xzz`, `\xzz`},
+		{"2026-12-04", "2026-12-04"},
+		{"t", "t"},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, tt.want, inferValue(tt.in), tt.in)
+	}
+}
+
 // Guards against wrong SQLSTATE codes and transaction states, by which callers
 // decide whether a statement ran.
 func TestErrors(t *testing.T) {
@@ -76,6 +128,7 @@
 		{"selec 1", stateSyntax},
 		{"attach 'x' as y", stateNotSupported},
 		{"show missing", stateUndefinedObject},
+		{"select '\xff'", stateInvalidEncoding},
 	}
 	for _, tt := range tests {
 		_, err := conn.Exec(testContext(t), tt.sql)
@@ -151,12 +204,12 @@
 	exec(t, conn, "create table v (id integer)")
 	exec(t, conn, "insert into v values (1), (2), (3)")
 	f := conn.PgConn().Frontend()
-	f.SendParse(&parseMessage{Query: "select id from v order by id"})
-	f.SendBind(&bindMessage{})
+	f.SendParse(&pgproto3.Parse{Query: "select id from v order by id"})
+	f.SendBind(&pgproto3.Bind{})
 	for range 3 {
-		f.SendExecute(&executeMessage{MaxRows: 2})
+		f.SendExecute(&pgproto3.Execute{MaxRows: 2})
 	}
-	f.SendSync(&syncMessage{})
+	f.SendSync(&pgproto3.Sync{})
 	require.NoError(t, f.Flush())
 	assert.Equal(t, "12DDsDCCZ", receiveKinds(t, f))
 }
