--- a/internal/gwstandin/execute.go
+++ b/internal/gwstandin/execute.go
@@ -226,24 +226,13 @@
 
 // collect runs st and encodes its rows.
 func (c *session) collect(st *stmt, p *prepared, args []any, res *result) error {
-	if res.describe && len(st.columns) > 0 {
-		res.rows = res.rows[:0]
-	}
 	columns := st.columns
-	described := false
-	describe := func() {
-		if res.describe && !described && len(columns) > 0 {
-			res.rows = appendRowDescription(res.rows, columns, res.formats)
-		}
-		described = true
-	}
+	described := !res.describe || len(columns) == 0
 	n := int64(0)
 	changed, err := c.execOn(st, args, func(st *stmt) error {
 		if !described {
-			if res.describe {
-				columns = valueColumns(st)
-			}
-			describe()
+			columns, described = valueColumns(st), true
+			res.rows = appendRowDescription(res.rows, columns, res.formats)
 		}
 		n++
 		var err error
@@ -259,7 +248,9 @@
 	if err != nil {
 		return err
 	}
-	describe()
+	if !described {
+		res.rows = appendRowDescription(res.rows, columns, res.formats)
+	}
 	tag, counted := commandTag(p.keyword, p.sql, st.readOnly)
 	if counted {
 		if st.readOnly {
--- a/internal/gwstandin/group_test.go
+++ b/internal/gwstandin/group_test.go
@@ -157,6 +157,10 @@
 	assert.Equal(t, "1", query[string](t, conn, "select group_concat(id) from v"))
 	exec(t, conn, "insert into v values (3)")
 	caughtUp(t, p, r)
+	r.Crash()
+	exec(t, conn, "insert into v values (4)")
+	require.NoError(t, r.Restart(testContext(t)))
+	caughtUp(t, p, r)
 
 	p.Fence(5)
 	p.Crash()
--- a/internal/gwstandin/server.go
+++ b/internal/gwstandin/server.go
@@ -184,14 +184,22 @@
 	s.changed = make(chan struct{})
 }
 
+// acceptRetry is the pause after a failed accept, such as one for want of
+// file descriptors.
+const acceptRetry = 10 * time.Millisecond
+
 func (s *Server) accept(r *run) {
 	for {
 		conn, err := r.listener.Accept()
 		if err != nil {
-			if r.ctx.Err() == nil {
-				s.o.Logger.Error("accept failed", "error", err)
+			if r.ctx.Err() != nil {
+				return
 			}
-			return
+			s.o.Logger.Error("accept failed", "error", err)
+			if err := s.sleep(r.ctx, acceptRetry); err != nil {
+				return
+			}
+			continue
 		}
 		r.mu.Lock()
 		if r.ctx.Err() != nil {
--- a/internal/gwstandin/wire_test.go
+++ b/internal/gwstandin/wire_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"database/sql"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
 	_ "github.com/jackc/pgx/v5/stdlib"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -114,6 +116,76 @@
 	}
 }
 
+// Guards against values encoded in a form that PostgreSQL clients misread.
+func TestEncode(t *testing.T) {
+	integer, float := cell{kind: cellInt, i: -2}, cell{kind: cellFloat, f: 1.5}
+	text, blob := cell{kind: cellText, b: []byte("1")}, cell{kind: cellBytes, b: []byte{0xab}}
+	tests := []struct {
+		c      cell
+		oid    uint32
+		format int16
+		want   string
+	}{
+		{integer, pgtype.Int8OID, formatText, "-2"},
+		{integer, pgtype.BoolOID, formatText, "t"},
+		{cell{kind: cellInt}, pgtype.BoolOID, formatText, "f"},
+		{float, pgtype.Float8OID, formatText, "1.5"},
+		{cell{kind: cellFloat, f: 1e6}, oidUnknown, formatText, "1000000"},
+		{cell{kind: cellFloat, f: 1e20}, oidUnknown, formatText, "1e+20"},
+		{cell{kind: cellFloat, f: math.Inf(-1)}, oidUnknown, formatText, "-Infinity"},
+		{blob, pgtype.ByteaOID, formatText, `\xab`},
+		{blob, pgtype.TextOID, formatText, "\xab"},
+		{integer, pgtype.Int8OID, formatBinary, "\xff\xff\xff\xff\xff\xff\xff\xfe"},
+		{text, pgtype.Int8OID, formatBinary, "\x00\x00\x00\x00\x00\x00\x00\x01"},
+		{float, pgtype.Float8OID, formatBinary, "\x3f\xf8\x00\x00\x00\x00\x00\x00"},
+		{text, pgtype.BoolOID, formatBinary, "\x01"},
+		{blob, pgtype.ByteaOID, formatBinary, "\xab"},
+		{integer, pgtype.TextOID, formatBinary, "-2"},
+	}
+	for _, tt := range tests {
+		got, err := appendValue(nil, tt.c, tt.oid, tt.format)
+		require.NoError(t, err)
+		assert.Equal(t, tt.want, string(got[4:]), "%v as %d", tt.c, tt.oid)
+	}
+	_, err := appendValue(nil, float, pgtype.Int8OID, formatBinary)
+	assert.Error(t, err)
+}
+
+// Guards against declared parameters that are bound with another type.
+func TestDecode(t *testing.T) {
+	tests := []struct {
+		raw    string
+		oid    uint32
+		format int16
+		want   any // nil is an error
+	}{
+		{"12", pgtype.TextOID, formatText, "12"},
+		{"12", pgtype.Int4OID, formatText, int64(12)},
+		{"x", pgtype.Int4OID, formatText, nil},
+		{"12", pgtype.Float8OID, formatText, 12.0},
+		{"t", pgtype.BoolOID, formatText, int64(1)},
+		{"x", pgtype.BoolOID, formatText, nil},
+		{`\xab`, pgtype.ByteaOID, formatText, []byte{0xab}},
+		{"\xff", pgtype.TextOID, formatText, nil},
+		{"\xff\xfe", pgtype.Int2OID, formatBinary, int64(-2)},
+		{"\xff\xff\xff\xfe", pgtype.Int4OID, formatBinary, int64(-2)},
+		{"\x00", pgtype.Int4OID, formatBinary, nil},
+		{"\x3f\xf8\x00\x00\x00\x00\x00\x00", pgtype.Float8OID, formatBinary, 1.5},
+		{"\x00", pgtype.BoolOID, formatBinary, int64(0)},
+		{"a", pgtype.TextOID, formatBinary, "a"},
+		{"\xff", oidUnknown, formatBinary, []byte{0xff}},
+		{"\x00", pgtype.NumericOID, formatBinary, nil},
+	}
+	for _, tt := range tests {
+		got, err := decodeParameter([]byte(tt.raw), tt.oid, tt.format)
+		if tt.want == nil {
+			assert.Error(t, err, "%q as %d", tt.raw, tt.oid)
+			continue
+		}
+		assert.Equal(t, tt.want, got, "%q as %d", tt.raw, tt.oid)
+	}
+}
+
 // Guards against wrong SQLSTATE codes and transaction states, by which callers
 // decide whether a statement ran.
 func TestErrors(t *testing.T) {
@@ -206,37 +278,59 @@
 	f := conn.PgConn().Frontend()
 	f.SendParse(&pgproto3.Parse{Query: "select id from v order by id"})
 	f.SendBind(&pgproto3.Bind{})
+	f.SendDescribe(&pgproto3.Describe{ObjectType: 'P'})
 	for range 3 {
 		f.SendExecute(&pgproto3.Execute{MaxRows: 2})
 	}
+	f.SendClose(&pgproto3.Close{ObjectType: 'P'})
+	f.SendExecute(&pgproto3.Execute{})
+	f.SendExecute(&pgproto3.Execute{}) // ignored after the error
 	f.SendSync(&pgproto3.Sync{})
 	require.NoError(t, f.Flush())
-	assert.Equal(t, "12DDsDCCZ", receiveKinds(t, f))
+	assert.Equal(t, "12TDDsDCC3EZ", receiveKinds(t, f))
 }
 
-// Guards against a cancel request that is ignored or that ends the session,
-// and against one that also cancels the next statement.
+// Guards against a cancel request that is ignored in one of the places where a
+// statement can wait, and against one that also cancels the next statement.
 func TestCancel(t *testing.T) {
-	s := startServer(t, Options{StatementCost: 20 * time.Millisecond})
-	conn := connect(t, s)
-	slow := "with recursive n(i) as (select 1 union all select i + 1 from n) select count(*) from n"
-	done := make(chan error, 1)
-	go func() {
-		_, err := conn.Exec(context.Background(), slow)
-		done <- err
-	}()
-	var err error
-	eventually(t, "the statement is canceled", func() bool {
-		assert.NoError(t, conn.PgConn().CancelRequest(testContext(t)))
-		select {
-		case err = <-done:
-			return true
-		case <-time.After(10 * time.Millisecond):
-			return false
-		}
-	})
-	assert.Equal(t, stateQueryCanceled, state(t, err))
-	assert.Equal(t, int64(1), query[int64](t, conn, "select 1"))
+	s := startServer(t, Options{Slots: 2})
+	slow := startServer(t, Options{StatementCost: time.Hour})
+	holder := connect(t, s)
+	exec(t, holder, "create table v (id integer)")
+	exec(t, holder, "begin; insert into v values (1)")
+	tests := []struct {
+		name   string
+		server *Server
+		sql    string
+	}{
+		{"running", s, "with recursive n(i) as (select 1 union all select i + 1 from n) select count(*) from n"},
+		{"waiting for the writer lock", s, "insert into v values (2)"},
+		{"occupying a slot", slow, "select 1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			conn := connect(t, tt.server)
+			done := make(chan error, 1)
+			go func() {
+				_, err := conn.Exec(context.Background(), tt.sql)
+				done <- err
+			}()
+			var err error
+			eventually(t, "the statement is canceled", func() bool {
+				assert.NoError(t, conn.PgConn().CancelRequest(testContext(t)))
+				select {
+				case err = <-done:
+					return true
+				case <-time.After(10 * time.Millisecond):
+					return false
+				}
+			})
+			assert.Equal(t, stateQueryCanceled, state(t, err))
+			exec(t, conn, "set x = 1")
+		})
+	}
+	exec(t, holder, "commit")
+	assert.Equal(t, int64(1), query[int64](t, holder, "select count(*) from v"))
 }
 
 // Guards against more clients than the limit, and against places that are not freed.
