--- a/internal/gwstandin/server.go
+++ b/internal/gwstandin/server.go
@@ -99,7 +99,9 @@
 		r.wg.Go(func() { s.announce(r.ctx, url) })
 	}
 	if s.follow != nil {
-		s.startFollow(r, newFollow(s.follow.term, s.follow.address))
+		f := newFollow(s.follow.term, s.follow.address)
+		f.dropped = s.follow.dropped
+		s.startFollow(r, f)
 	}
 	return nil
 }
@@ -182,14 +184,22 @@
 	s.changed = make(chan struct{})
 }
 
+// acceptRetry is the pause after a failed accept, such as one for want of
+// file descriptors.
+const acceptRetry = 10 * time.Millisecond
+
 func (s *Server) accept(r *run) {
 	for {
 		conn, err := r.listener.Accept()
 		if err != nil {
-			if r.ctx.Err() == nil {
-				s.o.Logger.Error("accept failed", "error", err)
+			if r.ctx.Err() != nil {
+				return
 			}
-			return
+			s.o.Logger.Error("accept failed", "error", err)
+			if err := s.sleep(r.ctx, acceptRetry); err != nil {
+				return
+			}
+			continue
 		}
 		r.mu.Lock()
 		if r.ctx.Err() != nil {
