gwquorum: check the guarantees under random and exhaustive faults

An exploration tries all orders of a few events, and scenarios cover isolation, repair, promotion, transfer and each disk operation.

--- a/internal/gwstore/error.go
+++ b/internal/gwstore/error.go
@@ -12,13 +12,14 @@
 	KindIO      ErrorKind = iota + 1 // the file system failed
 	KindCorrupt                      // a synced record is damaged or missing
 	KindStopped                      // an earlier save failed; the log takes no more
+	KindInvalid                      // the arguments do not continue the saved state
 	KindEncode                       // a value cannot be encoded
 	KindLocked                       // another process uses the folder
 )
 
 // String returns the kind's name.
 func (k ErrorKind) String() string {
-	names := [...]string{"unknown", "i/o", "corrupt", "stopped", "encode", "locked"}
+	names := [...]string{"unknown", "i/o", "corrupt", "stopped", "invalid", "encode", "locked"}
 	if int(k) < len(names) {
 		return names[k]
 	}
--- a/internal/gwstore/log.go
+++ b/internal/gwstore/log.go
@@ -144,7 +144,7 @@
 	first, last := c.Entries[0].Index, l.snapshot.Index+uint64(len(l.tail))
 	if first > last+1 || first <= l.snapshot.Index {
 		return &Error{
-			Op: "save", Kind: KindEncode, File: l.logPath(l.number),
+			Op: "save", Kind: KindInvalid, File: l.logPath(l.number),
 			Err: fmt.Errorf("entry %d does not follow entries %d to %d", first, l.snapshot.Index, last),
 		}
 	}
@@ -163,6 +163,12 @@
 // saveSnapshot writes the snapshot file and then a new log file that holds only
 // what follows the snapshot.
 func (l *Log) saveSnapshot(hs gwquorum.HardState, entries []gwquorum.Entry, snap gwquorum.Snapshot) error {
+	if snap.Index < l.snapshot.Index {
+		return &Error{
+			Op: "save", Kind: KindInvalid, File: l.path(snapshotName),
+			Err: fmt.Errorf("a snapshot of entry %d replaces one of entry %d", snap.Index, l.snapshot.Index),
+		}
+	}
 	b, err := encodeRecord(snap)
 	if err != nil {
 		return &Error{Op: "save", Kind: KindEncode, File: l.path(snapshotName), Err: err}
@@ -187,7 +193,7 @@
 	switch {
 	case snap.Index == baseIndex:
 		return tail
-	case snap.Index < baseIndex || snap.Index > last || tail[snap.Index-baseIndex-1].Term != snap.Term:
+	case snap.Index > last || tail[snap.Index-baseIndex-1].Term != snap.Term:
 		return nil
 	default:
 		return slices.Clone(tail[snap.Index-baseIndex:])
--- a/internal/gwstore/memoryfs.go
+++ b/internal/gwstore/memoryfs.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"io/fs"
+	"maps"
 	"math/rand/v2"
 	"path"
 	"slices"
@@ -88,11 +89,12 @@
 	}
 	m.pending = nil
 	m.files = map[string]*memoryData{}
-	for name, d := range m.durable {
-		content := d.tear(r)
+	// The order is fixed, so that a seed reproduces the same crash.
+	for _, name := range slices.Sorted(maps.Keys(m.durable)) {
+		content := m.durable[name].tear(r)
 		m.files[name] = &memoryData{content: content, synced: slices.Clone(content)}
 	}
-	m.durable = cloneNames(m.files)
+	m.durable = maps.Clone(m.files)
 	m.locks = map[string]bool{}
 	m.epoch++
 }
@@ -110,14 +112,6 @@
 	return content
 }
 
-func cloneNames(names map[string]*memoryData) map[string]*memoryData {
-	out := make(map[string]*memoryData, len(names))
-	for name, d := range names {
-		out[name] = d
-	}
-	return out
-}
-
 // Damage flips the bits of one byte, as a faulty disk does.
 func (m *MemoryFS) Damage(name string, offset int) {
 	m.mu.Lock()
--- a/internal/gwstore/open.go
+++ b/internal/gwstore/open.go
@@ -39,7 +39,8 @@
 	if err := l.readLog(); err != nil {
 		return err
 	}
-	if err := l.joinSnapshot(snap); err != nil {
+	stale, err := l.joinSnapshot(snap)
+	if err != nil {
 		return err
 	}
 	// Older files are left when a crash came between a rotation's steps.
@@ -48,6 +49,10 @@
 			return l.ioError("open", l.logPath(n), err)
 		}
 	}
+	if stale {
+		// Entries after the snapshot must not go into a file that lacks those before it.
+		return l.rotate()
+	}
 	return nil
 }
 
@@ -168,16 +173,17 @@
 	return nil
 }
 
-// joinSnapshot combines the log file with the snapshot, which is newer than the
-// file's base when a crash came before the rotation.
-func (l *Log) joinSnapshot(snap *gwquorum.Snapshot) error {
+// joinSnapshot combines the log file with the snapshot, and reports whether the
+// snapshot is newer than the file's base because a crash came before the rotation.
+func (l *Log) joinSnapshot(snap *gwquorum.Snapshot) (stale bool, err error) {
+	baseIndex := l.snapshot.Index
 	switch {
-	case snap == nil && l.snapshot.Index == 0:
-		return nil
-	case snap == nil || snap.Index < l.snapshot.Index:
-		return l.corrupt(l.path(snapshotName), 0, "the log follows a snapshot of entry %d, which is missing", l.snapshot.Index)
+	case snap == nil && baseIndex == 0:
+		return false, nil
+	case snap == nil || snap.Index < baseIndex:
+		return false, l.corrupt(l.path(snapshotName), 0, "the log follows a snapshot of entry %d, which is missing", l.snapshot.Index)
 	}
-	l.tail = followers(l.snapshot.Index, l.tail, *snap)
+	l.tail = followers(baseIndex, l.tail, *snap)
 	l.snapshot = *snap
-	return nil
+	return snap.Index > baseIndex, nil
 }
--- a/pkg/gwquorum/cluster_test.go
+++ b/pkg/gwquorum/cluster_test.go
@@ -32,6 +32,7 @@
 	members   map[string]*member
 	network   []gwquorum.Message
 	cut       map[string]bool // isolated members
+	frozen    map[string]bool // members whose process is paused
 	leaders   map[uint64]string
 	committed map[uint64]gwquorum.Entry
 	last      uint64            // greatest committed index
@@ -45,7 +46,7 @@
 func newCluster(seed uint64, first []string, later ...string) *cluster {
 	c := &cluster{
 		rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
-		members: map[string]*member{}, cut: map[string]bool{}, leaders: map[uint64]string{},
+		members: map[string]*member{}, cut: map[string]bool{}, frozen: map[string]bool{}, leaders: map[uint64]string{},
 		committed: map[uint64]gwquorum.Entry{}, reads: map[uint64]uint64{}, answered: map[uint64]gwquorum.ReadState{},
 	}
 	for _, id := range slices.Concat(first, later) {
@@ -189,7 +190,7 @@
 
 func (c *cluster) step(msg gwquorum.Message) {
 	m := c.members[msg.To]
-	if m == nil || m.node == nil || c.cut[msg.To] || c.cut[msg.From] {
+	if m == nil || m.node == nil || c.cut[msg.To] || c.cut[msg.From] || c.frozen[msg.To] {
 		return
 	}
 	m.node.Step(msg, c.now)
@@ -199,7 +200,7 @@
 func (c *cluster) tick() {
 	c.now = c.now.Add(tick)
 	for _, id := range c.ids {
-		if m := c.members[id]; m.node != nil {
+		if m := c.members[id]; m.node != nil && !c.frozen[id] {
 			m.node.Tick(c.now)
 			c.work(id)
 		}
@@ -230,7 +231,7 @@
 	var term uint64
 	for _, id := range c.ids {
 		m := c.members[id]
-		if m.node == nil {
+		if m.node == nil || c.frozen[id] {
 			continue
 		}
 		if s := m.node.Status(); s.Role == gwquorum.Leader && s.Term > term {
--- /dev/null
+++ b/pkg/gwquorum/explore_test.go
@@ -0,0 +1,342 @@
+package gwquorum
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// bounds limits an exploration; each field is a number of actions in a history.
+type bounds struct {
+	steps                                        int // all actions, deliveries included
+	campaigns, proposals, restarts, reads        int
+	compactions, heartbeats, changes, repetition int
+}
+
+// world is one state of three voters and the messages under way. A message may
+// be delivered in any order or never, and a bounded number of them again.
+type world struct {
+	nodes     []*Node
+	keys      []string    // of the nodes
+	hard      []HardState // synced hard states
+	messages  map[string]Message
+	left      bounds
+	leaders   map[uint64]string
+	committed []Entry
+	seenAt    []uint64 // terms of the nodes that first saw the entries as committed
+	asked     uint64   // committed index when the read was asked
+}
+
+// explorer visits every world that can be reached within the bounds.
+type explorer struct {
+	t    *testing.T
+	seen map[[sha256.Size]byte]bool
+	next []*world // one step further
+	ids  []string
+	now  time.Time
+}
+
+func newExplorer(t *testing.T) *explorer {
+	return &explorer{t: t, seen: map[[sha256.Size]byte]bool{}, ids: []string{"a", "b", "c"}, now: time.Unix(1, 0)}
+}
+
+func (x *explorer) newWorld() *world {
+	w := &world{messages: map[string]Message{}, leaders: map[uint64]string{}}
+	for _, id := range x.ids {
+		n, err := NewNode(Config{ID: id, Rand: rand.NewPCG(1, 1), KeepEntries: 1},
+			HardState{}, Snapshot{Members: Members{Voters: x.ids}}, nil)
+		require.NoError(x.t, err)
+		n.observe(x.now)
+		w.nodes = append(w.nodes, n)
+		w.keys = append(w.keys, nodeKey(n))
+		w.hard = append(w.hard, HardState{})
+	}
+	return w
+}
+
+func (w *world) clone() *world {
+	c := *w
+	c.nodes, c.keys, c.hard = slices.Clone(w.nodes), slices.Clone(w.keys), slices.Clone(w.hard)
+	c.messages, c.leaders = maps.Clone(w.messages), maps.Clone(w.leaders)
+	c.committed, c.seenAt = slices.Clone(w.committed), slices.Clone(w.seenAt)
+	return &c
+}
+
+func cloneNode(n *Node) *Node {
+	c := *n
+	c.log.entries, c.log.records = slices.Clone(n.log.entries), slices.Clone(n.log.records)
+	c.votes = maps.Clone(n.votes)
+	c.peers = maps.Clone(n.peers)
+	for id, pr := range c.peers {
+		p := *pr
+		p.inflight = slices.Clone(pr.inflight)
+		c.peers[id] = &p
+	}
+	c.reads.waiting, c.reads.pending = slices.Clone(n.reads.waiting), slices.Clone(n.reads.pending)
+	c.reads.forwarded = maps.Clone(n.reads.forwarded)
+	c.messages = slices.Clone(n.messages)
+	return &c
+}
+
+func entriesKey(entries []Entry) string {
+	var b strings.Builder
+	for _, e := range entries {
+		fmt.Fprintf(&b, "%d.%d.%s ", e.Index, e.Term, e.Data)
+	}
+	return b.String()
+}
+
+func messageKey(m Message) string {
+	key := fmt.Sprint(m.Kind, m.From, m.To, m.Term, m.Index, m.LogTerm, m.Commit, m.Reject, m.Hint, m.HintTerm, m.Round, m.Read)
+	if m.Snapshot != nil {
+		key += fmt.Sprint(m.Snapshot.Index, m.Snapshot.Term)
+	}
+	return key + "|" + entriesKey(m.Entries)
+}
+
+func nodeKey(n *Node) string {
+	var b strings.Builder
+	fmt.Fprint(&b, n.role, n.term, n.vote, n.leader, n.log.base, n.log.stable, n.log.commit, n.log.applied, n.snapshot.Index,
+		"|", entriesKey(n.log.entries), "|", n.votes, n.firstIndex, n.reads.round, n.reads.waiting, n.reads.pending, n.reads.forwarded)
+	for _, id := range n.peerIDs() {
+		pr := n.peers[id]
+		fmt.Fprint(&b, "|", id, pr.state, pr.match, pr.next, pr.commit, pr.inflight, pr.probed, pr.round)
+	}
+	return b.String()
+}
+
+func (w *world) key() [sha256.Size]byte {
+	parts := append(slices.Sorted(maps.Keys(w.messages)), w.keys...)
+	parts = append(parts, fmt.Sprint(w.hard, w.left, w.leaders, w.asked, w.seenAt), entriesKey(w.committed))
+	return sha256.Sum256([]byte(strings.Join(parts, "\n")))
+}
+
+// explore visits everything that can be reached from w.
+func (x *explorer) explore(w *world) {
+	x.add(w)
+	for range w.left.steps {
+		worlds := x.next
+		x.next = nil
+		for _, w := range worlds {
+			x.visit(w)
+		}
+	}
+}
+
+// add makes w one of the next worlds unless it was reached before.
+func (x *explorer) add(w *world) {
+	if key := w.key(); !x.seen[key] {
+		x.seen[key] = true
+		x.next = append(x.next, w)
+	}
+}
+
+// visit adds the worlds that are one action away from w.
+func (x *explorer) visit(w *world) {
+	x.deliver(w)
+	for i, n := range w.nodes {
+		if n.role != Leader {
+			// Whenever, because elections must be safe without timeouts and pre-votes.
+			x.act(w, i, func(b *bounds) *int { return &b.campaigns }, func(n *Node) { n.campaign(true) })
+		} else {
+			x.act(w, i, func(b *bounds) *int { return &b.proposals }, func(n *Node) { _, _, _ = n.Propose([]byte(x.ids[i])) })
+			x.act(w, i, func(b *bounds) *int { return &b.heartbeats }, func(n *Node) { n.broadcast(true) })
+			x.act(w, i, func(b *bounds) *int { return &b.changes }, func(n *Node) {
+				_ = n.ProposeChange(Change{Kind: Remove, Instance: x.ids[(i+1)%len(x.ids)]})
+			})
+		}
+		if n.log.applied > n.snapshot.Index {
+			x.act(w, i, func(b *bounds) *int { return &b.compactions }, func(n *Node) { _ = n.Compact(n.log.applied, nil) })
+		}
+		x.read(w, i)
+		x.restart(w, i)
+	}
+}
+
+// deliver visits the worlds after each message, with and without keeping it to
+// be delivered again.
+func (x *explorer) deliver(w *world) {
+	for key, m := range w.messages {
+		step := func(n *Node) { n.Step(m, x.now) }
+		once := w.clone()
+		delete(once.messages, key)
+		x.act(once, x.index(m.To), nil, step)
+		x.act(w, x.index(m.To), func(b *bounds) *int { return &b.repetition }, step)
+	}
+}
+
+func (x *explorer) index(id string) int { return slices.Index(x.ids, id) }
+
+// act adds the world after fn on node i, if the bound allows it.
+func (x *explorer) act(w *world, i int, bound func(*bounds) *int, fn func(*Node)) {
+	if bound != nil && *bound(&w.left) == 0 {
+		return
+	}
+	next := w.clone()
+	if bound != nil {
+		*bound(&next.left)--
+	}
+	next.nodes[i] = cloneNode(w.nodes[i])
+	fn(next.nodes[i])
+	x.work(next, i)
+	x.add(next)
+}
+
+func (x *explorer) read(w *world, i int) {
+	if w.left.reads == 0 {
+		return
+	}
+	next := w.clone()
+	next.left.reads--
+	next.asked = uint64(len(w.committed))
+	next.nodes[i] = cloneNode(w.nodes[i])
+	if w.nodes[i].leader == "" || next.nodes[i].ReadIndex(1) != nil {
+		return
+	}
+	x.work(next, i)
+	x.add(next)
+}
+
+// restart adds the world in which node i lost everything that was not synced.
+func (x *explorer) restart(w *world, i int) {
+	if w.left.restarts == 0 {
+		return
+	}
+	next := w.clone()
+	next.left.restarts--
+	old := w.nodes[i]
+	n, err := NewNode(old.cfg, w.hard[i], old.snapshot, old.log.between(old.snapshot.Index, old.log.last()))
+	require.NoError(x.t, err)
+	n.observe(x.now)
+	next.nodes[i], next.keys[i] = n, nodeKey(n)
+	x.add(next)
+}
+
+// work does the node's Ready and checks the guarantees.
+func (x *explorer) work(w *world, i int) {
+	n := w.nodes[i]
+	for {
+		rd := n.Ready()
+		if rd.Empty() {
+			break
+		}
+		if rd.MustSave() {
+			w.hard[i] = rd.HardState
+		}
+		for _, m := range rd.Messages {
+			w.messages[messageKey(m)] = m
+		}
+		for _, e := range rd.Committed {
+			x.commit(w, n, e)
+		}
+		for _, r := range rd.Reads {
+			if !r.Failed {
+				assert.GreaterOrEqual(x.t, r.Index, w.asked, "read index")
+			}
+		}
+		n.Advance(rd)
+	}
+	w.keys[i] = nodeKey(n)
+	require.NoError(x.t, n.fault)
+	if n.role == Leader && w.leaders[n.term] != n.cfg.ID {
+		require.Empty(x.t, w.leaders[n.term], "two leaders of term %d", n.term)
+		w.leaders[n.term] = n.cfg.ID
+		x.complete(w, n)
+	}
+}
+
+func (x *explorer) commit(w *world, n *Node, e Entry) {
+	if e.Index > uint64(len(w.committed)) {
+		w.committed, w.seenAt = append(w.committed, e), append(w.seenAt, n.term)
+	}
+	was := w.committed[e.Index-1]
+	require.Equal(x.t, e.Term, was.Term, "term of committed entry %d", e.Index)
+	require.Equal(x.t, e.Data, was.Data, "committed entry %d", e.Index)
+}
+
+// complete requires a new leader to have every entry committed in earlier terms.
+func (x *explorer) complete(w *world, n *Node) {
+	for i, e := range w.committed {
+		if t, ok := n.log.term(e.Index); w.seenAt[i] < n.term && (ok || e.Index > n.log.last()) {
+			require.True(x.t, ok && t == e.Term, "leader of term %d misses committed entry %d", n.term, e.Index)
+		}
+	}
+}
+
+// settle delivers all messages among the given nodes in a fixed order and loses the others.
+func (x *explorer) settle(w *world, among ...int) {
+	for len(w.messages) > 0 {
+		key := slices.Min(slices.Collect(maps.Keys(w.messages)))
+		m := w.messages[key]
+		delete(w.messages, key)
+		if i := x.index(m.To); slices.Contains(among, i) {
+			w.nodes[i].Step(m, x.now)
+			x.work(w, i)
+		}
+	}
+}
+
+func (x *explorer) do(w *world, i int, fn func(n *Node)) {
+	fn(w.nodes[i])
+	x.work(w, i)
+}
+
+// Guards against orders of few events that break the guarantees: each order of
+// delivery, loss, repetition and restart within the bounds is tried.
+func TestExploreAllOrders(t *testing.T) {
+	elect := func(x *explorer, w *world) {
+		x.do(w, 0, func(n *Node) { n.campaign(true) })
+		x.settle(w, 0, 1, 2)
+	}
+	tests := []struct {
+		name   string
+		start  func(x *explorer, w *world)
+		bounds bounds
+	}{
+		{
+			name: "competing elections", bounds: bounds{steps: 6, campaigns: 2, restarts: 1, repetition: 1},
+			start: func(x *explorer, w *world) { x.do(w, 0, func(n *Node) { n.campaign(true) }) },
+		},
+		{name: "new leader and proposals", bounds: bounds{steps: 8, campaigns: 1, proposals: 2, restarts: 1}, start: elect},
+		{name: "read under a new leader", bounds: bounds{steps: 7, campaigns: 1, proposals: 1, reads: 1, repetition: 1}, start: elect},
+		{
+			// The leader's entry in the middle of its term is on one follower only.
+			name: "entry on a minority", bounds: bounds{steps: 10, campaigns: 2, restarts: 1},
+			start: func(x *explorer, w *world) {
+				elect(x, w)
+				x.do(w, 0, func(n *Node) { _, _, _ = n.Propose([]byte("a")) })
+				x.settle(w)
+			},
+		},
+		{
+			name: "snapshot for a late follower", bounds: bounds{steps: 8, campaigns: 1, heartbeats: 1, proposals: 1, restarts: 1},
+			start: func(x *explorer, w *world) {
+				x.do(w, 0, func(n *Node) { n.campaign(true) })
+				x.settle(w, 0, 1)
+				x.do(w, 0, func(n *Node) { _, _, _ = n.Propose([]byte("a")) })
+				x.settle(w, 0, 1)
+				x.do(w, 0, func(n *Node) { _ = n.Compact(n.log.applied, nil) })
+			},
+		},
+		{name: "removal under a new leader", bounds: bounds{steps: 8, campaigns: 2, changes: 2}, start: elect},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			x := newExplorer(t)
+			w := x.newWorld()
+			tt.start(x, w)
+			w.left = tt.bounds
+			x.explore(w)
+			t.Logf("%d states", len(x.seen))
+		})
+	}
+}
--- a/pkg/gwquorum/member.go
+++ b/pkg/gwquorum/member.go
@@ -66,12 +66,16 @@
 }
 
 // TransferLeadership hands the leadership to another voter once that has the
-// whole log. Until then, or for one election timeout, proposals are refused.
+// whole log. Until then, or for one election timeout, proposals are refused. An
+// empty name chooses the answering voter with the longest synced log.
 func (n *Node) TransferLeadership(to string) error {
 	const op = "transfer leadership"
 	if err := n.checkPropose(op); err != nil {
 		return err
 	}
+	if to == "" {
+		to = n.bestVoter()
+	}
 	if to == n.cfg.ID || !n.log.members().IsVoter(to) {
 		return newError(op, KindInvalid, "%q is not another voter", to)
 	}
@@ -85,3 +89,17 @@
 		n.send(Message{Kind: MessageTimeoutNow, To: id})
 	}
 }
+
+// bestVoter returns the answering voter with the longest synced log, or "".
+func (n *Node) bestVoter() string {
+	best := ""
+	for _, id := range n.peerIDs() {
+		if !n.active(id) || !n.log.members().IsVoter(id) {
+			continue
+		}
+		if best == "" || n.peers[id].match > n.peers[best].match {
+			best = id
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/gwquorum/random_test.go
@@ -0,0 +1,132 @@
+package gwquorum_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"gentianward.example/gentianward/internal/gwstore"
+	"gentianward.example/gentianward/pkg/gwquorum"
+)
+
+// TestMain fixes rapid's seed and length, so that CI gives the same verdict
+// every time. Flags on the command line have precedence.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "150", "rapid.steps": "400"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against two leaders in a term, lost or changed committed entries and
+// stale reads when messages are lost, repeated and reordered, members are
+// isolated, restart without their unsynced data or change, and against a group
+// that does not recover once the faults end.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.Uint64().Draw(t, "seed"), []string{"a", "b", "c"}, "d", "e")
+		anyID := func(t *rapid.T) string { return rapid.SampledFrom(c.ids).Draw(t, "id") }
+		message := func(t *rapid.T) int {
+			if len(c.network) == 0 {
+				t.Skip("no message")
+			}
+			return rapid.IntRange(0, min(len(c.network), 12)-1).Draw(t, "message")
+		}
+		take := func(i int) gwquorum.Message {
+			msg := c.network[i]
+			c.network = append(c.network[:i:i], c.network[i+1:]...)
+			return msg
+		}
+		proposeLeader := func(*rapid.T) {
+			if l := c.leader(); l != nil {
+				_ = c.propose(l.id)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":        func(t *rapid.T) { require.NoError(t, c.err) },
+			"deliver": func(t *rapid.T) { c.step(take(message(t))) },
+			"repeat":  func(t *rapid.T) { c.step(c.network[message(t)]) },
+			"lose":    func(t *rapid.T) { take(message(t)) },
+			"deliverSome": func(t *rapid.T) {
+				for range rapid.IntRange(1, 30).Draw(t, "count") {
+					if len(c.network) > 0 {
+						c.step(take(0))
+					}
+				}
+			},
+			"pass":     func(t *rapid.T) { c.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "ticks")) * tick) },
+			"tick":     func(*rapid.T) { c.tick() },
+			"propose":  proposeLeader,
+			"propose2": proposeLeader,
+			"proposeAny": func(t *rapid.T) {
+				_ = c.propose(anyID(t))
+			},
+			"crash":   func(t *rapid.T) { c.crash(anyID(t), rapid.Bool().Draw(t, "torn")) },
+			"restart": func(t *rapid.T) { c.start(anyID(t)) },
+			"restartAll": func(*rapid.T) {
+				for _, id := range c.ids {
+					c.start(id)
+				}
+			},
+			"isolate": func(t *rapid.T) { c.cut[anyID(t)] = true },
+			"heal":    func(*rapid.T) { clear(c.cut) },
+			"compact": func(t *rapid.T) { c.compact(anyID(t)) },
+			"read":    func(t *rapid.T) { _, _ = c.read(anyID(t)) },
+			"change": func(t *rapid.T) {
+				_ = c.change(gwquorum.ChangeKind(rapid.IntRange(1, 3).Draw(t, "kind")), anyID(t))
+			},
+			"transfer": func(t *rapid.T) {
+				if l := c.leader(); l != nil {
+					_ = l.node.TransferLeadership(anyID(t))
+					c.work(l.id)
+				}
+			},
+			"failDisk": func(t *rapid.T) { c.failDisk(anyID(t), rapid.IntRange(0, 8).Draw(t, "operations")) },
+		})
+		c.recover(t)
+	})
+}
+
+// failDisk makes the member's disk fail after some more operations.
+func (c *cluster) failDisk(id string, operations int) {
+	m := c.members[id]
+	if m.node == nil {
+		return
+	}
+	m.fs.SetFault(func(gwstore.Op, string) error {
+		if operations--; operations < 0 {
+			return gwstore.ErrFull
+		}
+		return nil
+	})
+}
+
+// recover ends all faults and requires the group to commit again.
+func (c *cluster) recover(t require.TestingT) {
+	clear(c.cut)
+	for _, id := range c.ids {
+		c.members[id].fs.SetFault(nil)
+		c.start(id)
+	}
+	c.run(5 * time.Second)
+	l := c.leader()
+	require.NotNil(t, l, "no leader after the faults ended")
+	require.NoError(t, c.propose(l.id))
+	read, err := c.read(l.id)
+	require.NoError(t, err)
+	c.run(time.Second)
+	require.NoError(t, c.err)
+	require.False(t, c.answered[read].Failed)
+	for _, id := range l.node.Status().Voters {
+		require.Equal(t, c.last, c.members[id].applied, "voter %s", id)
+	}
+}
--- a/pkg/gwquorum/scenario_test.go
+++ b/pkg/gwquorum/scenario_test.go
@@ -6,6 +6,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwstore"
+	"gentianward.example/gentianward/pkg/gwquorum"
 )
 
 var three = []string{"a", "b", "c"}
@@ -35,3 +38,288 @@
 	}
 	require.NoError(t, c.err)
 }
+
+// elected returns a cluster with a ready leader and some entries.
+func elected(t *testing.T, seed uint64, first []string, later ...string) *cluster {
+	c := newCluster(seed, first, later...)
+	c.run(time.Second)
+	require.NotNil(t, c.leader())
+	for range 10 {
+		require.NoError(t, c.propose(c.leader().id))
+	}
+	c.run(200 * time.Millisecond)
+	return c
+}
+
+// followers returns the up members but the leader, in order.
+func (c *cluster) followers() []string {
+	var ids []string
+	for _, id := range c.ids {
+		if l := c.leader(); id != l.id && c.members[id].node != nil {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Guards against a leader that was paused or cut off for long and, on its
+// return, answers reads or commits as if it still led.
+func TestReturnedLeaderCannotAnswer(t *testing.T) {
+	for _, paused := range []bool{true, false} {
+		c := elected(t, 2, three)
+		old := c.leader()
+		c.cut[old.id], c.frozen[old.id] = true, paused
+		c.run(2 * time.Second)
+		if !paused {
+			assert.NotEqual(t, gwquorum.Leader, old.node.Status().Role, "a leader without a quorum must stop")
+		}
+		require.NotEqual(t, old.id, c.leader().id)
+		require.NoError(t, c.propose(c.leader().id))
+		c.run(200 * time.Millisecond)
+		last := c.last
+
+		clear(c.frozen)
+		clear(c.cut)
+		if paused {
+			require.Equal(t, gwquorum.Leader, old.node.Status().Role)
+		}
+		read, readErr := c.read(old.id)
+		proposeErr := c.propose(old.id)
+		assert.Equal(t, last, c.last, "nothing may commit before the network answers")
+		c.run(time.Second)
+		if readErr == nil {
+			r := c.answered[read]
+			assert.True(t, r.Failed || r.Index >= last, "read %v", r)
+		}
+		if !paused {
+			require.Error(t, proposeErr)
+		}
+		assert.Equal(t, gwquorum.Follower, old.node.Status().Role)
+		require.NoError(t, c.err)
+	}
+}
+
+// Guards against a follower that forwards a read to a leader which was replaced
+// while both were cut off from the others.
+func TestReturnedFollowerCannotAnswer(t *testing.T) {
+	c := elected(t, 3, []string{"a", "b", "c", "d", "e"})
+	old := c.leader()
+	follower := c.followers()[0]
+	c.cut[old.id], c.frozen[old.id] = true, true
+	c.cut[follower], c.frozen[follower] = true, true
+	c.run(2 * time.Second)
+	require.NoError(t, c.propose(c.leader().id))
+	c.run(200 * time.Millisecond)
+
+	// Both wake up and reach only each other.
+	clear(c.frozen)
+	clear(c.cut)
+	for _, id := range c.ids {
+		c.cut[id] = id != old.id && id != follower
+	}
+	read, err := c.read(follower)
+	require.NoError(t, err)
+	c.run(time.Second)
+	assert.True(t, c.answered[read].Failed, "the read must fail without a quorum")
+	clear(c.cut)
+	c.run(time.Second)
+	read, err = c.read(follower)
+	require.NoError(t, err)
+	c.run(time.Second)
+	assert.False(t, c.answered[read].Failed)
+	require.NoError(t, c.err)
+}
+
+// Guards against an isolated follower that raises its term and unseats a
+// working leader when it returns.
+func TestReturnedFollowerDoesNotDisturb(t *testing.T) {
+	c := elected(t, 4, three)
+	before := c.leader().node.Status()
+	away := c.followers()[0]
+	c.cut[away] = true
+	c.run(10 * time.Second)
+	assert.Equal(t, before.Term, c.members[away].node.Status().Term)
+	clear(c.cut)
+	c.run(time.Second)
+	after := c.leader().node.Status()
+	assert.Equal(t, []any{before.Term, before.ID}, []any{after.Term, after.ID})
+	assert.Equal(t, c.last, c.members[away].applied)
+	require.NoError(t, c.err)
+}
+
+// Guards against losing committed entries or the quorum when a voter was
+// replaced and a second one of the first voters is lost right afterwards, at
+// each point of the repair.
+func TestSecondLossRightAfterRepair(t *testing.T) {
+	for point := range 40 {
+		for _, loseLeader := range []bool{true, false} {
+			c := elected(t, 5, three, "d")
+			lost := c.followers()[0]
+			c.crash(lost, false)
+			c.run(500 * time.Millisecond)
+			require.NoError(t, c.change(gwquorum.Remove, lost))
+			c.run(200 * time.Millisecond)
+			require.NoError(t, c.change(gwquorum.AddLearner, "d"))
+			c.run(200 * time.Millisecond)
+			require.NoError(t, c.change(gwquorum.Promote, "d"))
+			require.NoError(t, c.propose(c.leader().id))
+			for range point {
+				if len(c.network) > 0 {
+					c.step(c.network[0])
+					c.network = c.network[1:]
+				}
+			}
+			second := c.leader().id
+			if !loseLeader {
+				second = c.followers()[0]
+			}
+			if second == "d" {
+				second = c.followers()[1]
+			}
+			c.crash(second, false)
+			last := c.last
+			c.run(3 * time.Second)
+			if point == 39 { // the repair is finished
+				require.NotNil(t, c.leader(), "the group must survive a second loss")
+				require.NoError(t, c.propose(c.leader().id))
+				c.run(200 * time.Millisecond)
+				assert.Greater(t, c.last, last, "the group must survive a second loss")
+			}
+			c.start(second)
+			c.run(3 * time.Second)
+			require.NoError(t, c.err, "point %d", point)
+			require.Equal(t, c.last, c.members["d"].applied)
+		}
+	}
+}
+
+// Guards against promoting a learner that has not synced the log, and against a
+// learner that counts for a quorum.
+func TestLearnerPromotion(t *testing.T) {
+	c := elected(t, 6, three, "d")
+	c.crash("d", false)
+	require.NoError(t, c.change(gwquorum.AddLearner, "d"))
+	c.run(200 * time.Millisecond)
+	assert.Equal(t, gwquorum.KindNotCaughtUp, gwquorum.KindOf(c.change(gwquorum.Promote, "d")))
+
+	c.start("d")
+	c.members["d"].fs.SetFault(func(op gwstore.Op, _ string) error {
+		if op == gwstore.OpSync {
+			return gwstore.ErrFull
+		}
+		return nil
+	})
+	c.run(200 * time.Millisecond)
+	assert.Nil(t, c.members["d"].node, "a node whose sync failed is dropped")
+	assert.Equal(t, gwquorum.KindNotCaughtUp, gwquorum.KindOf(c.change(gwquorum.Promote, "d")), "an unsynced log does not count")
+
+	c.start("d")
+	c.run(500 * time.Millisecond)
+	l := c.leader()
+	for _, id := range c.followers() {
+		c.cut[id] = id != "d"
+	}
+	last := c.last
+	require.NoError(t, c.propose(l.id))
+	c.deliver()
+	assert.Equal(t, last, c.last, "the leader and a learner are no quorum")
+	clear(c.cut)
+	c.run(time.Second)
+	require.NoError(t, c.change(gwquorum.Promote, "d"))
+	c.run(200 * time.Millisecond)
+	assert.Equal(t, []string{"a", "b", "c", "d"}, c.leader().node.Status().Voters)
+	require.NoError(t, c.err)
+}
+
+// Guards against a removal that leaves a group without a quorum, and against
+// two changes at a time.
+func TestChangeRefusals(t *testing.T) {
+	c := elected(t, 7, three, "d")
+	c.crash(c.followers()[0], false)
+	c.run(400 * time.Millisecond)
+	alive := c.followers()[0]
+	assert.Equal(t, gwquorum.KindNoQuorum, gwquorum.KindOf(c.change(gwquorum.Remove, alive)))
+	require.NoError(t, c.change(gwquorum.AddLearner, "d"))
+	assert.Equal(t, gwquorum.KindPending, gwquorum.KindOf(c.change(gwquorum.AddLearner, "e")))
+	assert.Equal(t, gwquorum.KindNotLeader, gwquorum.KindOf(c.propose(alive)))
+	require.NoError(t, c.err)
+}
+
+// Guards against a planned stop that waits for an election timeout.
+func TestTransferLeadership(t *testing.T) {
+	c := elected(t, 8, three)
+	old := c.leader()
+	require.NoError(t, c.propose(old.id))
+	require.NoError(t, old.node.TransferLeadership(""))
+	c.work(old.id)
+	assert.Equal(t, gwquorum.KindPending, gwquorum.KindOf(c.propose(old.id)))
+	c.deliver() // no time passes
+	require.NotEqual(t, old.id, c.leader().id)
+	require.NoError(t, c.propose(c.leader().id))
+	c.deliver()
+	assert.Equal(t, c.last, c.leader().applied)
+	require.NoError(t, c.err)
+}
+
+// Guards against a returning member that needs many transfers: a member that
+// missed hundreds of entries gets one snapshot and the entries after it.
+func TestSnapshotCatchesUp(t *testing.T) {
+	c := elected(t, 9, three)
+	away := c.followers()[0]
+	c.crash(away, false)
+	for range 500 {
+		require.NoError(t, c.propose(c.leader().id))
+		c.deliver()
+	}
+	c.compact(c.leader().id)
+	c.start(away)
+	snapshots := 0
+	for range 40 {
+		for _, m := range c.network {
+			if m.Kind == gwquorum.MessageSnapshot {
+				snapshots++
+			}
+		}
+		c.deliver()
+		c.tick()
+	}
+	assert.Equal(t, 1, snapshots)
+	assert.Equal(t, c.last, c.members[away].applied)
+	require.NoError(t, c.err)
+}
+
+// Guards against a crash between two disk operations that loses a vote or an
+// entry: a member's disk stops at each operation of a run in turn.
+func TestCrashAtEachDiskOperation(t *testing.T) {
+	for _, torn := range []bool{false, true} {
+		for _, id := range three {
+			operations := 0
+			for stop := 0; stop <= operations; stop++ {
+				c := newCluster(10, three)
+				m, count := c.members[id], 0
+				m.fs.SetFault(func(gwstore.Op, string) error {
+					if count++; count > stop && stop > 0 {
+						return gwstore.ErrFull
+					}
+					return nil
+				})
+				for i := range 12 {
+					c.run(100 * time.Millisecond)
+					if l := c.leader(); l != nil {
+						_ = c.propose(l.id)
+					}
+					if i%4 == 3 {
+						c.compact(id)
+					}
+				}
+				if stop == 0 {
+					operations = count
+					require.Greater(t, operations, 20)
+				}
+				c.crash(id, torn)
+				c.start(id)
+				c.recover(t)
+			}
+		}
+	}
+}
