gwcontrol, gwowner, gwfilter: shorten the gap of isolated primaries and owners

Cause: an isolated primary was noticed only after its query timed out; the change waited 300 ms to fence it; requests in flight waited 5 s for the link of a lost owner; and an instance that had been cut off reported healthy primaries. Change: a new connection probes a silent primary without taking a slot; all copies are fenced at once; requests whose primary or owner was replaced are given up as unknown; only the holder of a live lease may report its primary.

--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -189,7 +189,10 @@
 	serveLeader(node, kindReturn, l.Return)
 	serveLeader(node, kindPublish, l.Publish)
 	serveLeader(node, kindStart, l.StartGroup)
-	serveLeader(node, kindSuspect, l.Suspect)
+	gwpeer.Handle(node, kindSuspect, func(ctx context.Context, from string, r SuspectRequest) (Empty, error) {
+		r.Reporter = from
+		return withCode(l.Suspect(ctx, r))
+	})
 	serveLeader(node, kindHistory, l.History)
 	return l
 }
@@ -202,10 +205,14 @@
 
 func serveLeader[Req, Resp any](node *gwpeer.Node, kind gwpeer.Kind, f func(context.Context, Req) (Resp, error)) {
 	gwpeer.Handle(node, kind, func(ctx context.Context, _ string, req Req) (Resp, error) {
-		resp, err := f(ctx, req)
-		if err != nil {
-			return resp, remoteError(err)
-		}
-		return resp, nil
+		return withCode(f(ctx, req))
 	})
 }
+
+// withCode gives an error the code that callLeader reads.
+func withCode[Resp any](resp Resp, err error) (Resp, error) {
+	if err != nil {
+		return resp, remoteError(err)
+	}
+	return resp, nil
+}
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -46,9 +47,14 @@
 	Group  string `cbor:"1,keyasint"`
 	Term   uint64 `cbor:"2,keyasint"`
 	Reason string `cbor:"3,keyasint"`
+	// Reporter is the instance that asks.
+	Reporter string `cbor:"4,keyasint"`
 }
 
 // Suspect begins a change of primary unless the group has moved on since.
+//
+// While a lease is live, only its holder may ask: an instance that has been cut
+// off takes itself for the owner of servers that it merely cannot reach.
 func (l *Leader) Suspect(ctx context.Context, r SuspectRequest) (Empty, error) {
 	if !l.consensus.Leading() {
 		return Empty{}, &Error{Op: "suspect primary", Kind: NotLeader, Detail: l.consensus.Status().Leader}
@@ -57,13 +63,18 @@
 	if !ok || g.Term != r.Term {
 		return Empty{}, nil
 	}
+	lease, leased := l.state.Lease(r.Group)
+	if _, expired := l.state.Clock().Expired(r.Group, l.clock.Now()); leased && !expired && lease.Holder != r.Reporter {
+		l.log.Info("report of a primary ignored", "group", r.Group, "reporter", r.Reporter, "holder", lease.Holder, "reason", r.Reason)
+		return Empty{}, nil
+	}
 	l.startChange(r.Group, r.Term, r.Reason)
 	return Empty{}, nil
 }
 
 // Suspect reports a primary to the leader.
 func (c *Client) Suspect(ctx context.Context, group string, term uint64, reason string) {
-	req := SuspectRequest{Group: group, Term: term, Reason: reason}
+	req := SuspectRequest{Group: group, Term: term, Reason: reason, Reporter: c.members.Topology().Self.Instance}
 	_, err := callLeader(ctx, c, kindSuspect, req, func(ctx context.Context, r SuspectRequest) (Empty, error) {
 		return c.local.Suspect(ctx, r)
 	})
@@ -201,8 +212,8 @@
 
 // attempt fences the servers, promotes one and records it.
 func (l *Leader) attempt(ctx context.Context, g gwstate.Group) error {
-	copies := l.fenceAll(ctx, g)
 	need, allowLoss := l.owners.Rules(g.Name)
+	copies := l.fenceAll(ctx, g, need)
 	candidates, err := Candidates(g, copies, l.leaving(g.Name), need, allowLoss)
 	if err != nil {
 		return err
@@ -237,39 +248,43 @@
 	return out
 }
 
-// fenceAll fences the old primary first and, if it answers, gives the others
-// the time to receive its last writes: once fenced, they take none from it.
-func (l *Leader) fenceAll(ctx context.Context, g gwstate.Group) []Copy {
+// fenceAll fences the servers of a group and returns the copies that answered.
+//
+// A primary that is leaving is fenced first, and the others are given the time
+// to receive its last writes: once fenced, they take none from it. Otherwise
+// all are fenced at once, and nobody waits for a primary that does not answer.
+func (l *Leader) fenceAll(ctx context.Context, g gwstate.Group, need int) []Copy {
 	servers := l.owners.Servers(g.Name)
-	var copies []Copy
-	fctx, cancel := context.WithTimeout(ctx, fenceTimeout)
-	old, err := l.owners.FenceAt(fctx, Fence{Server: g.Primary, Term: g.NextTerm})
-	cancel()
-	if err == nil {
-		copies = append(copies, old)
-		if l.leaving(g.Name)[g.Primary] {
+	if l.leaving(g.Name)[g.Primary] {
+		fctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+		old, err := l.owners.FenceAt(fctx, Fence{Server: g.Primary, Term: g.NextTerm})
+		cancel()
+		if err == nil {
 			l.awaitCatchUp(ctx, servers, old)
 		}
 	}
-	var mu sync.Mutex
+	fctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+	defer cancel()
+	answers := make(chan Copy, len(servers))
 	var wg sync.WaitGroup
 	for _, f := range servers {
-		if f.Server == g.Primary {
-			continue
-		}
 		wg.Go(func() {
-			fctx, cancel := context.WithTimeout(ctx, fenceTimeout)
-			defer cancel()
-			c, err := l.owners.FenceAt(fctx, Fence{Server: f.Server, Term: g.NextTerm})
-			if err != nil {
-				return
+			if c, err := l.owners.FenceAt(fctx, Fence{Server: f.Server, Term: g.NextTerm}); err == nil {
+				answers <- c
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			copies = append(copies, c)
 		})
 	}
-	wg.Wait()
+	go func() {
+		wg.Wait()
+		close(answers)
+	}()
+	var copies []Copy
+	for c := range answers {
+		copies = append(copies, c)
+		if len(copies) >= need-1 && len(copies) < len(servers) && !slices.ContainsFunc(copies, func(c Copy) bool { return c.Server == g.Primary }) {
+			break
+		}
+	}
 	return copies
 }
 
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -253,6 +253,7 @@
 	i.wg.Go(func() { i.owner.Run(ctx) })
 	i.wg.Go(func() { i.keeper.Run(ctx) })
 	i.wg.Go(func() { i.followView(ctx) })
+	i.wg.Go(func() { i.entry.Run(ctx) })
 	if i.consensus != nil {
 		i.wg.Go(func() { _ = i.consensus.Run(ctx) })
 		i.wg.Go(func() { i.leader.Run(ctx) })
--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -67,6 +67,7 @@
 	barriers *barriers
 	servers  *serverTable
 	streams  *streamPool
+	inflight *inflight
 
 	mu     sync.Mutex
 	rng    *rand.Rand
@@ -87,6 +88,7 @@
 		barriers: newBarriers(o.Owner.Barrier),
 		servers:  newServerTable(),
 		streams:  newStreamPool(o.Node),
+		inflight: newInflight(),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		budget:   gwoutcome.NewBudget(retryRatio, retryBurst),
 	}
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -152,7 +152,7 @@
 		return notRun(gwoutcome.PeerUnreachable, err.Error())
 	}
 	started := e.Clock.Now()
-	res := up.Exec(ctx, &r.exec, r)
+	res := e.exec(ctx, r, up)
 	e.servers.note(c.Server.Name, res, started, e.Clock.Now(), r.exec.MaxWait)
 	s := r.session
 	if res.Event == gwoutcome.Answered && res.TxStatus != 'I' {
@@ -168,7 +168,7 @@
 	s := r.session
 	r.exec.Server = s.server
 	r.served = gwroute.Server{Name: s.server, Primary: s.write}
-	res := s.transaction.Exec(ctx, &r.exec, r)
+	res := e.exec(ctx, r, s.transaction)
 	if res.Event != gwoutcome.Answered || res.TxStatus == 'I' {
 		s.transaction.Close()
 		s.transaction = nil
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -151,7 +151,13 @@
 }
 
 // localUpstream runs requests at the owner in this process.
-type localUpstream struct{ session *gwowner.Session }
+type localUpstream struct {
+	session *gwowner.Session
+	name    string
+}
+
+// Owner returns the name of this instance.
+func (u localUpstream) Owner() string { return u.name }
 
 // Exec runs one request.
 func (u localUpstream) Exec(ctx context.Context, req *gwowner.Request, out writer) gwowner.Result {
@@ -174,9 +180,9 @@
 		return nil, &gwcontrol.Error{Op: "find owner", Kind: gwcontrol.UnknownServer, Detail: server}
 	}
 	if m.Instance == t.Self.Instance {
-		return localUpstream{session: e.Owner.NewSession()}, nil
+		return localUpstream{session: e.Owner.NewSession(), name: t.Self.Instance}, nil
 	}
-	return e.streams.get(ctx, m.Address)
+	return e.streams.get(ctx, m.Address, m.Instance)
 }
 
 // maxIdleStreams bounds the idle streams that are kept for one owner.
@@ -199,21 +205,25 @@
 	*gwowner.Remote
 	pool    *streamPool
 	address string
+	owner   string
 	// dirty means that a transaction may be open at the owner.
 	dirty bool
 }
 
-func (p *streamPool) get(ctx context.Context, address string) (upstream, error) {
+func (p *streamPool) get(ctx context.Context, address, owner string) (upstream, error) {
 	if r := p.take(address); r != nil {
-		return &pooledUpstream{Remote: r, pool: p, address: address}, nil
+		return &pooledUpstream{Remote: r, pool: p, address: address, owner: owner}, nil
 	}
 	st, err := p.node.OpenStream(ctx, address, gwcontrol.KindExec)
 	if err != nil {
 		return nil, err
 	}
-	return &pooledUpstream{Remote: gwowner.NewRemote(st), pool: p, address: address}, nil
+	return &pooledUpstream{Remote: gwowner.NewRemote(st), pool: p, address: address, owner: owner}, nil
 }
 
+// Owner returns the instance at the other end.
+func (u *pooledUpstream) Owner() string { return u.owner }
+
 func (p *streamPool) take(address string) *gwowner.Remote {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -35,6 +35,8 @@
 type upstream interface {
 	Exec(ctx context.Context, req *gwowner.Request, out writer) gwowner.Result
 	Close()
+	// Owner returns the instance that the requests go to.
+	Owner() string
 }
 
 // present verifies a session token and requires its positions from now on.
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -125,6 +125,8 @@
 // Intervals of the controller.
 const (
 	reconcileInterval = 500 * time.Millisecond
+	superviseInterval = 100 * time.Millisecond
+	// freshnessInterval is how often the primary's owner is asked for its position.
 	freshnessInterval = 200 * time.Millisecond
 )
 
@@ -133,7 +135,7 @@
 func (o *Owner) Run(ctx context.Context) {
 	reconcile := o.clock.NewTicker(reconcileInterval)
 	defer reconcile.Stop()
-	fresh := o.clock.NewTicker(freshnessInterval)
+	fresh := o.clock.NewTicker(superviseInterval)
 	defer fresh.Stop()
 	for {
 		members, servers, view := o.members.Changed(), o.directory.Changed(), o.views.Changed()
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -37,6 +37,8 @@
 	// checking means that a supervision of the server is running.
 	checking bool
 	openedAt time.Time
+	// askedAt is when the freshness of a replica was last asked for.
+	askedAt time.Time
 	// followed is the last term whose primary the server was told to follow.
 	followed uint64
 }
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -11,9 +11,12 @@
 // Timing of supervision.
 const (
 	// primaryTimeout is how long a primary may fail to answer before a change is asked for.
-	primaryTimeout = 400 * time.Millisecond
+	// Position queries are 200 ms apart.
+	primaryTimeout = 250 * time.Millisecond
 	askTimeout     = time.Second
-	followTimeout  = 3 * time.Second
+	// aliveTimeout bounds the answer to a new connection, which takes no slot.
+	aliveTimeout  = 200 * time.Millisecond
+	followTimeout = 3 * time.Second
 )
 
 // superviseAll checks every owned server in its own goroutine, unless the
@@ -73,6 +76,8 @@
 		s.requestChange(ctx, g, "the primary is leaving")
 	case err != nil && silent > primaryTimeout:
 		s.requestChange(ctx, g, "the primary does not answer: "+err.Error())
+	case silent > primaryTimeout && !s.alive(ctx):
+		s.requestChange(ctx, g, "the primary does not answer a new connection")
 	case err == nil && !at.IsZero() && r.Position.Term > g.Term:
 		s.owner.log.Warn("primary reports a later term", "server", s.facts.Server, "group", g.Group, "term", g.Term, "reported", r.Position.Term)
 	case err == nil && r.Role == gwbackend.RoleReplica && r.Position.Term <= g.Term && silent < primaryTimeout:
@@ -83,6 +88,14 @@
 	}
 }
 
+// alive reports whether the server answers a new connection. Position queries
+// wait for a slot, so that their silence may only mean that the server is busy.
+func (s *server) alive(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	return s.backend.Ping(ctx) == nil
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -128,7 +141,21 @@
 	if err == nil && (r.Role == gwbackend.RolePrimary || r.Position.Term < g.Term) {
 		s.follow(ctx, g, r)
 	}
-	s.askFreshness(ctx, g)
+	if s.freshnessDue() {
+		s.askFreshness(ctx, g)
+	}
+}
+
+// freshnessDue reports whether it is time to ask for the primary's position again.
+func (s *server) freshnessDue() bool {
+	now := s.owner.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.askedAt) < freshnessInterval {
+		return false
+	}
+	s.askedAt = now
+	return true
 }
 
 // follow makes the server a replica of the agreed primary. What it has beyond
