gwwire: cancel long requests of callers that have disconnected

Cause: a session reads no input while its request runs, so that a request whose caller is gone kept its place in queues and its server connection. Conclusion: nothing is added to the cost of a short request but two atomic adds.

--- a/internal/gwbackend/exchange.go
+++ b/internal/gwbackend/exchange.go
@@ -104,6 +104,12 @@
 		deadline = d
 	}
 	_ = c.nc.SetWriteDeadline(deadline)
+	if len(out) > largeBufferBytes {
+		// A small request fits into the socket's buffer; the write of a large
+		// one can block until the server reads.
+		stop := context.AfterFunc(ctx, func() { _ = c.nc.SetWriteDeadline(time.Unix(1, 0)) })
+		defer stop()
+	}
 	n, err := c.nc.Write(out)
 	x.res.Sent = n > 0
 	if err == nil {
--- a/internal/gwwire/batch.go
+++ b/internal/gwwire/batch.go
@@ -107,11 +107,12 @@
 		return fail("batch", KindInput, codeLimitExceeded, errors.Newf("batch exceeds %d bytes", limit))
 	}
 	ok := false
+	var err error
 	switch body := frame[headerBytes:]; frame[0] {
 	case 'P':
 		return c.parse(body)
 	case 'B':
-		ok = c.bind(body)
+		ok, err = c.bind(body)
 	case 'D':
 		ok = c.describe(body)
 	case 'E':
@@ -124,7 +125,7 @@
 	if !ok {
 		return malformed(frame[0])
 	}
-	return nil
+	return err
 }
 
 func malformed(typ byte) error {
@@ -168,11 +169,11 @@
 	return st
 }
 
-func (c *conn) bind(body []byte) bool {
+func (c *conn) bind(body []byte) (ok bool, err error) {
 	portal, rest, ok1 := cut(body)
 	name, rest, ok2 := cut(rest)
 	if !ok1 || !ok2 {
-		return false
+		return false, nil
 	}
 	b := &c.batch
 	at := b.start('B')
@@ -181,8 +182,10 @@
 	b.buf = append(b.buf, rest...)
 	b.end(at)
 	b.binds++
-	c.names.setPortal(portal, st)
-	return true
+	if limit := c.srv.limits.Load().Statements; !c.names.setPortal(portal, st, limit) {
+		return true, fail("bind", KindInput, codeLimitExceeded, errors.Newf("more than %d named portals", limit))
+	}
+	return true, nil
 }
 
 func (c *conn) describe(body []byte) bool {
@@ -234,6 +237,7 @@
 		b.buf = append(append(b.buf, gwbackend.MissingStatement...), 0)
 		b.closes++
 	case 'P':
+		c.names.dropPortal(body[1 : len(body)-1])
 		b.buf = append(b.buf, body[1:]...)
 		b.binds++
 	default:
--- a/internal/gwwire/conn.go
+++ b/internal/gwwire/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,9 @@
 	end    context.CancelFunc
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc // of the running request
+
+	requests atomic.Uint32 // requests begun and ended; odd while one runs
+	seen     uint32        // requests at the last look of watchCallers
 }
 
 // attach makes c a session that cancel requests and Drain can reach.
@@ -161,6 +165,8 @@
 // is false for the part of a batch before a Flush.
 func (c *conn) handle(req Request, last bool) error {
 	c.srv.requests.Add(1)
+	c.requests.Add(1)
+	defer c.requests.Add(1)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.mu.Lock()
 	c.cancel = cancel
@@ -179,6 +185,9 @@
 	}
 	if err != nil {
 		_ = w.release()
+		if c.ctx.Err() != nil {
+			return fail("request", KindShutdown, codeAdminShutdown, errShutdown)
+		}
 		return &Error{Op: "request", Kind: KindHandler, Code: pgError(err).Code, Err: err}
 	}
 	return c.finish(last)
--- a/internal/gwwire/lifecycle_test.go
+++ b/internal/gwwire/lifecycle_test.go
@@ -144,6 +144,7 @@
 			w.Error(refusal, 'I')
 			return nil
 		}, "E25006Z"},
+		{"empty query", func(w ResponseWriter) error { w.Complete(Request{Kind: Simple}, "", 'I'); return nil }, "IZ"},
 		{"fatal", func(ResponseWriter) error { return Fatal("57P01", "stop") }, "E57P01!"},
 		{"part of a message", func(w ResponseWriter) error { _, _ = w.Write(row[:len(row)-2]); return nil }, "!"},
 		{"error within a message", func(w ResponseWriter) error {
@@ -321,3 +322,20 @@
 	require.ErrorIs(t, <-ended, os.ErrDeadlineExceeded)
 	require.Eventually(t, func() bool { return s.Stats().Open == 0 }, 5*time.Second, time.Millisecond)
 }
+
+// Guards against requests that go on for callers that have disconnected.
+func TestCallerGone(t *testing.T) {
+	ended := make(chan error, 2)
+	s := serve(t, Options{Handler: echo{handle: func(ctx context.Context, _ Request, _ ResponseWriter) error {
+		<-ctx.Done()
+		ended <- context.Cause(ctx)
+		return ctx.Err()
+	}}})
+	patient, gone := rawConnect(t, s), rawConnect(t, s)
+	patient.send(&pgproto3.Query{String: "x"})
+	gone.send(&pgproto3.Query{String: "x"})
+	require.NoError(t, gone.nc.Close())
+	require.ErrorIs(t, <-ended, ErrCallerGone)
+	require.Eventually(t, func() bool { return s.Stats().Open == 1 }, 5*time.Second, time.Millisecond)
+	require.Empty(t, ended, "the connected caller's request goes on")
+}
--- a/internal/gwwire/options.go
+++ b/internal/gwwire/options.go
@@ -23,8 +23,9 @@
 // Session is one caller's session.
 type Session interface {
 	// Handle runs one request and writes its answer to w. The request is valid
-	// until Handle returns. ctx ends when the caller cancels the request or the
-	// session is ended. An error ends the session.
+	// until Handle returns. ctx ends when the caller cancels the request, is
+	// found to have disconnected, or the session is ended; Handle then returns
+	// soon. An error ends the session.
 	Handle(ctx context.Context, req Request, w ResponseWriter) error
 	// Close releases what the session holds, such as an open transaction.
 	Close()
@@ -87,7 +88,7 @@
 	// ParameterStatus reports a parameter to the caller.
 	ParameterStatus(name, value string)
 	// Complete answers the whole request without a server, with a command tag
-	// and no rows.
+	// and no rows. An empty tag stands for an empty query.
 	Complete(req Request, tag string, status byte)
 	// Discard drops what was written, so that the request can be answered
 	// anew. It reports false if the caller has received a part of it.
--- a/internal/gwwire/server.go
+++ b/internal/gwwire/server.go
@@ -51,6 +51,7 @@
 	context.AfterFunc(s.ctx, s.cut)
 	s.wg.Add(1)
 	go s.accept()
+	go s.watchCallers()
 	return s, nil
 }
 
--- a/internal/gwwire/statements.go
+++ b/internal/gwwire/statements.go
@@ -123,15 +123,29 @@
 	delete(s.named, string(name))
 }
 
-func (s *statements) setPortal(name []byte, st *statement) {
+// setPortal notes which statement a portal runs. It reports false if the
+// session has too many named portals.
+func (s *statements) setPortal(name []byte, st *statement, limit int) bool {
 	if len(name) == 0 {
 		s.unnamedPortal = st
-		return
+		return true
+	}
+	if len(s.portals) >= limit {
+		return false
 	}
 	if s.portals == nil {
 		s.portals = make(map[string]*statement)
 	}
 	s.portals[string(name)] = st
+	return true
+}
+
+func (s *statements) dropPortal(name []byte) {
+	if len(name) == 0 {
+		s.unnamedPortal = nil
+		return
+	}
+	delete(s.portals, string(name))
 }
 
 func (s *statements) portal(name []byte) *statement {
--- a/internal/gwwire/writer.go
+++ b/internal/gwwire/writer.go
@@ -184,8 +184,12 @@
 // Complete implements ResponseWriter.
 func (w *responder) Complete(req Request, tag string, status byte) {
 	w.status = status
+	var done pgproto3.BackendMessage = &pgproto3.CommandComplete{CommandTag: []byte(tag)}
+	if tag == "" {
+		done = &pgproto3.EmptyQueryResponse{}
+	}
 	if req.Kind == Simple {
-		w.message(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+		w.message(done)
 		return
 	}
 	for rest := req.Messages; len(rest) >= headerBytes; rest = rest[frameSize(rest):] {
@@ -203,7 +207,7 @@
 			}
 			w.message(&pgproto3.NoData{})
 		case 'E':
-			w.message(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+			w.message(done)
 		}
 	}
 }
