gwwire: end sessions with a partial message when they are cut

Cause: a session whose caller had sent half a message went back to reading after the drain limit, and was ended only by closing its connection. Change: a session that is cut ends at its next read; ReadyForQuery is no longer allocated for each request; benchmark of Pool.Acquire. Conclusion: Drain tells the reason in this case as well.

--- a/internal/gwbackend/pool_test.go
+++ b/internal/gwbackend/pool_test.go
@@ -264,3 +264,14 @@
 	require.Equal(t, KindServer, KindOf(err))
 	require.Equal(t, "55000", ServerError(err).Code)
 }
+
+// BenchmarkAcquire measures taking and returning a warm connection.
+func BenchmarkAcquire(b *testing.B) {
+	p := newPool(b, PoolOptions{Options: startFake(b, nil).options(), Limit: 3, MinIdle: 1})
+	eventually(b, func() bool { return p.Stats().Idle == 1 }, "warm")
+	b.ReportAllocs()
+	for b.Loop() {
+		c, _ := p.Acquire(b.Context())
+		p.Release(c, true)
+	}
+}
--- a/internal/gwwire/conn.go
+++ b/internal/gwwire/conn.go
@@ -144,6 +144,9 @@
 // comes last: Drain sets its flag before it sets the deadline that wakes this
 // session, and a deadline set here may have replaced that one.
 func (c *conn) setIdleDeadline(limits *Limits) error {
+	if c.ctx.Err() != nil {
+		return fail("idle", KindShutdown, codeAdminShutdown, errShutdown)
+	}
 	if c.in.buffered() > 0 {
 		return nil
 	}
@@ -155,7 +158,7 @@
 		_ = c.in.nc.SetReadDeadline(time.Time{})
 		c.timed = false
 	}
-	if c.srv.draining.Load() && (c.tx == 'I' && c.batch.empty() || c.ctx.Err() != nil) {
+	if c.srv.draining.Load() && c.tx == 'I' && c.batch.empty() {
 		return fail("idle", KindShutdown, codeAdminShutdown, errShutdown)
 	}
 	return nil
--- a/internal/gwwire/lifecycle_test.go
+++ b/internal/gwwire/lifecycle_test.go
@@ -106,6 +106,18 @@
 	require.Equal(t, "E57P01!", r.receive('!'))
 }
 
+// Guards against a drain that waits for ever for the rest of a message.
+func TestDrainPartialMessage(t *testing.T) {
+	s := serve(t, Options{Handler: echo{}})
+	r := rawConnect(t, s)
+	_, err := r.nc.Write([]byte("Q\x00\x00\x00\x20half"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, s.Drain(ctx), context.DeadlineExceeded)
+	require.Equal(t, "E57P01!", r.receive('!'))
+}
+
 // Guards against transactions that stay open for ever.
 func TestIdleTransaction(t *testing.T) {
 	s := serve(t, Options{Handler: echo{}, Limits: Limits{IdleTransaction: 30 * time.Millisecond}})
--- a/internal/gwwire/writer.go
+++ b/internal/gwwire/writer.go
@@ -29,6 +29,8 @@
 	failed   bool // the answer has an ErrorResponse
 	parsed   int  // ParseComplete messages
 	violated bool // the answer cannot be continued
+
+	ready [headerBytes + 1]byte // ReadyForQuery; here so that it is not allocated for each request
 }
 
 // begin prepares for the answer of the next request.
@@ -214,10 +216,9 @@
 
 // readyForQuery ends the answer.
 func (w *responder) readyForQuery(status byte) {
-	b := [headerBytes + 1]byte{'Z'}
-	binary.BigEndian.PutUint32(b[1:], 5)
-	b[headerBytes] = status
-	w.out(b[:])
+	w.ready = [headerBytes + 1]byte{0: 'Z', headerBytes: status}
+	binary.BigEndian.PutUint32(w.ready[1:], headerBytes)
+	w.out(w.ready[:])
 }
 
 func errorResponse(e *pgconn.PgError) *pgproto3.ErrorResponse {
