--- a/internal/gwwire/conn.go
+++ b/internal/gwwire/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,9 @@
 	end    context.CancelFunc
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc // of the running request
+
+	requests atomic.Uint32 // requests begun and ended; odd while one runs
+	seen     uint32        // requests at the last look of watchCallers
 }
 
 // attach makes c a session that cancel requests and Drain can reach.
@@ -140,6 +144,9 @@
 // comes last: Drain sets its flag before it sets the deadline that wakes this
 // session, and a deadline set here may have replaced that one.
 func (c *conn) setIdleDeadline(limits *Limits) error {
+	if c.ctx.Err() != nil {
+		return fail("idle", KindShutdown, codeAdminShutdown, errShutdown)
+	}
 	if c.in.buffered() > 0 {
 		return nil
 	}
@@ -151,7 +158,7 @@
 		_ = c.in.nc.SetReadDeadline(time.Time{})
 		c.timed = false
 	}
-	if c.srv.draining.Load() && (c.tx == 'I' && c.batch.empty() || c.ctx.Err() != nil) {
+	if c.srv.draining.Load() && c.tx == 'I' && c.batch.empty() {
 		return fail("idle", KindShutdown, codeAdminShutdown, errShutdown)
 	}
 	return nil
@@ -161,6 +168,8 @@
 // is false for the part of a batch before a Flush.
 func (c *conn) handle(req Request, last bool) error {
 	c.srv.requests.Add(1)
+	c.requests.Add(1)
+	defer c.requests.Add(1)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.mu.Lock()
 	c.cancel = cancel
@@ -179,6 +188,9 @@
 	}
 	if err != nil {
 		_ = w.release()
+		if c.ctx.Err() != nil {
+			return fail("request", KindShutdown, codeAdminShutdown, errShutdown)
+		}
 		return &Error{Op: "request", Kind: KindHandler, Code: pgError(err).Code, Err: err}
 	}
 	return c.finish(last)
--- a/internal/gwwire/lifecycle_test.go
+++ b/internal/gwwire/lifecycle_test.go
@@ -106,6 +106,18 @@
 	require.Equal(t, "E57P01!", r.receive('!'))
 }
 
+// Guards against a drain that waits for ever for the rest of a message.
+func TestDrainPartialMessage(t *testing.T) {
+	s := serve(t, Options{Handler: echo{}})
+	r := rawConnect(t, s)
+	_, err := r.nc.Write([]byte("Q\x00\x00\x00\x20half"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, s.Drain(ctx), context.DeadlineExceeded)
+	require.Equal(t, "E57P01!", r.receive('!'))
+}
+
 // Guards against transactions that stay open for ever.
 func TestIdleTransaction(t *testing.T) {
 	s := serve(t, Options{Handler: echo{}, Limits: Limits{IdleTransaction: 30 * time.Millisecond}})
@@ -144,6 +156,7 @@
 			w.Error(refusal, 'I')
 			return nil
 		}, "E25006Z"},
+		{"empty query", func(w ResponseWriter) error { w.Complete(Request{Kind: Simple}, "", 'I'); return nil }, "IZ"},
 		{"fatal", func(ResponseWriter) error { return Fatal("57P01", "stop") }, "E57P01!"},
 		{"part of a message", func(w ResponseWriter) error { _, _ = w.Write(row[:len(row)-2]); return nil }, "!"},
 		{"error within a message", func(w ResponseWriter) error {
@@ -321,3 +334,20 @@
 	require.ErrorIs(t, <-ended, os.ErrDeadlineExceeded)
 	require.Eventually(t, func() bool { return s.Stats().Open == 0 }, 5*time.Second, time.Millisecond)
 }
+
+// Guards against requests that go on for callers that have disconnected.
+func TestCallerGone(t *testing.T) {
+	ended := make(chan error, 2)
+	s := serve(t, Options{Handler: echo{handle: func(ctx context.Context, _ Request, _ ResponseWriter) error {
+		<-ctx.Done()
+		ended <- context.Cause(ctx)
+		return ctx.Err()
+	}}})
+	patient, gone := rawConnect(t, s), rawConnect(t, s)
+	patient.send(&pgproto3.Query{String: "x"})
+	gone.send(&pgproto3.Query{String: "x"})
+	require.NoError(t, gone.nc.Close())
+	require.ErrorIs(t, <-ended, ErrCallerGone)
+	require.Eventually(t, func() bool { return s.Stats().Open == 1 }, 5*time.Second, time.Millisecond)
+	require.Empty(t, ended, "the connected caller's request goes on")
+}
