--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -173,10 +173,7 @@
 	state     *gwstate.State
 	clock     clockwork.Clock
 	log       *slog.Logger
-	drift     float64
-
-	// Owners carries out the steps of a change of primary at the owners.
-	owners Owners
+	owners    Owners
 
 	mu       sync.Mutex
 	changing map[string]bool
--- a/internal/gwdeploy/deployment.go
+++ b/internal/gwdeploy/deployment.go
@@ -189,7 +189,7 @@
 		if err != nil {
 			return "", err
 		}
-		defer c.Close()
+		defer func() { _ = c.Close() }()
 		return c.LocalAddr().String(), nil
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -170,12 +170,6 @@
 	}
 }
 
-func (s *server) ejected() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.health.Ejected(s.owner.clock.Now())
-}
-
 // execution is the end of one statement at the backend server.
 type execution struct {
 	gwbackend.Result
@@ -187,11 +181,13 @@
 // run takes a slot and a connection and sends the request. The caller gets the
 // connection in the execution when the transaction is still open.
 func (s *server) run(ctx context.Context, req *Request, deadline time.Time, sink gwbackend.Sink, ready func() bool) execution {
+	queued := s.owner.clock.Now()
 	release, err := s.admission.acquire(ctx, req.Class, deadline)
 	if err != nil {
 		return execution{event: admissionEvent(err), detail: err.Error()}
 	}
 	defer release()
+	s.owner.metrics.QueueWait(req.Class, s.facts.Group, s.owner.clock.Since(queued))
 	conn, err := s.backend.Pool().Acquire(ctx)
 	if err != nil {
 		e := acquireEvent(err)
