gwoutcome, gwfilter: decide lost answers of keyed requests by their key

Cause: a write with a request key was reported as unknown after a lost answer, although sending it again with the key cannot make it run twice. Change: keyed requests are sent again after every outcome but done; tests for tokens, keys, leaving servers, cut-off data centres and rolling restarts.

--- a/internal/gwdeploy/failure_test.go
+++ b/internal/gwdeploy/failure_test.go
@@ -14,6 +14,8 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwstandin"
 )
 
 // history is what callers were told about their inserts.
@@ -210,3 +212,5 @@
 		})
 	}
 }
+
+func loseAnswers(n int) gwstandin.Fault { return gwstandin.Fault{LoseAnswers: n} }
--- /dev/null
+++ b/internal/gwdeploy/promise_test.go
@@ -0,0 +1,221 @@
+package gwdeploy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a planned stop that cuts a request in flight or makes the
+// outcome of one unknown, and against instances that do not come back.
+func TestRollingRestartCutsNothing(t *testing.T) {
+	d := startTest(t, Options{Delay: true})
+	group := d.Groups()[0]
+	_, err := connect(t, d, 0, d.FirstCaller(), group).Exec(context.Background(), "create table log (id text)")
+	require.NoError(t, err)
+	h := newHistory()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for w := range 6 {
+		wg.Go(func() { h.roamingWriter(ctx, d, w, group, &refused) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, n := range d.Instances() {
+		sctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		require.NoError(t, d.Stop(sctx, n), "stop of %s", n.Settings.Instance)
+		require.NoError(t, d.Restart(sctx, n))
+		require.NoError(t, d.WaitReady(sctx))
+		stop()
+	}
+	time.Sleep(300 * time.Millisecond)
+	cancel()
+	wg.Wait()
+	assert.Empty(t, h.unknown, "a planned stop must leave no outcome unknown")
+	assert.Empty(t, h.notRun, "a planned stop must refuse no request")
+	t.Logf("%d sessions were ended by a stopping instance between requests", refused.Load())
+	h.check(t, d, 0, group)
+}
+
+// roamingWriter inserts rows and connects to the next running instance whenever
+// its session is ended with 57P01 outside of a request, as ordinary clients do.
+func (h *history) roamingWriter(ctx context.Context, d *Deployment, worker int, group string, ended *atomic.Int64) {
+	var c *pgx.Conn
+	instance := worker
+	for n := 0; ctx.Err() == nil; n++ {
+		if c == nil || c.IsClosed() {
+			c = d.connectNext(ctx, &instance, group)
+			if c == nil {
+				continue
+			}
+		}
+		id := fmt.Sprintf("roaming-%d-%d", worker, n)
+		_, err := c.Exec(context.Background(), "insert into log (id) values ($1)", id)
+		var pg *pgconn.PgError
+		if errors.As(err, &pg) && pg.Code == "57P01" {
+			ended.Add(1)
+			_ = c.Close(context.Background())
+			continue
+		}
+		h.note(id, err)
+		time.Sleep(2 * time.Millisecond)
+	}
+	if c != nil {
+		_ = c.Close(context.Background())
+	}
+}
+
+// connectNext connects to the next instance that accepts callers.
+func (d *Deployment) connectNext(ctx context.Context, instance *int, group string) *pgx.Conn {
+	*instance++
+	url := d.URL(d.Instances()[*instance%len(d.Instances())], d.FirstCaller(), group)
+	if url == "" {
+		time.Sleep(time.Millisecond)
+		return nil
+	}
+	c, err := pgx.Connect(ctx, url)
+	if err != nil {
+		time.Sleep(time.Millisecond)
+		return nil
+	}
+	return c
+}
+
+// Guards against a session that loses its own writes when it moves with its
+// token to an instance that cannot ask the primary, and against forged tokens.
+func TestSessionTokenMovesBetweenInstances(t *testing.T) {
+	d := startTest(t, Options{ReplicationDelay: 200 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	group := d.Groups()[0]
+	first := connect(t, d, 0, "adviser", group)
+	_, err := first.Exec(ctx, "create table visit (id int)")
+	require.NoError(t, err)
+	_, err = first.Exec(ctx, "insert into visit (id) values (1)")
+	require.NoError(t, err)
+	token := first.PgConn().ParameterStatus("gentianward.session")
+	require.NotEmpty(t, token)
+
+	second := connect(t, d, 5, "adviser", group)
+	_, err = second.Exec(ctx, "set gentianward.session = '"+token+"'")
+	require.NoError(t, err)
+	var n int
+	require.NoError(t, second.QueryRow(ctx, "select count(*) from visit").Scan(&n))
+	assert.Equal(t, 1, n)
+
+	_, err = second.Exec(ctx, "set gentianward.session = '"+strings.Replace(token, token[:4], "AAAA", 1)+"'")
+	var pg *pgconn.PgError
+	require.ErrorAs(t, err, &pg)
+	assert.Equal(t, "28000", pg.Code)
+}
+
+// Guards against a request with a key that runs twice: sent again through
+// another instance, while the first is still running, and after a lost answer.
+func TestRequestKeyRunsOnce(t *testing.T) {
+	d := startTest(t, Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	group := d.Groups()[0]
+	first, second := connect(t, d, 0, "adviser", group), connect(t, d, 4, "adviser", group)
+	_, err := first.Exec(ctx, "create table payment (id int, amount int)")
+	require.NoError(t, err)
+
+	const pay = "/* requestKey=pay-1 */ insert into payment (id, amount) values (1, 30)"
+	for _, c := range []*pgx.Conn{first, first, second} {
+		tag, err := c.Exec(ctx, pay)
+		require.NoError(t, err)
+		assert.Equal(t, "INSERT 0 1", tag.String())
+	}
+	assertRows(t, first, "payment", 1)
+
+	var wg sync.WaitGroup
+	for _, c := range []*pgx.Conn{first, second} {
+		wg.Go(func() {
+			_, err := c.Exec(ctx, "/* requestKey=pay-2 */ insert into payment (id, amount) values (2, 30)")
+			assert.NoError(t, err)
+		})
+	}
+	wg.Wait()
+	assertRows(t, first, "payment", 2)
+
+	d.Server(d.Primary(group)).SetFault(loseAnswers(1))
+	const retried = "/* requestKey=pay-3 */ insert into payment (id, amount) values ($1, 30)"
+	_, err = first.Exec(ctx, retried, 3)
+	require.NoError(t, err, "the key decides the outcome of a lost answer")
+	_, err = second.Exec(ctx, retried, 3)
+	require.NoError(t, err)
+	assertRows(t, second, "payment", 3)
+}
+
+func assertRows(t *testing.T, c *pgx.Conn, table string, want int) {
+	t.Helper()
+	var n int
+	require.NoError(t, c.QueryRow(context.Background(), "select count(*) from "+table).Scan(&n))
+	assert.Equal(t, want, n, "rows in %s", table)
+}
+
+// Guards against work that is still sent to a server two seconds after it
+// announced that it is leaving.
+func TestLeavingServerGetsNoWork(t *testing.T) {
+	d := startTest(t, Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	group := d.Groups()[0]
+	c := connect(t, d, 3, "planner", group)
+	_, err := connect(t, d, 0, "adviser", group).Exec(ctx, "create table visit (id int)")
+	require.NoError(t, err)
+	leaving := group + "-rennes-b"
+	require.NotEqual(t, leaving, d.Primary(group))
+	d.Leave(leaving)
+	time.Sleep(2 * time.Second)
+	before := d.Server(leaving).Statements()
+	for range 200 {
+		var n int
+		require.NoError(t, c.QueryRow(ctx, "select count(*) from visit").Scan(&n))
+	}
+	got := d.Server(leaving).Statements() - before
+	assert.Zero(t, got, "statements of callers at the leaving server")
+}
+
+// Guards against a data centre that serves nothing, or too much, while it is cut off.
+func TestDataCentreCutOffServesWhatItCan(t *testing.T) {
+	d := startTest(t, Options{Delay: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	group := d.Groups()[0]
+	_, err := connect(t, d, 0, "adviser", group).Exec(ctx, "create table visit (id int)")
+	require.NoError(t, err)
+	council, planner, adviser := connect(t, d, 5, "council", group), connect(t, d, 5, "planner", group), connect(t, d, 5, "adviser", group)
+	for _, c := range []*pgx.Conn{council, planner} {
+		require.Eventually(t, func() bool {
+			var n int
+			return c.QueryRow(ctx, "select count(*) from visit").Scan(&n) == nil
+		}, 5*time.Second, 10*time.Millisecond, "the table reaches the replica")
+	}
+	d.CutDataCentre("brest-a", true)
+	time.Sleep(4 * time.Second)
+	assertRows(t, council, "visit", 0) // councils accept 30 s
+	var pg *pgconn.PgError
+	var n int
+	require.ErrorAs(t, planner.QueryRow(ctx, "select count(*) from visit").Scan(&n), &pg) // planners accept 2 s
+	assert.Equal(t, "57P03", pg.Code, pg.Message)
+	_, err = adviser.Exec(ctx, "insert into visit (id) values (1)")
+	require.ErrorAs(t, err, &pg)
+	assert.Equal(t, "57P03", pg.Code, pg.Message)
+	d.CutDataCentre("brest-a", false)
+	assert.Eventually(t, func() bool {
+		_, err := adviser.Exec(ctx, "insert into visit (id) values (2)")
+		return err == nil
+	}, 10*time.Second, 50*time.Millisecond)
+	assertRows(t, adviser, "visit", 1)
+}
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -49,7 +49,7 @@
 // again decides whether the request is attempted again, and waits before it.
 func (e *Entry) again(ctx context.Context, r *request, res gwowner.Result, attempts int) bool {
 	decision := gwoutcome.ShouldRetry(res.Event, gwoutcome.Request{
-		Read: r.read(), Repeatable: r.rules.class.Retry || r.rules.class.ReadOnly, Relayed: res.Relayed,
+		Read: r.read(), Repeatable: r.rules.class.Retry || r.rules.class.ReadOnly, Relayed: res.Relayed, Keyed: r.exec.Key != "",
 		Remaining: r.deadline.Sub(e.Clock.Now()), Attempts: attempts,
 	})
 	switch decision {
--- a/internal/gwstandin/execute.go
+++ b/internal/gwstandin/execute.go
@@ -148,6 +148,7 @@
 }
 
 func (c *session) executeRead(p *prepared, args []any, res *result) error {
+	c.server.statements.Add(1)
 	release, err := c.slot(true)
 	if err != nil {
 		return err
@@ -163,6 +164,7 @@
 }
 
 func (c *session) executeWrite(p *prepared, args []any, res *result) error {
+	c.server.statements.Add(1)
 	if c.readOnly {
 		return errNotWritable(p.keyword)
 	}
--- a/internal/gwstandin/server.go
+++ b/internal/gwstandin/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianward.example/gentianward/pkg/gwsession"
@@ -18,6 +19,7 @@
 	writerLock chan struct{} // holds a token while a write transaction is open
 	slots      chan struct{} // nil when unlimited
 	faults     *faults
+	statements atomic.Uint64
 
 	mu      sync.Mutex // guards the fields below; taken after writeTxn.mu
 	address string
@@ -30,6 +32,10 @@
 	changed chan struct{} // closed on a change that is announced at once
 }
 
+// Statements returns how many statements have reached the data, control
+// statements not included.
+func (s *Server) Statements() uint64 { return s.statements.Load() }
+
 // run is the time between a start and a crash or stop.
 type run struct {
 	ctx      context.Context
--- a/pkg/gwoutcome/decide.go
+++ b/pkg/gwoutcome/decide.go
@@ -8,6 +8,9 @@
 	Read bool
 	// Repeatable means that the caller's class allows reads to be sent again.
 	Repeatable bool
+	// Keyed means that the request carries a key, so that sending it again
+	// cannot make it run twice.
+	Keyed bool
 	// Relayed means that part of an answer has reached the caller.
 	Relayed bool
 	// Remaining is the time left until the caller's deadline.
@@ -39,8 +42,13 @@
 	if r.Relayed || r.Remaining <= 0 || r.Attempts >= MaxAttempts || d.ran == ranYes {
 		return Stop
 	}
-	if d.ran == ranMaybe && (!r.Read || !r.Repeatable) {
-		return Stop
+	if d.ran == ranMaybe {
+		if r.Keyed {
+			return Refresh
+		}
+		if !r.Read || !r.Repeatable {
+			return Stop
+		}
 	}
 	switch {
 	case r.Read && d.elsewhere:
--- a/pkg/gwoutcome/outcome_test.go
+++ b/pkg/gwoutcome/outcome_test.go
@@ -63,6 +63,14 @@
 	}
 }
 
+// Guards against an unknown outcome being reported although the key can decide it.
+func TestKeyedRequestIsSentAgain(t *testing.T) {
+	for _, e := range []Event{BrokenAfterSend, PeerBroken, TimedOut, LeaseLost, Unconfirmed} {
+		got := ShouldRetry(e, Request{Keyed: true, Remaining: time.Second})
+		assert.Equal(t, Refresh, got, "event %s", e)
+	}
+}
+
 // Guards against a second answer after part of the first has reached the caller.
 func TestRelayedAnswerIsNeverRetried(t *testing.T) {
 	got := ShouldRetry(PeerBroken, Request{Read: true, Repeatable: true, Relayed: true, Remaining: time.Second})
