--- a/pkg/gwmember/config.go
+++ b/pkg/gwmember/config.go
@@ -7,7 +7,8 @@
 
 // Defaults of Config.
 const (
-	// DefaultTick is how often Tick should be called.
+	// DefaultTick is how often Tick should be called. Calls more than 300 ms
+	// apart are taken for a stall and suspend failure detection.
 	DefaultTick              = 50 * time.Millisecond
 	DefaultProbeInterval     = 500 * time.Millisecond
 	DefaultAckTimeout        = 100 * time.Millisecond
