gwwire: answer a Flush after BEGIN at once, and refuse one that waits

Cause: drivers in pipeline mode send BEGIN, statements and Flush in one batch and wait for the answer; the session waited for a Sync that never came. Change: a Flush is answered at once if the pending statements belong to an open transaction block; elsewhere a caller that waits gets 0A000 after 2 s, with its statements not run. The connection to a server is tested with TLS and SCRAM. Conclusion: no batch leaves its caller waiting without bound.

--- a/internal/gwwire/batch.go
+++ b/internal/gwwire/batch.go
@@ -87,6 +87,26 @@
 	}
 }
 
+// opensTransaction reports whether all statements that the batch executes are
+// part of transaction blocks, and the last of these stays open.
+func (b *batch) opensTransaction() bool {
+	open := false
+	for _, st := range b.executed {
+		word, _, _ := strings.Cut(strings.TrimSpace(st.SQL), " ")
+		switch strings.ToLower(strings.TrimSuffix(word, ";")) {
+		case "begin", "start":
+			open = true
+		case "commit", "end", "rollback", "abort", "prepare":
+			open = false
+		default:
+			if !open {
+				return false
+			}
+		}
+	}
+	return open
+}
+
 func joinSQL(list []*statement) string {
 	switch len(list) {
 	case 0:
@@ -253,7 +273,7 @@
 	if len(frame) != headerBytes {
 		return malformed('S')
 	}
-	c.skip = false
+	c.skip, c.flushed = false, false
 	if c.batch.messages == c.batch.closes {
 		return c.answerLocally(true)
 	}
@@ -265,7 +285,11 @@
 // flushRequest runs the pending messages if the batch keeps its meaning.
 func (c *conn) flushRequest() error {
 	b := &c.batch
-	if b.empty() || c.tx == 'I' && b.binds > 0 {
+	if b.empty() {
+		return nil
+	}
+	if c.tx == 'I' && b.binds > 0 && !b.opensTransaction() {
+		c.flushed = true
 		return nil
 	}
 	if b.messages == b.closes {
--- a/internal/gwwire/conn.go
+++ b/internal/gwwire/conn.go
@@ -12,6 +12,10 @@
 	"github.com/jackc/pgx/v5/pgconn"
 )
 
+// flushWait is how long a caller may wait for the answer to a Flush that comes
+// only at the Sync. A caller that sends both does so at once.
+const flushWait = 2 * time.Second
+
 // conn is one caller's session.
 type conn struct {
 	srv      *Server
@@ -26,7 +30,9 @@
 	batch batch
 	names statements
 	skip  bool // messages are ignored up to Sync, after an error before it
-	timed bool // a read deadline for the idle transaction is set
+	timed bool // a read deadline is set, for the idle transaction or the flush
+	// flushed is set after a Flush whose answer has to wait for the Sync.
+	flushed bool
 
 	ctx    context.Context
 	end    context.CancelFunc
@@ -126,7 +132,9 @@
 			return frame, nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			if c.timed && !c.srv.draining.Load() && c.in.buffered() == 0 {
-				return nil, fail("idle", KindLimit, codeIdleInTransaction, errIdleTimeout)
+				if err := c.idleTimeout(); err != nil {
+					return nil, err
+				}
 			}
 			_ = c.in.nc.SetReadDeadline(time.Time{})
 			c.timed = false
@@ -151,6 +159,9 @@
 		return nil
 	}
 	switch idle := limits.IdleTransaction; {
+	case c.flushed:
+		_ = c.in.nc.SetReadDeadline(time.Now().Add(flushWait))
+		c.timed = true
 	case c.tx != 'I' && idle > 0:
 		_ = c.in.nc.SetReadDeadline(time.Now().Add(idle))
 		c.timed = true
@@ -164,6 +175,22 @@
 	return nil
 }
 
+// idleTimeout handles the deadline of setIdleDeadline.
+func (c *conn) idleTimeout() error {
+	if !c.flushed {
+		return fail("idle", KindLimit, codeIdleInTransaction, errIdleTimeout)
+	}
+	c.flushed = false
+	c.batch.clear()
+	w := &c.out
+	w.begin()
+	w.Error(&pgconn.PgError{
+		Code: codeFeatureUnsupported, Message: "Flush after Execute is not supported outside of a transaction",
+		Hint: "Send Sync to receive the answer.",
+	}, c.tx)
+	return c.finish(false)
+}
+
 // handle runs one request. last says that a ReadyForQuery ends the answer; it
 // is false for the part of a batch before a Flush.
 func (c *conn) handle(req Request, last bool) error {
--- a/internal/gwwire/doc.go
+++ b/internal/gwwire/doc.go
@@ -12,10 +12,11 @@
 // session's name for it; the server's statement stays for other sessions.
 //
 // A Flush is answered at once where that cannot change the meaning of the
-// batch: inside a transaction block, and when the pending messages only parse,
-// describe or close statements. Elsewhere the answer comes at the Sync, since
-// the messages before a Flush share one implicit transaction with those after
-// it.
+// batch: inside a transaction block, which the pending messages may have begun,
+// and when they only parse, describe or close statements. Elsewhere the answer
+// comes at the Sync, since the messages before a Flush share one implicit
+// transaction with those after it. A caller that waits for the answer instead
+// of sending the Sync gets an error after 2 s; its statements have not run.
 //
 // Not supported: COPY FROM STDIN, function calls, replication, LISTEN, and
 // statements prepared with SQL PREPARE outside of a transaction.
--- a/internal/gwwire/lifecycle_test.go
+++ b/internal/gwwire/lifecycle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"os"
@@ -351,3 +352,26 @@
 	require.Eventually(t, func() bool { return s.Stats().Open == 1 }, 5*time.Second, time.Millisecond)
 	require.Empty(t, ended, "the connected caller's request goes on")
 }
+
+// Guards against a connection to a server that fails under TLS or with a
+// password. The server is this package's own.
+func TestBackendTLS(t *testing.T) {
+	verifier, err := NewVerifier("geheim")
+	require.NoError(t, err)
+	s := serve(t, Options{TLS: selfSigned(t), Handler: echo{}, Lookup: func(context.Context, Startup) (Credential, bool, error) {
+		return Credential{Verifier: verifier.String()}, true, nil
+	}})
+	o := gwbackend.Options{
+		Address: s.Address().String(), User: "u", Password: "geheim", Database: "d", TLS: &tls.Config{InsecureSkipVerify: true},
+	}
+	c, err := gwbackend.Dial(t.Context(), o)
+	require.NoError(t, err)
+	defer c.Close()
+	res, err := c.Exchange(t.Context(), gwbackend.Query("x"), nil)
+	require.NoError(t, err)
+	require.Equal(t, []string{"SET"}, res.CommandTags)
+	o.Password = "secret"
+	_, err = gwbackend.Dial(t.Context(), o)
+	require.Equal(t, gwbackend.KindNotSent, gwbackend.KindOf(err))
+	require.Equal(t, "28P01", gwbackend.ServerError(err).Code)
+}
--- a/internal/gwwire/protocol_test.go
+++ b/internal/gwwire/protocol_test.go
@@ -228,6 +228,10 @@
 		{"close in order", list(parse("a", "x"), closing("a"), bind(""), run, closing(""), sync), answers("132DC3Z")},
 		{"flush in a transaction", list(&pgproto3.Query{String: "begin"}, parse("", "w"), bind(""), run, flush), answers("CZ", "12DC")},
 		{"the transaction's end", list(sync, &pgproto3.Query{String: "commit"}), answers("Z", "CZ")},
+		{"flush after begin in the batch", list(parse("", "begin"), bind(""), run, parse("", "w"), bind(""), run, flush), answers("12C", "12DC")},
+		{"commit in the batch", list(parse("", "commit"), bind(""), run, sync), answers("12CZ")},
+		{"flush without sync", list(parse("b", "x"), bind("b"), run, flush), answers("E0A000")},
+		{"sync after it", list(sync, bind("b"), sync), answers("Z", "E26000Z")},
 		{"deallocate", list(parse("a", "x"), sync, &pgproto3.Query{String: "DEALLOCATE \"a\";"}, bind("a"), sync), answers("1Z", "CZ", "E26000Z")},
 		{"stray copy data", list(&pgproto3.CopyDone{}, sync), answers("Z")},
 		{"function call", list(&pgproto3.FunctionCall{}), answers("E0A000Z")},
@@ -235,7 +239,11 @@
 	for _, step := range steps {
 		r.send(step.send...)
 		for _, want := range step.want {
-			require.Equal(t, want, r.receive(want[len(want)-1]), step.name)
+			last := want[len(want)-1]
+			if last == '0' { // of an error's SQLSTATE
+				last = 'E'
+			}
+			require.Equal(t, want, r.receive(last), step.name)
 		}
 	}
 }
