--- a/internal/gwstate/state_test.go
+++ b/internal/gwstate/state_test.go
@@ -153,8 +153,8 @@
 		c := GrantLeases{Holder: holder, Incarnation: incarnation, Leases: []LeaseRequest{{Group: "g", Term: 1, Duration: time.Second, Previous: previous}}}
 		return m.apply(c).(LeaseResult).Outcomes[0]
 	}
-	giveBack := func(seq uint64) Refusal {
-		c := ReturnLeases{Holder: "x", Incarnation: 1, Leases: []LeaseReturn{{Group: "g", Sequence: seq}}}
+	giveBack := func(incarnation, seq uint64) Refusal {
+		c := ReturnLeases{Holder: "x", Incarnation: incarnation, Leases: []LeaseReturn{{Group: "g", Sequence: seq}}}
 		return m.apply(c).(LeaseResult).Outcomes[0].Refusal
 	}
 	first := grant("x", 1, 0)
@@ -164,13 +164,42 @@
 	second := grant("x", 1, 0)
 	assert.Equal(t, Accepted, second.Refusal)
 	assert.Equal(t, LeaseHeld, grant("y", 1, first.Lease.Sequence).Refusal, "renewed since")
-	assert.Equal(t, LeaseNotHeld, giveBack(first.Lease.Sequence), "a delayed return")
-	assert.Equal(t, Accepted, giveBack(second.Lease.Sequence))
+	assert.Equal(t, LeaseNotHeld, giveBack(1, first.Lease.Sequence), "a delayed return")
+	assert.Equal(t, LeaseNotHeld, giveBack(2, second.Lease.Sequence), "another run of the holder")
+	assert.Equal(t, Accepted, giveBack(1, second.Lease.Sequence))
 	third := grant("y", 1, 0)
 	assert.Equal(t, Accepted, third.Refusal)
 	assert.Equal(t, Accepted, grant("x", 2, third.Lease.Sequence).Refusal, "seen to expire by the leader")
 }
 
+// Guards against an expiry that is judged too early, or never, after a renewal,
+// a restore or a change of the log's leader.
+func TestLeaseClock(t *testing.T) {
+	m := newMachine(t)
+	m.apply(StartGroup{Group: "g", Primary: "s1", Term: 1})
+	grant := GrantLeases{Holder: "x", Leases: []LeaseRequest{{Group: "g", Term: 1, Duration: time.Second}}}
+	restarts := []func(){
+		func() { m.apply(grant) },
+		func() { m.apply(grant) },
+		func() { m.state.Clock().NewLeader(m.now) },
+		func() {
+			data, err := m.state.Snapshot()
+			require.NoError(t, err)
+			require.NoError(t, m.state.Restore(data, m.now))
+		},
+	}
+	for i, restart := range restarts {
+		m.now = m.now.Add(900 * time.Millisecond)
+		restart()
+		lease, _ := m.state.Lease("g")
+		_, expired := m.state.Clock().Expired("g", m.now.Add(1010*time.Millisecond))
+		assert.False(t, expired, "step %d", i)
+		seq, expired := m.state.Clock().Expired("g", m.now.Add(1011*time.Millisecond))
+		assert.True(t, expired, "step %d", i)
+		assert.Equal(t, lease.Sequence, seq)
+	}
+}
+
 // Guards against commands that change their meaning in the log, and against a
 // state that differs between voters after an unknown command.
 func TestCodec(t *testing.T) {
--- a/pkg/gwquorum/cluster_test.go
+++ b/pkg/gwquorum/cluster_test.go
@@ -26,21 +26,22 @@
 // cluster drives nodes over a simulated network and checks the guarantees of
 // the package after each step.
 type cluster struct {
-	rand      *rand.Rand
-	now       time.Time
-	ids       []string
-	members   map[string]*member
-	network   []gwquorum.Message
-	cut       map[string]bool // isolated members
-	frozen    map[string]bool // members whose process is paused
-	leaders   map[uint64]string
-	committed map[uint64]gwquorum.Entry
-	last      uint64            // greatest committed index
-	reads     map[uint64]uint64 // read id to the committed index when it was asked
-	answered  map[uint64]gwquorum.ReadState
-	nextRead  uint64
-	config    gwquorum.Config
-	err       error // first broken guarantee
+	rand       *rand.Rand
+	now        time.Time
+	ids        []string
+	members    map[string]*member
+	network    []gwquorum.Message
+	cut        map[string]bool // isolated members
+	frozen     map[string]bool // members whose process is paused
+	interrupts bool            // messages arrive between a node's Ready and Advance
+	leaders    map[uint64]string
+	committed  map[uint64]gwquorum.Entry
+	last       uint64            // greatest committed index
+	reads      map[uint64]uint64 // read id to the committed index when it was asked
+	answered   map[uint64]gwquorum.ReadState
+	nextRead   uint64
+	config     gwquorum.Config
+	err        error // first broken guarantee
 }
 
 func newCluster(seed uint64, first []string, later ...string) *cluster {
@@ -139,6 +140,7 @@
 			}
 		}
 		c.network = append(c.network, rd.Messages...)
+		c.interrupt(m)
 		if rd.Restore {
 			m.applied = rd.Snapshot.Index
 		}
@@ -152,6 +154,19 @@
 	}
 }
 
+// interrupt sometimes delivers a message to m between its Ready and Advance.
+func (c *cluster) interrupt(m *member) {
+	if !c.interrupts || c.rand.IntN(2) == 0 {
+		return
+	}
+	i := slices.IndexFunc(c.network, func(msg gwquorum.Message) bool { return msg.To == m.id })
+	if i < 0 || c.cut[m.id] || c.cut[c.network[i].From] {
+		return
+	}
+	m.node.Step(c.network[i], c.now)
+	c.network = slices.Delete(c.network, i, i+1)
+}
+
 func (c *cluster) apply(m *member, e gwquorum.Entry) {
 	if e.Index != m.applied+1 {
 		c.fail("%s applies entry %d after %d", m.id, e.Index, m.applied)
--- a/pkg/gwquorum/explore_test.go
+++ b/pkg/gwquorum/explore_test.go
@@ -346,6 +346,21 @@
 				x.settle(w, fmt.Sprint(MessageAppendReply, " b a"))
 			},
 		},
+		{
+			// A reply from before the read is still under way to the old leader.
+			name: "late reply to a replaced leader", bounds: bounds{steps: 7, campaigns: 1, reads: 1},
+			start: func(x *explorer, w *world) {
+				elect(x, w)
+				x.do(w, 0, func(n *Node) { n.broadcast(true) })
+				sent := w.messages
+				w.messages = map[string]Message{}
+				for _, m := range sent {
+					if m.To == "b" {
+						x.do(w, 1, func(n *Node) { n.Step(m, x.now) })
+					}
+				}
+			},
+		},
 		{
 			// The leader's entry in the middle of its term is on no other node.
 			name: "entry on a minority", bounds: bounds{steps: 9, campaigns: 2, restarts: 1},
--- /dev/null
+++ b/pkg/gwquorum/node_test.go
@@ -0,0 +1,106 @@
+package gwquorum
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var testNow = time.Unix(1, 0)
+
+// testNode returns voter b of a, b and c with entries of the given terms.
+func testNode(t *testing.T, commit uint64, terms ...uint64) *Node {
+	var entries []Entry
+	for i, term := range terms {
+		entries = append(entries, Entry{Index: uint64(i) + 1, Term: term})
+	}
+	n, err := NewNode(Config{ID: "b", Rand: rand.NewPCG(1, 1)}, HardState{Term: 1, Commit: commit},
+		Snapshot{Members: Members{Voters: []string{"a", "b", "c"}}}, entries)
+	require.NoError(t, err)
+	return n
+}
+
+// handle steps m and returns the only reply.
+func handle(t *testing.T, n *Node, m Message) Message {
+	m.From, m.To = "a", "b"
+	n.Step(m, testNow)
+	rd := n.Ready()
+	require.Len(t, rd.Messages, 1)
+	n.Advance(rd)
+	return rd.Messages[0]
+}
+
+// Guards against a follower that commits or reports entries of its own tail,
+// which the leader's message says nothing about, and against a repeated or late
+// append that drops entries reported as synced.
+func TestFollowerTrustsOnlyMatchingEntries(t *testing.T) {
+	n := testNode(t, 0, 1, 1, 1)
+	r := handle(t, n, Message{Kind: MessageAppend, Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 1}}, Commit: 3})
+	assert.Equal(t, []uint64{2, 2, 3}, []uint64{r.Index, n.log.commit, n.log.last()})
+
+	r = handle(t, n, Message{Kind: MessageAppend, Term: 2, Index: 2, LogTerm: 1, Entries: []Entry{{Index: 3, Term: 2}, {Index: 4, Term: 2}}})
+	assert.Equal(t, uint64(4), r.Index)
+	r = handle(t, n, Message{Kind: MessageAppend, Term: 2, Index: 2, LogTerm: 1, Entries: []Entry{{Index: 3, Term: 2}}})
+	assert.Equal(t, []uint64{3, 4}, []uint64{r.Index, n.log.last()})
+
+	r = handle(t, n, Message{Kind: MessageAppend, Term: 2, Index: 9, LogTerm: 2})
+	assert.Equal(t, []any{true, uint64(4)}, []any{r.Reject, r.Hint})
+}
+
+// Guards against counting an entry as synced when another one replaced it while
+// it was being saved.
+func TestAdvanceAfterReplacement(t *testing.T) {
+	n := testNode(t, 0, 1)
+	n.Step(Message{Kind: MessageAppend, From: "a", To: "b", Term: 1, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 1}}}, testNow)
+	rd := n.Ready()
+	require.Len(t, rd.Entries, 1)
+	assert.True(t, n.Ready().Empty(), "one Ready at a time")
+	n.Step(Message{Kind: MessageAppend, From: "c", To: "b", Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 2}}}, testNow)
+	n.Advance(rd)
+	assert.Equal(t, uint64(1), n.log.stable)
+	rd = n.Ready()
+	assert.Equal(t, []Entry{{Index: 2, Term: 2}}, rd.Entries)
+	assert.Equal(t, uint64(2), rd.HardState.Term)
+}
+
+// Guards against a membership that outlives the entry which introduced it.
+func TestTruncatedChange(t *testing.T) {
+	n := testNode(t, 0, 1)
+	change := Entry{Index: 2, Term: 1, Kind: EntryChange, Members: &Members{Voters: []string{"a", "b"}}}
+	handle(t, n, Message{Kind: MessageAppend, Term: 1, Index: 1, LogTerm: 1, Entries: []Entry{change}})
+	assert.Len(t, n.Status().Voters, 2, "a change holds from its place in the log on")
+	handle(t, n, Message{Kind: MessageAppend, Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 2}}})
+	assert.Len(t, n.Status().Voters, 3)
+}
+
+// Guards against a snapshot that leaves entries of another history behind it.
+func TestSnapshotReplacesLog(t *testing.T) {
+	n := testNode(t, 0, 1, 1, 1)
+	snap := Snapshot{Index: 2, Term: 2, Members: Members{Voters: []string{"a", "b", "c"}}, Data: []byte("state")}
+	n.Step(Message{Kind: MessageSnapshot, From: "a", To: "b", Term: 2, Snapshot: &snap}, testNow)
+	rd := n.Ready()
+	assert.True(t, rd.Restore)
+	assert.Equal(t, &snap, rd.Snapshot)
+	assert.Equal(t, uint64(2), rd.Messages[0].Index)
+	n.Advance(rd)
+	assert.Equal(t, []uint64{2, 2, 2}, []uint64{n.log.last(), n.log.commit, n.log.applied})
+}
+
+// Guards against going on after saved state or a message contradicts the log.
+func TestInconsistent(t *testing.T) {
+	cfg := Config{ID: "b", Rand: rand.NewPCG(1, 1)}
+	_, err := NewNode(cfg, HardState{}, Snapshot{}, []Entry{{Index: 2, Term: 1}})
+	assert.Equal(t, KindInconsistent, KindOf(err), "a gap")
+	_, err = NewNode(cfg, HardState{Commit: 1}, Snapshot{}, nil)
+	assert.Equal(t, KindInconsistent, KindOf(err), "lost committed entries")
+
+	n := testNode(t, 2, 1, 1, 1)
+	n.Step(Message{Kind: MessageAppend, From: "a", To: "b", Term: 2, Index: 2, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 2}}}, testNow)
+	assert.Equal(t, KindInconsistent, KindOf(n.Status().Fault))
+	_, _, err = n.Propose(nil)
+	assert.Equal(t, KindInconsistent, KindOf(err))
+	assert.Empty(t, n.Ready().Messages)
+}
--- a/pkg/gwquorum/random_test.go
+++ b/pkg/gwquorum/random_test.go
@@ -34,6 +34,7 @@
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(rapid.Uint64().Draw(t, "seed"), []string{"a", "b", "c"}, "d", "e")
+		c.interrupts = true
 		anyID := func(t *rapid.T) string { return rapid.SampledFrom(c.ids).Draw(t, "id") }
 		message := func(t *rapid.T) int {
 			if len(c.network) == 0 {
