--- /dev/null
+++ b/internal/gwpeer/codec_test.go
@@ -0,0 +1,120 @@
+package gwpeer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against messages of a newer version that an older one refuses.
+func TestUnknownFieldsIgnored(t *testing.T) {
+	data, err := Marshal(map[int]any{1: "text", 9: []int{1, 2}})
+	require.NoError(t, err)
+	var got echo
+	require.NoError(t, Unmarshal(data, &got))
+	assert.Equal(t, "text", got.Text)
+}
+
+// Guards against messages that cost more memory or stack than their size.
+func TestDecodeBounds(t *testing.T) {
+	array := []byte{0x9a, 0xff, 0xff, 0xff, 0xff} // an array of 2^32-1 elements
+	dup, err := cbor.Marshal(map[int]string{1: "a"})
+	require.NoError(t, err)
+	dup[0] = 0xa2
+	tests := []struct {
+		name string
+		data []byte
+	}{
+		{name: "nesting", data: append(bytes.Repeat([]byte{0x81}, maxNesting+1), 0)},
+		{name: "array length", data: array},
+		{name: "repeated key", data: append(dup, dup[1:]...)},
+		{name: "indefinite length", data: []byte{0x9f, 0x01, 0xff}},
+		{name: "tag", data: []byte{0xc1, 0x01}},
+		{name: "trailing bytes", data: []byte{0x01, 0x01}},
+		{name: "size", data: make([]byte, MaxFrameBytes+1)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var v any
+			require.Error(t, Unmarshal(tt.data, &v))
+			if tt.name == "repeated key" {
+				require.Error(t, Unmarshal(tt.data, &echo{}))
+			}
+		})
+	}
+}
+
+// Guards against a frame length that is trusted before its bytes arrive.
+func TestFrameBounds(t *testing.T) {
+	head := appendFrame(nil, 1, 2, nil)
+	head[3] = 0xff
+	_, _, err := readFrame(bufio.NewReader(bytes.NewReader(head)), nil, MaxFrameBytes)
+	assert.Equal(t, KindInvalid, kindOf(t, err))
+	short := appendFrame(nil, 1, 2, make([]byte, 100))[:50]
+	_, _, err = readFrame(bufio.NewReader(bytes.NewReader(short)), nil, MaxFrameBytes)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	_, _, err = readFrame(bufio.NewReader(strings.NewReader("")), nil, MaxFrameBytes)
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against panics and unbounded memory on frames that a faulty peer
+// sends, and against frames that do not survive encoding.
+func FuzzFrame(f *testing.F) {
+	f.Add(appendFrame(streamHeader{typ: streamCall, kind: 300}.encode(), 1, 2, []byte("payload")))
+	f.Add([]byte{3, 1, 7, 0, 0, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bufio.NewReader(bytes.NewReader(data))
+		head, err := readStreamHeader(r)
+		if err != nil {
+			return
+		}
+		again, err := readStreamHeader(bufio.NewReader(bytes.NewReader(head.encode())))
+		require.NoError(t, err)
+		require.Equal(t, head, again)
+		for {
+			h, payload, err := readFrame(r, nil, MaxFrameBytes)
+			if err != nil {
+				var own *Error
+				known := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &own)
+				require.True(t, known, "%v", err)
+				return
+			}
+			require.LessOrEqual(t, len(payload), len(data))
+			b := appendFrame(nil, h.kind, h.exchange, payload)
+			h2, payload2, err := readFrame(bufio.NewReader(bytes.NewReader(b)), nil, MaxFrameBytes)
+			require.NoError(t, err)
+			require.Equal(t, h, h2)
+			require.True(t, bytes.Equal(payload, payload2))
+		}
+	})
+}
+
+// Guards against panics in decoding, and against messages that change when
+// they are encoded again.
+func FuzzMessage(f *testing.F) {
+	for _, v := range []any{hello{Instance: "a", Epoch: 7}, wireError{Code: "busy", Message: "m"}, echo{Text: "x"}} {
+		data, err := Marshal(v)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var v any
+		_ = Unmarshal(data, &v)
+		var h hello
+		if Unmarshal(data, &h) != nil {
+			return
+		}
+		again, err := Marshal(h)
+		require.NoError(t, err)
+		var got hello
+		require.NoError(t, Unmarshal(again, &got))
+		require.Equal(t, h, got)
+	})
+}
--- /dev/null
+++ b/internal/gwpeer/failure_test.go
@@ -0,0 +1,410 @@
+package gwpeer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func callEcho(ctx context.Context, n *Node, address, text string) (string, error) {
+	resp, err := Call[echo, echo](ctx, n, address, kindEcho, echo{Text: text})
+	return resp.Text, err
+}
+
+func kindOf(t *testing.T, err error) ErrorKind {
+	t.Helper()
+	var e *Error
+	require.ErrorAs(t, err, &e)
+	return e.Kind
+}
+
+// receive waits for a value, so that a fault fails the test instead of hanging.
+func receive[T any](t *testing.T, ch <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-ch:
+	case <-time.After(10 * time.Second):
+		require.FailNow(t, "nothing arrived within 10 s")
+	}
+	return v
+}
+
+// Guards against a request that did not reach the handler and is reported as
+// unknown, which forbids a retry, and against one that did and is reported as
+// not sent, which permits a second run.
+func TestErrorKinds(t *testing.T) {
+	nodes := cluster(t, "a", "b")
+	a, b := nodes[0], nodes[1]
+	started := make(chan struct{}, 1)
+	Handle(b, kindEcho, func(ctx context.Context, _ string, req echo) (echo, error) {
+		switch req.Text {
+		case "large":
+			return echo{Text: strings.Repeat("x", MaxMessageBytes+1)}, nil
+		case "block":
+			started <- struct{}{}
+			<-ctx.Done()
+		}
+		return req, nil
+	})
+	ctx := within(t, 20*time.Second)
+
+	_, err := callEcho(ctx, a, b.Address(), strings.Repeat("x", MaxMessageBytes+1))
+	assert.Equal(t, KindNotSent, kindOf(t, err), "request over the bound")
+	_, err = Call[echo, echo](ctx, a, b.Address(), Kind{ID: 99, Name: "absent"}, echo{})
+	assert.Equal(t, KindNotSent, kindOf(t, err), "no handler")
+	_, err = Call[[]int, echo](ctx, a, b.Address(), kindEcho, []int{1})
+	assert.Equal(t, KindNotSent, kindOf(t, err), "request of another type")
+	_, err = callEcho(ctx, a, "localhost:1", "")
+	assert.Equal(t, KindNotSent, kindOf(t, err), "malformed address")
+	_, err = callEcho(ctx, a, b.Address(), "large")
+	code, _ := RemoteCode(err)
+	assert.Equal(t, "encode", code, "response over the bound")
+
+	short, cancel := context.WithCancel(ctx)
+	go func() { <-started; cancel() }()
+	_, err = callEcho(short, a, b.Address(), "block")
+	assert.Equal(t, KindUnknown, kindOf(t, err), "canceled while the handler runs")
+	require.ErrorIs(t, err, context.Canceled)
+
+	done := make(chan error, 1)
+	go func() { _, err := callEcho(ctx, a, b.Address(), "block"); done <- err }()
+	receive(t, started)
+	require.NoError(t, b.Close())
+	assert.Equal(t, KindUnknown, kindOf(t, receive(t, done)), "peer closed while the handler runs")
+}
+
+// Guards against handlers that go on after the caller has given up, and
+// against openers that wait for a handler that has given up.
+func TestStreamCancel(t *testing.T) {
+	nodes := cluster(t, "a", "b")
+	a, b := nodes[0], nodes[1]
+	ended := make(chan error, 1)
+	b.HandleStream(kindStream, func(ctx context.Context, _ string, s *Stream) {
+		_, payload, err := s.ReadFrame()
+		if err != nil || string(payload) == "cancel" {
+			s.Cancel()
+			return
+		}
+		_ = s.WriteFrame(1, nil)
+		<-ctx.Done()
+		ended <- ctx.Err()
+	})
+	ctx := within(t, 20*time.Second)
+	open := func(text string) *Stream {
+		s, err := a.OpenStream(ctx, b.Address(), kindStream)
+		require.NoError(t, err)
+		require.NoError(t, s.WriteFrame(1, []byte(text)))
+		return s
+	}
+	s := open("hold")
+	_, _, err := s.ReadFrame()
+	require.NoError(t, err)
+	s.Cancel()
+	require.ErrorIs(t, receive(t, ended), context.Canceled)
+	_, _, err = s.ReadFrame()
+	assert.Equal(t, KindCanceled, kindOf(t, err))
+	assert.True(t, IsNotSent(s.WriteFrame(1, nil)))
+
+	s = open("hold")
+	_, _, err = s.ReadFrame()
+	require.NoError(t, err)
+	short, cancel := context.WithCancel(ctx)
+	s.CancelOn(short)
+	cancel()
+	require.ErrorIs(t, receive(t, ended), context.Canceled)
+
+	_, _, err = open("cancel").ReadFrame()
+	assert.Equal(t, KindCanceled, kindOf(t, err))
+
+	s, err = a.OpenStream(ctx, b.Address(), Kind{ID: 99, Name: "absent"})
+	require.NoError(t, err)
+	require.NoError(t, s.WriteFrame(1, nil))
+	_, _, err = s.ReadFrame()
+	assert.Equal(t, KindNotSent, kindOf(t, err), "no handler")
+	assert.Equal(t, KindCanceled, kindOf(t, s.Close()), "the frame was not read")
+}
+
+// Guards against a late frame of one request that is read as the response to
+// the next one on a reused stream.
+func TestPoolLeftoverFrames(t *testing.T) {
+	nodes := cluster(t, "a", "b")
+	a, b := nodes[0], nodes[1]
+	release := make(chan struct{})
+	b.HandleStream(kindStream, func(_ context.Context, _ string, s *Stream) {
+		for {
+			_, payload, err := s.ReadFrame()
+			if err != nil {
+				return
+			}
+			_ = s.WriteFrame(1, payload)
+			if string(payload) == "twice" {
+				<-release
+				_ = s.WriteFrame(1, []byte("late"))
+			}
+		}
+	})
+	ctx := within(t, 20*time.Second)
+	pool := a.NewStreamPool(kindStream)
+	ask := func(text string) (got string, err error) {
+		err = pool.Do(ctx, b.Address(), func(s *Stream) error {
+			if err := s.WriteFrame(1, []byte(text)); err != nil {
+				return err
+			}
+			_, payload, err := s.ReadFrame()
+			got = string(payload)
+			return err
+		})
+		return got, err
+	}
+	for _, text := range []string{"one", "two", "twice"} {
+		got, err := ask(text)
+		require.NoError(t, err)
+		assert.Equal(t, text, got)
+	}
+	close(release)
+	got, err := ask("next") // on the same stream, or a new one once "late" is buffered
+	if err != nil {
+		assert.Equal(t, KindInvalid, kindOf(t, err))
+	} else {
+		assert.Equal(t, "next", got)
+	}
+	got, err = ask("after")
+	require.NoError(t, err)
+	assert.Equal(t, "after", got)
+}
+
+// Guards against calls that hang on a peer that is cut off, and against links
+// that do not come back after the partition.
+func TestPartition(t *testing.T) {
+	ca, err := NewAuthority("test")
+	require.NoError(t, err)
+	a := startNode(t, ca, Options{Instance: "a", IdleTimeout: 300 * time.Millisecond})
+	b := startNode(t, ca, Options{Instance: "b", IdleTimeout: 300 * time.Millisecond})
+	serveEcho(b)
+	ctx := within(t, 30*time.Second)
+	_, err = callEcho(ctx, a, b.Address(), "x")
+	require.NoError(t, err)
+
+	a.Block(b.Address(), true)
+	_, err = callEcho(ctx, a, b.Address(), "x")
+	assert.Equal(t, KindUnknown, kindOf(t, err), "the request may have left before the cut")
+	_, err = callEcho(ctx, a, b.Address(), "x") // the dial runs into its timeout
+	assert.Equal(t, KindNotSent, kindOf(t, err))
+	_, err = callEcho(ctx, a, b.Address(), "x")
+	assert.Equal(t, KindNotSent, kindOf(t, err))
+	assert.ErrorContains(t, err, "the peer is down")
+
+	a.Block(b.Address(), false)
+	require.Eventually(t, func() bool {
+		_, err := callEcho(ctx, a, b.Address(), "x")
+		return err == nil
+	}, 15*time.Second, 20*time.Millisecond)
+}
+
+// Guards against a second connection per pair, and against a restarted process
+// that is taken for its predecessor.
+func TestOneLinkPerPair(t *testing.T) {
+	ca, err := NewAuthority("test")
+	require.NoError(t, err)
+	src, err := ca.IssueSource("b")
+	require.NoError(t, err)
+	a := startNode(t, ca, Options{Instance: "a"})
+	b := startNode(t, ca, Options{Instance: "b", TLS: src})
+	serveEcho(a)
+	serveEcho(b)
+	ctx := within(t, 30*time.Second)
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() { _, err := callEcho(ctx, a, b.Address(), "x"); assert.NoError(t, err) })
+	}
+	wg.Wait()
+	_, err = callEcho(ctx, b, a.Address(), "x")
+	require.NoError(t, err)
+	assert.Len(t, a.linkList(), 1)
+	assert.Len(t, b.linkList(), 1)
+
+	address := b.Address()
+	require.NoError(t, b.Close())
+	restarted := startNode(t, ca, Options{Instance: "b", TLS: src, Address: address})
+	serveEcho(restarted)
+	require.Eventually(t, func() bool {
+		_, err := callEcho(ctx, a, address, "x")
+		return err == nil
+	}, 10*time.Second, 20*time.Millisecond)
+
+	_, err = callEcho(ctx, restarted, address, "self")
+	assert.NoError(t, err, "a node can call itself")
+}
+
+// Guards against two links that stay open, or that both sides give up, when
+// two instances dial each other at the same time.
+func TestSimultaneousDial(t *testing.T) {
+	for range 5 {
+		nodes := cluster(t, "a", "b")
+		a, b := nodes[0], nodes[1]
+		serveEcho(a)
+		serveEcho(b)
+		ctx := within(t, 20*time.Second)
+		var wg sync.WaitGroup
+		wg.Go(func() { _, err := callEcho(ctx, a, b.Address(), "x"); assert.NoError(t, err) })
+		wg.Go(func() { _, err := callEcho(ctx, b, a.Address(), "x"); assert.NoError(t, err) })
+		wg.Wait()
+		require.Eventually(t, func() bool { return current(a) == current(b) && current(a) != "" },
+			5*time.Second, 10*time.Millisecond)
+	}
+}
+
+// current describes the node's current links by who dialed them.
+func current(n *Node) string {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	s := ""
+	for _, p := range n.peers {
+		if l := p.current.Load(); l != nil {
+			dialer := l.instance
+			if l.dialed {
+				dialer = n.opts.Instance
+			}
+			s += dialer
+		}
+	}
+	return s
+}
+
+// Guards against instances of incompatible versions that talk to each other.
+func TestVersions(t *testing.T) {
+	ca, err := NewAuthority("test")
+	require.NoError(t, err)
+	b := startNode(t, ca, Options{Instance: "b", versions: versionRange{min: 2, max: 4}})
+	serveEcho(b)
+	tests := []struct {
+		versions versionRange
+		want     uint16 // 0 for none
+	}{
+		{versions: versionRange{min: 1, max: 1}},
+		{versions: versionRange{min: 5, max: 6}},
+		{versions: versionRange{min: 1, max: 3}, want: 3},
+		{versions: versionRange{min: 4, max: 9}, want: 4},
+	}
+	for _, tt := range tests {
+		a := startNode(t, ca, Options{Instance: "a", versions: tt.versions})
+		_, err := callEcho(within(t, 10*time.Second), a, b.Address(), "x")
+		if tt.want == 0 {
+			assert.Equal(t, KindNotSent, kindOf(t, err))
+			assert.ErrorContains(t, err, "no common version")
+			continue
+		}
+		require.NoError(t, err)
+		assert.Equal(t, tt.want, a.linkList()[0].version)
+	}
+}
+
+// Guards against a node that serves an instance without a valid certificate.
+func TestCertificates(t *testing.T) {
+	ca, err := NewAuthority("test")
+	require.NoError(t, err)
+	other, err := NewAuthority("other")
+	require.NoError(t, err)
+	b := startNode(t, ca, Options{Instance: "b"})
+	Handle(b, kindEcho, func(context.Context, string, echo) (echo, error) {
+		t.Error("the handler must not run")
+		return echo{}, nil
+	})
+	identity := func(issuer *Authority, instance string, ips ...net.IP) TLSSource {
+		cert, err := issuer.Issue(instance, ips...)
+		require.NoError(t, err)
+		id, err := NewIdentity(ca.CertificatePEM(), cert.CertificatePEM, cert.KeyPEM)
+		require.NoError(t, err)
+		return NewMemorySource(id)
+	}
+	loopback := net.IPv4(127, 0, 0, 1)
+
+	stranger := startNode(t, ca, Options{Instance: "a", TLS: identity(other, "a", loopback)})
+	_, err = callEcho(within(t, 10*time.Second), stranger, b.Address(), "x")
+	assert.Equal(t, KindNotSent, kindOf(t, err), "certificate of another CA")
+
+	liar := startNode(t, ca, Options{Instance: "a", TLS: identity(ca, "a", loopback)})
+	liar.opts.Instance = "c"
+	_, err = callEcho(within(t, 10*time.Second), liar, b.Address(), "x")
+	assert.Equal(t, KindNotSent, kindOf(t, err), "name of another instance")
+	assert.ErrorContains(t, err, "claims instance")
+
+	elsewhere := startNode(t, ca, Options{Instance: "d", TLS: identity(ca, "d", net.IPv4(10, 0, 0, 1))})
+	a := startNode(t, ca, Options{Instance: "a"})
+	_, err = callEcho(within(t, 10*time.Second), a, elsewhere.Address(), "x")
+	assert.Equal(t, KindNotSent, kindOf(t, err), "certificate of another address")
+
+	_, err = Listen(context.Background(), Options{Address: "127.0.0.1:0", Instance: "x", TLS: identity(ca, "y", loopback)})
+	assert.ErrorContains(t, err, `names instance "y"`)
+}
+
+// Guards against a rotation that cuts links while both CAs are trusted, and
+// against links that outlive the trust in their peer.
+func TestRotation(t *testing.T) {
+	oldCA, err := NewAuthority("old")
+	require.NoError(t, err)
+	newCA, err := NewAuthority("new")
+	require.NoError(t, err)
+	set := func(src *MemorySource, issuer *Authority, instance string, trusted ...*Authority) {
+		cert, err := issuer.Issue(instance, net.IPv4(127, 0, 0, 1))
+		require.NoError(t, err)
+		var roots []byte
+		for _, ca := range trusted {
+			roots = append(roots, ca.CertificatePEM()...)
+		}
+		id, err := NewIdentity(roots, cert.CertificatePEM, cert.KeyPEM)
+		require.NoError(t, err)
+		src.Set(id)
+	}
+	srcA, srcB := NewMemorySource(nil), NewMemorySource(nil)
+	set(srcA, oldCA, "a", oldCA)
+	set(srcB, oldCA, "b", oldCA)
+	a := startNode(t, nil, Options{Instance: "a", TLS: srcA})
+	b := startNode(t, nil, Options{Instance: "b", TLS: srcB})
+	serveEcho(b)
+	ctx := within(t, 30*time.Second)
+	works := func() bool { _, err := callEcho(ctx, a, b.Address(), "x"); return err == nil }
+	require.True(t, works())
+	first := a.linkList()[0]
+
+	set(srcB, newCA, "b", newCA, oldCA)
+	set(srcA, oldCA, "a", newCA, oldCA)
+	time.Sleep(2 * maintenancePeriod)
+	require.True(t, works())
+	assert.True(t, first.alive(), "both CAs are trusted")
+
+	set(srcB, newCA, "b", newCA)
+	require.Eventually(t, func() bool { return !first.alive() }, 5*time.Second, 20*time.Millisecond)
+	_, err = callEcho(ctx, a, b.Address(), "x")
+	require.Error(t, err, "the certificate of the old CA is no longer trusted")
+	set(srcA, newCA, "a", newCA)
+	require.Eventually(t, works, 10*time.Second, 50*time.Millisecond)
+}
+
+// Guards against a Close that waits for a peer or a handler forever.
+func TestCloseWithBlockedHandler(t *testing.T) {
+	nodes := cluster(t, "a", "b")
+	a, b := nodes[0], nodes[1]
+	started := make(chan struct{})
+	b.HandleStream(kindStream, func(ctx context.Context, _ string, s *Stream) {
+		close(started)
+		<-ctx.Done()
+	})
+	s, err := a.OpenStream(within(t, 10*time.Second), b.Address(), kindStream)
+	require.NoError(t, err)
+	require.NoError(t, s.WriteFrame(1, nil))
+	receive(t, started)
+	require.NoError(t, b.Close())
+	_, _, err = s.ReadFrame()
+	require.Error(t, err)
+	require.False(t, errors.Is(err, io.EOF), "a closed node is not a complete response")
+	require.Error(t, a.Send(b.Address(), kindNote, strings.Repeat("x", MaxDatagramBytes+1)))
+}
--- a/internal/gwpeer/frame.go
+++ b/internal/gwpeer/frame.go
@@ -39,8 +39,8 @@
 
 const frameHeaderBytes = 7
 
-func appendStreamHeader(b []byte, h streamHeader) []byte {
-	return binary.AppendUvarint(append(b, byte(h.typ)), uint64(h.kind))
+func (h streamHeader) encode() []byte {
+	return binary.AppendUvarint([]byte{byte(h.typ)}, uint64(h.kind))
 }
 
 func readStreamHeader(r *bufio.Reader) (streamHeader, error) {
--- a/internal/gwpeer/hello.go
+++ b/internal/gwpeer/hello.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	b := appendStreamHeader(nil, streamHeader{typ: streamHello})
+	b := streamHeader{typ: streamHello}.encode()
 	if _, err := qs.Write(appendFrame(b, helloFrameKind, 0, payload)); err != nil {
 		return err
 	}
--- a/internal/gwpeer/node.go
+++ b/internal/gwpeer/node.go
@@ -193,10 +193,9 @@
 func (n *Node) Close() error {
 	n.mu.Lock()
 	n.closed = true
-	links := n.linkList()
 	n.mu.Unlock()
 	n.cancel(errClosed)
-	for _, l := range links {
+	for _, l := range n.linkList() {
 		l.close(codeClosing, "the node is closed")
 	}
 	err := n.transport.Close()
@@ -205,8 +204,10 @@
 	return err
 }
 
-// linkList copies the set of links; the caller holds the lock.
+// linkList copies the set of links.
 func (n *Node) linkList() []*link {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
 	links := make([]*link, 0, len(n.links))
 	for l := range n.links {
 		links = append(links, l)
@@ -214,6 +215,12 @@
 	return links
 }
 
+func (n *Node) poolList() []*StreamPool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.pools[:len(n.pools):len(n.pools)]
+}
+
 // goIfOpen runs f in a goroutine that Close waits for.
 func (n *Node) goIfOpen(f func()) bool {
 	n.mu.RLock()
@@ -255,13 +262,10 @@
 			return
 		case now := <-ticker.C:
 			id := n.opts.TLS.Identity()
-			n.mu.RLock()
-			links, pools := n.linkList(), n.pools
-			n.mu.RUnlock()
-			for _, p := range pools {
+			for _, p := range n.poolList() {
 				p.sweep(now)
 			}
-			for _, l := range links {
+			for _, l := range n.linkList() {
 				l.maintain(now, id, id != checked)
 			}
 			checked = id
--- a/internal/gwpeer/node_test.go
+++ b/internal/gwpeer/node_test.go
@@ -88,7 +88,7 @@
 	ctx := within(t, 10*time.Second)
 
 	require.NoError(t, a.Send(b.Address(), kindNote, echo{Text: "first"}), "a datagram sent before the link is up")
-	assert.Equal(t, "a:first", <-notes)
+	assert.Equal(t, "a:first", receive(t, notes))
 
 	got, err := Call[echo, echo](ctx, a, b.Address(), kindEcho, echo{Text: "hello"})
 	require.NoError(t, err)
--- a/internal/gwpeer/stream.go
+++ b/internal/gwpeer/stream.go
@@ -61,7 +61,7 @@
 		return nil, newError("open stream "+kind.String(), KindNotSent, address, err)
 	}
 	s := &Stream{link: l, qs: qs, address: address, opener: true, r: getReader(qs)}
-	s.head = appendStreamHeader(nil, streamHeader{typ: typ, kind: kind.ID})
+	s.head = streamHeader{typ: typ, kind: kind.ID}.encode()
 	return s, nil
 }
 
@@ -164,12 +164,15 @@
 		s.qs.CancelWrite(codeCanceled)
 		return nil
 	}
-	return s.qs.Close()
+	if err := s.qs.Close(); err != nil { // the peer has canceled the stream
+		return newError("close", KindCanceled, s.address, err)
+	}
+	return nil
 }
 
 // Close ends both sides after a write that is under way. Frames written so far
-// are delivered, frames that the peer sends are discarded. A closed stream may
-// be closed again.
+// are delivered unless the error says otherwise; frames that the peer sends
+// are discarded. A closed stream may be closed again.
 func (s *Stream) Close() error {
 	err := s.CloseWrite()
 	s.release(codeDone)
