gwtrace: generate traces, replay them and check the stated outcomes

The promises to callers were tested one by one only. A trace holds sessions that move between instances, faults and the outcomes that must hold; the replay runs it against a deployment in one process and compares every answer and the final content of all servers with them.

--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -17,6 +17,8 @@
 	subcommands.Register(&checkCmd{}, "")
 	subcommands.Register(&keysCmd{}, "")
 	subcommands.Register(&demoCmd{}, "")
+	subcommands.Register(&traceCmd{}, "")
+	subcommands.Register(&replayCmd{}, "")
 	subcommands.Register(&versionCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/internal/gwtrace/check.go
@@ -0,0 +1,172 @@
+package gwtrace
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Kinds of differences between the stated outcomes and what happened.
+const (
+	Lost            = "lost"            // acknowledged and not in the final content
+	Doubled         = "doubled"         // more than once in the final content
+	Phantom         = "phantom"         // in the final content without a request
+	NotRunPresent   = "notRunPresent"   // rejected as not run and yet present
+	Torn            = "torn"            // present with another content
+	OwnWriteMissing = "ownWriteMissing" // not read by the session that wrote it
+	Stale           = "stale"           // older than accepted
+	ForeignAnswer   = "foreignAnswer"   // the answer of another request
+	NotDone         = "notDone"         // must have been done
+	SQLError        = "sqlError"        // an SQL error where none is stated
+	NotLinearizable = "notLinearizable" // no order of a slot's operations fits
+	NotDecided      = "notDecided"      // the check was not completed
+	ReplicaDiffers  = "replicaDiffers"  // a replica ends with other content
+)
+
+// Difference is one deviation from the stated outcomes.
+type Difference struct {
+	Kind    string `json:"kind"`
+	Group   string `json:"group"`
+	Session string `json:"session,omitempty"`
+	ID      string `json:"id,omitempty"`
+	Detail  string `json:"detail"`
+}
+
+// String formats the difference as one line.
+func (d Difference) String() string {
+	return fmt.Sprintf("%s group=%s session=%s id=%s: %s", d.Kind, d.Group, d.Session, d.ID, d.Detail)
+}
+
+// Content is the final content of the tables of records, by group and table.
+type Content map[string]map[string][]Row
+
+// checker compares a history with the stated outcomes.
+type checker struct {
+	events  []Event
+	writes  map[string]Event      // by id
+	bySubj  map[[3]string][]Event // writes by group, table and subject
+	content Content
+	out     []Difference
+}
+
+// Check returns all differences.
+func Check(events []Event, slots []slotOp, content Content) []Difference {
+	c := &checker{events: events, writes: make(map[string]Event), bySubj: make(map[[3]string][]Event), content: content}
+	for _, e := range events {
+		if e.Step.Op == OpWrite {
+			c.writes[e.Step.ID] = e
+			key := [3]string{e.Group, e.Step.Table, e.Step.Subject}
+			c.bySubj[key] = append(c.bySubj[key], e)
+		}
+	}
+	for _, e := range events {
+		c.checkOutcome(e)
+		if e.Step.Op == OpRead && e.Outcome == Done {
+			c.checkRead(e)
+		}
+	}
+	c.checkContent()
+	c.out = append(c.out, checkSlots(slots)...)
+	slices.SortStableFunc(c.out, func(a, b Difference) int { return cmp.Compare(a.Kind, b.Kind) })
+	return c.out
+}
+
+func (c *checker) differ(kind string, e Event, format string, args ...any) {
+	c.out = append(c.out, Difference{Kind: kind, Group: e.Group, Session: e.Step.Session, ID: e.Step.ID, Detail: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) checkOutcome(e Event) {
+	x := e.Step.Expect
+	took := (e.End - e.First).Round(time.Millisecond)
+	switch {
+	case e.Outcome == Failed:
+		c.differ(SQLError, e, "at %s: %s", e.First.Round(time.Millisecond), e.Error)
+	case x.Done && e.Outcome != Done:
+		c.differ(NotDone, e, "%s after %s and %d attempts: %s", e.Outcome, took, e.Attempts, e.Error)
+	case e.Outcome == Unknown && !x.MayBeUnknown:
+		c.differ(NotDone, e, "unknown: %s", e.Error)
+	}
+}
+
+func (c *checker) checkRead(e Event) {
+	if e.Echo != e.Nonce {
+		c.differ(ForeignAnswer, e, "sent %q, the answer has %q", e.Nonce, e.Echo)
+		return
+	}
+	seen := make(map[string]bool, len(e.Rows))
+	for _, r := range e.Rows {
+		seen[r.ID] = true
+		c.checkRow(e, r)
+	}
+	x := e.Step.Expect
+	for _, w := range c.bySubj[[3]string{e.Group, e.Step.Table, e.Step.Subject}] {
+		if w.Outcome != Done || seen[w.Step.ID] {
+			continue
+		}
+		if x.OwnWrites && w.Step.Session == e.Step.Session && w.End <= e.Sent {
+			c.differ(OwnWriteMissing, e, "%s, acknowledged at %s, is missing at %s through %s", w.Step.ID, w.End, e.Sent, e.Instance)
+			continue
+		}
+		if x.Staleness != nil && w.End+x.Staleness.Duration <= e.Sent {
+			c.differ(Stale, e, "%s, acknowledged at %s, is missing at %s through %s; accepted staleness %s", w.Step.ID, w.End, e.Sent, e.Instance, x.Staleness.Duration)
+		}
+	}
+}
+
+// checkRow checks one record that a read returned.
+func (c *checker) checkRow(e Event, r Row) {
+	w, ok := c.writes[r.ID]
+	switch {
+	case !ok:
+		c.differ(Phantom, e, "read %q, which nobody wrote", r.ID)
+	case r.Subject != e.Step.Subject || w.Group != e.Group:
+		c.differ(ForeignAnswer, e, "read %q of subject %q", r.ID, r.Subject)
+	case r.Body != body(r.ID):
+		c.differ(Torn, e, "read %q with another content", r.ID)
+	case w.Outcome == NotRun:
+		c.differ(NotRunPresent, e, "read %q, which was rejected as not run", r.ID)
+	}
+}
+
+// checkContent compares the final content with the writes.
+func (c *checker) checkContent() {
+	count := c.countRows()
+	for id, w := range c.writes {
+		if _, read := c.content[w.Group]; !read {
+			continue
+		}
+		switch n := count[id]; {
+		case n > 1 && w.Step.Expect.Once:
+			c.differ(Doubled, w, "%d copies, outcome %s after %d attempts", n, w.Outcome, w.Attempts)
+		case n == 0 && w.Outcome == Done:
+			c.differ(Lost, w, "acknowledged at %s through %s", w.End, w.Instance)
+		case n > 0 && (w.Outcome == NotRun || w.Outcome == Failed):
+			c.differ(NotRunPresent, w, "%d copies although the outcome is %s: %s", n, w.Outcome, w.Error)
+		}
+	}
+}
+
+// countRows counts the copies of each record and checks where and how it is stored.
+func (c *checker) countRows() map[string]int {
+	count := make(map[string]int)
+	for group, tables := range c.content {
+		for table, rows := range tables {
+			for _, r := range rows {
+				count[r.ID]++
+				c.checkStored(group, table, r)
+			}
+		}
+	}
+	return count
+}
+
+func (c *checker) checkStored(group, table string, r Row) {
+	w, ok := c.writes[r.ID]
+	switch {
+	case !ok || w.Group != group || w.Step.Table != table:
+		c.out = append(c.out, Difference{Kind: Phantom, Group: group, ID: r.ID, Detail: "table " + table + " has a record that nobody wrote there"})
+	case r.Body != body(r.ID) || r.Subject != w.Step.Subject:
+		c.differ(Torn, w, "table %s has another content", table)
+	}
+}
--- /dev/null
+++ b/internal/gwtrace/client.go
@@ -0,0 +1,287 @@
+package gwtrace
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// How an ordinary client acts.
+const (
+	connectTimeout = 2 * time.Second
+	attemptTimeout = 12 * time.Second
+	retryPause     = 50 * time.Millisecond
+	// movesAfter is the number of rejections after which a client connects to
+	// another instance.
+	movesAfter = 3
+	// giveUp bounds all attempts at one step; a change of primary takes up to 12 s.
+	giveUp = 30 * time.Second
+)
+
+// client runs the steps of one session.
+type client struct {
+	r       *replay
+	session Session
+	number  int
+	conn    *pgx.Conn
+	at      int // index of the instance of conn
+	token   string
+}
+
+// body is the content of a record, long enough that a torn one is noticed.
+func body(id string) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return fmt.Sprintf("%s:%016x:%0128x", id, h.Sum64(), h.Sum64())
+}
+
+// connect makes sure that the client is connected, if possible to the wanted
+// instance, otherwise to the next one that accepts it.
+func (c *client) connect(ctx context.Context, want int) error {
+	if c.conn != nil && !c.conn.IsClosed() && c.at == want {
+		return nil
+	}
+	c.close()
+	nodes := c.r.d.Instances()
+	var err error
+	for i := range nodes {
+		at := (want + i) % len(nodes)
+		if err = c.dial(ctx, at); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+var modes = map[string]pgx.QueryExecMode{
+	ProtocolSimple:   pgx.QueryExecModeSimpleProtocol,
+	ProtocolExtended: pgx.QueryExecModeExec,
+	ProtocolPrepared: pgx.QueryExecModeCacheStatement,
+}
+
+func (c *client) dial(ctx context.Context, at int) error {
+	n := c.r.d.Instances()[at]
+	url := c.r.d.URL(n, c.session.Caller, c.session.Group)
+	if url == "" {
+		return &Error{Op: "connect", Kind: NotReplayed, Detail: "instance " + n.Settings.Instance + " is not running"}
+	}
+	config, err := pgx.ParseConfig(url)
+	if err != nil {
+		return err
+	}
+	config.DefaultQueryExecMode = modes[c.session.Protocol]
+	if c.session.Token && c.token != "" {
+		config.RuntimeParams["gentianward.session"] = c.token
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := pgx.ConnectConfig(ctx, config)
+	if err != nil {
+		return err
+	}
+	c.conn, c.at = conn, at
+	return nil
+}
+
+// close ends the connection, keeping the session's token.
+func (c *client) close() {
+	if c.conn == nil {
+		return
+	}
+	if t := c.conn.PgConn().ParameterStatus("gentianward.session"); t != "" {
+		c.token = t
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), retryPause)
+	defer cancel()
+	_ = c.conn.Close(ctx)
+	c.conn = nil
+}
+
+// run carries out a step with the retries of an ordinary client.
+func (c *client) run(ctx context.Context, st Step) Event {
+	e := Event{Step: st, Caller: c.session.Caller, Group: c.session.Group, First: c.r.now()}
+	want := st.Instance % len(c.r.d.Instances())
+	for {
+		e.Attempts++
+		e.Sent = c.r.now()
+		err := c.connect(ctx, want)
+		if err != nil {
+			e.Outcome = NotRun
+		} else {
+			actx, cancel := context.WithTimeout(ctx, attemptTimeout)
+			e.Outcome, err = c.attempt(actx, &e)
+			cancel()
+			e.Instance = c.r.d.Instances()[c.at].Settings.Instance
+		}
+		e.End = c.r.now()
+		e.Error = ""
+		if err != nil {
+			e.Error = err.Error()
+		}
+		if !c.again(&e) || e.End-e.First > giveUp || ctx.Err() != nil {
+			return e
+		}
+		if e.Outcome == Unknown || e.NotRuns%movesAfter == 0 {
+			c.close()
+			want++
+		}
+		if sleep(ctx, retryPause) != nil {
+			return e
+		}
+	}
+}
+
+// again decides whether a step is sent again: what was not run, and after an
+// unknown outcome reads and keyed writes.
+func (c *client) again(e *Event) bool {
+	switch e.Outcome {
+	case NotRun:
+		e.NotRuns++
+		return true
+	case Unknown:
+		return e.Step.Op == OpRead || e.Step.Op == OpSlotRead || e.Step.Key != ""
+	default:
+		return false
+	}
+}
+
+func (c *client) attempt(ctx context.Context, e *Event) (Outcome, error) {
+	var err error
+	switch e.Step.Op {
+	case OpWrite:
+		err = c.write(ctx, e.Step)
+	case OpRead:
+		err = c.read(ctx, e)
+	case OpSlotRead:
+		err = c.slotRead(ctx, e)
+	default:
+		return c.slotHold(ctx, e)
+	}
+	return Classify(err), err
+}
+
+func (c *client) write(ctx context.Context, st Step) error {
+	sql := "insert into " + st.Table + " (id, subject, body) values ($1, $2, $3)"
+	args := []any{st.ID, st.Subject, body(st.ID)}
+	if st.Key != "" {
+		sql = "/* requestKey=" + st.Key + " */ " + sql
+		if c.session.Protocol == ProtocolPrepared {
+			// A new text for each key would only fill the client's cache.
+			args = append([]any{pgx.QueryExecModeExec}, args...)
+		}
+	}
+	tag, err := c.conn.Exec(ctx, sql, args...)
+	if err == nil && tag.RowsAffected() != 1 {
+		return &pgconn.PgError{Code: "XX000", Message: "the command tag of the insert is " + tag.String()}
+	}
+	return err
+}
+
+// read reads the records of a subject. The answer always has a row with the
+// nonce, which tells whether it belongs to this request.
+func (c *client) read(ctx context.Context, e *Event) error {
+	st := e.Step
+	e.Nonce, e.Echo, e.Rows = fmt.Sprintf("%s/%d", st.ID, e.Attempts), "", nil
+	rows, err := c.conn.Query(ctx, "select cast($1 as text) as nonce, id, subject, body from "+st.Table+
+		" where subject = $2 union all select cast($1 as text), '', '', ''", e.Nonce, st.Subject)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var row Row
+		if err := rows.Scan(&e.Echo, &row.ID, &row.Subject, &row.Body); err != nil {
+			return &pgconn.PgError{Code: "XX000", Message: "the answer cannot be decoded: " + err.Error()}
+		}
+		if row.ID != "" {
+			e.Rows = append(e.Rows, row)
+		}
+	}
+	return rows.Err()
+}
+
+func (c *client) slotOp(st Step) slotOp {
+	return slotOp{group: c.session.Group, slot: st.Subject, client: c.number, call: c.r.now()}
+}
+
+func (c *client) slotRead(ctx context.Context, e *Event) error {
+	op := c.slotOp(e.Step)
+	if err := c.conn.QueryRow(ctx, "select holder from slot where id = $1", e.Step.Subject).Scan(&op.value); err != nil {
+		return err
+	}
+	op.end = c.r.now()
+	c.r.history.addSlot(op)
+	return nil
+}
+
+// slotHold replaces the holder of a slot in a transaction. Until COMMIT is
+// sent, nothing can remain of it.
+func (c *client) slotHold(ctx context.Context, e *Event) (Outcome, error) {
+	swap, err := c.holdBody(ctx, e)
+	if err != nil {
+		if Classify(err) == Failed {
+			return Failed, err
+		}
+		c.close()
+		return NotRun, err
+	}
+	_, err = c.conn.Exec(ctx, "commit")
+	outcome := Classify(err)
+	swap.end = c.r.now()
+	switch outcome {
+	case Done:
+		c.r.history.addSlot(swap)
+	case Unknown:
+		swap.unknown = swap.swapped
+		if swap.unknown {
+			c.r.history.addSlot(swap)
+		}
+	}
+	return outcome, err
+}
+
+func (c *client) holdBody(ctx context.Context, e *Event) (slotOp, error) {
+	if _, err := c.conn.Exec(ctx, "begin"); err != nil {
+		return slotOp{}, err
+	}
+	read := c.slotOp(e.Step)
+	if err := c.conn.QueryRow(ctx, "select holder from slot where id = $1", e.Step.Subject).Scan(&read.value); err != nil {
+		return slotOp{}, err
+	}
+	read.end = c.r.now()
+	c.r.history.addSlot(read)
+	swap := c.slotOp(e.Step)
+	swap.write, swap.old, swap.value = true, read.value, fmt.Sprintf("%s#%d", e.Step.ID, e.Attempts)
+	tag, err := c.conn.Exec(ctx, "update slot set holder = $1 where id = $2 and holder = $3", swap.value, e.Step.Subject, swap.old)
+	if err != nil {
+		return slotOp{}, err
+	}
+	swap.swapped = tag.RowsAffected() == 1
+	return swap, nil
+}
+
+// sleep waits for d or until the context ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// isPgError reports whether err is an SQL error with the code.
+func isPgError(err error, code string) bool {
+	var pg *pgconn.PgError
+	return errors.As(err, &pg) && pg.Code == code
+}
--- /dev/null
+++ b/internal/gwtrace/error.go
@@ -0,0 +1,37 @@
+package gwtrace
+
+// Kind classifies an Error.
+type Kind int
+
+// Kinds of errors.
+const (
+	// Malformed means that a trace does not follow the format.
+	Malformed Kind = iota + 1
+	// UnknownName means that a trace or a flag names something that does not exist.
+	UnknownName
+	// NotReplayed means that the replay could not be carried out.
+	NotReplayed
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op     string
+	Kind   Kind
+	Detail string
+	Err    error
+}
+
+// Error formats the operation, the detail and the cause.
+func (e *Error) Error() string {
+	s := e.Op
+	if e.Detail != "" {
+		s += ": " + e.Detail
+	}
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/gwtrace/generate.go
@@ -0,0 +1,168 @@
+package gwtrace
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"gentianward.example/gentianward/internal/gwmanifest"
+)
+
+// Names of scenarios.
+const (
+	Quiet          = "quiet"
+	Busy           = "busy"
+	PrimaryLost    = "primary-lost"
+	RegionsCut     = "regions-cut"
+	RollingRestart = "rolling-restart"
+)
+
+// Scenarios lists the names of all scenarios.
+var Scenarios = []string{Quiet, Busy, PrimaryLost, RegionsCut, RollingRestart}
+
+// GenerateOptions says what to generate.
+type GenerateOptions struct {
+	Deployment string
+	Scenario   string
+	Seed       uint64
+	Duration   time.Duration
+}
+
+// Shares of sessions and steps.
+const (
+	quietSessions = 0.4 // share of the busy number of sessions
+	busyThink     = 0.3 // share of the quiet think time
+	moveChance    = 0.15
+	tokenChance   = 0.5
+	// stepTime is the expected duration of a step with delays on; with it a
+	// session lasts about as long as the trace.
+	stepTime = 80 * time.Millisecond
+)
+
+// sessionState is what the generator knows about a session.
+type sessionState struct {
+	session  string
+	count    int
+	subject  string
+	wrote    bool
+	instance int
+}
+
+// write returns the write of the session's next record.
+func (s *sessionState) write(table string, keyed bool) Step {
+	s.count++
+	st := Step{Op: OpWrite, Table: table, Subject: s.subject, ID: fmt.Sprintf("%s-%s-%d", table, s.session, s.count)}
+	if keyed {
+		st.Key = st.ID
+	}
+	return st
+}
+
+// Generate returns a trace; equal options give equal traces.
+func Generate(o GenerateOptions) (*Trace, error) {
+	if !slices.Contains(Scenarios, o.Scenario) {
+		return nil, &Error{Op: "generate trace", Kind: UnknownName, Detail: fmt.Sprintf("scenario %q; accepted: %s", o.Scenario, strings.Join(Scenarios, ", "))}
+	}
+	p, err := NewProfile(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	t := &Trace{Header: Header{
+		Format: Format, Version: Version, Deployment: o.Deployment, Scenario: o.Scenario,
+		Seed: o.Seed, Duration: gwmanifest.NewDuration(o.Duration), Setup: p.Setup,
+	}}
+	rng := rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15))
+	share, think := 1.0, busyThink
+	if o.Scenario != Busy {
+		share, think = quietSessions, 1
+	}
+	for _, r := range p.Roles {
+		n := max(len(p.Groups), int(float64(r.Sessions)*share))
+		for i := range n {
+			t.addSession(rng, p, r, i, time.Duration(float64(r.Think)*think))
+		}
+	}
+	t.addFaults(rng, p)
+	return t, nil
+}
+
+// addSession adds a session that lasts from a random start to the end.
+func (t *Trace) addSession(rng *rand.Rand, p *Profile, r Role, index int, think time.Duration) {
+	protocols := []string{ProtocolSimple, ProtocolExtended, ProtocolPrepared}
+	s := Session{
+		Session: fmt.Sprintf("%s-%d", r.Caller, index+1), Caller: r.Caller, Group: p.Groups[index%len(p.Groups)],
+		Start: gwmanifest.NewDuration(millis(rng.Float64() * float64(think))), Token: rng.Float64() < tokenChance,
+		Protocol: protocols[rng.IntN(len(protocols))],
+	}
+	t.Sessions = append(t.Sessions, s)
+	state := &sessionState{session: s.Session, instance: rng.IntN(p.Instances)}
+	for at := s.Start.Duration; ; {
+		pause := millis(rng.ExpFloat64() * float64(think))
+		at += pause + stepTime
+		if at >= t.Header.Duration.Duration {
+			return
+		}
+		if rng.Float64() < moveChance {
+			state.instance = rng.IntN(p.Instances)
+		}
+		st := r.next(rng, state)
+		st.Session, st.Think, st.Instance = s.Session, gwmanifest.NewDuration(pause), state.instance
+		if st.ID == "" {
+			state.count++
+			st.ID = fmt.Sprintf("%s-%s-%d", st.Op, s.Session, state.count)
+		}
+		st.Expect = expected(st, r)
+		t.Steps = append(t.Steps, st)
+	}
+}
+
+// expected states the outcomes of a step: reads and keyed writes are repeated
+// until they are done; other writes may remain unknown and are not repeated.
+func expected(st Step, r Role) Expected {
+	e := Expected{Done: true}
+	switch st.Op {
+	case OpRead, OpSlotRead:
+		staleness := gwmanifest.NewDuration(r.Staleness)
+		e.OwnWrites, e.Staleness = r.OwnWrites, &staleness
+	case OpWrite:
+		e.Once = true
+		e.Done, e.MayBeUnknown = st.Key != "", st.Key == ""
+	case OpSlotHold:
+		e.Done, e.MayBeUnknown = false, true
+	}
+	return e
+}
+
+// addFaults adds the faults of the scenario.
+func (t *Trace) addFaults(rng *rand.Rand, p *Profile) {
+	d := t.Header.Duration.Duration
+	at := func(share float64) gwmanifest.Duration { return gwmanifest.NewDuration(millis(share * float64(d))) }
+	group := p.Groups[rng.IntN(len(p.Groups))]
+	switch t.Header.Scenario {
+	case PrimaryLost:
+		crash, restart := FaultPrimaryCrash, FaultServerRestart
+		if rng.IntN(2) == 0 {
+			crash, restart = FaultPrimaryIsolate, FaultServerHeal
+		}
+		t.Faults = append(t.Faults,
+			Fault{At: at(0.3), Fault: crash, Group: group},
+			Fault{At: at(0.6), Fault: restart, Group: group},
+		)
+	case RegionsCut:
+		t.Faults = append(t.Faults, Fault{At: at(0.3), Fault: FaultRegionsCut}, Fault{At: at(0.6), Fault: FaultRegionsHeal})
+	case RollingRestart:
+		step := 0.8 / float64(p.Instances)
+		for i := range p.Instances {
+			begin := 0.1 + step*float64(i)
+			t.Faults = append(t.Faults,
+				Fault{At: at(begin), Fault: FaultInstanceStop, Instance: i},
+				Fault{At: at(begin + step/2), Fault: FaultInstanceStart, Instance: i},
+			)
+		}
+	}
+}
+
+// millis rounds a number of nanoseconds, so that traces stay short.
+func millis(ns float64) time.Duration { return time.Duration(ns).Round(time.Millisecond) }
--- /dev/null
+++ b/internal/gwtrace/trace.go
@@ -0,0 +1,253 @@
+package gwtrace
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+
+	"gentianward.example/gentianward/internal/gwmanifest"
+)
+
+// Format and Version identify the file format.
+const (
+	Format  = "gentianwardTrace"
+	Version = 1
+)
+
+// Header is the first line of a trace.
+type Header struct {
+	Format     string              `json:"format"`
+	Version    int                 `json:"version"`
+	Deployment string              `json:"deployment"`
+	Scenario   string              `json:"scenario"`
+	Seed       uint64              `json:"seed"`
+	Duration   gwmanifest.Duration `json:"duration"`
+	// Setup lists the statements that run on each group before the sessions start.
+	Setup []string `json:"setup"`
+}
+
+// Line is one line after the header: Session, Step or Fault.
+type Line interface{ line() }
+
+// Session is one caller's session. Its steps run one after the other.
+type Session struct {
+	Session string `json:"session"`
+	Caller  string `json:"caller"`
+	Group   string `json:"group"`
+	// Start is when the session begins.
+	Start gwmanifest.Duration `json:"start"`
+	// Token means that the session carries its token when it moves.
+	Token bool `json:"token,omitempty"`
+	// Protocol is simple, extended or prepared.
+	Protocol string `json:"protocol"`
+}
+
+// Protocols of a session: the simple query protocol, the extended one with an
+// unnamed statement, and the extended one with named statements.
+const (
+	ProtocolSimple   = "simple"
+	ProtocolExtended = "extended"
+	ProtocolPrepared = "prepared"
+)
+
+// Kinds of operations.
+const (
+	// OpWrite inserts one record with a unique id.
+	OpWrite = "write"
+	// OpRead reads the records of one subject.
+	OpRead = "read"
+	// OpSlotRead reads the holder of a slot.
+	OpSlotRead = "slotRead"
+	// OpSlotHold reads the holder of a slot and replaces it in one transaction.
+	OpSlotHold = "slotHold"
+)
+
+// Step is one operation of a session.
+type Step struct {
+	Session string `json:"session"`
+	// Think is the pause before the step.
+	Think gwmanifest.Duration `json:"think"`
+	// Instance is the index of the instance to which the session is connected.
+	Instance int    `json:"instance"`
+	Op       string `json:"op"`
+	// Table, ID and Subject name the record written, or what is read.
+	Table   string `json:"table"`
+	ID      string `json:"id"`
+	Subject string `json:"subject"`
+	// Key is the request key of a keyed write.
+	Key    string   `json:"key,omitempty"`
+	Expect Expected `json:"expect"`
+}
+
+// Expected holds the stated outcomes of a step. What holds for every step is
+// not repeated: a request that was not run leaves nothing, and an answer
+// belongs to its request.
+type Expected struct {
+	// Done means that the step must succeed in the end, with the retries of an
+	// ordinary client.
+	Done bool `json:"done,omitempty"`
+	// MayBeUnknown means that the outcome may remain unknown.
+	MayBeUnknown bool `json:"mayBeUnknown,omitempty"`
+	// Once means that the record must not be doubled.
+	Once bool `json:"once,omitempty"`
+	// OwnWrites means that the answer holds all acknowledged writes of the session.
+	OwnWrites bool `json:"ownWrites,omitempty"`
+	// Staleness bounds the age of the answer: what any session had been told
+	// done before must be present. Omitted means that nothing is stated.
+	Staleness *gwmanifest.Duration `json:"staleness,omitempty"`
+}
+
+// Fault changes the deployment at a time.
+type Fault struct {
+	At gwmanifest.Duration `json:"at"`
+	// Fault is one of FaultNames.
+	Fault string `json:"fault"`
+	Group string `json:"group,omitempty"`
+	// Instance is the index of an instance.
+	Instance int `json:"instance,omitempty"`
+}
+
+func (Session) line() {}
+func (Step) line()    {}
+func (Fault) line()   {}
+
+// Trace is a whole trace.
+type Trace struct {
+	Header   Header
+	Sessions []Session
+	Steps    []Step
+	Faults   []Fault
+}
+
+// record is the encoding of a line with its kind.
+type record struct {
+	Kind string          `json:"kind"`
+	Data json.RawMessage `json:"data"`
+}
+
+// Write writes the trace as JSON lines.
+func (t *Trace) Write(w io.Writer) error {
+	b := bufio.NewWriter(w)
+	enc := json.NewEncoder(b)
+	if err := enc.Encode(t.Header); err != nil {
+		return err
+	}
+	var lines []Line
+	for _, f := range t.Faults {
+		lines = append(lines, f)
+	}
+	for _, s := range t.Sessions {
+		lines = append(lines, s)
+	}
+	for _, s := range t.Steps {
+		lines = append(lines, s)
+	}
+	for _, l := range lines {
+		data, err := json.Marshal(l)
+		if err != nil {
+			return err
+		}
+		if err := enc.Encode(record{Kind: kindOf(l), Data: data}); err != nil {
+			return err
+		}
+	}
+	return b.Flush()
+}
+
+func kindOf(l Line) string {
+	switch l.(type) {
+	case Session:
+		return "session"
+	case Step:
+		return "step"
+	default:
+		return "fault"
+	}
+}
+
+// maxLine bounds one line of a trace.
+const maxLine = 1 << 20
+
+// Read reads and checks a trace.
+func Read(r io.Reader) (*Trace, error) {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(make([]byte, 0, 64<<10), maxLine)
+	t := &Trace{}
+	for n := 1; sc.Scan(); n++ {
+		var err error
+		if n == 1 {
+			err = t.readHeader(sc.Bytes())
+		} else {
+			err = t.readLine(sc.Bytes())
+		}
+		if err != nil {
+			return nil, &Error{Op: "read trace", Kind: Malformed, Detail: fmt.Sprintf("line %d", n), Err: err}
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return nil, &Error{Op: "read trace", Kind: Malformed, Err: err}
+	}
+	if t.Header.Format == "" {
+		return nil, &Error{Op: "read trace", Kind: Malformed, Detail: "the file is empty"}
+	}
+	return t, nil
+}
+
+func (t *Trace) readHeader(b []byte) error {
+	if err := json.Unmarshal(b, &t.Header); err != nil {
+		return err
+	}
+	if t.Header.Format != Format || t.Header.Version != Version {
+		return fmt.Errorf("format %q version %d is not %q version %d", t.Header.Format, t.Header.Version, Format, Version)
+	}
+	return nil
+}
+
+func (t *Trace) readLine(b []byte) error {
+	var r record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return err
+	}
+	switch r.Kind {
+	case "session":
+		return appendLine(&t.Sessions, r.Data)
+	case "step":
+		return appendLine(&t.Steps, r.Data)
+	case "fault":
+		return appendLine(&t.Faults, r.Data)
+	default:
+		return fmt.Errorf("kind %q is not session, step or fault", r.Kind)
+	}
+}
+
+func appendLine[L Line](list *[]L, data []byte) error {
+	var l L
+	if err := json.Unmarshal(data, &l); err != nil {
+		return err
+	}
+	if err := check(l); err != nil {
+		return err
+	}
+	*list = append(*list, l)
+	return nil
+}
+
+func check(l Line) error {
+	switch v := l.(type) {
+	case Session:
+		if !slices.Contains([]string{ProtocolSimple, ProtocolExtended, ProtocolPrepared}, v.Protocol) {
+			return fmt.Errorf("protocol %q is not simple, extended or prepared", v.Protocol)
+		}
+	case Step:
+		if !slices.Contains([]string{OpWrite, OpRead, OpSlotRead, OpSlotHold}, v.Op) {
+			return fmt.Errorf("operation %q does not exist", v.Op)
+		}
+	case Fault:
+		if !slices.Contains(FaultNames, v.Fault) {
+			return fmt.Errorf("fault %q does not exist", v.Fault)
+		}
+	}
+	return nil
+}
