gwowner, gwdaemon: cut nothing when instances restart one after another

Cause: a rolling restart under load left 7 outcomes unknown and once stopped the replicated log: the first voters were not saved, requests that waited for a confirmation were not counted as active, requests at instances that had left were given up, and the packets that end links were dropped on close. Change: each of these is repaired; instances linger 300 ms after their last answer. Test ports lie outside the range of outgoing connections.

--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -83,7 +83,11 @@
 		return nil, err
 	}
 	if snap.Index == 0 && len(entries) == 0 && len(snap.Members.Voters) == 0 {
+		// The first voters are saved: the manifest may name others by the time of a restart.
 		snap.Members.Voters = o.Voters
+		if err := o.Store.Save(hs, nil, &snap); err != nil {
+			return nil, err
+		}
 	}
 	if snap.Index > 0 {
 		if err := o.State.Restore(snap.Data, o.Clock.Now()); err != nil {
--- a/internal/gwcontrol/membership.go
+++ b/internal/gwcontrol/membership.go
@@ -119,6 +119,15 @@
 	return m.members.State(instance)
 }
 
+// Lost reports whether an instance is dead or in a data centre that cannot be
+// reached; one that left by itself is not lost.
+func (m *Membership) Lost(instance string) bool {
+	if _, live := m.Topology().Member(instance); live {
+		return false
+	}
+	return m.State(instance) != gwmember.StatusLeft
+}
+
 // Joined reports whether this instance has met the others.
 func (m *Membership) Joined() bool {
 	m.mu.Lock()
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -22,6 +22,7 @@
 	"gentianward.example/gentianward/internal/gwstore"
 	"gentianward.example/gentianward/internal/gwwire"
 	"gentianward.example/gentianward/pkg/gwmember"
+	"gentianward.example/gentianward/pkg/gwquorum"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -316,10 +317,18 @@
 	err := i.wire.Drain(ctx)
 	i.owner.Release(ctx)
 	i.keeper.Stop(ctx)
+	select {
+	case <-ctx.Done():
+	case <-i.Clock.After(linger):
+	}
 	i.shut()
 	return err
 }
 
+// linger is the time between the last answer and the end of the links, so that
+// the answer arrives and every peer has heard that the instance has left.
+const linger = 300 * time.Millisecond
+
 // Kill ends the instance at once, as a crash would: nothing is announced,
 // returned or finished.
 func (i *Instance) Kill() {
@@ -341,3 +350,11 @@
 
 // KnownServers returns how many backend servers of a group have announced themselves.
 func (i *Instance) KnownServers(group string) int { return len(i.directory.Group(group)) }
+
+// VoterStatus returns the state of this instance's voter, false if it is none.
+func (i *Instance) VoterStatus() (gwquorum.Status, bool) {
+	if i.consensus == nil {
+		return gwquorum.Status{}, false
+	}
+	return i.consensus.Status(), true
+}
--- a/internal/gwdeploy/deployment.go
+++ b/internal/gwdeploy/deployment.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -182,22 +184,39 @@
 	return nil
 }
 
+// Ports below the range from which the system takes those of outgoing
+// connections, one of which could otherwise take a port that was found free.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
 // freeAddress returns a loopback address with a free port.
 func freeAddress(network string) (string, error) {
+	var last error
+	for range portTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		if last = tryListen(network, address); last == nil {
+			return address, nil
+		}
+	}
+	return "", last
+}
+
+func tryListen(network, address string) error {
 	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		c, err := net.ListenPacket(network, address)
 		if err != nil {
-			return "", err
+			return err
 		}
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().String(), nil
+		return c.Close()
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen(network, address)
 	if err != nil {
-		return "", err
+		return err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return l.Close()
 }
 
 func (d *Deployment) startInstance(ctx context.Context, n *Node) error {
--- a/internal/gwfilter/inflight.go
+++ b/internal/gwfilter/inflight.go
@@ -62,13 +62,15 @@
 
 // sweep cancels the requests whose answer cannot arrive any more: writes of
 // terms that are over, and requests at owners that are no longer members.
-func (f *inflight) sweep(view *gwcontrol.View, t *gwcontrol.Topology) {
+//
+// An instance that leaves finishes what it has begun, so that only the loss of
+// an owner counts.
+func (f *inflight) sweep(view *gwcontrol.View, lost func(instance string) bool) {
 	for i := range f.shards {
 		sh := &f.shards[i]
 		sh.mu.Lock()
 		for _, r := range sh.requests {
-			_, member := t.Member(r.owner)
-			if !member || (r.write && view.Groups[r.group].Term > r.term) {
+			if lost(r.owner) || (r.write && view.Groups[r.group].Term > r.term) {
 				r.cancel(errSuperseded)
 			}
 		}
@@ -80,7 +82,7 @@
 func (e *Entry) Run(ctx context.Context) {
 	for {
 		views, members := e.Views.Changed(), e.Members.Changed()
-		e.inflight.sweep(e.Views.Current(), e.Members.Topology())
+		e.inflight.sweep(e.Views.Current(), e.Members.Lost)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -90,6 +90,18 @@
 	return o.servers[name]
 }
 
+// begin returns an owned server with a request counted as active, nil if the
+// server is not owned. A released server gets no further request.
+func (o *Owner) begin(name string) *server {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	s := o.servers[name]
+	if s != nil {
+		s.active.Add(1)
+	}
+	return s
+}
+
 func (o *Owner) all() []*server {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
@@ -221,6 +233,7 @@
 		defer o.closing.Done()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), o.drainLimit())
 		defer cancel()
+		s.awaitActive(ctx)
 		if err := s.backend.Close(ctx); err != nil {
 			o.log.Warn("backend server closed with work in flight", "server", s.facts.Server, "error", err)
 		}
@@ -233,6 +246,19 @@
 	}()
 }
 
+// awaitActive waits until every request has been answered or ctx ends.
+func (s *server) awaitActive(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // update applies changed facts. A new address or group needs new connections.
 func (o *Owner) update(s *server, f gwcontrol.ServerFacts) {
 	if f.Address != s.facts.Address || f.Group != s.facts.Group {
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -22,6 +22,10 @@
 	confirm   *confirmer
 	cancel    context.CancelFunc
 
+	// active counts the requests that have not been answered, those that wait
+	// for a confirmation included.
+	active sync.WaitGroup
+
 	mu        sync.Mutex
 	health    gwoutcome.Health
 	freshness gwsession.Freshness
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -46,10 +46,11 @@
 	if s.open != nil {
 		return s.continueTransaction(ctx, req, out)
 	}
-	srv := s.owner.server(req.Server)
+	srv := s.owner.begin(req.Server)
 	if srv == nil {
 		return failed(gwoutcome.NotOwner, "this instance does not own backend server "+req.Server)
 	}
+	defer srv.active.Done()
 	var r Result
 	if req.Access == Write {
 		r = s.write(ctx, srv, req, now.Add(req.Timeout), out)
--- a/internal/gwpeer/queue.go
+++ b/internal/gwpeer/queue.go
@@ -50,6 +50,10 @@
 
 const packetBytes = 1500
 
+// maxFlush is how long close waits for a packet's delivery. Without the wait,
+// peers would not receive the packets that end their links.
+const maxFlush = 100 * time.Millisecond
+
 func newDelayQueue(write func([]byte, net.Addr)) *delayQueue {
 	q := &delayQueue{write: write, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	q.bufs.New = func() any { b := make([]byte, 0, packetBytes); return &b }
@@ -77,6 +81,7 @@
 	}
 }
 
+// close writes what is due soon and stops the queue.
 func (q *delayQueue) close() {
 	q.mu.Lock()
 	q.closed = true
@@ -90,11 +95,11 @@
 func (q *delayQueue) next(now time.Time) (d delayed, wait time.Duration, closed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.closed {
-		return delayed{}, 0, true
-	}
 	if len(q.heap) == 0 {
-		return delayed{}, -1, false
+		return delayed{}, -1, q.closed
+	}
+	if q.closed && q.heap[0].at.Sub(now) > maxFlush {
+		return delayed{}, 0, true
 	}
 	if wait := q.heap[0].at.Sub(now); wait > 0 {
 		return delayed{}, wait, false
