--- a/internal/gwstate/codec.go
+++ b/internal/gwstate/codec.go
@@ -28,7 +28,8 @@
 }
 
 // Encode returns cmd as the data of a log entry. The stamp is the proposer's
-// time and is kept for reports only.
+// time and is kept for reports only. A command that Decode would refuse, for
+// example for text that is not UTF-8, is an error here, before it is committed.
 func Encode(cmd Command, stamp time.Time) ([]byte, error) {
 	e, err := seal(cmd)
 	if err != nil {
@@ -36,6 +37,9 @@
 	}
 	e.Stamp = Stamp(stamp.UnixMilli())
 	b, err := cbor.Marshal(e)
+	if err == nil {
+		_, _, err = Decode(b)
+	}
 	return b, wrap("encode", KindEncode, err)
 }
 
--- a/internal/gwstate/state_test.go
+++ b/internal/gwstate/state_test.go
@@ -222,6 +222,8 @@
 	}
 	_, err := Encode(Batch{Commands: []Command{Batch{}}}, start)
 	require.Error(t, err)
+	_, err = Encode(BeginChange{Group: "g\xff"}, start)
+	require.Error(t, err, "text that the voters could not decode")
 	m := newMachine(t)
 	assert.IsType(t, Unreadable{}, m.state.Apply(1, []byte{0xa1, 0x01, 0x63}, start))
 	assert.Equal(t, Repeated{Applied: 1}, m.state.Apply(1, nil, start))
