--- a/internal/gwpeer/bench_test.go
+++ b/internal/gwpeer/bench_test.go
@@ -156,3 +156,24 @@
 	}
 	return "64users"
 }
+
+// BenchmarkShapedCall measures how closely calls follow the planned delays;
+// the round trips within and between regions are 1 ms and 60 ms.
+func BenchmarkShapedCall(b *testing.B) {
+	for _, region := range []string{"rennes", "brest"} {
+		b.Run(region, func(b *testing.B) {
+			network := NewNetwork(NetworkOptions{Within: 500 * time.Microsecond, Between: 30 * time.Millisecond, Bandwidth: 30_000_000})
+			ca, err := NewAuthority("bench")
+			require.NoError(b, err)
+			near := startNode(b, ca, Options{Instance: "a", Shape: network})
+			far := startNode(b, ca, Options{Instance: "b", Shape: network})
+			require.NoError(b, network.Place(near.Address(), "rennes-a", "rennes"))
+			require.NoError(b, network.Place(far.Address(), "other", region))
+			serveEcho(far)
+			measure(b, 1, func(int) error {
+				_, err := callEcho(context.Background(), near, far.Address(), "x")
+				return err
+			})
+		})
+	}
+}
