gwdaemon: unlock the data folder when an instance ends

A voter that was stopped gracefully and started again in the same process failed with "folder is locked", because the log was never closed. An instance now closes its log after everything that uses it has ended.

--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -76,6 +76,7 @@
 	wire      *gwwire.Server
 	operator  *http.Server
 	saver     *viewSaver
+	log       *gwstore.Log // nil on instances without a voter
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -95,6 +96,9 @@
 		if i.node != nil {
 			_ = i.node.Close()
 		}
+		if i.log != nil {
+			i.log.Close()
+		}
 		return nil, err
 	}
 	return i, nil
@@ -154,6 +158,7 @@
 	if err != nil {
 		return err
 	}
+	i.log = log
 	state := gwstate.New(i.Settings.MaxClockDrift)
 	i.consensus, err = gwcontrol.NewConsensus(gwcontrol.ConsensusOptions{
 		Instance: i.Settings.Instance, Node: i.node, Clock: i.Clock, Log: i.Log, Store: log, State: state,
@@ -331,6 +336,9 @@
 	_ = i.operator.Close()
 	_ = i.node.Close()
 	i.wg.Wait()
+	if i.log != nil {
+		i.log.Close()
+	}
 }
 
 // KnownServers returns how many backend servers of a group have announced themselves.
--- a/internal/gwdeploy/path_test.go
+++ b/internal/gwdeploy/path_test.go
@@ -61,3 +61,19 @@
 		}
 	}
 }
+
+// Guards against a voter that keeps its data folder locked after a graceful
+// shutdown.
+func TestRestartAfterStop(t *testing.T) {
+	d := startTest(t, Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for _, n := range d.Instances() {
+		if n.Settings.DataFolder != "" {
+			require.NoError(t, d.Stop(ctx, n))
+			require.NoError(t, d.Restart(ctx, n))
+			break
+		}
+	}
+	require.NoError(t, d.WaitReady(ctx))
+}
