--- a/internal/gwtrace/client.go
+++ b/internal/gwtrace/client.go
@@ -102,8 +102,17 @@
 	c.conn = nil
 }
 
-// run carries out a step with the retries of an ordinary client.
+// run carries out a step with the retries of an ordinary client. After an
+// attempt with an unknown outcome, a rejection says nothing about that attempt.
 func (c *client) run(ctx context.Context, st Step) Event {
+	e := c.attempts(ctx, st)
+	if e.Outcome == NotRun && e.Unknowns > 0 {
+		e.Outcome = Unknown
+	}
+	return e
+}
+
+func (c *client) attempts(ctx context.Context, st Step) Event {
 	e := Event{Step: st, Caller: c.session.Caller, Group: c.session.Group, First: c.r.now()}
 	want := st.Instance % len(c.r.d.Instances())
 	for {
@@ -144,6 +153,7 @@
 		e.NotRuns++
 		return true
 	case Unknown:
+		e.Unknowns++
 		return e.Step.Op == OpRead || e.Step.Op == OpSlotRead || e.Step.Key != ""
 	default:
 		return false
--- a/internal/gwtrace/history.go
+++ b/internal/gwtrace/history.go
@@ -20,9 +20,11 @@
 	First time.Duration `json:"first"`
 	Sent  time.Duration `json:"sent"`
 	End   time.Duration `json:"end"`
-	// Attempts counts the attempts, NotRuns those that were rejected as not run.
+	// Attempts counts the attempts, NotRuns those that were rejected as not run,
+	// and Unknowns those with an unknown outcome.
 	Attempts int    `json:"attempts"`
 	NotRuns  int    `json:"notRuns"`
+	Unknowns int    `json:"unknowns"`
 	Error    string `json:"error,omitempty"`
 	Instance string `json:"instance"`
 	// Nonce is the mark that a read sent, Echo the one in its answer.
--- a/internal/gwtrace/replay.go
+++ b/internal/gwtrace/replay.go
@@ -47,8 +47,13 @@
 	injector *Injector
 	started  time.Time
 	history  History
+	failed   []Difference // faults that could not be brought about
 }
 
+// overrun is how many times its duration a trace may take, beside two steps
+// that are given up.
+const overrun = 3
+
 // readyTimeout bounds the start of a deployment and the setup.
 const readyTimeout = 15 * time.Second
 
@@ -74,10 +79,16 @@
 	if err := r.prepare(ctx); err != nil {
 		return nil, err
 	}
-	r.run(ctx)
+	limit := overrun*r.scaled(t.Header.Duration.Duration) + 2*giveUp
+	rctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	r.run(rctx)
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Op: "replay", Kind: NotReplayed, Err: err}
 	}
+	if rctx.Err() != nil {
+		r.failed = append(r.failed, Difference{Kind: NotDone, Detail: "the sessions did not end within " + limit.String()})
+	}
 	return r.finish(ctx)
 }
 
@@ -134,14 +145,14 @@
 			return
 		}
 		err := r.injector.Apply(ctx, f)
-		if r.Event == nil {
-			continue
-		}
-		text := f.Fault + " " + f.Group
+		text := f.String()
 		if err != nil {
 			text += ": " + err.Error()
+			r.failed = append(r.failed, Difference{Kind: NotDecided, Group: f.Group, Detail: text})
+		}
+		if r.Event != nil {
+			r.Event(r.now(), text)
 		}
-		r.Event(r.now(), text)
 	}
 }
 
@@ -167,6 +178,6 @@
 	if converged != nil {
 		differences = append(differences, Difference{Kind: ReplicaDiffers, Detail: converged.Error()})
 	}
-	res.Differences = append(differences, Check(r.history.events, r.history.slots, content)...)
+	res.Differences = append(append(differences, r.failed...), Check(r.history.events, r.history.slots, content)...)
 	return res, nil
 }
--- a/internal/gwtrace/trace.go
+++ b/internal/gwtrace/trace.go
@@ -109,6 +109,17 @@
 	Instance int `json:"instance,omitempty"`
 }
 
+// String formats the fault for people.
+func (f Fault) String() string {
+	if f.Group != "" {
+		return f.Fault + " " + f.Group
+	}
+	if f.Fault == FaultInstanceStop || f.Fault == FaultInstanceStart {
+		return fmt.Sprintf("%s %d", f.Fault, f.Instance)
+	}
+	return f.Fault
+}
+
 func (Session) line() {}
 func (Step) line()    {}
 func (Fault) line()   {}
