--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -76,7 +76,7 @@
 	wire      *gwwire.Server
 	operator  *http.Server
 	saver     *viewSaver
-	log       *gwstore.Log // nil on instances without a voter
+	log       *gwstore.Log
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -96,9 +96,6 @@
 		if i.node != nil {
 			_ = i.node.Close()
 		}
-		if i.log != nil {
-			i.log.Close()
-		}
 		return nil, err
 	}
 	return i, nil
@@ -258,6 +255,7 @@
 	i.wg.Go(func() { i.owner.Run(ctx) })
 	i.wg.Go(func() { i.keeper.Run(ctx) })
 	i.wg.Go(func() { i.followView(ctx) })
+	i.wg.Go(func() { i.entry.Run(ctx) })
 	if i.consensus != nil {
 		i.wg.Go(func() { _ = i.consensus.Run(ctx) })
 		i.wg.Go(func() { i.leader.Run(ctx) })
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -49,7 +49,7 @@
 // again decides whether the request is attempted again, and waits before it.
 func (e *Entry) again(ctx context.Context, r *request, res gwowner.Result, attempts int) bool {
 	decision := gwoutcome.ShouldRetry(res.Event, gwoutcome.Request{
-		Read: r.read(), Repeatable: r.rules.class.Retry || r.rules.class.ReadOnly, Relayed: res.Relayed,
+		Read: r.read(), Repeatable: r.rules.class.Retry || r.rules.class.ReadOnly, Relayed: res.Relayed, Keyed: r.exec.Key != "",
 		Remaining: r.deadline.Sub(e.Clock.Now()), Attempts: attempts,
 	})
 	switch decision {
@@ -152,7 +152,7 @@
 		return notRun(gwoutcome.PeerUnreachable, err.Error())
 	}
 	started := e.Clock.Now()
-	res := up.Exec(ctx, &r.exec, r)
+	res := e.exec(ctx, r, up)
 	e.servers.note(c.Server.Name, res, started, e.Clock.Now(), r.exec.MaxWait)
 	s := r.session
 	if res.Event == gwoutcome.Answered && res.TxStatus != 'I' {
@@ -168,7 +168,7 @@
 	s := r.session
 	r.exec.Server = s.server
 	r.served = gwroute.Server{Name: s.server, Primary: s.write}
-	res := s.transaction.Exec(ctx, &r.exec, r)
+	res := e.exec(ctx, r, s.transaction)
 	if res.Event != gwoutcome.Answered || res.TxStatus == 'I' {
 		s.transaction.Close()
 		s.transaction = nil
--- a/internal/gwwire/batch.go
+++ b/internal/gwwire/batch.go
@@ -87,6 +87,26 @@
 	}
 }
 
+// opensTransaction reports whether all statements that the batch executes are
+// part of transaction blocks, and the last of these stays open.
+func (b *batch) opensTransaction() bool {
+	open := false
+	for _, st := range b.executed {
+		word, _, _ := strings.Cut(strings.TrimSpace(st.SQL), " ")
+		switch strings.ToLower(strings.TrimSuffix(word, ";")) {
+		case "begin", "start":
+			open = true
+		case "commit", "end", "rollback", "abort", "prepare":
+			open = false
+		default:
+			if !open {
+				return false
+			}
+		}
+	}
+	return open
+}
+
 func joinSQL(list []*statement) string {
 	switch len(list) {
 	case 0:
@@ -107,11 +127,12 @@
 		return fail("batch", KindInput, codeLimitExceeded, errors.Newf("batch exceeds %d bytes", limit))
 	}
 	ok := false
+	var err error
 	switch body := frame[headerBytes:]; frame[0] {
 	case 'P':
 		return c.parse(body)
 	case 'B':
-		ok = c.bind(body)
+		ok, err = c.bind(body)
 	case 'D':
 		ok = c.describe(body)
 	case 'E':
@@ -124,7 +145,7 @@
 	if !ok {
 		return malformed(frame[0])
 	}
-	return nil
+	return err
 }
 
 func malformed(typ byte) error {
@@ -168,11 +189,11 @@
 	return st
 }
 
-func (c *conn) bind(body []byte) bool {
+func (c *conn) bind(body []byte) (ok bool, err error) {
 	portal, rest, ok1 := cut(body)
 	name, rest, ok2 := cut(rest)
 	if !ok1 || !ok2 {
-		return false
+		return false, nil
 	}
 	b := &c.batch
 	at := b.start('B')
@@ -181,8 +202,10 @@
 	b.buf = append(b.buf, rest...)
 	b.end(at)
 	b.binds++
-	c.names.setPortal(portal, st)
-	return true
+	if limit := c.srv.limits.Load().Statements; !c.names.setPortal(portal, st, limit) {
+		return true, fail("bind", KindInput, codeLimitExceeded, errors.Newf("more than %d named portals", limit))
+	}
+	return true, nil
 }
 
 func (c *conn) describe(body []byte) bool {
@@ -234,6 +257,7 @@
 		b.buf = append(append(b.buf, gwbackend.MissingStatement...), 0)
 		b.closes++
 	case 'P':
+		c.names.dropPortal(body[1 : len(body)-1])
 		b.buf = append(b.buf, body[1:]...)
 		b.binds++
 	default:
@@ -249,7 +273,7 @@
 	if len(frame) != headerBytes {
 		return malformed('S')
 	}
-	c.skip = false
+	c.skip, c.flushed = false, false
 	if c.batch.messages == c.batch.closes {
 		return c.answerLocally(true)
 	}
@@ -261,7 +285,11 @@
 // flushRequest runs the pending messages if the batch keeps its meaning.
 func (c *conn) flushRequest() error {
 	b := &c.batch
-	if b.empty() || c.tx == 'I' && b.binds > 0 {
+	if b.empty() {
+		return nil
+	}
+	if c.tx == 'I' && b.binds > 0 && !b.opensTransaction() {
+		c.flushed = true
 		return nil
 	}
 	if b.messages == b.closes {
--- a/internal/gwwire/conn.go
+++ b/internal/gwwire/conn.go
@@ -5,12 +5,17 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 )
 
+// flushWait is how long a caller may wait for the answer to a Flush that comes
+// only at the Sync. A caller that sends both does so at once.
+const flushWait = 2 * time.Second
+
 // conn is one caller's session.
 type conn struct {
 	srv      *Server
@@ -25,12 +30,17 @@
 	batch batch
 	names statements
 	skip  bool // messages are ignored up to Sync, after an error before it
-	timed bool // a read deadline for the idle transaction is set
+	timed bool // a read deadline is set, for the idle transaction or the flush
+	// flushed is set after a Flush whose answer has to wait for the Sync.
+	flushed bool
 
 	ctx    context.Context
 	end    context.CancelFunc
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc // of the running request
+
+	requests atomic.Uint32 // requests begun and ended; odd while one runs
+	seen     uint32        // requests at the last look of watchCallers
 }
 
 // attach makes c a session that cancel requests and Drain can reach.
@@ -122,7 +132,9 @@
 			return frame, nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			if c.timed && !c.srv.draining.Load() && c.in.buffered() == 0 {
-				return nil, fail("idle", KindLimit, codeIdleInTransaction, errIdleTimeout)
+				if err := c.idleTimeout(); err != nil {
+					return nil, err
+				}
 			}
 			_ = c.in.nc.SetReadDeadline(time.Time{})
 			c.timed = false
@@ -140,10 +152,16 @@
 // comes last: Drain sets its flag before it sets the deadline that wakes this
 // session, and a deadline set here may have replaced that one.
 func (c *conn) setIdleDeadline(limits *Limits) error {
+	if c.ctx.Err() != nil {
+		return fail("idle", KindShutdown, codeAdminShutdown, errShutdown)
+	}
 	if c.in.buffered() > 0 {
 		return nil
 	}
 	switch idle := limits.IdleTransaction; {
+	case c.flushed:
+		_ = c.in.nc.SetReadDeadline(time.Now().Add(flushWait))
+		c.timed = true
 	case c.tx != 'I' && idle > 0:
 		_ = c.in.nc.SetReadDeadline(time.Now().Add(idle))
 		c.timed = true
@@ -151,16 +169,34 @@
 		_ = c.in.nc.SetReadDeadline(time.Time{})
 		c.timed = false
 	}
-	if c.srv.draining.Load() && (c.tx == 'I' && c.batch.empty() || c.ctx.Err() != nil) {
+	if c.srv.draining.Load() && c.tx == 'I' && c.batch.empty() {
 		return fail("idle", KindShutdown, codeAdminShutdown, errShutdown)
 	}
 	return nil
 }
 
+// idleTimeout handles the deadline of setIdleDeadline.
+func (c *conn) idleTimeout() error {
+	if !c.flushed {
+		return fail("idle", KindLimit, codeIdleInTransaction, errIdleTimeout)
+	}
+	c.flushed = false
+	c.batch.clear()
+	w := &c.out
+	w.begin()
+	w.Error(&pgconn.PgError{
+		Code: codeFeatureUnsupported, Message: "Flush after Execute is not supported outside of a transaction",
+		Hint: "Send Sync to receive the answer.",
+	}, c.tx)
+	return c.finish(false)
+}
+
 // handle runs one request. last says that a ReadyForQuery ends the answer; it
 // is false for the part of a batch before a Flush.
 func (c *conn) handle(req Request, last bool) error {
 	c.srv.requests.Add(1)
+	c.requests.Add(1)
+	defer c.requests.Add(1)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.mu.Lock()
 	c.cancel = cancel
@@ -179,6 +215,9 @@
 	}
 	if err != nil {
 		_ = w.release()
+		if c.ctx.Err() != nil {
+			return fail("request", KindShutdown, codeAdminShutdown, errShutdown)
+		}
 		return &Error{Op: "request", Kind: KindHandler, Code: pgError(err).Code, Err: err}
 	}
 	return c.finish(last)
--- a/internal/gwwire/writer.go
+++ b/internal/gwwire/writer.go
@@ -29,6 +29,8 @@
 	failed   bool // the answer has an ErrorResponse
 	parsed   int  // ParseComplete messages
 	violated bool // the answer cannot be continued
+
+	ready [headerBytes + 1]byte // ReadyForQuery; here so that it is not allocated for each request
 }
 
 // begin prepares for the answer of the next request.
@@ -184,8 +186,12 @@
 // Complete implements ResponseWriter.
 func (w *responder) Complete(req Request, tag string, status byte) {
 	w.status = status
+	var done pgproto3.BackendMessage = &pgproto3.CommandComplete{CommandTag: []byte(tag)}
+	if tag == "" {
+		done = &pgproto3.EmptyQueryResponse{}
+	}
 	if req.Kind == Simple {
-		w.message(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+		w.message(done)
 		return
 	}
 	for rest := req.Messages; len(rest) >= headerBytes; rest = rest[frameSize(rest):] {
@@ -203,17 +209,16 @@
 			}
 			w.message(&pgproto3.NoData{})
 		case 'E':
-			w.message(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+			w.message(done)
 		}
 	}
 }
 
 // readyForQuery ends the answer.
 func (w *responder) readyForQuery(status byte) {
-	b := [headerBytes + 1]byte{'Z'}
-	binary.BigEndian.PutUint32(b[1:], 5)
-	b[headerBytes] = status
-	w.out(b[:])
+	w.ready = [headerBytes + 1]byte{0: 'Z', headerBytes: status}
+	binary.BigEndian.PutUint32(w.ready[1:], headerBytes)
+	w.out(w.ready[:])
 }
 
 func errorResponse(e *pgconn.PgError) *pgproto3.ErrorResponse {
--- a/pkg/gwquorum/cluster_test.go
+++ b/pkg/gwquorum/cluster_test.go
@@ -23,29 +23,39 @@
 	applied uint64
 }
 
+// packet is a message that arrives at due.
+type packet struct {
+	due time.Time
+	msg gwquorum.Message
+}
+
 // cluster drives nodes over a simulated network and checks the guarantees of
 // the package after each step.
 type cluster struct {
-	rand      *rand.Rand
-	now       time.Time
-	ids       []string
-	members   map[string]*member
-	network   []gwquorum.Message
-	cut       map[string]bool // isolated members
-	frozen    map[string]bool // members whose process is paused
-	leaders   map[uint64]string
-	committed map[uint64]gwquorum.Entry
-	last      uint64            // greatest committed index
-	reads     map[uint64]uint64 // read id to the committed index when it was asked
-	answered  map[uint64]gwquorum.ReadState
-	nextRead  uint64
-	config    gwquorum.Config
-	err       error // first broken guarantee
+	rand       *rand.Rand
+	now        time.Time
+	ids        []string
+	members    map[string]*member
+	network    []gwquorum.Message
+	interval   time.Duration // between ticks
+	delay      time.Duration // one-way
+	delayed    []packet
+	cut        map[string]bool // isolated members
+	frozen     map[string]bool // members whose process is paused
+	interrupts bool            // messages arrive between a node's Ready and Advance
+	leaders    map[uint64]string
+	committed  map[uint64]gwquorum.Entry
+	last       uint64            // greatest committed index
+	reads      map[uint64]uint64 // read id to the committed index when it was asked
+	answered   map[uint64]gwquorum.ReadState
+	nextRead   uint64
+	production bool  // default limits
+	err        error // first broken guarantee
 }
 
 func newCluster(seed uint64, first []string, later ...string) *cluster {
 	c := &cluster{
-		rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), interval: tick,
 		members: map[string]*member{}, cut: map[string]bool{}, frozen: map[string]bool{}, leaders: map[uint64]string{},
 		committed: map[uint64]gwquorum.Entry{}, reads: map[uint64]uint64{}, answered: map[uint64]gwquorum.ReadState{},
 	}
@@ -96,9 +106,10 @@
 		c.fail("%s: load: %v", id, err)
 		return
 	}
-	cfg := c.config
-	cfg.ID, cfg.Rand = id, rand.NewPCG(c.rand.Uint64(), 2)
-	cfg.KeepEntries, cfg.PromoteLag, cfg.BatchBytes = 4, 4, 256
+	cfg := gwquorum.Config{ID: id, Rand: rand.NewPCG(c.rand.Uint64(), 2)}
+	if !c.production {
+		cfg.KeepEntries, cfg.PromoteLag, cfg.BatchBytes = 4, 4, 256 // so that few entries reach the limits
+	}
 	node, err := gwquorum.NewNode(cfg, hs, snap, entries)
 	if err != nil {
 		c.fail("%s: new node: %v", id, err)
@@ -138,7 +149,11 @@
 				return
 			}
 		}
-		c.network = append(c.network, rd.Messages...)
+		for _, msg := range rd.Messages {
+			c.delayed = append(c.delayed, packet{due: c.now.Add(c.delay), msg: msg})
+		}
+		c.arrive()
+		c.interrupt(m)
 		if rd.Restore {
 			m.applied = rd.Snapshot.Index
 		}
@@ -152,6 +167,27 @@
 	}
 }
 
+// arrive moves the messages that are due to the network.
+func (c *cluster) arrive() {
+	for len(c.delayed) > 0 && !c.delayed[0].due.After(c.now) {
+		c.network = append(c.network, c.delayed[0].msg)
+		c.delayed = c.delayed[1:]
+	}
+}
+
+// interrupt sometimes delivers a message to m between its Ready and Advance.
+func (c *cluster) interrupt(m *member) {
+	if !c.interrupts || c.rand.IntN(2) == 0 {
+		return
+	}
+	i := slices.IndexFunc(c.network, func(msg gwquorum.Message) bool { return msg.To == m.id })
+	if i < 0 || c.cut[m.id] || c.cut[c.network[i].From] {
+		return
+	}
+	m.node.Step(c.network[i], c.now)
+	c.network = slices.Delete(c.network, i, i+1)
+}
+
 func (c *cluster) apply(m *member, e gwquorum.Entry) {
 	if e.Index != m.applied+1 {
 		c.fail("%s applies entry %d after %d", m.id, e.Index, m.applied)
@@ -185,7 +221,10 @@
 	if was, ok := c.leaders[s.Term]; ok && was != m.id {
 		c.fail("%s and %s lead term %d", was, m.id, s.Term)
 	}
-	c.leaders[s.Term] = m.id
+	if c.leaders[s.Term] == "" {
+		c.leaders[s.Term] = m.id
+		_, _ = c.read(m.id) // before the leader may know all that was committed
+	}
 }
 
 func (c *cluster) step(msg gwquorum.Message) {
@@ -198,7 +237,8 @@
 }
 
 func (c *cluster) tick() {
-	c.now = c.now.Add(tick)
+	c.now = c.now.Add(c.interval)
+	c.arrive()
 	for _, id := range c.ids {
 		if m := c.members[id]; m.node != nil && !c.frozen[id] {
 			m.node.Tick(c.now)
