--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -48,8 +48,10 @@
 	FS gwstore.FS
 	// DialBackend opens connections to backend servers; nil for the default.
 	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
-	// Events receives a line for each event worth telling a person; may be nil.
-	Telemetry Telemetry
+	Telemetry   Telemetry
+	// Drain is called when an operator asks this instance to stop gracefully;
+	// nil refuses such requests.
+	Drain func()
 }
 
 // Telemetry receives the measurements of an instance.
@@ -279,6 +281,9 @@
 // Members returns the live instances that this one can reach.
 func (i *Instance) Members() []gwmember.Member { return i.members.Topology().Live }
 
+// MemberState returns the status of an instance as this one sees it.
+func (i *Instance) MemberState(instance string) gwmember.Status { return i.members.State(instance) }
+
 // Leading reports whether this instance leads the replicated log.
 func (i *Instance) Leading() bool { return i.consensus != nil && i.consensus.Leading() }
 
@@ -293,6 +298,14 @@
 	return out
 }
 
+// DrainLimit returns how long a graceful stop may take.
+func (i *Instance) DrainLimit() time.Duration {
+	if m := i.firstManifest(); m != nil {
+		return m.Manifest().Limits.Drain.Duration
+	}
+	return gwmanifest.DefaultDrain
+}
+
 // Block drops all packets to and from the links of another instance.
 func (i *Instance) Block(peerAddress string, blocked bool) { i.node.Block(peerAddress, blocked) }
 
@@ -325,9 +338,10 @@
 	return err
 }
 
-// linger is the time between the last answer and the end of the links, so that
-// the answer arrives and every peer has heard that the instance has left.
-const linger = 300 * time.Millisecond
+// linger is the time between the last answer and the end of the links: three
+// gossip intervals, so that the answer arrives and every peer hears that the
+// instance has left instead of declaring it dead.
+const linger = 3 * gwmember.DefaultGossipInterval
 
 // Kill ends the instance at once, as a crash would: nothing is announced,
 // returned or finished.
