gwdeploy: measure reads through owners and forwards

Cause: the cost of the proxy was not known. Change: benchmark of reads directly, at the owner and through another instance; fewer warm connections and fewer contexts on the way.

--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -372,3 +372,6 @@
 	}
 	return i.consensus.Status(), true
 }
+
+// OwnedServers returns the names of the backend servers that this instance owns.
+func (i *Instance) OwnedServers() []string { return i.owner.Names() }
--- /dev/null
+++ b/internal/gwdeploy/bench_test.go
@@ -0,0 +1,134 @@
+package gwdeploy
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwmanifest"
+)
+
+// benchConnections is the number of callers that read at once.
+const benchConnections = 64
+
+// Bounds of the ratio to a direct connection, from the targets of the design.
+const (
+	minOwnerRatio   = 0.5
+	minForwardRatio = 0.35
+	maxOwnerAdded   = 150 * time.Microsecond
+	maxForwardAdded = 300 * time.Microsecond
+)
+
+// BenchmarkReads compares single-row reads over 64 connections directly at a
+// backend server, through the instance that owns it and through another
+// instance of the data centre, and the added median latency of one caller.
+func BenchmarkReads(b *testing.B) {
+	d := startTest(b, Options{Unlimited: true, Edit: func(m *gwmanifest.Manifest) {
+		for i := range m.Classes {
+			m.Classes[i].Queue, m.Classes[i].Concurrency = 100_000, 0
+		}
+	}})
+	group := d.Groups()[0]
+	ctx := context.Background()
+	setup := connect(b, d, 0, "adviser", group)
+	_, err := setup.Exec(ctx, "create table visit (id int primary key, note text)")
+	require.NoError(b, err)
+	for id := range 100 {
+		_, err := setup.Exec(ctx, "insert into visit (id, note) values ($1, 'aerator fitted')", id)
+		require.NoError(b, err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	replica := group + "-rennes-b"
+	owner, other := d.ownerOf(replica, "rennes-b")
+	paths := []struct{ name, url string }{
+		{"direct", fmt.Sprintf("postgres://gentianward@%s/foyers-db?sslmode=disable", d.Server(replica).Address())},
+		{"owner", d.URL(owner, "planner", group)},
+		{"forward", d.URL(other, "planner", group)},
+	}
+	rate, median := map[string]float64{}, map[string]time.Duration{}
+	for _, p := range paths {
+		b.Run(p.name, func(b *testing.B) {
+			rate[p.name] = readRate(b, p.url, benchConnections)
+			median[p.name] = medianLatency(b, p.url)
+			b.ReportMetric(rate[p.name], "reads/s")
+			b.ReportMetric(float64(median[p.name].Microseconds()), "median-µs")
+		})
+	}
+	report := func(name string, least float64, added time.Duration) {
+		ratio := rate[name] / rate["direct"]
+		extra := median[name] - median["direct"]
+		b.Logf("%s: ratio %.2f (at least %.2f), added median %s (under %s)", name, ratio, least, extra, added)
+		if ratio < least || extra > added {
+			b.Errorf("%s misses its bound", name)
+		}
+	}
+	report("owner", minOwnerRatio, maxOwnerAdded)
+	report("forward", minForwardRatio, maxForwardAdded)
+}
+
+// ownerOf returns the instance of a data centre that owns a server, and another one.
+func (d *Deployment) ownerOf(server, dc string) (owner, other *Node) {
+	for _, n := range d.Instances() {
+		switch {
+		case n.Settings.DataCentre != dc:
+		case slices.Contains(n.Instance().OwnedServers(), server):
+			owner = n
+		default:
+			other = n
+		}
+	}
+	return owner, other
+}
+
+const benchQuery = "select note from visit where id = $1"
+
+func readRate(b *testing.B, url string, connections int) float64 {
+	b.Helper()
+	conns := make([]*pgx.Conn, connections)
+	for i := range conns {
+		c, err := pgx.Connect(context.Background(), url)
+		require.NoError(b, err)
+		defer func() { _ = c.Close(context.Background()) }()
+		conns[i] = c
+	}
+	per := max(b.N, 30_000) / connections
+	started := time.Now()
+	var wg sync.WaitGroup
+	for _, c := range conns {
+		wg.Go(func() {
+			for i := range per {
+				readOne(b, c, i)
+			}
+		})
+	}
+	wg.Wait()
+	return float64(per*connections) / time.Since(started).Seconds()
+}
+
+func readOne(b *testing.B, c *pgx.Conn, i int) {
+	var note string
+	if err := c.QueryRow(context.Background(), benchQuery, i%100).Scan(&note); err != nil {
+		b.Error(err)
+	}
+}
+
+func medianLatency(b *testing.B, url string) time.Duration {
+	b.Helper()
+	c, err := pgx.Connect(context.Background(), url)
+	require.NoError(b, err)
+	defer func() { _ = c.Close(context.Background()) }()
+	took := make([]time.Duration, 2000)
+	for i := range took {
+		started := time.Now()
+		readOne(b, c, i)
+		took[i] = time.Since(started)
+	}
+	slices.Sort(took)
+	return took[len(took)/2]
+}
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -134,8 +135,10 @@
 	return out
 }
 
-// Intervals of the controller.
+// Intervals and bounds of the controller.
 const (
+	// maxWarm bounds the connections that are kept open without work.
+	maxWarm           = 8
 	reconcileInterval = 500 * time.Millisecond
 	superviseInterval = 100 * time.Millisecond
 	// freshnessInterval is how often the primary's owner is asked for its position.
@@ -207,7 +210,7 @@
 	opts := o.connect(f)
 	opts.OnPosition = nil
 	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Pool: gwbackend.PoolOptions{
-		Options: opts, Limit: f.Connections, MinIdle: max(1, f.Slots), Clock: o.clock, Logger: o.log,
+		Options: opts, Limit: f.Connections, MinIdle: min(max(1, f.Slots), maxWarm), Clock: o.clock, Logger: o.log,
 	}})
 	s.confirm = newConfirmer(o.clock, o.Await, func() []string { return o.replicas(f.Group, f.Server) })
 	s.applyLimits(o.views.Current())
@@ -411,3 +414,13 @@
 	}
 	return m.Address, nil
 }
+
+// Names returns the names of the owned servers in order.
+func (o *Owner) Names() []string {
+	var out []string
+	for _, s := range o.all() {
+		out = append(out, s.facts.Server)
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -41,8 +41,11 @@
 // Exec runs one request and writes its answer to out.
 func (s *Session) Exec(ctx context.Context, req *Request, out io.Writer) Result {
 	now := s.owner.clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
-	defer cancel()
+	if end, ok := ctx.Deadline(); !ok || end.After(now.Add(req.Timeout+answerGrace)) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, req.Timeout)
+		defer cancel()
+	}
 	if s.open != nil {
 		return s.continueTransaction(ctx, req, out)
 	}
