gwmember: compare data centres by digest, repair what was missed

Cause: after a cut, every relay compared the whole table with every data centre of the other side; a few dozen changed rows made most of it travel. Joins under 20% loss left data centres that did not know each other for minutes.

Change: far comparisons are scoped to one data centre and start only when the digest that relays' pings carry differs for 2 s. Relays also compare which data centres they know. Members that miss an update notice it by the digest in local pings. A joiner asks every seed that it does not know yet.

--- a/pkg/gwmember/config.go
+++ b/pkg/gwmember/config.go
@@ -27,13 +27,15 @@
 
 const (
 	joinRetry       = 500 * time.Millisecond // wait before the next seed is asked
-	seedInterval    = 5 * time.Minute        // a lost peer is looked for at the seeds
+	seedInterval    = time.Minute            // a seed that is not known as live is asked
 	reconnect       = 5 * time.Second        // a dead member is pinged in case a partition healed
 	aheadInterval   = 500 * time.Millisecond // least time between two PeerAhead actions
 	viewInterval    = 10 * time.Second       // a relay repeats which data centres it cannot reach
 	viewLifetime    = 3 * viewInterval       // a relay's view that is not repeated is dropped
 	confirmLifetime = time.Second            // another watcher's suspicion counts this long
 	stall           = 6 * DefaultTick        // a longer gap between ticks means that this process stood still
+	repairDelay     = 2 * time.Second        // rows of another data centre are compared if they differ this long
+	localRepair     = 12 * time.Second       // the same in a data centre; tables differ up to sweepInterval when a tombstone ends
 	settle          = 2 * time.Second        // a data centre is reported reachable after this long
 	sweepInterval   = 10 * time.Second       // old tombstones are looked for
 )
--- a/pkg/gwmember/members.go
+++ b/pkg/gwmember/members.go
@@ -39,7 +39,8 @@
 	nextAhead     time.Time
 	seed          int
 	joined        bool
-	unsettled     int // comparisons left to confirm the join
+	unsettled     int       // comparisons left to confirm the join
+	differs       time.Time // since when no table in the data centre equals the own one
 }
 
 // New returns the state of an instance that knows only itself. Check cfg.Self
@@ -226,7 +227,14 @@
 // send adds piggybacked updates and the version to a message.
 func (m *Members) send(to *entry, msg Message) {
 	q := &m.local
-	if to.DataCentre != m.self.DataCentre {
+	switch {
+	case to.DataCentre == m.self.DataCentre:
+		msg.Sum = m.table.digest.sum()
+	case m.wasRelay:
+		q = &m.remote
+		msg.Sum = m.table.scoped(m.self.DataCentre).sum()
+		msg.Centres = m.table.centresSum()
+	default:
 		q = &m.remote
 	}
 	q.fill(&msg, m.limit())
@@ -246,7 +254,9 @@
 // heard notes contact with a data centre and compares versions.
 func (m *Members) heard(sender *entry, msg Message, now time.Time) {
 	if sender.DataCentre != m.self.DataCentre {
-		m.centreHeard(m.table.centre(sender.DataCentre), now)
+		m.centreHeard(sender, msg, now)
+	} else {
+		m.compareLocal(sender, msg, now)
 	}
 	if msg.Version.Ahead(m.version) && !now.Before(m.nextAhead) {
 		m.nextAhead = now.Add(aheadInterval)
--- a/pkg/gwmember/message.go
+++ b/pkg/gwmember/message.go
@@ -10,7 +10,7 @@
 const MaxMessageSize = 1200
 
 const (
-	messageBase   = 64  // bytes of a message without its lists, at most
+	messageBase   = 72  // bytes of a message without its lists, at most
 	updateBase    = 48  // bytes of an update without its strings, at most
 	maxUpdateSize = 560 // fits beside a table digest
 )
@@ -46,6 +46,13 @@
 	Answer bool `cbor:"8,keyasint,omitempty"`
 	// Last marks the last page of an answer.
 	Last bool `cbor:"9,keyasint,omitempty"`
+	// Scope limits a comparison to the rows of one data centre.
+	Scope string `cbor:"10,keyasint,omitempty"`
+	// Sum is the digest in one number, of the sender's data centre if a relay
+	// sends the message to another one, of the table otherwise.
+	Sum uint32 `cbor:"11,keyasint,omitempty"`
+	// Centres comes with the former: a hash of the data centres with live members.
+	Centres uint32 `cbor:"12,keyasint,omitempty"`
 }
 
 // Update is one row of a member table.
@@ -142,7 +149,7 @@
 
 // room is the space left in a message for more updates, in bytes.
 func (m Message) room() int {
-	n := MaxMessageSize - messageBase - len(m.Target) - len(m.Digest)
+	n := MaxMessageSize - messageBase - len(m.Target) - len(m.Scope) - len(m.Digest)
 	for _, u := range m.Updates {
 		n -= u.size()
 	}
--- a/pkg/gwmember/relay.go
+++ b/pkg/gwmember/relay.go
@@ -53,7 +53,11 @@
 		}
 		dc.nextPing = now.Add(m.cfg.RelayInterval)
 		if e := m.contact(dc, now); e != nil {
-			m.send(e, Message{Kind: KindPing})
+			msg := Message{Kind: KindPing}
+			if m.silent(dc, now) {
+				msg.Updates = []Update{m.self.update()} // the receiver may not know this member
+			}
+			m.send(e, msg)
 		}
 	}
 }
@@ -67,13 +71,17 @@
 		return nil
 	}
 	relays := m.table.relays(dc.name, m.cfg.Relays)
-	silent := now.Sub(dc.heard) > 2*m.cfg.RelayInterval
-	if silent && dc.pings%2 == 0 {
+	if m.silent(dc, now) && dc.pings%2 == 0 {
 		return ring[m.cfg.Rand.IntN(len(ring))]
 	}
 	return relays[dc.pings/2%len(relays)]
 }
 
+// silent reports whether a data centre did not answer the last pings.
+func (m *Members) silent(dc *dataCentre, now time.Time) bool {
+	return now.Sub(dc.heard) > 2*m.cfg.RelayInterval
+}
+
 // relayUpdates sends pending updates to every data centre that answers. A
 // silent one gets them by table comparison when it comes back.
 func (m *Members) relayUpdates() {
@@ -93,17 +101,31 @@
 	}
 }
 
-// centreHeard notes a message from a data centre. One that comes back is
-// compared with at once.
-func (m *Members) centreHeard(dc *dataCentre, now time.Time) {
+// centreHeard notes a message from a data centre and compares its rows if they
+// differ for a while, because updates were lost or could not be sent, or the
+// whole table if one side lacks a data centre.
+func (m *Members) centreHeard(sender *entry, msg Message, now time.Time) {
+	dc := m.table.centre(sender.DataCentre)
 	dc.heard = now
-	if !dc.down {
+	if dc.down {
+		dc.down = false
+		m.nextView = now
+	}
+	if !m.wasRelay || msg.Sum == 0 {
 		return
 	}
-	dc.down = false
-	m.nextView = now
-	if e := m.contact(dc, now); e != nil && m.wasRelay {
-		m.startSync(e.Address, false)
+	scope := dc.name
+	if msg.Centres != m.table.centresSum() {
+		scope = ""
+	}
+	switch {
+	case scope != "" && msg.Sum == dc.digest.sum():
+		dc.differs = time.Time{}
+	case dc.differs.IsZero():
+		dc.differs = now
+	case now.Sub(dc.differs) >= repairDelay:
+		dc.differs = now
+		m.sendSync(sender.Address, Message{Scope: scope})
 	}
 }
 
--- a/pkg/gwmember/sync.go
+++ b/pkg/gwmember/sync.go
@@ -26,32 +26,32 @@
 			m.nextSync = now.Add(joinRetry)
 		}
 		if e := m.nearPeer(now); e != nil {
-			m.startSync(e.Address, false)
+			m.sendSync(e.Address, Message{})
 		}
 	}
 	if !now.Before(m.nextFarSync) {
 		m.nextFarSync = now.Add(m.cfg.SyncInterval)
 		if e := m.farPeer(now); e != nil && m.wasRelay {
-			m.startSync(e.Address, false)
+			m.sendSync(e.Address, Message{Scope: m.randomCentre()})
 		}
 	}
 }
 
-// syncSeed asks the next seed: often until joined, then rarely and only those
-// that are not known as live, so that groups that lost each other meet again.
+// syncSeed asks the next seed: often while joining, then rarely and only those
+// that are not known as live, so that groups that started apart or lost each
+// other meet.
 func (m *Members) syncSeed(now time.Time) {
-	wait := joinRetry
-	if m.joined {
-		wait = seedInterval
+	m.nextSeed = now.Add(joinRetry)
+	if m.joined && m.unsettled == 0 && m.seed >= len(m.cfg.Seeds) {
+		m.nextSeed = now.Add(seedInterval)
 	}
-	m.nextSeed = now.Add(wait)
 	for range m.cfg.Seeds {
 		address := m.cfg.Seeds[m.seed%len(m.cfg.Seeds)]
 		m.seed++
 		if address == m.self.Address || m.joined && m.knows(address) {
 			continue
 		}
-		m.startSync(address, false)
+		m.sendSync(address, Message{})
 		return
 	}
 }
@@ -77,27 +77,26 @@
 
 // farPeer returns a member of a random other data centre.
 func (m *Members) farPeer(now time.Time) *entry {
-	name := m.table.names[m.cfg.Rand.IntN(len(m.table.names))]
+	name := m.randomCentre()
 	if name == m.self.DataCentre {
 		return nil
 	}
 	return m.contact(m.table.centres[name], now)
 }
 
-// startSync sends the digest of the table.
-func (m *Members) startSync(address string, answer bool) {
-	m.sendSync(address, 0, answer)
+// randomCentre returns the name of any data centre.
+func (m *Members) randomCentre() string {
+	return m.table.names[m.cfg.Rand.IntN(len(m.table.names))]
 }
 
-func (m *Members) sendSync(address string, next uint16, answer bool) {
-	self := Update{Member: m.self.Member, Status: m.self.status}
-	m.sendTo(address, Message{
-		Kind:    KindSync,
-		Updates: []Update{self},
-		Digest:  m.table.digestBytes(),
-		Next:    next,
-		Answer:  answer,
-	})
+// sendSync sends the digest of the table or of the scope in msg. Far syncs
+// are scoped: with 23 rows in a bucket of the whole table, a few dozen changed
+// rows made most of it travel, between every two data centres.
+func (m *Members) sendSync(address string, msg Message) {
+	msg.Kind = KindSync
+	msg.Updates = []Update{{Member: m.self.Member, Status: m.self.status}}
+	msg.Digest = m.table.scoped(msg.Scope).bytes()
+	m.sendTo(address, msg)
 }
 
 // answerSync sends the rows of the buckets that differ, a bounded number of
@@ -106,23 +105,23 @@
 	if sender == nil || len(msg.Digest) != digestSize || m.leaving {
 		return
 	}
-	diff, differs := m.table.differing(msg.Digest, int(msg.Next))
-	next := m.sendPages(sender, diff, !differs && msg.Next == 0)
+	diff, differs := m.table.scoped(msg.Scope).differing(msg.Digest, int(msg.Next))
+	page := Message{Kind: KindPage, Scope: msg.Scope, Answer: !differs && msg.Next == 0}
+	next := m.sendPages(sender, page, m.rowsByBucket(msg.Scope, diff))
 	if differs && next == 0 && !msg.Answer {
-		m.startSync(sender.Address, true)
+		m.sendSync(sender.Address, Message{Scope: msg.Scope, Answer: true})
 	}
 }
 
-// sendPages sends the rows of some buckets and returns the first bucket that
-// was left out, zero if none. Equal tells the receiver that nothing differs.
-func (m *Members) sendPages(to *entry, diff [buckets]bool, equal bool) (next uint16) {
-	rows := m.rowsByBucket(diff)
+// sendPages sends rows and returns the first bucket that was left out, zero if
+// none. The first page carries the own row, the last one what page says.
+func (m *Members) sendPages(to *entry, last Message, rows [buckets][]*entry) (next uint16) {
 	page := Message{Kind: KindPage, Updates: []Update{m.self.update()}}
 	room := page.room()
 	pages := 1
 	for b, bucket := range rows {
 		if pages >= pagesPerSync && len(bucket) > 0 {
-			page.Next = uint16(b)
+			next = uint16(b)
 			break
 		}
 		for _, e := range bucket {
@@ -136,24 +135,38 @@
 			page.Updates = append(page.Updates, u)
 		}
 	}
-	page.Last = true
-	page.Answer = equal
-	m.sendTo(to.Address, page)
-	return page.Next
+	last.Updates, last.Last, last.Next = page.Updates, true, next
+	m.sendTo(to.Address, last)
+	return next
 }
 
 // rowsByBucket returns the rows in the chosen buckets that count in the
 // digest.
-func (m *Members) rowsByBucket(diff [buckets]bool) [buckets][]*entry {
+func (m *Members) rowsByBucket(scope string, diff [buckets]bool) [buckets][]*entry {
 	var rows [buckets][]*entry
 	for _, e := range m.table.rows {
-		if b := bucketOf(e); diff[b] && e.sum != 0 {
+		if b := bucketOf(e); diff[b] && e.sum != 0 && (scope == "" || scope == e.DataCentre) {
 			rows[b] = append(rows[b], e)
 		}
 	}
 	return rows
 }
 
+// compareLocal compares tables with the sender once every sum from the own
+// data centre has differed for a while: this instance missed an update.
+func (m *Members) compareLocal(sender *entry, msg Message, now time.Time) {
+	switch {
+	case msg.Sum == 0:
+	case msg.Sum == m.table.digest.sum():
+		m.differs = time.Time{}
+	case m.differs.IsZero():
+		m.differs = now
+	case now.Sub(m.differs) >= localRepair && !m.leaving:
+		m.differs = now
+		m.sendSync(sender.Address, Message{})
+	}
+}
+
 // paged continues a comparison. A joining instance has joined once a pass over
 // the table is complete.
 func (m *Members) paged(sender *entry, msg Message, now time.Time) {
@@ -161,20 +174,19 @@
 		return
 	}
 	if msg.Next > 0 {
-		m.sendSync(sender.Address, msg.Next, false)
+		m.sendSync(sender.Address, Message{Scope: msg.Scope, Next: msg.Next})
 		if !m.joined {
 			m.nextSeed = now.Add(joinRetry)
 		}
 		return
 	}
-	if msg.Answer {
+	if msg.Answer && msg.Scope == "" {
 		m.unsettled = 0
 	}
 	if !m.joined && len(m.table.rows) > 1 {
 		m.joined = true
 		m.enqueue(m.self) // earlier announcements had nowhere to go
 		m.unsettled = joinSyncs
-		m.nextSeed = now.Add(seedInterval)
 		m.nextSync = now.Add(joinRetry)
 	}
 }
--- a/pkg/gwmember/table.go
+++ b/pkg/gwmember/table.go
@@ -14,6 +14,9 @@
 	digestSize = 4 * buckets
 )
 
+// digest has the exclusive or of the row sums in each bucket.
+type digest [buckets]uint32
+
 // entry is one row of the member table.
 type entry struct {
 	Member
@@ -47,12 +50,15 @@
 	// ring holds the live members ordered by place.
 	ring  []*entry
 	stale bool
+	// digest has a value for each bucket of rows of the data centre.
+	digest digest
 
 	// The rest is used by relays only.
 	heard    time.Time // last message from the data centre
 	nextPing time.Time
 	pings    int
-	down     bool // as this relay sees it
+	down     bool      // as this relay sees it
+	differs  time.Time // since when the sums differ, zero if they do not
 	// unreachable is the merged view that was reported to the caller.
 	unreachable bool
 	flipped     time.Time // when the merged view last agreed with the report
@@ -63,7 +69,7 @@
 	rows    map[string]*entry
 	centres map[string]*dataCentre
 	names   []string // of centres, ordered
-	digest  [buckets]uint32
+	digest  digest
 	live    []Member // cache of Live, nil when stale
 	interns map[string]string
 }
@@ -108,6 +114,7 @@
 	}
 	if ok && e.DataCentre != m.DataCentre {
 		t.centre(e.DataCentre).stale = true
+		t.resum(e, false)
 	}
 	if !ok || e.status.Live() != status.Live() || e.DataCentre != m.DataCentre {
 		t.centre(m.DataCentre).stale = true
@@ -121,12 +128,25 @@
 // resum updates the digest after a change of the row.
 func (t *table) resum(e *entry, counted bool) {
 	b := bucketOf(e)
-	t.digest[b] ^= e.sum
+	change := e.sum
 	e.sum = 0
 	if counted {
 		e.sum = rowSum(e)
 	}
-	t.digest[b] ^= e.sum
+	change ^= e.sum
+	t.digest[b] ^= change
+	t.centre(e.DataCentre).digest[b] ^= change
+}
+
+// scoped returns the digest of one data centre, or of the table.
+func (t *table) scoped(scope string) *digest {
+	if scope == "" {
+		return &t.digest
+	}
+	if dc, ok := t.centres[scope]; ok {
+		return &dc.digest
+	}
+	return &digest{}
 }
 
 // remove forgets a row.
@@ -193,19 +213,39 @@
 	return before, after
 }
 
-// digestBytes returns the digest as it is sent.
-func (t *table) digestBytes() []byte {
+// bytes returns the digest as it is sent.
+func (d *digest) bytes() []byte {
 	b := make([]byte, 0, digestSize)
-	for _, sum := range t.digest {
+	for _, sum := range d {
 		b = binary.LittleEndian.AppendUint32(b, sum)
 	}
 	return b
 }
 
-// differing returns which buckets from first on differ from a digest.
-func (t *table) differing(digest []byte, first int) (diff [buckets]bool, any bool) {
+// sum folds the digest into one number other than zero.
+func (d *digest) sum() uint32 {
+	var sum uint32
+	for _, s := range d {
+		sum ^= s
+	}
+	return max(sum, 1)
+}
+
+// centresSum hashes the names of the data centres with live members.
+func (t *table) centresSum() uint32 {
+	var sum uint32
+	for _, name := range t.names {
+		if len(t.ring(name)) > 0 {
+			sum ^= uint32(xxhash.Sum64String(name))
+		}
+	}
+	return sum
+}
+
+// differing returns which buckets from first on differ from a sent digest.
+func (d *digest) differing(sent []byte, first int) (diff [buckets]bool, any bool) {
 	for i := first; i < buckets; i++ {
-		if binary.LittleEndian.Uint32(digest[4*i:]) != t.digest[i] {
+		if binary.LittleEndian.Uint32(sent[4*i:]) != d[i] {
 			diff[i], any = true, true
 		}
 	}
--- a/pkg/gwmember/update.go
+++ b/pkg/gwmember/update.go
@@ -15,13 +15,13 @@
 		case u.Status == StatusSuspect:
 			m.confirm(from, u, now)
 		case u.Status == StatusAlive || u.Status == StatusDead || u.Status == StatusLeft:
-			m.apply(from, msg.Kind, u, now)
+			m.apply(msg.Kind, u, now)
 		}
 	}
 }
 
 // apply takes over an update that is newer than the row and passes it on.
-func (m *Members) apply(from string, kind Kind, u Update, now time.Time) {
+func (m *Members) apply(kind Kind, u Update, now time.Time) {
 	e := m.table.rows[u.Member.Instance]
 	if e != nil && !overrides(u, e) {
 		m.applyView(e, u, now)
@@ -29,20 +29,14 @@
 	}
 	e = m.set(u.Member, u.Status, now)
 	m.applyView(e, u, now)
-	if kind == KindPage && !m.spreads(from) {
+	// Rows of a page are news for others too, unless this instance is joining
+	// and the one that lacked them.
+	if kind == KindPage && (!m.joined || m.unsettled > 0) {
 		m.local.remove(e)
 		m.remote.remove(e)
 	}
 }
 
-// spreads reports whether rows of a page are news for the own data centre:
-// those from elsewhere, once this instance has a table of its own. Rows from
-// within are known there already.
-func (m *Members) spreads(from string) bool {
-	sender := m.table.rows[from]
-	return m.joined && sender != nil && sender.DataCentre != m.self.DataCentre
-}
-
 // overrides reports whether an update is newer than a row.
 func overrides(u Update, e *entry) bool {
 	if u.Member.Incarnation != e.Incarnation {
