gwquorum: test transfers to a voter that lags and old terms

Mutations that sent the transfer too early, or left old terms unanswered, survived the tests. Leases are bounded at one minute, so that a mistaken request cannot block a group for longer.

--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// maxLeaseDuration bounds the time for which a mistaken request blocks a group.
+const maxLeaseDuration = time.Minute
+
 // Apply applies the log entry at index. The local time now goes only to the
 // LeaseClock.
 func (s *State) Apply(index uint64, data []byte, now time.Time) Result {
@@ -184,7 +187,7 @@
 	g, known := s.groups[r.Group]
 	lease, leased := s.leases[r.Group]
 	switch {
-	case c.Holder == "" || r.Duration <= 0:
+	case c.Holder == "" || r.Duration <= 0 || r.Duration > maxLeaseDuration:
 		return InvalidArgument
 	case !known:
 		return GroupUnknown
--- a/internal/gwstate/state_test.go
+++ b/internal/gwstate/state_test.go
@@ -157,6 +157,8 @@
 		c := ReturnLeases{Holder: "x", Incarnation: incarnation, Leases: []LeaseReturn{{Group: "g", Sequence: seq}}}
 		return m.apply(c).(LeaseResult).Outcomes[0].Refusal
 	}
+	tooLong := GrantLeases{Holder: "x", Leases: []LeaseRequest{{Group: "g", Term: 1, Duration: time.Hour}}}
+	assert.Equal(t, InvalidArgument, m.apply(tooLong).(LeaseResult).Outcomes[0].Refusal)
 	first := grant("x", 1, 0)
 	assert.Equal(t, Accepted, first.Refusal)
 	assert.Equal(t, LeaseHeld, grant("y", 1, 0).Refusal)
--- a/pkg/gwquorum/doc.go
+++ b/pkg/gwquorum/doc.go
@@ -19,6 +19,9 @@
 //	n.Advance(rd)
 //
 // When Save fails, the driver sends nothing of that Ready and drops the node.
+// Step, Tick and Propose may also be called between Ready and Advance. Tick is
+// due every 25 ms or so, a third of the heartbeat interval. Messages to one
+// peer should be sent in order; others are correct but cost a round trip each.
 //
 // # Guarantees
 //
--- a/pkg/gwquorum/message.go
+++ b/pkg/gwquorum/message.go
@@ -3,8 +3,7 @@
 // MessageKind is the kind of a Message.
 type MessageKind uint8
 
-// Kinds of messages. Requests with a term ask for state that the receiver syncs
-// before it replies.
+// Kinds of messages.
 const (
 	MessagePreVote MessageKind = iota + 1
 	MessagePreVoteReply
--- a/pkg/gwquorum/node_test.go
+++ b/pkg/gwquorum/node_test.go
@@ -50,6 +50,16 @@
 	assert.Equal(t, []any{true, uint64(4)}, []any{r.Reject, r.Hint})
 }
 
+// Guards against a leader that never learns of a later term, which keeps the
+// member that is in it from ever following.
+func TestOldTermIsAnswered(t *testing.T) {
+	n := testNode(t, 0, 3)
+	for _, kind := range []MessageKind{MessageAppend, MessageVote, MessagePreVote} {
+		r := handle(t, n, Message{Kind: kind, Term: 2})
+		assert.Equal(t, []any{uint64(3), true}, []any{r.Term, r.Reject})
+	}
+}
+
 // Guards against counting an entry as synced when another one replaced it while
 // it was being saved.
 func TestAdvanceAfterReplacement(t *testing.T) {
--- a/pkg/gwquorum/scenario_test.go
+++ b/pkg/gwquorum/scenario_test.go
@@ -269,6 +269,19 @@
 	require.NoError(t, c.err)
 }
 
+// Guards against a transfer to a voter that lacks entries and so loses the election.
+func TestTransferWaitsForLog(t *testing.T) {
+	c := elected(t, 11, three)
+	target := c.followers()[0]
+	require.NoError(t, c.propose(c.leader().id))
+	c.network = slices.DeleteFunc(c.network, func(m gwquorum.Message) bool { return m.To == target })
+	require.NoError(t, c.leader().node.TransferLeadership(target))
+	c.work(c.leader().id)
+	c.run(200 * time.Millisecond)
+	assert.Equal(t, target, c.leader().id)
+	require.NoError(t, c.err)
+}
+
 // Guards against a returning member that needs many transfers: a member that
 // missed hundreds of entries gets one snapshot and the entries after it.
 func TestSnapshotCatchesUp(t *testing.T) {
