--- a/pkg/gwquorum/explore_test.go
+++ b/pkg/gwquorum/explore_test.go
@@ -349,120 +349,126 @@
 	x.work(w, i)
 }
 
-// Guards against orders of few events that break the guarantees: each order of
-// delivery, loss, repetition and restart within the bounds is tried.
-func TestExploreAllOrders(t *testing.T) {
-	campaign := func(n *Node) { n.campaign(true) }
-	propose := func(n *Node) { _, _, _ = n.Propose([]byte(n.cfg.ID)) }
-	elect := func(x *explorer, w *world) {
-		x.do(w, 0, campaign)
-		x.settle(w)
-	}
-	tests := []struct {
-		name   string
-		voters int // 3 if 0
-		start  func(x *explorer, w *world)
-		bounds bounds
-	}{
-		{
-			name: "competing elections", bounds: bounds{steps: 6, campaigns: 2, restarts: 1, repetition: 1},
-			start: func(x *explorer, w *world) { x.do(w, 0, campaign) },
-		},
-		{
-			// A stale leader learns of the term before it is asked for its vote.
-			name: "vote in a known term", bounds: bounds{steps: 8, restarts: 1},
-			start: func(x *explorer, w *world) {
-				elect(x, w)
-				x.do(w, 1, campaign)
-				x.do(w, 2, campaign)
-				for key, m := range w.messages {
-					if m.To != "a" {
-						delete(w.messages, key)
-					}
+func campaign(n *Node) { n.campaign(true) }
+
+func propose(n *Node) { _, _, _ = n.Propose([]byte(n.cfg.ID)) }
+
+// elect makes a the leader and commits its first entry everywhere.
+func elect(x *explorer, w *world) {
+	x.do(w, 0, campaign)
+	x.settle(w)
+}
+
+// explorations start where few steps reach a situation that is known to be difficult.
+var explorations = []struct {
+	name   string
+	voters int // 3 if 0
+	start  func(x *explorer, w *world)
+	bounds bounds
+}{
+	{
+		name: "competing elections", bounds: bounds{steps: 6, campaigns: 2, restarts: 1, repetition: 1},
+		start: func(x *explorer, w *world) { x.do(w, 0, campaign) },
+	},
+	{
+		// A stale leader learns of the term before it is asked for its vote.
+		name: "vote in a known term", bounds: bounds{steps: 8, restarts: 1},
+		start: func(x *explorer, w *world) {
+			elect(x, w)
+			x.do(w, 1, campaign)
+			x.do(w, 2, campaign)
+			for key, m := range w.messages {
+				if m.To != "a" {
+					delete(w.messages, key)
 				}
-				x.do(w, 0, func(n *Node) { n.sendAppend("b", n.peers["b"], true) })
-			},
+			}
+			x.do(w, 0, func(n *Node) { n.sendAppend("b", n.peers["b"], true) })
 		},
-		{name: "new leader and proposals", bounds: bounds{steps: 8, campaigns: 1, proposals: 2, restarts: 1}, start: elect},
-		{
-			// The new leader has the latest committed entry but does not know that it is committed.
-			name: "read under a new leader", bounds: bounds{steps: 6, campaigns: 1, reads: 1, repetition: 1},
-			start: func(x *explorer, w *world) {
-				elect(x, w)
-				x.do(w, 0, propose)
-				x.do(w, 1, func(n *Node) {
-					n.Step(Message{Kind: MessageAppend, From: "a", To: "b", Term: 1, Index: 1, LogTerm: 1, Entries: w.nodes[0].log.between(1, 2)}, x.now)
-				})
-				x.settle(w, fmt.Sprint(MessageAppendReply, " b a"))
-			},
+	},
+	{name: "new leader and proposals", bounds: bounds{steps: 8, campaigns: 1, proposals: 2, restarts: 1}, start: elect},
+	{
+		// The new leader has the latest committed entry but does not know that it is committed.
+		name: "read under a new leader", bounds: bounds{steps: 6, campaigns: 1, reads: 1, repetition: 1},
+		start: func(x *explorer, w *world) {
+			elect(x, w)
+			x.do(w, 0, propose)
+			x.do(w, 1, func(n *Node) {
+				n.Step(Message{Kind: MessageAppend, From: "a", To: "b", Term: 1, Index: 1, LogTerm: 1, Entries: w.nodes[0].log.between(1, 2)}, x.now)
+			})
+			x.settle(w, fmt.Sprint(MessageAppendReply, " b a"))
 		},
-		{
-			// A reply from before the read is still under way to the old leader.
-			name: "late reply to a replaced leader", bounds: bounds{steps: 7, campaigns: 1, reads: 1},
-			start: func(x *explorer, w *world) {
-				elect(x, w)
-				x.do(w, 0, func(n *Node) { n.broadcast(true) })
-				sent := w.messages
-				w.messages = map[string]Message{}
-				for _, m := range sent {
-					if m.To == "b" {
-						x.do(w, 1, func(n *Node) { n.Step(m, x.now) })
-					}
+	},
+	{
+		// A reply from before the read is still under way to the old leader.
+		name: "late reply to a replaced leader", bounds: bounds{steps: 7, campaigns: 1, reads: 1},
+		start: func(x *explorer, w *world) {
+			elect(x, w)
+			x.do(w, 0, func(n *Node) { n.broadcast(true) })
+			sent := w.messages
+			w.messages = map[string]Message{}
+			for _, m := range sent {
+				if m.To == "b" {
+					x.do(w, 1, func(n *Node) { n.Step(m, x.now) })
 				}
-			},
+			}
 		},
-		{
-			// The leader's entry in the middle of its term is on no other node.
-			name: "entry on a minority", bounds: bounds{steps: 9, campaigns: 2, restarts: 1},
-			start: func(x *explorer, w *world) {
-				elect(x, w)
-				x.do(w, 0, propose)
-				clear(w.messages)
-			},
+	},
+	{
+		// The leader's entry in the middle of its term is on no other node.
+		name: "entry on a minority", bounds: bounds{steps: 9, campaigns: 2, restarts: 1},
+		start: func(x *explorer, w *world) {
+			elect(x, w)
+			x.do(w, 0, propose)
+			clear(w.messages)
 		},
-		{
-			// Node a leads again and sends an entry of its earlier term, while c has a later term's entry.
-			name: "earlier entry on a majority", bounds: bounds{steps: 9, campaigns: 1},
-			start: func(x *explorer, w *world) {
-				elect(x, w)
-				x.do(w, 0, propose)
-				clear(w.messages)
-				x.do(w, 2, campaign)
-				x.settle(w, between("c", "b", MessageVote)...)
-				x.do(w, 0, func(n *Node) { n.follow(2) })
-				x.do(w, 0, campaign)
-				x.settle(w, between("a", "b", MessageVote)...)
-				x.do(w, 0, func(n *Node) { n.sendAppend("b", n.peers["b"], true) })
-				x.do(w, 2, func(n *Node) { n.follow(3) })
-			},
+	},
+	{
+		// Node a leads again and sends an entry of its earlier term, while c has a later term's entry.
+		name: "earlier entry on a majority", bounds: bounds{steps: 9, campaigns: 1},
+		start: func(x *explorer, w *world) {
+			elect(x, w)
+			x.do(w, 0, propose)
+			clear(w.messages)
+			x.do(w, 2, campaign)
+			x.settle(w, between("c", "b", MessageVote)...)
+			x.do(w, 0, func(n *Node) { n.follow(2) })
+			x.do(w, 0, campaign)
+			x.settle(w, between("a", "b", MessageVote)...)
+			x.do(w, 0, func(n *Node) { n.sendAppend("b", n.peers["b"], true) })
+			x.do(w, 2, func(n *Node) { n.follow(3) })
 		},
-		{
-			name: "snapshot for a late follower", bounds: bounds{steps: 8, campaigns: 1, heartbeats: 1, proposals: 1, restarts: 1},
-			start: func(x *explorer, w *world) {
-				ab := between("a", "b", MessageVote, MessageAppend)
-				x.do(w, 0, campaign)
-				x.settle(w, ab...)
-				x.do(w, 0, propose)
-				x.settle(w, ab...)
-				x.do(w, 0, func(n *Node) { _ = n.Compact(n.log.applied, nil) })
-			},
+	},
+	{
+		name: "snapshot for a late follower", bounds: bounds{steps: 8, campaigns: 1, heartbeats: 1, proposals: 1, restarts: 1},
+		start: func(x *explorer, w *world) {
+			ab := between("a", "b", MessageVote, MessageAppend)
+			x.do(w, 0, campaign)
+			x.settle(w, ab...)
+			x.do(w, 0, propose)
+			x.settle(w, ab...)
+			x.do(w, 0, func(n *Node) { _ = n.Compact(n.log.applied, nil) })
 		},
-		{
-			// Leaders a and c remove d and a; the memberships {a, b, c} and {b, c, d} have disjoint quorums.
-			name: "two removals by two leaders", voters: 4, bounds: bounds{steps: 8, campaigns: 1, changes: 1},
-			start: func(x *explorer, w *world) {
-				elect(x, w)
-				x.do(w, 0, func(n *Node) { require.NoError(x.t, n.ProposeChange(Change{Kind: Remove, Instance: "d"})) })
-				clear(w.messages)
-				x.do(w, 2, campaign)
-				x.settle(w, append(between("c", "b", MessageVote), between("c", "d", MessageVote)...)...)
-				x.do(w, 2, func(n *Node) { n.sendAppend("d", n.peers["d"], true) })
-				x.do(w, 0, func(n *Node) { n.follow(2) })
-			},
+	},
+	{
+		// Leaders a and c remove d and a; the memberships {a, b, c} and {b, c, d} have disjoint quorums.
+		name: "two removals by two leaders", voters: 4, bounds: bounds{steps: 8, campaigns: 1, changes: 1},
+		start: func(x *explorer, w *world) {
+			elect(x, w)
+			x.do(w, 0, func(n *Node) { require.NoError(x.t, n.ProposeChange(Change{Kind: Remove, Instance: "d"})) })
+			clear(w.messages)
+			x.do(w, 2, campaign)
+			x.settle(w, append(between("c", "b", MessageVote), between("c", "d", MessageVote)...)...)
+			x.do(w, 2, func(n *Node) { n.sendAppend("d", n.peers["d"], true) })
+			x.do(w, 0, func(n *Node) { n.follow(2) })
 		},
-		{name: "removal under a new leader", bounds: bounds{steps: 8, campaigns: 2, changes: 2}, start: elect},
-	}
-	for _, tt := range tests {
+	},
+	{name: "removal under a new leader", bounds: bounds{steps: 8, campaigns: 2, changes: 2}, start: elect},
+}
+
+// Guards against orders of few events that break the guarantees: each order of
+// delivery, loss, repetition and restart within the bounds is tried.
+func TestExploreAllOrders(t *testing.T) {
+	for _, tt := range explorations {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			x := newExplorer(t, []string{"a", "b", "c", "d"}[:max(3, tt.voters)]...)
--- a/pkg/gwquorum/node_test.go
+++ b/pkg/gwquorum/node_test.go
@@ -9,7 +9,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-var testNow = time.Unix(1, 0)
+var (
+	testNow  = time.Unix(1, 0)
+	testSeed uint64 // differs between nodes, as Config.Rand requires
+)
 
 // testNode returns voter b of a, b and c with entries of the given terms.
 func testNode(t *testing.T, commit uint64, terms ...uint64) *Node {
@@ -17,7 +20,8 @@
 	for i, term := range terms {
 		entries = append(entries, Entry{Index: uint64(i) + 1, Term: term})
 	}
-	n, err := NewNode(Config{ID: "b", Rand: rand.NewPCG(1, 1)}, HardState{Term: 1, Commit: commit},
+	testSeed++
+	n, err := NewNode(Config{ID: "b", Rand: rand.NewPCG(testSeed, 1)}, HardState{Term: 1, Commit: commit},
 		Snapshot{Members: Members{Voters: []string{"a", "b", "c"}}}, entries)
 	require.NoError(t, err)
 	return n
@@ -60,6 +64,27 @@
 	}
 }
 
+// Guards against a reply to a read from before a restart that answers a later
+// read with an old index.
+func TestReadReplyAfterRestart(t *testing.T) {
+	ask := func() (*Node, Message) {
+		n := testNode(t, 0, 1)
+		handle(t, n, Message{Kind: MessageAppend, Term: 1, Index: 1, LogTerm: 1})
+		require.NoError(t, n.ReadIndex(7))
+		rd := n.Ready()
+		n.Advance(rd)
+		return n, rd.Messages[0]
+	}
+	_, old := ask()
+	n, current := ask()
+	reply := Message{Kind: MessageReadIndexReply, From: "a", To: "b", Term: 1, Read: old.Read, Index: 1}
+	n.Step(reply, testNow)
+	assert.Empty(t, n.Ready().Reads)
+	reply.Read, reply.Index = current.Read, 2
+	n.Step(reply, testNow)
+	assert.Equal(t, []ReadState{{ID: 7, Index: 2}}, n.Ready().Reads)
+}
+
 // Guards against counting an entry as synced when another one replaced it while
 // it was being saved.
 func TestAdvanceAfterReplacement(t *testing.T) {
