gwload: measure failover gaps per path

Sends open-loop writes to a group while its primary crashes, its owner crashes, the data centre of both is cut off, or the primary leaves, and takes the longest time between acknowledged writes. The subcommand gaps prints p50, p99 and the maximum per path against the stated target.

--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -19,6 +19,7 @@
 	subcommands.Register(&demoCmd{}, "")
 	subcommands.Register(&traceCmd{}, "")
 	subcommands.Register(&replayCmd{}, "")
+	subcommands.Register(&gapsCmd{}, "")
 	subcommands.Register(&versionCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/internal/gwload/class.go
@@ -0,0 +1,41 @@
+package gwload
+
+import (
+	"time"
+
+	"gentianward.example/gentianward/internal/gwdeploy"
+)
+
+// Class is one kind of requests with its arrival rate.
+type Class struct {
+	Name   string
+	Caller string
+	Table  string
+	// Rate is the mean number of arrivals per second.
+	Rate float64
+	// Writes is the share of writes; the other requests are reads.
+	Writes float64
+	// Staleness is what reads accept.
+	Staleness time.Duration
+}
+
+// Mix returns the classes of a deployment with rate arrivals per second in
+// all. The shares follow the purposes of the deployments: both mostly read.
+func Mix(deployment string, rate float64) ([]Class, error) {
+	switch deployment {
+	case gwdeploy.Ecodour:
+		return []Class{
+			{Name: "advisers", Caller: "adviser", Table: "visit", Rate: 0.3 * rate, Writes: 0.5},
+			{Name: "planners", Caller: "planner", Table: "visit", Rate: 0.6 * rate, Staleness: 2 * time.Second},
+			{Name: "councils", Caller: "council", Table: "visit", Rate: 0.1 * rate, Staleness: 30 * time.Second},
+		}, nil
+	case gwdeploy.Hanbit:
+		return []Class{
+			{Name: "members", Caller: "member", Table: "booking", Rate: 0.2 * rate, Writes: 0.5},
+			{Name: "payments", Caller: "payment", Table: "payment", Rate: 0.1 * rate, Writes: 0.7},
+			{Name: "gyms", Caller: "gym", Table: "booking", Rate: 0.7 * rate, Staleness: time.Second},
+		}, nil
+	default:
+		return nil, &Error{Op: "mix", Kind: BadOption, Detail: "deployment \"" + deployment + "\" is neither ecodour nor hanbit"}
+	}
+}
--- /dev/null
+++ b/internal/gwload/recorder.go
@@ -0,0 +1,132 @@
+package gwload
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gentianward.example/gentianward/internal/gwtrace"
+)
+
+// Bounds of histograms, in microseconds, and their precision.
+const (
+	minLatency = 1
+	maxLatency = 60_000_000
+	digits     = 3
+)
+
+// sample is one finished request.
+type sample struct {
+	class, group string
+	write        bool
+	due, end     time.Duration
+	outcome      gwtrace.Outcome
+	violation    bool
+}
+
+// recorder collects samples.
+type recorder struct {
+	interval time.Duration
+
+	mu      sync.Mutex
+	classes map[string]*classRecord
+	acks    map[string][]time.Duration // acknowledged writes by group
+}
+
+type classRecord struct {
+	total      *hdrhistogram.Histogram
+	outcomes   map[gwtrace.Outcome]int64
+	violations int64
+	dropped    int64
+	points     map[int]*pointRecord // by interval of the due time
+}
+
+type pointRecord struct {
+	hist     *hdrhistogram.Histogram
+	outcomes map[gwtrace.Outcome]int64
+}
+
+func newRecorder(interval time.Duration) *recorder {
+	return &recorder{interval: interval, classes: make(map[string]*classRecord), acks: make(map[string][]time.Duration)}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minLatency, maxLatency, digits)
+}
+
+func (r *recorder) class(name string) *classRecord {
+	c, ok := r.classes[name]
+	if !ok {
+		c = &classRecord{total: newHistogram(), outcomes: make(map[gwtrace.Outcome]int64), points: make(map[int]*pointRecord)}
+		r.classes[name] = c
+	}
+	return c
+}
+
+func (r *recorder) drop(class string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.class(class).dropped++
+}
+
+func (r *recorder) add(s sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.class(s.class)
+	c.outcomes[s.outcome]++
+	if s.violation {
+		c.violations++
+	}
+	if s.write && s.outcome == gwtrace.Done {
+		r.acks[s.group] = append(r.acks[s.group], s.end)
+	}
+	i := int(s.due / r.interval)
+	p, ok := c.points[i]
+	if !ok {
+		p = &pointRecord{hist: hdrhistogram.New(minLatency, maxLatency, 2), outcomes: make(map[gwtrace.Outcome]int64)}
+		c.points[i] = p
+	}
+	p.outcomes[s.outcome]++
+	if s.outcome != gwtrace.Done {
+		return
+	}
+	us := min(max((s.end-s.due).Microseconds(), minLatency), maxLatency)
+	_ = c.total.RecordValue(us)
+	_ = p.hist.RecordValue(us)
+}
+
+// ackedAfter returns the number of acknowledged writes of a group after a time.
+func (r *recorder) ackedAfter(group string, at time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for i := len(r.acks[group]) - 1; i >= 0 && r.acks[group][i] > at; i-- {
+		n++
+	}
+	return n
+}
+
+// gap returns the longest time without an acknowledged write of a group
+// between the last one at or before from and until; open means that it had not
+// ended at until.
+func (r *recorder) gap(group string, from, until time.Duration) (gap time.Duration, open bool) {
+	r.mu.Lock()
+	acks := slices.Clone(r.acks[group])
+	r.mu.Unlock()
+	slices.Sort(acks)
+	last := from
+	if i, _ := slices.BinarySearch(acks, from); i > 0 {
+		last = acks[i-1]
+	}
+	for _, a := range acks {
+		if a > from && a <= until {
+			gap, last = max(gap, a-last), a
+		}
+	}
+	if until-last > gap {
+		return until - last, true
+	}
+	return gap, false
+}
