--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -13,6 +13,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&serveCmd{}, "")
 	subcommands.Register(&standinCmd{}, "")
 	subcommands.Register(&checkCmd{}, "")
 	subcommands.Register(&keysCmd{}, "")
