gwpeer: tell operators from instances by their certificates

Cause: any certificate of the CA could call as an instance and as an operator. Change: keys issue -operator writes certificates with the organizational unit "operator" and client use only. Kinds marked Operators are open to them alone; all other kinds are open to instances alone.

--- a/cmd/gentianward/keys.go
+++ b/cmd/gentianward/keys.go
@@ -26,6 +26,9 @@
 keys issue DIR INSTANCE -ip IP [-ip IP]... [-renew]
   Creates DIR/INSTANCE.pem and DIR/INSTANCE.key. With -renew, existing files
   are renamed first.
+keys issue -operator DIR NAME [-renew]
+  Creates the certificate and key of an operator, for publish, status, history,
+  members and drain.
 keys rotate DIR [-name NAME] [-finish]
   Creates a new CA that issues from now on; DIR/ca.pem trusts it and the
   previous ones. Distribute ca.pem, issue all certificates with -renew and
@@ -43,6 +46,8 @@
 	ips    []net.IP
 	name   string
 	renew  bool
+	// operator asks for the certificate of an operator, not of an instance.
+	operator bool
 	finish bool
 }
 
@@ -55,6 +60,7 @@
 		fs.StringVar(&a.name, "name", "gentianward", "subject of the CA")
 	case "issue":
 		fs.BoolVar(&a.renew, "renew", false, "rename existing files")
+		fs.BoolVar(&a.operator, "operator", false, "issue for an operator")
 		fs.Func("ip", "address of the instance", func(s string) error {
 			ip := net.ParseIP(s)
 			if ip == nil {
@@ -114,6 +120,8 @@
 	switch {
 	case action == "init":
 		return folder.Init(a.name)
+	case action == "issue" && a.operator:
+		return folder.IssueOperator(a.names[1], a.renew)
 	case action == "issue":
 		return folder.Issue(a.names[1], a.ips, a.renew)
 	case a.finish:
--- a/internal/gwpeer/call.go
+++ b/internal/gwpeer/call.go
@@ -134,6 +134,9 @@
 	if !ok {
 		return l.respond(s, frameRefused, wireError{Message: Kind{ID: kind}.String() + " has no handler"})
 	}
+	if err := l.allows(kind); err != nil {
+		return l.respond(s, frameRefused, wireError{Message: err.Error()})
+	}
 	ctx, cancel := withMicros(ctx, micros)
 	defer cancel()
 	resp, refused, err := fn(ctx, l.instance, payload)
--- a/internal/gwpeer/datagram.go
+++ b/internal/gwpeer/datagram.go
@@ -91,5 +91,8 @@
 	if !ok {
 		return errors.Newf("%s has no handler", Kind{ID: uint16(id)})
 	}
+	if err := l.allows(uint16(id)); err != nil {
+		return err
+	}
 	return fn(l.instance, data[size:])
 }
--- a/internal/gwpeer/handlers.go
+++ b/internal/gwpeer/handlers.go
@@ -21,6 +21,7 @@
 	streams   map[uint16]streamHandler
 	datagrams map[uint16]datagramHandler
 	names     map[uint16]string
+	operators map[uint16]bool
 }
 
 func newHandlers() handlers {
@@ -30,6 +31,7 @@
 		streams:   map[uint16]streamHandler{},
 		datagrams: map[uint16]datagramHandler{},
 		names:     map[uint16]string{},
+		operators: map[uint16]bool{},
 	}
 }
 
@@ -45,9 +47,17 @@
 		panic(fmt.Sprintf("gwpeer: kinds %q and %q share ID %d", name, kind.Name, kind.ID))
 	}
 	h.names[kind.ID] = kind.Name
+	h.operators[kind.ID] = kind.Operators
 	m[kind.ID] = f
 }
 
+// forOperators reports whether the kind is open to operators only.
+func (h *handlers) forOperators(id uint16) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.operators[id]
+}
+
 func find[F any](h *handlers, m map[uint16]F, id uint16) (F, bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
--- a/internal/gwpeer/keyfolder.go
+++ b/internal/gwpeer/keyfolder.go
@@ -49,21 +49,30 @@
 // Issue creates the certificate and key of an instance reachable at ips. With
 // renew, existing files are renamed first.
 func (k KeyFolder) Issue(instance string, ips []net.IP, renew bool) ([]string, error) {
-	if instance == caName || instance != filepath.Base(instance) || strings.HasPrefix(instance, ".") {
-		return nil, keyError("issue", errors.Newf("%q is not an instance name", instance))
-	}
 	if len(ips) == 0 {
 		return nil, keyError("issue", errors.New("at least one IP address is required"))
 	}
+	return k.issue(instance, renew, func(a *Authority) (Certificate, error) { return a.Issue(instance, ips...) })
+}
+
+// IssueOperator creates the certificate and key of an operator.
+func (k KeyFolder) IssueOperator(name string, renew bool) ([]string, error) {
+	return k.issue(name, renew, func(a *Authority) (Certificate, error) { return a.IssueOperator(name) })
+}
+
+func (k KeyFolder) issue(name string, renew bool, issue func(*Authority) (Certificate, error)) ([]string, error) {
+	if name == caName || name != filepath.Base(name) || strings.HasPrefix(name, ".") {
+		return nil, keyError("issue", errors.Newf("%q is not a name of an instance or operator", name))
+	}
 	a, err := k.Authority()
 	if err != nil {
 		return nil, err
 	}
-	cert, err := a.Issue(instance, ips...)
+	cert, err := issue(a)
 	if err != nil {
 		return nil, err
 	}
-	certFile, keyFile := instance+".pem", instance+".key"
+	certFile, keyFile := name+".pem", name+".key"
 	for _, f := range []string{certFile, keyFile} {
 		if renew {
 			err = k.archive(f)
--- a/internal/gwpeer/keys.go
+++ b/internal/gwpeer/keys.go
@@ -99,20 +99,35 @@
 
 // Issue creates a key and a certificate for an instance reachable at ips.
 func (a *Authority) Issue(instance string, ips ...net.IP) (Certificate, error) {
-	if instance == "" {
-		return Certificate{}, keyError("issue", errors.New("the instance name is empty"))
+	return a.issue(instance, func(c *x509.Certificate) {
+		c.IPAddresses = ips
+		c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	})
+}
+
+// IssueOperator creates a key and a certificate with which an operator calls
+// instances; no instance accepts it as that of another instance.
+func (a *Authority) IssueOperator(name string) (Certificate, error) {
+	return a.issue(name, func(c *x509.Certificate) {
+		c.Subject.OrganizationalUnit = []string{operatorUnit}
+		c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	})
+}
+
+func (a *Authority) issue(name string, edit func(*x509.Certificate)) (Certificate, error) {
+	if name == "" {
+		return Certificate{}, keyError("issue", errors.New("the name is empty"))
 	}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return Certificate{}, keyError("issue", err)
 	}
-	tmpl, err := template(instance, InstanceLifetime)
+	tmpl, err := template(name, InstanceLifetime)
 	if err != nil {
 		return Certificate{}, keyError("issue", err)
 	}
-	tmpl.IPAddresses = ips
 	tmpl.KeyUsage = x509.KeyUsageDigitalSignature
-	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	edit(tmpl)
 	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, key.Public(), a.key)
 	if err != nil {
 		return Certificate{}, keyError("issue", err)
--- a/internal/gwpeer/link.go
+++ b/internal/gwpeer/link.go
@@ -45,6 +45,7 @@
 	dialed   bool // by this node
 	started  time.Time
 	cert     *x509.Certificate
+	operator bool // the peer is an operator
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -65,6 +66,7 @@
 		started:  time.Now(),
 		cert:     qc.ConnectionState().TLS.PeerCertificates[0],
 	}
+	l.operator = isOperator(l.cert)
 	l.ctx, l.cancel = context.WithCancel(qc.Context())
 	l.touch()
 	return l
@@ -155,7 +157,7 @@
 		return
 	}
 	fn, ok := find(&l.node.handlers, l.node.handlers.streams, h.kind)
-	if !ok {
+	if !ok || l.allows(h.kind) != nil {
 		s.reset(codeRefused)
 		return
 	}
