gwcontrol: repair and replace voters

Cause: a voter that lost its disk came back under its old name, answering for votes and entries it no longer had, and the manifest's voters had no effect. Change: a voter that finds a running system with an empty store takes a new identity; the leader makes the members of the log those of the manifest, one change at a time, adding before it removes. Conclusion: a repair needs no operator; a replacement needs one manifest.

--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"log/slog"
 	mathrand "math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,8 +39,9 @@
 	Log      *slog.Logger
 	Store    Store
 	State    *gwstate.State
-	// Voters are the first voters, used when the store is empty.
-	Voters []string
+	// Identity returns the identity of this voter and, on the first start of the
+	// whole system, the first voters. It may wait for other voters.
+	Identity func(ctx context.Context) (Identity, error)
 	// Address returns the peer address of a voter.
 	Address func(instance string) (string, bool)
 	// Applied is called on the driver's goroutine after entries were applied.
@@ -53,6 +55,8 @@
 	ConsensusOptions
 	node  *gwquorum.Node
 	calls chan func()
+	// begun is closed once the node exists.
+	begun chan struct{}
 
 	proposals map[uint64]proposal
 	reads     map[uint64]chan error
@@ -76,46 +80,83 @@
 	err    error
 }
 
-// NewConsensus loads the voter's state from the store.
-func NewConsensus(o ConsensusOptions) (*Consensus, error) {
-	hs, snap, entries, err := o.Store.Load()
+// Identity names a voter in the replicated log.
+//
+// A voter that lost its data may have voted or confirmed entries that it does
+// not know of any more. It takes part under a new identity, which the leader
+// adds like any new voter, instead of answering for the old one.
+type Identity struct {
+	ID string
+	// First names the first voters; empty unless the whole system starts.
+	First []string
+}
+
+// identitySeparator stands between the name of an instance and the mark that
+// tells its later identities apart.
+const identitySeparator = "#"
+
+// voterName returns the instance of an identity.
+func voterName(id string) string {
+	name, _, _ := strings.Cut(id, identitySeparator)
+	return name
+}
+
+// NewConsensus returns a voter that takes part once Run has found its identity.
+func NewConsensus(o ConsensusOptions) *Consensus {
+	c := &Consensus{
+		ConsensusOptions: o, calls: make(chan func(), callQueue), begun: make(chan struct{}),
+		proposals: make(map[uint64]proposal), reads: make(map[uint64]chan error), peers: make(map[string]*sender),
+	}
+	o.Node.HandleStream(kindQuorum, c.serve)
+	return c
+}
+
+// begin loads the voter's state and creates its node.
+func (c *Consensus) begin(ctx context.Context) error {
+	identity, err := c.Identity(ctx)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if snap.Index == 0 && len(entries) == 0 && len(snap.Members.Voters) == 0 {
+	hs, snap, entries, err := c.Store.Load()
+	if err != nil {
+		return err
+	}
+	if len(identity.First) > 0 && snap.Index == 0 && len(entries) == 0 && len(snap.Members.Voters) == 0 {
 		// The first voters are saved: the manifest may name others by the time of a restart.
-		snap.Members.Voters = o.Voters
-		if err := o.Store.Save(hs, nil, &snap); err != nil {
-			return nil, err
+		snap.Members.Voters = identity.First
+		if err := c.Store.Save(hs, nil, &snap); err != nil {
+			return err
 		}
 	}
 	if snap.Index > 0 {
-		if err := o.State.Restore(snap.Data, o.Clock.Now()); err != nil {
-			return nil, err
+		if err := c.State.Restore(snap.Data, c.Clock.Now()); err != nil {
+			return err
 		}
 	}
 	var seed [8]byte
 	_, _ = rand.Read(seed[:])
-	cfg := gwquorum.Config{ID: o.Instance, Rand: mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:]), 0)}
-	node, err := gwquorum.NewNode(cfg, hs, snap, entries)
-	if err != nil {
-		return nil, err
-	}
-	c := &Consensus{
-		ConsensusOptions: o, node: node, calls: make(chan func(), callQueue),
-		proposals: make(map[uint64]proposal), reads: make(map[uint64]chan error),
-		compacted: snap.Index, peers: make(map[string]*sender),
+	cfg := gwquorum.Config{ID: identity.ID, Rand: mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:]), 0)}
+	if c.node, err = gwquorum.NewNode(cfg, hs, snap, entries); err != nil {
+		return err
 	}
-	o.Node.HandleStream(kindQuorum, c.serve)
-	return c, nil
+	c.compacted = snap.Index
+	c.updateStatus()
+	close(c.begun)
+	return nil
 }
 
 // Run drives the node until ctx ends. A failing store ends it as well: a voter
 // that cannot sync must not take part.
 func (c *Consensus) Run(ctx context.Context) error {
+	defer c.stop()
+	if err := c.begin(ctx); err != nil {
+		if ctx.Err() == nil {
+			c.Log.Error("voter not started", "error", err)
+		}
+		return err
+	}
 	ticker := c.Clock.NewTicker(consensusTick)
 	defer ticker.Stop()
-	defer c.stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -280,7 +321,7 @@
 }
 
 func (c *Consensus) notLeader(op string) error {
-	return &Error{Op: op, Kind: NotLeader, Detail: c.node.Status().Leader}
+	return &Error{Op: op, Kind: NotLeader, Detail: voterName(c.node.Status().Leader)}
 }
 
 // ConfirmLeadership returns nil once a quorum has confirmed, after the call
@@ -336,6 +377,11 @@
 
 // do runs f on the driver's goroutine.
 func (c *Consensus) do(ctx context.Context, f func()) error {
+	select {
+	case <-c.begun:
+	default:
+		return &Error{Op: "call voter", Kind: NotLeader}
+	}
 	select {
 	case c.calls <- f:
 		return nil
--- a/internal/gwcontrol/kinds.go
+++ b/internal/gwcontrol/kinds.go
@@ -17,6 +17,8 @@
 	kindSuspect = gwpeer.Kind{ID: 11, Name: "suspectPrimary", Priority: gwpeer.PriorityControl}
 	kindHistory = gwpeer.Kind{ID: 12, Name: "history", Priority: gwpeer.PriorityControl}
 
+	kindVoter = gwpeer.Kind{ID: 14, Name: "voter", Priority: gwpeer.PriorityControl}
+
 	// KindExec carries the requests of callers' sessions.
 	KindExec = gwpeer.Kind{ID: 32, Name: "exec"}
 	// KindBarrier asks the owner of a primary for its position.
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -37,8 +38,8 @@
 	return &Client{node: node, clock: clock, log: log, members: members, views: views, local: local}
 }
 
-// voters returns the peer addresses of the voters by instance.
-func (c *Client) voters() map[string]string {
+// Voters returns the peer addresses of the manifest's voters by instance.
+func (c *Client) Voters() map[string]string {
 	out := make(map[string]string)
 	m := c.views.Current().Manifest
 	if m == nil {
@@ -65,7 +66,7 @@
 
 // candidates returns the voters to ask, the presumed leader first.
 func (c *Client) candidates() []string {
-	voters := c.voters()
+	voters := c.Voters()
 	known := c.Leader()
 	var out []string
 	for name := range voters {
@@ -125,7 +126,7 @@
 	if c.local != nil && c.local.Instance() == name {
 		return local(ctx, req)
 	}
-	return gwpeer.Call[Req, Resp](ctx, c.node, c.voters()[name], kind, req)
+	return gwpeer.Call[Req, Resp](ctx, c.node, c.Voters()[name], kind, req)
 }
 
 // final reports whether err is the leader's own answer.
@@ -174,6 +175,10 @@
 	clock     clockwork.Clock
 	log       *slog.Logger
 	owners    Owners
+	voters    func() map[string]string
+
+	// keeping means that the members of the log are being compared with the manifest.
+	keeping atomic.Bool
 
 	mu       sync.Mutex
 	changing map[string]bool
@@ -197,8 +202,9 @@
 // Instance returns the name of the voter.
 func (l *Leader) Instance() string { return l.consensus.Instance }
 
-// Attach sets the owners that changes of primary call.
-func (l *Leader) Attach(o Owners) { l.owners = o }
+// Attach sets the owners that changes of primary call, and the voters of the
+// manifest. It must be called before Run.
+func (l *Leader) Attach(o Owners, voters func() map[string]string) { l.owners, l.voters = o, voters }
 
 func serveLeader[Req, Resp any](node *gwpeer.Node, kind gwpeer.Kind, f func(context.Context, Req) (Resp, error)) {
 	gwpeer.Handle(node, kind, func(ctx context.Context, _ string, req Req) (Resp, error) {
--- a/internal/gwcontrol/lease.go
+++ b/internal/gwcontrol/lease.go
@@ -31,7 +31,7 @@
 // voter leads.
 func (l *Leader) Lease(ctx context.Context, r gwlease.Request) (leaseAnswer, error) {
 	if !l.consensus.Leading() {
-		return leaseAnswer{}, &Error{Op: "lease", Kind: NotLeader, Detail: l.consensus.Status().Leader}
+		return leaseAnswer{}, &Error{Op: "lease", Kind: NotLeader, Detail: voterName(l.consensus.Status().Leader)}
 	}
 	answer := leaseAnswer{Answer: gwlease.Answer{Epoch: r.Epoch, Sequence: r.Sequence}, Sequences: make(map[string]uint64)}
 	refused := make(map[string]gwstate.Refusal)
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -57,7 +57,7 @@
 // off takes itself for the owner of servers that it merely cannot reach.
 func (l *Leader) Suspect(ctx context.Context, r SuspectRequest) (Empty, error) {
 	if !l.consensus.Leading() {
-		return Empty{}, &Error{Op: "suspect primary", Kind: NotLeader, Detail: l.consensus.Status().Leader}
+		return Empty{}, &Error{Op: "suspect primary", Kind: NotLeader, Detail: voterName(l.consensus.Status().Leader)}
 	}
 	g, ok := l.state.Group(r.Group)
 	if !ok || g.Term != r.Term {
@@ -103,7 +103,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	ticker := l.clock.NewTicker(watchInterval)
 	defer ticker.Stop()
-	var since time.Time
+	var since, checked time.Time
 	idle := make(map[string]time.Time)
 	for {
 		select {
@@ -120,6 +120,10 @@
 			since = l.clock.Now()
 		}
 		l.watch(idle)
+		if wanted := l.voters(); len(wanted) > 0 && l.clock.Since(checked) >= votersInterval {
+			checked = l.clock.Now()
+			go l.keepVotersOnce(ctx, wanted)
+		}
 	}
 }
 
--- a/internal/gwcontrol/quorumlink.go
+++ b/internal/gwcontrol/quorumlink.go
@@ -63,7 +63,7 @@
 }
 
 func (c *Consensus) open(ctx context.Context, to string) *gwpeer.Stream {
-	address, ok := c.Address(to)
+	address, ok := c.Address(voterName(to))
 	if !ok {
 		return nil
 	}
@@ -84,10 +84,10 @@
 			return
 		}
 		var m gwquorum.Message
-		if err := gwpeer.Unmarshal(payload, &m); err != nil || m.From != from {
+		if err := gwpeer.Unmarshal(payload, &m); err != nil || voterName(m.From) != from {
 			return
 		}
-		if c.do(ctx, func() { c.node.Step(m, c.Clock.Now()) }) != nil {
+		if c.do(ctx, func() { c.node.Step(m, c.Clock.Now()) }) != nil && ctx.Err() != nil {
 			return
 		}
 	}
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -141,36 +141,42 @@
 	i.spreader.Attach(i.members)
 }
 
-// startVoter opens the replicated log if this instance has a data folder and
-// the manifest lists it.
+// startVoter opens the replicated log if this instance has a data folder. It
+// takes part once the leader has added it, unless it is one of the first voters.
 func (i *Instance) startVoter() error {
 	if i.FS == nil || i.Settings.DataFolder == "" {
 		return nil
 	}
-	m := i.firstManifest()
-	if m == nil {
-		return nil
-	}
-	if _, ok := m.Voter(i.Settings.Instance); !ok {
-		return nil
-	}
 	log, err := gwstore.Open(i.FS, i.Settings.DataFolder)
 	if err != nil {
 		return err
 	}
 	i.log = log
-	state := gwstate.New(i.Settings.MaxClockDrift)
-	i.consensus, err = gwcontrol.NewConsensus(gwcontrol.ConsensusOptions{
-		Instance: i.Settings.Instance, Node: i.node, Clock: i.Clock, Log: i.Log, Store: log, State: state,
-		Voters: voterNames(m), Address: i.voterAddress, Applied: i.applied,
-	})
-	if err != nil {
-		return err
+	identity := gwcontrol.IdentityOptions{
+		Instance: i.Settings.Instance, Node: i.node, Clock: i.Clock, FS: i.FS, Folder: i.Settings.DataFolder,
+		Empty: log.Empty(), First: i.firstVoters(),
 	}
+	i.consensus = gwcontrol.NewConsensus(gwcontrol.ConsensusOptions{
+		Instance: i.Settings.Instance, Node: i.node, Clock: i.Clock, Log: i.Log, Store: log,
+		State: gwstate.New(i.Settings.MaxClockDrift), Address: i.voterAddress, Applied: i.applied,
+		Identity: func(ctx context.Context) (gwcontrol.Identity, error) { return gwcontrol.Identify(ctx, identity) },
+	})
+	i.consensus.ServeIdentity(!identity.Empty)
 	i.leader = gwcontrol.NewLeader(i.node, i.consensus)
 	return nil
 }
 
+// firstVoters returns the addresses of the voters of the first start.
+func (i *Instance) firstVoters() map[string]string {
+	out := make(map[string]string)
+	if i.Manifest != nil {
+		for _, v := range i.Manifest.Voters {
+			out[v.Instance] = v.Address
+		}
+	}
+	return out
+}
+
 // firstManifest returns the agreed manifest, or that of the first start.
 func (i *Instance) firstManifest() *gwmanifest.Index {
 	if m := i.views.Current().Manifest; m != nil {
@@ -182,14 +188,6 @@
 	return nil
 }
 
-func voterNames(m *gwmanifest.Index) []string {
-	var out []string
-	for _, v := range m.Manifest().Voters {
-		out = append(out, v.Instance)
-	}
-	return out
-}
-
 func (i *Instance) voterAddress(instance string) (string, bool) {
 	m := i.firstManifest()
 	if m == nil {
@@ -209,7 +207,7 @@
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
 	})
 	if i.leader != nil {
-		i.leader.Attach(i.owner)
+		i.leader.Attach(i.owner, i.client.Voters)
 	}
 	i.serveAnnouncements()
 	i.serveOperators()
--- a/internal/gwdaemon/operator.go
+++ b/internal/gwdaemon/operator.go
@@ -133,3 +133,8 @@
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// Publish makes text the manifest, through the leader of the replicated log.
+func (i *Instance) Publish(ctx context.Context, text []byte) (gwcontrol.PublishResult, error) {
+	return i.client.Publish(ctx, text)
+}
--- a/internal/gwdaemon/view.go
+++ b/internal/gwdaemon/view.go
@@ -31,26 +31,7 @@
 	if err != nil {
 		return err
 	}
-	temporary, name := path.Join(s.folder, viewFile+".new"), path.Join(s.folder, viewFile)
-	f, err := s.fs.Create(temporary)
-	if err != nil {
-		return err
-	}
-	if _, err := f.Write(b); err != nil {
-		_ = f.Close()
-		return err
-	}
-	if err := f.Sync(); err != nil {
-		_ = f.Close()
-		return err
-	}
-	if err := f.Close(); err != nil {
-		return err
-	}
-	if err := s.fs.Rename(temporary, name); err != nil {
-		return err
-	}
-	return s.fs.SyncFolder(s.folder)
+	return gwstore.WriteFile(s.fs, s.folder, viewFile, b)
 }
 
 func (s *viewSaver) load() (gwcontrol.ViewDelta, error) {
--- a/internal/gwdeploy/fault.go
+++ b/internal/gwdeploy/fault.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"time"
 
+	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwstandin"
+	"gentianward.example/gentianward/internal/gwstore"
 )
 
 // Names of faults.
@@ -204,3 +207,29 @@
 
 // Leave makes a stand-in announce that it is leaving.
 func (d *Deployment) Leave(server string) { d.Server(server).Leave() }
+
+// LoseDisk kills an instance and empties its data folder.
+func (d *Deployment) LoseDisk(n *Node) {
+	d.Kill(n)
+	n.fs = gwstore.NewMemoryFS()
+}
+
+// NextManifest returns the text of the next manifest after an edit.
+func (d *Deployment) NextManifest(edit func(*gwmanifest.Manifest)) ([]byte, error) {
+	m := *d.manifest
+	m.Number = d.latestNumber() + 1
+	m.Voters = append([]gwmanifest.Voter(nil), m.Voters...)
+	edit(&m)
+	return json.Marshal(&m)
+}
+
+// latestNumber returns the highest manifest number that any instance knows.
+func (d *Deployment) latestNumber() uint64 {
+	latest := uint64(0)
+	for _, n := range d.instances {
+		if i := n.Instance(); i != nil {
+			latest = max(latest, i.View().Number)
+		}
+	}
+	return latest
+}
--- /dev/null
+++ b/internal/gwstore/file.go
@@ -0,0 +1,27 @@
+package gwstore
+
+import "path"
+
+// WriteFile replaces a file of a folder; the content is durable when it returns.
+func WriteFile(fs FS, folder, name string, content []byte) error {
+	temporary, final := path.Join(folder, name+".new"), path.Join(folder, name)
+	f, err := fs.Create(temporary)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(content); err != nil {
+		_ = f.Close()
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := fs.Rename(temporary, final); err != nil {
+		return err
+	}
+	return fs.SyncFolder(folder)
+}
