--- a/pkg/gwquorum/doc.go
+++ b/pkg/gwquorum/doc.go
@@ -19,6 +19,7 @@
 //	n.Advance(rd)
 //
 // When Save fails, the driver sends nothing of that Ready and drops the node.
+// It also drops a node whose Status has a Fault: the log contradicts the leader's.
 // Step, Tick and Propose may also be called between Ready and Advance. Tick is
 // due every 25 ms or so, a third of the heartbeat interval. Messages to one
 // peer should be sent in order; others are correct but cost a round trip each.
--- a/pkg/gwquorum/scenario_test.go
+++ b/pkg/gwquorum/scenario_test.go
@@ -278,6 +278,7 @@
 	require.NoError(t, c.leader().node.TransferLeadership(target))
 	c.work(c.leader().id)
 	c.run(200 * time.Millisecond)
+	require.NotNil(t, c.leader())
 	assert.Equal(t, target, c.leader().id)
 	require.NoError(t, c.err)
 }
