--- a/internal/gwpeer/failure_test.go
+++ b/internal/gwpeer/failure_test.go
@@ -195,8 +195,9 @@
 
 	a.Block(b.Address(), true)
 	full := false
-	for range 10 * maxQueued { // must not block the caller
-		full = full || a.Send(b.Address(), kindNote, echo{}) != nil
+	large := echo{Text: strings.Repeat("x", 1000)} // fills the congestion window soon
+	for range 10 * maxQueued {                     // must not block the caller
+		full = full || a.Send(b.Address(), kindNote, large) != nil
 	}
 	assert.True(t, full)
 	_, err = callEcho(ctx, a, b.Address(), "x")
--- a/internal/gwpeer/link.go
+++ b/internal/gwpeer/link.go
@@ -79,8 +79,8 @@
 func (l *link) touch() { l.used.Store(time.Now().UnixNano()) }
 
 func (l *link) close(code quic.ApplicationErrorCode, reason string) {
-	l.cancel()
 	_ = l.conn.CloseWithError(code, reason)
+	l.cancel()
 }
 
 // run serves the peer's streams and datagrams until the link ends.
@@ -155,9 +155,9 @@
 	}
 	l.streams.Add(1) // released by the stream
 	s := &Stream{link: l, qs: qs, address: l.remote.String(), r: r}
-	defer func() { _ = s.Close() }()
 	ctx, cancel := l.handlerContext(qs)
 	defer cancel()
+	defer s.finish(ctx)
 	if h.typ == streamCall {
 		l.serveCalls(ctx, s, h.kind)
 		return
--- a/internal/gwpeer/stream.go
+++ b/internal/gwpeer/stream.go
@@ -191,6 +191,17 @@
 	s.release(code)
 }
 
+// finish ends the stream of a handler that has returned. A handler that gave
+// up because its context ended has not completed its exchange, which the
+// opener must not read as io.EOF.
+func (s *Stream) finish(ctx context.Context) {
+	if ctx.Err() != nil {
+		s.Cancel()
+		return
+	}
+	_ = s.Close()
+}
+
 // release stops the reader and returns it to the pool after its last use.
 func (s *Stream) release(code quic.StreamErrorCode) {
 	s.end.Do(func() {
