gwload: send open-loop load and write run files

Arrival rates per class with a ramp, a bound on connections and faults at times; HDR histograms per class, failover gaps per group and fault, the share of reads at replicas, bytes between regions and reads that miss acknowledged writes. The flag -routing selects a baseline.

--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&traceCmd{}, "")
 	subcommands.Register(&replayCmd{}, "")
 	subcommands.Register(&gapsCmd{}, "")
+	subcommands.Register(&loadCmd{}, "")
 	subcommands.Register(&versionCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/internal/gwload/recorder.go
+++ b/internal/gwload/recorder.go
@@ -33,6 +33,7 @@
 	mu      sync.Mutex
 	classes map[string]*classRecord
 	acks    map[string][]time.Duration // acknowledged writes by group
+	marks   []FaultMark
 }
 
 type classRecord struct {
--- /dev/null
+++ b/internal/gwload/report.go
@@ -0,0 +1,225 @@
+package gwload
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"gentianward.example/gentianward/internal/gwtrace"
+)
+
+// RunFormat and RunVersion identify the format of a run file.
+const (
+	RunFormat  = "gentianwardRun"
+	RunVersion = 1
+)
+
+// Report is what a load run measured; a run file holds it as JSON. Durations
+// are in nanoseconds.
+type Report struct {
+	Format      string        `json:"format"`
+	Version     int           `json:"version"`
+	Deployment  string        `json:"deployment"`
+	Routing     string        `json:"routing"`
+	Delay       bool          `json:"delay"`
+	Rate        float64       `json:"rate"`
+	Connections int           `json:"connections"`
+	Seed        uint64        `json:"seed"`
+	Duration    time.Duration `json:"duration"`
+	Ramp        time.Duration `json:"ramp"`
+	Classes     []ClassReport `json:"classes"`
+	Points      []Point       `json:"points"`
+	Faults      []FaultMark   `json:"faults,omitempty"`
+	Gaps        []Gap         `json:"gaps,omitempty"`
+	// Replica and Primary count the reads that each answered.
+	Replica uint64    `json:"replicaReads"`
+	Primary uint64    `json:"primaryReads"`
+	Traffic []Traffic `json:"traffic"`
+}
+
+// ClassReport sums up the requests of one class.
+type ClassReport struct {
+	Class    string                    `json:"class"`
+	Outcomes map[gwtrace.Outcome]int64 `json:"outcomes"`
+	// Violations counts reads that missed an acknowledged write older than the
+	// accepted staleness.
+	Violations int64 `json:"violations"`
+	// Dropped counts arrivals that were not sent because too many were waiting.
+	Dropped int64         `json:"dropped"`
+	P50     time.Duration `json:"p50"`
+	P90     time.Duration `json:"p90"`
+	P99     time.Duration `json:"p99"`
+	P999    time.Duration `json:"p999"`
+	Max     time.Duration `json:"max"`
+}
+
+// Point is the latency of one class in one interval.
+type Point struct {
+	At       time.Duration             `json:"at"`
+	Class    string                    `json:"class"`
+	Count    int64                     `json:"count"`
+	P50      time.Duration             `json:"p50"`
+	P99      time.Duration             `json:"p99"`
+	Outcomes map[gwtrace.Outcome]int64 `json:"outcomes"`
+}
+
+// FaultMark is a fault that was brought about.
+type FaultMark struct {
+	At    time.Duration `json:"at"`
+	Fault string        `json:"fault"`
+	Group string        `json:"group,omitempty"`
+	Error string        `json:"error,omitempty"`
+}
+
+// Gap is the longest time without an acknowledged write of a group after a fault.
+type Gap struct {
+	Fault string        `json:"fault"`
+	At    time.Duration `json:"at"`
+	Group string        `json:"group"`
+	Gap   time.Duration `json:"gap"`
+	Open  bool          `json:"open,omitempty"`
+}
+
+// Traffic is the number of bytes from one region to another.
+type Traffic struct {
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Bytes int64  `json:"bytes"`
+}
+
+// ReplicaShare is the share of reads that replicas answered.
+func (r *Report) ReplicaShare() float64 {
+	if r.Replica+r.Primary == 0 {
+		return 0
+	}
+	return float64(r.Replica) / float64(r.Replica+r.Primary)
+}
+
+// Bytes is the sum of bytes between regions.
+func (r *Report) Bytes() int64 {
+	var n int64
+	for _, t := range r.Traffic {
+		n += t.Bytes
+	}
+	return n
+}
+
+// Violations is the sum over all classes.
+func (r *Report) Violations() int64 {
+	var n int64
+	for _, c := range r.Classes {
+		n += c.Violations
+	}
+	return n
+}
+
+// MaxGap is the longest failover gap, 0 without faults.
+func (r *Report) MaxGap() time.Duration {
+	var d time.Duration
+	for _, g := range r.Gaps {
+		d = max(d, g.Gap)
+	}
+	return d
+}
+
+func (l *load) report() *Report {
+	rec := l.engine.rec
+	r := &Report{
+		Format: RunFormat, Version: RunVersion, Deployment: l.Deployment, Routing: l.Routing, Delay: l.Delay,
+		Rate: l.Rate, Connections: l.Connections, Seed: l.Seed, Duration: l.Duration, Ramp: l.Ramp, Faults: rec.marks,
+	}
+	for _, name := range slices.Sorted(maps.Keys(rec.classes)) {
+		r.Classes = append(r.Classes, rec.classes[name].report(name))
+		r.Points = append(r.Points, rec.points(name)...)
+	}
+	for i, f := range rec.marks {
+		until := l.Duration
+		if i+1 < len(rec.marks) {
+			until = rec.marks[i+1].At
+		}
+		for _, g := range l.d.Groups() {
+			if f.Group != "" && f.Group != g {
+				continue
+			}
+			gap, open := rec.gap(g, f.At, until)
+			r.Gaps = append(r.Gaps, Gap{Fault: f.Fault, At: f.At, Group: g, Gap: gap, Open: open})
+		}
+	}
+	return r
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func (c *classRecord) report(name string) ClassReport {
+	return ClassReport{
+		Class: name, Outcomes: c.outcomes, Violations: c.violations, Dropped: c.dropped,
+		P50: micros(c.total.ValueAtQuantile(50)), P90: micros(c.total.ValueAtQuantile(90)),
+		P99: micros(c.total.ValueAtQuantile(99)), P999: micros(c.total.ValueAtQuantile(99.9)), Max: micros(c.total.Max()),
+	}
+}
+
+func (r *recorder) points(class string) []Point {
+	var out []Point
+	for i, p := range r.classes[class].points {
+		out = append(out, Point{
+			At: time.Duration(i) * r.interval, Class: class, Count: p.hist.TotalCount(), Outcomes: p.outcomes,
+			P50: micros(p.hist.ValueAtQuantile(50)), P99: micros(p.hist.ValueAtQuantile(99)),
+		})
+	}
+	slices.SortFunc(out, func(a, b Point) int { return cmp.Compare(a.At, b.At) })
+	return out
+}
+
+// mark records a fault.
+func (r *recorder) mark(m FaultMark) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.marks = append(r.marks, m)
+}
+
+// progress sums up what has been recorded so far.
+func (r *recorder) progress() Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := Progress{Outcomes: make(map[gwtrace.Outcome]int64)}
+	all := newHistogram()
+	for _, c := range r.classes {
+		for o, n := range c.outcomes {
+			p.Outcomes[o] += n
+		}
+		all.Merge(c.total)
+	}
+	p.Done, p.P99 = p.Outcomes[gwtrace.Done], micros(all.ValueAtQuantile(99))
+	for _, m := range r.marks {
+		p.Faults = append(p.Faults, m.Fault)
+	}
+	return p
+}
+
+// WriteRun writes a run file.
+func WriteRun(name string, r *Report) error {
+	b, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(name, append(b, '\n'), 0o644)
+}
+
+// ReadRun reads a run file.
+func ReadRun(name string) (*Report, error) {
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{}
+	if err := json.Unmarshal(b, r); err != nil {
+		return nil, &Error{Op: "read run", Kind: BadRun, Detail: name, Err: err}
+	}
+	if r.Format != RunFormat || r.Version != RunVersion {
+		return nil, &Error{Op: "read run", Kind: BadRun, Detail: name + " is not a run file of version 1"}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/gwload/run.go
@@ -0,0 +1,165 @@
+package gwload
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"gentianward.example/gentianward/internal/gwdeploy"
+	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/internal/gwtrace"
+)
+
+// Options configures a load run.
+type Options struct {
+	Deployment string
+	// Rate is the number of arrivals a second of all classes together.
+	Rate float64
+	// Ramp is the time in which the rate rises to its full value.
+	Ramp     time.Duration
+	Duration time.Duration
+	// Connections bounds the connections of all callers together.
+	Connections int
+	Seed        uint64
+	// Routing replaces the manifest's routing unless empty.
+	Routing string
+	Delay   bool
+	Faults  []gwtrace.Fault
+	Log     *slog.Logger
+	// Progress is called every second; may be nil.
+	Progress func(Progress)
+}
+
+// Progress is the state of a running load.
+type Progress struct {
+	At       time.Duration             `json:"at"`
+	Done     int64                     `json:"done"`
+	Outcomes map[gwtrace.Outcome]int64 `json:"outcomes"`
+	InFlight int64                     `json:"inFlight"`
+	P99      time.Duration             `json:"p99"`
+	Faults   []string                  `json:"faults,omitempty"`
+}
+
+// pointInterval is the width of a point of latency over time.
+const pointInterval = 500 * time.Millisecond
+
+// load is a running load.
+type load struct {
+	Options
+	d       *gwdeploy.Deployment
+	engine  *engine
+	classes []Class
+}
+
+// Run starts a deployment, sends load and returns what was measured.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	classes, err := Mix(o.Deployment, o.Rate)
+	if err != nil {
+		return nil, err
+	}
+	plan, err := gwdeploy.NewPlan(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	do := gwdeploy.Options{Plan: plan, Delay: o.Delay, Log: o.Log}
+	if o.Routing != "" {
+		do.Edit = func(m *gwmanifest.Manifest) { m.Routing = o.Routing }
+	} else {
+		o.Routing = gwmanifest.RoutingSession
+	}
+	d, err := gwdeploy.Start(ctx, do)
+	if err != nil {
+		return nil, err
+	}
+	defer d.Close()
+	profile, err := gwtrace.NewProfile(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	if err := ready(ctx, d); err != nil {
+		return nil, err
+	}
+	if err := gwtrace.Setup(ctx, d, profile.Setup); err != nil {
+		return nil, err
+	}
+	if err := ready(ctx, d); err != nil {
+		return nil, err
+	}
+	l := &load{Options: o, d: d, classes: classes}
+	return l.run(ctx), ctx.Err()
+}
+
+func (l *load) run(ctx context.Context) *Report {
+	pools := len(l.classes) * len(l.d.Groups()) * len(l.d.Instances())
+	l.engine = newEngine(l.d, newRecorder(pointInterval), l.d.Groups(), l.Connections/pools)
+	l.engine.ramp = l.Ramp
+	before := l.traffic()
+	replica, primary := gwtrace.Reads(l.d)
+	sending, stop := context.WithTimeout(ctx, l.Duration)
+	defer stop()
+	for i, c := range l.classes {
+		l.engine.wg.Go(func() { l.engine.run(sending, c, rand.New(rand.NewPCG(l.Seed, uint64(i)))) })
+	}
+	l.engine.wg.Go(func() { l.applyFaults(sending) })
+	l.watch(sending)
+	l.engine.wait()
+	after := l.traffic()
+	r := l.report()
+	r.Replica, r.Primary = gwtrace.Reads(l.d)
+	r.Replica, r.Primary = r.Replica-min(replica, r.Replica), r.Primary-min(primary, r.Primary)
+	for i := range after {
+		after[i].Bytes -= before[i].Bytes
+	}
+	r.Traffic = after
+	return r
+}
+
+func (l *load) applyFaults(ctx context.Context) {
+	injector := gwtrace.NewInjector(l.d)
+	for _, f := range l.Faults {
+		t := time.NewTimer(f.At.Duration - l.engine.now())
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		m := FaultMark{At: l.engine.now(), Fault: f.Fault, Group: f.Group}
+		if err := injector.Apply(ctx, f); err != nil {
+			m.Error = err.Error()
+		}
+		l.engine.rec.mark(m)
+	}
+}
+
+// watch reports progress until the context ends.
+func (l *load) watch(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if l.Progress != nil {
+				p := l.engine.rec.progress()
+				p.At, p.InFlight = l.engine.now(), l.engine.inFlight.Load()
+				l.Progress(p)
+			}
+		}
+	}
+}
+
+// traffic returns the bytes between all ordered pairs of regions.
+func (l *load) traffic() []Traffic {
+	var out []Traffic
+	for _, a := range l.d.Plan.Manifest.Regions {
+		for _, b := range l.d.Plan.Manifest.Regions {
+			if a.Name != b.Name {
+				out = append(out, Traffic{From: a.Name, To: b.Name, Bytes: l.d.Network.Bytes(a.Name, b.Name)})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gwload/text.go
@@ -0,0 +1,135 @@
+package gwload
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"gentianward.example/gentianward/internal/gwtrace"
+)
+
+// Summary compares runs by their main figures.
+type Summary struct {
+	Run          string                   `json:"run"`
+	Deployment   string                   `json:"deployment"`
+	Routing      string                   `json:"routing"`
+	ReplicaShare float64                  `json:"replicaShare"`
+	P99          map[string]time.Duration `json:"p99"`
+	RegionBytes  int64                    `json:"regionBytes"`
+	MaxGap       time.Duration            `json:"maxGap"`
+	Violations   int64                    `json:"violations"`
+	Done         int64                    `json:"done"`
+	NotRun       int64                    `json:"notRun"`
+	Unknown      int64                    `json:"unknown"`
+	Failed       int64                    `json:"failed"`
+	Dropped      int64                    `json:"dropped"`
+}
+
+// Summarize returns the main figures of a run.
+func (r *Report) Summarize(name string) Summary {
+	s := Summary{
+		Run: name, Deployment: r.Deployment, Routing: r.Routing, ReplicaShare: r.ReplicaShare(),
+		P99: make(map[string]time.Duration), RegionBytes: r.Bytes(), MaxGap: r.MaxGap(), Violations: r.Violations(),
+	}
+	for _, c := range r.Classes {
+		s.P99[c.Class] = c.P99
+		s.Done += c.Outcomes[gwtrace.Done]
+		s.NotRun += c.Outcomes[gwtrace.NotRun]
+		s.Unknown += c.Outcomes[gwtrace.Unknown]
+		s.Failed += c.Outcomes[gwtrace.Failed]
+		s.Dropped += c.Dropped
+	}
+	return s
+}
+
+// figure is one line of a comparison.
+type figure struct {
+	name  string
+	value func(*Report) string
+	// number is compared between two runs; nil for text.
+	number func(*Report) float64
+}
+
+func count(name string, f func(Summary) int64) figure {
+	return figure{
+		name:   name,
+		value:  func(r *Report) string { return fmt.Sprint(f(r.Summarize(""))) },
+		number: func(r *Report) float64 { return float64(f(r.Summarize(""))) },
+	}
+}
+
+func figures(first *Report) []figure {
+	out := []figure{
+		{name: "deployment", value: func(r *Report) string { return r.Deployment }},
+		{name: "routing", value: func(r *Report) string { return r.Routing }},
+		{name: "rate /s", value: func(r *Report) string { return fmt.Sprintf("%g for %s", r.Rate, r.Duration) }},
+		{name: "replica share", value: func(r *Report) string { return fmt.Sprintf("%.3f", r.ReplicaShare()) }, number: (*Report).ReplicaShare},
+		{name: "bytes between regions", value: func(r *Report) string { return fmt.Sprint(r.Bytes()) }, number: func(r *Report) float64 { return float64(r.Bytes()) }},
+		{name: "longest gap", value: func(r *Report) string { return r.MaxGap().Round(time.Millisecond).String() }, number: func(r *Report) float64 { return float64(r.MaxGap()) }},
+		count("violations", func(s Summary) int64 { return s.Violations }),
+		count("done", func(s Summary) int64 { return s.Done }),
+		count("not run", func(s Summary) int64 { return s.NotRun }),
+		count("unknown", func(s Summary) int64 { return s.Unknown }),
+		count("failed", func(s Summary) int64 { return s.Failed }),
+		count("dropped", func(s Summary) int64 { return s.Dropped }),
+	}
+	for _, c := range first.Classes {
+		for _, q := range []struct {
+			name string
+			of   func(ClassReport) time.Duration
+		}{
+			{"p50", func(c ClassReport) time.Duration { return c.P50 }},
+			{"p99", func(c ClassReport) time.Duration { return c.P99 }},
+			{"max", func(c ClassReport) time.Duration { return c.Max }},
+		} {
+			of := func(r *Report) time.Duration { return q.of(r.class(c.Class)) }
+			out = append(out, figure{
+				name:   c.Class + " " + q.name,
+				value:  func(r *Report) string { return of(r).Round(10 * time.Microsecond).String() },
+				number: func(r *Report) float64 { return float64(of(r)) },
+			})
+		}
+	}
+	return out
+}
+
+func (r *Report) class(name string) ClassReport {
+	for _, c := range r.Classes {
+		if c.Class == name {
+			return c
+		}
+	}
+	return ClassReport{}
+}
+
+// PrintText prints runs side by side, and for two runs the ratio of the second
+// to the first.
+func PrintText(w io.Writer, names []string, runs []*Report) {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprint(t, "run")
+	for _, n := range names {
+		fmt.Fprint(t, "\t", n)
+	}
+	if len(runs) == 2 {
+		fmt.Fprint(t, "\tratio")
+	}
+	fmt.Fprintln(t)
+	for _, f := range figures(runs[0]) {
+		fmt.Fprint(t, f.name)
+		for _, r := range runs {
+			fmt.Fprint(t, "\t", f.value(r))
+		}
+		if len(runs) == 2 && f.number != nil && f.number(runs[0]) != 0 {
+			fmt.Fprintf(t, "\t%.2f", f.number(runs[1])/f.number(runs[0]))
+		}
+		fmt.Fprintln(t)
+	}
+	for i, r := range runs {
+		for _, g := range r.Gaps {
+			fmt.Fprintf(t, "%s\t%s at %s\t%s\t%s open=%v\n", cmp.Or(names[i], "gap"), g.Fault, g.At.Round(time.Millisecond), g.Group, g.Gap.Round(time.Millisecond), g.Open)
+		}
+	}
+	_ = t.Flush()
+}
