--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&replayCmd{}, "")
 	subcommands.Register(&gapsCmd{}, "")
 	subcommands.Register(&loadCmd{}, "")
+	subcommands.Register(&reportCmd{}, "")
 	subcommands.Register(&versionCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/internal/gwload/engine.go
+++ b/internal/gwload/engine.go
@@ -166,7 +166,7 @@
 		err = errNoConnection
 	}
 	e.rec.add(sample{
-		class: r.class.Name, group: r.group, write: r.write, due: r.due, end: e.now(),
+		class: r.class.Name, group: r.group, instance: nodes[at].Settings.Instance, write: r.write, due: r.due, end: e.now(),
 		outcome: gwtrace.Classify(err), violation: violation,
 	})
 }
--- a/internal/gwload/recorder.go
+++ b/internal/gwload/recorder.go
@@ -1,6 +1,7 @@
 package gwload
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 // sample is one finished request.
 type sample struct {
 	class, group string
+	instance     string
 	write        bool
 	due, end     time.Duration
 	outcome      gwtrace.Outcome
@@ -34,6 +36,7 @@
 	classes map[string]*classRecord
 	acks    map[string][]time.Duration // acknowledged writes by group
 	marks   []FaultMark
+	slowest []Slow // in descending order of latency
 }
 
 type classRecord struct {
@@ -96,6 +99,20 @@
 	us := min(max((s.end-s.due).Microseconds(), minLatency), maxLatency)
 	_ = c.total.RecordValue(us)
 	_ = p.hist.RecordValue(us)
+	r.keepSlowest(s)
+}
+
+// keptSlowest is the number of slowest requests in a run file.
+const keptSlowest = 20
+
+func (r *recorder) keepSlowest(s sample) {
+	slow := Slow{Class: s.class, Group: s.group, Instance: s.instance, Write: s.write, Due: s.due, Latency: s.end - s.due}
+	i, _ := slices.BinarySearchFunc(r.slowest, slow, func(a, b Slow) int { return cmp.Compare(b.Latency, a.Latency) })
+	if i >= keptSlowest {
+		return
+	}
+	r.slowest = slices.Insert(r.slowest, i, slow)
+	r.slowest = r.slowest[:min(len(r.slowest), keptSlowest)]
 }
 
 // ackedAfter returns the number of acknowledged writes of a group after a time.
--- a/internal/gwload/report.go
+++ b/internal/gwload/report.go
@@ -38,6 +38,18 @@
 	Replica uint64    `json:"replicaReads"`
 	Primary uint64    `json:"primaryReads"`
 	Traffic []Traffic `json:"traffic"`
+	// Slowest lists the slowest requests that were done.
+	Slowest []Slow `json:"slowest"`
+}
+
+// Slow is one of the slowest requests.
+type Slow struct {
+	Class    string        `json:"class"`
+	Group    string        `json:"group"`
+	Instance string        `json:"instance"`
+	Write    bool          `json:"write,omitempty"`
+	Due      time.Duration `json:"due"`
+	Latency  time.Duration `json:"latency"`
 }
 
 // ClassReport sums up the requests of one class.
@@ -129,7 +141,7 @@
 	rec := l.engine.rec
 	r := &Report{
 		Format: RunFormat, Version: RunVersion, Deployment: l.Deployment, Routing: l.Routing, Delay: l.Delay,
-		Rate: l.Rate, Connections: l.Connections, Seed: l.Seed, Duration: l.Duration, Ramp: l.Ramp, Faults: rec.marks,
+		Rate: l.Rate, Connections: l.Connections, Seed: l.Seed, Duration: l.Duration, Ramp: l.Ramp, Faults: rec.marks, Slowest: rec.slowest,
 	}
 	for _, name := range slices.Sorted(maps.Keys(rec.classes)) {
 		r.Classes = append(r.Classes, rec.classes[name].report(name))
