--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -22,6 +22,7 @@
 	"gentianward.example/gentianward/internal/gwstore"
 	"gentianward.example/gentianward/internal/gwwire"
 	"gentianward.example/gentianward/pkg/gwmember"
+	"gentianward.example/gentianward/pkg/gwquorum"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -47,8 +48,10 @@
 	FS gwstore.FS
 	// DialBackend opens connections to backend servers; nil for the default.
 	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
-	// Events receives a line for each event worth telling a person; may be nil.
-	Telemetry Telemetry
+	Telemetry   Telemetry
+	// Drain is called when an operator asks this instance to stop gracefully;
+	// nil refuses such requests.
+	Drain func()
 }
 
 // Telemetry receives the measurements of an instance.
@@ -278,6 +281,9 @@
 // Members returns the live instances that this one can reach.
 func (i *Instance) Members() []gwmember.Member { return i.members.Topology().Live }
 
+// MemberState returns the status of an instance as this one sees it.
+func (i *Instance) MemberState(instance string) gwmember.Status { return i.members.State(instance) }
+
 // Leading reports whether this instance leads the replicated log.
 func (i *Instance) Leading() bool { return i.consensus != nil && i.consensus.Leading() }
 
@@ -292,6 +298,14 @@
 	return out
 }
 
+// DrainLimit returns how long a graceful stop may take.
+func (i *Instance) DrainLimit() time.Duration {
+	if m := i.firstManifest(); m != nil {
+		return m.Manifest().Limits.Drain.Duration
+	}
+	return gwmanifest.DefaultDrain
+}
+
 // Block drops all packets to and from the links of another instance.
 func (i *Instance) Block(peerAddress string, blocked bool) { i.node.Block(peerAddress, blocked) }
 
@@ -316,10 +330,19 @@
 	err := i.wire.Drain(ctx)
 	i.owner.Release(ctx)
 	i.keeper.Stop(ctx)
+	select {
+	case <-ctx.Done():
+	case <-i.Clock.After(linger):
+	}
 	i.shut()
 	return err
 }
 
+// linger is the time between the last answer and the end of the links: three
+// gossip intervals, so that the answer arrives and every peer hears that the
+// instance has left instead of declaring it dead.
+const linger = 3 * gwmember.DefaultGossipInterval
+
 // Kill ends the instance at once, as a crash would: nothing is announced,
 // returned or finished.
 func (i *Instance) Kill() {
@@ -341,3 +364,14 @@
 
 // KnownServers returns how many backend servers of a group have announced themselves.
 func (i *Instance) KnownServers(group string) int { return len(i.directory.Group(group)) }
+
+// VoterStatus returns the state of this instance's voter, false if it is none.
+func (i *Instance) VoterStatus() (gwquorum.Status, bool) {
+	if i.consensus == nil {
+		return gwquorum.Status{}, false
+	}
+	return i.consensus.Status(), true
+}
+
+// OwnedServers returns the names of the backend servers that this instance owns.
+func (i *Instance) OwnedServers() []string { return i.owner.Names() }
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -41,15 +41,19 @@
 // Exec runs one request and writes its answer to out.
 func (s *Session) Exec(ctx context.Context, req *Request, out io.Writer) Result {
 	now := s.owner.clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
-	defer cancel()
+	if end, ok := ctx.Deadline(); !ok || end.After(now.Add(req.Timeout+answerGrace)) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, req.Timeout)
+		defer cancel()
+	}
 	if s.open != nil {
 		return s.continueTransaction(ctx, req, out)
 	}
-	srv := s.owner.server(req.Server)
+	srv := s.owner.begin(req.Server)
 	if srv == nil {
 		return failed(gwoutcome.NotOwner, "this instance does not own backend server "+req.Server)
 	}
+	defer srv.active.Done()
 	var r Result
 	if req.Access == Write {
 		r = s.write(ctx, srv, req, now.Add(req.Timeout), out)
--- a/internal/gwpeer/link.go
+++ b/internal/gwpeer/link.go
@@ -14,13 +14,14 @@
 
 // Codes with which a connection is closed.
 const (
-	codeClosing    quic.ApplicationErrorCode = 0
-	codeVersion    quic.ApplicationErrorCode = 1
-	codeName       quic.ApplicationErrorCode = 2
-	codeProtocol   quic.ApplicationErrorCode = 3
-	codeUntrusted  quic.ApplicationErrorCode = 4
-	codeSuperseded quic.ApplicationErrorCode = 5
-	codeUnused     quic.ApplicationErrorCode = 6
+	codeClosing      quic.ApplicationErrorCode = 0
+	codeVersion      quic.ApplicationErrorCode = 1
+	codeName         quic.ApplicationErrorCode = 2
+	codeProtocol     quic.ApplicationErrorCode = 3
+	codeUntrusted    quic.ApplicationErrorCode = 4
+	codeSuperseded   quic.ApplicationErrorCode = 5
+	codeUnused       quic.ApplicationErrorCode = 6
+	codeDisconnected quic.ApplicationErrorCode = 7
 )
 
 // Codes with which one stream is reset.
@@ -45,6 +46,9 @@
 	dialed   bool // by this node
 	started  time.Time
 	cert     *x509.Certificate
+	operator bool // the peer is an operator
+
+	datagrams chan []byte // to send
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -55,16 +59,18 @@
 
 func (n *Node) newLink(qc *quic.Conn, h hello, dialed bool) *link {
 	l := &link{
-		node:     n,
-		conn:     qc,
-		remote:   addrPort(qc.RemoteAddr()),
-		instance: h.Instance,
-		epoch:    h.Epoch,
-		version:  h.Version,
-		dialed:   dialed,
-		started:  time.Now(),
-		cert:     qc.ConnectionState().TLS.PeerCertificates[0],
-	}
+		node:      n,
+		conn:      qc,
+		remote:    addrPort(qc.RemoteAddr()),
+		instance:  h.Instance,
+		epoch:     h.Epoch,
+		version:   h.Version,
+		dialed:    dialed,
+		started:   time.Now(),
+		datagrams: make(chan []byte, maxQueued),
+		cert:      qc.ConnectionState().TLS.PeerCertificates[0],
+	}
+	l.operator = isOperator(l.cert)
 	l.ctx, l.cancel = context.WithCancel(qc.Context())
 	l.touch()
 	return l
@@ -89,13 +95,17 @@
 		return
 	}
 	n.links[l] = struct{}{}
-	n.wg.Add(2)
+	n.wg.Add(3)
 	n.mu.Unlock()
 	n.log.Info("peer link up", "peer", l.instance, "address", l.remote.String(), "dialed", l.dialed)
 	go func() {
 		defer n.wg.Done()
 		l.receiveDatagrams()
 	}()
+	go func() {
+		defer n.wg.Done()
+		l.sendDatagrams()
+	}()
 	go func() {
 		defer n.wg.Done()
 		l.acceptStreams()
@@ -155,7 +165,7 @@
 		return
 	}
 	fn, ok := find(&l.node.handlers, l.node.handlers.streams, h.kind)
-	if !ok {
+	if !ok || l.allows(h.kind) != nil {
 		s.reset(codeRefused)
 		return
 	}
--- a/pkg/gwquorum/scenario_test.go
+++ b/pkg/gwquorum/scenario_test.go
@@ -1,6 +1,7 @@
 package gwquorum_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -139,6 +140,13 @@
 	c.cut[away] = true
 	c.run(10 * time.Second)
 	assert.Equal(t, before.Term, c.members[away].node.Status().Term)
+	// It returns at the moment when it asks for pre-votes.
+	asks := func(m gwquorum.Message) bool { return m.From == away && m.Kind == gwquorum.MessagePreVote }
+	for !slices.ContainsFunc(c.network, asks) {
+		c.deliver()
+		c.tick()
+	}
+	c.network = slices.DeleteFunc(c.network, func(m gwquorum.Message) bool { return !asks(m) })
 	clear(c.cut)
 	c.run(time.Second)
 	after := c.leader().node.Status()
@@ -261,6 +269,19 @@
 	require.NoError(t, c.err)
 }
 
+// Guards against a transfer to a voter that lacks entries and so loses the election.
+func TestTransferWaitsForLog(t *testing.T) {
+	c := elected(t, 11, three)
+	target := c.followers()[0]
+	require.NoError(t, c.propose(c.leader().id))
+	c.network = slices.DeleteFunc(c.network, func(m gwquorum.Message) bool { return m.To == target })
+	require.NoError(t, c.leader().node.TransferLeadership(target))
+	c.work(c.leader().id)
+	c.run(200 * time.Millisecond)
+	assert.Equal(t, target, c.leader().id)
+	require.NoError(t, c.err)
+}
+
 // Guards against a returning member that needs many transfers: a member that
 // missed hundreds of entries gets one snapshot and the entries after it.
 func TestSnapshotCatchesUp(t *testing.T) {
