--- a/cmd/gentianward/main.go
+++ b/cmd/gentianward/main.go
@@ -21,6 +21,8 @@
 	subcommands.Register(&traceCmd{}, "")
 	subcommands.Register(&replayCmd{}, "")
 	subcommands.Register(&gapsCmd{}, "")
+	subcommands.Register(&loadCmd{}, "")
+	subcommands.Register(&reportCmd{}, "")
 	subcommands.Register(&versionCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
