--- a/cmd/gentianward/keys.go
+++ b/cmd/gentianward/keys.go
@@ -42,13 +42,13 @@
 
 // keysArgs are the arguments of one action, flags and names in any order.
 type keysArgs struct {
-	names  []string
-	ips    []net.IP
-	name   string
-	renew  bool
+	names []string
+	ips   []net.IP
+	name  string
+	renew bool
 	// operator asks for the certificate of an operator, not of an instance.
 	operator bool
-	finish bool
+	finish   bool
 }
 
 func parseKeysArgs(action string, args []string) (keysArgs, error) {
--- /dev/null
+++ b/cmd/gentianward/operator.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/tailscale/hujson"
+
+	"gentianward.example/gentianward/internal/gwdaemon"
+	"gentianward.example/gentianward/internal/gwpeer"
+)
+
+// exitUnreachable is the exit code when no answer came in time.
+const exitUnreachable subcommands.ExitStatus = 3
+
+// operatorUsage describes what all commands of operators share.
+const operatorUsage = `
+  -to, -ca, -cert and -key name the instance's peer address and the PEM files of
+  the CA and of the operator's certificate ("gentianward keys issue -operator").
+  -operator FILE reads them from JSON with comments: {"to": "ip:port", "ca": ...,
+  "certificate": ..., "key": ...}, with paths relative to the file; flags win.
+
+  Exit codes: 0 done; 1 refused; 2 wrong usage, or a file cannot be read;
+  3 unreachable or timed out.
+
+`
+
+// operatorFlags connect a command to an instance.
+type operatorFlags struct {
+	to, ca, cert, key, file string
+	timeout                 time.Duration
+	json                    bool
+	out                     io.Writer // standard output when nil
+}
+
+// operatorFile is the content of -operator.
+type operatorFile struct {
+	To          string `json:"to"`
+	CA          string `json:"ca"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+func (o *operatorFlags) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&o.to, "to", "", "peer address of any instance, ip:port")
+	f.StringVar(&o.ca, "ca", "", "PEM file of the trusted CAs")
+	f.StringVar(&o.cert, "cert", "", "PEM file of the operator's certificate")
+	f.StringVar(&o.key, "key", "", "PEM file of the operator's key")
+	f.StringVar(&o.file, "operator", "", "file with the values of -to, -ca, -cert and -key")
+	f.DurationVar(&o.timeout, "timeout", 10*time.Second, "limit for the answer")
+	f.BoolVar(&o.json, "json", false, "print JSON")
+}
+
+// complete fills in what the flags left out from the -operator file.
+func (o *operatorFlags) complete() error {
+	if o.out == nil {
+		o.out = os.Stdout
+	}
+	if o.file != "" {
+		text, err := os.ReadFile(o.file)
+		if err != nil {
+			return err
+		}
+		if text, err = hujson.Standardize(text); err != nil {
+			return fmt.Errorf("%s: %w", o.file, err)
+		}
+		var f operatorFile
+		dec := json.NewDecoder(bytes.NewReader(text))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&f); err != nil {
+			return fmt.Errorf("%s: %w; accepted fields: to, ca, certificate, key", o.file, err)
+		}
+		o.to = orElse(o.to, f.To)
+		o.ca = orElse(o.ca, o.beside(f.CA))
+		o.cert = orElse(o.cert, o.beside(f.Certificate))
+		o.key = orElse(o.key, o.beside(f.Key))
+	}
+	for _, f := range []struct{ flag, value string }{{"-to", o.to}, {"-ca", o.ca}, {"-cert", o.cert}, {"-key", o.key}} {
+		if f.value == "" {
+			return fmt.Errorf("%s is required, here or in the file of -operator", f.flag)
+		}
+	}
+	return nil
+}
+
+func (o *operatorFlags) beside(path string) string {
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(filepath.Dir(o.file), path)
+}
+
+func orElse(s, other string) string {
+	if s != "" {
+		return s
+	}
+	return other
+}
+
+// connect opens the operator's end of a link.
+func (o *operatorFlags) connect(ctx context.Context) (*gwpeer.Node, error) {
+	to, err := netip.ParseAddrPort(o.to)
+	if err != nil {
+		return nil, fmt.Errorf("-to: %q is not of the form ip:port", o.to)
+	}
+	source, err := gwpeer.NewFileSource(o.ca, o.cert, o.key)
+	if err != nil {
+		return nil, err
+	}
+	local := netip.AddrPortFrom(netip.IPv4Unspecified(), 0)
+	switch {
+	case to.Addr().IsLoopback():
+		local = netip.AddrPortFrom(to.Addr(), 0)
+	case to.Addr().Is6():
+		local = netip.AddrPortFrom(netip.IPv6Unspecified(), 0)
+	}
+	name := source.Identity().Certificate.Leaf.Subject.CommonName
+	return gwpeer.Listen(ctx, gwpeer.Options{Address: local.String(), TLS: source, Instance: name})
+}
+
+// session is a command's connection to its instance.
+type operatorSession struct {
+	*operatorFlags
+	node *gwpeer.Node
+}
+
+// run connects, runs a command and turns its error into an exit code.
+func (o *operatorFlags) run(ctx context.Context, command subcommands.Command, f func(ctx context.Context, s operatorSession) error) subcommands.ExitStatus {
+	err := o.complete()
+	var node *gwpeer.Node
+	if err == nil {
+		node, err = o.connect(ctx)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", command.Name(), err)
+		return subcommands.ExitUsageError
+	}
+	defer func() { _ = node.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	if err := f(ctx, operatorSession{o, node}); err != nil {
+		return o.report(command.Name(), err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// failure is an error with the code that scripts compare.
+type failure struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func (f *failure) Error() string { return f.Code + ": " + f.Message }
+
+// asFailure tells a refusal from a missing answer.
+func asFailure(err error) *failure {
+	var f *failure
+	if errors.As(err, &f) {
+		return f
+	}
+	var p *gwpeer.Error
+	if errors.As(err, &p) && (p.Code == gwdaemon.CodeRefused || p.Code == gwpeer.CodeForbidden) {
+		return &failure{Code: p.Code, Message: p.Err.Error()}
+	}
+	return &failure{Code: gwdaemon.CodeUnavailable, Message: err.Error()}
+}
+
+func (o *operatorFlags) report(command string, err error) subcommands.ExitStatus {
+	f := asFailure(err)
+	if o.json {
+		_ = o.printJSON(map[string]*failure{"error": f})
+	} else {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", command, f)
+	}
+	if f.Code == gwdaemon.CodeUnavailable {
+		return exitUnreachable
+	}
+	return subcommands.ExitFailure
+}
+
+func (o *operatorFlags) printJSON(v any) error {
+	enc := json.NewEncoder(o.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// print writes v as JSON or with text.
+func (o *operatorFlags) print(v any, text func(w io.Writer)) error {
+	if o.json {
+		return o.printJSON(v)
+	}
+	text(o.out)
+	return nil
+}
+
+// list joins names for a person.
+func list(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/gwdaemon/operator.go
+++ b/internal/gwdaemon/operator.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"gentianward.example/gentianward/internal/gwcontrol"
-	"gentianward.example/gentianward/internal/gwpeer"
 )
 
 // Bounds and times of the HTTP interface.
@@ -18,13 +17,6 @@
 	maxAnnounceBody = 64 << 10
 )
 
-// Kinds of calls that operators make over the links, with a certificate.
-var (
-	KindOperatorPublish = gwpeer.Kind{ID: 64, Name: "operatorPublish"}
-	KindOperatorStatus  = gwpeer.Kind{ID: 65, Name: "operatorStatus"}
-	KindOperatorHistory = gwpeer.Kind{ID: 66, Name: "operatorHistory"}
-)
-
 // Status describes one instance for operators.
 type Status struct {
 	Instance       string        `cbor:"1,keyasint" json:"instance"`
@@ -52,6 +44,7 @@
 func (i *Instance) Status() Status {
 	v := i.views.Current()
 	s := Status{
+		Members: []string{}, Groups: []GroupStatus{}, Servers: []string{},
 		Instance: i.Settings.Instance, DataCentre: i.Settings.DataCentre, ManifestNumber: v.Number, ControlIndex: v.Index,
 		Leader: i.client.Leader(), Voter: i.consensus != nil, Ready: i.Ready(), Leases: i.Leases(),
 	}
@@ -75,23 +68,12 @@
 	}
 	slices.Sort(s.Servers)
 	slices.Sort(s.Leases)
+	if s.Leases == nil {
+		s.Leases = []string{}
+	}
 	return s
 }
 
-// serveOperators registers the calls of operators at the links.
-func (i *Instance) serveOperators() {
-	gwpeer.Handle(i.node, KindOperatorPublish, func(ctx context.Context, from string, r gwcontrol.PublishRequest) (gwcontrol.PublishResult, error) {
-		i.Log.Info("manifest received from an operator", "operator", from, "bytes", len(r.Text))
-		return i.client.Publish(ctx, r.Text)
-	})
-	gwpeer.Handle(i.node, KindOperatorStatus, func(context.Context, string, gwcontrol.Empty) (Status, error) {
-		return i.Status(), nil
-	})
-	gwpeer.Handle(i.node, KindOperatorHistory, func(ctx context.Context, _ string, _ gwcontrol.Empty) ([]gwcontrol.HistoryEntry, error) {
-		return i.client.History(ctx)
-	})
-}
-
 func (i *Instance) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/announce", i.announceHTTP)
--- a/internal/gwpeer/call.go
+++ b/internal/gwpeer/call.go
@@ -88,7 +88,7 @@
 	case frameError:
 		return &Error{Op: op, Kind: KindRemote, Address: address, Code: we.Code, Err: errors.New(we.Message)}
 	case frameRefused:
-		return newError(op, KindNotSent, address, errors.New(we.Message))
+		return &Error{Op: op, Kind: KindNotSent, Address: address, Code: we.Code, Err: errors.New(we.Message)}
 	default:
 		return newError(op, KindUnknown, address, errors.Newf("response of type %d is not known", typ))
 	}
@@ -135,7 +135,7 @@
 		return l.respond(s, frameRefused, wireError{Message: Kind{ID: kind}.String() + " has no handler"})
 	}
 	if err := l.allows(kind); err != nil {
-		return l.respond(s, frameRefused, wireError{Message: err.Error()})
+		return l.respond(s, frameRefused, wireError{Code: CodeForbidden, Message: err.Error()})
 	}
 	ctx, cancel := withMicros(ctx, micros)
 	defer cancel()
--- a/internal/gwpeer/role.go
+++ b/internal/gwpeer/role.go
@@ -11,6 +11,10 @@
 // Certificates of instances have none.
 const operatorUnit = "operator"
 
+// CodeForbidden is the code of the error of a call that the caller's
+// certificate does not permit.
+const CodeForbidden = "forbidden"
+
 // isOperator reports whether a certificate is that of an operator.
 func isOperator(cert *x509.Certificate) bool {
 	return slices.Contains(cert.Subject.OrganizationalUnit, operatorUnit)
