--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -20,8 +20,8 @@
 // voterInfo is what a voter tells about itself.
 type voterInfo struct {
 	ID string `cbor:"1,keyasint"`
-	// Initialised means that the voter knows a replicated log.
-	Initialised bool `cbor:"2,keyasint"`
+	// Initialized means that the voter knows a replicated log.
+	Initialized bool `cbor:"2,keyasint"`
 }
 
 // identityFile holds the identity of a voter in its data folder.
@@ -107,7 +107,7 @@
 			info, err := askVoter(ctx, o.Node, address)
 			switch {
 			case err != nil:
-			case info.Initialised:
+			case info.Initialized:
 				return false, nil
 			default:
 				delete(waiting, name)
@@ -134,7 +134,7 @@
 func (c *Consensus) ServeIdentity(hasData bool) {
 	gwpeer.Handle(c.Node, kindVoter, func(context.Context, string, Empty) (voterInfo, error) {
 		st := c.Status()
-		return voterInfo{ID: st.ID, Initialised: hasData || st.Commit > 0}, nil
+		return voterInfo{ID: st.ID, Initialized: hasData || st.Commit > 0}, nil
 	})
 }
 
