gwmember: test stalls, broken paths and lone suspicions

Mutations of the stall check, the indirect probes, the wait of a lone suspicion and the answer to a dead sender passed all tests; each has a test now.

--- a/pkg/gwmember/members_test.go
+++ b/pkg/gwmember/members_test.go
@@ -1,6 +1,7 @@
 package gwmember
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -230,22 +231,65 @@
 	w := newNetwork(8, 10, 2)
 	w.startAll()
 	w.run(2 * time.Second)
-	stalled := w.nodes[3]
+	stalled := w.nodes[slices.IndexFunc(w.nodes, func(nd *node) bool { return nd.Relay() })]
 	stalled.up = false
-	w.run(20 * time.Second)
+	w.run(6 * time.Second) // longer than DefaultDataCentreTimeout
 	stalled.up = true
-	blamed := 0
-	w.changed = func(_ *node, a Action) {
-		c, ok := a.(MemberChanged)
-		if _, dc := a.(DataCentreChanged); dc || ok && c.Status == StatusDead {
-			blamed++
-		}
+	w.run(2 * DefaultTick)
+	assert.Empty(t, stalled.table.rows[stalled.self.Instance].unreachable)
+	for _, e := range stalled.watched {
+		assert.Equal(t, StatusAlive, e.status)
 	}
 	w.run(10 * time.Second)
-	assert.Zero(t, blamed)
 	assert.Equal(t, 9, w.agree(stalled.self.Instance, StatusAlive))
 }
 
+// Guards against one broken path between two members that counts as a failure of one of them.
+func TestIndirectProbes(t *testing.T) {
+	w := newNetwork(13, 20, 1)
+	w.startAll()
+	suspects := w.count(StatusSuspect)
+	watcher := w.nodes[4]
+	w.run(time.Second)
+	watched := watcher.watched[0].Instance
+	w.cut = func(a, b Member) bool {
+		return a.Instance == watcher.self.Instance && b.Instance == watched ||
+			b.Instance == watcher.self.Instance && a.Instance == watched
+	}
+	w.run(20 * time.Second)
+	assert.Zero(t, *suspects)
+}
+
+// Guards against an isolated member that declares others dead before its own suspicions had time to be shared.
+func TestLoneSuspicionWaits(t *testing.T) {
+	w := newNetwork(14, 20, 1)
+	w.startAll()
+	w.run(time.Second)
+	lone := w.nodes[4]
+	deaths := 0
+	w.changed = func(nd *node, a Action) {
+		if c, ok := a.(MemberChanged); ok && c.Status == StatusDead && nd == lone {
+			deaths++
+		}
+	}
+	w.cut = func(a, b Member) bool { return a.Instance == lone.self.Instance || b.Instance == lone.self.Instance }
+	w.run(2 * time.Second)
+	assert.Zero(t, deaths)
+}
+
+// Guards against a member that is believed dead and is never told.
+func TestDeadSenderIsTold(t *testing.T) {
+	now := time.Unix(1, 0)
+	dead := Update{Member: Member{Instance: "b", DataCentre: "x", Address: "2"}, Status: StatusDead}
+	m := New(Config{Self: Member{Instance: "a", DataCentre: "x", Address: "1"}})
+	m.Receive("c", Message{Kind: KindGossip, Updates: []Update{dead}}, now)
+	actions := m.Receive("b", Message{Kind: KindPing, Sequence: 7}, now)
+	require.Len(t, actions, 1)
+	ack := actions[0].(SendMessage).Message
+	assert.Equal(t, KindAck, ack.Kind)
+	assert.Contains(t, ack.Updates, dead)
+}
+
 // Guards against a new version that is not noticed everywhere, and against a flood of reports about it.
 func TestPeerAhead(t *testing.T) {
 	w := newNetwork(9, 60, 4)
