--- a/pkg/gwquorum/doc.go
+++ b/pkg/gwquorum/doc.go
@@ -13,9 +13,9 @@
 //	rd := n.Ready()
 //	store.Save(rd.HardState, rd.Entries, rd.Snapshot) // returns after the sync
 //	send(rd.Messages)                                 // only after the sync
-//	if rd.Restore { machine.Restore(rd.Snapshot.Data) }
+//	if rd.Restore { machine.Restore(rd.Snapshot.Data, now) }
 //	apply(rd.Committed)
-//	answer(rd.ReadStates)                             // once applied >= Index
+//	answer(rd.Reads)                                  // once applied >= Index
 //	n.Advance(rd)
 //
 // When Save fails, the driver sends nothing of that Ready and drops the node.
