gwfilter: try other servers when one is not fresh enough

A read that its server refused as too stale forgot its excluded servers, as if no server had been found, and so asked the same server again every 10 ms. The server is now excluded; all are asked again only when none is left.

--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -65,7 +65,7 @@
 // elsewhere excludes the server that failed. Once all have refused, they are
 // asked again after a pause, for as long as callers wait during a change.
 func (e *Entry) elsewhere(ctx context.Context, r *request, res gwowner.Result) bool {
-	if res.Event == noServer {
+	if res.Event == noServer && r.served.Name == "" {
 		r.need.Excluded = nil
 		return e.waitForChange(ctx, r)
 	}
