gwdaemon: forward cancel requests between instances

Cause: a cancel request that the balancer passed to another instance was lost. Change: cancel keys carry a 16-bit hash of the instance's name; a request with a foreign key goes to the live members with that prefix. A canceled read outside of a transaction is answered with 57014; it was 08007, although it had no effect. Conclusion: TestCancelThroughAnotherInstance cancels a long statement through two other instances.

--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -237,11 +237,12 @@
 	}
 	i.wire, err = gwwire.Serve(ctx, gwwire.Options{
 		Listener: callers, TLS: i.CallerTLS, Handler: i.entry, Lookup: i.entry.Lookup, TrustLoopback: s.TrustLoopback,
-		Logger: i.Log,
+		Logger: i.Log, Cancel: i, CancelPrefix: cancelPrefix(s.Instance),
 	})
 	if err != nil {
 		return err
 	}
+	i.serveCancels()
 	i.operator = &http.Server{Handler: i.routes(), ReadHeaderTimeout: httpTimeout}
 	i.wg.Go(func() {
 		if err := i.operator.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -27,6 +27,7 @@
 	stateUnsupported   = "0A000"
 	stateReadOnlyClass = "25006"
 	stateInvalidValue  = "22023"
+	stateCanceled      = "57014"
 )
 
 // Observation is one finished request.
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -129,14 +130,20 @@
 	"standard_conforming_strings": true, "client_min_messages": true, "timezone": true,
 }
 
-// finish runs the request through the filters and reports its end to the caller.
+// finish runs the request through the filters and reports its end to the
+// caller. A canceled read had no effect; the outcome of a canceled write stays
+// what the filters say.
 func (s *session) finish(ctx context.Context, r *request) {
 	res := s.entry.chain(ctx, r)
 	if res.Event == gwoutcome.Answered {
 		s.answered(r, res)
 		return
 	}
+	inTransaction := s.transaction != nil
 	s.dropTransaction()
+	if !inTransaction && r.read() && errors.Is(context.Cause(ctx), gwwire.ErrCanceled) {
+		res.State, res.Message = stateCanceled, "canceled by the caller"
+	}
 	r.w.Error(&pgconn.PgError{Severity: "ERROR", Code: res.State, Message: res.Message}, 'I')
 }
 
