gwowner: release each backend server once during a planned stop

Cause: go test -race ./cmd/gentianward -run TestServeAndOperate reported that Run's reconciliation and Release released servers at the same time, adding to the WaitGroup that Release waited on; a server could also be opened after Release had listed them. Change: release and open decide under the lock; the second release does nothing and nothing is opened once Release has begun.

--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -200,23 +200,37 @@
 	s.confirm = newConfirmer(o.clock, o.Await, func() []string { return o.replicas(f.Group, f.Server) })
 	s.applyLimits(o.views.Current())
 	o.mu.Lock()
-	o.servers[f.Server] = s
+	released := o.released
+	if !released {
+		o.servers[f.Server] = s
+	}
 	o.mu.Unlock()
+	if released { // since the caller looked
+		cancel()
+		_ = s.backend.Close(ctx)
+		return
+	}
 	o.log.Info("backend server owned", "server", f.Server, "group", f.Group, "address", f.Address)
 	go s.followView(ctx)
 }
 
 // release hands a server over to its new owner: nothing new is admitted, and
-// the connections are closed as their work ends.
+// the connections are closed as their work ends. Run and Release may both
+// release a server; the second call does nothing.
 func (o *Owner) release(s *server) {
 	o.mu.Lock()
+	if o.servers[s.facts.Server] != s {
+		o.mu.Unlock()
+		return
+	}
 	delete(o.servers, s.facts.Server)
 	o.draining[s] = true
+	// Under the lock, so that no Add is concurrent with Release's Wait.
+	o.closing.Add(1)
 	o.mu.Unlock()
 	s.admission.close()
 	s.cancel()
 	o.log.Info("backend server released", "server", s.facts.Server, "group", s.facts.Group)
-	o.closing.Add(1)
 	go func() {
 		defer o.closing.Done()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), o.drainLimit())
