gwdaemon: apply limits.messageBytes of the manifest

Cause: instances used gwwire's default of 16 MiB, whatever the manifest said. Change: each new view sets the limit, for open sessions too.

--- a/internal/gwdaemon/view.go
+++ b/internal/gwdaemon/view.go
@@ -12,6 +12,7 @@
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwstate"
 	"gentianward.example/gentianward/internal/gwstore"
+	"gentianward.example/gentianward/internal/gwwire"
 )
 
 // viewFile keeps the view of an instance with a data folder, so that a restart
@@ -82,7 +83,7 @@
 	return err
 }
 
-// followView saves each new view.
+// followView saves each new view and applies the manifest's limits.
 func (i *Instance) followView(ctx context.Context) {
 	for {
 		changed := i.views.Changed()
@@ -91,6 +92,10 @@
 				i.Log.Error("view not saved", "error", err)
 			}
 		}
+		if m := i.views.Current().Manifest; m != nil {
+			// The owner of a backend server bounds idle transactions itself.
+			i.wire.SetLimits(gwwire.Limits{MessageBytes: m.Manifest().Limits.MessageBytes})
+		}
 		select {
 		case <-ctx.Done():
 			return
