--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -63,6 +63,7 @@
 	nextRead  uint64
 	compacted uint64
 	ready     bool
+	readyTerm uint64
 	peers     map[string]*sender
 
 	mu     sync.RWMutex
@@ -167,7 +168,11 @@
 		case <-ticker.Chan():
 			c.node.Tick(c.Clock.Now())
 		}
-		if err := c.work(ctx); err != nil {
+		err := c.work(ctx)
+		if err == nil {
+			err = c.node.Status().Fault
+		}
+		if err != nil {
 			c.Log.Error("voter stopped taking part", "error", err)
 			return err
 		}
@@ -269,7 +274,8 @@
 
 func (c *Consensus) updateStatus() {
 	st := c.node.Status()
-	if st.LeaderReady && !c.ready {
+	if st.LeaderReady && st.Term != c.readyTerm {
+		c.readyTerm = st.Term
 		c.State.Clock().NewLeader(c.Clock.Now())
 		c.Log.Info("leading the replicated log", "term", st.Term)
 	}
