gwmember: make two tests see what they guard against

The checks of the stall and of the dead sender passed without the code under test: the view was repaired before it was read, and the death was still piggybacked.

--- a/pkg/gwmember/members_test.go
+++ b/pkg/gwmember/members_test.go
@@ -235,7 +235,7 @@
 	stalled.up = false
 	w.run(6 * time.Second) // longer than DefaultDataCentreTimeout
 	stalled.up = true
-	w.run(2 * DefaultTick)
+	w.run(DefaultTick) // the answers to its pings arrive after this
 	assert.Empty(t, stalled.table.rows[stalled.self.Instance].unreachable)
 	for _, e := range stalled.watched {
 		assert.Equal(t, StatusAlive, e.status)
@@ -283,6 +283,7 @@
 	dead := Update{Member: Member{Instance: "b", DataCentre: "x", Address: "2"}, Status: StatusDead}
 	m := New(Config{Self: Member{Instance: "a", DataCentre: "x", Address: "1"}})
 	m.Receive("c", Message{Kind: KindGossip, Updates: []Update{dead}}, now)
+	m.local = queue{} // the death is no longer piggybacked
 	actions := m.Receive("b", Message{Kind: KindPing, Sequence: 7}, now)
 	require.Len(t, actions, 1)
 	ack := actions[0].(SendMessage).Message
