--- a/internal/gwload/plot.go
+++ b/internal/gwload/plot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"image/color"
+	"math"
 	"path/filepath"
 	"time"
 
@@ -64,7 +65,7 @@
 	p.X.Label.Text, p.Y.Label.Text = "s", "ms"
 	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Legend.Top = true
-	top := 1.0
+	low, top := math.Inf(1), 1.0
 	for i, c := range r.Classes {
 		var xy plotter.XYs
 		for _, pt := range r.Points {
@@ -72,7 +73,7 @@
 				continue
 			}
 			y := max(ms(pt.P99), minPlotted)
-			top = max(top, y)
+			low, top = min(low, y), max(top, y)
 			xy = append(xy, plotter.XY{X: pt.At.Seconds(), Y: y})
 		}
 		if len(xy) == 0 {
@@ -86,7 +87,7 @@
 		p.Add(line)
 		p.Legend.Add(c.Class, line)
 	}
-	return p, addFaults(p, r, top)
+	return p, addFaults(p, r, low, top)
 }
 
 // minPlotted is the least latency in ms that a logarithmic axis shows.
@@ -94,10 +95,10 @@
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func addFaults(p *plot.Plot, r *Report, top float64) error {
+func addFaults(p *plot.Plot, r *Report, low, top float64) error {
 	for _, f := range r.Faults {
 		x := f.At.Seconds()
-		line, err := plotter.NewLine(plotter.XYs{{X: x, Y: minPlotted * 10}, {X: x, Y: top}})
+		line, err := plotter.NewLine(plotter.XYs{{X: x, Y: min(low, top)}, {X: x, Y: top}})
 		if err != nil {
 			return err
 		}
