--- a/internal/gwload/run.go
+++ b/internal/gwload/run.go
@@ -47,9 +47,11 @@
 // load is a running load.
 type load struct {
 	Options
-	d       *gwdeploy.Deployment
-	engine  *engine
-	classes []Class
+	d      *gwdeploy.Deployment
+	engine *engine
+	// injector is used by one goroutine while the load runs.
+	injector *gwtrace.Injector
+	classes  []Class
 }
 
 // Run starts a deployment, sends load and returns what was measured.
@@ -95,7 +97,8 @@
 	l.engine = newEngine(l.d, newRecorder(pointInterval), l.d.Groups(), l.Connections/pools)
 	l.engine.ramp = l.Ramp
 	before := l.traffic()
-	replica, primary := gwtrace.Reads(l.d)
+	l.injector = gwtrace.NewInjector(l.d)
+	replica, primary := l.injector.Reads()
 	sending, stop := context.WithTimeout(ctx, l.Duration)
 	defer stop()
 	for i, c := range l.classes {
@@ -106,8 +109,8 @@
 	l.engine.wait()
 	after := l.traffic()
 	r := l.report()
-	r.Replica, r.Primary = gwtrace.Reads(l.d)
-	r.Replica, r.Primary = r.Replica-min(replica, r.Replica), r.Primary-min(primary, r.Primary)
+	r.Replica, r.Primary = l.injector.Reads()
+	r.Replica, r.Primary = r.Replica-replica, r.Primary-primary
 	for i := range after {
 		after[i].Bytes -= before[i].Bytes
 	}
@@ -116,7 +119,6 @@
 }
 
 func (l *load) applyFaults(ctx context.Context) {
-	injector := gwtrace.NewInjector(l.d)
 	for _, f := range l.Faults {
 		t := time.NewTimer(f.At.Duration - l.engine.now())
 		select {
@@ -126,7 +128,7 @@
 		case <-t.C:
 		}
 		m := FaultMark{At: l.engine.now(), Fault: f.Fault, Group: f.Group}
-		if err := injector.Apply(ctx, f); err != nil {
+		if err := l.injector.Apply(ctx, f); err != nil {
 			m.Error = err.Error()
 		}
 		l.engine.rec.mark(m)
--- a/internal/gwtrace/content.go
+++ b/internal/gwtrace/content.go
@@ -177,16 +177,3 @@
 		r.history.addSlot(o)
 	}
 }
-
-// Reads returns how many reads replicas and primaries have answered.
-func Reads(d *gwdeploy.Deployment) (replica, primary uint64) {
-	for _, n := range d.Instances() {
-		if i := n.Instance(); i != nil {
-			if t, ok := i.Telemetry.(interface{ Reads() (uint64, uint64) }); ok {
-				r, p := t.Reads()
-				replica, primary = replica+r, primary+p
-			}
-		}
-	}
-	return replica, primary
-}
--- a/internal/gwtrace/fault.go
+++ b/internal/gwtrace/fault.go
@@ -33,6 +33,8 @@
 
 	servers map[string]string         // the failed server of each group
 	owners  map[string]*gwdeploy.Node // the failed owner of each group
+	// replica and primary are the reads counted by instances that have ended.
+	replica, primary uint64
 }
 
 // NewInjector returns an injector for a running deployment.
@@ -61,6 +63,7 @@
 	case FaultOwnerCrash:
 		if n := d.Owner(group); n != nil {
 			i.owners[group] = n
+			i.keepReads(n)
 			d.Kill(n)
 		}
 	case FaultOwnerRestart:
@@ -70,7 +73,9 @@
 	case FaultRegionsCut, FaultRegionsHeal:
 		d.CutRegions(f.Fault == FaultRegionsCut)
 	case FaultInstanceStop:
-		return d.Stop(ctx, d.Instances()[f.Instance%len(d.Instances())])
+		n := d.Instances()[f.Instance%len(d.Instances())]
+		i.keepReads(n)
+		return d.Stop(ctx, n)
 	case FaultInstanceStart:
 		return d.Restart(ctx, d.Instances()[f.Instance%len(d.Instances())])
 	case FaultPrimaryLeave:
@@ -80,3 +85,29 @@
 	}
 	return nil
 }
+
+// keepReads adds up the reads of an instance that is about to end.
+func (i *Injector) keepReads(n *gwdeploy.Node) {
+	replica, primary := nodeReads(n)
+	i.replica, i.primary = i.replica+replica, i.primary+primary
+}
+
+// Reads returns how many reads replicas and primaries have answered, also
+// through instances that have ended.
+func (i *Injector) Reads() (replica, primary uint64) {
+	replica, primary = i.replica, i.primary
+	for _, n := range i.Deployment.Instances() {
+		r, p := nodeReads(n)
+		replica, primary = replica+r, primary+p
+	}
+	return replica, primary
+}
+
+func nodeReads(n *gwdeploy.Node) (replica, primary uint64) {
+	if i := n.Instance(); i != nil {
+		if t, ok := i.Telemetry.(interface{ Reads() (uint64, uint64) }); ok {
+			return t.Reads()
+		}
+	}
+	return 0, 0
+}
--- a/internal/gwtrace/replay.go
+++ b/internal/gwtrace/replay.go
@@ -170,7 +170,7 @@
 		res.Attempts += e.Attempts
 		res.Outcomes[e.Outcome]++
 	}
-	res.Replica, res.Primary = Reads(r.d)
+	res.Replica, res.Primary = r.injector.Reads()
 	cctx, cancel := context.WithTimeout(ctx, convergeTimeout)
 	defer cancel()
 	converged := WaitConverged(cctx, r.d)
--- a/internal/gwtrace/replay_test.go
+++ b/internal/gwtrace/replay_test.go
@@ -11,18 +11,25 @@
 	"gentianward.example/gentianward/internal/gwdeploy"
 )
 
-// Guards against differences in short traces of both deployments, and against
-// a trace that changes when it is written and read.
-func TestReplayQuiet(t *testing.T) {
-	for _, deployment := range []string{gwdeploy.Ecodour, gwdeploy.Hanbit} {
-		t.Run(deployment, func(t *testing.T) {
-			tr, err := Generate(GenerateOptions{Deployment: deployment, Scenario: Quiet, Seed: 7, Duration: 2 * time.Second})
+// Guards against differences in short traces of both deployments, with and
+// without a lost primary, and against a trace that changes when it is written
+// and read.
+func TestReplay(t *testing.T) {
+	tests := []GenerateOptions{
+		{Deployment: gwdeploy.Ecodour, Scenario: Quiet, Seed: 7, Duration: time.Second},
+		{Deployment: gwdeploy.Hanbit, Scenario: Quiet, Seed: 7, Duration: time.Second},
+		{Deployment: gwdeploy.Ecodour, Scenario: PrimaryLost, Seed: 1, Duration: 2 * time.Second},
+		{Deployment: gwdeploy.Hanbit, Scenario: PrimaryLost, Seed: 1, Duration: 2 * time.Second},
+	}
+	for _, o := range tests {
+		t.Run(o.Deployment+"/"+o.Scenario, func(t *testing.T) {
+			tr, err := Generate(o)
 			require.NoError(t, err)
 			var text bytes.Buffer
 			require.NoError(t, tr.Write(&text))
 			read, err := Read(&text)
 			require.NoError(t, err)
-			res, err := Replay(context.Background(), read, ReplayOptions{Speed: 4, Delay: true})
+			res, err := Replay(context.Background(), read, ReplayOptions{Speed: 2, Delay: true})
 			require.NoError(t, err)
 			require.Equal(t, len(tr.Steps), res.Steps)
 			require.Empty(t, res.Differences)
