gwdeploy: measure processor time per read and the cost of an idle instance

Cause: CAPACITY.md lacks figures of the data path and of whole instances. Change: benchmarks of processor time per read and of idle deployments.

--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -134,7 +134,7 @@
 	s := i.Settings
 	self := gwmember.Member{
 		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Address: i.node.Address(),
-		OperatorAddress: s.OperatorAddress, Incarnation: uint64(i.Clock.Now().UnixNano()),
+		OperatorAddress: s.OperatorAddress, Incarnation: uint64(i.Clock.Now().UnixMilli()),
 	}
 	i.spreader = gwcontrol.NewSpreader(i.node, i.Clock, i.Log, i.views, i.directory)
 	i.members = gwcontrol.NewMembership(i.node, i.Clock, i.Log, gwmember.Config{Self: self, Seeds: s.Seeds}, i.spreader.Ahead)
--- a/internal/gwdeploy/bench_test.go
+++ b/internal/gwdeploy/bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -54,7 +56,10 @@
 	rate, median := map[string]float64{}, map[string]time.Duration{}
 	for _, p := range paths {
 		b.Run(p.name, func(b *testing.B) {
-			rate[p.name] = readRate(b, p.url, benchConnections)
+			before := cpuTime()
+			var reads float64
+			reads, rate[p.name] = readRate(b, p.url, benchConnections)
+			b.ReportMetric(float64((cpuTime()-before).Microseconds())/reads, "cpu-µs/read")
 			median[p.name] = medianLatency(b, p.url)
 			b.ReportMetric(rate[p.name], "reads/s")
 			b.ReportMetric(float64(median[p.name].Microseconds()), "median-µs")
@@ -88,7 +93,45 @@
 
 const benchQuery = "select note from visit where id = $1"
 
-func readRate(b *testing.B, url string, connections int) float64 {
+// cpuTime returns the processor time that this process has used: callers,
+// instances and stand-ins together.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// idleTime is how long an idle deployment is measured.
+const idleTime = 10 * time.Second
+
+// BenchmarkIdleDeployment measures what an instance spends on control without
+// any callers. The stand-ins share the process, so that the figures are upper
+// bounds.
+func BenchmarkIdleDeployment(b *testing.B) {
+	for _, delay := range []bool{false, true} {
+		b.Run(fmt.Sprintf("delay=%t", delay), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			d := startTest(b, Options{Delay: delay})
+			time.Sleep(time.Second)
+			cpu := cpuTime()
+			time.Sleep(idleTime)
+			cpu = cpuTime() - cpu
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			n := float64(len(d.Instances()))
+			b.ReportMetric(100*cpu.Seconds()/idleTime.Seconds()/n, "%core/instance")
+			b.ReportMetric(float64(after.HeapInuse-before.HeapInuse)/n/(1<<20), "MiB/instance")
+			b.ReportMetric(float64(runtime.NumGoroutine())/n, "goroutines/instance")
+		})
+	}
+}
+
+// readRate reads over a number of connections and returns how often and how fast.
+func readRate(b *testing.B, url string, connections int) (reads, rate float64) {
 	b.Helper()
 	conns := make([]*pgx.Conn, connections)
 	for i := range conns {
@@ -108,7 +151,8 @@
 		})
 	}
 	wg.Wait()
-	return float64(per*connections) / time.Since(started).Seconds()
+	reads = float64(per * connections)
+	return reads, reads / time.Since(started).Seconds()
 }
 
 func readOne(b *testing.B, c *pgx.Conn, i int) {
