gwowner: remove request keys after their expiry

Cause: the table of request keys grew without bound although the manifest states an expiry. Change: the owner of a primary removes old keys while it holds the lease. Measured: a test with an expiry of 2 s sees the table empty again. Conclusion: the documented expiry holds.

--- a/internal/gwdeploy/promise_test.go
+++ b/internal/gwdeploy/promise_test.go
@@ -14,6 +14,8 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwmanifest"
 )
 
 // Guards against a planned stop that cuts a request in flight or makes the
@@ -161,6 +163,25 @@
 	assertRows(t, second, "payment", 3)
 }
 
+// Guards against a table of request keys that grows without bound.
+func TestRequestKeysExpire(t *testing.T) {
+	d := startTest(t, Options{Edit: func(m *gwmanifest.Manifest) {
+		m.Limits.RequestKeyExpiry = gwmanifest.NewDuration(2 * time.Second)
+	}})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c := connect(t, d, 0, "adviser", d.Groups()[0])
+	_, err := c.Exec(ctx, "create table payment (id int)")
+	require.NoError(t, err)
+	_, err = c.Exec(ctx, "/* requestKey=pay-1 */ insert into payment (id) values (1)")
+	require.NoError(t, err)
+	assertRows(t, c, "gentianward_request_key", 1)
+	require.Eventually(t, func() bool {
+		var n int
+		return c.QueryRow(ctx, "select count(*) from gentianward_request_key").Scan(&n) == nil && n == 0
+	}, 10*time.Second, 50*time.Millisecond)
+}
+
 func assertRows(t *testing.T, c *pgx.Conn, table string, want int) {
 	t.Helper()
 	var n int
--- a/internal/gwmanifest/checkmanifest.go
+++ b/internal/gwmanifest/checkmanifest.go
@@ -213,7 +213,7 @@
 	c.span("limits.drain", l.Drain, time.Millisecond, time.Hour)
 	c.span("limits.idleTransaction", l.IdleTransaction, time.Millisecond, 24*time.Hour)
 	c.span("limits.gapWait", l.GapWait, 0, time.Minute)
-	c.span("limits.requestKeyExpiry", l.RequestKeyExpiry, time.Minute, 365*24*time.Hour)
+	c.span("limits.requestKeyExpiry", l.RequestKeyExpiry, time.Second, 365*24*time.Hour)
 	c.number("limits.messageBytes", l.MessageBytes, minMessage, maxMessage)
 }
 
--- a/internal/gwowner/key.go
+++ b/internal/gwowner/key.go
@@ -13,12 +13,21 @@
 	"gentianward.example/gentianward/pkg/gwoutcome"
 )
 
-// The table of request keys in each group's database. The term in a row tells
-// under which primary the request ran.
+// The table of request keys in each group's database. A row tells under which
+// primary's term and when, in seconds since 1970, the request ran.
 const (
-	sqlCreateKeys = `CREATE TABLE IF NOT EXISTS gentianward_request_key (key text PRIMARY KEY, tag text NOT NULL, term bigint NOT NULL)`
+	sqlCreateKeys = `CREATE TABLE IF NOT EXISTS gentianward_request_key (key text PRIMARY KEY, tag text NOT NULL, term bigint NOT NULL, created bigint NOT NULL)`
 	sqlFindKey    = `SELECT tag FROM gentianward_request_key WHERE key = '%s'`
-	sqlAddKey     = `INSERT INTO gentianward_request_key (key, tag, term) VALUES ('%s', '%s', %d)`
+	sqlAddKey     = `INSERT INTO gentianward_request_key (key, tag, term, created) VALUES ('%s', '%s', %d, %d)`
+	sqlDropKeys   = `DELETE FROM gentianward_request_key WHERE created < %d`
+)
+
+// Removal of old request keys.
+const (
+	// keySweeps is how often keys are removed within their lifetime.
+	keySweeps       = 24
+	minKeySweep     = time.Second
+	keySweepTimeout = 10 * time.Second
 )
 
 // sqlUndefinedTable is the SQLSTATE of a missing table.
@@ -121,7 +130,7 @@
 // commit records the key and commits. A key that another run of the same
 // request has recorded meanwhile undoes this run.
 func (k *keyedWrite) commit(ctx context.Context, tag string) execution {
-	add := fmt.Sprintf(sqlAddKey, k.req.Key, strings.ReplaceAll(tag, "'", ""), k.term)
+	add := fmt.Sprintf(sqlAddKey, k.req.Key, strings.ReplaceAll(tag, "'", ""), k.term, k.server.owner.clock.Now().Unix())
 	x := k.simple(ctx, add, nil)
 	if x.event != gwoutcome.Answered {
 		return x
@@ -217,3 +226,25 @@
 	}
 	r.value, r.found = string(row.Values[0]), true
 }
+
+// sweepKeys removes the request keys that are older than the manifest's expiry.
+func (s *server) sweepKeys(ctx context.Context, g gwcontrol.GroupView) {
+	expiry := s.owner.keyExpiry()
+	now := s.owner.clock.Now()
+	s.mu.Lock()
+	due := expiry > 0 && now.Sub(s.sweptAt) >= max(minKeySweep, expiry/keySweeps)
+	if due {
+		s.sweptAt = now
+	}
+	s.mu.Unlock()
+	if !due || !s.holdsLease(g.Term) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, keySweepTimeout)
+	defer cancel()
+	req := &Request{Group: g.Group, Server: s.facts.Server, Request: gwbackend.Query(fmt.Sprintf(sqlDropKeys, now.Add(-expiry).Unix()))}
+	x := s.run(ctx, req, now.Add(keySweepTimeout), nil, func() bool { return s.holdsLease(g.Term) })
+	if x.event != gwoutcome.Answered {
+		s.owner.log.Warn("old request keys not removed", "server", s.facts.Server, "group", g.Group, "cause", x.detail)
+	}
+}
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -343,6 +343,14 @@
 	return defaultIdle
 }
 
+// keyExpiry returns how long request keys are kept, 0 before a manifest is known.
+func (o *Owner) keyExpiry() time.Duration {
+	if m := o.views.Current().Manifest; m != nil {
+		return m.Manifest().Limits.RequestKeyExpiry.Duration
+	}
+	return 0
+}
+
 // Limits used before a manifest is known.
 const (
 	defaultDrain = 10 * time.Second
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -41,6 +41,8 @@
 	// checking means that a supervision of the server is running.
 	checking bool
 	openedAt time.Time
+	// sweptAt is when old request keys were last removed.
+	sweptAt time.Time
 	// askedAt is when the freshness of a replica was last asked for.
 	askedAt time.Time
 	// followed is the last term whose primary the server was told to follow.
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -85,6 +85,7 @@
 		s.repromote(ctx, g)
 	default:
 		_, _ = s.staleness(g) // records that the lease is seen valid
+		s.sweepKeys(ctx, g)
 	}
 }
 
