--- a/internal/gwcontrol/spread.go
+++ b/internal/gwcontrol/spread.go
@@ -65,7 +65,7 @@
 func NewSpreader(node *gwpeer.Node, clock clockwork.Clock, log *slog.Logger, views *Views, directory *Directory) *Spreader {
 	s := &Spreader{node: node, clock: clock, log: log, views: views, directory: directory, pulls: make(chan gwmember.Member, 16)}
 	gwpeer.Handle(node, kindPullView, func(_ context.Context, _ string, r pullView) (ViewDelta, error) {
-		return s.views.Current().Since(r.Index, r.Number), nil
+		return compressText(s.views.Current().Since(r.Index, r.Number)), nil
 	})
 	gwpeer.HandleDatagram(node, kindViewMoved, s.onViewMoved)
 	gwpeer.Handle(node, kindDirectory, s.onDirectory)
@@ -137,7 +137,10 @@
 		s.log.Debug("view not pulled", "from", m.Instance, "error", err)
 		return
 	}
-	if _, err := s.views.Apply(delta); err != nil {
+	if delta, err = decompressText(delta); err == nil {
+		_, err = s.views.Apply(delta)
+	}
+	if err != nil {
 		s.log.Warn("view not applied", "from", m.Instance, "error", err)
 	}
 }
--- /dev/null
+++ b/internal/gwcontrol/view_test.go
@@ -0,0 +1,118 @@
+package gwcontrol
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	gwexamples "gentianward.example/gentianward/examples"
+	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// manifestText returns the example manifest with another number.
+func manifestText(t require.TestingT, number uint64) []byte {
+	text, err := gwexamples.Files.ReadFile("ecodour/manifest.jsonc")
+	require.NoError(t, err)
+	m, err := gwmanifest.ParseManifest("example", text)
+	require.NoError(t, err)
+	m.Number = number
+	text, err = json.Marshal(m)
+	require.NoError(t, err)
+	return text
+}
+
+// Guards against a manifest number, an index or a group's term that goes back,
+// whatever the order in which deltas arrive and however often.
+func TestViewsNeverGoBack(t *testing.T) {
+	var texts [4][]byte
+	for n := range texts {
+		texts[n] = manifestText(t, uint64(n+1))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		v := NewViews()
+		for range rapid.IntRange(1, 30).Draw(t, "deltas") {
+			old := v.Current()
+			number := rapid.Uint64Range(1, 4).Draw(t, "number")
+			index := rapid.Uint64Range(0, 20).Draw(t, "index")
+			d := ViewDelta{
+				From: rapid.Uint64Range(0, 20).Draw(t, "from"), Index: index, Number: number, Text: texts[number-1],
+				Groups: []GroupView{{Group: "g", Term: index, Index: index}},
+			}
+			_, err := v.Apply(d)
+			var e *Error
+			if d.From > old.Index && (!errors.As(err, &e) || e.Kind != Gap) {
+				t.Fatalf("got %v for a delta from %d at index %d, want a gap", err, d.From, old.Index)
+			}
+			now := v.Current()
+			if now.Index < old.Index || now.Number < old.Number || now.Groups["g"].Term < old.Groups["g"].Term {
+				t.Fatalf("got %d/%d/%d after %d/%d/%d", now.Index, now.Number, now.Groups["g"].Term, old.Index, old.Number, old.Groups["g"].Term)
+			}
+		}
+	})
+}
+
+// Guards against a manifest that changes on the way to a peer.
+func TestCompressText(t *testing.T) {
+	d := ViewDelta{Text: manifestText(t, 3)}
+	sent := compressText(d)
+	assert.Less(t, len(sent.Text), len(d.Text)/2)
+	got, err := decompressText(sent)
+	require.NoError(t, err)
+	assert.Equal(t, d, got)
+	_, err = decompressText(ViewDelta{Text: []byte("not compressed")})
+	assert.Error(t, err)
+}
+
+// Guards against promoting a server that may lack an acknowledged write.
+func TestCandidates(t *testing.T) {
+	at := func(offset uint64) gwsession.Position { return gwsession.Position{Term: 1, Offset: offset} }
+	g := gwstate.Group{Name: "g", Primary: "a", Term: 1, NextTerm: 2}
+	tests := []struct {
+		name      string
+		copies    []Copy
+		leaving   map[string]bool
+		allowLoss bool
+		want      string
+	}{
+		{name: "both other copies", copies: []Copy{{"b", at(4)}, {"c", at(6)}}, want: "c"},
+		{name: "one other copy", copies: []Copy{{"c", at(6)}}, want: ""},
+		{name: "one other copy and loss allowed", copies: []Copy{{"c", at(6)}}, allowLoss: true, want: "c"},
+		{name: "old primary alone", copies: []Copy{{"a", at(9)}}, want: "a"},
+		{name: "old primary is preferred", copies: []Copy{{"b", at(9)}, {"a", at(9)}}, want: "a"},
+		{name: "old primary leaves, a replica has caught up", copies: []Copy{{"a", at(9)}, {"b", at(9)}, {"c", at(5)}}, leaving: map[string]bool{"a": true}, want: "b"},
+		{name: "old primary leaves, replicas are behind", copies: []Copy{{"a", at(9)}, {"b", at(8)}}, leaving: map[string]bool{"a": true}, want: ""},
+		{name: "nobody answers", allowLoss: true, want: ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := Candidates(g, tt.copies, tt.leaving, gwmanifest.DefaultCopies, tt.allowLoss)
+			if tt.want == "" {
+				assert.Error(t, err)
+				return
+			}
+			require.NoError(t, err)
+			assert.Equal(t, tt.want, got[0].Server)
+		})
+	}
+}
+
+// Guards against instances that keep different facts of one server.
+func TestDirectoryMergeIsOrderIndependent(t *testing.T) {
+	a := ServerFacts{Server: "s", Group: "g", Address: "127.0.0.1:1", Version: 1}
+	b := ServerFacts{Server: "s", Group: "g", Address: "127.0.0.1:2", Version: 1}
+	c := ServerFacts{Server: "s", Group: "g", Address: "127.0.0.1:3", Version: 2}
+	first, second := NewDirectory(), NewDirectory()
+	first.Merge([]ServerFacts{a, b, c})
+	for _, f := range []ServerFacts{c, b, a} {
+		second.Merge([]ServerFacts{f})
+	}
+	assert.Equal(t, first.Digest(), second.Digest())
+	got, _ := second.Server("s")
+	assert.Equal(t, c, got)
+}
