gwtrace: state that a planned stop leaves no outcome unknown

57P01 ends a session between requests, so a statement that crosses it is sent again, and the rolling-restart scenario states that every step is done.

--- a/internal/gwtrace/generate.go
+++ b/internal/gwtrace/generate.go
@@ -113,24 +113,27 @@
 			state.count++
 			st.ID = fmt.Sprintf("%s-%s-%d", st.Op, s.Session, state.count)
 		}
-		st.Expect = expected(st, r)
+		st.Expect = expected(st, r, t.Header.Scenario)
 		t.Steps = append(t.Steps, st)
 	}
 }
 
 // expected states the outcomes of a step: reads and keyed writes are repeated
-// until they are done; other writes may remain unknown and are not repeated.
-func expected(st Step, r Role) Expected {
+// until they are done; other writes may remain unknown and are not repeated. A
+// planned stop leaves no outcome unknown.
+func expected(st Step, r Role, scenario string) Expected {
 	e := Expected{Done: true}
+	planned := scenario == RollingRestart
 	switch st.Op {
 	case OpRead, OpSlotRead:
 		staleness := gwmanifest.NewDuration(r.Staleness)
 		e.OwnWrites, e.Staleness = r.OwnWrites, &staleness
 	case OpWrite:
 		e.Once = true
-		e.Done, e.MayBeUnknown = st.Key != "", st.Key == ""
+		e.Done = st.Key != "" || planned
+		e.MayBeUnknown = !e.Done
 	case OpSlotHold:
-		e.Done, e.MayBeUnknown = false, true
+		e.Done, e.MayBeUnknown = planned, !planned
 	}
 	return e
 }
--- a/internal/gwtrace/outcome.go
+++ b/internal/gwtrace/outcome.go
@@ -20,7 +20,8 @@
 	Failed Outcome = "failed"
 )
 
-// codeAdminShutdown ends a session; a request that was sent to it may have run.
+// codeAdminShutdown ends a session between requests: a planned stop cuts no
+// request in flight, so one that crosses it did not run.
 const codeAdminShutdown = "57P01"
 
 // Classify returns the outcome that an error tells a caller, as an ordinary
@@ -32,9 +33,9 @@
 	var pg *pgconn.PgError
 	if errors.As(err, &pg) {
 		switch pg.Code {
-		case gwoutcome.StateNotRun:
+		case gwoutcome.StateNotRun, codeAdminShutdown:
 			return NotRun
-		case gwoutcome.StateConnectionUnknown, gwoutcome.StateCompletionUnknown, codeAdminShutdown:
+		case gwoutcome.StateConnectionUnknown, gwoutcome.StateCompletionUnknown:
 			return Unknown
 		default:
 			return Failed
--- a/internal/gwtrace/replay_test.go
+++ b/internal/gwtrace/replay_test.go
@@ -36,3 +36,12 @@
 		})
 	}
 }
+
+// Guards against a planned stop that makes the outcome of a request unknown.
+func TestReplayRollingRestart(t *testing.T) {
+	tr, err := Generate(GenerateOptions{Deployment: gwdeploy.Hanbit, Scenario: RollingRestart, Seed: 6, Duration: 8 * time.Second})
+	require.NoError(t, err)
+	res, err := Replay(context.Background(), tr, ReplayOptions{Delay: true})
+	require.NoError(t, err)
+	require.Empty(t, res.Differences)
+}
