--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -134,7 +134,7 @@
 	s := i.Settings
 	self := gwmember.Member{
 		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Address: i.node.Address(),
-		OperatorAddress: s.OperatorAddress, Incarnation: uint64(i.Clock.Now().UnixNano()),
+		OperatorAddress: s.OperatorAddress, Incarnation: uint64(i.Clock.Now().UnixMilli()),
 	}
 	i.spreader = gwcontrol.NewSpreader(i.node, i.Clock, i.Log, i.views, i.directory)
 	i.members = gwcontrol.NewMembership(i.node, i.Clock, i.Log, gwmember.Config{Self: self, Seeds: s.Seeds}, i.spreader.Ahead)
@@ -236,11 +236,12 @@
 	}
 	i.wire, err = gwwire.Serve(ctx, gwwire.Options{
 		Listener: callers, TLS: i.CallerTLS, Handler: i.entry, Lookup: i.entry.Lookup, TrustLoopback: s.TrustLoopback,
-		Logger: i.Log,
+		Logger: i.Log, Cancel: i, CancelPrefix: cancelPrefix(s.Instance),
 	})
 	if err != nil {
 		return err
 	}
+	i.serveCancels()
 	i.operator = &http.Server{Handler: i.routes(), ReadHeaderTimeout: httpTimeout}
 	i.wg.Go(func() {
 		if err := i.operator.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
