gwdeploy: report processor time and allocations of reads

The rates of BenchmarkReads vary by a factor of three when other work runs on the machine, so that a change cannot be judged by them alone. The benchmark also reports the processor time and the allocations per read of the whole process, callers and backend servers included.

--- a/internal/gwdeploy/bench_test.go
+++ b/internal/gwdeploy/bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,7 +100,9 @@
 		conns[i] = c
 	}
 	per := max(b.N, 30_000) / connections
-	started := time.Now()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	started, used := time.Now(), cpuTime(b)
 	var wg sync.WaitGroup
 	for _, c := range conns {
 		wg.Go(func() {
@@ -108,7 +112,19 @@
 		})
 	}
 	wg.Wait()
-	return float64(per*connections) / time.Since(started).Seconds()
+	took, reads := time.Since(started), float64(per*connections)
+	b.ReportMetric(float64((cpuTime(b)-used).Microseconds())/reads, "cpu-µs/read")
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/reads, "mallocs/read")
+	return reads / took.Seconds()
+}
+
+// cpuTime returns the processor time of the process, callers and backend
+// servers included, which other work on the machine distorts less than the rate.
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 func readOne(b *testing.B, c *pgx.Conn, i int) {
