gwfilter: take no common lock for a first attempt

Every session of an instance locked the entry's mutex twice per request: for the random choice of a server, during which the whole choice ran, and for the retry budget.

The random numbers come from the runtime's source, which takes no lock. The budget is locked only while it is not full; a credit that is missed because a first attempt runs beside the first retry only makes the budget smaller.

--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -69,13 +70,24 @@
 	servers  *serverTable
 	streams  *streamPool
 	inflight *inflight
+	// rng may be used by several goroutines at once, see sharedSource.
+	rng  *rand.Rand
+	turn atomic.Uint64
 
 	mu     sync.Mutex
-	rng    *rand.Rand
-	turn   uint64
 	budget *gwoutcome.Budget
+	// budgetUsed is false while the budget is full, so that first attempts
+	// need not take the lock.
+	budgetUsed atomic.Bool
 }
 
+// sharedSource draws from the runtime's random numbers, which take no lock.
+// A source of the entry's own would make all its sessions wait for one lock.
+type sharedSource struct{}
+
+// Uint64 returns a random number.
+func (sharedSource) Uint64() uint64 { return rand.Uint64() }
+
 // Parameters of the retry budget.
 const (
 	retryRatio = 0.2
@@ -90,7 +102,7 @@
 		servers:  newServerTable(),
 		streams:  newStreamPool(o.Node),
 		inflight: newInflight(),
-		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng:      rand.New(sharedSource{}),
 		budget:   gwoutcome.NewBudget(retryRatio, retryBurst),
 	}
 	e.chain = chain(e.execute, e.observe, e.bound, e.consistency, e.retry)
@@ -146,16 +158,4 @@
 	return rules{class: c, limits: m.Manifest().Limits, routing: m.Manifest().Routing}
 }
 
-// random runs f with the entry's source of random numbers.
-func (e *Entry) random(f func(*rand.Rand)) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	f(e.rng)
-}
-
-func (e *Entry) nextTurn() uint64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.turn++
-	return e.turn
-}
+func (e *Entry) nextTurn() uint64 { return e.turn.Add(1) }
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -41,9 +41,13 @@
 }
 
 func (e *Entry) firstAttempt() {
+	if !e.budgetUsed.Load() {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.budget.Request()
+	e.budgetUsed.Store(!e.budget.Full())
 }
 
 // again decides whether the request is attempted again, and waits before it.
@@ -85,6 +89,7 @@
 func (e *Entry) takeRetry() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.budgetUsed.Store(true)
 	return e.budget.Take()
 }
 
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -113,10 +112,7 @@
 // choose returns the server for the request.
 func (e *Entry) choose(r *request) gwroute.Choice {
 	now := e.Clock.Now()
-	servers := e.candidates(r.session.group, now)
-	var c gwroute.Choice
-	e.random(func(rng *rand.Rand) { c = gwroute.Choose(r.need, servers, now, rng) })
-	return c
+	return gwroute.Choose(r.need, e.candidates(r.session.group, now), now, e.rng)
 }
 
 func (e *Entry) candidates(group string, now time.Time) []gwroute.Server {
--- a/pkg/gwoutcome/decide.go
+++ b/pkg/gwoutcome/decide.go
@@ -116,6 +116,9 @@
 // Request records a first attempt.
 func (b *Budget) Request() { b.tokens = min(b.limit, b.tokens+b.ratio) }
 
+// Full reports whether Request would change nothing.
+func (b *Budget) Full() bool { return b.tokens >= b.limit }
+
 // Take reports whether a retry is within the budget, and takes it.
 func (b *Budget) Take() bool {
 	if b.tokens < 1 {
