gwowner: admit without queueing while a slot is free

A request that found a free slot still went through the heap of deadlines, a channel and two passes over all classes under the lock of the server, and each answer took that lock once more to report the load.

FairQueue.Start gives a free slot at once while nothing waits, with the same virtual times as Push and Pop, which a test compares. A release passes over the queue only while something waits. The load is an atomic count.

--- a/internal/gwowner/admission.go
+++ b/internal/gwowner/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,8 +18,9 @@
 	mu    sync.Mutex
 	queue *gwlimit.FairQueue
 	timer clockwork.Timer
-	// urgent counts statements of open transactions, which run without a slot.
-	urgent int
+	// demand counts the requests waiting and running, with the statements of
+	// open transactions, which run without a slot.
+	demand atomic.Int64
 }
 
 func newAdmission(clock clockwork.Clock, slots int) *admission {
@@ -43,12 +45,7 @@
 }
 
 // load returns the number of requests waiting and running.
-func (a *admission) load() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	waiting, running := a.queue.Len()
-	return waiting + running + a.urgent
-}
+func (a *admission) load() int { return int(a.demand.Load()) }
 
 // grant is the reference of a queued item: its channel is closed when the item
 // gets a slot, after err has been set when it is refused instead.
@@ -59,23 +56,30 @@
 
 // acquire waits for a slot and returns the function that gives it back.
 func (a *admission) acquire(ctx context.Context, class string, deadline time.Time) (func(), error) {
-	g := &grant{done: make(chan struct{})}
-	it := &gwlimit.Item{Class: class, Deadline: deadline, Ref: g}
-	if err := a.push(it); err != nil {
+	it := &gwlimit.Item{Class: class, Deadline: deadline}
+	a.demand.Add(1)
+	if err := a.admit(ctx, it); err != nil {
+		a.demand.Add(-1)
 		return nil, err
 	}
+	return func() { a.release(it) }, nil
+}
+
+// admit waits until the item has a slot.
+func (a *admission) admit(ctx context.Context, it *gwlimit.Item) error {
+	g, err := a.push(it)
+	if g == nil || err != nil {
+		return err
+	}
 	select {
 	case <-g.done:
 	case <-ctx.Done():
 		if a.withdraw(it) {
-			return nil, ctx.Err()
+			return ctx.Err()
 		}
 		<-g.done
 	}
-	if g.err != nil {
-		return nil, g.err
-	}
-	return func() { a.release(it) }, nil
+	return g.err
 }
 
 // acquireUrgent admits a statement of an open transaction at once.
@@ -84,24 +88,26 @@
 // that waiting for a slot itself would block all of them until their deadlines.
 // The number of connections bounds these statements.
 func (a *admission) acquireUrgent() func() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.urgent++
-	return func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.urgent--
-	}
+	a.demand.Add(1)
+	return func() { a.demand.Add(-1) }
 }
 
-func (a *admission) push(it *gwlimit.Item) error {
+// push queues the item and returns its grant, nil when the item has a slot
+// already.
+func (a *admission) push(it *gwlimit.Item) (*grant, error) {
+	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if err := a.queue.Push(it, a.clock.Now()); err != nil {
-		return err
+	if a.queue.Start(it, now) {
+		return nil, nil
+	}
+	g := &grant{done: make(chan struct{})}
+	it.Ref = g
+	if err := a.queue.Push(it, now); err != nil {
+		return nil, err
 	}
 	a.dispatch()
-	return nil
+	return g, nil
 }
 
 func (a *admission) withdraw(it *gwlimit.Item) bool {
@@ -111,10 +117,13 @@
 }
 
 func (a *admission) release(it *gwlimit.Item) {
+	a.demand.Add(-1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.queue.Done(it)
-	a.dispatch()
+	if waiting, _ := a.queue.Len(); waiting > 0 {
+		a.dispatch()
+	}
 }
 
 // dispatch refuses expired requests and gives free slots away.
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -117,6 +117,40 @@
 	return s
 }
 
+// Start gives a slot to it at once, with the effect of Push and Pop, and
+// reports whether it did. It does so only while nothing waits, so that it
+// overtakes no other request.
+func (q *FairQueue) Start(it *Item, now time.Time) bool {
+	s := q.class(it.Class)
+	switch {
+	case q.closed, q.waiting > 0, q.running >= q.slots:
+		return false
+	case s.Concurrency > 0 && s.running >= s.Concurrency:
+		return false
+	case !it.Deadline.IsZero() && !now.Before(it.Deadline):
+		return false
+	}
+	q.schedule(it, s)
+	it.gone = true
+	s.running++
+	q.running++
+	q.virtual = max(q.virtual, it.start)
+	return true
+}
+
+// schedule sets the virtual times of it and of its class.
+func (q *FairQueue) schedule(it *Item, s *classState) {
+	cost := it.Cost
+	if cost <= 0 {
+		cost = 1
+	}
+	it.start = max(q.virtual, s.finish)
+	s.finish = it.start + cost/float64(s.Weight)
+	q.seq++
+	it.seq = q.seq
+	it.queued = s
+}
+
 // Push adds it to the queue. It fails when the queue of the class is full, the
 // deadline has passed or the queue is closed.
 func (q *FairQueue) Push(it *Item, now time.Time) error {
@@ -131,15 +165,7 @@
 	if s.Queue > 0 && s.waiting >= s.Queue {
 		return &Error{Op: op, Kind: QueueFull, Class: it.Class}
 	}
-	cost := it.Cost
-	if cost <= 0 {
-		cost = 1
-	}
-	it.start = max(q.virtual, s.finish)
-	s.finish = it.start + cost/float64(s.Weight)
-	q.seq++
-	it.seq = q.seq
-	it.queued = s
+	q.schedule(it, s)
 	s.items = append(s.items, it)
 	s.waiting++
 	q.waiting++
--- a/pkg/gwlimit/queue_test.go
+++ b/pkg/gwlimit/queue_test.go
@@ -130,3 +130,45 @@
 		q.Expire(testNow)
 	}
 }
+
+// Guards against a request that starts at once being charged less than one
+// that was queued, which would give its class more than its share.
+func TestStartEqualsPushAndPop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_800_000_000, 0)
+		direct, queued := NewFairQueue(2), NewFairQueue(2)
+		for _, q := range []*FairQueue{direct, queued} {
+			q.SetClass(Class{Name: "payments", Weight: 3})
+			q.SetClass(Class{Name: "reports", Weight: 1, Concurrency: 1})
+		}
+		var running [2][]*Item
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if n := len(running[0]); n > 0 && rapid.Bool().Draw(t, "done") {
+				i := rapid.IntRange(0, n-1).Draw(t, "which")
+				for k, q := range []*FairQueue{direct, queued} {
+					q.Done(running[k][i])
+					running[k] = append(running[k][:i:i], running[k][i+1:]...)
+				}
+			} else {
+				class := rapid.SampledFrom([]string{"payments", "reports"}).Draw(t, "class")
+				a, b := &Item{Class: class}, &Item{Class: class}
+				if direct.Start(a, now) {
+					running[0] = append(running[0], a)
+				} else {
+					require.NoError(t, direct.Push(a, now))
+				}
+				require.NoError(t, queued.Push(b, now))
+			}
+			for k, q := range []*FairQueue{direct, queued} {
+				for it := q.Pop(now); it != nil; it = q.Pop(now) {
+					running[k] = append(running[k], it)
+				}
+			}
+			require.Len(t, running[0], len(running[1]))
+			for i, a := range running[0] {
+				require.Equal(t, running[1][i].Class, a.Class)
+				require.InDelta(t, running[1][i].start, a.start, 0)
+			}
+		}
+	})
+}
