gwowner: reuse the deadline of a forwarded request

Remote.Exec made a second context with a deadline for each request, although the caller's class has already set one that ends earlier. The context is now made only when the request has no deadline or a later one, as in Session.Exec.

--- a/internal/gwowner/peer.go
+++ b/internal/gwowner/peer.go
@@ -187,8 +187,12 @@
 
 // Exec sends one request and writes its answer to out.
 func (r *Remote) Exec(ctx context.Context, req *Request, out gwbackend.Sink) Result {
-	ctx, cancel := context.WithTimeout(ctx, req.Timeout+answerGrace)
-	defer cancel()
+	limit := time.Now().Add(req.Timeout + answerGrace)
+	if end, ok := ctx.Deadline(); !ok || end.After(limit) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, limit)
+		defer cancel()
+	}
 	stop := r.stream.CancelOn(ctx)
 	defer stop()
 	payload, err := gwpeer.Marshal(req)
