--- a/internal/gwdeploy/bench_test.go
+++ b/internal/gwdeploy/bench_test.go
@@ -56,10 +56,7 @@
 	rate, median := map[string]float64{}, map[string]time.Duration{}
 	for _, p := range paths {
 		b.Run(p.name, func(b *testing.B) {
-			before := cpuTime()
-			var reads float64
-			reads, rate[p.name] = readRate(b, p.url, benchConnections)
-			b.ReportMetric(float64((cpuTime()-before).Microseconds())/reads, "cpu-µs/read")
+			rate[p.name] = readRate(b, p.url, benchConnections)
 			median[p.name] = medianLatency(b, p.url)
 			b.ReportMetric(rate[p.name], "reads/s")
 			b.ReportMetric(float64(median[p.name].Microseconds()), "median-µs")
@@ -93,16 +90,6 @@
 
 const benchQuery = "select note from visit where id = $1"
 
-// cpuTime returns the processor time that this process has used: callers,
-// instances and stand-ins together.
-func cpuTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // idleTime is how long an idle deployment is measured.
 const idleTime = 10 * time.Second
 
@@ -117,9 +104,9 @@
 			runtime.ReadMemStats(&before)
 			d := startTest(b, Options{Delay: delay})
 			time.Sleep(time.Second)
-			cpu := cpuTime()
+			cpu := cpuTime(b)
 			time.Sleep(idleTime)
-			cpu = cpuTime() - cpu
+			cpu = cpuTime(b) - cpu
 			runtime.GC()
 			runtime.ReadMemStats(&after)
 			n := float64(len(d.Instances()))
@@ -130,8 +117,8 @@
 	}
 }
 
-// readRate reads over a number of connections and returns how often and how fast.
-func readRate(b *testing.B, url string, connections int) (reads, rate float64) {
+// readRate returns the reads a second over a number of connections.
+func readRate(b *testing.B, url string, connections int) float64 {
 	b.Helper()
 	conns := make([]*pgx.Conn, connections)
 	for i := range conns {
@@ -141,7 +128,9 @@
 		conns[i] = c
 	}
 	per := max(b.N, 30_000) / connections
-	started := time.Now()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	started, used := time.Now(), cpuTime(b)
 	var wg sync.WaitGroup
 	for _, c := range conns {
 		wg.Go(func() {
@@ -151,8 +140,19 @@
 		})
 	}
 	wg.Wait()
-	reads = float64(per * connections)
-	return reads, reads / time.Since(started).Seconds()
+	took, reads := time.Since(started), float64(per*connections)
+	b.ReportMetric(float64((cpuTime(b)-used).Microseconds())/reads, "cpu-µs/read")
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/reads, "mallocs/read")
+	return reads / took.Seconds()
+}
+
+// cpuTime returns the processor time of the process, callers and backend
+// servers included, which other work on the machine distorts less than the rate.
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 func readOne(b *testing.B, c *pgx.Conn, i int) {
