gwowner, gwcontrol: answer the last commit of a transaction, lead from the larger region

Cause: an owner that stopped gave its lease back while the last commit of an open transaction waited for its confirmation; and a leader in the region with one voter needed a round trip between regions for each step of a change. Change: requests inside transactions count as active and are awaited once more before the lease is returned; the leader hands over to the region with more voters.

--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -176,6 +176,7 @@
 	log       *slog.Logger
 	owners    Owners
 	voters    func() map[string]string
+	topology  func() *Topology
 
 	// keeping means that the members of the log are being compared with the manifest.
 	keeping atomic.Bool
@@ -202,9 +203,11 @@
 // Instance returns the name of the voter.
 func (l *Leader) Instance() string { return l.consensus.Instance }
 
-// Attach sets the owners that changes of primary call, and the voters of the
-// manifest. It must be called before Run.
-func (l *Leader) Attach(o Owners, voters func() map[string]string) { l.owners, l.voters = o, voters }
+// Attach sets the owners that changes of primary call, and the client that knows
+// the voters of the manifest and the members. It must be called before Run.
+func (l *Leader) Attach(o Owners, c *Client) {
+	l.owners, l.voters, l.topology = o, c.Voters, c.members.Topology
+}
 
 func serveLeader[Req, Resp any](node *gwpeer.Node, kind gwpeer.Kind, f func(context.Context, Req) (Resp, error)) {
 	gwpeer.Handle(node, kind, func(ctx context.Context, _ string, req Req) (Resp, error) {
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -103,7 +103,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	ticker := l.clock.NewTicker(watchInterval)
 	defer ticker.Stop()
-	var since, checked time.Time
+	var since, checked, placed time.Time
 	idle := make(map[string]time.Time)
 	for {
 		select {
@@ -118,12 +118,17 @@
 		}
 		if since.IsZero() {
 			since = l.clock.Now()
+			placed = since
 		}
 		l.watch(idle)
 		if wanted := l.voters(); len(wanted) > 0 && l.clock.Since(checked) >= votersInterval {
 			checked = l.clock.Now()
 			go l.keepVotersOnce(ctx, wanted)
 		}
+		if l.clock.Since(placed) >= placeInterval {
+			placed = l.clock.Now()
+			l.place(ctx, l.topology())
+		}
 	}
 }
 
--- a/internal/gwcontrol/view_test.go
+++ b/internal/gwcontrol/view_test.go
@@ -12,6 +12,7 @@
 	gwexamples "gentianward.example/gentianward/examples"
 	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/pkg/gwquorum"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -116,3 +117,30 @@
 	got, _ := second.Server("s")
 	assert.Equal(t, c, got)
 }
+
+// Guards against a leader that stays in a region from which every entry crosses
+// the slow link, and against leaders that pass the leadership back and forth.
+func TestBetterVoter(t *testing.T) {
+	regions := map[string]string{"a": "north", "b": "north", "c": "south"}
+	region := func(id string) (string, bool) { r, ok := regions[id]; return r, ok }
+	peers := func(ids ...string) []gwquorum.PeerStatus {
+		var out []gwquorum.PeerStatus
+		for _, id := range ids {
+			out = append(out, gwquorum.PeerStatus{Instance: id, Active: true})
+		}
+		return out
+	}
+	tests := []struct {
+		name string
+		st   gwquorum.Status
+		want string
+	}{
+		{name: "leader alone in its region", st: gwquorum.Status{ID: "c", Voters: []string{"a", "b", "c"}, Peers: peers("a", "b")}, want: "a"},
+		{name: "leader in the region with more voters", st: gwquorum.Status{ID: "a", Voters: []string{"a", "b", "c"}, Peers: peers("b", "c")}},
+		{name: "others do not answer", st: gwquorum.Status{ID: "c", Voters: []string{"a", "b", "c"}}},
+		{name: "unknown region", st: gwquorum.Status{ID: "x", Voters: []string{"a", "b", "x"}, Peers: peers("a", "b")}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, tt.want, betterVoter(tt.st, region)) })
+	}
+}
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -207,7 +207,7 @@
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
 	})
 	if i.leader != nil {
-		i.leader.Attach(i.owner, i.client.Voters)
+		i.leader.Attach(i.owner, i.client)
 	}
 	i.serveAnnouncements()
 	i.serveOperators()
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -254,6 +254,9 @@
 		if err := s.backend.Close(ctx); err != nil {
 			o.log.Warn("backend server closed with work in flight", "server", s.facts.Server, "error", err)
 		}
+		// The last commit of a transaction has given its connection back and may
+		// still wait for its confirmation, which needs the lease.
+		s.awaitActive(ctx)
 		o.mu.Lock()
 		delete(o.draining, s)
 		o.mu.Unlock()
@@ -263,16 +266,17 @@
 	}()
 }
 
+// activePoll is how often a released server is checked for unanswered requests.
+const activePoll = 2 * time.Millisecond
+
 // awaitActive waits until every request has been answered or ctx ends.
 func (s *server) awaitActive(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	for s.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.owner.clock.After(activePoll):
+		}
 	}
 }
 
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianward.example/gentianward/internal/gwbackend"
@@ -24,7 +25,7 @@
 
 	// active counts the requests that have not been answered, those that wait
 	// for a confirmation included.
-	active sync.WaitGroup
+	active atomic.Int64
 
 	mu        sync.Mutex
 	health    gwoutcome.Health
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -53,7 +53,7 @@
 	if srv == nil {
 		return failed(gwoutcome.NotOwner, "this instance does not own backend server "+req.Server)
 	}
-	defer srv.active.Done()
+	defer srv.active.Add(-1)
 	var r Result
 	if req.Access == Write {
 		r = s.write(ctx, srv, req, now.Add(req.Timeout), out)
@@ -221,6 +221,8 @@
 
 func (s *Session) continueTransaction(ctx context.Context, req *Request, out io.Writer) Result {
 	t := s.open
+	t.server.active.Add(1)
+	defer t.server.active.Add(-1)
 	if !t.begin() {
 		s.open = nil
 		return failed(gwoutcome.BrokenBeforeSend, "the transaction was rolled back because it was idle for too long")
