gwcontrol, gwowner, gwfilter: never count a primary that lost data, keep one pool of streams

Cause: an old primary that answered was taken as sure to have every acknowledged write even when it was behind its own term or another copy; a server that ran as a replica was promoted again without any check; a planned change paid a round trip between regions to return the lease before it was reported; and gwfilter had a stream pool of its own beside that of gwpeer. Change: such a primary is left out, every promotion goes through the choice of candidates, lease and report travel together, gwfilter uses the pool of gwpeer, and the duration of changes of primary is a metric of the leader.

--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -177,6 +177,7 @@
 	owners    Owners
 	voters    func() map[string]string
 	topology  func() *Topology
+	changed   func(group string, took time.Duration)
 
 	// keeping means that the members of the log are being compared with the manifest.
 	keeping atomic.Bool
@@ -203,10 +204,11 @@
 // Instance returns the name of the voter.
 func (l *Leader) Instance() string { return l.consensus.Instance }
 
-// Attach sets the owners that changes of primary call, and the client that knows
-// the voters of the manifest and the members. It must be called before Run.
-func (l *Leader) Attach(o Owners, c *Client) {
-	l.owners, l.voters, l.topology = o, c.Voters, c.members.Topology
+// Attach sets the owners that changes of primary call, the client that knows the
+// voters of the manifest and the members, and what is told about the duration of
+// each change of primary. It must be called before Run.
+func (l *Leader) Attach(o Owners, c *Client, changed func(group string, took time.Duration)) {
+	l.owners, l.voters, l.topology, l.changed = o, c.Voters, c.members.Topology, changed
 }
 
 func serveLeader[Req, Resp any](node *gwpeer.Node, kind gwpeer.Kind, f func(context.Context, Req) (Resp, error)) {
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -198,7 +198,9 @@
 		l.awaitLeaseEnd(group)
 		err = l.attempt(ctx, gr.Group)
 		if err == nil {
-			l.log.Info("change of primary done", "group", group, "term", gr.Group.NextTerm, "took", l.clock.Since(started).String())
+			took := l.clock.Since(started)
+			l.log.Info("change of primary done", "group", group, "term", gr.Group.NextTerm, "took", took.String())
+			l.changed(group, took)
 			return
 		}
 		if now := l.clock.Now(); now.Sub(lastLog) > unsureLogInterval {
@@ -319,16 +321,19 @@
 // The greatest position among the copies is sure to include every acknowledged
 // write if the old primary is among them, or all copies but one: a write was
 // acknowledged only when one copy besides the primary had it. The copy that is
-// promoted must have that position.
+// promoted must have that position. An old primary that is behind another copy,
+// or behind the start of its own term, has lost data and proves nothing.
 func Candidates(g gwstate.Group, copies []Copy, leaving map[string]bool, need int, allowLoss bool) ([]Copy, error) {
 	var best gwsession.Position
-	old := false
 	for _, c := range copies {
 		if c.Position.AtLeast(best) {
 			best = c.Position
 		}
-		old = old || c.Server == g.Primary
 	}
+	isOld := func(c Copy) bool { return c.Server == g.Primary }
+	lossy := func(c Copy) bool { return isOld(c) && (!c.Position.AtLeast(g.Start) || !c.Position.AtLeast(best)) }
+	copies = slices.DeleteFunc(slices.Clone(copies), lossy)
+	old := slices.ContainsFunc(copies, isOld)
 	if len(copies) == 0 || (!old && len(copies) < need-1 && !allowLoss) {
 		return nil, &Error{
 			Op: "choose primary", Kind: Unavailable,
--- a/internal/gwcontrol/view_test.go
+++ b/internal/gwcontrol/view_test.go
@@ -73,7 +73,7 @@
 // Guards against promoting a server that may lack an acknowledged write.
 func TestCandidates(t *testing.T) {
 	at := func(offset uint64) gwsession.Position { return gwsession.Position{Term: 1, Offset: offset} }
-	g := gwstate.Group{Name: "g", Primary: "a", Term: 1, NextTerm: 2}
+	g := gwstate.Group{Name: "g", Primary: "a", Term: 1, NextTerm: 2, Start: at(3)}
 	tests := []struct {
 		name      string
 		copies    []Copy
@@ -88,6 +88,9 @@
 		{name: "old primary is preferred", copies: []Copy{{"b", at(9)}, {"a", at(9)}}, want: "a"},
 		{name: "old primary leaves, a replica has caught up", copies: []Copy{{"a", at(9)}, {"b", at(9)}, {"c", at(5)}}, leaving: map[string]bool{"a": true}, want: "b"},
 		{name: "old primary leaves, replicas are behind", copies: []Copy{{"a", at(9)}, {"b", at(8)}}, leaving: map[string]bool{"a": true}, want: ""},
+		{name: "old primary lost its data", copies: []Copy{{"a", at(0)}}, want: ""},
+		{name: "old primary is behind the only other copy", copies: []Copy{{"a", at(4)}, {"b", at(9)}}, want: ""},
+		{name: "old primary is behind both other copies", copies: []Copy{{"a", at(4)}, {"b", at(9)}, {"c", at(5)}}, want: "b"},
 		{name: "nobody answers", allowLoss: true, want: ""},
 	}
 	for _, tt := range tests {
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -59,6 +59,8 @@
 	gwfilter.Observer
 	gwowner.Metrics
 	http.Handler
+	// FailoverGap is how long a change of primary took at the leader.
+	FailoverGap(group string, took time.Duration)
 }
 
 // Instance is one running instance.
@@ -207,7 +209,7 @@
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
 	})
 	if i.leader != nil {
-		i.leader.Attach(i.owner, i.client)
+		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
 	}
 	i.serveAnnouncements()
 	i.serveOperators()
--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -68,7 +68,7 @@
 	chain    handler
 	barriers *barriers
 	servers  *serverTable
-	streams  *streamPool
+	streams  *gwpeer.StreamPool
 	inflight *inflight
 	// rng may be used by several goroutines at once, see sharedSource.
 	rng  *rand.Rand
@@ -100,7 +100,7 @@
 		Options:  o,
 		barriers: newBarriers(o.Owner.Barrier),
 		servers:  newServerTable(),
-		streams:  newStreamPool(o.Node),
+		streams:  o.Node.NewStreamPool(gwcontrol.KindExec),
 		inflight: newInflight(),
 		rng:      rand.New(sharedSource{}),
 		budget:   gwoutcome.NewBudget(retryRatio, retryBurst),
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -178,70 +178,25 @@
 	if m.Instance == t.Self.Instance {
 		return localUpstream{session: e.Owner.NewSession(), name: t.Self.Instance}, nil
 	}
-	return e.streams.get(ctx, m.Address, m.Instance)
-}
-
-// maxIdleStreams bounds the idle streams that are kept for one owner.
-const maxIdleStreams = 256
-
-// streamPool keeps idle streams to owners. A stream per request costs more
-// than four times as much as an idle one that is used again.
-type streamPool struct {
-	node *gwpeer.Node
-	mu   sync.Mutex
-	idle map[string][]*gwowner.Remote
-}
-
-func newStreamPool(node *gwpeer.Node) *streamPool {
-	return &streamPool{node: node, idle: make(map[string][]*gwowner.Remote)}
+	st, err := e.streams.Get(ctx, m.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &pooledUpstream{Remote: gwowner.NewRemote(st), pool: e.streams, owner: m.Instance}, nil
 }
 
 // pooledUpstream is a stream to an owner that goes back to the pool.
 type pooledUpstream struct {
 	*gwowner.Remote
-	pool    *streamPool
-	address string
-	owner   string
+	pool  *gwpeer.StreamPool
+	owner string
 	// dirty means that a transaction may be open at the owner.
 	dirty bool
 }
 
-func (p *streamPool) get(ctx context.Context, address, owner string) (upstream, error) {
-	if r := p.take(address); r != nil {
-		return &pooledUpstream{Remote: r, pool: p, address: address, owner: owner}, nil
-	}
-	st, err := p.node.OpenStream(ctx, address, gwcontrol.KindExec)
-	if err != nil {
-		return nil, err
-	}
-	return &pooledUpstream{Remote: gwowner.NewRemote(st), pool: p, address: address, owner: owner}, nil
-}
-
 // Owner returns the instance at the other end.
 func (u *pooledUpstream) Owner() string { return u.owner }
 
-func (p *streamPool) take(address string) *gwowner.Remote {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	r := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return r
-}
-
-func (p *streamPool) put(address string, r *gwowner.Remote) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdleStreams {
-		return false
-	}
-	p.idle[address] = append(p.idle[address], r)
-	return true
-}
-
 // Exec runs one request at the owner.
 func (u *pooledUpstream) Exec(ctx context.Context, req *gwowner.Request, out writer) gwowner.Result {
 	res := u.Remote.Exec(ctx, req, out)
@@ -251,7 +206,9 @@
 
 // Close gives the stream back, or ends it when a transaction is open on it.
 func (u *pooledUpstream) Close() {
-	if u.dirty || !u.pool.put(u.address, u.Remote) {
+	if u.dirty {
 		u.Remote.Close()
+		return
 	}
+	u.pool.Put(u.Stream())
 }
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"gentianward.example/gentianward/internal/gwbackend"
@@ -81,8 +82,7 @@
 	case err == nil && !at.IsZero() && r.Position.Term > g.Term:
 		s.owner.log.Warn("primary reports a later term", "server", s.facts.Server, "group", g.Group, "term", g.Term, "reported", r.Position.Term)
 	case err == nil && r.Role == gwbackend.RoleReplica && r.Position.Term <= g.Term && silent < primaryTimeout:
-		// The server restarted or lost a promotion; it is promoted again at the agreed term.
-		s.repromote(ctx, g)
+		s.requestChange(ctx, g, "the primary runs as a replica")
 	default:
 		_, _ = s.staleness(g) // records that the lease is seen valid
 		s.sweepKeys(ctx, g)
@@ -104,21 +104,16 @@
 	return b
 }
 
-func (s *server) repromote(ctx context.Context, g gwcontrol.GroupView) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	if _, err := s.backend.Promote(ctx, g.Term); err != nil {
-		s.requestChange(ctx, g, "the primary runs as a replica: "+err.Error())
-	}
-}
-
-// requestChange gives the lease up first: nothing is acknowledged any more, so
-// that the change need not wait for the lease to expire.
+// requestChange gives the lease up and asks for a change of primary at the same
+// time, which saves a round trip between regions. The leader waits for the lease
+// to be returned before it fences anything.
 func (s *server) requestChange(ctx context.Context, g gwcontrol.GroupView, reason string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	s.owner.leases.GiveUp(ctx, g.Group)
+	var wg sync.WaitGroup
+	wg.Go(func() { s.owner.leases.GiveUp(ctx, g.Group) })
 	s.owner.suspected(ctx, g.Group, g.Term, reason)
+	wg.Wait()
 }
 
 // suspect looks at a server again at once after its ejection.
--- a/internal/gwtelemetry/metrics.go
+++ b/internal/gwtelemetry/metrics.go
@@ -163,8 +163,8 @@
 	return replica, primary
 }
 
-// FailoverGap records the time in which a group acknowledged no writes during
-// a change of primary.
+// FailoverGap records how long the leader of the replicated log needed for a
+// change of primary of a group, from the report of the failure to the new primary.
 func (m *Metrics) FailoverGap(group string, d time.Duration) {
 	m.mu.Lock()
 	h := m.gaps[group]
