gwowner, gwfilter: answer repeated requests in the form of their protocol

Change: the owner tells the entry instance the tag, which makes the answer that the caller's protocol expects; left-overs are removed. Conclusion: drivers that check the order of messages can resend with a key.

--- a/internal/gwcontrol/kinds.go
+++ b/internal/gwcontrol/kinds.go
@@ -9,15 +9,13 @@
 	kindPullView  = gwpeer.Kind{ID: 3, Name: "pullView", Priority: gwpeer.PriorityControl}
 	kindViewMoved = gwpeer.Kind{ID: 4, Name: "viewMoved", Priority: gwpeer.PriorityControl}
 	kindDirectory = gwpeer.Kind{ID: 5, Name: "directory", Priority: gwpeer.PriorityControl}
-
-	kindLease   = gwpeer.Kind{ID: 7, Name: "lease", Priority: gwpeer.PriorityControl}
-	kindReturn  = gwpeer.Kind{ID: 8, Name: "returnLease", Priority: gwpeer.PriorityControl}
-	kindPublish = gwpeer.Kind{ID: 9, Name: "publish", Priority: gwpeer.PriorityControl}
-	kindStart   = gwpeer.Kind{ID: 10, Name: "startGroup", Priority: gwpeer.PriorityControl}
-	kindSuspect = gwpeer.Kind{ID: 11, Name: "suspectPrimary", Priority: gwpeer.PriorityControl}
-	kindHistory = gwpeer.Kind{ID: 12, Name: "history", Priority: gwpeer.PriorityControl}
-
-	kindVoter = gwpeer.Kind{ID: 14, Name: "voter", Priority: gwpeer.PriorityControl}
+	kindLease     = gwpeer.Kind{ID: 7, Name: "lease", Priority: gwpeer.PriorityControl}
+	kindReturn    = gwpeer.Kind{ID: 8, Name: "returnLease", Priority: gwpeer.PriorityControl}
+	kindPublish   = gwpeer.Kind{ID: 9, Name: "publish", Priority: gwpeer.PriorityControl}
+	kindStart     = gwpeer.Kind{ID: 10, Name: "startGroup", Priority: gwpeer.PriorityControl}
+	kindSuspect   = gwpeer.Kind{ID: 11, Name: "suspectPrimary", Priority: gwpeer.PriorityControl}
+	kindHistory   = gwpeer.Kind{ID: 12, Name: "history", Priority: gwpeer.PriorityControl}
+	kindVoter     = gwpeer.Kind{ID: 14, Name: "voter", Priority: gwpeer.PriorityControl}
 
 	// KindExec carries the requests of callers' sessions.
 	KindExec = gwpeer.Kind{ID: 32, Name: "exec"}
@@ -25,10 +23,9 @@
 	KindBarrier = gwpeer.Kind{ID: 33, Name: "barrier", Priority: gwpeer.PriorityControl}
 	// KindAwait waits until a replica has reached a position.
 	KindAwait = gwpeer.Kind{ID: 34, Name: "await", Priority: gwpeer.PriorityControl}
-	// KindFence, KindPromote and KindFollow are the steps of a change of primary.
+	// KindFence and KindPromote are the steps of a change of primary.
 	KindFence   = gwpeer.Kind{ID: 35, Name: "fence", Priority: gwpeer.PriorityControl}
 	KindPromote = gwpeer.Kind{ID: 36, Name: "promote", Priority: gwpeer.PriorityControl}
-	KindFollow  = gwpeer.Kind{ID: 37, Name: "follow", Priority: gwpeer.PriorityControl}
 	// KindCancel forwards a cancel request to the instance that holds the session.
 	KindCancel = gwpeer.Kind{ID: 38, Name: "cancel", Priority: gwpeer.PriorityControl}
 )
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -158,6 +158,9 @@
 // answered advances the session's watermark after an acknowledged write and
 // tells the caller its new token.
 func (s *session) answered(r *request, res gwowner.Result) {
+	if res.Replayed {
+		r.w.Complete(r.wire, res.Tag, 'I')
+	}
 	if res.Position.IsZero() {
 		return
 	}
--- a/internal/gwowner/key.go
+++ b/internal/gwowner/key.go
@@ -60,14 +60,14 @@
 		return r
 	}
 	if x.Position.IsZero() {
-		return x.finish(sink)
+		return k.result(x)
 	}
 	if e := srv.settle(ctx, req, g, x.Position); e != gwoutcome.Answered {
 		r := failed(e, settleDetail(e))
 		r.Term = g.Term
 		return r
 	}
-	r := x.finish(sink)
+	r := k.result(x)
 	r.Position, r.Term = x.Position, g.Term
 	return r
 }
@@ -79,6 +79,9 @@
 	req    *Request
 	term   uint64
 	sink   *heldSink
+	// replayed means that the request ran before, with tag as its command tag.
+	replayed bool
+	tag      string
 }
 
 // run looks the key up, runs the request and records the key in a transaction.
@@ -87,7 +90,7 @@
 	if x.event != gwoutcome.Answered || found {
 		if found {
 			x.Position = k.server.position()
-			k.answerTag(tag)
+			k.replay(tag)
 		}
 		return x
 	}
@@ -158,7 +161,7 @@
 	}
 	if found {
 		x.Position = k.server.position()
-		k.answerTag(tag)
+		k.replay(tag)
 		return x
 	}
 	if len(k.sink.buf) == 0 {
@@ -176,15 +179,19 @@
 	return k.server.exchange(ctx, k.conn, gwbackend.Query(sql), sink)
 }
 
-// answerTag answers a request that ran before. The rows of a RETURNING clause
-// are not kept, only the command tag is.
-func (k *keyedWrite) answerTag(tag string) {
+// replay answers a request that ran before. The rows of a RETURNING clause are
+// not kept, only the command tag is.
+func (k *keyedWrite) replay(tag string) {
 	k.sink.buf = k.sink.buf[:0]
-	b, err := (&pgproto3.CommandComplete{CommandTag: []byte(tag)}).Encode(nil)
-	if err != nil {
-		return
-	}
-	k.sink.buf = append(append(k.sink.buf, b...), readyForQuery...)
+	k.replayed, k.tag = true, tag
+}
+
+// result passes the answer on, or tells the entry instance to make the one of a
+// request that ran before.
+func (k *keyedWrite) result(x execution) Result {
+	r := x.finish(k.sink)
+	r.Replayed, r.Tag = k.replayed, k.tag
+	return r
 }
 
 // endOutsideTransaction replaces the ReadyForQuery of the request, which was
--- a/internal/gwowner/message.go
+++ b/internal/gwowner/message.go
@@ -69,6 +69,10 @@
 	// SQLError is the SQLSTATE of an error in an answered request.
 	SQLError string `cbor:"7,keyasint,omitempty"`
 	Report   Report `cbor:"8,keyasint"`
+	// Replayed means that a request with a key ran before, with Tag as its
+	// command tag, and that no answer was written to the sink.
+	Replayed bool   `cbor:"10,keyasint,omitempty"`
+	Tag      string `cbor:"11,keyasint,omitempty"`
 	// Term is that under which a write was sent, for looking up its request key.
 	Term uint64 `cbor:"9,keyasint,omitempty"`
 }
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jonboulle/clockwork"
 
 	"gentianward.example/gentianward/internal/gwbackend"
@@ -347,12 +346,3 @@
 func isReadOnlyError(r gwbackend.Result) bool {
 	return r.ServerError != nil && r.ServerError.Code == sqlReadOnly && r.TxStatus == 'I'
 }
-
-// readyForQuery is an encoded ReadyForQuery outside a transaction.
-var readyForQuery = func() []byte {
-	b, err := (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(nil)
-	if err != nil {
-		panic(err)
-	}
-	return b
-}()
