gwdeploy: wait for each manifest in the tests of voters

It took the next number from instances that had not heard of the last manifest, since the leader that had accepted it was killed at once; the publish was then answered as a resend and the last number was 3 instead of 4. Ruled out: a number that went back (the log and the answers agree), a lost publish (the digest was that of the accepted one). Change: each publish must be accepted as new and is awaited at every instance, which is stricter than before. Conclusion: a fault of the test, not of the system.

--- a/internal/gwdeploy/voter_test.go
+++ b/internal/gwdeploy/voter_test.go
@@ -24,15 +24,24 @@
 	return nil
 }
 
-// publish makes an edited manifest the next one, through the given instance.
+// publish makes an edited manifest the next one, through the given instance, and
+// waits until every running instance has it. Without the wait, the next number
+// could be taken from instances that have not heard of the last one, and the
+// publish would be answered as a resend.
 func (d *Deployment) publish(t *testing.T, n *Node, edit func(*gwmanifest.Manifest)) {
 	t.Helper()
 	text, err := d.NextManifest(edit)
 	require.NoError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	_, err = n.Instance().Publish(ctx, text)
+	res, err := n.Instance().Publish(ctx, text)
 	require.NoError(t, err)
+	require.False(t, res.Resent)
+	for _, other := range d.Instances() {
+		if i := other.Instance(); i != nil {
+			require.Eventually(t, func() bool { return i.View().Number == res.Number }, 5*time.Second, 5*time.Millisecond, other.Settings.Instance)
+		}
+	}
 }
 
 func unchanged(*gwmanifest.Manifest) {}
