gwdeploy: test refusals after a cut has been detected

Change: the test waits 2 s past the detection time; the expected answers stay. Conclusion: the timing of the test was wrong, not the answer.

--- a/internal/gwdeploy/promise_test.go
+++ b/internal/gwdeploy/promise_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/pkg/gwmember"
 )
 
 // Guards against a planned stop that cuts a request in flight or makes the
@@ -228,7 +229,9 @@
 		}, 5*time.Second, 10*time.Millisecond, "the table reaches the replica")
 	}
 	d.CutDataCentre("brest-a", true)
-	time.Sleep(4 * time.Second)
+	// Until the cut is detected, a write is sent into the dead link, and its
+	// outcome is rightly unknown.
+	time.Sleep(gwmember.DefaultDataCentreTimeout + 2*time.Second)
 	assertRows(t, council, "visit", 0) // councils accept 30 s
 	var pg *pgconn.PgError
 	var n int
