--- a/internal/gwbackend/conn.go
+++ b/internal/gwbackend/conn.go
@@ -72,7 +72,6 @@
 	wbuf       []byte
 	tx         byte
 	stateful   bool // session state, such as a setting, may differ from a new connection's
-	control    bool // the pool's connection for control statements
 
 	// Used by the reader goroutine only.
 	small  []byte  // held by the connection
@@ -186,8 +185,8 @@
 	return err
 }
 
-// notifyClose calls fn once, when the connection ends.
-func (c *Conn) notifyClose(fn func()) {
+// NotifyClose calls fn once, when the connection ends.
+func (c *Conn) NotifyClose(fn func()) {
 	c.mu.Lock()
 	ended := c.err != nil
 	if !ended {
--- a/internal/gwbackend/dialect.go
+++ b/internal/gwbackend/dialect.go
@@ -30,16 +30,21 @@
 // Dialect is everything that is specific to one database product. Its methods
 // run control statements; their errors are of this package's type.
 type Dialect interface {
+	// Dial opens a connection.
+	Dial(ctx context.Context, o Options) (Connection, error)
+	// Ping reports whether the server answers, without using a slot where the
+	// protocol allows that.
+	Ping(ctx context.Context, o Options) error
 	// Position asks for role, term and position.
-	Position(ctx context.Context, c *Conn) (Report, error)
+	Position(ctx context.Context, c Connection) (Report, error)
 	// Promote makes the server the primary of the term, and returns the
 	// position at which the term begins.
-	Promote(ctx context.Context, c *Conn, term uint64) (gwsession.Position, error)
+	Promote(ctx context.Context, c Connection, term uint64) (gwsession.Position, error)
 	// Follow makes the server a replica of the primary at the address, and
 	// returns how many log entries it dropped for that.
-	Follow(ctx context.Context, c *Conn, term uint64, primaryAddress string) (dropped uint64, err error)
+	Follow(ctx context.Context, c Connection, term uint64, primaryAddress string) (dropped uint64, err error)
 	// Fence makes the server refuse writes of terms before the given one.
-	Fence(ctx context.Context, c *Conn, term uint64) (Report, error)
+	Fence(ctx context.Context, c Connection, term uint64) (Report, error)
 }
 
 // StandinDialect is the Dialect of the project's database stand-in.
@@ -47,19 +52,35 @@
 
 var _ Dialect = StandinDialect{}
 
+// Dial implements Dialect.
+func (StandinDialect) Dial(ctx context.Context, o Options) (Connection, error) { return Dial(ctx, o) }
+
+// Ping implements Dialect: it asks for TLS and does not log in, which takes
+// neither a slot nor one of the server's connections.
+func (StandinDialect) Ping(ctx context.Context, o Options) error { return ping(ctx, o) }
+
+// queryRow runs a control statement on a connection of the PostgreSQL protocol.
+func queryRow(ctx context.Context, c Connection, sql string) (Row, error) {
+	pc, ok := c.(*Conn)
+	if !ok {
+		return Row{}, &Error{Op: "query", Kind: KindNotSent, Err: errors.Newf("connection of type %T", c)}
+	}
+	return pc.QueryRow(ctx, sql)
+}
+
 // Position implements Dialect.
-func (StandinDialect) Position(ctx context.Context, c *Conn) (Report, error) {
-	return reportOf(c.QueryRow(ctx, "SHOW gentianward.position"))
+func (StandinDialect) Position(ctx context.Context, c Connection) (Report, error) {
+	return reportOf(queryRow(ctx, c, "SHOW gentianward.position"))
 }
 
 // Fence implements Dialect.
-func (StandinDialect) Fence(ctx context.Context, c *Conn, term uint64) (Report, error) {
-	return reportOf(c.QueryRow(ctx, fmt.Sprintf("GENTIANWARD FENCE %d", term)))
+func (StandinDialect) Fence(ctx context.Context, c Connection, term uint64) (Report, error) {
+	return reportOf(queryRow(ctx, c, fmt.Sprintf("GENTIANWARD FENCE %d", term)))
 }
 
 // Promote implements Dialect.
-func (StandinDialect) Promote(ctx context.Context, c *Conn, term uint64) (gwsession.Position, error) {
-	row, err := c.QueryRow(ctx, fmt.Sprintf("GENTIANWARD PROMOTE %d", term))
+func (StandinDialect) Promote(ctx context.Context, c Connection, term uint64) (gwsession.Position, error) {
+	row, err := queryRow(ctx, c, fmt.Sprintf("GENTIANWARD PROMOTE %d", term))
 	if err != nil {
 		return gwsession.Position{}, err
 	}
@@ -67,12 +88,12 @@
 }
 
 // Follow implements Dialect.
-func (StandinDialect) Follow(ctx context.Context, c *Conn, term uint64, primaryAddress string) (uint64, error) {
+func (StandinDialect) Follow(ctx context.Context, c Connection, term uint64, primaryAddress string) (uint64, error) {
 	if strings.ContainsRune(primaryAddress, 0) {
-		return 0, c.error(KindNotSent, errors.New("primary address contains NUL"))
+		return 0, &Error{Op: "follow", Kind: KindNotSent, Err: errors.New("primary address contains NUL")}
 	}
 	quoted := "'" + strings.ReplaceAll(primaryAddress, "'", "''") + "'"
-	row, err := c.QueryRow(ctx, fmt.Sprintf("GENTIANWARD FOLLOW %d %s", term, quoted))
+	row, err := queryRow(ctx, c, fmt.Sprintf("GENTIANWARD FOLLOW %d %s", term, quoted))
 	if err != nil {
 		return 0, err
 	}
--- a/internal/gwbackend/ping.go
+++ b/internal/gwbackend/ping.go
@@ -7,10 +7,10 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// Ping opens a new connection, asks for TLS and closes it. It does not log in,
-// so that it takes neither a slot nor one of the server's connections.
-func (s *Server) Ping(ctx context.Context) error {
-	o := s.o.Pool.Options
+// Ping reports whether the server answers a new connection.
+func (s *Server) Ping(ctx context.Context) error { return s.o.Dialect.Ping(ctx, s.o.Pool.Options) }
+
+func ping(ctx context.Context, o Options) error {
 	dial := o.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
--- a/internal/gwbackend/pool.go
+++ b/internal/gwbackend/pool.go
@@ -20,10 +20,12 @@
 // PoolOptions configures a Pool.
 type PoolOptions struct {
 	Options
-	Limit        int           // connections to the server at most, the control connection included
-	MinIdle      int           // idle connections kept ready, so that requests do not wait for a dial
-	IdleTimeout  time.Duration // idle connections above MinIdle are closed after it; 0: 5 min
-	DialTimeout  time.Duration // 0: 5 s
+	Limit       int           // connections to the server at most, the control connection included
+	MinIdle     int           // idle connections kept ready, so that requests do not wait for a dial
+	IdleTimeout time.Duration // idle connections above MinIdle are closed after it; 0: 5 min
+	DialTimeout time.Duration // 0: 5 s
+	// Dial opens connections; nil for the PostgreSQL protocol.
+	Dial         func(ctx context.Context, o Options) (Connection, error)
 	ResetTimeout time.Duration // 0: 1 s
 	Clock        clockwork.Clock
 	Logger       *slog.Logger
@@ -39,6 +41,9 @@
 	if o.ResetTimeout <= 0 {
 		o.ResetTimeout = defaultResetTimeout
 	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, o Options) (Connection, error) { return Dial(ctx, o) }
+	}
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
@@ -64,10 +69,10 @@
 	mu          sync.Mutex
 	limit       int
 	idle        []idleConn // most recently used last
-	used        map[*Conn]struct{}
+	used        map[Connection]struct{}
 	dialing     int
 	waiters     list.List // of *waiter, first come first served
-	controlConn *Conn
+	controlConn Connection
 	closed      bool
 	empty       chan struct{} // closed when the last connection is gone after Close
 	warmAfter   time.Time     // no warm dials before, after a failed dial
@@ -75,12 +80,12 @@
 }
 
 type idleConn struct {
-	c     *Conn
+	c     Connection
 	since time.Time
 }
 
 type grant struct {
-	c   *Conn
+	c   Connection
 	err error
 }
 
@@ -101,7 +106,7 @@
 func NewPool(o PoolOptions) *Pool {
 	o.setDefaults()
 	p := &Pool{
-		o: o, limit: max(1, o.Limit), used: make(map[*Conn]struct{}),
+		o: o, limit: max(1, o.Limit), used: make(map[Connection]struct{}),
 		control: make(chan struct{}, 1), empty: make(chan struct{}),
 	}
 	p.control <- struct{}{}
@@ -116,7 +121,7 @@
 
 // Acquire returns a connection that is idle outside of a transaction, waiting
 // for one if necessary. Every error is of KindNotSent.
-func (p *Pool) Acquire(ctx context.Context) (*Conn, error) {
+func (p *Pool) Acquire(ctx context.Context) (Connection, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -157,7 +162,7 @@
 	return nil, p.error("acquire", context.Cause(ctx))
 }
 
-func (p *Pool) granted(g grant) (*Conn, error) {
+func (p *Pool) granted(g grant) (Connection, error) {
 	if g.err != nil {
 		return nil, p.error("acquire", g.err)
 	}
@@ -171,8 +176,11 @@
 // Release gives a connection back. One that is not reusable, or that has an
 // answer outstanding, is closed; one inside a transaction or with changed
 // session state is reset first.
-func (p *Pool) Release(c *Conn, reusable bool) {
-	if c.control {
+func (p *Pool) Release(c Connection, reusable bool) {
+	p.mu.Lock()
+	control := c == p.controlConn
+	p.mu.Unlock()
+	if control {
 		p.releaseControl(c, reusable)
 		return
 	}
@@ -180,14 +188,14 @@
 		p.discard(c)
 		return
 	}
-	if c.tx == 'I' && !c.stateful {
+	if c.Clean() {
 		p.put(c)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(p.ctx, p.o.ResetTimeout)
 		defer cancel()
-		if err := c.Reset(ctx); err != nil || c.tx != 'I' || c.stateful {
+		if err := c.Reset(ctx); err != nil || !c.Clean() {
 			p.discard(c)
 			return
 		}
@@ -196,7 +204,7 @@
 }
 
 // put hands a clean connection to the first waiter, or keeps it idle.
-func (p *Pool) put(c *Conn) {
+func (p *Pool) put(c Connection) {
 	p.mu.Lock()
 	if p.closed || p.surplus() || !c.Usable() {
 		p.mu.Unlock()
@@ -224,7 +232,7 @@
 }
 
 // discard closes a connection that was in use.
-func (p *Pool) discard(c *Conn) {
+func (p *Pool) discard(c Connection) {
 	_ = c.Close()
 	p.mu.Lock()
 	delete(p.used, c)
@@ -235,7 +243,7 @@
 }
 
 // popIdle returns the most recently used idle connection. p.mu is held.
-func (p *Pool) popIdle() *Conn {
+func (p *Pool) popIdle() Connection {
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1].c
 		p.idle[n-1] = idleConn{}
@@ -295,17 +303,17 @@
 	p.used[c] = struct{}{}
 	p.mu.Unlock()
 	p.put(c)
-	c.notifyClose(func() { p.ended(c) })
+	c.NotifyClose(func() { p.ended(c) })
 }
 
-func (p *Pool) connect(ctx context.Context) (*Conn, error) {
+func (p *Pool) connect(ctx context.Context) (Connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.o.DialTimeout)
 	defer cancel()
-	return Dial(ctx, p.o.Options)
+	return p.o.Dial(ctx, p.o.Options)
 }
 
 // ended removes an idle connection that the server has closed.
-func (p *Pool) ended(c *Conn) {
+func (p *Pool) ended(c Connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range p.idle {
--- a/internal/gwbackend/pool_test.go
+++ b/internal/gwbackend/pool_test.go
@@ -47,7 +47,7 @@
 		})
 	}
 	require.NoError(t, g.Wait())
-	var held []*Conn
+	var held []Connection
 	for range 3 {
 		c, err := p.Acquire(within(t, time.Second))
 		require.NoError(t, err)
@@ -104,7 +104,7 @@
 	clock := clockwork.NewFakeClock()
 	p := newPool(t, PoolOptions{Options: f.options(), Limit: 8, MinIdle: 2, IdleTimeout: time.Minute, Clock: clock})
 	eventually(t, func() bool { return p.Stats().Idle == 2 }, "warm")
-	var held []*Conn
+	var held []Connection
 	for i := range 4 {
 		eventually(t, func() bool { return p.Stats().Idle == 2 }, "warm again")
 		c, err := p.Acquire(within(t, time.Second))
--- a/internal/gwbackend/poolcontrol.go
+++ b/internal/gwbackend/poolcontrol.go
@@ -8,7 +8,7 @@
 // AcquireControl returns the connection that is reserved for control
 // statements, which are run one at a time. With a limit of 1 there is no
 // reserved one and it competes with requests.
-func (p *Pool) AcquireControl(ctx context.Context) (*Conn, error) {
+func (p *Pool) AcquireControl(ctx context.Context) (Connection, error) {
 	select {
 	case <-p.control:
 	case <-ctx.Done():
@@ -36,7 +36,7 @@
 	return c, nil
 }
 
-func (p *Pool) dialControl(ctx context.Context) (*Conn, error) {
+func (p *Pool) dialControl(ctx context.Context) (Connection, error) {
 	c, err := p.connect(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -45,14 +45,13 @@
 		p.stats.DialErrors++
 		return nil, err
 	}
-	c.control = true
 	p.controlConn = c
 	return c, nil
 }
 
-func (p *Pool) releaseControl(c *Conn, reusable bool) {
+func (p *Pool) releaseControl(c Connection, reusable bool) {
 	p.mu.Lock()
-	drop := !reusable || !c.Usable() || c.tx != 'I' || p.closed || p.limit < 2
+	drop := !reusable || !c.Usable() || c.TxStatus() != 'I' || p.closed || p.limit < 2
 	p.mu.Unlock()
 	if drop {
 		p.dropControl(c)
@@ -61,7 +60,7 @@
 }
 
 // dropControl closes the control connection. Its token is held.
-func (p *Pool) dropControl(c *Conn) {
+func (p *Pool) dropControl(c Connection) {
 	_ = c.Close()
 	p.mu.Lock()
 	p.controlConn = nil
@@ -75,7 +74,7 @@
 func (p *Pool) SetLimit(n int) {
 	p.mu.Lock()
 	p.limit = max(1, n)
-	var closing []*Conn
+	var closing []Connection
 	for p.surplus() && len(p.idle) > 0 {
 		closing = append(closing, p.takeOldest())
 	}
@@ -100,13 +99,13 @@
 }
 
 // takeOldest removes the least recently used idle connection. p.mu is held.
-func (p *Pool) takeOldest() *Conn {
+func (p *Pool) takeOldest() Connection {
 	c := p.idle[0].c
 	p.idle = append(p.idle[:0], p.idle[1:]...)
 	return c
 }
 
-func closeAll(conns []*Conn) {
+func closeAll(conns []Connection) {
 	for _, c := range conns {
 		_ = c.Close()
 	}
@@ -143,7 +142,7 @@
 
 func (p *Pool) sweep(now time.Time) {
 	p.mu.Lock()
-	var closing []*Conn
+	var closing []Connection
 	for len(p.idle) > p.o.MinIdle && now.Sub(p.idle[0].since) >= p.o.IdleTimeout {
 		closing = append(closing, p.takeOldest())
 	}
@@ -159,7 +158,7 @@
 	p.mu.Lock()
 	first := !p.closed
 	p.closed = true
-	var closing []*Conn
+	var closing []Connection
 	for len(p.idle) > 0 {
 		closing = append(closing, p.takeOldest())
 	}
@@ -201,7 +200,7 @@
 // cut ends the connections in use, whose requests then fail.
 func (p *Pool) cut() {
 	p.mu.Lock()
-	conns := make([]*Conn, 0, len(p.used)+1)
+	conns := make([]Connection, 0, len(p.used)+1)
 	for c := range p.used {
 		conns = append(conns, c)
 	}
@@ -210,8 +209,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range conns {
-		c.unusable.Store(true)
-		_ = c.nc.Close()
+		c.Cut()
 	}
 }
 
--- a/internal/gwbackend/request.go
+++ b/internal/gwbackend/request.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"gentianward.example/gentianward/pkg/gwoutcome"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -64,8 +65,42 @@
 	// Prepared lists the statements that Messages use without a preceding
 	// Parse. Exchange parses those that the connection does not have.
 	Prepared []Statement `json:"prepared,omitempty" cbor:"2,keyasint,omitempty"`
+	// Line is set for requests of the statement protocol (package gwstatement)
+	// instead of Messages.
+	Line *Line `json:"line,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
+// Line is a request of the statement protocol.
+type Line struct {
+	ID   string `json:"id,omitempty" cbor:"1,keyasint,omitempty"`
+	Text string `json:"text" cbor:"2,keyasint"`
+	// Values are those that the session has set, ordered by name.
+	Values []Value `json:"values,omitempty" cbor:"3,keyasint,omitempty"`
+	// Begin opens a transaction before the statement.
+	Begin Begin `json:"begin,omitempty" cbor:"4,keyasint,omitempty"`
+	// After is the position that the server's log must contain; the server
+	// checks it. Zero requires nothing.
+	After gwsession.Position `json:"after,omitzero" cbor:"5,keyasint,omitzero"`
+	// Commits means that success keeps writes.
+	Commits bool `json:"commits,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// Value is a value that a session has set.
+type Value struct {
+	Name  string `json:"name" cbor:"1,keyasint"`
+	Value string `json:"value" cbor:"2,keyasint"`
+}
+
+// Begin says which transaction a request opens.
+type Begin uint8
+
+// Transactions that a request opens.
+const (
+	NoBegin Begin = iota
+	BeginWrite
+	BeginRead
+)
+
 // Query returns the request of a simple query.
 func Query(sql string) Request {
 	b := make([]byte, 0, len(sql)+6)
@@ -89,4 +124,7 @@
 	ServerError *pgconn.PgError    // last ErrorResponse, nil if none
 	CommandTags []string           // valid until the next exchange on the connection
 	AnswerBytes int64              // bytes passed to the sink
+	// Refusal is the event that ServerError stands for when the statement
+	// certainly has not run; 0 for other errors.
+	Refusal gwoutcome.Event
 }
--- a/internal/gwbackend/server.go
+++ b/internal/gwbackend/server.go
@@ -66,6 +66,7 @@
 		done: make(chan struct{}), kick: make(chan struct{}, 1),
 		waiters: make(map[*positionWaiter]struct{}),
 	}
+	o.Pool.Dial = o.Dialect.Dial
 	next := o.Pool.OnPosition
 	o.Pool.OnPosition = func(p gwsession.Position) {
 		s.observe(p)
@@ -94,21 +95,21 @@
 
 // Refresh asks the server for its report now.
 func (s *Server) Refresh(ctx context.Context) (Report, error) {
-	return s.query(ctx, func(ctx context.Context, c *Conn) (Report, error) {
+	return s.query(ctx, func(ctx context.Context, c Connection) (Report, error) {
 		return s.o.Dialect.Position(ctx, c)
 	})
 }
 
 // Fence makes the server refuse writes of terms before the given one.
 func (s *Server) Fence(ctx context.Context, term uint64) (Report, error) {
-	return s.query(ctx, func(ctx context.Context, c *Conn) (Report, error) {
+	return s.query(ctx, func(ctx context.Context, c Connection) (Report, error) {
 		return s.o.Dialect.Fence(ctx, c, term)
 	})
 }
 
 // Promote makes the server the primary of the term.
 func (s *Server) Promote(ctx context.Context, term uint64) (start gwsession.Position, err error) {
-	_, err = s.query(ctx, func(ctx context.Context, c *Conn) (Report, error) {
+	_, err = s.query(ctx, func(ctx context.Context, c Connection) (Report, error) {
 		var err error
 		if start, err = s.o.Dialect.Promote(ctx, c, term); err != nil {
 			return Report{}, err
@@ -120,7 +121,7 @@
 
 // Follow makes the server a replica of the primary at the address.
 func (s *Server) Follow(ctx context.Context, term uint64, primaryAddress string) (dropped uint64, err error) {
-	_, err = s.query(ctx, func(ctx context.Context, c *Conn) (Report, error) {
+	_, err = s.query(ctx, func(ctx context.Context, c Connection) (Report, error) {
 		var err error
 		if dropped, err = s.o.Dialect.Follow(ctx, c, term, primaryAddress); err != nil {
 			return Report{}, err
@@ -131,7 +132,7 @@
 }
 
 // query runs control statements that end in a report.
-func (s *Server) query(ctx context.Context, fn func(context.Context, *Conn) (Report, error)) (Report, error) {
+func (s *Server) query(ctx context.Context, fn func(context.Context, Connection) (Report, error)) (Report, error) {
 	c, err := s.pool.AcquireControl(ctx)
 	if err != nil {
 		s.noteError(err)
@@ -140,6 +141,9 @@
 	start := s.now()
 	r, err := fn(ctx, c)
 	s.pool.Release(c, c.Usable())
+	if errors.Is(err, ErrServerBusy) {
+		return s.busy(start)
+	}
 	if err != nil {
 		s.noteError(err)
 		return Report{}, err
@@ -156,6 +160,18 @@
 	s.mu.Unlock()
 }
 
+// busy notes that the server answered without a report: what it reported last
+// stands, and it is alive.
+func (s *Server) busy(start time.Time) (Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.polledAt.IsZero() {
+		return Report{}, &Error{Op: "query", Kind: KindServer, Server: s.o.Pool.Name, Err: ErrServerBusy}
+	}
+	s.at, s.err = start, nil
+	return s.report, nil
+}
+
 // update takes the answer of a query that was sent at start. A position may go
 // back, when the server dropped the end of its log; but not behind one that
 // the server sent after the query.
--- a/internal/gwcontrol/directory.go
+++ b/internal/gwcontrol/directory.go
@@ -22,6 +22,10 @@
 	Leaving     bool   `cbor:"7,keyasint" json:"leaving,omitempty"`
 	// Version orders the facts of one server; the owner raises it with each change.
 	Version uint64 `cbor:"8,keyasint" json:"-"`
+	// Gone means that the server has ended or that another one has its address.
+	Gone bool `cbor:"12,keyasint,omitempty" json:"gone,omitempty"`
+	// Born tells the runs of one server apart, in order; 0 where it is not announced.
+	Born uint64 `cbor:"13,keyasint,omitempty" json:"born,omitempty"`
 }
 
 // Announcement is the body of an announcement by a backend server.
@@ -51,6 +55,9 @@
 	if f.Leaving {
 		b[16] = 1
 	}
+	if f.Gone {
+		b[16] |= 2
+	}
 	_, _ = d.Write(b[:])
 	return d.Sum64()
 }
@@ -126,6 +133,36 @@
 	return f, true
 }
 
+// Record takes facts whose version the server itself has given, so that
+// announcements may arrive anywhere and in any order, and returns the facts that
+// changed. A server that another one has followed at its address is gone.
+func (d *Directory) Record(f ServerFacts) []ServerFacts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	servers := d.current.Load().servers
+	var changed []ServerFacts
+	for _, o := range servers {
+		if o.Server == f.Server || o.Address != f.Address || o.Gone {
+			continue
+		}
+		if o.Born > f.Born {
+			f.Gone = true
+			continue
+		}
+		o.Gone = true
+		o.Version++
+		changed = append(changed, o)
+	}
+	old, known := servers[f.Server]
+	if !known || f.Version > old.Version && !sameFacts(old, f) && f.Born >= old.Born {
+		changed = append(changed, f)
+	}
+	if len(changed) > 0 {
+		d.store(changed)
+	}
+	return changed
+}
+
 // Merge records facts from another instance and returns those that were new here.
 func (d *Directory) Merge(facts []ServerFacts) []ServerFacts {
 	d.mu.Lock()
--- a/internal/gwcontrol/kinds.go
+++ b/internal/gwcontrol/kinds.go
@@ -15,6 +15,7 @@
 	kindStart     = gwpeer.Kind{ID: 10, Name: "startGroup", Priority: gwpeer.PriorityControl}
 	kindSuspect   = gwpeer.Kind{ID: 11, Name: "suspectPrimary", Priority: gwpeer.PriorityControl}
 	kindHistory   = gwpeer.Kind{ID: 12, Name: "history", Priority: gwpeer.PriorityControl}
+	kindCurrent   = gwpeer.Kind{ID: 13, Name: "currentManifest", Priority: gwpeer.PriorityControl}
 	kindVoter     = gwpeer.Kind{ID: 14, Name: "voter", Priority: gwpeer.PriorityControl}
 
 	// KindExec carries the requests of callers' sessions.
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/internal/gwstate"
 )
@@ -38,15 +39,23 @@
 	return &Client{node: node, clock: clock, log: log, members: members, views: views, local: local}
 }
 
-// Voters returns the peer addresses of the manifest's voters by instance.
+// Voters returns the peer addresses of the manifest's voters by instance, or of
+// the live instances dedicated to control if no manifest lists voters.
 func (c *Client) Voters() map[string]string {
 	out := make(map[string]string)
-	m := c.views.Current().Manifest
-	if m == nil {
+	if m := c.views.Current().Manifest; m != nil {
+		for _, v := range m.Manifest().Voters {
+			out[v.Instance] = v.Address
+		}
+	}
+	if len(out) > 0 {
 		return out
 	}
-	for _, v := range m.Manifest().Voters {
-		out[v.Instance] = v.Address
+	// No manifest lists voters: every instance that is dedicated to control may be one.
+	for _, m := range c.members.Topology().Live {
+		if m.ControlOnly {
+			out[m.Instance] = m.Address
+		}
 	}
 	return out
 }
@@ -139,6 +148,10 @@
 	return remote && code == Refused.String()
 }
 
+// IsRefused reports whether err says that a request was understood and must not
+// be repeated as it is, here or at the leader.
+func IsRefused(err error) bool { return final(err) }
+
 // leaderHint returns the leader that a voter named, "" if it named none.
 func leaderHint(err error) string {
 	var e *Error
@@ -177,6 +190,9 @@
 	owners    Owners
 	voters    func() map[string]string
 	topology  func() *Topology
+	format    Format
+	manifest  func() *gwmanifest.Index
+	promoter  Promoter
 	changed   func(group string, took time.Duration)
 
 	// keeping means that the members of the log are being compared with the manifest.
@@ -198,6 +214,7 @@
 		return withCode(l.Suspect(ctx, r))
 	})
 	serveLeader(node, kindHistory, l.History)
+	serveLeader(node, kindCurrent, l.Current)
 	return l
 }
 
@@ -209,8 +226,19 @@
 // each change of primary. It must be called before Run.
 func (l *Leader) Attach(o Owners, c *Client, changed func(group string, took time.Duration)) {
 	l.owners, l.voters, l.topology, l.changed = o, c.Voters, c.members.Topology, changed
+	l.format = c.views.format
+	l.manifest = func() *gwmanifest.Index { return c.views.Current().Manifest }
 }
 
+// Promoter asks whatever runs the backend servers to make one the primary.
+// Promote may be repeated; fence rises whenever another instance leads.
+type Promoter interface {
+	Promote(ctx context.Context, group, server string, fence uint64) error
+}
+
+// UsePromoter makes changes of primary go through p. It must be called before Run.
+func (l *Leader) UsePromoter(p Promoter) { l.promoter = p }
+
 func serveLeader[Req, Resp any](node *gwpeer.Node, kind gwpeer.Kind, f func(context.Context, Req) (Resp, error)) {
 	gwpeer.Handle(node, kind, func(ctx context.Context, _ string, req Req) (Resp, error) {
 		return withCode(f(ctx, req))
--- a/internal/gwcontrol/membership.go
+++ b/internal/gwcontrol/membership.go
@@ -29,7 +29,7 @@
 		Live:    live,
 		byName:  make(map[string]gwmember.Member, len(live)),
 		regions: make(map[string]string),
-		places:  gwlease.NewPlacement(live),
+		places:  gwlease.NewPlacement(owning(live)),
 	}
 	for _, m := range live {
 		t.byName[m.Instance] = m
@@ -38,6 +38,11 @@
 	return t
 }
 
+// owning returns the instances that may own backend servers.
+func owning(live []gwmember.Member) []gwmember.Member {
+	return slices.DeleteFunc(slices.Clone(live), func(m gwmember.Member) bool { return m.ControlOnly })
+}
+
 // Member returns the live member of that name.
 func (t *Topology) Member(instance string) (gwmember.Member, bool) {
 	m, ok := t.byName[instance]
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -232,13 +232,23 @@
 	best := candidates[0]
 	pctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
+	if l.promoter != nil {
+		// A leader that has been replaced must not use an older fence after its
+		// successor; the quorum answers for this moment.
+		if err := l.consensus.ConfirmLeadership(pctx); err != nil {
+			return err
+		}
+		if err := l.promoter.Promote(pctx, g.Name, best.Server, l.consensus.Status().Term); err != nil {
+			return err
+		}
+	}
 	start, err := l.owners.PromoteAt(pctx, Promote{Server: best.Server, Term: g.NextTerm})
 	if err != nil {
 		return err
 	}
 	seq, _ := l.state.Clock().Expired(g.Name, l.clock.Now())
 	res, err := l.consensus.Propose(pctx, gwstate.FinishChange{
-		Group: g.Name, FromTerm: g.Term, Term: g.NextTerm, Primary: best.Server, Start: start, Previous: seq,
+		Group: g.Name, FromTerm: g.Term, Term: start.Term, Attempt: g.NextTerm, Primary: best.Server, Start: start, Previous: seq,
 	})
 	if err != nil {
 		return err
--- a/internal/gwcontrol/publish.go
+++ b/internal/gwcontrol/publish.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwstate"
 )
 
@@ -24,11 +23,11 @@
 // Publish commits a manifest as the successor of the current one.
 func (l *Leader) Publish(ctx context.Context, r PublishRequest) (PublishResult, error) {
 	const op = "publish"
-	m, err := gwmanifest.ParseManifest("manifest", r.Text)
+	m, err := l.format.parse("manifest", r.Text)
 	if err != nil {
 		return PublishResult{}, &Error{Op: op, Kind: Refused, Detail: err.Error()}
 	}
-	cmd := gwstate.PublishManifest{Number: m.Number, Digest: m.Digest(), Text: string(r.Text)}
+	cmd := gwstate.PublishManifest{Number: m.Number, Digest: m.Digest(), Text: string(r.Text), AnyLater: l.format.AnyLater}
 	res, err := l.consensus.Propose(ctx, cmd)
 	if err != nil {
 		return PublishResult{}, err
@@ -54,6 +53,46 @@
 	}
 }
 
+// CurrentRequest asks for the newest manifest.
+type CurrentRequest struct {
+	// Known is the number of a manifest whose text need not be sent.
+	Known uint64 `cbor:"1,keyasint"`
+}
+
+// CurrentManifest is the newest manifest; its text is empty if it is the one
+// that the request named, and its number 0 if there is none.
+type CurrentManifest struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Text   []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Current returns the newest manifest after a quorum has confirmed that this
+// voter leads.
+func (l *Leader) Current(ctx context.Context, r CurrentRequest) (CurrentManifest, error) {
+	if err := l.consensus.ConfirmLeadership(ctx); err != nil {
+		return CurrentManifest{}, err
+	}
+	m := l.state.Manifest()
+	out := CurrentManifest{Number: m.Number}
+	if m.Number != r.Known {
+		out.Text = []byte(m.Text)
+	}
+	return out, nil
+}
+
+// Current asks the leader for the newest manifest. The answer is never older than
+// any manifest that was acknowledged before the call.
+func (c *Client) Current(ctx context.Context) (CurrentManifest, error) {
+	v := c.views.Current()
+	m, err := callLeader(ctx, c, kindCurrent, CurrentRequest{Known: v.Number}, func(ctx context.Context, r CurrentRequest) (CurrentManifest, error) {
+		return c.local.Current(ctx, r)
+	})
+	if err == nil && m.Number == v.Number {
+		m.Text = v.Text
+	}
+	return m, err
+}
+
 // HistoryRequest asks for the accepted manifests.
 type HistoryRequest struct{}
 
--- a/internal/gwcontrol/view.go
+++ b/internal/gwcontrol/view.go
@@ -71,11 +71,11 @@
 
 // With returns the view after d. The index, the manifest number and the state
 // of each group never go back.
-func (v *View) With(d ViewDelta) (*View, error) {
+func (v *View) With(d ViewDelta, format Format) (*View, error) {
 	next := *v
 	next.Index = max(v.Index, d.Index)
 	if d.Number > v.Number && len(d.Text) > 0 {
-		m, err := gwmanifest.ParseManifest("agreed manifest", d.Text)
+		m, err := format.parse("agreed manifest", d.Text)
 		if err != nil {
 			return nil, &Error{Op: "apply view", Kind: BadManifest, Err: err}
 		}
@@ -100,11 +100,29 @@
 	mu      sync.Mutex
 	current atomic.Pointer[View]
 	changed chan struct{}
+	format  Format
 }
 
-// NewViews returns an empty view.
-func NewViews() *Views {
-	v := &Views{changed: make(chan struct{})}
+// Format is how the manifests of a deployment are written and ordered.
+type Format struct {
+	// Parse reads a manifest; nil for the project's own format.
+	Parse func(name string, text []byte) (*gwmanifest.Manifest, error)
+	// AnyLater means that a manifest replaces any one of a lower number, and
+	// that one which is not newer is acknowledged without effect. Otherwise a
+	// manifest must be the successor of the current one.
+	AnyLater bool
+}
+
+func (f Format) parse(name string, text []byte) (*gwmanifest.Manifest, error) {
+	if f.Parse == nil {
+		return gwmanifest.ParseManifest(name, text)
+	}
+	return f.Parse(name, text)
+}
+
+// NewViews returns an empty view of manifests in the given format.
+func NewViews(f Format) *Views {
+	v := &Views{changed: make(chan struct{}), format: f}
 	v.current.Store(&View{})
 	return v
 }
@@ -128,7 +146,7 @@
 	if d.From > old.Index {
 		return false, &Error{Op: "apply view", Kind: Gap}
 	}
-	next, err := old.With(d)
+	next, err := old.With(d, v.format)
 	if err != nil {
 		return false, err
 	}
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -156,7 +156,11 @@
 	for name, address := range wanted {
 		current[l.currentIdentity(ctx, name, address, st)] = true
 	}
-	if change, ok := nextChange(st, current); ok {
+	silent := l.silentVoters(st, wanted)
+	for _, id := range silent {
+		current[id] = true
+	}
+	if change, ok := nextChange(st, current, silent); ok {
 		if change.Kind == gwquorum.Remove && change.Instance == st.ID {
 			l.consensus.HandOver(ctx)
 			return
@@ -183,8 +187,24 @@
 	return name
 }
 
+// silentVoters returns the voters that no manifest lists and that are not live.
+// They stay voters until an instance that can take their place has caught up.
+func (l *Leader) silentVoters(st gwquorum.Status, wanted map[string]string) []string {
+	if m := l.manifest(); m != nil && len(m.Manifest().Voters) > 0 {
+		return nil
+	}
+	var out []string
+	for _, id := range st.Voters {
+		if _, live := wanted[voterName(id)]; !live {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // nextChange returns the next step from the members of the log to current.
-func nextChange(st gwquorum.Status, current map[string]bool) (gwquorum.Change, bool) {
+// A silent voter makes room for a learner that has caught up.
+func nextChange(st gwquorum.Status, current map[string]bool, silent []string) (gwquorum.Change, bool) {
 	for id := range current {
 		if !slices.Contains(st.Voters, id) && !slices.Contains(st.Learners, id) {
 			return gwquorum.Change{Kind: gwquorum.AddLearner, Instance: id}, true
@@ -197,6 +217,9 @@
 	}
 	for _, id := range st.Learners {
 		if caughtUp(st, id) {
+			if len(silent) > 0 {
+				return gwquorum.Change{Kind: gwquorum.Remove, Instance: silent[0]}, true
+			}
 			return gwquorum.Change{Kind: gwquorum.Promote, Instance: id}, true
 		}
 	}
--- a/internal/gwdaemon/announce.go
+++ b/internal/gwdaemon/announce.go
@@ -63,6 +63,39 @@
 	return err
 }
 
+// Record takes an announcement whose version the server itself gave; any
+// instance may take it.
+func (i *Instance) Record(ctx context.Context, f gwcontrol.ServerFacts) {
+	changed := i.directory.Record(f)
+	if len(changed) == 0 {
+		return
+	}
+	for _, c := range changed {
+		i.Log.Info("backend server announced", "server", c.Server, "group", c.Group, "address", c.Address,
+			"leaving", c.Leaving, "gone", c.Gone, "born", c.Born, "version", c.Version)
+	}
+	i.spreader.Tell(context.WithoutCancel(ctx), changed, false)
+}
+
+// Server returns what is known about a backend server.
+func (i *Instance) Server(name string) (gwcontrol.ServerFacts, bool) { return i.directory.Server(name) }
+
+// KnowsGroup reports whether the manifest in force has the group; true while
+// there is no manifest.
+func (i *Instance) KnowsGroup(name string) bool {
+	m := i.views.Current().Manifest
+	if m == nil {
+		return true
+	}
+	_, ok := m.GroupNamed(name)
+	return ok
+}
+
+// Current returns the newest manifest, confirmed by a quorum of voters.
+func (i *Instance) Current(ctx context.Context) (gwcontrol.CurrentManifest, error) {
+	return i.client.Current(ctx)
+}
+
 func (i *Instance) serveAnnouncements() {
 	gwpeer.Handle(i.node, kindAnnounced, func(ctx context.Context, _ string, a gwcontrol.Announcement) (gwcontrol.Empty, error) {
 		if err := checkAnnouncement(a); err != nil {
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -49,11 +49,40 @@
 	// DialBackend opens connections to backend servers; nil for the default.
 	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
 	Telemetry   Telemetry
+	// Format is how manifests are written; zero for the project's own format.
+	Format gwcontrol.Format
+	// Dialect is that of the backend servers; nil for the stand-in's.
+	Dialect gwbackend.Dialect
+	// ServeCallers serves callers in another protocol than PostgreSQL's.
+	ServeCallers func(ctx context.Context, l net.Listener, e *gwfilter.Entry) Callers
+	// Promoter is asked to promote servers; nil where the servers do it themselves.
+	Promoter gwcontrol.Promoter
+	// ControlOnly dedicates the instance to control: it serves no callers and
+	// owns no backend servers.
+	ControlOnly bool
+	// FirstVoters are the peer addresses of the voters of a first start by
+	// instance, where no manifest lists voters.
+	FirstVoters map[string]string
+	// VoterAddress returns the peer address of a voter that is not a live
+	// member; nil where a manifest lists voters.
+	VoterAddress func(instance string) (string, bool)
+	// StopDelay is how long a stopping instance takes callers after it has
+	// reported that it is not ready, because whoever sends them learns it late.
+	StopDelay time.Duration
+	// Routes replaces the HTTP interface on the operators' address.
+	Routes func(i *Instance) http.Handler
 	// Drain is called when an operator asks this instance to stop gracefully;
 	// nil refuses such requests.
 	Drain func()
 }
 
+// Callers is the side of an instance that serves callers.
+type Callers interface {
+	Address() net.Addr
+	// Drain ends the sessions gracefully; see gwwire.Server.Drain.
+	Drain(ctx context.Context) error
+}
+
 // Telemetry receives the measurements of an instance.
 type Telemetry interface {
 	gwfilter.Observer
@@ -78,7 +107,8 @@
 	keeper    *gwcontrol.Keeper
 	owner     *gwowner.Owner
 	entry     *gwfilter.Entry
-	wire      *gwwire.Server
+	wire      *gwwire.Server // nil where callers use another protocol
+	callers   Callers        // nil on an instance dedicated to control
 	operator  *http.Server
 	saver     *viewSaver
 	log       *gwstore.Log
@@ -93,7 +123,7 @@
 
 // Start starts an instance; it serves callers once it knows a manifest.
 func Start(ctx context.Context, o Options) (*Instance, error) {
-	i := &Instance{Options: o, views: gwcontrol.NewViews(), directory: gwcontrol.NewDirectory(), starting: make(map[string]bool)}
+	i := &Instance{Options: o, views: gwcontrol.NewViews(o.Format), directory: gwcontrol.NewDirectory(), starting: make(map[string]bool)}
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	i.cancel = cancel
 	if err := i.start(run); err != nil {
@@ -136,7 +166,7 @@
 	s := i.Settings
 	self := gwmember.Member{
 		Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Address: i.node.Address(),
-		OperatorAddress: s.OperatorAddress, Incarnation: uint64(i.Clock.Now().UnixMilli()),
+		OperatorAddress: s.OperatorAddress, Incarnation: uint64(time.Now().UnixMilli()), ControlOnly: i.ControlOnly,
 	}
 	i.spreader = gwcontrol.NewSpreader(i.node, i.Clock, i.Log, i.views, i.directory)
 	i.members = gwcontrol.NewMembership(i.node, i.Clock, i.Log, gwmember.Config{Self: self, Seeds: s.Seeds}, i.spreader.Ahead)
@@ -170,6 +200,9 @@
 
 // firstVoters returns the addresses of the voters of the first start.
 func (i *Instance) firstVoters() map[string]string {
+	if i.Manifest == nil && i.FirstVoters != nil {
+		return i.FirstVoters
+	}
 	out := make(map[string]string)
 	if i.Manifest != nil {
 		for _, v := range i.Manifest.Voters {
@@ -191,6 +224,12 @@
 }
 
 func (i *Instance) voterAddress(instance string) (string, bool) {
+	if i.VoterAddress != nil {
+		if m, ok := i.members.Topology().Member(instance); ok {
+			return m.Address, true
+		}
+		return i.VoterAddress(instance)
+	}
 	m := i.firstManifest()
 	if m == nil {
 		return "", false
@@ -207,9 +246,11 @@
 	i.owner = gwowner.New(ctx, gwowner.Options{
 		Node: i.node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
+		Dialect: i.Dialect, Start: i.client.StartGroup,
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
+		i.leader.UsePromoter(i.Promoter)
 	}
 	i.serveAnnouncements()
 	i.serveOperators()
@@ -227,15 +268,40 @@
 
 func (i *Instance) listen(ctx context.Context) error {
 	s := i.Settings
-	callers, err := net.Listen("tcp", s.CallerAddress)
+	operators, err := net.Listen("tcp", s.OperatorAddress)
 	if err != nil {
 		return err
 	}
-	operators, err := net.Listen("tcp", s.OperatorAddress)
+	if !i.ControlOnly {
+		if err := i.serveCallers(ctx); err != nil {
+			_ = operators.Close()
+			return err
+		}
+	}
+	routes := i.Routes
+	if routes == nil {
+		routes = (*Instance).routes
+	}
+	i.operator = &http.Server{Handler: routes(i), ReadHeaderTimeout: httpTimeout}
+	i.wg.Go(func() {
+		if err := i.operator.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
+			i.Log.Error("operator listener failed", "error", err)
+		}
+	})
+	return nil
+}
+
+// serveCallers opens the callers' address.
+func (i *Instance) serveCallers(ctx context.Context) error {
+	s := i.Settings
+	callers, err := net.Listen("tcp", s.CallerAddress)
 	if err != nil {
-		_ = callers.Close()
 		return err
 	}
+	if i.ServeCallers != nil {
+		i.callers = i.ServeCallers(ctx, callers, i.entry)
+		return nil
+	}
 	i.wire, err = gwwire.Serve(ctx, gwwire.Options{
 		Listener: callers, TLS: i.CallerTLS, Handler: i.entry, Lookup: i.entry.Lookup, TrustLoopback: s.TrustLoopback,
 		Logger: i.Log, Cancel: i, CancelPrefix: cancelPrefix(s.Instance),
@@ -243,13 +309,8 @@
 	if err != nil {
 		return err
 	}
+	i.callers = i.wire
 	i.serveCancels()
-	i.operator = &http.Server{Handler: i.routes(), ReadHeaderTimeout: httpTimeout}
-	i.wg.Go(func() {
-		if err := i.operator.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
-			i.Log.Error("operator listener failed", "error", err)
-		}
-	})
 	return nil
 }
 
@@ -268,7 +329,7 @@
 }
 
 // CallerAddress returns the address that callers connect to.
-func (i *Instance) CallerAddress() string { return i.wire.Address().String() }
+func (i *Instance) CallerAddress() string { return i.callers.Address().String() }
 
 // PeerAddress returns the address of the links to other instances.
 func (i *Instance) PeerAddress() string { return i.node.Address() }
@@ -328,7 +389,14 @@
 	if i.consensus != nil && i.consensus.Leading() {
 		i.consensus.HandOver(ctx)
 	}
-	err := i.wire.Drain(ctx)
+	var err error
+	if i.callers != nil {
+		select {
+		case <-ctx.Done():
+		case <-i.Clock.After(i.StopDelay):
+		}
+		err = i.callers.Drain(ctx)
+	}
 	i.owner.Release(ctx)
 	i.keeper.Stop(ctx)
 	select {
--- a/internal/gwdaemon/view.go
+++ b/internal/gwdaemon/view.go
@@ -73,7 +73,7 @@
 				i.Log.Error("view not saved", "error", err)
 			}
 		}
-		if m := i.views.Current().Manifest; m != nil {
+		if m := i.views.Current().Manifest; m != nil && i.wire != nil {
 			// The owner of a backend server bounds idle transactions itself.
 			i.wire.SetLimits(gwwire.Limits{MessageBytes: m.Manifest().Limits.MessageBytes})
 		}
--- a/internal/gwfilter/consistency.go
+++ b/internal/gwfilter/consistency.go
@@ -24,6 +24,12 @@
 		}
 		class := r.rules.class
 		strict := class.Staleness.Duration == 0
+		if strict && r.backend.Line != nil {
+			// One round trip to the primary instead of one for the barrier and
+			// one for the read.
+			r.need.Policy, r.exec.UnderLease = gwroute.PrimaryOnly, true
+			return next(ctx, r)
+		}
 		if strict || (!class.ReadOnly && s.state.NeedsBarrier(s.group)) {
 			if res, ok := e.barrier(ctx, r, strict); !ok {
 				return res
--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/internal/gwwire"
@@ -18,11 +19,16 @@
 // request is one request on its way through the filters.
 type request struct {
 	session *session
-	wire    gwwire.Request
-	w       gwwire.ResponseWriter
-	stmt    statement
-	rules   rules
-	started time.Time
+	// backend is the request as it is sent to a backend server.
+	backend gwbackend.Request
+	// sql is the text in which a request key may stand.
+	sql string
+	// executes is false for a request that only parses or describes.
+	executes bool
+	w        answerWriter
+	stmt     statement
+	rules    rules
+	started  time.Time
 	// deadline is when the caller's class gives up.
 	deadline time.Time
 	need     gwroute.Need
@@ -32,8 +38,19 @@
 	bytes  int64
 }
 
+// answerWriter receives the answer of one request.
+type answerWriter interface {
+	writer
+	// Discard drops what was written, so that the request can be answered
+	// anew. It reports false if the caller has received a part of it.
+	Discard() bool
+}
+
 func (s *session) newRequest(req gwwire.Request, w gwwire.ResponseWriter, kind statement) *request {
-	r := &request{session: s, wire: req, w: w, stmt: kind, started: s.entry.Clock.Now(), rules: s.entry.rules(s.class)}
+	r := &request{
+		session: s, backend: req.Backend(), sql: req.SQL, executes: req.Executes, w: w, stmt: kind,
+		started: s.entry.Clock.Now(), rules: s.entry.rules(s.class),
+	}
 	if !req.Executes && req.Kind == gwwire.Extended {
 		// Parsing and describing change nothing.
 		r.stmt = stmtRead
@@ -79,12 +96,12 @@
 			deadline = gwmanifest.DefaultDeadline
 		}
 		r.deadline = r.started.Add(deadline)
-		ctx, cancel := context.WithDeadline(ctx, r.deadline)
+		ctx, cancel := context.WithTimeout(ctx, deadline)
 		defer cancel()
 		r.exec = gwowner.Request{
 			Group: r.session.group, Class: r.session.class, Access: gwowner.Write,
 			PrimaryAcknowledges: class.Acknowledge == gwmanifest.AcknowledgePrimary,
-			Request:             r.wire.Backend(),
+			Request:             r.backend,
 		}
 		if r.read() {
 			r.exec.Access = gwowner.Read
@@ -92,7 +109,7 @@
 		}
 		r.need = gwroute.Need{Write: !r.read(), Policy: policy(r.rules.routing), WaitBudget: class.WaitBudget.Duration}
 		r.exec.AnyTerm = r.read() && r.need.Policy == gwroute.RoundRobin
-		if key, ok := r.key(); ok && !r.read() && r.wire.Executes {
+		if key, ok := r.key(); ok && !r.read() && r.executes {
 			r.exec.Key = key
 		}
 		return next(ctx, r)
@@ -101,7 +118,7 @@
 
 // key returns the request key of the statement or of a SET before it.
 func (r *request) key() (string, bool) {
-	if key, ok := gwoutcome.KeyOf(r.wire.SQL); ok {
+	if key, ok := gwoutcome.KeyOf(r.sql); ok {
 		return key, true
 	}
 	return r.session.key, r.session.key != ""
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -122,6 +122,9 @@
 	facts := e.Directory.Group(group)
 	out := make([]gwroute.Server, 0, len(facts))
 	for _, f := range facts {
+		if f.Gone {
+			continue
+		}
 		s := gwroute.Server{Name: f.Server, Primary: f.Server == g.Primary, Unusable: f.Leaving, Distance: e.distance(view, t, f)}
 		e.servers.fill(&s, now)
 		if s.Primary {
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -55,7 +55,7 @@
 func (s *session) Handle(ctx context.Context, req gwwire.Request, w gwwire.ResponseWriter) error {
 	kind := classify(req.SQL)
 	if s.transaction != nil {
-		s.finish(ctx, s.newRequest(req, w, kind))
+		s.finish(ctx, s.newRequest(req, w, kind), req, w)
 		return nil
 	}
 	switch kind {
@@ -78,7 +78,7 @@
 		w.Error(&pgconn.PgError{Severity: "ERROR", Code: stateUnsupported, Message: leadingWord(skipSpace(req.SQL)) + " is not supported on pooled connections"}, 'I')
 		return nil
 	}
-	s.finish(ctx, s.newRequest(req, w, kind))
+	s.finish(ctx, s.newRequest(req, w, kind), req, w)
 	return nil
 }
 
@@ -133,10 +133,10 @@
 // finish runs the request through the filters and reports its end to the
 // caller. A canceled read had no effect; the outcome of a canceled write stays
 // what the filters say.
-func (s *session) finish(ctx context.Context, r *request) {
+func (s *session) finish(ctx context.Context, r *request, req gwwire.Request, w gwwire.ResponseWriter) {
 	res := s.entry.chain(ctx, r)
 	if res.Event == gwoutcome.Answered {
-		s.answered(r, res)
+		s.answered(req, w, res)
 		return
 	}
 	inTransaction := s.transaction != nil
@@ -144,7 +144,7 @@
 	if !inTransaction && r.read() && errors.Is(context.Cause(ctx), gwwire.ErrCanceled) {
 		res.State, res.Message = stateCanceled, "canceled by the caller"
 	}
-	r.w.Error(&pgconn.PgError{Severity: "ERROR", Code: res.State, Message: res.Message}, 'I')
+	w.Error(&pgconn.PgError{Severity: "ERROR", Code: res.State, Message: res.Message}, 'I')
 }
 
 // dropTransaction forgets a transaction that a failure has ended.
@@ -157,19 +157,23 @@
 
 // answered advances the session's watermark after an acknowledged write and
 // tells the caller its new token.
-func (s *session) answered(r *request, res gwowner.Result) {
+func (s *session) answered(req gwwire.Request, w gwwire.ResponseWriter, res gwowner.Result) {
 	if res.Replayed {
-		r.w.Complete(r.wire, res.Tag, 'I')
+		w.Complete(req, res.Tag, 'I')
 	}
 	if res.Position.IsZero() {
 		return
 	}
-	now := s.entry.Clock.Now()
-	s.state = s.state.WithWrite(s.group, res.Position)
-	s.written = now
-	s.key = ""
-	token, err := s.entry.Signer.Issue(s.caller, s.state.Watermark(), now)
+	s.wrote(res.Position)
+	token, err := s.entry.Signer.Issue(s.caller, s.state.Watermark(), s.written)
 	if err == nil {
-		r.w.ParameterStatus(parameterSession, token)
+		w.ParameterStatus(parameterSession, token)
 	}
 }
+
+// wrote advances the session's watermark after an acknowledged write.
+func (s *session) wrote(p gwsession.Position) {
+	s.state = s.state.WithWrite(s.group, p)
+	s.written = s.entry.Clock.Now()
+	s.key = ""
+}
--- /dev/null
+++ b/internal/gwfilter/statement.go
@@ -0,0 +1,278 @@
+package gwfilter
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwowner"
+	"gentianward.example/gentianward/internal/gwstatement"
+	"gentianward.example/gentianward/pkg/gwoutcome"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// rollbackTimeout bounds the rollback that follows an answered ROLLBACK.
+const rollbackTimeout = time.Second
+
+// StatementHandler serves the callers of the statement protocol.
+type StatementHandler struct {
+	Entry *Entry
+	Codec gwstatement.Codec
+}
+
+var _ gwstatement.Handler = StatementHandler{}
+
+// Open creates the session of a caller of a database. Each database of this
+// protocol is a caller in the manifest.
+func (h StatementHandler) Open(_ context.Context, database string) (gwstatement.Session, *gwstatement.Failure) {
+	s := &statementSession{codec: h.Codec, status: 'I', prepared: make(map[string]preparedStatement)}
+	s.entry, s.caller = h.Entry, database
+	// The session is the connection: nothing was written before it.
+	s.state = s.state.WithToken(gwsession.Watermark{})
+	if f := s.resolve(); f != nil {
+		return nil, f
+	}
+	return s, nil
+}
+
+// statementSession is one connection of a caller of the statement protocol. The
+// session's values and prepared statements are kept here; whatever connection
+// runs a statement is brought to them first.
+type statementSession struct {
+	session
+	codec gwstatement.Codec
+	// status is 'I' outside of a transaction, 'T' inside and 'E' in a failed one.
+	status byte
+	// begin is the transaction that the next statement opens at a server.
+	begin    gwbackend.Begin
+	readOnly bool
+	values   []gwbackend.Value
+	prepared map[string]preparedStatement
+}
+
+type preparedStatement struct {
+	gwbackend.Statement
+	writes bool
+}
+
+// answerBuffer collects the answer of one statement.
+type answerBuffer struct{ b []byte }
+
+func (a *answerBuffer) Write(p []byte) (int, error) {
+	a.b = append(a.b, p...)
+	return len(p), nil
+}
+
+// Discard drops what was written.
+func (a *answerBuffer) Discard() bool {
+	a.b = a.b[:0]
+	return true
+}
+
+// resolve looks up what the manifest in force says about the session's caller.
+// It applies from the next transaction on.
+func (s *statementSession) resolve() *gwstatement.Failure {
+	m := s.entry.Views.Current().Manifest
+	if m == nil {
+		return &gwstatement.Failure{Code: gwstatement.Busy, Text: "the instance has no manifest yet"}
+	}
+	caller, ok := m.Caller(s.caller)
+	if !ok || len(caller.Databases) == 0 {
+		return &gwstatement.Failure{Code: gwstatement.NoDatabase, Text: "database " + s.caller + " is not in the manifest"}
+	}
+	group, ok := m.Group(caller.Databases[0])
+	if !ok {
+		return &gwstatement.Failure{Code: gwstatement.NoDatabase, Text: "database " + s.caller + " has no group"}
+	}
+	s.class, s.group = caller.Class, group.Name
+	return nil
+}
+
+// Idle reports whether the session may end without harm to its caller.
+func (s *statementSession) Idle() bool { return s.status == 'I' }
+
+// Close rolls an open transaction back.
+func (s *statementSession) Close() { s.rollback() }
+
+// Handle answers one statement.
+func (s *statementSession) Handle(ctx context.Context, q gwstatement.Query, b []byte) []byte {
+	switch st := q.Statement.(type) {
+	case gwstatement.Commit:
+		return s.commit(ctx, q, b)
+	case gwstatement.Rollback:
+		s.rollback()
+		return s.complete(b)
+	case gwstatement.Invalid:
+		return s.fail(b, gwstatement.Malformed, st.Reason)
+	}
+	if s.status == 'E' {
+		return s.fail(b, gwstatement.Malformed, "the transaction has failed and must be ended")
+	}
+	switch st := q.Statement.(type) {
+	case gwstatement.Begin:
+		return s.open(st, b)
+	case gwstatement.Set:
+		s.set(st)
+		return s.complete(b)
+	case gwstatement.Prepare:
+		text := s.codec.ShapeText(st)
+		s.prepared[st.Name] = preparedStatement{Statement: gwbackend.NewStatement(text, nil), writes: st.Writes}
+		return s.complete(b)
+	case gwstatement.Deallocate:
+		delete(s.prepared, st.Name)
+		return s.complete(b)
+	case gwstatement.Execute:
+		p, ok := s.prepared[st.Name]
+		if !ok {
+			return s.fail(b, gwstatement.NoStatement, "no statement is prepared under the name "+st.Name)
+		}
+		text := s.codec.ExecuteText(p.Name, st.Arguments)
+		return s.execute(ctx, b, q.ID, text, p.writes, []gwbackend.Statement{p.Statement})
+	case gwstatement.Write:
+		return s.execute(ctx, b, q.ID, q.Text, true, nil)
+	default:
+		return s.execute(ctx, b, q.ID, q.Text, false, nil)
+	}
+}
+
+// open begins a transaction, which reaches a server with its first statement.
+func (s *statementSession) open(st gwstatement.Begin, b []byte) []byte {
+	if s.status != 'I' {
+		return s.fail(b, gwstatement.Malformed, "a transaction is open already")
+	}
+	if f := s.resolve(); f != nil {
+		return s.fail(b, f.Code, f.Text)
+	}
+	s.status, s.readOnly, s.begin = 'T', st.ReadOnly, gwbackend.BeginWrite
+	if st.ReadOnly {
+		s.begin = gwbackend.BeginRead
+	}
+	return s.complete(b)
+}
+
+func (s *statementSession) set(st gwstatement.Set) {
+	i, found := slices.BinarySearchFunc(s.values, st.Name, func(v gwbackend.Value, name string) int { return strings.Compare(v.Name, name) })
+	v := gwbackend.Value{Name: st.Name, Value: st.Value}
+	// A request in flight may still read the slice.
+	s.values = slices.Clone(s.values)
+	if found {
+		s.values[i] = v
+		return
+	}
+	s.values = slices.Insert(s.values, i, v)
+}
+
+func (s *statementSession) complete(b []byte) []byte {
+	return s.codec.AppendReady(s.codec.AppendComplete(b), s.status)
+}
+
+// fail answers with an error, which fails an open transaction.
+func (s *statementSession) fail(b []byte, code gwstatement.Code, text string) []byte {
+	if s.status == 'T' {
+		s.rollback()
+		s.status = 'E'
+	}
+	b = s.codec.AppendFailure(b, gwstatement.Failure{Code: code, Text: text})
+	return s.codec.AppendReady(b, s.status)
+}
+
+// commit ends the transaction.
+func (s *statementSession) commit(ctx context.Context, q gwstatement.Query, b []byte) []byte {
+	switch s.status {
+	case 'I':
+		return s.fail(b, gwstatement.Malformed, "no transaction is open")
+	case 'E':
+		s.rollback()
+		return s.fail(b, gwstatement.Aborted, "the transaction had failed and was rolled back")
+	}
+	r := s.newLine(q.ID, q.Text, false, nil)
+	r.backend.Line.Commits = !s.readOnly
+	return s.run(ctx, b, r, gwstatement.Scope{Transaction: true, Commits: !s.readOnly}, true)
+}
+
+// execute runs a read or a write, alone or in the open transaction.
+func (s *statementSession) execute(ctx context.Context, b []byte, id, text string, writes bool, prepared []gwbackend.Statement) []byte {
+	alone := s.status == 'I'
+	if alone {
+		if f := s.resolve(); f != nil {
+			return s.fail(b, f.Code, f.Text)
+		}
+	}
+	r := s.newLine(id, text, writes, prepared)
+	r.backend.Line.Commits = alone && writes
+	return s.run(ctx, b, r, gwstatement.Scope{Transaction: !alone, Commits: alone && writes}, alone)
+}
+
+// newLine builds the request of a statement with the session's state.
+func (s *statementSession) newLine(id, text string, writes bool, prepared []gwbackend.Statement) *request {
+	r := &request{
+		session: &s.session, executes: true, w: &answerBuffer{}, stmt: stmtRead,
+		started: s.entry.Clock.Now(), rules: s.entry.rules(s.class),
+		backend: gwbackend.Request{Prepared: prepared, Line: &gwbackend.Line{ID: id, Text: text, Values: s.values, Begin: s.begin}},
+	}
+	switch {
+	case s.begin == gwbackend.BeginRead:
+		r.stmt = stmtBeginReadOnly
+	case s.begin == gwbackend.BeginWrite:
+		r.stmt = stmtBegin
+	case writes:
+		r.stmt = stmtWrite
+	}
+	return r
+}
+
+// run sends the request through the filters and appends its answer. ends means
+// that no transaction is open after it.
+func (s *statementSession) run(ctx context.Context, b []byte, r *request, scope gwstatement.Scope, ends bool) []byte {
+	res := s.entry.chain(ctx, r)
+	if res.Event != gwoutcome.Answered {
+		s.dropTransaction()
+		s.begin = gwbackend.NoBegin
+		if ends {
+			s.status = 'I'
+		}
+		s.entry.logFailure(r, res)
+		return s.fail(b, gwstatement.CodeOf(res.Event, scope), res.Message)
+	}
+	s.begin = gwbackend.NoBegin
+	s.status = res.TxStatus
+	if !res.Position.IsZero() {
+		s.wrote(res.Position)
+	}
+	b = append(b, r.w.(*answerBuffer).b...)
+	return s.codec.AppendReady(b, s.status)
+}
+
+// rollback ends the transaction. The caller need not wait for the server.
+func (s *statementSession) rollback() {
+	up := s.transaction
+	s.transaction, s.status, s.begin = nil, 'I', gwbackend.NoBegin
+	if up == nil {
+		return
+	}
+	req := gwowner.Request{
+		Group: s.group, Server: s.server, Class: s.class, Access: gwowner.Read, Timeout: rollbackTimeout,
+		Request: gwbackend.Request{Line: &gwbackend.Line{Text: s.codec.RollbackText(), Values: s.values}},
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
+		defer cancel()
+		up.Exec(ctx, &req, &answerBuffer{})
+		up.Close()
+	}()
+}
+
+// logFailure writes the line that explains a statement which was not served.
+func (e *Entry) logFailure(r *request, res gwowner.Result) {
+	view := e.Views.Current()
+	g := view.Groups[r.session.group]
+	id := ""
+	if r.backend.Line != nil {
+		id = r.backend.Line.ID
+	}
+	e.Log.Info("statement not served", "id", id, "class", r.session.class, "group", r.session.group,
+		"event", res.Event.String(), "reason", res.Message, "server", r.served.Name, "took", e.Clock.Since(r.started).String(),
+		"manifest", view.Number, "term", g.Term, "primary", g.Primary, "changing", g.Changing, "position", r.exec.Position.String())
+}
--- a/internal/gwmanifest/checkmanifest.go
+++ b/internal/gwmanifest/checkmanifest.go
@@ -24,7 +24,9 @@
 // Bounds of numbers in a manifest.
 const (
 	maxCopies      = 9
+	maxConnections = 65536 // sockets to one address from one address
 	maxWeight      = 1000
+	maxPriority    = 100
 	maxQueue       = 1_000_000
 	maxConcurrency = 1_000_000
 	minMessage     = 64 << 10
@@ -102,6 +104,7 @@
 			sub := fmt.Sprintf("%s.groups[%d]", path, j)
 			c.unique(groups, sub+".name", g.Name, namePattern, nameForm)
 			c.number(sub+".copies", g.Copies, 1, maxCopies)
+			c.number(sub+".connections", g.Connections, 0, maxConnections)
 			replicated[d.Name+"/"+g.Name] = g.Copies != 1
 			all = all && g.Copies != 1
 		}
@@ -124,6 +127,8 @@
 		c.span(path+".staleness", k.Staleness, 0, 24*time.Hour)
 		c.span(path+".deadline", k.Deadline, time.Millisecond, time.Hour)
 		c.span(path+".waitBudget", k.WaitBudget, 0, time.Minute)
+		c.span(path+".aim", k.Aim, 0, time.Hour)
+		c.number(path+".priority", k.Priority, 0, maxPriority)
 		c.combination(path, k)
 	}
 	return classes
--- a/internal/gwmanifest/manifest.go
+++ b/internal/gwmanifest/manifest.go
@@ -48,6 +48,8 @@
 	Name      string `json:"name"`
 	Copies    int    `json:"copies"`    // backend servers that hold the group's data
 	AllowLoss bool   `json:"allowLoss"` // permits a promotion that may lose acknowledged writes
+	// Connections bounds the connections to each server; 0 for what the server announces.
+	Connections int `json:"connections,omitempty"`
 }
 
 // Caller is a database user.
@@ -77,6 +79,10 @@
 	Acknowledge string   `json:"acknowledge,omitempty"`
 	WaitBudget  Duration `json:"waitBudget"` // how long a read waits for a replica to catch up
 	Retry       bool     `json:"retry"`
+	// Aim is the time within which a whole operation should be answered; 0 for none.
+	Aim Duration `json:"aim,omitzero"`
+	// Priority orders classes when not all can be served; 0 is the highest.
+	Priority int `json:"priority,omitempty"`
 }
 
 // Routing modes. All but RoutingSession are baselines for comparison.
@@ -125,6 +131,13 @@
 	return m, nil
 }
 
+// WithText returns a copy that was read from text in another format.
+func (m *Manifest) WithText(text []byte) *Manifest {
+	out := *m
+	out.text = bytes.Clone(text)
+	return &out
+}
+
 // Text returns the text that was parsed; it must not be changed.
 func (m *Manifest) Text() []byte { return m.text }
 
--- a/internal/gwowner/key.go
+++ b/internal/gwowner/key.go
@@ -75,7 +75,7 @@
 // keyedWrite is one run of a request with a key.
 type keyedWrite struct {
 	server *server
-	conn   *gwbackend.Conn
+	conn   gwbackend.Connection
 	req    *Request
 	term   uint64
 	sink   *heldSink
--- a/internal/gwowner/message.go
+++ b/internal/gwowner/message.go
@@ -39,7 +39,9 @@
 	PrimaryAcknowledges bool `cbor:"10,keyasint,omitempty"`
 	// AnyTerm skips the checks of position, staleness and lease for reads, as
 	// the baseline policies do.
-	AnyTerm           bool `cbor:"11,keyasint,omitempty"`
+	AnyTerm bool `cbor:"11,keyasint,omitempty"`
+	// UnderLease means that only the primary under its lease may serve a read.
+	UnderLease        bool `cbor:"12,keyasint,omitempty"`
 	gwbackend.Request `cbor:"20,keyasint"`
 }
 
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -47,6 +47,11 @@
 	Leases    Leases
 	Metrics   Metrics
 	Suspect   SuspectFunc
+	// Start reports the first primary of a group; nil where announcements carry
+	// the term and position that this needs.
+	Start func(ctx context.Context, a gwcontrol.Announcement) error
+	// Dialect is that of the backend servers; nil for the stand-in's.
+	Dialect gwbackend.Dialect
 	// Backend completes the connection options of a server, as its user.
 	Backend func(f gwcontrol.ServerFacts) gwbackend.Options
 }
@@ -62,6 +67,8 @@
 	leases    Leases
 	metrics   Metrics
 	suspected SuspectFunc
+	start     func(ctx context.Context, a gwcontrol.Announcement) error
+	dialect   gwbackend.Dialect
 	connect   func(f gwcontrol.ServerFacts) gwbackend.Options
 
 	mu      sync.RWMutex
@@ -78,7 +85,7 @@
 func New(ctx context.Context, o Options) *Owner {
 	w := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
-		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, connect: o.Backend,
+		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, connect: o.Backend,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	w.register()
@@ -178,7 +185,7 @@
 	t := o.members.Topology()
 	m, ok := t.Owner(f.Server, f.DataCentre, o.views.Current().Region(f.DataCentre))
 	// An instance that knows only itself would own everything.
-	return ok && !released && m.Instance == t.Self.Instance && o.members.Joined() && o.views.Current().Manifest != nil
+	return ok && !released && !f.Gone && m.Instance == t.Self.Instance && o.members.Joined() && o.views.Current().Manifest != nil
 }
 
 func (o *Owner) reconcile() {
@@ -200,8 +207,8 @@
 	s := &server{owner: o, facts: f, cancel: cancel, admission: newAdmission(o.clock, max(1, f.Slots))}
 	opts := o.connect(f)
 	opts.OnPosition = nil
-	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Pool: gwbackend.PoolOptions{
-		Options: opts, Limit: f.Connections, MinIdle: min(max(1, f.Slots), maxWarm), Clock: o.clock, Logger: o.log,
+	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: o.dialect, Pool: gwbackend.PoolOptions{
+		Options: opts, Limit: o.connections(f), MinIdle: min(max(1, f.Slots), maxWarm), Clock: o.clock, Logger: o.log,
 	}})
 	s.confirm = newConfirmer(o.clock, o.Await, func() []string { return o.replicas(f.Group, f.Server) })
 	s.applyLimits(o.views.Current())
@@ -273,13 +280,13 @@
 
 // update applies changed facts. A new address or group needs new connections.
 func (o *Owner) update(s *server, f gwcontrol.ServerFacts) {
-	if f.Address != s.facts.Address || f.Group != s.facts.Group {
+	if f.Address != s.facts.Address || f.Group != s.facts.Group || f.Born != s.facts.Born {
 		o.release(s)
 		o.open(f)
 		return
 	}
 	s.setFacts(f)
-	s.backend.Pool().SetLimit(f.Connections)
+	s.backend.Pool().SetLimit(o.connections(f))
 	s.applyLimits(o.views.Current())
 }
 
@@ -317,7 +324,7 @@
 func (o *Owner) replicas(group, primary string) []string {
 	var out []string
 	for _, f := range o.directory.Group(group) {
-		if f.Server != primary {
+		if f.Server != primary && !f.Gone {
 			out = append(out, f.Server)
 		}
 	}
@@ -374,6 +381,21 @@
 		classes = append(classes, gwlimit.Class{Name: c.Name, Weight: c.Weight, Queue: c.Queue, Concurrency: c.Concurrency})
 	}
 	s.admission.setLimits(max(1, s.slots()), classes)
+	s.mu.Lock()
+	facts := s.facts
+	s.mu.Unlock()
+	s.backend.Pool().SetLimit(s.owner.connections(facts))
+}
+
+// connections returns the bound of connections to a server: that of the manifest,
+// or the one that the server announces.
+func (o *Owner) connections(f gwcontrol.ServerFacts) int {
+	if m := o.views.Current().Manifest; m != nil {
+		if g, ok := m.GroupNamed(f.Group); ok && g.Connections > 0 {
+			return g.Connections
+		}
+	}
+	return f.Connections
 }
 
 func (s *server) slots() int {
--- a/internal/gwowner/peer.go
+++ b/internal/gwowner/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gentianward.example/gentianward/internal/gwbackend"
@@ -108,7 +109,9 @@
 }
 
 // Servers returns the known servers of a group.
-func (o *Owner) Servers(group string) []gwcontrol.ServerFacts { return o.directory.Group(group) }
+func (o *Owner) Servers(group string) []gwcontrol.ServerFacts {
+	return slices.DeleteFunc(slices.Clone(o.directory.Group(group)), func(f gwcontrol.ServerFacts) bool { return f.Gone })
+}
 
 // Rules returns the number of copies of a group and whether a promotion may
 // lose acknowledged writes.
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -30,6 +30,7 @@
 	mu        sync.Mutex
 	health    gwoutcome.Health
 	freshness gwsession.Freshness
+	history   gwsession.History
 	// freshTerm is the group's term to which freshness applies.
 	freshTerm uint64
 	// base is the term for which committed covers every earlier acknowledged write.
@@ -152,6 +153,7 @@
 		s.freshTerm = term
 	}
 	s.freshness.Answered(sent, p)
+	s.history.Answered(sent, p)
 }
 
 // report describes the server to an entry instance.
@@ -182,7 +184,7 @@
 	gwbackend.Result
 	event  gwoutcome.Event
 	detail string
-	conn   *gwbackend.Conn
+	conn   gwbackend.Connection
 }
 
 // run takes a slot and a connection and sends the request. The caller gets the
@@ -210,21 +212,30 @@
 		x.conn = conn
 		return x
 	}
-	s.backend.Pool().Release(conn, x.event == gwoutcome.Answered)
+	// A refused statement leaves the connection usable; the pool ends a
+	// transaction that was opened for it.
+	s.backend.Pool().Release(conn, x.event == gwoutcome.Answered || x.Refusal != 0)
 	return x
 }
 
 // exchange sends one request on a connection and classifies its end.
-func (s *server) exchange(ctx context.Context, conn *gwbackend.Conn, req gwbackend.Request, sink gwbackend.Sink) execution {
+func (s *server) exchange(ctx context.Context, conn gwbackend.Connection, req gwbackend.Request, sink gwbackend.Sink) execution {
 	res, err := conn.Exchange(ctx, req, sink)
 	x := execution{Result: res, event: exchangeEvent(ctx, res, err)}
-	if err != nil {
+	switch {
+	case err != nil:
 		x.detail = err.Error()
+	case x.Refusal != 0 && (x.TxStatus == 'I' || opens(req)):
+		x.event, x.detail = x.Refusal, "the server refused: "+x.ServerError.Message
 	}
 	s.observe(x.event)
 	return x
 }
 
+// opens reports whether the request opens a transaction, so that nothing has run
+// in it before.
+func opens(req gwbackend.Request) bool { return req.Line != nil && req.Line.Begin != gwbackend.NoBegin }
+
 // sqlReadOnly is the SQLSTATE of a write that reached a replica.
 const sqlReadOnly = "25006"
 
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -24,7 +24,7 @@
 // transaction is an open transaction with its connection.
 type transaction struct {
 	server *server
-	conn   *gwbackend.Conn
+	conn   gwbackend.Connection
 	term   uint64
 	write  bool
 
@@ -40,7 +40,8 @@
 // Exec runs one request and writes its answer to out.
 func (s *Session) Exec(ctx context.Context, req *Request, out io.Writer) Result {
 	now := s.owner.clock.Now()
-	if end, ok := ctx.Deadline(); !ok || end.After(now.Add(req.Timeout+answerGrace)) {
+	// The context's deadline is on the system's clock, not on the owner's.
+	if end, ok := ctx.Deadline(); !ok || time.Until(end) > req.Timeout+answerGrace {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, req.Timeout)
 		defer cancel()
@@ -65,22 +66,25 @@
 
 // Close rolls back the open transaction, if any.
 func (s *Session) Close() {
-	if t := s.open; t != nil && t.end() {
-		t.server.discard(t.conn)
+	if s.open != nil {
+		s.abandon()
 	}
-	s.open = nil
 }
 
 func (s *Session) read(ctx context.Context, srv *server, req *Request, deadline time.Time, out io.Writer) Result {
 	g := srv.group()
 	primary := g.Primary == srv.facts.Server
-	if !req.AnyTerm {
-		if r, ok := srv.readable(ctx, req, g); !ok {
+	// The primary proves by its lease that no later primary has taken writes.
+	underLease := primary && !req.AnyTerm && srv.holdsLease(g.Term)
+	if req.UnderLease && !underLease {
+		return failed(gwoutcome.NoLease, errNoLease.Error())
+	}
+	if !req.AnyTerm && !underLease {
+		r, ok := srv.readable(ctx, req, g)
+		if !ok {
 			return r
 		}
 	}
-	// The primary proves by its lease that no later primary has taken writes.
-	underLease := primary && !req.AnyTerm && srv.holdsLease(g.Term)
 	sink := &heldSink{out: out, limit: holdReadBytes}
 	x := srv.run(ctx, req, deadline, sink, nil)
 	if x.event != gwoutcome.Answered {
@@ -114,8 +118,8 @@
 // readable checks that the server satisfies the position and staleness of req,
 // waiting for the position when the request allows.
 func (s *server) readable(ctx context.Context, req *Request, g gwcontrol.GroupView) (Result, bool) {
-	if g.Primary == s.facts.Server && s.holdsLease(g.Term) {
-		return Result{}, true
+	if req.Line != nil {
+		return s.requirePosition(req)
 	}
 	p := s.position()
 	if g.Diverged(p) {
@@ -137,6 +141,27 @@
 	return Result{}, true
 }
 
+// requirePosition sets the position that the server itself checks before it runs
+// the statement: that of the session, and one that is as fresh as the class wants.
+func (s *server) requirePosition(req *Request) (Result, bool) {
+	after := req.Position
+	if req.Staleness > 0 {
+		s.mu.Lock()
+		p, ok := s.history.Required(s.owner.clock.Now(), req.Staleness)
+		s.mu.Unlock()
+		if !ok {
+			return failed(gwoutcome.TooStale, "the primary's position has not been known for longer than the class accepts"), false
+		}
+		if p.AtLeast(after) {
+			after = p
+		}
+	}
+	line := *req.Line
+	line.After = after
+	req.Line = &line
+	return Result{}, true
+}
+
 func (s *Session) write(ctx context.Context, srv *server, req *Request, deadline time.Time, out io.Writer) Result {
 	g := srv.group()
 	switch {
@@ -151,6 +176,9 @@
 	}
 	x := srv.run(ctx, req, deadline, sink, func() bool { return srv.holdsLease(g.Term) })
 	if x.event != gwoutcome.Answered {
+		if x.event == gwoutcome.ServerReadOnly {
+			s.owner.suspect(srv)
+		}
 		r := x.failure(sink)
 		r.Term = g.Term
 		return r
@@ -163,6 +191,11 @@
 		return s.acknowledge(ctx, srv, req, g, x, sink)
 	}
 	s.keep(srv, x, g.Term, true)
+	if s.open != nil && !srv.holdsLease(g.Term) {
+		// What the transaction read may be older than a later primary's writes.
+		s.Close()
+		return x.stale(sink)
+	}
 	return x.finish(sink)
 }
 
@@ -226,6 +259,10 @@
 		s.open = nil
 		return failed(gwoutcome.BrokenBeforeSend, "the transaction was rolled back because it was idle for too long")
 	}
+	if t.write && !t.server.holdsLease(t.term) {
+		s.abandon()
+		return failed(gwoutcome.NoLease, "the transaction was rolled back because the primary's lease ended")
+	}
 	sink := &heldSink{out: out, limit: holdReadBytes}
 	release := t.server.admission.acquireUrgent()
 	x := t.server.exchange(ctx, t.conn, req.Request, sink)
@@ -237,6 +274,10 @@
 		return r
 	}
 	if x.TxStatus != 'I' {
+		if t.write && !t.server.holdsLease(t.term) {
+			s.abandon()
+			return x.stale(sink)
+		}
 		t.armIdle(s.owner.idleLimit())
 		return x.finish(sink)
 	}
@@ -265,6 +306,14 @@
 	t.server.backend.Pool().Release(t.conn, reusable)
 }
 
+// abandon rolls the transaction back, whose connection is kept.
+func (s *Session) abandon() {
+	if s.open.end() {
+		s.open.server.discard(s.open.conn)
+	}
+	s.open = nil
+}
+
 // begin claims the transaction for a statement, unless the idle limit ended it.
 func (t *transaction) begin() bool {
 	t.mu.Lock()
@@ -312,10 +361,11 @@
 	}
 }
 
-// discard closes the connection of an abandoned transaction, which rolls it back.
-func (s *server) discard(conn *gwbackend.Conn) {
+// discard gives the connection of an abandoned transaction back to the pool,
+// which rolls it back.
+func (s *server) discard(conn gwbackend.Connection) {
 	s.pin(-1)
-	s.backend.Pool().Release(conn, false)
+	s.backend.Pool().Release(conn, true)
 }
 
 func (s *server) pin(n int) {
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -52,7 +52,9 @@
 func (s *server) supervise(ctx context.Context) {
 	g := s.group()
 	switch {
-	case g.Term == 0 || g.Changing:
+	case g.Term == 0:
+		s.startGroup(ctx)
+	case g.Changing:
 	case g.Primary == s.facts.Server:
 		s.supervisePrimary(ctx, g)
 	default:
@@ -60,6 +62,20 @@
 	}
 }
 
+// startGroup reports a server that leads a group whose primary is not agreed yet.
+func (s *server) startGroup(ctx context.Context) {
+	r, _, err := s.backend.Report()
+	if s.owner.start == nil || err != nil || r.Role != gwbackend.RolePrimary || r.Position.Term == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a := gwcontrol.Announcement{ServerFacts: s.facts, Role: string(r.Role), Term: r.Position.Term, Offset: r.Position.Offset}
+	if err := s.owner.start(ctx, a); err != nil {
+		s.owner.log.Warn("group not started", "group", s.facts.Group, "primary", s.facts.Server, "error", err)
+	}
+}
+
 // supervisePrimary asks for a change of primary when the server does not
 // answer, is leaving, or is not the primary of the agreed term.
 func (s *server) supervisePrimary(ctx context.Context, g gwcontrol.GroupView) {
--- a/internal/gwpeer/keys.go
+++ b/internal/gwpeer/keys.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/ecdsa"
 	"crypto/elliptic"
+	"crypto/hkdf"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -45,6 +47,33 @@
 	if err != nil {
 		return nil, keyError("new authority", err)
 	}
+	return selfSigned(name, key)
+}
+
+// SharedAuthority returns the CA that every process with the same name and secret
+// derives by itself, where no files can be handed out. Whoever knows the secret
+// can issue certificates.
+func SharedAuthority(name string, secret []byte) (*Authority, error) {
+	curve := elliptic.P256()
+	// 8 bytes more than the order, so that the remainder is not biased.
+	raw, err := hkdf.Key(sha256.New, secret, nil, "gentianward shared authority "+name, sharedKeyBytes+8)
+	if err != nil {
+		return nil, keyError("shared authority", err)
+	}
+	one := big.NewInt(1)
+	d := new(big.Int).SetBytes(raw)
+	d.Mod(d, new(big.Int).Sub(curve.Params().N, one)).Add(d, one)
+	key, err := ecdsa.ParseRawPrivateKey(curve, d.FillBytes(make([]byte, sharedKeyBytes)))
+	if err != nil {
+		return nil, keyError("shared authority", err)
+	}
+	return selfSigned(name, key)
+}
+
+// sharedKeyBytes is the length of a P-256 private key.
+const sharedKeyBytes = 32
+
+func selfSigned(name string, key *ecdsa.PrivateKey) (*Authority, error) {
 	tmpl, err := template(name, AuthorityLifetime)
 	if err != nil {
 		return nil, keyError("new authority", err)
--- a/internal/gwpeer/source.go
+++ b/internal/gwpeer/source.go
@@ -63,7 +63,13 @@
 // IssueSource issues a certificate for an instance on loopback addresses and
 // returns a source that trusts only this authority.
 func (a *Authority) IssueSource(instance string) (*MemorySource, error) {
-	cert, err := a.Issue(instance, net.IPv4(127, 0, 0, 1), net.IPv6loopback)
+	return a.IssueSourceAt(instance, net.IPv4(127, 0, 0, 1), net.IPv6loopback)
+}
+
+// IssueSourceAt issues a certificate for an instance on the given addresses and
+// returns a source that trusts only this authority.
+func (a *Authority) IssueSourceAt(instance string, ips ...net.IP) (*MemorySource, error) {
+	cert, err := a.Issue(instance, ips...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -53,6 +53,10 @@
 func (s *State) publishManifest(c PublishManifest, stamp Stamp) Result {
 	current := s.current()
 	res := ManifestResult{Current: current.Number}
+	if c.AnyLater && current.Number != 0 && c.Number <= current.Number {
+		res.Resent, res.Winner = true, current.Digest
+		return res
+	}
 	sum := sha256.Sum256([]byte(c.Text))
 	switch {
 	case c.Number == 0:
@@ -63,7 +67,7 @@
 		return res
 	case current.Number != 0 && c.Number <= current.Number:
 		return s.answerOldNumber(c, res)
-	case current.Number != 0 && c.Number != current.Number+1:
+	case current.Number != 0 && c.Number != current.Number+1 && !c.AnyLater:
 		res.Refusal = NotSuccessor
 		return res
 	}
@@ -147,9 +151,9 @@
 		return s.groupResult(c.Group, TermMismatch)
 	case g.Phase != Changing:
 		return s.groupResult(c.Group, GroupNotChanging)
-	case c.Term != g.NextTerm:
+	case c.attempt() != g.NextTerm:
 		return s.groupResult(c.Group, ChangeSuperseded)
-	case c.Primary == "":
+	case c.Primary == "" || c.Term <= c.FromTerm:
 		return s.groupResult(c.Group, InvalidArgument)
 	case leased && lease.Sequence != c.Previous:
 		return s.groupResult(c.Group, LeaseHeld)
--- a/internal/gwstate/command.go
+++ b/internal/gwstate/command.go
@@ -14,6 +14,9 @@
 	Number uint64 `cbor:"1,keyasint" json:"number"`
 	Digest string `cbor:"2,keyasint" json:"digest"` // SHA-256 of Text, hex
 	Text   string `cbor:"3,keyasint" json:"text"`
+	// AnyLater accepts any number above the current one, and acknowledges a
+	// lower or equal one without effect.
+	AnyLater bool `cbor:"4,keyasint,omitempty" json:"anyLater,omitempty"`
 }
 
 // StartGroup records the primary of a group that is not known yet.
@@ -36,12 +39,23 @@
 type FinishChange struct {
 	Group    string             `cbor:"1,keyasint" json:"group"`
 	FromTerm uint64             `cbor:"2,keyasint" json:"fromTerm"`
-	Term     uint64             `cbor:"3,keyasint" json:"term"` // as allocated by BeginChange
+	Term     uint64             `cbor:"3,keyasint" json:"term"` // that the promoted server leads
 	Primary  string             `cbor:"4,keyasint" json:"primary"`
 	Start    gwsession.Position `cbor:"5,keyasint" json:"start"`
 	// Previous is the sequence of the old lease that the leader saw expire; not
 	// needed if that lease was returned.
 	Previous uint64 `cbor:"6,keyasint,omitempty" json:"previous"`
+	// Attempt is the term that BeginChange allocated. Servers that choose their
+	// terms by themselves may lead another one; 0 means Term.
+	Attempt uint64 `cbor:"7,keyasint,omitempty" json:"attempt,omitempty"`
+}
+
+// attempt returns the term that BeginChange allocated.
+func (c FinishChange) attempt() uint64 {
+	if c.Attempt != 0 {
+		return c.Attempt
+	}
+	return c.Term
 }
 
 // GrantLeases grants or renews write leases for one holder. Each lease is
--- /dev/null
+++ b/internal/gwstatement/server.go
@@ -0,0 +1,255 @@
+package gwstatement
+
+import (
+	"bufio"
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Timing of the callers' side.
+const (
+	// startupTimeout is how long a caller may take to open its session.
+	startupTimeout = 5 * time.Second
+	// answerTimeout bounds the write of one answer to a caller that does not read.
+	answerTimeout    = 5 * time.Second
+	acceptRetryDelay = 10 * time.Millisecond
+	callerBufferSize = 2 << 10
+	// drainPoll is how often a draining server looks for sessions that have become idle.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Handler opens the sessions of callers.
+type Handler interface {
+	// Open returns the session of a caller of the database, or why there is none.
+	Open(ctx context.Context, database string) (Session, *Failure)
+}
+
+// Session is one caller's session. It runs one statement at a time.
+type Session interface {
+	// Handle runs one statement and appends its whole answer to b.
+	Handle(ctx context.Context, q Query, b []byte) []byte
+	// Idle reports whether the session may end without harm to its caller.
+	Idle() bool
+	// Close releases what the session holds, such as an open transaction.
+	Close()
+}
+
+// Options configures Serve.
+type Options struct {
+	Listener net.Listener
+	Codec    CallerCodec
+	Handler  Handler
+	Logger   *slog.Logger
+	// Connections bounds the open sessions; 0 for none.
+	Connections int
+}
+
+// Server accepts callers on one listener.
+type Server struct {
+	o        Options
+	ctx      context.Context
+	stop     context.CancelFunc
+	draining atomic.Bool
+	wg       sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
+}
+
+// callerConn is one connection of a caller.
+type callerConn struct {
+	nc net.Conn
+
+	mu      sync.Mutex
+	session Session // nil until the session is open
+	busy    bool
+}
+
+// Serve starts to accept callers and returns. When ctx ends, all sessions are cut.
+func Serve(ctx context.Context, o Options) *Server {
+	s := &Server{o: o, conns: make(map[*callerConn]struct{})}
+	s.ctx, s.stop = context.WithCancel(ctx)
+	context.AfterFunc(s.ctx, s.cut)
+	s.wg.Add(1)
+	go s.accept()
+	return s
+}
+
+// Address returns the listener's address.
+func (s *Server) Address() net.Addr { return s.o.Listener.Addr() }
+
+func (s *Server) accept() {
+	defer s.wg.Done()
+	for {
+		nc, err := s.o.Listener.Accept()
+		if err != nil {
+			if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.o.Logger.Warn("accept failed", "error", err.Error())
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		c := &callerConn{nc: nc}
+		if !s.add(c) {
+			_ = nc.Close()
+			continue
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			defer s.remove(c)
+			if err := s.serve(c); err != nil {
+				s.o.Logger.Debug("caller connection closed", "remote", nc.RemoteAddr().String(), "error", err.Error())
+			}
+		}()
+	}
+}
+
+func (s *Server) add(c *callerConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.o.Connections > 0 && len(s.conns) >= s.o.Connections {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c *callerConn) {
+	_ = c.nc.Close()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	c.mu.Lock()
+	ses := c.session
+	c.mu.Unlock()
+	if ses != nil {
+		ses.Close()
+	}
+}
+
+// serve runs one session until the caller or the server ends it.
+func (s *Server) serve(c *callerConn) error {
+	r := bufio.NewReaderSize(c.nc, callerBufferSize)
+	if err := s.start(c, r); err != nil {
+		return err
+	}
+	var out []byte
+	for {
+		m, err := s.o.Codec.ReadMessage(r)
+		if err != nil {
+			return err
+		}
+		q, ok := m.(Query)
+		if !ok {
+			return nil
+		}
+		c.setBusy(true)
+		out = c.session.Handle(s.ctx, q, out[:0])
+		_ = c.nc.SetWriteDeadline(time.Now().Add(answerTimeout))
+		_, err = c.nc.Write(out)
+		c.setBusy(false)
+		if err != nil {
+			return err
+		}
+		if cap(out) > maxKeptAnswer {
+			out = nil
+		}
+	}
+}
+
+// maxKeptAnswer bounds the buffer that a session keeps between statements.
+const maxKeptAnswer = 16 << 10
+
+func (c *callerConn) setBusy(busy bool) {
+	c.mu.Lock()
+	c.busy = busy
+	c.mu.Unlock()
+}
+
+// idle reports whether the connection may be closed without harm.
+func (c *callerConn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.busy && (c.session == nil || c.session.Idle())
+}
+
+// start reads the startup message and opens the session.
+func (s *Server) start(c *callerConn, r *bufio.Reader) error {
+	_ = c.nc.SetDeadline(time.Now().Add(startupTimeout))
+	m, err := s.o.Codec.ReadMessage(r)
+	if err != nil {
+		return err
+	}
+	st, ok := m.(Startup)
+	if !ok {
+		return &Error{Op: "start session", Kind: KindProtocol, Err: errors.Newf("message %T before the startup", m)}
+	}
+	ses, failure := s.o.Handler.Open(s.ctx, st.Database)
+	if failure != nil {
+		_, err := c.nc.Write(s.o.Codec.AppendFailure(nil, *failure))
+		return err
+	}
+	c.mu.Lock()
+	c.session = ses
+	c.mu.Unlock()
+	if _, err := c.nc.Write(s.o.Codec.AppendReady(nil, 'I')); err != nil {
+		return err
+	}
+	return c.nc.SetDeadline(time.Time{})
+}
+
+// Drain stops accepting, ends sessions when they are idle, and waits for the
+// others. When ctx ends first, the remaining sessions are cut and ctx's error is
+// returned.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	_ = s.o.Listener.Close()
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for {
+		s.closeIdle()
+		select {
+		case <-done:
+			s.stop()
+			return nil
+		case <-ctx.Done():
+			s.stop()
+			<-done
+			return &Error{Op: "drain", Kind: KindShutdown, Err: ctx.Err()}
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.idle() {
+			_ = c.nc.Close()
+		}
+	}
+}
+
+// cut ends all sessions at once.
+func (s *Server) cut() {
+	_ = s.o.Listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.nc.Close()
+	}
+}
--- /dev/null
+++ b/internal/gwstatement/statement.go
@@ -0,0 +1,98 @@
+package gwstatement
+
+// Statement is what a caller asks for: Begin, Commit, Rollback, Read, Write,
+// Set, Prepare, Execute, Deallocate or Invalid.
+type Statement interface{ statement() }
+
+// Begin opens a transaction.
+type Begin struct{ ReadOnly bool }
+
+// Commit ends a transaction and keeps its writes.
+type Commit struct{}
+
+// Rollback ends a transaction and keeps nothing.
+type Rollback struct{}
+
+// Read is a single read.
+type Read struct{}
+
+// Write is a single write.
+type Write struct{}
+
+// Set gives a value of the session a new content.
+type Set struct{ Name, Value string }
+
+// Prepare gives a statement a name within the session.
+type Prepare struct {
+	Name string
+	// Writes tells a prepared write from a prepared read.
+	Writes bool
+	// Shape is the statement without its arguments.
+	Shape string
+}
+
+// Execute runs a prepared statement.
+type Execute struct{ Name, Arguments string }
+
+// Deallocate forgets the name of a prepared statement.
+type Deallocate struct{ Name string }
+
+// Invalid is a statement that cannot be read.
+type Invalid struct{ Reason string }
+
+func (Begin) statement()      {}
+func (Commit) statement()     {}
+func (Rollback) statement()   {}
+func (Read) statement()       {}
+func (Write) statement()      {}
+func (Set) statement()        {}
+func (Prepare) statement()    {}
+func (Execute) statement()    {}
+func (Deallocate) statement() {}
+func (Invalid) statement()    {}
+
+// Message is one message of a caller: Startup, Query or Terminate.
+type Message interface{ message() }
+
+// Startup opens a session on a database.
+type Startup struct{ Database string }
+
+// Query is one statement with the caller's id of it.
+type Query struct {
+	ID        string
+	Text      string
+	Statement Statement
+}
+
+// Terminate ends the session.
+type Terminate struct{}
+
+func (Startup) message()   {}
+func (Query) message()     {}
+func (Terminate) message() {}
+
+// Reply is one message of a backend server: Row, Complete, Failure or Ready.
+type Reply interface{ reply() }
+
+// Row is one row of an answer.
+type Row struct{ Text string }
+
+// Complete ends a successful answer.
+type Complete struct{}
+
+// Failure is the error that a statement ended with.
+type Failure struct {
+	Code Code
+	Text string
+}
+
+// Ready ends every answer; the position is zero if the server named none.
+type Ready struct {
+	Status   byte
+	Position Position
+}
+
+func (Row) reply()      {}
+func (Complete) reply() {}
+func (Failure) reply()  {}
+func (Ready) reply()    {}
--- a/internal/gwwire/lifecycle_test.go
+++ b/internal/gwwire/lifecycle_test.go
@@ -220,7 +220,7 @@
 
 type pooledSession struct {
 	pool *gwbackend.Pool
-	conn *gwbackend.Conn
+	conn gwbackend.Connection
 }
 
 func (p pooled) Authenticate(context.Context, Startup) (Session, error) {
--- a/internal/gwwire/session_test.go
+++ b/internal/gwwire/session_test.go
@@ -27,7 +27,7 @@
 
 type proxySession struct {
 	p    *proxy
-	conn *gwbackend.Conn // of the open transaction
+	conn gwbackend.Connection // of the open transaction
 }
 
 func (p *proxy) Authenticate(context.Context, Startup) (Session, error) {
--- a/pkg/gwmember/member.go
+++ b/pkg/gwmember/member.go
@@ -9,6 +9,9 @@
 	OperatorAddress string `json:"operatorAddress,omitempty" cbor:"5,keyasint,omitempty"`
 	// Incarnation increases with every restart and refutation.
 	Incarnation uint64 `json:"incarnation" cbor:"6,keyasint"`
+	// ControlOnly means that the instance is dedicated to control: it may be a
+	// voter, and owns no backend servers.
+	ControlOnly bool `json:"controlOnly,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Place returns the instance, data centre and region, as gwlease.Placed wants.
