gwstatement: end sessions that cannot open, answer what a draining server has read

Change: the first byte of a message marks the session busy, a drain ends only reads that have none. Also: a primary whose owner is gone keeps its term (no promotion), and a server that refuses connections counts as alive.

--- a/internal/gwbackend/dialect.go
+++ b/internal/gwbackend/dialect.go
@@ -24,7 +24,8 @@
 type Report struct {
 	Role            Role               `json:"role" cbor:"1,keyasint"`
 	Position        gwsession.Position `json:"position" cbor:"2,keyasint"`
-	PreviousTermEnd uint64             `json:"previousTermEnd" cbor:"3,keyasint"` // offset at which the position's term began
+	Paused          bool               `json:"paused,omitempty" cbor:"4,keyasint,omitempty"` // a replica that was told to receive nothing
+	PreviousTermEnd uint64             `json:"previousTermEnd" cbor:"3,keyasint"`            // offset at which the position's term began
 }
 
 // Dialect is everything that is specific to one database product. Its methods
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -145,7 +145,7 @@
 		switch {
 		case !expired:
 			delete(idle, g.Name)
-		case seq != 0:
+		case seq != 0 && l.promoter == nil:
 			// The holder has stopped renewing without returning the lease.
 			l.startChange(g.Name, g.Term, "the write lease ran out")
 		case idle[g.Name].IsZero():
@@ -225,7 +225,7 @@
 func (l *Leader) attempt(ctx context.Context, g gwstate.Group) error {
 	need, allowLoss := l.owners.Rules(g.Name)
 	copies := l.fenceAll(ctx, g, need)
-	candidates, err := Candidates(g, copies, l.leaving(g.Name), need, allowLoss)
+	candidates, err := Candidates(g, copies, l.leaving(g.Name), need, allowLoss, l.promoter == nil)
 	if err != nil {
 		return err
 	}
@@ -333,7 +333,17 @@
 // acknowledged only when one copy besides the primary had it. The copy that is
 // promoted must have that position. An old primary that is behind another copy,
 // or behind the start of its own term, has lost data and proves nothing.
-func Candidates(g gwstate.Group, copies []Copy, leaving map[string]bool, need int, allowLoss bool) ([]Copy, error) {
+//
+// With stay, the old primary is the first choice. Without, it is promoted only if
+// not all others answer: a change costs a call and a gap, so that it is asked for
+// only when the primary should not lead on.
+func Candidates(g gwstate.Group, copies []Copy, leaving map[string]bool, need int, allowLoss, stay bool) ([]Copy, error) {
+	if !stay {
+		others := slices.DeleteFunc(slices.Clone(copies), func(c Copy) bool { return c.Server == g.Primary })
+		if len(others) >= need-1 {
+			copies = others
+		}
+	}
 	var best gwsession.Position
 	for _, c := range copies {
 		if c.Position.AtLeast(best) {
--- a/internal/gwcontrol/view_test.go
+++ b/internal/gwcontrol/view_test.go
@@ -95,7 +95,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got, err := Candidates(g, tt.copies, tt.leaving, gwmanifest.DefaultCopies, tt.allowLoss)
+			got, err := Candidates(g, tt.copies, tt.leaving, gwmanifest.DefaultCopies, tt.allowLoss, true)
 			if tt.want == "" {
 				assert.Error(t, err)
 				return
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -88,6 +88,11 @@
 	silent := now.Sub(later(at, s.openedAt))
 	leaving := s.facts.Leaving
 	s.mu.Unlock()
+	if gwbackend.ServerError(err) != nil {
+		// It refuses connections of this instance, as while those of an earlier
+		// owner are still open: it is alive.
+		err, silent = nil, 0
+	}
 	switch {
 	case leaving:
 		s.requestChange(ctx, g, "the primary is leaving")
@@ -150,7 +155,7 @@
 // freshness known.
 func (s *server) superviseReplica(ctx context.Context, g gwcontrol.GroupView) {
 	r, _, err := s.backend.Report()
-	if err == nil && (r.Role == gwbackend.RolePrimary || r.Position.Term < g.Term) {
+	if err == nil && (r.Role == gwbackend.RolePrimary || r.Paused || r.Position.Term < g.Term) {
 		s.follow(ctx, g, r)
 	}
 	if s.freshnessDue() {
@@ -174,7 +179,7 @@
 // the start of the term was never acknowledged and is dropped.
 func (s *server) follow(ctx context.Context, g gwcontrol.GroupView, r gwbackend.Report) {
 	s.mu.Lock()
-	done := s.followed == g.Term && r.Role == gwbackend.RoleReplica
+	done := s.followed == g.Term && r.Role == gwbackend.RoleReplica && !r.Paused
 	s.mu.Unlock()
 	f, ok := s.owner.directory.Server(g.Primary)
 	if done || !ok {
--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -153,7 +153,7 @@
 		return s.groupResult(c.Group, GroupNotChanging)
 	case c.attempt() != g.NextTerm:
 		return s.groupResult(c.Group, ChangeSuperseded)
-	case c.Primary == "" || c.Term <= c.FromTerm:
+	case c.Primary == "" || c.Term < c.FromTerm || c.Term == c.FromTerm && c.Primary != g.Primary:
 		return s.groupResult(c.Group, InvalidArgument)
 	case leased && lease.Sequence != c.Previous:
 		return s.groupResult(c.Group, LeaseHeld)
--- a/internal/gwstate/command.go
+++ b/internal/gwstate/command.go
@@ -46,7 +46,8 @@
 	// needed if that lease was returned.
 	Previous uint64 `cbor:"6,keyasint,omitempty" json:"previous"`
 	// Attempt is the term that BeginChange allocated. Servers that choose their
-	// terms by themselves may lead another one; 0 means Term.
+	// terms by themselves may lead another one; 0 means Term. A primary that
+	// turns out to lead still keeps its term.
 	Attempt uint64 `cbor:"7,keyasint,omitempty" json:"attempt,omitempty"`
 }
 
--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,11 +139,14 @@
 // serve runs one session until the caller or the server ends it.
 func (s *Server) serve(c *callerConn) error {
 	r := bufio.NewReaderSize(c.nc, callerBufferSize)
-	if err := s.start(c, r); err != nil {
+	if ok, err := s.start(c, r); !ok || err != nil {
 		return err
 	}
 	var out []byte
 	for {
+		if ended, err := s.awaitMessage(c, r); ended || err != nil {
+			return err
+		}
 		m, err := s.o.Codec.ReadMessage(r)
 		if err != nil {
 			return err
@@ -151,7 +155,6 @@
 		if !ok {
 			return nil
 		}
-		c.setBusy(true)
 		out = c.session.Handle(s.ctx, q, out[:0])
 		_ = c.nc.SetWriteDeadline(time.Now().Add(answerTimeout))
 		_, err = c.nc.Write(out)
@@ -165,6 +168,31 @@
 	}
 }
 
+// awaitMessage waits for the first byte of a message and marks the connection as
+// busy. A draining server ends the wait of an idle session; a message whose first
+// byte has been read is always answered.
+func (s *Server) awaitMessage(c *callerConn, r *bufio.Reader) (ended bool, err error) {
+	for {
+		_, err := r.Peek(1)
+		c.setBusy(err == nil)
+		timeout := errors.Is(err, os.ErrDeadlineExceeded)
+		switch {
+		case err != nil && !timeout:
+			return false, err
+		case timeout && c.session.Idle():
+			return true, nil
+		}
+		if s.draining.Load() {
+			if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
+				return false, err
+			}
+		}
+		if err == nil {
+			return false, nil
+		}
+	}
+}
+
 // maxKeptAnswer bounds the buffer that a session keeps between statements.
 const maxKeptAnswer = 16 << 10
 
@@ -181,29 +209,29 @@
 	return !c.busy && (c.session == nil || c.session.Idle())
 }
 
-// start reads the startup message and opens the session.
-func (s *Server) start(c *callerConn, r *bufio.Reader) error {
+// start reads the startup message and opens the session; ok is false if there is none.
+func (s *Server) start(c *callerConn, r *bufio.Reader) (ok bool, err error) {
 	_ = c.nc.SetDeadline(time.Now().Add(startupTimeout))
 	m, err := s.o.Codec.ReadMessage(r)
 	if err != nil {
-		return err
+		return false, err
 	}
 	st, ok := m.(Startup)
 	if !ok {
-		return &Error{Op: "start session", Kind: KindProtocol, Err: errors.Newf("message %T before the startup", m)}
+		return false, &Error{Op: "start session", Kind: KindProtocol, Err: errors.Newf("message %T before the startup", m)}
 	}
 	ses, failure := s.o.Handler.Open(s.ctx, st.Database)
 	if failure != nil {
 		_, err := c.nc.Write(s.o.Codec.AppendFailure(nil, *failure))
-		return err
+		return false, err
 	}
 	c.mu.Lock()
 	c.session = ses
 	c.mu.Unlock()
 	if _, err := c.nc.Write(s.o.Codec.AppendReady(nil, 'I')); err != nil {
-		return err
+		return false, err
 	}
-	return c.nc.SetDeadline(time.Time{})
+	return true, c.nc.SetDeadline(time.Time{})
 }
 
 // Drain stops accepting, ends sessions when they are idle, and waits for the
@@ -234,12 +262,15 @@
 	}
 }
 
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
 func (s *Server) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if c.idle() {
-			_ = c.nc.Close()
+			_ = c.nc.SetReadDeadline(past)
 		}
 	}
 }
--- /dev/null
+++ b/internal/gwstatement/server_test.go
@@ -0,0 +1,156 @@
+package gwstatement
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// echo answers every statement with its text; its status is set by tests.
+type echo struct {
+	status  atomic.Int32
+	handled atomic.Int64
+}
+
+func (e *echo) Open(_ context.Context, database string) (Session, *Failure) {
+	if database == "none" {
+		return nil, &Failure{Code: NoDatabase, Text: "no such database"}
+	}
+	return e, nil
+}
+
+func (e *echo) Handle(_ context.Context, q Query, b []byte) []byte {
+	e.handled.Add(1)
+	return fmt.Appendf(b, "row %s\ndone\nready I\n", q.Text)
+}
+func (e *echo) Idle() bool { return e.status.Load() == 0 }
+func (e *echo) Close()     {}
+
+func startServer(t *testing.T, h Handler) *Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	return Serve(ctx, Options{Listener: l, Codec: testCodec{}, Handler: h, Logger: slog.New(slog.DiscardHandler)})
+}
+
+func open(t *testing.T, s *Server, database string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	nc, err := net.Dial("tcp", s.Address().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = nc.Close() })
+	_, err = nc.Write([]byte("start " + database + "\n"))
+	require.NoError(t, err)
+	return nc, bufio.NewReader(nc)
+}
+
+func TestServerAnswers(t *testing.T) {
+	s := startServer(t, &echo{})
+	nc, r := open(t, s, "d")
+	line, err := r.ReadString('\n')
+	require.NoError(t, err)
+	assert.Equal(t, "ready I\n", line)
+	_, _ = nc.Write([]byte("ask 1 x y\n"))
+	line, err = r.ReadString('\n')
+	require.NoError(t, err)
+	assert.Equal(t, "row x y\n", line)
+
+	_, r = open(t, s, "none")
+	got, err := io.ReadAll(r)
+	require.NoError(t, err)
+	assert.Equal(t, fmt.Sprintf("error %d no such database\n", NoDatabase), string(got))
+}
+
+// Guards against a caller that sends what cannot be read and harms others.
+func TestServerEndsBadSessions(t *testing.T) {
+	s := startServer(t, &echo{})
+	good, r := open(t, s, "d")
+	_, _ = r.ReadString('\n')
+	for _, text := range []string{"nonsense\n", "\x00\xff\n", "ask"} {
+		nc, br := open(t, s, "d")
+		_, _ = br.ReadString('\n')
+		_, _ = nc.Write([]byte(text))
+		_ = nc.(*net.TCPConn).CloseWrite()
+		_, err := br.ReadString('\n')
+		assert.ErrorIs(t, err, io.EOF, text)
+	}
+	_, _ = good.Write([]byte("ask 1 x\n"))
+	line, err := r.ReadString('\n')
+	require.NoError(t, err)
+	assert.Equal(t, "row x\n", line)
+}
+
+// Guards against a planned stop that cuts a request whose bytes were read: the
+// idle sessions of one stop were closed between the read and the answer.
+func TestDrainAnswersWhatItRead(t *testing.T) {
+	h := &echo{}
+	s := startServer(t, h)
+	const callers = 40
+	var sent, answered atomic.Int64
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for range callers {
+		nc, r := open(t, s, "d")
+		_, err := r.ReadString('\n')
+		require.NoError(t, err)
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if _, err := nc.Write([]byte("ask 1 x\n")); err != nil {
+					return
+				}
+				sent.Add(1)
+				for _, want := range []string{"row x\n", "done\n", "ready I\n"} {
+					if line, err := r.ReadString('\n'); err != nil || line != want {
+						return
+					}
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, s.Drain(t.Context()))
+	close(stop)
+	wg.Wait()
+	assert.Equal(t, h.handled.Load(), answered.Load(), "statements handled and answered")
+}
+
+// Guards against a stop that rolls back transactions that could have ended.
+func TestDrainWaitsForTransactions(t *testing.T) {
+	h := &echo{}
+	h.status.Store(1)
+	s := startServer(t, h)
+	nc, r := open(t, s, "d")
+	_, err := r.ReadString('\n')
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- s.Drain(t.Context()) }()
+	time.Sleep(60 * time.Millisecond)
+	_, _ = nc.Write([]byte("ask 1 x\n"))
+	line, err := r.ReadString('\n')
+	require.NoError(t, err)
+	assert.Equal(t, "row x\n", line)
+	select {
+	case <-done:
+		t.Fatal("the drain ended with a transaction open")
+	case <-time.After(60 * time.Millisecond):
+	}
+	h.status.Store(0)
+	require.NoError(t, <-done)
+}
