--- a/internal/gwbackend/dialect.go
+++ b/internal/gwbackend/dialect.go
@@ -22,7 +22,10 @@
 
 // Report is a server's account of its role and log.
 type Report struct {
-	Role            Role               `json:"role" cbor:"1,keyasint"`
+	Role Role `json:"role" cbor:"1,keyasint"`
+	// Term is that in which the server leads or follows. The position keeps the
+	// term of the last commit, which may be an earlier one.
+	Term            uint64             `json:"term" cbor:"5,keyasint"`
 	Position        gwsession.Position `json:"position" cbor:"2,keyasint"`
 	Paused          bool               `json:"paused,omitempty" cbor:"4,keyasint,omitempty"` // a replica that was told to receive nothing
 	PreviousTermEnd uint64             `json:"previousTermEnd" cbor:"3,keyasint"`            // offset at which the position's term began
@@ -112,6 +115,7 @@
 	if r.Position, err = row.position(); err != nil {
 		return Report{}, err
 	}
+	r.Term = r.Position.Term
 	if row.Get("previousTermEnd") != "" {
 		r.PreviousTermEnd, err = row.number("previousTermEnd")
 	}
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -351,7 +351,9 @@
 		}
 	}
 	isOld := func(c Copy) bool { return c.Server == g.Primary }
-	lossy := func(c Copy) bool { return isOld(c) && (!c.Position.AtLeast(g.Start) || !c.Position.AtLeast(best)) }
+	lossy := func(c Copy) bool {
+		return isOld(c) && (c.Position.Offset < g.Start.Offset || !c.Position.AtLeast(best))
+	}
 	copies = slices.DeleteFunc(slices.Clone(copies), lossy)
 	old := slices.ContainsFunc(copies, isOld)
 	if len(copies) == 0 || (!old && len(copies) < need-1 && !allowLoss) {
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -170,10 +170,12 @@
 
 // observe records how an attempt ended for the decision on ejection.
 func (s *server) observe(e gwoutcome.Event) {
+	now := s.owner.clock.Now()
 	s.mu.Lock()
-	ejected := s.health.Observe(e, s.owner.clock.Now())
+	before := s.health.Ejected(now)
+	ejected := s.health.Observe(e, now)
 	s.mu.Unlock()
-	if ejected {
+	if ejected && !before {
 		s.owner.log.Warn("backend server ejected", "server", s.facts.Server, "group", s.facts.Group, "cause", e.String())
 		s.owner.suspect(s)
 	}
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -223,7 +223,8 @@
 
 // settle decides whether a commit may be acknowledged.
 func (s *server) settle(ctx context.Context, req *Request, g gwcontrol.GroupView, p gwsession.Position) gwoutcome.Event {
-	if p.Term != g.Term {
+	// A transaction that wrote nothing ends at the position of an earlier commit.
+	if p.Term > g.Term || p.Term < g.Term && req.Line == nil {
 		return gwoutcome.LeaseLost
 	}
 	if !req.PrimaryAcknowledges {
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -65,12 +65,12 @@
 // startGroup reports a server that leads a group whose primary is not agreed yet.
 func (s *server) startGroup(ctx context.Context) {
 	r, _, err := s.backend.Report()
-	if s.owner.start == nil || err != nil || r.Role != gwbackend.RolePrimary || r.Position.Term == 0 {
+	if s.owner.start == nil || err != nil || r.Role != gwbackend.RolePrimary || r.Term == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	a := gwcontrol.Announcement{ServerFacts: s.facts, Role: string(r.Role), Term: r.Position.Term, Offset: r.Position.Offset}
+	a := gwcontrol.Announcement{ServerFacts: s.facts, Role: string(r.Role), Term: r.Term, Offset: r.Position.Offset}
 	if err := s.owner.start(ctx, a); err != nil {
 		s.owner.log.Warn("group not started", "group", s.facts.Group, "primary", s.facts.Server, "error", err)
 	}
@@ -100,9 +100,9 @@
 		s.requestChange(ctx, g, "the primary does not answer: "+err.Error())
 	case silent > primaryTimeout && !s.alive(ctx):
 		s.requestChange(ctx, g, "the primary does not answer a new connection")
-	case err == nil && !at.IsZero() && r.Position.Term > g.Term:
-		s.owner.log.Warn("primary reports a later term", "server", s.facts.Server, "group", g.Group, "term", g.Term, "reported", r.Position.Term)
-	case err == nil && r.Role == gwbackend.RoleReplica && r.Position.Term <= g.Term && silent < primaryTimeout:
+	case err == nil && !at.IsZero() && r.Term > g.Term:
+		s.owner.log.Warn("primary reports a later term", "server", s.facts.Server, "group", g.Group, "term", g.Term, "reported", r.Term)
+	case err == nil && r.Role == gwbackend.RoleReplica && r.Term <= g.Term && silent < primaryTimeout:
 		s.requestChange(ctx, g, "the primary runs as a replica")
 	default:
 		_, _ = s.staleness(g) // records that the lease is seen valid
@@ -142,8 +142,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, primaryTimeout)
 		defer cancel()
-		if _, err := s.backend.Refresh(ctx); err == nil {
-			return
+		if _, err := s.backend.Refresh(ctx); err == nil || gwbackend.ServerError(err) != nil {
+			return // it answers, if only that it has no room
 		}
 		if g := s.group(); g.Primary == s.facts.Server && !g.Changing {
 			s.requestChange(o.ctx, g, "the primary refuses connections")
@@ -155,7 +155,7 @@
 // freshness known.
 func (s *server) superviseReplica(ctx context.Context, g gwcontrol.GroupView) {
 	r, _, err := s.backend.Report()
-	if err == nil && (r.Role == gwbackend.RolePrimary || r.Paused || r.Position.Term < g.Term) {
+	if err == nil && (r.Role == gwbackend.RolePrimary || r.Paused || r.Term < g.Term) {
 		s.follow(ctx, g, r)
 	}
 	if s.freshnessDue() {
--- a/internal/gwstatement/dialect.go
+++ b/internal/gwstatement/dialect.go
@@ -60,7 +60,7 @@
 	}
 	if s.Role == gwbackend.RolePrimary {
 		if s, err = d.urgent(ctx, c, d.Codec.StepDownText(term)); err == nil && s.Role == gwbackend.RolePrimary {
-			err = errors.Newf("the server still leads term %d", s.Position.Term)
+			err = errors.Newf("the server still leads term %d", s.Term)
 		}
 		return s.Report, err
 	}
@@ -79,7 +79,7 @@
 			return Position{}, err
 		}
 		if s.Role == gwbackend.RolePrimary {
-			return s.Position, nil
+			return Position{Term: s.Term, Offset: s.Position.Offset}, nil
 		}
 		if err := pause(ctx, promotePause); err != nil {
 			return Position{}, err
