gwlimit, gwroute, gwcontrol: refuse what would wait in vain, leave loaded servers, restart at once

(2) The near replica was always first, whatever its queue. (3) After a restart of all, a saved view was told to nobody before the next change (4 s), and leases of the earlier runs had to run out (2 s). Change: expected waits decide at once; reads go where they are expected to end first; connections outlive a statement that was given up; views are told at the start; a restarted instance takes its own lease over where names are addresses. Ruled out: leaked connections (the pool's counts are even), slow backend servers.

--- a/internal/gwbackend/connection.go
+++ b/internal/gwbackend/connection.go
@@ -23,6 +23,13 @@
 	NotifyClose(fn func())
 }
 
+// Recoverer is a Connection that can be used again after its exchange was given
+// up, because the answer can be told apart and dropped.
+type Recoverer interface {
+	// Recover waits until the answer to the exchange that was given up has come.
+	Recover(ctx context.Context) error
+}
+
 var _ Connection = (*Conn)(nil)
 
 // Clean reports whether the connection is outside of a transaction and has the
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -39,6 +39,12 @@
 	return &Client{node: node, clock: clock, log: log, members: members, views: views, local: local}
 }
 
+// ExclusiveNames tells that two processes can never run under one instance's name
+// at the same time, as when the name is the address that the process listens on. A
+// restarted instance then need not wait for the leases of its earlier run. It must
+// be called before Run.
+func (l *Leader) ExclusiveNames() { l.exclusive = true }
+
 // Voters returns the peer addresses of the manifest's voters by instance, or of
 // the live instances dedicated to control if no manifest lists voters.
 func (c *Client) Voters() map[string]string {
@@ -193,6 +199,7 @@
 	format    Format
 	manifest  func() *gwmanifest.Index
 	promoter  Promoter
+	exclusive bool
 	changed   func(group string, took time.Duration)
 
 	// keeping means that the members of the log are being compared with the manifest.
--- a/internal/gwcontrol/lease.go
+++ b/internal/gwcontrol/lease.go
@@ -72,8 +72,13 @@
 	if len(grants) == 0 {
 		return nil
 	}
-	cmd := gwstate.GrantLeases{Holder: r.Holder, Incarnation: r.Epoch, Leases: grants}
-	res, err := l.consensus.Propose(ctx, l.state.Observe(cmd, l.clock.Now()))
+	cmd := l.state.Observe(gwstate.GrantLeases{Holder: r.Holder, Incarnation: r.Epoch, Leases: grants}, l.clock.Now())
+	for i, g := range cmd.Leases {
+		if held, ok := l.state.Lease(g.Group); ok && l.restarted(held, r) {
+			cmd.Leases[i].Previous = held.Sequence
+		}
+	}
+	res, err := l.consensus.Propose(ctx, cmd)
 	if err != nil {
 		return err
 	}
@@ -99,6 +104,7 @@
 		_, expired := l.state.Clock().Expired(g.Group, now)
 		held, leased := l.state.Lease(g.Group)
 		own := leased && held.Holder == r.Holder && held.Incarnation == r.Epoch
+		expired = expired || leased && l.restarted(held, r)
 		switch {
 		case !known:
 			refused[g.Group] = gwstate.GroupUnknown
@@ -115,6 +121,12 @@
 	return out
 }
 
+// restarted reports whether the request comes from a later run of the instance
+// that holds the lease, where that proves the end of the earlier run.
+func (l *Leader) restarted(held gwstate.Lease, r gwlease.Request) bool {
+	return l.exclusive && held.Holder == r.Holder && r.Epoch > held.Incarnation
+}
+
 func (l *Leader) describe(group string, refusal gwstate.Refusal) gwlease.Refusal {
 	g, _ := l.state.Group(group)
 	reason := gwlease.ReasonStarting
--- a/internal/gwcontrol/spread.go
+++ b/internal/gwcontrol/spread.go
@@ -90,12 +90,16 @@
 func (s *Spreader) Run(ctx context.Context) {
 	go s.repairDirectory(ctx)
 	changed := s.views.Changed()
+	// The view may be one that was saved before a restart: nothing would tell
+	// the others of it before its next change.
+	s.members.SetVersion(s.version())
+	s.tellView(false)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-s.pulls:
-			s.pull(ctx, m)
+			s.pullPatiently(ctx, m)
 		case <-changed:
 			changed = s.views.Changed()
 			s.members.SetVersion(s.version())
@@ -104,6 +108,23 @@
 	}
 }
 
+// pullPatience is how long a pull may keep the next one waiting: a peer that stands
+// still must not hold back what another has.
+const pullPatience = 200 * time.Millisecond
+
+func (s *Spreader) pullPatiently(ctx context.Context, m gwmember.Member) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.pull(ctx, m)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-s.clock.After(pullPatience):
+	}
+}
+
 // repairDirectory compares directories with random peers: at once when the
 // membership changes, and quickly for as long as a comparison finds a difference.
 func (s *Spreader) repairDirectory(ctx context.Context) {
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -66,6 +66,9 @@
 	// VoterAddress returns the peer address of a voter that is not a live
 	// member; nil where a manifest lists voters.
 	VoterAddress func(instance string) (string, bool)
+	// NamedByAddress means that the instances' names are their addresses, so that
+	// no two processes can have the same name at one time.
+	NamedByAddress bool
 	// StopDelay is how long a stopping instance takes callers after it has
 	// reported that it is not ready, because whoever sends them learns it late.
 	StopDelay time.Duration
@@ -251,6 +254,9 @@
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
 		i.leader.UsePromoter(i.Promoter)
+		if i.NamedByAddress {
+			i.leader.ExclusiveNames()
+		}
 	}
 	i.serveAnnouncements()
 	i.serveOperators()
--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -87,6 +87,16 @@
 	return r.w.Write(b)
 }
 
+const (
+	// answerTime is the time for an owner's answer to arrive: a round trip
+	// between regions and some.
+	answerTime = 100 * time.Millisecond
+	// queueShare is the part of a class's aim that one statement may wait for a
+	// slot: a transaction of a few statements still meets it, and a caller that
+	// is refused has time to come back.
+	queueShare = 4
+)
+
 // bound sets the deadline and the request's fixed fields.
 func (e *Entry) bound(next handler) handler {
 	return func(ctx context.Context, r *request) gwowner.Result {
@@ -96,12 +106,15 @@
 			deadline = gwmanifest.DefaultDeadline
 		}
 		r.deadline = r.started.Add(deadline)
-		ctx, cancel := context.WithTimeout(ctx, deadline)
+		// The owner gives up at the deadline; its word on what happened is
+		// better than none.
+		ctx, cancel := context.WithTimeout(ctx, deadline+answerTime)
 		defer cancel()
 		r.exec = gwowner.Request{
 			Group: r.session.group, Class: r.session.class, Access: gwowner.Write,
 			PrimaryAcknowledges: class.Acknowledge == gwmanifest.AcknowledgePrimary,
 			Request:             r.backend,
+			QueueWait:           class.Aim.Duration / queueShare,
 		}
 		if r.read() {
 			r.exec.Access = gwowner.Read
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -157,6 +157,7 @@
 		return notRun(gwoutcome.PeerUnreachable, err.Error())
 	}
 	started := e.Clock.Now()
+	e.servers.begin(c.Server.Name)
 	res := e.exec(ctx, r, up)
 	e.servers.note(c.Server.Name, res, started, e.Clock.Now(), r.exec.MaxWait)
 	s := r.session
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -35,6 +35,8 @@
 	lag    time.Duration
 	lagAt  time.Time
 	health gwoutcome.Health
+	// pending is the number of attempts that have not ended.
+	pending int
 }
 
 func newServerTable() *serverTable {
@@ -56,16 +58,31 @@
 	lagHalfLife   = time.Second
 )
 
-// note records the end of an attempt.
-func (t *serverTable) note(name string, res gwowner.Result, started, now time.Time, waited time.Duration) {
-	sh := t.shard(name)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
+// stat returns what is known about a server; sh is locked.
+func (sh *serverShard) stat(name string) *serverStat {
 	st, ok := sh.servers[name]
 	if !ok {
 		st = &serverStat{}
 		sh.servers[name] = st
 	}
+	return st
+}
+
+// begin records the begin of an attempt, which note ends.
+func (t *serverTable) begin(name string) {
+	sh := t.shard(name)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.stat(name).pending++
+}
+
+// note records the end of an attempt.
+func (t *serverTable) note(name string, res gwowner.Result, started, now time.Time, waited time.Duration) {
+	sh := t.shard(name)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	st := sh.stat(name)
+	st.pending--
 	if res.Event == gwoutcome.DialFailed || res.Event == gwoutcome.PeerUnreachable {
 		st.health.Observe(gwoutcome.DialFailed, now)
 	}
@@ -105,7 +122,8 @@
 	if st.report.StalenessKnown {
 		s.FreshAsOf = st.at.Add(-st.report.Staleness)
 	}
-	s.Load, s.Latency, s.Lag = st.report.Load, st.latency, st.lagNow(now)
+	s.Load, s.Latency, s.Lag, s.Service = st.report.Load, st.latency, st.lagNow(now), st.report.Service
+	s.Pending = float64(st.pending)
 	s.Unusable = s.Unusable || st.health.Ejected(now)
 }
 
@@ -125,8 +143,10 @@
 		if f.Gone {
 			continue
 		}
+		slots := float64(max(1, f.Slots))
 		s := gwroute.Server{Name: f.Server, Primary: f.Server == g.Primary, Unusable: f.Leaving, Distance: e.distance(view, t, f)}
 		e.servers.fill(&s, now)
+		s.Pending /= slots
 		if s.Primary {
 			// A primary that fails is replaced, not avoided; only while it is
 			// replaced or leaving nothing is sent to it.
--- a/internal/gwowner/admission.go
+++ b/internal/gwowner/admission.go
@@ -44,6 +44,13 @@
 	a.queue.Close()
 }
 
+// service returns the average time for which requests hold a slot.
+func (a *admission) service() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.Service()
+}
+
 // load returns the number of requests waiting and running.
 func (a *admission) load() int { return int(a.demand.Load()) }
 
@@ -55,14 +62,15 @@
 }
 
 // acquire waits for a slot and returns the function that gives it back.
-func (a *admission) acquire(ctx context.Context, class string, deadline time.Time) (func(), error) {
-	it := &gwlimit.Item{Class: class, Deadline: deadline}
+func (a *admission) acquire(ctx context.Context, class string, deadline time.Time, maxWait time.Duration) (func(), error) {
+	it := &gwlimit.Item{Class: class, Deadline: deadline, MaxWait: maxWait}
 	a.demand.Add(1)
 	if err := a.admit(ctx, it); err != nil {
 		a.demand.Add(-1)
 		return nil, err
 	}
-	return func() { a.release(it) }, nil
+	started := a.clock.Now()
+	return func() { a.release(it, a.clock.Since(started)) }, nil
 }
 
 // admit waits until the item has a slot.
@@ -116,10 +124,11 @@
 	return a.queue.Remove(it)
 }
 
-func (a *admission) release(it *gwlimit.Item) {
+func (a *admission) release(it *gwlimit.Item, took time.Duration) {
 	a.demand.Add(-1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.queue.Took(it.Class, took)
 	a.queue.Done(it)
 	if waiting, _ := a.queue.Len(); waiting > 0 {
 		a.dispatch()
--- a/internal/gwowner/key.go
+++ b/internal/gwowner/key.go
@@ -36,7 +36,7 @@
 // writeKeyed runs req and records its key in one transaction, so that the key
 // is there exactly if the request is done.
 func (s *Session) writeKeyed(ctx context.Context, srv *server, req *Request, g gwcontrol.GroupView, deadline time.Time, sink *heldSink) Result {
-	release, err := srv.admission.acquire(ctx, req.Class, deadline)
+	release, err := srv.admission.acquire(ctx, req.Class, deadline, req.QueueWait)
 	if err != nil {
 		return failed(admissionEvent(err), err.Error())
 	}
--- a/internal/gwowner/message.go
+++ b/internal/gwowner/message.go
@@ -41,7 +41,9 @@
 	// the baseline policies do.
 	AnyTerm bool `cbor:"11,keyasint,omitempty"`
 	// UnderLease means that only the primary under its lease may serve a read.
-	UnderLease        bool `cbor:"12,keyasint,omitempty"`
+	UnderLease bool `cbor:"12,keyasint,omitempty"`
+	// QueueWait is the longest expected wait for a slot; 0 for any.
+	QueueWait         time.Duration `cbor:"13,keyasint,omitempty"`
 	gwbackend.Request `cbor:"20,keyasint"`
 }
 
@@ -53,6 +55,8 @@
 	StalenessKnown bool          `cbor:"3,keyasint,omitempty"`
 	// Load is the number of requests waiting and running per slot.
 	Load float64 `cbor:"4,keyasint,omitempty"`
+	// Service is the average time for which a request holds a slot.
+	Service time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Result tells how an exchange ended. The answer itself was written to the sink
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -165,6 +165,7 @@
 		Staleness:      staleness,
 		StalenessKnown: known,
 		Load:           float64(s.admission.load()) / float64(max(1, s.facts.Slots)),
+		Service:        s.admission.service(),
 	}
 }
 
@@ -193,11 +194,16 @@
 // connection in the execution when the transaction is still open.
 func (s *server) run(ctx context.Context, req *Request, deadline time.Time, sink gwbackend.Sink, ready func() bool) execution {
 	queued := s.owner.clock.Now()
-	release, err := s.admission.acquire(ctx, req.Class, deadline)
+	release, err := s.admission.acquire(ctx, req.Class, deadline, req.QueueWait)
 	if err != nil {
 		return execution{event: admissionEvent(err), detail: err.Error()}
 	}
-	defer release()
+	held := true
+	defer func() {
+		if held {
+			release()
+		}
+	}()
 	s.owner.metrics.QueueWait(req.Class, s.facts.Group, s.owner.clock.Since(queued))
 	conn, err := s.backend.Pool().Acquire(ctx)
 	if err != nil {
@@ -214,12 +220,32 @@
 		x.conn = conn
 		return x
 	}
+	if r, ok := conn.(gwbackend.Recoverer); ok && x.event == gwoutcome.TimedOut {
+		// The server still works on the statement, in the slot that it was given.
+		held = false
+		go s.recover(conn, r, release)
+		return x
+	}
 	// A refused statement leaves the connection usable; the pool ends a
 	// transaction that was opened for it.
 	s.backend.Pool().Release(conn, x.event == gwoutcome.Answered || x.Refusal != 0)
 	return x
 }
 
+// recoverTimeout bounds the wait for the answer to a statement that was given up.
+// Above it a new connection, which costs 12 ms of a slot, is cheaper.
+const recoverTimeout = 2 * time.Second
+
+// recover keeps the connection of a statement that was given up, once its answer
+// has come.
+func (s *server) recover(conn gwbackend.Connection, r gwbackend.Recoverer, release func()) {
+	defer release()
+	ctx, cancel := context.WithTimeout(s.owner.ctx, recoverTimeout)
+	defer cancel()
+	err := r.Recover(ctx)
+	s.backend.Pool().Release(conn, err == nil)
+}
+
 // exchange sends one request on a connection and classifies its end.
 func (s *server) exchange(ctx context.Context, conn gwbackend.Connection, req gwbackend.Request, sink gwbackend.Sink) execution {
 	res, err := conn.Exchange(ctx, req, sink)
@@ -269,7 +295,7 @@
 
 func admissionEvent(err error) gwoutcome.Event {
 	var e *gwlimit.Error
-	if errors.As(err, &e) && e.Kind == gwlimit.QueueFull {
+	if errors.As(err, &e) && (e.Kind == gwlimit.QueueFull || e.Kind == gwlimit.Overloaded) {
 		return gwoutcome.QueueFull
 	}
 	if errors.As(err, &e) && e.Kind == gwlimit.Closed {
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -40,12 +40,8 @@
 // Exec runs one request and writes its answer to out.
 func (s *Session) Exec(ctx context.Context, req *Request, out io.Writer) Result {
 	now := s.owner.clock.Now()
-	// The context's deadline is on the system's clock, not on the owner's.
-	if end, ok := ctx.Deadline(); !ok || time.Until(end) > req.Timeout+answerGrace {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, req.Timeout)
-		defer cancel()
-	}
+	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
+	defer cancel()
 	if s.open != nil {
 		return s.continueTransaction(ctx, req, out)
 	}
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -39,7 +39,9 @@
 	err     error
 	onClose func()
 
-	unusable   atomic.Bool
+	unusable atomic.Bool
+	// abandoned means that the exchange whose answer is outstanding was given up.
+	abandoned  bool
 	answers    chan answer
 	readerDone chan struct{}
 	ended      chan struct{}
@@ -234,11 +236,31 @@
 		}
 		return answer{}, true, c.err
 	case <-ctx.Done():
-		c.Cut()
+		c.abandoned = true
+		c.unusable.Store(true)
 		return answer{}, true, context.Cause(ctx)
 	}
 }
 
+// Recover waits for the answer to an exchange that was given up. The connection
+// is usable again afterwards.
+func (c *Conn) Recover(ctx context.Context) error {
+	if !c.abandoned {
+		return notSent("recover", c.o, gwbackend.ErrUnusable)
+	}
+	select {
+	case a := <-c.answers:
+		c.abandoned = false
+		c.note(a)
+		c.unusable.Store(false)
+		return nil
+	case <-c.ended:
+		return notSent("recover", c.o, c.err)
+	case <-ctx.Done():
+		return notSent("recover", c.o, context.Cause(ctx))
+	}
+}
+
 // control runs a statement of the instance's own.
 func (c *Conn) control(ctx context.Context, after Position, text string) (answer, error) {
 	c.wbuf = c.codec.AppendQuery(c.wbuf[:0], "", after, text)
--- /dev/null
+++ b/pkg/gwlimit/load_test.go
@@ -0,0 +1,154 @@
+package gwlimit
+
+import (
+	"container/heap"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// pattern is a load on one server, replayed against a queue in simulated time.
+type pattern struct {
+	name     string
+	rate     float64 // arrivals a second, at 200 a second of capacity
+	burst    float64 // factor on the rate from second 1 to 4
+	deadline time.Duration
+	maxWait  time.Duration
+	// atLeast is the least share of what an oracle would serve in time.
+	atLeast float64
+}
+
+const (
+	loadSlots   = 2
+	loadService = 10 * time.Millisecond
+	// loadLength makes what is waiting at the end a small part of the whole.
+	loadLength = 60 * time.Second
+	capacity   = float64(loadSlots) / 0.010
+)
+
+type event struct {
+	at   time.Time
+	item *Item // nil for an arrival
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	v := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return v
+}
+
+// result counts how the requests of a replay ended.
+type result struct {
+	offered, inTime, late, refusedAtOnce, refusedLate int
+	// oracle is what could have been served by one who knows all service times:
+	// whatever can end before its deadline behind all that was taken before.
+	oracle int
+}
+
+// replay runs a pattern. Service times vary by a half around the mean.
+func replay(p pattern, seed uint64) result {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	q := NewFairQueue(loadSlots)
+	var r result
+	var ev events
+	backlog, last := time.Duration(0), time.Duration(0)
+	for at := time.Duration(0); at < loadLength; {
+		rate := p.rate
+		if p.burst > 0 && at > time.Second && at < 4*time.Second {
+			rate *= p.burst
+		}
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		heap.Push(&ev, event{at: testNow.Add(at)})
+		backlog, last = max(0, backlog-(at-last)), at
+		if backlog+loadService <= p.deadline {
+			r.oracle++
+			backlog += loadService / loadSlots
+		}
+	}
+	for len(ev) > 0 {
+		e := heap.Pop(&ev).(event)
+		if e.item == nil {
+			r.offered++
+			it := &Item{Class: "c", Deadline: e.at.Add(p.deadline), MaxWait: p.maxWait}
+			if err := q.Push(it, e.at); err != nil {
+				r.refusedAtOnce++
+			}
+		} else {
+			q.Done(e.item)
+			q.Took("c", e.at.Sub(e.item.Ref.(time.Time)))
+			if e.at.After(e.item.Deadline) {
+				r.late++
+			} else {
+				r.inTime++
+			}
+		}
+		r.refusedLate += len(q.Expire(e.at))
+		for it := q.Pop(e.at); it != nil; it = q.Pop(e.at) {
+			it.Ref = e.at
+			took := time.Duration(float64(loadService) * (0.5 + rng.Float64()))
+			heap.Push(&ev, event{at: e.at.Add(took), item: it})
+		}
+	}
+	return r
+}
+
+// Guards against a queue that serves requests whose callers have given up: with
+// refusal only at the deadline, the second site lost half of its requests for 20 s
+// after a burst of 3 s. The oracle serves what the slots can hold.
+func TestQueueUnderLoad(t *testing.T) {
+	patterns := []pattern{
+		{name: "half of the capacity", rate: 0.5 * capacity, atLeast: 0.99},
+		{name: "nine tenths of the capacity", rate: 0.9 * capacity, atLeast: 0.97},
+		{name: "the capacity", rate: capacity, atLeast: 0.93},
+		{name: "one and a half of the capacity", rate: 1.5 * capacity, atLeast: 0.95},
+		{name: "three times the capacity", rate: 3 * capacity, atLeast: 0.95},
+		{name: "burst of 1.7 for 3 s", rate: 0.8 * capacity, burst: 1.7, atLeast: 0.93},
+	}
+	for _, p := range patterns {
+		t.Run(p.name, func(t *testing.T) {
+			p.deadline, p.maxWait = 800*time.Millisecond, 200*time.Millisecond
+			for seed := range uint64(5) {
+				r := replay(p, seed)
+				assert.GreaterOrEqual(t, float64(r.inTime)/float64(r.oracle), p.atLeast, "seed %d: %+v", seed, r)
+				assert.Zero(t, r.late, "seed %d: served after the deadline", seed)
+				assert.Zero(t, r.refusedLate, "seed %d: refused after a wait", seed)
+			}
+		})
+	}
+}
+
+// Guards against an expired request at the head of one class that keeps the
+// requests of the others from the free slots.
+func TestPopSkipsExpired(t *testing.T) {
+	q := NewFairQueue(1)
+	old := &Item{Class: "a", Deadline: testNow.Add(time.Millisecond)}
+	next := &Item{Class: "b"}
+	assert.NoError(t, q.Push(old, testNow))
+	assert.NoError(t, q.Push(next, testNow))
+	later := testNow.Add(time.Second)
+	assert.Same(t, next, q.Pop(later))
+	assert.Equal(t, []*Item{old}, q.Expire(later))
+}
+
+// Guards against a wait that ends in a refusal which was certain from the start.
+func TestPushRefusesWhatCannotEnd(t *testing.T) {
+	q := NewFairQueue(1)
+	q.Took("c", 100*time.Millisecond)
+	for range 3 {
+		assert.NoError(t, q.Push(&Item{Class: "c"}, testNow))
+	}
+	err := q.Push(&Item{Class: "c", Deadline: testNow.Add(300 * time.Millisecond)}, testNow)
+	var e *Error
+	assert.True(t, errors.As(err, &e) && e.Kind == Overloaded, "%v", err)
+	assert.NoError(t, q.Push(&Item{Class: "c", Deadline: testNow.Add(500 * time.Millisecond)}, testNow))
+}
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -17,6 +17,9 @@
 	Expired
 	// Closed means that the queue admits no new work.
 	Closed
+	// Overloaded means that the request would wait longer than it accepts, or
+	// for so long that it could not end before its deadline.
+	Overloaded
 )
 
 // Error is the error type of this package.
@@ -31,6 +34,8 @@
 	switch e.Kind {
 	case QueueFull:
 		return fmt.Sprintf("%s: queue of class %q is full", e.Op, e.Class)
+	case Overloaded:
+		return fmt.Sprintf("%s: the wait for a slot is too long for class %q", e.Op, e.Class)
 	case Expired:
 		return fmt.Sprintf("%s: deadline of class %q passed", e.Op, e.Class)
 	default:
@@ -51,6 +56,8 @@
 type Item struct {
 	Class    string
 	Deadline time.Time
+	// MaxWait is the longest expected wait that the request accepts; 0 for any.
+	MaxWait time.Duration
 	// Cost is the expected use of a slot relative to other requests; 0 counts as 1.
 	Cost float64
 	// Ref is the owner's reference to the request.
@@ -67,6 +74,8 @@
 	waiting, running int
 	finish           float64
 	items            []*Item
+	// service is the moving average of the time that a request holds a slot.
+	service time.Duration
 }
 
 // FairQueue shares a number of slots between classes by start-time fair
@@ -80,6 +89,60 @@
 	closed  bool
 	classes map[string]*classState
 	expiry  expiryHeap
+	// service is the moving average over all classes.
+	service time.Duration
+}
+
+// serviceWeight is the weight of the newest time in the moving averages: the last
+// ten or so requests decide.
+const serviceWeight = 0.1
+
+// Took records for how long a request of a class has held its slot.
+func (q *FairQueue) Took(class string, d time.Duration) {
+	s := q.class(class)
+	if s.service == 0 {
+		s.service = d
+	}
+	s.service += time.Duration(serviceWeight * float64(d-s.service))
+	if q.service == 0 {
+		q.service = d
+	}
+	q.service += time.Duration(serviceWeight * float64(d-q.service))
+}
+
+// Service returns the average time for which requests of all classes hold a slot,
+// 0 while none has ended.
+func (q *FairQueue) Service() time.Duration { return q.service }
+
+// serviceOf returns the expected time of a request of the class.
+func (q *FairQueue) serviceOf(s *classState) time.Duration {
+	if s.service > 0 {
+		return s.service
+	}
+	return q.service
+}
+
+// Wait estimates how long a new request of a class waits for a slot: until the
+// work before it has ended, all of it or, if that is less, what its own class
+// has waiting at the class's share of the slots.
+func (q *FairQueue) Wait(class string) time.Duration {
+	own := q.class(class)
+	var all time.Duration
+	weights := 0
+	for _, s := range q.classes {
+		all += time.Duration(s.waiting) * q.serviceOf(s)
+		if s.waiting > 0 || s == own {
+			weights += s.Weight
+		}
+	}
+	slots := time.Duration(max(1, q.slots))
+	// The requests in the slots are half done on average.
+	running := time.Duration(min(q.running, q.slots)) * q.service / 2 / slots
+	if q.running < q.slots && q.waiting == 0 {
+		return 0
+	}
+	shared := time.Duration(own.waiting) * q.serviceOf(own) * time.Duration(weights) / time.Duration(max(1, own.Weight))
+	return running + min(all, shared)/slots
 }
 
 // NewFairQueue returns a queue for a server with the given number of slots.
@@ -152,7 +215,9 @@
 }
 
 // Push adds it to the queue. It fails when the queue of the class is full, the
-// deadline has passed or the queue is closed.
+// deadline has passed, the queue is closed, or the request would wait in vain: at
+// 1.5 times the capacity a queue that only drops what has expired serves work
+// whose callers have given up, and little else.
 func (q *FairQueue) Push(it *Item, now time.Time) error {
 	const op = "admit"
 	s := q.class(it.Class)
@@ -165,6 +230,10 @@
 	if s.Queue > 0 && s.waiting >= s.Queue {
 		return &Error{Op: op, Kind: QueueFull, Class: it.Class}
 	}
+	wait := q.Wait(it.Class)
+	if it.MaxWait > 0 && wait > it.MaxWait || !it.Deadline.IsZero() && now.Add(wait+q.serviceOf(s)).After(it.Deadline) {
+		return &Error{Op: op, Kind: Overloaded, Class: it.Class}
+	}
 	q.schedule(it, s)
 	s.items = append(s.items, it)
 	s.waiting++
@@ -184,6 +253,7 @@
 	var best *classState
 	for _, s := range q.classes {
 		s.trim()
+		s.skipExpired(now)
 		if len(s.items) == 0 || (s.Concurrency > 0 && s.running >= s.Concurrency) {
 			continue
 		}
@@ -195,10 +265,6 @@
 		return nil
 	}
 	it := best.items[0]
-	if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
-		// Left for Expire, which tells the request's owner.
-		return nil
-	}
 	q.remove(it)
 	best.trim()
 	best.running++
@@ -264,6 +330,19 @@
 	s.items = s.items[n:]
 }
 
+// skipExpired drops items at the head whose deadline has passed; they stay in the
+// heap for Expire, which tells the requests' owners.
+func (s *classState) skipExpired(now time.Time) {
+	for len(s.items) > 0 {
+		it := s.items[0]
+		if !it.gone && (it.Deadline.IsZero() || now.Before(it.Deadline)) {
+			return
+		}
+		s.items[0] = nil
+		s.items = s.items[1:]
+	}
+}
+
 func before(a, b *Item) bool {
 	if a.start != b.start {
 		return a.start < b.start
--- a/pkg/gwroute/route.go
+++ b/pkg/gwroute/route.go
@@ -1,6 +1,7 @@
 package gwroute
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -31,8 +32,12 @@
 	FreshAsOf time.Time
 	// Lag is the expected time until the replica has a write of the primary.
 	Lag time.Duration
-	// Load is the number of requests waiting and running per slot.
+	// Load is the number of requests waiting and running per slot, as reported.
 	Load float64
+	// Pending is the number of unanswered requests of this instance per slot.
+	Pending float64
+	// Service is the average time for which a request holds a slot, 0 if unknown.
+	Service time.Duration
 	// Latency is the recent duration of requests at the server.
 	Latency time.Duration
 }
@@ -92,10 +97,10 @@
 
 // Choose returns the server for a request.
 //
-// Replicas of the own data centre come first, then those of the region, then
-// the region's primary, and servers of other regions last: the link between
-// regions is slow and charged by volume. Within a tier the cheaper of two
-// random servers wins.
+// Reads go to the server that is expected to answer first, with a price on links
+// that are slow and charged by volume: in an idle system a replica of the own
+// data centre, then one of the region, then the region's primary, and servers of
+// other regions last.
 func Choose(need Need, servers []Server, now time.Time, rng *rand.Rand) Choice {
 	if need.Write || need.Policy == PrimaryOnly {
 		return choosePrimary(need, servers)
@@ -103,10 +108,8 @@
 	if need.Policy == RoundRobin {
 		return chooseInTurn(need, servers)
 	}
-	for t := tier(0); t < tiers; t++ {
-		if s, ok := chooseInTier(need, servers, t, now, rng); ok {
-			return Serve{Server: s, MaxWait: need.WaitBudget}
-		}
+	if s, ok := cheapest(need, servers, now, rng); ok {
+		return Serve{Server: s, MaxWait: need.WaitBudget}
 	}
 	return Reject{Reason: ReasonNoServer}
 }
@@ -133,73 +136,76 @@
 	return Serve{Server: replicas[need.Turn%uint64(len(replicas))]}
 }
 
-type tier int
-
-// Tiers in order of preference.
+// Costs of a place, as the time for which a caller would accept to wait instead.
 const (
-	replicaSameDataCentre tier = iota
-	replicaSameRegion
-	primarySameRegion
-	replicaOtherRegion
-	primaryOtherRegion
-	tiers
+	// costSameRegion is a round trip between data centres of a region, and the
+	// bytes on a link that is charged by volume.
+	costSameRegion = 6 * time.Millisecond
+	// costOtherRegion is the round trip of 60 ms between regions, and the bytes.
+	costOtherRegion = 80 * time.Millisecond
+	// costPrimary keeps the primary's slots for what only the primary can do:
+	// about the time of one statement.
+	costPrimary = 12 * time.Millisecond
+	// defaultService is the time that a statement is expected to take at a server
+	// that has not told.
+	defaultService = 10 * time.Millisecond
+	// loadHalfLife is the time in which a reported queue is expected to halve.
+	loadHalfLife = 250 * time.Millisecond
+	// costSpread is the part by which costs are varied, so that instances that
+	// know the same do not all choose the same server.
+	costSpread = 0.1
 )
 
-func (s Server) tier() tier {
-	switch {
-	case s.Primary && s.Distance == OtherRegion:
-		return primaryOtherRegion
-	case s.Primary:
-		return primarySameRegion
-	case s.Distance == SameDataCentre:
-		return replicaSameDataCentre
-	case s.Distance == SameRegion:
-		return replicaSameRegion
-	default:
-		return replicaOtherRegion
-	}
-}
-
-func chooseInTier(need Need, servers []Server, t tier, now time.Time, rng *rand.Rand) (Server, bool) {
-	var fit []candidate
+// cheapest returns the server with the lowest cost among those that can serve.
+//
+// The near replica wins until its queue is longer than the way to another one.
+// Load pattern: a burst in one data centre, or one replica that is slow or far
+// behind, while the others have slots free.
+func cheapest(need Need, servers []Server, now time.Time, rng *rand.Rand) (Server, bool) {
+	var best Server
+	var lowest time.Duration
+	found := false
 	for _, s := range servers {
-		if s.tier() != t || s.Unusable || need.Excluded[s.Name] {
+		if s.Unusable || need.Excluded[s.Name] {
 			continue
 		}
 		wait := s.ExpectedWait(need, now)
 		if wait > need.WaitBudget {
 			continue
 		}
-		fit = append(fit, candidate{server: s, cost: s.cost(wait)})
+		c := s.cost(wait, now)
+		c += time.Duration(costSpread * rng.Float64() * float64(c))
+		if !found || c < lowest {
+			best, lowest, found = s, c, true
+		}
 	}
-	switch len(fit) {
-	case 0:
-		return Server{}, false
-	case 1:
-		return fit[0].server, true
+	return best, found
+}
+
+// cost is the expected time until the server has answered a read, leaving out
+// what is the same for all servers.
+func (s Server) cost(wait time.Duration, now time.Time) time.Duration {
+	c := wait
+	switch s.Distance {
+	case SameDataCentre:
+	case SameRegion:
+		c += costSameRegion
+	case OtherRegion:
+		c += costOtherRegion
 	}
-	i := rng.IntN(len(fit))
-	j := rng.IntN(len(fit) - 1)
-	if j >= i {
-		j++
+	if s.Primary {
+		c += costPrimary
 	}
-	if fit[j].cost < fit[i].cost {
-		i = j
+	service := s.Service
+	if service <= 0 {
+		service = defaultService
 	}
-	return fit[i].server, true
+	return c + time.Duration(float64(service)*(1+max(s.loadNow(now), s.Pending)))
 }
 
-type candidate struct {
-	server Server
-	cost   time.Duration
-}
-
-// minLatency keeps the load in the cost of servers whose latency is not known yet.
-const minLatency = 100 * time.Microsecond
-
-func (s Server) cost(wait time.Duration) time.Duration {
-	latency := max(s.Latency, minLatency)
-	return wait + time.Duration(float64(latency)*(1+s.Load))
+// loadNow is the load that is left of the last report.
+func (s Server) loadNow(now time.Time) float64 {
+	return s.Load * math.Exp2(-float64(now.Sub(s.ReportedAt))/float64(loadHalfLife))
 }
 
 // ExpectedWait estimates how long the server needs until it satisfies need.
--- a/pkg/gwroute/route_test.go
+++ b/pkg/gwroute/route_test.go
@@ -83,6 +83,41 @@
 	assert.Zero(t, counts["c"], "the loaded server loses each comparison")
 }
 
+// Guards against a near replica that collects a queue while others have slots
+// free: a burst in one data centre ended in timeouts there while the other
+// servers of the group were a quarter used.
+func TestChooseLeavesLoadedServer(t *testing.T) {
+	near, next, far := server("near", SameDataCentre, 1), server("next", SameRegion, 1), server("far", OtherRegion, 1)
+	tests := []struct {
+		name string
+		near Server
+		want string
+	}{
+		{"idle", near, "near"},
+		{"a short queue", withLoad(near, 0.4, 0), "near"},
+		{"a queue that is longer than the way", withLoad(near, 4, 0), "next"},
+		{"own requests that are unanswered", withLoad(near, 0, 4), "next"},
+		{"a slow server", withService(near, 60*time.Millisecond), "next"},
+		{"a queue that has drained since", aged(withLoad(near, 4, 0), 2*time.Second), "near"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, _ := Choose(Need{}, []Server{tt.near, next, far}, testNow, rand.New(rand.NewPCG(1, 1))).(Serve)
+			assert.Equal(t, tt.want, got.Server.Name)
+		})
+	}
+	got, _ := Choose(Need{}, []Server{withLoad(near, 12, 0), far}, testNow, rand.New(rand.NewPCG(1, 1))).(Serve)
+	assert.Equal(t, "far", got.Server.Name, "the other region, when the wait is longer than the link")
+}
+
+func withLoad(s Server, reported, pending float64) Server {
+	s.Load, s.Pending = reported, pending
+	return s
+}
+
+func withService(s Server, d time.Duration) Server { s.Service = d; return s }
+func aged(s Server, d time.Duration) Server        { s.ReportedAt = s.ReportedAt.Add(-d); return s }
+
 func BenchmarkChoose(b *testing.B) {
 	servers := []Server{server("a", SameDataCentre, 1), server("b", SameRegion, 1), primary(server("c", OtherRegion, 1))}
 	rng := rand.New(rand.NewPCG(1, 2))
