--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -186,7 +186,7 @@
 		Clock: gwclock.NewBoot(), Log: p.log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.Format{Parse: platform.Manifests{Regions: s.Regions}.Parse, AnyLater: true},
 		Dialect: gwstatement.Dialect{Codec: platform.Lines{}}, ServeCallers: p.serveCallers,
-		ControlOnly: !s.Callers, FirstVoters: first, NamedByAddress: true, StopDelay: unreadyTime,
+		ControlOnly: !s.Callers, FirstVoters: first, NamedByAddress: true, Withdraw: s.Callers, StopDelay: unreadyTime,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Client: &http.Client{Timeout: promoteTimeout}},
 		Routes:       func(i *gwdaemon.Instance) http.Handler { return platform.ReadyRoutes(i) },
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -32,6 +32,7 @@
 
 	mu     sync.Mutex
 	leader string
+	touch  touch
 }
 
 // NewClient returns a client; local is nil on an instance that is no voter.
@@ -222,6 +223,7 @@
 	})
 	serveLeader(node, kindHistory, l.History)
 	serveLeader(node, kindCurrent, l.Current)
+	serveLeader(node, kindTouch, l.Touch)
 	return l
 }
 
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -69,6 +69,9 @@
 	// NamedByAddress means that the instances' names are their addresses, so that
 	// no two processes can have the same name at one time.
 	NamedByAddress bool
+	// Withdraw makes an instance that cannot reach the leader report that it is not
+	// ready and send its idle callers elsewhere.
+	Withdraw bool
 	// StopDelay is how long a stopping instance takes callers after it has
 	// reported that it is not ready, because whoever sends them learns it late.
 	StopDelay time.Duration
@@ -86,6 +89,12 @@
 	Drain(ctx context.Context) error
 }
 
+// idleCloser is a Callers that can send idle callers elsewhere.
+type idleCloser interface {
+	// CloseIdle ends the sessions that no caller uses at the moment.
+	CloseIdle()
+}
+
 // Telemetry receives the measurements of an instance.
 type Telemetry interface {
 	gwfilter.Observer
@@ -249,7 +258,7 @@
 	i.owner = gwowner.New(ctx, gwowner.Options{
 		Node: i.node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
-		Dialect: i.Dialect, Start: i.client.StartGroup,
+		Dialect: i.Dialect, Start: i.client.StartGroup, InTouch: i.inTouch(),
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
@@ -320,6 +329,43 @@
 	return nil
 }
 
+// inTouch returns what tells whether the leader can be reached, nil where that
+// does not matter.
+func (i *Instance) inTouch() func() bool {
+	if !i.Withdraw {
+		return nil
+	}
+	return i.client.InTouch
+}
+
+// touchChanged withdraws a cut-off instance from the callers, or returns it.
+func (i *Instance) touchChanged(ctx context.Context, inTouch bool) {
+	if !inTouch {
+		i.Log.Warn("the leader of the replicated log cannot be reached", "leader", i.client.Leader())
+	} else {
+		i.Log.Info("the leader of the replicated log is reached", "leader", i.client.Leader())
+	}
+	i.owner.TouchChanged()
+	callers, ok := i.callers.(idleCloser)
+	if !ok || inTouch {
+		return
+	}
+	// Callers that come back are sent elsewhere once the platform has noticed.
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-i.Clock.After(i.StopDelay):
+			for !i.client.InTouch() && ctx.Err() == nil {
+				callers.CloseIdle()
+				i.Clock.Sleep(closeIdleInterval)
+			}
+		}
+	}()
+}
+
+// closeIdleInterval is how often a cut-off instance looks for idle sessions.
+const closeIdleInterval = 200 * time.Millisecond
+
 func (i *Instance) run(ctx context.Context) {
 	i.wg.Go(func() { i.members.Run(ctx) })
 	i.wg.Go(func() { i.spreader.Run(ctx) })
@@ -327,6 +373,9 @@
 	i.wg.Go(func() { i.keeper.Run(ctx) })
 	i.wg.Go(func() { i.followView(ctx) })
 	i.wg.Go(func() { i.entry.Run(ctx) })
+	if i.Withdraw {
+		i.wg.Go(func() { i.client.KeepTouch(ctx, func(in bool) { i.touchChanged(ctx, in) }) })
+	}
 	if i.consensus != nil {
 		i.wg.Go(func() { _ = i.consensus.Run(ctx) })
 		i.wg.Go(func() { i.leader.Run(ctx) })
@@ -381,7 +430,7 @@
 func (i *Instance) Ready() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return !i.stopping && i.views.Current().Manifest != nil
+	return !i.stopping && i.views.Current().Manifest != nil && (!i.Withdraw || i.client.InTouch())
 }
 
 // Stop is a graceful shutdown: ownership and leases move to other instances,
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -50,6 +50,8 @@
 	// Start reports the first primary of a group; nil where announcements carry
 	// the term and position that this needs.
 	Start func(ctx context.Context, a gwcontrol.Announcement) error
+	// InTouch reports whether the leader can be reached; nil for always.
+	InTouch func() bool
 	// Dialect is that of the backend servers; nil for the stand-in's.
 	Dialect gwbackend.Dialect
 	// Backend completes the connection options of a server, as its user.
@@ -69,6 +71,7 @@
 	suspected SuspectFunc
 	start     func(ctx context.Context, a gwcontrol.Announcement) error
 	dialect   gwbackend.Dialect
+	inTouch   func() bool
 	connect   func(f gwcontrol.ServerFacts) gwbackend.Options
 
 	mu      sync.RWMutex
@@ -85,7 +88,7 @@
 func New(ctx context.Context, o Options) *Owner {
 	w := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
-		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, connect: o.Backend,
+		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, inTouch: o.InTouch, connect: o.Backend,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	w.register()
@@ -387,15 +390,43 @@
 	s.backend.Pool().SetLimit(s.owner.connections(facts))
 }
 
-// connections returns the bound of connections to a server: that of the manifest,
-// or the one that the server announces.
+// cutOffShare is the part of a server's connections that is left to an instance
+// which cannot reach the leader. Both sides of a partition take themselves for the
+// owner of a server that both can reach: without a share each, the one that was
+// first leaves no connection to the one that holds the lease.
+const cutOffShare = 4
+
+// connections returns the bound of connections to a server: this instance's share
+// of what the manifest allows, or of what the server announces.
 func (o *Owner) connections(f gwcontrol.ServerFacts) int {
+	limit := f.Connections
 	if m := o.views.Current().Manifest; m != nil {
 		if g, ok := m.GroupNamed(f.Group); ok && g.Connections > 0 {
-			return g.Connections
+			limit = g.Connections
 		}
 	}
-	return f.Connections
+	if o.inTouch == nil {
+		return limit
+	}
+	return connectionShare(limit, o.inTouch())
+}
+
+// connectionShare divides the connections of a server between the two sides of a
+// partition.
+func connectionShare(limit int, inTouch bool) int {
+	cutOff := limit / cutOffShare
+	if inTouch {
+		return max(1, limit-cutOff)
+	}
+	return max(1, cutOff)
+}
+
+// TouchChanged applies the connection limits after the contact with the leader was
+// lost or regained.
+func (o *Owner) TouchChanged() {
+	for _, s := range o.all() {
+		s.applyLimits(o.views.Current())
+	}
 }
 
 func (s *server) slots() int {
--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,11 +52,10 @@
 
 // Server accepts callers on one listener.
 type Server struct {
-	o        Options
-	ctx      context.Context
-	stop     context.CancelFunc
-	draining atomic.Bool
-	wg       sync.WaitGroup
+	o    Options
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -70,6 +68,8 @@
 	mu      sync.Mutex
 	session Session // nil until the session is open
 	busy    bool
+	// woken means that the read deadline was set to end a wait for a message.
+	woken bool
 }
 
 // Serve starts to accept callers and returns. When ctx ends, all sessions are cut.
@@ -182,7 +182,7 @@
 		case timeout && c.session.Idle():
 			return true, nil
 		}
-		if s.draining.Load() {
+		if c.clearWoken() {
 			if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
 				return false, err
 			}
@@ -202,13 +202,29 @@
 	c.mu.Unlock()
 }
 
-// idle reports whether the connection may be closed without harm.
-func (c *callerConn) idle() bool {
+// wakeIdle ends the wait for a message if the session may end without harm. Under
+// the lock, so that a message that has begun to arrive is read whole.
+func (c *callerConn) wakeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.busy && (c.session == nil || c.session.Idle())
+	if !c.busy && (c.session == nil || c.session.Idle()) {
+		c.woken = true
+		_ = c.nc.SetReadDeadline(past)
+	}
+}
+
+// clearWoken reports whether the read deadline has to be taken back.
+func (c *callerConn) clearWoken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	woken := c.woken
+	c.woken = false
+	return woken
 }
 
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
 // start reads the startup message and opens the session; ok is false if there is none.
 func (s *Server) start(c *callerConn, r *bufio.Reader) (ok bool, err error) {
 	_ = c.nc.SetDeadline(time.Now().Add(startupTimeout))
@@ -238,7 +254,6 @@
 // others. When ctx ends first, the remaining sessions are cut and ctx's error is
 // returned.
 func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
 	_ = s.o.Listener.Close()
 	done := make(chan struct{})
 	go func() {
@@ -248,7 +263,7 @@
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
 	for {
-		s.closeIdle()
+		s.CloseIdle()
 		select {
 		case <-done:
 			s.stop()
@@ -262,16 +277,12 @@
 	}
 }
 
-// past is a deadline that ends a read at once.
-var past = time.Unix(1, 0)
-
-func (s *Server) closeIdle() {
+// CloseIdle ends the sessions that wait for a statement outside of a transaction.
+func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idle() {
-			_ = c.nc.SetReadDeadline(past)
-		}
+		c.wakeIdle()
 	}
 }
 
