gwowner, gwcontrol: hand primaries over within a second

Change: open transactions of a released primary end between two statements after a second (setting HandOver, off for the product's own interface); leadership moves only while every lease is held.

--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -38,6 +38,9 @@
 	// reservedFiles are descriptors that are not for callers: links, connections
 	// to backend servers, the log and data files.
 	reservedFiles = 600
+	// handOverTime is how long open transactions keep a primary from its new owner:
+	// most end within it, and the others cost less than a gap for the whole group.
+	handOverTime = time.Second
 	// promoteTimeout bounds one call to the platform.
 	promoteTimeout = 2 * time.Second
 )
@@ -186,7 +189,7 @@
 		Clock: gwclock.NewBoot(), Log: p.log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.Format{Parse: platform.Manifests{Regions: s.Regions}.Parse, AnyLater: true},
 		Dialect: gwstatement.Dialect{Codec: platform.Lines{}}, ServeCallers: p.serveCallers,
-		ControlOnly: !s.Callers, FirstVoters: first, NamedByAddress: true, Withdraw: s.Callers, StopDelay: unreadyTime,
+		ControlOnly: !s.Callers, FirstVoters: first, NamedByAddress: true, Withdraw: s.Callers, HandOver: handOverTime, StopDelay: unreadyTime,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Client: &http.Client{Timeout: promoteTimeout}},
 		Routes:       func(i *gwdaemon.Instance) http.Handler { return platform.ReadyRoutes(i) },
--- a/internal/gwcontrol/place.go
+++ b/internal/gwcontrol/place.go
@@ -1,6 +1,7 @@
 package gwcontrol
 
 import (
+	"gentianward.example/gentianward/internal/gwstate"
 	"context"
 	"slices"
 	"time"
@@ -22,13 +23,24 @@
 		m, ok := members.Member(voterName(id))
 		return m.Region, ok
 	})
-	if better == "" || l.anyChanging() {
+	if better == "" || l.anyChanging() || !l.leasesSettled() {
 		return
 	}
 	l.log.Info("leadership moves to the region with more voters", "to", better)
 	_ = l.consensus.do(ctx, func() { _ = l.consensus.node.TransferLeadership(better) })
 }
 
+// leasesSettled reports whether every group's lease is held. A new leader waits for
+// the leases that it has not seen renewed, so that a group whose lease is about to
+// change hands would wait twice.
+func (l *Leader) leasesSettled() bool {
+	now := l.clock.Now()
+	return !slices.ContainsFunc(l.state.Groups(), func(g gwstate.Group) bool {
+		_, expired := l.state.Clock().Expired(g.Name, now)
+		return expired
+	})
+}
+
 // betterVoter returns an answering voter in a region with more voters than the
 // leader's own, "" if there is none. region tells where a voter is.
 func betterVoter(st gwquorum.Status, region func(id string) (string, bool)) string {
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -69,6 +69,9 @@
 	// NamedByAddress means that the instances' names are their addresses, so that
 	// no two processes can have the same name at one time.
 	NamedByAddress bool
+	// HandOver is how long open transactions may keep a released primary from its
+	// new owner; 0 for as long as a graceful stop may take.
+	HandOver time.Duration
 	// Withdraw makes an instance that cannot reach the leader report that it is not
 	// ready and send its idle callers elsewhere.
 	Withdraw bool
@@ -258,7 +261,7 @@
 	i.owner = gwowner.New(ctx, gwowner.Options{
 		Node: i.node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
-		Dialect: i.Dialect, Start: i.client.StartGroup, InTouch: i.inTouch(),
+		Dialect: i.Dialect, Start: i.client.StartGroup, InTouch: i.inTouch(), HandOver: i.HandOver,
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -50,6 +50,9 @@
 	// Start reports the first primary of a group; nil where announcements carry
 	// the term and position that this needs.
 	Start func(ctx context.Context, a gwcontrol.Announcement) error
+	// HandOver is how long open transactions may keep a released primary from its
+	// new owner; 0 for as long as a graceful stop may take.
+	HandOver time.Duration
 	// InTouch reports whether the leader can be reached; nil for always.
 	InTouch func() bool
 	// Dialect is that of the backend servers; nil for the stand-in's.
@@ -72,6 +75,7 @@
 	start     func(ctx context.Context, a gwcontrol.Announcement) error
 	dialect   gwbackend.Dialect
 	inTouch   func() bool
+	handOver  time.Duration
 	connect   func(f gwcontrol.ServerFacts) gwbackend.Options
 
 	mu      sync.RWMutex
@@ -88,7 +92,7 @@
 func New(ctx context.Context, o Options) *Owner {
 	w := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
-		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, inTouch: o.InTouch, connect: o.Backend,
+		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, inTouch: o.InTouch, handOver: o.HandOver, connect: o.Backend,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	w.register()
@@ -252,6 +256,9 @@
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), o.drainLimit())
 		defer cancel()
 		s.awaitActive(ctx)
+		if g := s.group(); g.Primary == s.facts.Server && o.handOver > 0 {
+			s.endTransactions(ctx)
+		}
 		if err := s.backend.Close(ctx); err != nil {
 			o.log.Warn("backend server closed with work in flight", "server", s.facts.Server, "error", err)
 		}
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -38,8 +38,8 @@
 	committed gwsession.Position
 	// leased is the last time at which the lease of the primary was seen valid.
 	leased time.Time
-	// pinned counts open transactions.
-	pinned int
+	// transactions are the open ones.
+	transactions map[*transaction]bool
 	// checking means that a supervision of the server is running.
 	checking bool
 	openedAt time.Time
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -244,7 +246,7 @@
 	}
 	t := &transaction{server: srv, conn: x.conn, term: term, write: write}
 	s.open = t
-	srv.pin(1)
+	srv.pin(t)
 	t.armIdle(s.owner.idleLimit())
 }
 
@@ -254,7 +256,7 @@
 	defer t.server.active.Add(-1)
 	if !t.begin() {
 		s.open = nil
-		return failed(gwoutcome.BrokenBeforeSend, "the transaction was rolled back because it was idle for too long")
+		return failed(gwoutcome.BrokenBeforeSend, "the transaction was rolled back because it was idle for too long or its server got another owner")
 	}
 	if t.write && !t.server.holdsLease(t.term) {
 		s.abandon()
@@ -299,14 +301,14 @@
 	t.mu.Lock()
 	t.ended = true
 	t.mu.Unlock()
-	t.server.pin(-1)
+	t.server.unpin(t)
 	t.server.backend.Pool().Release(t.conn, reusable)
 }
 
 // abandon rolls the transaction back, whose connection is kept.
 func (s *Session) abandon() {
 	if s.open.end() {
-		s.open.server.discard(s.open.conn)
+		s.open.server.discard(s.open)
 	}
 	s.open = nil
 }
@@ -351,24 +353,60 @@
 	idle := !t.busy && !t.ended
 	if idle {
 		t.ended = true
+		if t.timer != nil {
+			t.timer.Stop()
+		}
 	}
 	t.mu.Unlock()
 	if idle {
-		t.server.discard(t.conn)
+		t.server.discard(t)
 	}
 }
 
 // discard gives the connection of an abandoned transaction back to the pool,
 // which rolls it back.
-func (s *server) discard(conn gwbackend.Connection) {
-	s.pin(-1)
-	s.backend.Pool().Release(conn, true)
+func (s *server) discard(t *transaction) {
+	s.unpin(t)
+	s.backend.Pool().Release(t.conn, true)
+}
+
+func (s *server) pin(t *transaction) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.transactions == nil {
+		s.transactions = make(map[*transaction]bool)
+	}
+	s.transactions[t] = true
+}
+
+func (s *server) unpin(t *transaction) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.transactions, t)
+}
+
+// endTransactions rolls back the open transactions of a released primary, each
+// between two of its statements, once they have had their time.
+func (s *server) endTransactions(ctx context.Context) {
+	started := s.owner.clock.Now()
+	for ctx.Err() == nil {
+		open := s.openTransactions()
+		if len(open) == 0 {
+			return
+		}
+		if s.owner.clock.Since(started) >= s.owner.handOver {
+			for _, t := range open {
+				t.expire()
+			}
+		}
+		s.owner.clock.Sleep(activePoll)
+	}
 }
 
-func (s *server) pin(n int) {
+func (s *server) openTransactions() []*transaction {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pinned += n
+	return slices.Collect(maps.Keys(s.transactions))
 }
 
 // finish passes the held answer on.
