--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -33,6 +34,9 @@
 	unreadyTime = 2300 * time.Millisecond
 	// defaultGrace is the time for a stop when the settings name none.
 	defaultGrace = 5 * time.Second
+	// settingsInterval is how often the settings file is looked at: it may change
+	// without a signal.
+	settingsInterval = 2 * time.Second
 	// stopReserve is kept of the grace time for the steps after the last session.
 	stopReserve = time.Second
 	// reservedFiles are descriptors that are not for callers: links, connections
@@ -115,23 +119,60 @@
 	s := p.settings
 	p.log.Info("instance started", "address", s.IP.String(), "dataCentre", s.DataCentre, "region", s.Region,
 		"callers", s.Callers, "control", s.Control, "firstStart", s.FirstStart, "seeds", fmt.Sprint(s.Seeds))
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
-		}
-		p.reload()
-	}
+	p.watch(signals, i)
 	p.stop(ctx, i)
 	return nil
 }
 
-func (p process) reload() {
-	s, err := platform.ReadSettings(p.path)
+// watch reloads the settings on SIGHUP and when the file has changed, until
+// another signal comes.
+func (p process) watch(signals <-chan os.Signal, i *gwdaemon.Instance) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(p.path) // read at the start; an error shows at the next look
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return
+			}
+			last = p.reload(i, nil)
+		case <-ticker.C:
+			last = p.reload(i, last)
+		}
+	}
+}
+
+// reload applies the settings file unless its text is last, and returns its text.
+// Only the seeds of a running instance can change; a file that cannot be used
+// changes nothing.
+func (p process) reload(i *gwdaemon.Instance, last []byte) []byte {
+	text, err := os.ReadFile(p.path)
+	if err == nil && last != nil && bytes.Equal(text, last) {
+		return last
+	}
+	s := p.settings
+	if err == nil {
+		s, err = platform.ParseSettings(text)
+	}
 	if err != nil {
 		p.log.Error("settings not reloaded", "path", p.path, "error", err.Error())
-		return
+		return text
 	}
+	i.AddSeeds(peerSeeds(s))
 	p.log.Info("settings reloaded", "path", p.path, "seeds", fmt.Sprint(s.Seeds))
+	return text
+}
+
+// peerSeeds returns the peer addresses of the seeds other than the process itself.
+func peerSeeds(s platform.Settings) []string {
+	out := make([]string, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		if seed != s.IP {
+			out = append(out, s.PeerAddress(seed.String()))
+		}
+	}
+	return out
 }
 
 func (p process) stop(ctx context.Context, i *gwdaemon.Instance) {
@@ -169,22 +210,16 @@
 	if err != nil {
 		return gwdaemon.Options{}, err
 	}
-	seeds := make([]string, 0, len(s.Seeds))
 	first := make(map[string]string, len(s.Seeds))
 	for _, seed := range s.Seeds {
-		address := s.PeerAddress(seed.String())
-		first[seed.String()] = address
-		if seed != s.IP {
-			seeds = append(seeds, address)
+		if s.FirstStart {
+			first[seed.String()] = s.PeerAddress(seed.String())
 		}
 	}
-	if !s.FirstStart {
-		first = map[string]string{}
-	}
 	o := gwdaemon.Options{
 		Settings: &gwmanifest.Settings{
 			Instance: name, DataCentre: s.DataCentre, Region: s.Region, CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress(name),
-			OperatorAddress: s.ReadyAddress, Seeds: seeds, DataFolder: s.DataFolder, MaxClockDrift: gwmanifest.DefaultMaxClockDrift,
+			OperatorAddress: s.ReadyAddress, Seeds: peerSeeds(s), DataFolder: s.DataFolder, MaxClockDrift: gwmanifest.DefaultMaxClockDrift,
 		},
 		Clock: gwclock.NewBoot(), Log: p.log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.Format{Parse: platform.Manifests{Regions: s.Regions}.Parse, AnyLater: true},
--- a/internal/gwcontrol/membership.go
+++ b/internal/gwcontrol/membership.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// AddSeeds adds peer addresses to join through.
+func (m *Membership) AddSeeds(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members.AddSeeds(addresses)
+}
+
 // Leave announces a planned stop; Run must go on for a few ticks.
 func (m *Membership) Leave() {
 	m.step(func() []gwmember.Action { return m.members.Leave(m.clock.Now()) })
--- a/internal/gwcontrol/place.go
+++ b/internal/gwcontrol/place.go
@@ -1,11 +1,12 @@
 package gwcontrol
 
 import (
-	"gentianward.example/gentianward/internal/gwstate"
 	"context"
 	"slices"
 	"time"
 
+	"gentianward.example/gentianward/internal/gwstate"
+
 	"gentianward.example/gentianward/pkg/gwquorum"
 )
 
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -386,6 +386,9 @@
 	}
 }
 
+// AddSeeds adds peer addresses of other instances to join through.
+func (i *Instance) AddSeeds(addresses []string) { i.members.AddSeeds(addresses) }
+
 // CallerAddress returns the address that callers connect to.
 func (i *Instance) CallerAddress() string { return i.callers.Address().String() }
 
--- a/internal/gwstatement/fake_test.go
+++ b/internal/gwstatement/fake_test.go
@@ -42,9 +42,11 @@
 func (testCodec) AppendFailure(b []byte, f Failure) []byte {
 	return fmt.Appendf(b, "error %d %s\n", f.Code, f.Text)
 }
+
 func (testCodec) AppendReady(b []byte, status byte) []byte {
 	return fmt.Appendf(b, "ready %c\n", status)
 }
+
 func (testCodec) AppendStartup(b []byte, group, user, server string) []byte {
 	return fmt.Appendf(b, "start %s %s %s\n", group, user, server)
 }
@@ -88,7 +90,9 @@
 func (testCodec) SetText(name, value string) string {
 	return "set " + name + " " + value
 }
+
 func (testCodec) PrepareText(p gwbackend.Statement) string { return "prepare " + p.Name + " " + p.SQL }
+
 func (testCodec) ExecuteText(name, arguments string) string {
 	return "execute " + name + " " + arguments
 }
--- a/pkg/gwmember/members_test.go
+++ b/pkg/gwmember/members_test.go
@@ -1,6 +1,7 @@
 package gwmember
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -311,3 +312,29 @@
 		assert.LessOrEqual(t, reports[nd], 20)
 	}
 }
+
+// Guards against an instance that knows only seeds which are gone, although its
+// settings name others by now.
+func TestAddSeeds(t *testing.T) {
+	m := New(Config{Self: Member{Instance: "a", DataCentre: "d", Address: "1"}, Seeds: []string{"old"}, Rand: rand.New(rand.NewPCG(1, 1))})
+	now := time.Unix(1000, 0)
+	asked := func() map[string]bool {
+		out := map[string]bool{}
+		for range 40 {
+			now = now.Add(DefaultTick)
+			for _, a := range m.Tick(now) {
+				if s, ok := a.(SendMessage); ok {
+					out[s.To] = true
+				}
+			}
+		}
+		return out
+	}
+	if got := asked(); !got["old"] || got["new"] {
+		t.Errorf("got %v, want the old seed only", got)
+	}
+	m.AddSeeds([]string{"new", "old"})
+	if got := asked(); !got["new"] || !got["old"] {
+		t.Errorf("got %v, want both seeds", got)
+	}
+}
--- a/pkg/gwmember/sync.go
+++ b/pkg/gwmember/sync.go
@@ -59,6 +59,19 @@
 	}
 }
 
+// AddSeeds adds peer addresses to join through, which are asked soon. Known ones
+// stay: a seed that is gone costs a message now and then, and may come back.
+func (m *Members) AddSeeds(addresses []string) {
+	for _, a := range addresses {
+		if !slices.Contains(m.cfg.Seeds, a) {
+			// In front of those that have been asked.
+			m.cfg.Seeds = append([]string{a}, m.cfg.Seeds...)
+			m.seed = 0
+			m.nextSeed = time.Time{}
+		}
+	}
+}
+
 // knows reports whether a live member has the address.
 func (m *Members) knows(address string) bool {
 	for _, e := range m.table.rows {
