gwpeer, gwowner: say less between data centres while nothing happens

Change: settings for the pace of freshness, polls and heartbeats; packet size is fixed on the platform.

--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -49,6 +49,19 @@
 	promoteTimeout = 2 * time.Second
 )
 
+// pace keeps what an idle system says between data centres and regions below a third
+// of the bytes of a calm day; at the product's defaults it was two thirds.
+var pace = gwdaemon.Pace{
+	// Freshness is a third of the shortest staleness that a route asks for.
+	Freshness: 500 * time.Millisecond,
+	// Poll is half a second because queries are charged; servers at work report
+	// their position with every answer.
+	Poll: 500 * time.Millisecond,
+	// Heartbeat leaves two in the shortest election timeout.
+	Heartbeat:       140 * time.Millisecond,
+	FixedPacketSize: true,
+}
+
 // deploymentSecret is from what the instances' common CA is derived. The platform
 // hands out no secret, so that the links are as private as its network is.
 const deploymentSecret = "gentianward on the platform"
@@ -224,7 +237,7 @@
 		Clock: gwclock.NewBoot(), Log: p.log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.Format{Parse: platform.Manifests{Regions: s.Regions}.Parse, AnyLater: true},
 		Dialect: gwstatement.Dialect{Codec: platform.Lines{}}, ServeCallers: p.serveCallers,
-		ControlOnly: !s.Callers, FirstVoters: first, NamedByAddress: true, Withdraw: s.Callers, HandOver: handOverTime, StopDelay: unreadyTime,
+		ControlOnly: !s.Callers, FirstVoters: first, NamedByAddress: true, Withdraw: s.Callers, HandOver: handOverTime, Pace: pace, StopDelay: unreadyTime,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Client: &http.Client{Timeout: promoteTimeout}},
 		Routes:       func(i *gwdaemon.Instance) http.Handler { return platform.ReadyRoutes(i) },
--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -44,6 +44,9 @@
 	Identity func(ctx context.Context) (Identity, error)
 	// Address returns the peer address of a voter.
 	Address func(instance string) (string, bool)
+	// Heartbeat is the time between the leader's messages to an idle follower; 0 for
+	// the default.
+	Heartbeat time.Duration
 	// Applied is called on the driver's goroutine after entries were applied.
 	Applied func()
 }
@@ -136,7 +139,7 @@
 	}
 	var seed [8]byte
 	_, _ = rand.Read(seed[:])
-	cfg := gwquorum.Config{ID: identity.ID, Rand: mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:]), 0)}
+	cfg := gwquorum.Config{ID: identity.ID, Heartbeat: c.Heartbeat, Rand: mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:]), 0)}
 	if c.node, err = gwquorum.NewNode(cfg, hs, snap, entries); err != nil {
 		return err
 	}
--- a/internal/gwcontrol/touch.go
+++ b/internal/gwcontrol/touch.go
@@ -8,10 +8,11 @@
 
 // Timing of the contact with the leader.
 const (
-	touchInterval = 400 * time.Millisecond
+	touchInterval = 600 * time.Millisecond
 	// touchLimit is how long an instance counts as in touch after its last
-	// contact: three intervals, so that one lost message changes nothing.
-	touchLimit = 1300 * time.Millisecond
+	// contact: two intervals and a round trip, so that one lost message changes
+	// nothing.
+	touchLimit = 1500 * time.Millisecond
 )
 
 // touch is when this instance last knew that a quorum of voters could be reached.
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -72,6 +72,8 @@
 	// HandOver is how long open transactions may keep a released primary from its
 	// new owner; 0 for as long as a graceful stop may take.
 	HandOver time.Duration
+	// Pace is how often instances ask one another; zero values are the defaults.
+	Pace Pace
 	// Withdraw makes an instance that cannot reach the leader report that it is not
 	// ready and send its idle callers elsewhere.
 	Withdraw bool
@@ -85,6 +87,17 @@
 	Drain func()
 }
 
+// Pace holds the times between messages that are sent without any work to do. Links
+// that are charged by volume want them longer, at the price of later detection.
+type Pace struct {
+	// Freshness, Poll: see gwowner.Options.
+	Freshness, Poll time.Duration
+	// Heartbeat: see gwcontrol.ConsensusOptions.
+	Heartbeat time.Duration
+	// FixedPacketSize: see gwpeer.Options.
+	FixedPacketSize bool
+}
+
 // Callers is the side of an instance that serves callers.
 type Callers interface {
 	Address() net.Addr
@@ -153,7 +166,7 @@
 
 func (i *Instance) start(ctx context.Context) error {
 	s := i.Settings
-	node, err := gwpeer.Listen(ctx, gwpeer.Options{Address: s.PeerAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shape: i.Shape})
+	node, err := gwpeer.Listen(ctx, gwpeer.Options{Address: s.PeerAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shape: i.Shape, FixedPacketSize: i.Pace.FixedPacketSize})
 	if err != nil {
 		return err
 	}
@@ -205,7 +218,7 @@
 	}
 	i.consensus = gwcontrol.NewConsensus(gwcontrol.ConsensusOptions{
 		Instance: i.Settings.Instance, Node: i.node, Clock: i.Clock, Log: i.Log, Store: log,
-		State: gwstate.New(i.Settings.MaxClockDrift), Address: i.voterAddress, Applied: i.applied,
+		Heartbeat: i.Pace.Heartbeat, State: gwstate.New(i.Settings.MaxClockDrift), Address: i.voterAddress, Applied: i.applied,
 		Identity: func(ctx context.Context) (gwcontrol.Identity, error) { return gwcontrol.Identify(ctx, identity) },
 	})
 	i.consensus.ServeIdentity(!identity.Empty)
@@ -262,6 +275,7 @@
 		Node: i.node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
 		Dialect: i.Dialect, Start: i.client.StartGroup, InTouch: i.inTouch(), HandOver: i.HandOver,
+		Freshness: i.Pace.Freshness, Poll: i.Pace.Poll,
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -1,6 +1,7 @@
 package gwowner
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -53,6 +54,12 @@
 	// HandOver is how long open transactions may keep a released primary from its
 	// new owner; 0 for as long as a graceful stop may take.
 	HandOver time.Duration
+	// Freshness is how often the owner of a replica asks for the primary's position;
+	// 0 for the default.
+	Freshness time.Duration
+	// Poll is how often a server that reports no position by itself is asked for
+	// one; 0 for the default.
+	Poll time.Duration
 	// InTouch reports whether the leader can be reached; nil for always.
 	InTouch func() bool
 	// Dialect is that of the backend servers; nil for the stand-in's.
@@ -76,6 +83,8 @@
 	dialect   gwbackend.Dialect
 	inTouch   func() bool
 	handOver  time.Duration
+	freshness time.Duration
+	poll      time.Duration
 	connect   func(f gwcontrol.ServerFacts) gwbackend.Options
 
 	mu      sync.RWMutex
@@ -92,7 +101,8 @@
 func New(ctx context.Context, o Options) *Owner {
 	w := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
-		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, inTouch: o.InTouch, handOver: o.HandOver, connect: o.Backend,
+		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, inTouch: o.InTouch, handOver: o.HandOver,
+		freshness: cmp.Or(o.Freshness, freshnessInterval), poll: o.Poll, connect: o.Backend,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	w.register()
@@ -214,7 +224,7 @@
 	s := &server{owner: o, facts: f, cancel: cancel, admission: newAdmission(o.clock, max(1, f.Slots))}
 	opts := o.connect(f)
 	opts.OnPosition = nil
-	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: o.dialect, Pool: gwbackend.PoolOptions{
+	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: o.dialect, PollInterval: o.poll, Pool: gwbackend.PoolOptions{
 		Options: opts, Limit: o.connections(f), MinIdle: min(max(1, f.Slots), maxWarm), Clock: o.clock, Logger: o.log,
 	}})
 	s.confirm = newConfirmer(o.clock, o.Await, func() []string { return o.replicas(f.Group, f.Server) })
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -14,6 +14,9 @@
 	// primaryTimeout is how long a primary may fail to answer before a change is asked for.
 	// Position queries are 200 ms apart.
 	primaryTimeout = 250 * time.Millisecond
+	// pollSlack is added to the time between position queries where they are further
+	// apart than primaryTimeout.
+	pollSlack = 50 * time.Millisecond
 	askTimeout     = time.Second
 	// aliveTimeout bounds the answer to a new connection, which takes no slot.
 	aliveTimeout  = 200 * time.Millisecond
@@ -93,16 +96,17 @@
 		// owner are still open: it is alive.
 		err, silent = nil, 0
 	}
+	limit := max(primaryTimeout, s.owner.poll+pollSlack)
 	switch {
 	case leaving:
 		s.requestChange(ctx, g, "the primary is leaving")
-	case err != nil && silent > primaryTimeout:
+	case err != nil && silent > limit:
 		s.requestChange(ctx, g, "the primary does not answer: "+err.Error())
-	case silent > primaryTimeout && !s.alive(ctx):
+	case silent > limit && !s.alive(ctx):
 		s.requestChange(ctx, g, "the primary does not answer a new connection")
 	case err == nil && !at.IsZero() && r.Term > g.Term:
 		s.owner.log.Warn("primary reports a later term", "server", s.facts.Server, "group", g.Group, "term", g.Term, "reported", r.Term)
-	case err == nil && r.Role == gwbackend.RoleReplica && r.Term <= g.Term && silent < primaryTimeout:
+	case err == nil && r.Role == gwbackend.RoleReplica && r.Term <= g.Term && silent < limit:
 		s.requestChange(ctx, g, "the primary runs as a replica")
 	default:
 		_, _ = s.staleness(g) // records that the lease is seen valid
@@ -168,7 +172,7 @@
 	now := s.owner.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.askedAt) < freshnessInterval {
+	if now.Sub(s.askedAt) < s.owner.freshness {
 		return false
 	}
 	s.askedAt = now
--- a/internal/gwpeer/node.go
+++ b/internal/gwpeer/node.go
@@ -48,6 +48,9 @@
 	Logger      *slog.Logger
 	Shape       Shaper        // delays and limits, nil for none
 	IdleTimeout time.Duration // a silent link is lost after this time; default 5 s
+	// FixedPacketSize leaves out the search for the largest packet size, whose
+	// probes of 1,400 bytes are most of what an idle link carries.
+	FixedPacketSize bool
 
 	versions versionRange // the package's range when zero
 }
@@ -167,7 +170,7 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 n.opts.IdleTimeout,
-		KeepAlivePeriod:                n.opts.IdleTimeout / 3,
+		KeepAlivePeriod:                n.opts.IdleTimeout / 2,
 		InitialStreamReceiveWindow:     streamWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
 		InitialConnectionReceiveWindow: connectionWindow,
@@ -175,6 +178,7 @@
 		MaxIncomingStreams:             maxStreams,
 		MaxIncomingUniStreams:          -1,
 		EnableDatagrams:                true,
+		DisablePathMTUDiscovery:        n.opts.FixedPacketSize,
 	}
 }
 
