gwcontrol, gwowner: end the leases of earlier runs, settle before owning

Change: an instance tells the leader that it has started, which ends its earlier leases where names are addresses; it owns servers 300 ms after it has joined, those of other data centres after 3 s.

--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -57,6 +57,12 @@
 	// Poll is half a second because queries are charged; servers at work report
 	// their position with every answer.
 	Poll: 500 * time.Millisecond,
+	// Settle is three gossip intervals, in which the members of a data centre learn
+	// of one another.
+	Settle: 300 * time.Millisecond,
+	// SettleFar covers a start of all machines: each one took itself for the owner
+	// of every server that it had heard of.
+	SettleFar: 3 * time.Second,
 	// Heartbeat leaves two in the shortest election timeout.
 	Heartbeat:       140 * time.Millisecond,
 	FixedPacketSize: true,
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -224,6 +224,7 @@
 	serveLeader(node, kindHistory, l.History)
 	serveLeader(node, kindCurrent, l.Current)
 	serveLeader(node, kindTouch, l.Touch)
+	serveLeader(node, kindEndRuns, l.EndRuns)
 	return l
 }
 
--- a/internal/gwcontrol/lease.go
+++ b/internal/gwcontrol/lease.go
@@ -74,7 +74,7 @@
 	}
 	cmd := l.state.Observe(gwstate.GrantLeases{Holder: r.Holder, Incarnation: r.Epoch, Leases: grants}, l.clock.Now())
 	for i, g := range cmd.Leases {
-		if held, ok := l.state.Lease(g.Group); ok && l.restarted(held, r) {
+		if held, ok := l.state.Lease(g.Group); ok && l.restarted(held, r.Holder, r.Epoch) {
 			cmd.Leases[i].Previous = held.Sequence
 		}
 	}
@@ -104,7 +104,7 @@
 		_, expired := l.state.Clock().Expired(g.Group, now)
 		held, leased := l.state.Lease(g.Group)
 		own := leased && held.Holder == r.Holder && held.Incarnation == r.Epoch
-		expired = expired || leased && l.restarted(held, r)
+		expired = expired || leased && l.restarted(held, r.Holder, r.Epoch)
 		switch {
 		case !known:
 			refused[g.Group] = gwstate.GroupUnknown
@@ -121,10 +121,38 @@
 	return out
 }
 
-// restarted reports whether the request comes from a later run of the instance
-// that holds the lease, where that proves the end of the earlier run.
-func (l *Leader) restarted(held gwstate.Lease, r gwlease.Request) bool {
-	return l.exclusive && held.Holder == r.Holder && r.Epoch > held.Incarnation
+// restarted reports whether an instance at the given epoch is a later run of the
+// one that holds the lease, where that proves the end of the earlier run.
+func (l *Leader) restarted(held gwstate.Lease, holder string, epoch uint64) bool {
+	return l.exclusive && held.Holder == holder && epoch > held.Incarnation
+}
+
+// endRuns tells that an instance has started.
+type endRuns struct {
+	Holder string `cbor:"1,keyasint"`
+	Epoch  uint64 `cbor:"2,keyasint"`
+}
+
+// EndRuns ends the leases of the earlier runs of an instance, which another one may
+// own by now: after a restart of all, they were the last thing waited for.
+func (l *Leader) EndRuns(ctx context.Context, r endRuns) (Empty, error) {
+	if err := l.consensus.ConfirmLeadership(ctx); err != nil {
+		return Empty{}, err
+	}
+	for _, held := range l.state.Leases() {
+		if !l.restarted(held, r.Holder, r.Epoch) {
+			continue
+		}
+		cmd := gwstate.ReturnLeases{
+			Holder: held.Holder, Incarnation: held.Incarnation,
+			Leases: []gwstate.LeaseReturn{{Group: held.Group, Sequence: held.Sequence}},
+		}
+		if _, err := l.consensus.Propose(ctx, cmd); err != nil {
+			return Empty{}, err
+		}
+		l.log.Info("lease of an earlier run ended", "group", held.Group, "holder", held.Holder, "epoch", r.Epoch)
+	}
+	return Empty{}, nil
 }
 
 func (l *Leader) describe(group string, refusal gwstate.Refusal) gwlease.Refusal {
@@ -184,6 +212,7 @@
 
 // Run requests and renews leases until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	go k.endEarlierRuns(ctx)
 	ticker := k.clock.NewTicker(keeperInterval)
 	defer ticker.Stop()
 	for {
@@ -200,6 +229,16 @@
 	}
 }
 
+// endEarlierRuns tells the leader once that this run has begun.
+func (k *Keeper) endEarlierRuns(ctx context.Context) {
+	_, err := callLeader(ctx, k.client, kindEndRuns, endRuns{Holder: k.name, Epoch: k.epoch}, func(ctx context.Context, r endRuns) (Empty, error) {
+		return k.client.local.EndRuns(ctx, r)
+	})
+	if err != nil && ctx.Err() == nil {
+		k.log.Warn("leases of earlier runs not ended", "error", err)
+	}
+}
+
 // want makes the holder's groups those that this instance should hold.
 func (k *Keeper) want() {
 	wanted := k.wanted()
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -90,8 +90,8 @@
 // Pace holds the times between messages that are sent without any work to do. Links
 // that are charged by volume want them longer, at the price of later detection.
 type Pace struct {
-	// Freshness, Poll: see gwowner.Options.
-	Freshness, Poll time.Duration
+	// Freshness, Poll, Settle, SettleFar: see gwowner.Options.
+	Freshness, Poll, Settle, SettleFar time.Duration
 	// Heartbeat: see gwcontrol.ConsensusOptions.
 	Heartbeat time.Duration
 	// FixedPacketSize: see gwpeer.Options.
@@ -275,7 +275,7 @@
 		Node: i.node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
 		Dialect: i.Dialect, Start: i.client.StartGroup, InTouch: i.inTouch(), HandOver: i.HandOver,
-		Freshness: i.Pace.Freshness, Poll: i.Pace.Poll,
+		Freshness: i.Pace.Freshness, Poll: i.Pace.Poll, Settle: i.Pace.Settle, SettleFar: i.Pace.SettleFar,
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -63,6 +63,9 @@
 	// Poll is how often a server that reports no position by itself is asked for
 	// one; 0 for the default.
 	Poll time.Duration
+	// Settle and SettleFar are how long after it has joined an instance owns servers
+	// of its own and of other data centres; 0 for at once.
+	Settle, SettleFar time.Duration
 	// InTouch reports whether the leader can be reached; nil for always.
 	InTouch func() bool
 	// Dialect is that of the backend servers; nil for the stand-in's.
@@ -88,7 +91,11 @@
 	handOver  time.Duration
 	freshness time.Duration
 	poll      time.Duration
-	connect   func(f gwcontrol.ServerFacts) gwbackend.Options
+	settle    time.Duration
+	settleFar time.Duration
+	// joinedAt is when this instance was first seen as a member; mu guards it.
+	joinedAt time.Time
+	connect  func(f gwcontrol.ServerFacts) gwbackend.Options
 
 	mu      sync.RWMutex
 	servers map[string]*server
@@ -105,7 +112,7 @@
 	w := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
 		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, inTouch: o.InTouch, handOver: o.HandOver,
-		freshness: cmp.Or(o.Freshness, freshnessInterval), poll: o.Poll, connect: o.Backend,
+		freshness: cmp.Or(o.Freshness, freshnessInterval), poll: o.Poll, settle: o.Settle, settleFar: o.SettleFar, connect: o.Backend,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	w.register()
@@ -197,6 +204,25 @@
 	}
 }
 
+// settled reports whether this instance has been a member for long enough to own
+// servers of a data centre.
+func (o *Owner) settled(dataCentre, own string) bool {
+	if !o.members.Joined() {
+		return false
+	}
+	now := o.clock.Now()
+	o.mu.Lock()
+	if o.joinedAt.IsZero() {
+		o.joinedAt = now
+	}
+	since := now.Sub(o.joinedAt)
+	o.mu.Unlock()
+	if dataCentre == own {
+		return since >= o.settle
+	}
+	return since >= o.settleFar
+}
+
 // owns reports whether this instance should own the server.
 func (o *Owner) owns(f gwcontrol.ServerFacts) bool {
 	o.mu.RLock()
@@ -205,7 +231,7 @@
 	t := o.members.Topology()
 	m, ok := t.Owner(f.Server, f.DataCentre, o.views.Current().Region(f.DataCentre))
 	// An instance that knows only itself would own everything.
-	return ok && !released && !f.Gone && m.Instance == t.Self.Instance && o.members.Joined() && o.views.Current().Manifest != nil
+	return ok && !released && !f.Gone && m.Instance == t.Self.Instance && o.settled(f.DataCentre, t.Self.DataCentre) && o.views.Current().Manifest != nil
 }
 
 func (o *Owner) reconcile() {
