--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -34,6 +35,9 @@
 	unreadyTime = 2300 * time.Millisecond
 	// defaultGrace is the time for a stop when the settings name none.
 	defaultGrace = 5 * time.Second
+	// metricsPort is the one that deploy/system.toml names; the free ports of the
+	// settings change each day.
+	metricsPort = 9464
 	// settingsInterval is how often the settings file is looked at: it may change
 	// without a signal.
 	settingsInterval = 2 * time.Second
@@ -210,7 +214,7 @@
 	s := p.settings
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h)
-	srv := http.Server{Addr: net.JoinHostPort(s.IP.String(), fmt.Sprint(s.MetricsPort)), Handler: mux, ReadHeaderTimeout: time.Second}
+	srv := http.Server{Addr: net.JoinHostPort(s.IP.String(), strconv.Itoa(metricsPort)), Handler: mux, ReadHeaderTimeout: time.Second}
 	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 		p.log.Error("metrics not served", "address", srv.Addr, "error", err.Error())
 	}
--- a/internal/gwdaemon/telemetry.go
+++ b/internal/gwdaemon/telemetry.go
@@ -28,6 +28,7 @@
 		s.Outcome(gwtelemetry.Unknown)
 	}
 	if o.Event != gwoutcome.Answered {
+		t.Counter("gentianward_not_served_total", gwtelemetry.Label{Name: "event", Value: o.Event.String()}, gwtelemetry.Label{Name: "group", Value: o.Group}).Inc()
 		return
 	}
 	if o.Read {
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -36,6 +36,9 @@
 			if res.Event == gwoutcome.Answered || !e.again(ctx, r, res, attempts) {
 				return res
 			}
+			if gwoutcome.CountsAsFailure(res.Event) {
+				e.logAttempt("statement retried", r, res)
+			}
 		}
 	}
 }
--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -233,7 +233,7 @@
 		if ends {
 			s.status = 'I'
 		}
-		s.entry.logFailure(r, res)
+		s.entry.logAttempt("statement not served", r, res)
 		return s.fail(b, gwstatement.CodeOf(res.Event, scope), res.Message)
 	}
 	s.begin = gwbackend.NoBegin
@@ -241,6 +241,9 @@
 	if !res.Position.IsZero() {
 		s.wrote(res.Position)
 	}
+	if aim := r.rules.class.Aim.Duration; aim > 0 && s.entry.Clock.Since(r.started) > aim {
+		s.entry.logAttempt("statement late", r, res)
+	}
 	b = append(b, r.w.(*answerBuffer).b...)
 	return s.codec.AppendReady(b, s.status)
 }
@@ -264,15 +267,17 @@
 	}()
 }
 
-// logFailure writes the line that explains a statement which was not served.
-func (e *Entry) logFailure(r *request, res gwowner.Result) {
+// logAttempt writes the line that explains why a statement was not served, was
+// retried or was late: what decided it, and how old that was.
+func (e *Entry) logAttempt(event string, r *request, res gwowner.Result) {
 	view := e.Views.Current()
 	g := view.Groups[r.session.group]
 	id := ""
 	if r.backend.Line != nil {
 		id = r.backend.Line.ID
 	}
-	e.Log.Info("statement not served", "id", id, "class", r.session.class, "group", r.session.group,
+	e.Log.Info(event, "id", id, "class", r.session.class, "group", r.session.group,
 		"event", res.Event.String(), "reason", res.Message, "server", r.served.Name, "took", e.Clock.Since(r.started).String(),
-		"manifest", view.Number, "term", g.Term, "primary", g.Primary, "changing", g.Changing, "position", r.exec.Position.String())
+		"manifest", view.Number, "term", g.Term, "primary", g.Primary, "changing", g.Changing, "position", r.exec.Position.String(),
+		"serverPosition", res.Report.Position.String(), "staleness", res.Report.Staleness.String(), "load", res.Report.Load)
 }
