gwbackend: serve with the connections that a pool gets

Cause: a server without room for more connections failed the requests that waited for one, although others were open; found in the first site's incident (a frozen owner kept its 12 of 16 connections). Test: TestPoolServesWithTheConnectionsThatItGets failed with 48 of 50 refused.

--- a/internal/gwbackend/pool.go
+++ b/internal/gwbackend/pool.go
@@ -15,6 +15,9 @@
 	defaultDialTimeout  = 5 * time.Second
 	defaultResetTimeout = time.Second
 	sweepInterval       = time.Second // also the pause of warm dials after a failed one
+	// refusedPause is the time between two dials to a server that has no room. Each
+	// one costs it a slot for a moment.
+	refusedPause = 200 * time.Millisecond
 )
 
 // PoolOptions configures a Pool.
@@ -76,6 +79,7 @@
 	closed      bool
 	empty       chan struct{} // closed when the last connection is gone after Close
 	warmAfter   time.Time     // no warm dials before, after a failed dial
+	dialAfter   time.Time     // no dials at all before, after the server had no room
 	stats       Stats
 }
 
@@ -268,7 +272,7 @@
 // dialMore starts the dials that waiters and the minimum of idle connections
 // call for. p.mu is held.
 func (p *Pool) dialMore() {
-	if p.closed {
+	if p.closed || p.o.Clock.Now().Before(p.dialAfter) {
 		return
 	}
 	want := p.waiters.Len()
@@ -292,7 +296,11 @@
 	if err != nil {
 		p.stats.DialErrors++
 		p.warmAfter = p.o.Clock.Now().Add(sweepInterval)
-		if p.serveWaiter(grant{err: err}) {
+		if ServerError(err) != nil && len(p.idle)+len(p.used) > 0 {
+			// The server has no room for more connections, as while an earlier
+			// owner's are open. Those that are open will serve the waiters.
+			p.dialAfter = p.o.Clock.Now().Add(refusedPause)
+		} else if p.serveWaiter(grant{err: err}) {
 			p.dialMore()
 		}
 		p.checkEmpty()
--- a/internal/gwbackend/pool_test.go
+++ b/internal/gwbackend/pool_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
@@ -275,3 +278,56 @@
 		p.Release(c, true)
 	}
 }
+
+// stubConn is a connection that does nothing.
+type stubConn struct{ Connection }
+
+func (*stubConn) Usable() bool                { return true }
+func (*stubConn) Clean() bool                 { return true }
+func (*stubConn) TxStatus() byte              { return 'I' }
+func (*stubConn) Close() error                { return nil }
+func (*stubConn) NotifyClose(func())          {}
+func (*stubConn) Reset(context.Context) error { return nil }
+
+// Guards against requests that fail while connections are open: a new owner got 4 of
+// 16 connections because those of a frozen one were still there, and refused 500
+// statements instead of serving them one after the other.
+func TestPoolServesWithTheConnectionsThatItGets(t *testing.T) {
+	const room = 2
+	var dials atomic.Int64
+	p := NewPool(PoolOptions{Limit: 16, Dial: func(context.Context, Options) (Connection, error) {
+		if dials.Add(1) > room {
+			return nil, &pgconn.PgError{Severity: "ERROR", Code: "53300", Message: "too many connections"}
+		}
+		return &stubConn{}, nil
+	}})
+	defer func() { _ = p.Close(t.Context()) }()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	for range 50 {
+		wg.Go(func() {
+			c, err := p.Acquire(ctx)
+			if err != nil {
+				failed.Add(1)
+				return
+			}
+			time.Sleep(time.Millisecond)
+			p.Release(c, true)
+		})
+	}
+	wg.Wait()
+	assert.Zero(t, failed.Load())
+	assert.Less(t, dials.Load(), int64(20), "dials to a server without room")
+}
+
+// Guards against requests that wait for a server which refuses every connection.
+func TestPoolFailsWithoutAnyConnection(t *testing.T) {
+	p := NewPool(PoolOptions{Limit: 16, Dial: func(context.Context, Options) (Connection, error) {
+		return nil, &pgconn.PgError{Severity: "ERROR", Code: "53300", Message: "too many connections"}
+	}})
+	defer func() { _ = p.Close(t.Context()) }()
+	_, err := p.Acquire(t.Context())
+	assert.NotNil(t, ServerError(err))
+}
