--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -21,12 +21,17 @@
 const (
 	consensusTick  = 20 * time.Millisecond
 	compactEntries = 1000
+	// compactBytes bounds the log that a restarted voter reads: manifests are large,
+	// and a voter that had seen 200 of them took 0.4 s to start.
+	compactBytes = 512 << 10
 	callQueue      = 1024
 	sendQueue      = 256
 )
 
 // Store keeps the state of a voter; Save returns after the sync.
 type Store interface {
+	// Size returns the bytes of the log that a restart reads.
+	Size() int64
 	Load() (gwquorum.HardState, gwquorum.Snapshot, []gwquorum.Entry, error)
 	Save(gwquorum.HardState, []gwquorum.Entry, *gwquorum.Snapshot) error
 }
@@ -258,10 +263,11 @@
 	}
 }
 
-// compact takes a snapshot when enough entries have been applied since the last.
+// compact takes a snapshot when enough entries have been applied since the last, or
+// the log has grown large.
 func (c *Consensus) compact() error {
 	index := c.State.Index()
-	if index < c.compacted+compactEntries {
+	if index == c.compacted || index < c.compacted+compactEntries && c.Store.Size() < compactBytes {
 		return nil
 	}
 	data, err := c.State.Snapshot()
