gwtelemetry: explain a request from the logs of all instances; refuse at once when cut off

Cause: a cut-off instance held what it could not serve until the deadline (860 ms for 'the primary's position has not been known').

--- a/cmd/gentianward-platform/main.go
+++ b/cmd/gentianward-platform/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	subcommands.Register(&runCmd{}, "")
 	subcommands.Register(&checkCmd{}, "")
+	subcommands.Register(&explainCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -24,8 +24,8 @@
 	// compactBytes bounds the log that a restarted voter reads: manifests are large,
 	// and a voter that had seen 200 of them took 0.4 s to start.
 	compactBytes = 512 << 10
-	callQueue      = 1024
-	sendQueue      = 256
+	callQueue    = 1024
+	sendQueue    = 256
 )
 
 // Store keeps the state of a voter; Save returns after the sync.
--- a/internal/gwcontrol/touch.go
+++ b/internal/gwcontrol/touch.go
@@ -65,6 +65,10 @@
 	}
 }
 
+// CutOff reports whether this instance has lost the leader for longer than an
+// election takes. One that has only just started is not cut off yet.
+func (c *Client) CutOff() bool { return c.touch.at.Load() != nil && !c.InTouch() }
+
 // InTouch reports whether the leader has answered a question that was sent a
 // moment ago. An instance that is out of touch may be on the losing side of a
 // partition.
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -179,8 +179,13 @@
 		return err
 	}
 	i.buildControl(ctx)
+	var cutOff func() bool
+	if i.Withdraw {
+		cutOff = i.client.CutOff
+	}
 	i.entry = gwfilter.New(gwfilter.Options{
-		Node: node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
+		CutOff: cutOff,
+		Node:   node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Owner: i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry,
 	})
 	if err := i.listen(ctx); err != nil {
--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -60,6 +60,8 @@
 	Owner     *gwowner.Owner
 	Signer    *gwsession.Signer
 	Observer  Observer
+	// CutOff reports whether this instance has lost the leader; nil for never.
+	CutOff func() bool
 }
 
 // Entry serves the callers of one instance.
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -115,6 +115,10 @@
 	if waited >= limit {
 		return false
 	}
+	if e.CutOff != nil && e.CutOff() {
+		// Nothing will change here soon; the caller is better off elsewhere.
+		return false
+	}
 	select {
 	case <-ctx.Done():
 		return false
--- /dev/null
+++ b/internal/gwtelemetry/explain.go
@@ -0,0 +1,105 @@
+package gwtelemetry
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+// Line is one line of a log.
+type Line struct {
+	Time     time.Time
+	Instance string
+	Message  string
+	// Fields are the other attributes in the order of their names.
+	Fields []string
+}
+
+// String formats the line for a reader.
+func (l Line) String() string {
+	return fmt.Sprintf("%s %s: %s %s", l.Time.Format("15:04:05.000"), l.Instance, l.Message, strings.Join(l.Fields, " "))
+}
+
+// Explain returns the lines of a log that are about the request with the id, and
+// those without a request that fall into the last before before each of them and
+// are about the same group: what the instances believed when they decided. Lines
+// that cannot be read are counted, not returned.
+func Explain(id string, before time.Duration, logs ...io.Reader) (lines []Line, unread int, err error) {
+	var all []map[string]any
+	for _, log := range logs {
+		n, err := readLines(log, &all)
+		unread += n
+		if err != nil {
+			return nil, unread, err
+		}
+	}
+	var of []map[string]any
+	for _, l := range all {
+		if l["id"] == id {
+			of = append(of, l)
+		}
+	}
+	for _, l := range all {
+		if l["id"] == id || l["id"] == nil && slices.ContainsFunc(of, func(r map[string]any) bool { return preceded(l, r, before) }) {
+			lines = append(lines, newLine(l))
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return lines, unread, nil
+}
+
+// readLines appends the lines of a log to all and returns how many cannot be read.
+// What stands before the first brace, as a time or a name, is left out.
+func readLines(log io.Reader, all *[]map[string]any) (unread int, err error) {
+	s := bufio.NewScanner(log)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		i := bytes.IndexByte(s.Bytes(), '{')
+		var l map[string]any
+		if i < 0 || json.Unmarshal(s.Bytes()[i:], &l) != nil {
+			unread++
+			continue
+		}
+		*all = append(*all, l)
+	}
+	return unread, s.Err()
+}
+
+// preceded reports whether line l is about the group of request r and was written
+// at most d before it.
+func preceded(l, r map[string]any, d time.Duration) bool {
+	if l["group"] == nil || l["group"] != r["group"] {
+		return false
+	}
+	gap := lineTime(r).Sub(lineTime(l))
+	return gap >= 0 && gap <= d
+}
+
+func lineTime(l map[string]any) time.Time {
+	text, _ := l["time"].(string)
+	t, _ := time.Parse(time.RFC3339Nano, text) // zero sorts first
+	return t
+}
+
+func newLine(l map[string]any) Line {
+	out := Line{Time: lineTime(l)}
+	out.Instance, _ = l[KeyInstance].(string)
+	out.Message, _ = l["msg"].(string)
+	for name, value := range l {
+		switch name {
+		case "time", "level", "msg", KeyInstance:
+		default:
+			out.Fields = append(out.Fields, fmt.Sprintf("%s=%v", name, value))
+		}
+	}
+	slices.Sort(out.Fields)
+	return out
+}
