--- /dev/null
+++ b/cmd/gentianward-platform/run_test.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwdaemon"
+	"gentianward.example/gentianward/platform"
+)
+
+// deployment is three control and two entry instances on loopback addresses, with
+// one group of stand-in servers.
+type deployment struct {
+	t         *testing.T
+	peerPort  int
+	controls  []string
+	callers   []string
+	ready     []string
+	instances []*gwdaemon.Instance
+	group     *standinGroup
+}
+
+const testConfiguration = `{"version":%d,"routes":[
+{"name":"w","host":"bookings","path_prefix":"/","kind":"read_your_writes","timeout_ms":2000,"target_latency_ms":1500,"priority":2,"service":"core","max_staleness_ms":2500},
+{"name":"p","host":"payments","path_prefix":"/","kind":"primary","timeout_ms":2000,"target_latency_ms":800,"priority":1,"service":"core"}],
+"services":[{"name":"core","max_conns":16,"sync_replicas":1}],"limits":{"tx_idle_ms":3000}}`
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer l.Close()
+	return l.LocalAddr().(*net.UDPAddr).Port
+}
+
+func start(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, peerPort: freePort(t), group: newStandinGroup(t, "core", "i-1", "i-2", "i-3")}
+	cloud := httptest.NewServer(http.HandlerFunc(d.group.promote))
+	t.Cleanup(cloud.Close)
+	// Addresses of this run only: a test that ran before may have left its own.
+	net16 := fmt.Sprintf("127.%d.%d", 1+d.peerPort%200, d.peerPort/256)
+	zones := []string{"a", "b", "c"}
+	regions := map[string]string{"a": "r", "b": "r", "c": "r"}
+	var seeds []netip.Addr
+	for i := range 3 {
+		seeds = append(seeds, netip.MustParseAddr(fmt.Sprintf("%s.%d", net16, 10+i)))
+	}
+	run := func(ip netip.Addr, s platform.Settings) {
+		s.IP, s.Name, s.Region, s.Regions, s.PeerPort, s.Seeds = ip, ip.String(), "r", regions, d.peerPort, seeds
+		s.FirstStart, s.PromoteAddress = true, strings.TrimPrefix(cloud.URL, "http://")
+		p := process{settings: s, log: slog.New(slog.DiscardHandler)}
+		o, err := p.options(gwdaemon.NewTelemetry())
+		require.NoError(t, err)
+		o.StopDelay = 0
+		i, err := gwdaemon.Start(t.Context(), o)
+		require.NoError(t, err)
+		d.instances = append(d.instances, i)
+		t.Cleanup(i.Kill)
+	}
+	for i, ip := range seeds {
+		address := fmt.Sprintf("%s:%d", ip, d.peerPort)
+		d.controls = append(d.controls, address)
+		run(ip, platform.Settings{DataCentre: zones[i], Control: true, ControlAddress: address, DataFolder: t.TempDir()})
+	}
+	for i := range 2 {
+		ip := netip.MustParseAddr(fmt.Sprintf("%s.%d", net16, 20+i))
+		callers, ready := fmt.Sprintf("%s:%d", ip, d.peerPort), fmt.Sprintf("%s:%d", ip, d.peerPort+1)
+		d.callers, d.ready = append(d.callers, callers), append(d.ready, ready)
+		run(ip, platform.Settings{DataCentre: zones[i], Callers: true, CallerAddress: callers, ReadyAddress: ready, MaxFiles: 4096})
+	}
+	go d.group.beat(d.controls, map[string]string{"i-1": "a", "i-2": "b", "i-3": "c"})
+	return d
+}
+
+func (d *deployment) publish(version int) int {
+	resp, err := http.Post("http://"+d.controls[version%3]+"/Config.Replace", "application/json", strings.NewReader(fmt.Sprintf(testConfiguration, version)))
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (d *deployment) awaitReady() {
+	d.t.Helper()
+	require.Eventually(d.t, func() bool { return d.publish(7) == http.StatusOK }, 20*time.Second, 50*time.Millisecond, "configuration accepted")
+	for _, address := range d.ready {
+		require.Eventually(d.t, func() bool {
+			resp, err := http.Get("http://" + address + "/readyz")
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		}, 20*time.Second, 50*time.Millisecond, "ready")
+	}
+}
+
+// client is one session.
+type client struct {
+	t  *testing.T
+	nc net.Conn
+	r  *bufio.Reader
+	n  int
+}
+
+func dial(t *testing.T, address, database string) *client {
+	t.Helper()
+	nc, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = nc.Close() })
+	c := &client{t: t, nc: nc, r: bufio.NewReader(nc)}
+	_, err = fmt.Fprintf(nc, "STARTUP %s u1\r\n", database)
+	require.NoError(t, err)
+	return c
+}
+
+// answer reads up to READY and returns the lines before it.
+func (c *client) answer() string {
+	c.t.Helper()
+	var out []string
+	for {
+		_ = c.nc.SetReadDeadline(time.Now().Add(10 * time.Second))
+		line, err := c.r.ReadString('\n')
+		require.NoError(c.t, err)
+		if line = strings.TrimSpace(line); strings.HasPrefix(line, "READY") {
+			return strings.Join(append(out, strings.TrimSuffix(line, " -")), ",")
+		}
+		out = append(out, line)
+	}
+}
+
+func (c *client) ask(text string) string {
+	c.t.Helper()
+	c.n++
+	_, err := fmt.Fprintf(c.nc, "QUERY %016x %s\r\n", c.n, text)
+	require.NoError(c.t, err)
+	return c.answer()
+}
+
+// Guards against a path that does not hold together: sessions, transactions and
+// prepared statements of two instances, reads of own writes at replicas, and a
+// change of primary that loses nothing.
+func TestDeployment(t *testing.T) {
+	d := start(t)
+	d.awaitReady()
+	a, b := dial(t, d.callers[0], "bookings"), dial(t, d.callers[1], "payments")
+	assert.Equal(t, "READY I", a.answer())
+	assert.Equal(t, "READY I", b.answer())
+	require.Eventually(t, func() bool { return a.ask("STORE 1 one") == "COMPLETE 7.1f3,READY I" }, 20*time.Second, 50*time.Millisecond, "the first write")
+	assert.Equal(t, "DATAROW one,COMPLETE 7.1f3,READY I", a.ask("FETCH 1"), "own write")
+	assert.Equal(t, "DATAROW one,COMPLETE 7.1f3,READY I", b.ask("FETCH 1"), "a primary route sees every write")
+
+	assert.Equal(t, "COMPLETE -,READY I", a.ask("PREPARE s1 STORE q2c"))
+	assert.Equal(t, "COMPLETE 7.1f3,READY I", a.ask("EXECUTE s1 2 two"))
+	assert.Equal(t, "COMPLETE -,READY T", a.ask("BEGIN"))
+	assert.Equal(t, "COMPLETE 7.1f3,READY T", a.ask("STORE 3 three"))
+	assert.Equal(t, "DATAROW three,COMPLETE 7.1f3,READY T", a.ask("FETCH 3"))
+	assert.Equal(t, "DATAROW none,COMPLETE 7.1f3,READY I", b.ask("FETCH 3"), "not committed yet")
+	assert.Equal(t, "COMPLETE -,READY I", a.ask("ROLLBACK"))
+	assert.Equal(t, "DATAROW none,COMPLETE 7.1f3,READY I", a.ask("FETCH 3"))
+	assert.Equal(t, "COMPLETE -,READY T", a.ask("BEGIN"))
+	assert.Equal(t, "COMPLETE 7.1f3,READY T", a.ask("STORE 4 four"))
+	assert.Equal(t, "COMPLETE 7.1f3,READY I", a.ask("COMMIT"))
+	assert.Equal(t, "ERROR NOSTMT no statement is prepared under the name s9,READY I", a.ask("EXECUTE s9 1"))
+	assert.Contains(t, a.ask("STATUS"), "ERROR MALFORMED")
+
+	d.group.servers["i-1"].crash()
+	require.Eventually(t, func() bool { return b.ask("STORE 5 five") == "COMPLETE 7.1f3,READY I" }, 20*time.Second, 20*time.Millisecond, "a write after the change of primary")
+	for item, want := range map[string]string{"1": "one", "2": "two", "4": "four", "5": "five"} {
+		assert.Equal(t, "DATAROW "+want+",COMPLETE 7.1f3,READY I", b.ask("FETCH "+item), "acknowledged before or after the crash")
+	}
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	assert.Len(t, d.group.promotions, 1)
+}
+
+// Guards against a configuration that goes back, or an invalid one that is taken.
+func TestConfiguration(t *testing.T) {
+	d := start(t)
+	d.awaitReady()
+	assert.Equal(t, http.StatusOK, d.publish(12))
+	assert.Equal(t, http.StatusOK, d.publish(9), "older: acknowledged, changes nothing")
+	resp, err := http.Post("http://"+d.controls[0]+"/Config.Replace", "application/json", strings.NewReader(`{"version":20,"routes":[`))
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, http.StatusBadRequest, resp.StatusCode)
+	for _, address := range d.controls {
+		resp, err := http.Get("http://" + address + "/Config.Fetch")
+		require.NoError(t, err)
+		var text strings.Builder
+		_, err = bufio.NewReader(resp.Body).WriteTo(&text)
+		require.NoError(t, err)
+		_ = resp.Body.Close()
+		assert.Equal(t, fmt.Sprintf(testConfiguration, 12), text.String())
+	}
+	c := dial(t, d.callers[0], "nothing")
+	_ = c.nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+	line, err := c.r.ReadString('\n')
+	require.NoError(t, err)
+	assert.Contains(t, line, "ERROR NODB")
+}
--- /dev/null
+++ b/cmd/gentianward-platform/standin_test.go
@@ -0,0 +1,284 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// standinGroup is a primary and its replicas in the platform's published protocol.
+// Replication is immediate; a commit needs one replica that receives.
+type standinGroup struct {
+	t    *testing.T
+	name string
+
+	mu      sync.Mutex
+	servers map[string]*standinServer
+	log     []standinCommit // of the newest term
+	// promotions are the fencing tokens of the calls, in order.
+	promotions []string
+}
+
+type standinCommit struct {
+	term  int
+	item  string
+	value string
+}
+
+type standinServer struct {
+	g       *standinGroup
+	id      string
+	l       net.Listener
+	primary bool
+	down    bool
+	term    int
+	held    int
+	log     []standinCommit
+	conns   map[net.Conn]bool
+}
+
+func newStandinGroup(t *testing.T, name string, ids ...string) *standinGroup {
+	g := &standinGroup{t: t, name: name, servers: make(map[string]*standinServer)}
+	for i, id := range ids {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		s := &standinServer{g: g, id: id, l: l, primary: i == 0, term: 1, conns: make(map[net.Conn]bool)}
+		g.servers[id] = s
+		t.Cleanup(func() { _ = l.Close() })
+		go s.accept()
+	}
+	return g
+}
+
+func (s *standinServer) accept() {
+	for {
+		nc, err := s.l.Accept()
+		if err != nil {
+			return
+		}
+		s.g.mu.Lock()
+		s.conns[nc] = true
+		s.g.mu.Unlock()
+		go s.serve(nc)
+	}
+}
+
+// crash ends the server and all its connections.
+func (s *standinServer) crash() {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.down = true
+	_ = s.l.Close()
+	for nc := range s.conns {
+		_ = nc.Close()
+	}
+}
+
+// promote makes the server the primary of the next term with what it has.
+func (g *standinGroup) promote(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.promotions = append(g.promotions, r.Header.Get("X-Gentianward-Fencing-Token"))
+	for id, s := range g.servers {
+		if !strings.Contains(string(body), `"`+id+`"`) || s.down || s.primary {
+			continue
+		}
+		term := 0
+		for _, o := range g.servers {
+			term = max(term, o.term)
+			o.primary = false
+		}
+		s.primary, s.held, s.term = true, 0, term+1
+		for _, o := range g.servers {
+			if !o.down && !o.primary {
+				o.log, o.term = append([]standinCommit(nil), s.log...), s.term
+			}
+		}
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// session is the state of one connection.
+type standinSession struct {
+	s        *standinServer
+	status   byte
+	writes   []standinCommit
+	prepared map[string]string
+}
+
+func (s *standinServer) serve(nc net.Conn) {
+	defer nc.Close()
+	r := bufio.NewReader(nc)
+	ses := &standinSession{s: s, status: 'I', prepared: make(map[string]string)}
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		f := strings.Fields(line)
+		s.g.mu.Lock()
+		answer := ses.handle(f)
+		s.g.mu.Unlock()
+		if _, err := nc.Write([]byte(answer)); err != nil {
+			return
+		}
+	}
+}
+
+func (s *standinServer) position() string {
+	term := 1
+	if n := len(s.log); n > 0 {
+		term = s.log[n-1].term
+	}
+	return fmt.Sprintf("%d.%d", term, len(s.log))
+}
+
+func (ses *standinSession) ready() string {
+	return fmt.Sprintf("READY %c %s\r\n", ses.status, ses.s.position())
+}
+
+func (ses *standinSession) handle(f []string) string {
+	if f[0] == "STARTUP" {
+		if f[1] != ses.s.g.name || len(f) > 3 && f[3] != ses.s.id {
+			return "ERROR MISROUTED x\r\n"
+		}
+		return ses.ready()
+	}
+	return ses.query(f[2:]) + ses.ready()
+}
+
+func (ses *standinSession) query(f []string) string {
+	s := ses.s
+	const ok = "COMPLETE 7.1f3\r\n"
+	if f[0] == "AFTER" {
+		var term, n int
+		_, _ = fmt.Sscanf(f[1], "%d.%d", &term, &n)
+		if len(s.log) < n {
+			return "ERROR LAGGING x\r\n"
+		}
+		f = f[2:]
+	}
+	switch f[0] {
+	case "BEGIN":
+		if len(f) == 1 && !s.primary {
+			return "ERROR READONLY x\r\n"
+		}
+		ses.status, ses.writes = 'T', nil
+	case "ROLLBACK", "DISCARD":
+		ses.status, ses.writes = 'I', nil
+	case "COMMIT":
+		ses.status = 'I'
+		return ses.commit()
+	case "PREPARE":
+		ses.prepared[f[1]] = f[2]
+	case "EXECUTE":
+		return ses.query(append([]string{ses.prepared[f[1]]}, f[2:]...))
+	case "FETCH":
+		return ses.fetch(f[1])
+	case "STORE":
+		ses.writes = append(ses.writes, standinCommit{item: f[1], value: f[2]})
+		if ses.status == 'I' {
+			return ses.commit()
+		}
+		return ok
+	case "SET":
+	default:
+		return s.control(f)
+	}
+	return "COMPLETE -\r\n"
+}
+
+func (ses *standinSession) fetch(item string) string {
+	value := "none"
+	for _, c := range append(append([]standinCommit(nil), ses.s.log...), ses.writes...) {
+		if c.item == item {
+			value = c.value
+		}
+	}
+	return "DATAROW " + value + "\r\nCOMPLETE 7.1f3\r\n"
+}
+
+func (ses *standinSession) commit() string {
+	s := ses.s
+	writes := ses.writes
+	ses.writes = nil
+	if len(writes) == 0 {
+		return "COMPLETE 7.1f3\r\n"
+	}
+	if !s.primary {
+		return "ERROR READONLY x\r\n"
+	}
+	received := false
+	for _, o := range s.g.servers {
+		received = received || o != s && !o.down && o.held == 0
+	}
+	if !received {
+		return "ERROR BUSY x\r\n"
+	}
+	for _, c := range writes {
+		c.term = s.term
+		for _, o := range s.g.servers {
+			if o == s || !o.down && o.held == 0 {
+				o.log = append(o.log, c)
+			}
+		}
+	}
+	return "COMPLETE 7.1f3\r\n"
+}
+
+func (s *standinServer) control(f []string) string {
+	term := 0
+	if len(f) > 1 {
+		_, _ = fmt.Sscanf(f[1], "%d", &term)
+	}
+	switch f[0] {
+	case "PAUSE":
+		s.held = term
+	case "RESUME":
+		s.held = 0
+	case "STEPDOWN":
+		s.primary = s.primary && s.term >= term
+	case "STATUS":
+	default:
+		return "ERROR MALFORMED " + f[0] + "\r\n"
+	}
+	role := "replica"
+	if s.primary {
+		role = "primary"
+	}
+	return fmt.Sprintf("DATAROW %s %d %s %d 0 0 1\r\nCOMPLETE -\r\n", role, s.term, s.position(), s.held)
+}
+
+// beat announces the servers to a control instance until the test ends.
+func (g *standinGroup) beat(controls []string, zones map[string]string) {
+	client := http.Client{Timeout: time.Second}
+	for sequence := 1; g.t.Context().Err() == nil; sequence++ {
+		for id, s := range g.servers {
+			g.mu.Lock()
+			down, role := s.down, "replica"
+			if s.primary {
+				role = "primary"
+			}
+			g.mu.Unlock()
+			if down {
+				continue
+			}
+			body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"capacity":2,"state":"ready","db_role":%q,"sequence":%d,"born":1784794791101}`,
+				g.name, s.l.Addr().String(), zones[id], role, sequence)
+			resp, err := client.Post("http://"+controls[sequence%len(controls)]+"/Instances.Heartbeat/"+id, "application/json", strings.NewReader(body))
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwfilter"
@@ -32,94 +28,6 @@
 // backendUser is the user of connections to backend servers.
 const backendUser = "gentianward"
 
-// Options configures an instance. Settings must have their defaults.
-type Options struct {
-	Settings *gwmanifest.Settings
-	// Manifest is the manifest of a first start; nil on other instances.
-	Manifest *gwmanifest.Manifest
-	Clock    clockwork.Clock
-	Log      *slog.Logger
-	TLS      gwpeer.TLSSource
-	// CallerTLS is nil when callers connect in cleartext.
-	CallerTLS  *tls.Config
-	SessionKey []byte
-	Shape      gwpeer.Shaper
-	// FS holds the data folder of a voter; nil on other instances.
-	FS gwstore.FS
-	// DialBackend opens connections to backend servers; nil for the default.
-	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
-	Telemetry   Telemetry
-	// Format is how manifests are written; zero for the project's own format.
-	Format gwcontrol.Format
-	// Dialect is that of the backend servers; nil for the stand-in's.
-	Dialect gwbackend.Dialect
-	// ServeCallers serves callers in another protocol than PostgreSQL's.
-	ServeCallers func(ctx context.Context, l net.Listener, e *gwfilter.Entry) Callers
-	// Promoter is asked to promote servers; nil where the servers do it themselves.
-	Promoter gwcontrol.Promoter
-	// ControlOnly dedicates the instance to control: it serves no callers and
-	// owns no backend servers.
-	ControlOnly bool
-	// FirstVoters are the peer addresses of the voters of a first start by
-	// instance, where no manifest lists voters.
-	FirstVoters map[string]string
-	// VoterAddress returns the peer address of a voter that is not a live
-	// member; nil where a manifest lists voters.
-	VoterAddress func(instance string) (string, bool)
-	// NamedByAddress means that the instances' names are their addresses, so that
-	// no two processes can have the same name at one time.
-	NamedByAddress bool
-	// HandOver is how long open transactions may keep a released primary from its
-	// new owner; 0 for as long as a graceful stop may take.
-	HandOver time.Duration
-	// Pace is how often instances ask one another; zero values are the defaults.
-	Pace Pace
-	// Withdraw makes an instance that cannot reach the leader report that it is not
-	// ready and send its idle callers elsewhere.
-	Withdraw bool
-	// StopDelay is how long a stopping instance takes callers after it has
-	// reported that it is not ready, because whoever sends them learns it late.
-	StopDelay time.Duration
-	// Routes replaces the HTTP interface on the operators' address.
-	Routes func(i *Instance) http.Handler
-	// Drain is called when an operator asks this instance to stop gracefully;
-	// nil refuses such requests.
-	Drain func()
-}
-
-// Pace holds the times between messages that are sent without any work to do. Links
-// that are charged by volume want them longer, at the price of later detection.
-type Pace struct {
-	// Freshness, Poll, Settle, SettleFar: see gwowner.Options.
-	Freshness, Poll, Settle, SettleFar time.Duration
-	// Heartbeat: see gwcontrol.ConsensusOptions.
-	Heartbeat time.Duration
-	// FixedPacketSize: see gwpeer.Options.
-	FixedPacketSize bool
-}
-
-// Callers is the side of an instance that serves callers.
-type Callers interface {
-	Address() net.Addr
-	// Drain ends the sessions gracefully; see gwwire.Server.Drain.
-	Drain(ctx context.Context) error
-}
-
-// idleCloser is a Callers that can send idle callers elsewhere.
-type idleCloser interface {
-	// CloseIdle ends the sessions that no caller uses at the moment.
-	CloseIdle()
-}
-
-// Telemetry receives the measurements of an instance.
-type Telemetry interface {
-	gwfilter.Observer
-	gwowner.Metrics
-	http.Handler
-	// FailoverGap is how long a change of primary took at the leader.
-	FailoverGap(group string, took time.Duration)
-}
-
 // Instance is one running instance.
 type Instance struct {
 	Options
@@ -351,43 +259,6 @@
 	return nil
 }
 
-// inTouch returns what tells whether the leader can be reached, nil where that
-// does not matter.
-func (i *Instance) inTouch() func() bool {
-	if !i.Withdraw {
-		return nil
-	}
-	return i.client.InTouch
-}
-
-// touchChanged withdraws a cut-off instance from the callers, or returns it.
-func (i *Instance) touchChanged(ctx context.Context, inTouch bool) {
-	if !inTouch {
-		i.Log.Warn("the leader of the replicated log cannot be reached", "leader", i.client.Leader())
-	} else {
-		i.Log.Info("the leader of the replicated log is reached", "leader", i.client.Leader())
-	}
-	i.owner.TouchChanged()
-	callers, ok := i.callers.(idleCloser)
-	if !ok || inTouch {
-		return
-	}
-	// Callers that come back are sent elsewhere once the platform has noticed.
-	go func() {
-		select {
-		case <-ctx.Done():
-		case <-i.Clock.After(i.StopDelay):
-			for !i.client.InTouch() && ctx.Err() == nil {
-				callers.CloseIdle()
-				i.Clock.Sleep(closeIdleInterval)
-			}
-		}
-	}()
-}
-
-// closeIdleInterval is how often a cut-off instance looks for idle sessions.
-const closeIdleInterval = 200 * time.Millisecond
-
 func (i *Instance) run(ctx context.Context) {
 	i.wg.Go(func() { i.members.Run(ctx) })
 	i.wg.Go(func() { i.spreader.Run(ctx) })
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -204,36 +204,6 @@
 	}
 }
 
-// settled reports whether this instance has been a member for long enough to own
-// servers of a data centre.
-func (o *Owner) settled(dataCentre, own string) bool {
-	if !o.members.Joined() {
-		return false
-	}
-	now := o.clock.Now()
-	o.mu.Lock()
-	if o.joinedAt.IsZero() {
-		o.joinedAt = now
-	}
-	since := now.Sub(o.joinedAt)
-	o.mu.Unlock()
-	if dataCentre == own {
-		return since >= o.settle
-	}
-	return since >= o.settleFar
-}
-
-// owns reports whether this instance should own the server.
-func (o *Owner) owns(f gwcontrol.ServerFacts) bool {
-	o.mu.RLock()
-	released := o.released
-	o.mu.RUnlock()
-	t := o.members.Topology()
-	m, ok := t.Owner(f.Server, f.DataCentre, o.views.Current().Region(f.DataCentre))
-	// An instance that knows only itself would own everything.
-	return ok && !released && !f.Gone && m.Instance == t.Self.Instance && o.settled(f.DataCentre, t.Self.DataCentre) && o.views.Current().Manifest != nil
-}
-
 func (o *Owner) reconcile() {
 	for _, f := range o.directory.All() {
 		s := o.server(f.Server)
@@ -436,45 +406,6 @@
 	s.backend.Pool().SetLimit(s.owner.connections(facts))
 }
 
-// cutOffShare is the part of a server's connections that is left to an instance
-// which cannot reach the leader. Both sides of a partition take themselves for the
-// owner of a server that both can reach: without a share each, the one that was
-// first leaves no connection to the one that holds the lease.
-const cutOffShare = 4
-
-// connections returns the bound of connections to a server: this instance's share
-// of what the manifest allows, or of what the server announces.
-func (o *Owner) connections(f gwcontrol.ServerFacts) int {
-	limit := f.Connections
-	if m := o.views.Current().Manifest; m != nil {
-		if g, ok := m.GroupNamed(f.Group); ok && g.Connections > 0 {
-			limit = g.Connections
-		}
-	}
-	if o.inTouch == nil {
-		return limit
-	}
-	return connectionShare(limit, o.inTouch())
-}
-
-// connectionShare divides the connections of a server between the two sides of a
-// partition.
-func connectionShare(limit int, inTouch bool) int {
-	cutOff := max(1, limit/cutOffShare)
-	if inTouch {
-		return max(1, limit-cutOff)
-	}
-	return cutOff
-}
-
-// TouchChanged applies the connection limits after the contact with the leader was
-// lost or regained.
-func (o *Owner) TouchChanged() {
-	for _, s := range o.all() {
-		s.applyLimits(o.views.Current())
-	}
-}
-
 func (s *server) slots() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/gwowner/ownership.go
@@ -0,0 +1,33 @@
+package gwowner
+
+import "gentianward.example/gentianward/internal/gwcontrol"
+
+// settled reports whether this instance has been a member for long enough to own
+// servers of a data centre.
+func (o *Owner) settled(dataCentre, own string) bool {
+	if !o.members.Joined() {
+		return false
+	}
+	now := o.clock.Now()
+	o.mu.Lock()
+	if o.joinedAt.IsZero() {
+		o.joinedAt = now
+	}
+	since := now.Sub(o.joinedAt)
+	o.mu.Unlock()
+	if dataCentre == own {
+		return since >= o.settle
+	}
+	return since >= o.settleFar
+}
+
+// owns reports whether this instance should own the server.
+func (o *Owner) owns(f gwcontrol.ServerFacts) bool {
+	o.mu.RLock()
+	released := o.released
+	o.mu.RUnlock()
+	t := o.members.Topology()
+	m, ok := t.Owner(f.Server, f.DataCentre, o.views.Current().Region(f.DataCentre))
+	// An instance that knows only itself would own everything.
+	return ok && !released && !f.Gone && m.Instance == t.Self.Instance && o.settled(f.DataCentre, t.Self.DataCentre) && o.views.Current().Manifest != nil
+}
--- a/pkg/gwsession/track_test.go
+++ b/pkg/gwsession/track_test.go
@@ -19,7 +19,7 @@
 	}
 	for _, s := range got {
 		// At the time of the sample, positions up to this one were acknowledged.
-		if want := uint64((now.Add(-s.Age).Sub(start)) / (20 * time.Millisecond)); s.Position.Offset != want {
+		if want := uint64(now.Add(-s.Age).Sub(start) / (20 * time.Millisecond)); s.Position.Offset != want {
 			t.Errorf("age %v: got offset %d, want %d", s.Age, s.Position.Offset, want)
 		}
 	}
