--- a/cmd/gentianward-platform/standin_test.go
+++ b/cmd/gentianward-platform/standin_test.go
@@ -22,7 +22,6 @@
 
 	mu      sync.Mutex
 	servers map[string]*standinServer
-	log     []standinCommit // of the newest term
 	// promotions are the fencing tokens of the calls, in order.
 	promotions []string
 }
