--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -67,6 +67,9 @@
 	// SettleFar covers a start of all machines: each one took itself for the owner
 	// of every server that it had heard of.
 	SettleFar: 3 * time.Second,
+	// DialTimeout is two round trips between regions, the 12 ms of a new connection
+	// and a full queue in front of it. A server that is dark is found out by it.
+	DialTimeout: 500 * time.Millisecond,
 	// Heartbeat leaves two in the shortest election timeout.
 	Heartbeat:       140 * time.Millisecond,
 	FixedPacketSize: true,
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -189,6 +189,7 @@
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
 		Dialect: i.Dialect, Start: i.client.StartGroup, InTouch: i.inTouch(), HandOver: i.HandOver,
 		Freshness: i.Pace.Freshness, Poll: i.Pace.Poll, Settle: i.Pace.Settle, SettleFar: i.Pace.SettleFar,
+		DialTimeout: i.Pace.DialTimeout,
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -77,8 +77,8 @@
 // Pace holds the times between messages that are sent without any work to do. Links
 // that are charged by volume want them longer, at the price of later detection.
 type Pace struct {
-	// Freshness, Poll, Settle, SettleFar: see gwowner.Options.
-	Freshness, Poll, Settle, SettleFar time.Duration
+	// Freshness, Poll, Settle, SettleFar, DialTimeout: see gwowner.Options.
+	Freshness, Poll, Settle, SettleFar, DialTimeout time.Duration
 	// Heartbeat: see gwcontrol.ConsensusOptions.
 	Heartbeat time.Duration
 	// FixedPacketSize: see gwpeer.Options.
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -63,6 +63,9 @@
 	// Poll is how often a server that reports no position by itself is asked for
 	// one; 0 for the default.
 	Poll time.Duration
+	// DialTimeout bounds the time for a new connection to a server; 0 for the
+	// default of gwbackend.
+	DialTimeout time.Duration
 	// Settle and SettleFar are how long after it has joined an instance owns servers
 	// of its own and of other data centres; 0 for at once.
 	Settle, SettleFar time.Duration
@@ -91,6 +94,7 @@
 	handOver  time.Duration
 	freshness time.Duration
 	poll      time.Duration
+	dialTime  time.Duration
 	settle    time.Duration
 	settleFar time.Duration
 	// joinedAt is when this instance was first seen as a member; mu guards it.
@@ -112,7 +116,7 @@
 	w := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
 		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, inTouch: o.InTouch, handOver: o.HandOver,
-		freshness: cmp.Or(o.Freshness, freshnessInterval), poll: o.Poll, settle: o.Settle, settleFar: o.SettleFar, connect: o.Backend,
+		freshness: cmp.Or(o.Freshness, freshnessInterval), poll: o.Poll, dialTime: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, connect: o.Backend,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	w.register()
@@ -224,7 +228,7 @@
 	opts := o.connect(f)
 	opts.OnPosition = nil
 	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: o.dialect, PollInterval: o.poll, Pool: gwbackend.PoolOptions{
-		Options: opts, Limit: o.connections(f), MinIdle: min(max(1, f.Slots), maxWarm), Clock: o.clock, Logger: o.log,
+		Options: opts, DialTimeout: o.dialTime, Limit: o.connections(f), MinIdle: min(max(1, f.Slots), maxWarm), Clock: o.clock, Logger: o.log,
 	}})
 	s.confirm = newConfirmer(o.clock, o.Await, func() []string { return o.replicas(f.Group, f.Server) })
 	s.applyLimits(o.views.Current())
