--- a/internal/gwcontrol/directory.go
+++ b/internal/gwcontrol/directory.go
@@ -79,6 +79,17 @@
 	digest  uint64
 }
 
+// inDataCentre returns the names of the servers of a data centre that are not gone.
+func (s *directorySnapshot) inDataCentre(dataCentre string) []string {
+	var out []string
+	for _, f := range s.servers {
+		if f.DataCentre == dataCentre && !f.Gone {
+			out = append(out, f.Server)
+		}
+	}
+	return out
+}
+
 // Directory knows the backend servers that have announced themselves anywhere.
 //
 // Reads take a snapshot without a lock; changes are rare.
--- a/internal/gwcontrol/membership.go
+++ b/internal/gwcontrol/membership.go
@@ -21,6 +21,17 @@
 	byName  map[string]gwmember.Member
 	regions map[string]string
 	places  *gwlease.Placement
+
+	mu sync.Mutex
+	// spread holds the owners of the servers of each data centre that has instances
+	// to spare.
+	spread map[string]spreadOwners
+}
+
+// spreadOwners are the owners of a data centre's servers as of one state of the directory.
+type spreadOwners struct {
+	snapshot *directorySnapshot
+	owners   map[string]string
 }
 
 func newTopology(self gwmember.Member, live []gwmember.Member) *Topology {
@@ -29,6 +40,7 @@
 		Live:    live,
 		byName:  make(map[string]gwmember.Member, len(live)),
 		regions: make(map[string]string),
+		spread:  make(map[string]spreadOwners),
 		places:  gwlease.NewPlacement(owning(live)),
 	}
 	for _, m := range live {
@@ -49,9 +61,12 @@
 	return m, ok
 }
 
-// Owner returns the instance that owns a backend server in dataCentre; region
-// is used when no instance of the data centre is reachable.
-func (t *Topology) Owner(server, dataCentre, region string) (gwmember.Member, bool) {
+// Owner returns the instance that owns a backend server among those of the
+// directory; region is used when no instance of its data centre is reachable.
+func (t *Topology) Owner(d *Directory, server, dataCentre, region string) (gwmember.Member, bool) {
+	if name, ok := t.spreadOwner(d, server, dataCentre); ok {
+		return t.Member(name)
+	}
 	name, ok := t.places.Owner(server, dataCentre, region)
 	if !ok {
 		return gwmember.Member{}, false
@@ -59,6 +74,22 @@
 	return t.Member(name)
 }
 
+// spreadOwner returns the owner of a server of a data centre that has instances to
+// spare, and false elsewhere or if the directory does not know the server.
+func (t *Topology) spreadOwner(d *Directory, server, dataCentre string) (string, bool) {
+	snapshot := d.current.Load()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, known := t.spread[dataCentre]
+	if !known || s.snapshot != snapshot {
+		owners, _ := t.places.Spread(snapshot.inDataCentre(dataCentre), dataCentre)
+		s = spreadOwners{snapshot: snapshot, owners: owners}
+		t.spread[dataCentre] = s
+	}
+	name, ok := s.owners[server]
+	return name, ok
+}
+
 // Membership runs the failure detection of one instance.
 type Membership struct {
 	node  *gwpeer.Node
--- a/internal/gwdaemon/announce.go
+++ b/internal/gwdaemon/announce.go
@@ -54,7 +54,7 @@
 		a.Connections = unlimitedConnections
 	}
 	t := i.members.Topology()
-	m, ok := t.Owner(a.Server, a.DataCentre, i.views.Current().Region(a.DataCentre))
+	m, ok := t.Owner(i.directory, a.Server, a.DataCentre, i.views.Current().Region(a.DataCentre))
 	if !ok || m.Instance == t.Self.Instance {
 		i.record(ctx, a)
 		return nil
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -188,7 +188,7 @@
 func (e *Entry) upstream(ctx context.Context, server string) (upstream, error) {
 	f, _ := e.Directory.Server(server)
 	t := e.Members.Topology()
-	m, ok := t.Owner(server, f.DataCentre, e.Views.Current().Region(f.DataCentre))
+	m, ok := t.Owner(e.Directory, server, f.DataCentre, e.Views.Current().Region(f.DataCentre))
 	if !ok {
 		return nil, &gwcontrol.Error{Op: "find owner", Kind: gwcontrol.UnknownServer, Detail: server}
 	}
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -465,7 +465,7 @@
 		return "", &gwcontrol.Error{Op: "find owner", Kind: gwcontrol.UnknownServer, Detail: name}
 	}
 	t := o.members.Topology()
-	m, ok := t.Owner(name, f.DataCentre, o.views.Current().Region(f.DataCentre))
+	m, ok := t.Owner(o.directory, name, f.DataCentre, o.views.Current().Region(f.DataCentre))
 	if !ok || m.Instance == t.Self.Instance {
 		return "", &gwcontrol.Error{Op: "find owner", Kind: gwcontrol.UnknownServer, Detail: name + " is not owned yet"}
 	}
--- a/internal/gwowner/ownership.go
+++ b/internal/gwowner/ownership.go
@@ -27,7 +27,7 @@
 	released := o.released
 	o.mu.RUnlock()
 	t := o.members.Topology()
-	m, ok := t.Owner(f.Server, f.DataCentre, o.views.Current().Region(f.DataCentre))
+	m, ok := t.Owner(o.directory, f.Server, f.DataCentre, o.views.Current().Region(f.DataCentre))
 	// An instance that knows only itself would own everything.
 	return ok && !released && !f.Gone && m.Instance == t.Self.Instance && o.settled(f.DataCentre, t.Self.DataCentre) && o.views.Current().Manifest != nil
 }
--- a/pkg/gwlease/owner.go
+++ b/pkg/gwlease/owner.go
@@ -94,6 +94,39 @@
 	return pool[best].name, true
 }
 
+// spreadFactor is how many instances for each server a data centre needs so that no
+// instance owns two of its servers. With fewer, the moves that this costs at each
+// change of the membership weigh more.
+const spreadFactor = 2
+
+// Spread returns the owners of all servers of a data centre that has instances to
+// spare: each server has the best instance that owns none before it in the order of
+// their names. ok is false where there are too few instances; Owner decides then.
+//
+// Load pattern: an instance with a link of 2 Mbit/s that owned two primaries could
+// carry neither, and lost its place in the membership every second.
+func (p *Placement) Spread(servers []string, dataCentre string) (owners map[string]string, ok bool) {
+	pool := p.byDataCentre[dataCentre]
+	if len(servers) == 0 || len(pool) < spreadFactor*len(servers) {
+		return nil, false
+	}
+	servers = slices.Sorted(slices.Values(servers))
+	owners = make(map[string]string, len(servers))
+	taken := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		key := xxhash.Sum64String(server)
+		var best *candidate
+		for i := range pool {
+			c := &pool[i]
+			if !taken[c.name] && (best == nil || compareScores(key, *c, *best) < 0) {
+				best = c
+			}
+		}
+		owners[server], taken[best.name] = best.name, true
+	}
+	return owners, true
+}
+
 // Owners returns up to n instances, the owner first.
 func (p *Placement) Owners(server, dataCentre, region string, n int) []string {
 	key := xxhash.Sum64String(server)
--- a/pkg/gwlease/owner_test.go
+++ b/pkg/gwlease/owner_test.go
@@ -70,3 +70,50 @@
 	assert.Greater(t, moved, 0)
 	assert.Len(t, before.Owners("server", "dc-01", "region-0", 100), len(live))
 }
+
+// Guards against one instance that owns several servers of a data centre while
+// others own none: its link could not carry two primaries.
+func TestSpread(t *testing.T) {
+	instances := func(n int) []Instance {
+		var out []Instance
+		for i := range n {
+			out = append(out, Instance{Name: fmt.Sprintf("i%d", i), DataCentre: "a", Region: "r"})
+		}
+		return out
+	}
+	servers := []string{"s1", "s2", "s3", "s4"}
+	for n := range 40 {
+		p := NewPlacement(instances(n))
+		owners, ok := p.Spread(servers, "a")
+		if got, want := ok, n >= spreadFactor*len(servers); got != want {
+			t.Fatalf("%d instances: got %v, want %v", n, got, want)
+		}
+		if !ok {
+			continue
+		}
+		used := map[string]bool{}
+		for _, s := range servers {
+			used[owners[s]] = true
+		}
+		if len(used) != len(servers) {
+			t.Errorf("%d instances: %v share an owner", n, owners)
+		}
+		// Without one instance, only what it owned moves, and what moves on for that.
+		fewer, ok := NewPlacement(instances(n)[1:]).Spread(servers, "a")
+		if !ok {
+			continue
+		}
+		moved := 0
+		for _, s := range servers {
+			if fewer[s] != owners[s] {
+				moved++
+			}
+		}
+		if owned := used["i0"]; !owned && moved > 0 || moved > 2 {
+			t.Errorf("%d instances: %d servers moved", n, moved)
+		}
+	}
+	if _, ok := NewPlacement(instances(8)).Spread(servers, "other"); ok {
+		t.Error("a data centre without instances has owners")
+	}
+}
