--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -368,8 +368,12 @@
 	return defaultIdle
 }
 
-// keyExpiry returns how long request keys are kept, 0 before a manifest is known.
+// keyExpiry returns how long request keys are kept, 0 before a manifest is known and
+// for servers whose dialect is not the stand-in's: the keys need SQL.
 func (o *Owner) keyExpiry() time.Duration {
+	if o.dialect != nil {
+		return 0
+	}
 	if m := o.views.Current().Manifest; m != nil {
 		return m.Manifest().Limits.RequestKeyExpiry.Duration
 	}
