--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -53,9 +53,9 @@
 	promoteTimeout = 2 * time.Second
 )
 
-// pace keeps what an idle system says between data centres and regions below a third
+// tuning keeps what an idle system says between data centres and regions below a third
 // of the bytes of a calm day; at the product's defaults it was two thirds.
-var pace = gwdaemon.Pace{
+var tuning = gwdaemon.Tuning{
 	// Freshness is a third of the shortest staleness that a route asks for.
 	Freshness: 500 * time.Millisecond,
 	// Poll is half a second because queries are charged; servers at work report
@@ -250,7 +250,7 @@
 		Clock: gwclock.NewBoot(), Log: p.log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.Format{Parse: platform.Manifests{Regions: s.Regions}.Parse, AnyLater: true},
 		Dialect: gwstatement.Dialect{Codec: platform.Lines{}}, ServeCallers: p.serveCallers,
-		ControlOnly: !s.Callers, FirstVoters: first, NamedByAddress: true, Withdraw: s.Callers, HandOver: handOverTime, Pace: pace, StopDelay: unreadyTime,
+		ControlOnly: !s.Callers, FirstVoters: first, NamedByAddress: true, Withdraw: s.Callers, HandOver: handOverTime, Tuning: tuning, StopDelay: unreadyTime,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Client: &http.Client{Timeout: promoteTimeout}},
 		Routes:       func(i *gwdaemon.Instance) http.Handler { return platform.ReadyRoutes(i) },
--- a/internal/gwcontrol/kinds.go
+++ b/internal/gwcontrol/kinds.go
@@ -17,7 +17,7 @@
 	kindHistory   = gwpeer.Kind{ID: 12, Name: "history", Priority: gwpeer.PriorityControl}
 	kindCurrent   = gwpeer.Kind{ID: 13, Name: "currentManifest", Priority: gwpeer.PriorityControl}
 	kindEndRuns   = gwpeer.Kind{ID: 16, Name: "endEarlierRuns", Priority: gwpeer.PriorityControl}
-	kindTouch     = gwpeer.Kind{ID: 15, Name: "touch", Priority: gwpeer.PriorityControl}
+	kindContact   = gwpeer.Kind{ID: 15, Name: "contact", Priority: gwpeer.PriorityControl}
 	kindVoter     = gwpeer.Kind{ID: 14, Name: "voter", Priority: gwpeer.PriorityControl}
 
 	// KindExec carries the requests of callers' sessions.
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -30,9 +30,9 @@
 	// local is this instance's voter, nil if it is none.
 	local *Leader
 
-	mu     sync.Mutex
-	leader string
-	touch  touch
+	mu      sync.Mutex
+	leader  string
+	contact contact
 }
 
 // NewClient returns a client; local is nil on an instance that is no voter.
@@ -223,7 +223,7 @@
 	})
 	serveLeader(node, kindHistory, l.History)
 	serveLeader(node, kindCurrent, l.Current)
-	serveLeader(node, kindTouch, l.Touch)
+	serveLeader(node, kindContact, l.Contact)
 	serveLeader(node, kindEndRuns, l.EndRuns)
 	return l
 }
--- /dev/null
+++ b/internal/gwcontrol/voters_test.go
@@ -0,0 +1,72 @@
+package gwcontrol
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/pkg/gwquorum"
+)
+
+// Guards against a voter that is replaced by an empty one before that one has caught
+// up, and against a replaced machine that stays a voter for ever, so that the next
+// loss costs the quorum.
+func TestNextChange(t *testing.T) {
+	peer := func(id string, learner, active bool, match uint64) gwquorum.PeerStatus {
+		return gwquorum.PeerStatus{Instance: id, Learner: learner, Active: active, Match: match}
+	}
+	status := func(learners []string, peers ...gwquorum.PeerStatus) gwquorum.Status {
+		return gwquorum.Status{ID: "a", Commit: 10, Voters: []string{"a", "b", "c"}, Learners: learners, Peers: peers}
+	}
+	set := func(ids ...string) map[string]bool {
+		out := make(map[string]bool)
+		for _, id := range ids {
+			out[id] = true
+		}
+		return out
+	}
+	tests := []struct {
+		name    string
+		status  gwquorum.Status
+		current map[string]bool
+		silent  []string
+		want    gwquorum.Change
+	}{
+		{"nothing to do", status(nil), set("a", "b", "c"), nil, gwquorum.Change{}},
+		{"a silent voter stays while nobody takes its place", status(nil), set("a", "b", "c"), []string{"c"}, gwquorum.Change{}},
+		{"a new instance becomes a learner", status(nil), set("a", "b", "c", "d"), []string{"c"}, gwquorum.Change{Kind: gwquorum.AddLearner, Instance: "d"}},
+		{"a learner that is behind waits", status([]string{"d"}, peer("d", true, true, 9)), set("a", "b", "c", "d"), []string{"c"}, gwquorum.Change{}},
+		{"a silent learner waits", status([]string{"d"}, peer("d", true, false, 10)), set("a", "b", "c", "d"), []string{"c"}, gwquorum.Change{}},
+		{"the silent voter makes room first", status([]string{"d"}, peer("d", true, true, 10)), set("a", "b", "c", "d"), []string{"c"}, gwquorum.Change{Kind: gwquorum.Remove, Instance: "c"}},
+		{"an additional one is promoted", status([]string{"d"}, peer("d", true, true, 10)), set("a", "b", "c", "d"), nil, gwquorum.Change{Kind: gwquorum.Promote, Instance: "d"}},
+		{"a voter that lost its disk returns under a new identity", status(nil), set("a", "b", "c#1"), nil, gwquorum.Change{Kind: gwquorum.AddLearner, Instance: "c#1"}},
+	}
+	for _, tt := range tests {
+		got, ok := nextChange(tt.status, tt.current, tt.silent)
+		assert.Equal(t, tt.want, got, tt.name)
+		assert.Equal(t, tt.want != gwquorum.Change{}, ok, tt.name)
+	}
+}
+
+// Guards against a lease that is taken from a process which may still run.
+func TestRestarted(t *testing.T) {
+	held := gwstate.Lease{Group: "g", Holder: "10.0.0.1", Incarnation: 5}
+	tests := []struct {
+		name      string
+		exclusive bool
+		holder    string
+		epoch     uint64
+		want      bool
+	}{
+		{"a later run of the holder", true, "10.0.0.1", 6, true},
+		{"the same run", true, "10.0.0.1", 5, false},
+		{"a request of an earlier run that was delayed", true, "10.0.0.1", 4, false},
+		{"another instance", true, "10.0.0.2", 6, false},
+		{"names may be shared for a while", false, "10.0.0.1", 6, false},
+	}
+	for _, tt := range tests {
+		l := &Leader{exclusive: tt.exclusive}
+		assert.Equal(t, tt.want, l.restarted(held, tt.holder, tt.epoch), tt.name)
+	}
+}
--- a/internal/gwdaemon/touch.go
+++ b/internal/gwdaemon/contact.go
@@ -5,25 +5,25 @@
 	"time"
 )
 
-// inTouch returns what tells whether the leader can be reached, nil where that
+// inContact returns what tells whether the leader can be reached, nil where that
 // does not matter.
-func (i *Instance) inTouch() func() bool {
+func (i *Instance) inContact() func() bool {
 	if !i.Withdraw {
 		return nil
 	}
-	return i.client.InTouch
+	return i.client.InContact
 }
 
-// touchChanged withdraws a cut-off instance from the callers, or returns it.
-func (i *Instance) touchChanged(ctx context.Context, inTouch bool) {
-	if !inTouch {
+// contactChanged withdraws a cut-off instance from the callers, or returns it.
+func (i *Instance) contactChanged(ctx context.Context, inContact bool) {
+	if !inContact {
 		i.Log.Warn("the leader of the replicated log cannot be reached", "leader", i.client.Leader())
 	} else {
 		i.Log.Info("the leader of the replicated log is reached", "leader", i.client.Leader())
 	}
-	i.owner.TouchChanged()
+	i.owner.ContactChanged()
 	callers, ok := i.callers.(idleCloser)
-	if !ok || inTouch {
+	if !ok || inContact {
 		return
 	}
 	// Callers that come back are sent elsewhere once the platform has noticed.
@@ -31,7 +31,7 @@
 		select {
 		case <-ctx.Done():
 		case <-i.Clock.After(i.StopDelay):
-			for !i.client.InTouch() && ctx.Err() == nil {
+			for !i.client.InContact() && ctx.Err() == nil {
 				callers.CloseIdle()
 				i.Clock.Sleep(closeIdleInterval)
 			}
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -74,7 +74,7 @@
 
 func (i *Instance) start(ctx context.Context) error {
 	s := i.Settings
-	node, err := gwpeer.Listen(ctx, gwpeer.Options{Address: s.PeerAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shape: i.Shape, FixedPacketSize: i.Pace.FixedPacketSize})
+	node, err := gwpeer.Listen(ctx, gwpeer.Options{Address: s.PeerAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shape: i.Shape, FixedPacketSize: i.Tuning.FixedPacketSize})
 	if err != nil {
 		return err
 	}
@@ -131,7 +131,7 @@
 	}
 	i.consensus = gwcontrol.NewConsensus(gwcontrol.ConsensusOptions{
 		Instance: i.Settings.Instance, Node: i.node, Clock: i.Clock, Log: i.Log, Store: log,
-		Heartbeat: i.Pace.Heartbeat, State: gwstate.New(i.Settings.MaxClockDrift), Address: i.voterAddress, Applied: i.applied,
+		Heartbeat: i.Tuning.Heartbeat, State: gwstate.New(i.Settings.MaxClockDrift), Address: i.voterAddress, Applied: i.applied,
 		Identity: func(ctx context.Context) (gwcontrol.Identity, error) { return gwcontrol.Identify(ctx, identity) },
 	})
 	i.consensus.ServeIdentity(!identity.Empty)
@@ -187,9 +187,9 @@
 	i.owner = gwowner.New(ctx, gwowner.Options{
 		Node: i.node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Leases: i.keeper, Metrics: i.Telemetry, Suspect: i.client.Suspect, Backend: i.backendOptions,
-		Dialect: i.Dialect, Start: i.client.StartGroup, InTouch: i.inTouch(), HandOver: i.HandOver,
-		Freshness: i.Pace.Freshness, Poll: i.Pace.Poll, Settle: i.Pace.Settle, SettleFar: i.Pace.SettleFar,
-		DialTimeout: i.Pace.DialTimeout,
+		Dialect: i.Dialect, Start: i.client.StartGroup, InContact: i.inContact(), HandOver: i.HandOver,
+		Freshness: i.Tuning.Freshness, Poll: i.Tuning.Poll, Settle: i.Tuning.Settle, SettleFar: i.Tuning.SettleFar,
+		DialTimeout: i.Tuning.DialTimeout,
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
@@ -271,7 +271,7 @@
 		i.wg.Go(func() { i.followDirectory(ctx) })
 	}
 	if i.Withdraw {
-		i.wg.Go(func() { i.client.KeepTouch(ctx, func(in bool) { i.touchChanged(ctx, in) }) })
+		i.wg.Go(func() { i.client.KeepContact(ctx, func(in bool) { i.contactChanged(ctx, in) }) })
 	}
 	if i.consensus != nil {
 		i.wg.Go(func() { _ = i.consensus.Run(ctx) })
@@ -330,7 +330,7 @@
 func (i *Instance) Ready() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return !i.stopping && i.views.Current().Manifest != nil && (!i.Withdraw || i.client.InTouch())
+	return !i.stopping && i.views.Current().Manifest != nil && (!i.Withdraw || i.client.InContact())
 }
 
 // Stop is a graceful shutdown: ownership and leases move to other instances,
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -59,8 +59,8 @@
 	// HandOver is how long open transactions may keep a released primary from its
 	// new owner; 0 for as long as a graceful stop may take.
 	HandOver time.Duration
-	// Pace is how often instances ask one another; zero values are the defaults.
-	Pace Pace
+	// Tuning is how often instances ask one another; zero values are the defaults.
+	Tuning Tuning
 	// Withdraw makes an instance that cannot reach the leader report that it is not
 	// ready and send its idle callers elsewhere.
 	Withdraw bool
@@ -74,9 +74,9 @@
 	Drain func()
 }
 
-// Pace holds the times between messages that are sent without any work to do. Links
+// Tuning holds the times between messages that are sent without any work to do. Links
 // that are charged by volume want them longer, at the price of later detection.
-type Pace struct {
+type Tuning struct {
 	// Freshness, Poll, Settle, SettleFar, DialTimeout: see gwowner.Options.
 	Freshness, Poll, Settle, SettleFar, DialTimeout time.Duration
 	// Heartbeat: see gwcontrol.ConsensusOptions.
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -69,8 +69,8 @@
 	// Settle and SettleFar are how long after it has joined an instance owns servers
 	// of its own and of other data centres; 0 for at once.
 	Settle, SettleFar time.Duration
-	// InTouch reports whether the leader can be reached; nil for always.
-	InTouch func() bool
+	// InContact reports whether the leader can be reached; nil for always.
+	InContact func() bool
 	// Dialect is that of the backend servers; nil for the stand-in's.
 	Dialect gwbackend.Dialect
 	// Backend completes the connection options of a server, as its user.
@@ -90,7 +90,7 @@
 	suspected SuspectFunc
 	start     func(ctx context.Context, a gwcontrol.Announcement) error
 	dialect   gwbackend.Dialect
-	inTouch   func() bool
+	inContact func() bool
 	handOver  time.Duration
 	freshness time.Duration
 	poll      time.Duration
@@ -115,7 +115,7 @@
 func New(ctx context.Context, o Options) *Owner {
 	w := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
-		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, inTouch: o.InTouch, handOver: o.HandOver,
+		members: o.Members, leases: o.Leases, metrics: o.Metrics, suspected: o.Suspect, start: o.Start, dialect: o.Dialect, inContact: o.InContact, handOver: o.HandOver,
 		freshness: cmp.Or(o.Freshness, freshnessInterval), poll: o.Poll, dialTime: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, connect: o.Backend,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
--- a/internal/gwowner/share.go
+++ b/internal/gwowner/share.go
@@ -17,25 +17,25 @@
 			limit = g.Connections
 		}
 	}
-	if o.inTouch == nil {
+	if o.inContact == nil {
 		return limit
 	}
-	return connectionShare(limit, o.inTouch())
+	return connectionShare(limit, o.inContact())
 }
 
 // connectionShare divides the connections of a server between the two sides of a
 // partition.
-func connectionShare(limit int, inTouch bool) int {
+func connectionShare(limit int, inContact bool) int {
 	cutOff := max(1, limit/cutOffShare)
-	if inTouch {
+	if inContact {
 		return max(1, limit-cutOff)
 	}
 	return cutOff
 }
 
-// TouchChanged applies the connection limits after the contact with the leader was
+// ContactChanged applies the connection limits after the contact with the leader was
 // lost or regained.
-func (o *Owner) TouchChanged() {
+func (o *Owner) ContactChanged() {
 	for _, s := range o.all() {
 		s.applyLimits(o.views.Current())
 	}
--- a/internal/gwstate/state_test.go
+++ b/internal/gwstate/state_test.go
@@ -280,3 +280,34 @@
 		}
 	})
 }
+
+// Guards against an older or a changed manifest that replaces a newer one where any
+// later number is accepted, and against a resent one that is refused.
+func TestPublishAnyLater(t *testing.T) {
+	s := New(0)
+	publish := func(index, number uint64, text string) ManifestResult {
+		sum := sha256.Sum256([]byte(text))
+		data, err := Encode(PublishManifest{Number: number, Digest: hex.EncodeToString(sum[:]), Text: text, AnyLater: true}, time.Unix(1, 0))
+		require.NoError(t, err)
+		res, ok := s.Apply(index, data, time.Unix(1, 0)).(ManifestResult)
+		require.True(t, ok)
+		return res
+	}
+	tests := []struct {
+		number   uint64
+		text     string
+		wantText string
+	}{
+		{7, "seven", "seven"},
+		{20, "twenty", "twenty"},
+		{12, "twelve", "twenty"},
+		{20, "other", "twenty"},
+		{20, "twenty", "twenty"},
+		{21, "last", "last"},
+	}
+	for i, tt := range tests {
+		res := publish(uint64(i+1), tt.number, tt.text)
+		assert.Equal(t, Accepted, res.Refusal, "number %d is acknowledged", tt.number)
+		assert.Equal(t, tt.wantText, s.Manifest().Text)
+	}
+}
--- a/internal/gwstatement/codec.go
+++ b/internal/gwstatement/codec.go
@@ -47,7 +47,6 @@
 
 	// Texts of statements.
 	BeginText(readOnly bool) string
-	CommitText() string
 	RollbackText() string
 	DiscardText() string
 	SetText(name, value string) string
--- a/internal/gwstatement/fake_test.go
+++ b/internal/gwstatement/fake_test.go
@@ -84,7 +84,6 @@
 }
 
 func (testCodec) BeginText(readOnly bool) string { return fmt.Sprintf("begin %v", readOnly) }
-func (testCodec) CommitText() string             { return "commit" }
 func (testCodec) RollbackText() string           { return "rollback" }
 func (testCodec) DiscardText() string            { return "discard" }
 func (testCodec) SetText(name, value string) string {
