gwdaemon, platform, gwbackend: tests of restarts, one close notice, platform names below platform/

Ruled out: a start that ignores an unreadable view, after which an older manifest would count as new; it stays an error, now tested.

--- a/cmd/gentianward-platform/run_test.go
+++ b/cmd/gentianward-platform/run_test.go
@@ -17,12 +17,14 @@
 
 	"gentianward.example/gentianward/internal/gwdaemon"
 	"gentianward.example/gentianward/platform"
+	"gentianward.example/gentianward/platform/platformtest"
 )
 
 // deployment is three control and two entry instances on loopback addresses, with
 // one group of stand-in servers.
 type deployment struct {
 	t         *testing.T
+	caller    *platformtest.Caller
 	peerPort  int
 	controls  []string
 	callers   []string
@@ -31,11 +33,6 @@
 	group     *standinGroup
 }
 
-const testConfiguration = `{"version":%d,"routes":[
-{"name":"w","host":"bookings","path_prefix":"/","kind":"read_your_writes","timeout_ms":2000,"target_latency_ms":1500,"priority":2,"service":"core","max_staleness_ms":2500},
-{"name":"p","host":"payments","path_prefix":"/","kind":"primary","timeout_ms":2000,"target_latency_ms":800,"priority":1,"service":"core"}],
-"services":[{"name":"core","max_conns":16,"sync_replicas":1}],"limits":{"tx_idle_ms":3000}}`
-
 func freePort(t *testing.T) int {
 	t.Helper()
 	l, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -46,7 +43,7 @@
 
 func start(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, peerPort: freePort(t), group: newStandinGroup(t, "core", "i-1", "i-2", "i-3")}
+	d := &deployment{t: t, caller: platformtest.NewCaller(), peerPort: freePort(t), group: newStandinGroup(t, "core", "i-1", "i-2", "i-3")}
 	cloud := httptest.NewServer(http.HandlerFunc(d.group.promote))
 	t.Cleanup(cloud.Close)
 	// Addresses of this run only: a test that ran before may have left its own.
@@ -80,31 +77,23 @@
 		d.callers, d.ready = append(d.callers, callers), append(d.ready, ready)
 		run(ip, platform.Settings{DataCentre: zones[i], Callers: true, CallerAddress: callers, ReadyAddress: ready, MaxFiles: 4096})
 	}
-	go d.group.beat(d.controls, map[string]string{"i-1": "a", "i-2": "b", "i-3": "c"})
+	go d.group.beat(d.caller, d.controls, map[string]string{"i-1": "a", "i-2": "b", "i-3": "c"})
 	return d
 }
 
 func (d *deployment) publish(version int) int {
-	resp, err := http.Post("http://"+d.controls[version%3]+"/Config.Replace", "application/json", strings.NewReader(fmt.Sprintf(testConfiguration, version)))
+	status, err := d.caller.Replace(d.controls[version%3], platformtest.Configuration(version, d.group.name))
 	if err != nil {
 		return 0
 	}
-	defer resp.Body.Close()
-	return resp.StatusCode
+	return status
 }
 
 func (d *deployment) awaitReady() {
 	d.t.Helper()
 	require.Eventually(d.t, func() bool { return d.publish(7) == http.StatusOK }, 20*time.Second, 50*time.Millisecond, "configuration accepted")
 	for _, address := range d.ready {
-		require.Eventually(d.t, func() bool {
-			resp, err := http.Get("http://" + address + "/readyz")
-			if err != nil {
-				return false
-			}
-			defer resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
-		}, 20*time.Second, 50*time.Millisecond, "ready")
+		require.Eventually(d.t, func() bool { return d.caller.Ready(address) }, 20*time.Second, 50*time.Millisecond, "ready")
 	}
 }
 
@@ -193,18 +182,13 @@
 	d.awaitReady()
 	assert.Equal(t, http.StatusOK, d.publish(12))
 	assert.Equal(t, http.StatusOK, d.publish(9), "older: acknowledged, changes nothing")
-	resp, err := http.Post("http://"+d.controls[0]+"/Config.Replace", "application/json", strings.NewReader(`{"version":20,"routes":[`))
+	status, err := d.caller.Replace(d.controls[0], `{"version":20,"routes":[`)
 	require.NoError(t, err)
-	_ = resp.Body.Close()
-	assert.Equal(t, http.StatusBadRequest, resp.StatusCode)
+	assert.Equal(t, http.StatusBadRequest, status)
 	for _, address := range d.controls {
-		resp, err := http.Get("http://" + address + "/Config.Fetch")
-		require.NoError(t, err)
-		var text strings.Builder
-		_, err = bufio.NewReader(resp.Body).WriteTo(&text)
+		got, err := d.caller.Fetch(address)
 		require.NoError(t, err)
-		_ = resp.Body.Close()
-		assert.Equal(t, fmt.Sprintf(testConfiguration, 12), text.String())
+		assert.Equal(t, platformtest.Configuration(12, d.group.name), got)
 	}
 	c := dial(t, d.callers[0], "nothing")
 	_ = c.nc.SetReadDeadline(time.Now().Add(5 * time.Second))
--- a/cmd/gentianward-platform/standin_test.go
+++ b/cmd/gentianward-platform/standin_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/platform/platformtest"
 )
 
 // standinGroup is a primary and its replicas in the platform's published protocol.
@@ -86,7 +88,7 @@
 	body, _ := io.ReadAll(r.Body)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.promotions = append(g.promotions, r.Header.Get("X-Gentianward-Fencing-Token"))
+	g.promotions = append(g.promotions, platformtest.FencingToken(r))
 	for id, s := range g.servers {
 		if !strings.Contains(string(body), `"`+id+`"`) || s.down || s.primary {
 			continue
@@ -258,8 +260,7 @@
 }
 
 // beat announces the servers to a control instance until the test ends.
-func (g *standinGroup) beat(controls []string, zones map[string]string) {
-	client := http.Client{Timeout: time.Second}
+func (g *standinGroup) beat(caller *platformtest.Caller, controls []string, zones map[string]string) {
 	for sequence := 1; g.t.Context().Err() == nil; sequence++ {
 		for id, s := range g.servers {
 			g.mu.Lock()
@@ -271,12 +272,10 @@
 			if down {
 				continue
 			}
-			body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"capacity":2,"state":"ready","db_role":%q,"sequence":%d,"born":1784794791101}`,
-				g.name, s.l.Addr().String(), zones[id], role, sequence)
-			resp, err := client.Post("http://"+controls[sequence%len(controls)]+"/Instances.Heartbeat/"+id, "application/json", strings.NewReader(body))
-			if err == nil {
-				_ = resp.Body.Close()
-			}
+			// A call that fails is made again at another instance with the next beat.
+			_ = caller.Beat(controls[sequence%len(controls)], platformtest.Heartbeat{
+				Server: id, Service: g.name, Address: s.l.Addr().String(), Zone: zones[id], Role: role, Sequence: sequence,
+			})
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/internal/gwbackend/conn.go
+++ b/internal/gwbackend/conn.go
@@ -52,16 +52,17 @@
 // that a closed connection and unsolicited positions are noticed while it is
 // idle.
 type Conn struct {
+	CloseNotice
+
 	o      Options
 	nc     net.Conn
 	pid    uint32
 	secret []byte
 	params map[string]string
 
-	mu      sync.Mutex
-	cur     *exchange // exchange whose answer is outstanding
-	err     error     // why the connection ended
-	onClose func()
+	mu  sync.Mutex
+	cur *exchange // exchange whose answer is outstanding
+	err error     // why the connection ended
 
 	unusable   atomic.Bool
 	finished   chan struct{} // signals the end of the current exchange
@@ -185,35 +186,20 @@
 	return err
 }
 
-// NotifyClose calls fn once, when the connection ends.
-func (c *Conn) NotifyClose(fn func()) {
-	c.mu.Lock()
-	ended := c.err != nil
-	if !ended {
-		c.onClose = fn
-	}
-	c.mu.Unlock()
-	if ended {
-		fn()
-	}
-}
-
 // fail marks the connection as ended and ends the current exchange.
 func (c *Conn) fail(err error) {
 	c.unusable.Store(true)
 	_ = c.nc.Close()
 	c.mu.Lock()
 	c.err = err
-	x, fn := c.cur, c.onClose
-	c.cur, c.onClose = nil, nil
+	x := c.cur
+	c.cur = nil
 	c.mu.Unlock()
 	if x != nil {
 		x.err = err
 		c.finished <- struct{}{}
 	}
-	if fn != nil {
-		fn()
-	}
+	c.Ended()
 }
 
 // cancelServer asks the server to cancel the running statement.
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -142,7 +143,21 @@
 	if c.local != nil && c.local.Instance() == name {
 		return local(ctx, req)
 	}
-	return gwpeer.Call[Req, Resp](ctx, c.node, c.Voters()[name], kind, req)
+	address, err := addressOf(c.Voters(), name)
+	if err != nil {
+		var zero Resp
+		return zero, err
+	}
+	return gwpeer.Call[Req, Resp](ctx, c.node, address, kind, req)
+}
+
+// addressOf returns the address of a voter, which may be out of reach by now.
+func addressOf(voters map[string]string, name string) (string, error) {
+	address, ok := voters[name]
+	if !ok {
+		return "", &Error{Op: "find voter", Kind: Unavailable, Detail: fmt.Sprintf("%q is neither in the manifest nor a live member", name)}
+	}
+	return address, nil
 }
 
 // final reports whether err is the leader's own answer.
--- a/internal/gwcontrol/voters_test.go
+++ b/internal/gwcontrol/voters_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"gentianward.example/gentianward/internal/gwstate"
 	"gentianward.example/gentianward/pkg/gwquorum"
@@ -70,3 +71,16 @@
 		assert.Equal(t, tt.want, l.restarted(held, tt.holder, tt.epoch), tt.name)
 	}
 }
+
+// Guards against a call to an empty address, whose error hid that the leader that was
+// hinted at is out of reach, and against one that ends the search for the leader.
+func TestAddressOf(t *testing.T) {
+	voters := map[string]string{"control-1": "10.0.0.1:7680"}
+	got, err := addressOf(voters, "control-1")
+	require.NoError(t, err)
+	assert.Equal(t, "10.0.0.1:7680", got)
+
+	_, err = addressOf(voters, "control-2")
+	assert.EqualError(t, err, `find voter: unavailable: "control-2" is neither in the manifest nor a live member`)
+	assert.False(t, final(err), "another voter may answer")
+}
--- /dev/null
+++ b/internal/gwdaemon/view_test.go
@@ -0,0 +1,113 @@
+package gwdaemon
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"path"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	gwexamples "gentianward.example/gentianward/examples"
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/internal/gwstore"
+)
+
+const testFolder = "data"
+
+// stopped returns an instance that has been built but not started.
+func stopped(fs gwstore.FS, log *bytes.Buffer) *Instance {
+	return &Instance{
+		Options: Options{
+			Settings: &gwmanifest.Settings{DataFolder: testFolder}, FS: fs, Log: slog.New(slog.NewTextHandler(log, nil)),
+		},
+		views: gwcontrol.NewViews(gwcontrol.Format{}), directory: gwcontrol.NewDirectory(),
+	}
+}
+
+// ran returns a file system on which an instance has run until it knew a manifest, the
+// number of which is returned, a group at term 3 and a backend server.
+func ran(t *testing.T) (gwstore.FS, uint64) {
+	t.Helper()
+	fs := gwstore.NewMemoryFS()
+	i := stopped(fs, new(bytes.Buffer))
+	require.NoError(t, i.loadView())
+	text, err := gwexamples.Files.ReadFile("ecodour/manifest.jsonc")
+	require.NoError(t, err)
+	m, err := gwmanifest.ParseManifest("example", text)
+	require.NoError(t, err)
+	_, err = i.views.Apply(gwcontrol.ViewDelta{
+		Index: 9, Number: m.Number, Text: text,
+		Groups: []gwcontrol.GroupView{{Group: m.Databases[0].Groups[0].Name, Primary: "db-2", Term: 3, Index: 9}},
+	})
+	require.NoError(t, err)
+	i.directory.Record(gwcontrol.ServerFacts{Server: "db-2", Group: m.Databases[0].Groups[0].Name, Address: "10.0.0.2:5432", Version: 4})
+	require.NoError(t, i.saver.save(i.views.Current()))
+	require.NoError(t, i.saver.saveDirectory(i.directory.All()))
+	return fs, m.Number
+}
+
+// Guards against a restarted voter that starts with no or an older manifest, or has to
+// wait for announcements: after a restart of all that took up to 3 s.
+func TestLoadViewAfterRestart(t *testing.T) {
+	fs, number := ran(t)
+	i := stopped(fs, new(bytes.Buffer))
+	require.NoError(t, i.loadView())
+	v := i.views.Current()
+	assert.Equal(t, number, v.Number)
+	require.Len(t, v.Groups, 1)
+	for _, g := range v.Groups {
+		assert.Equal(t, "db-2", g.Primary)
+		assert.Equal(t, uint64(3), g.Term)
+	}
+	got, ok := i.Server("db-2")
+	require.True(t, ok)
+	assert.Equal(t, "10.0.0.2:5432", got.Address)
+}
+
+// Guards against an instance that does not start, or forgets its manifest, because the
+// list of backend servers was torn; it is announced anew anyway.
+func TestLoadViewWithTornDirectory(t *testing.T) {
+	fs, number := ran(t)
+	require.NoError(t, gwstore.WriteFile(fs, testFolder, directoryFile, []byte{0x9f, 0x01}))
+	log := new(bytes.Buffer)
+	i := stopped(fs, log)
+	require.NoError(t, i.loadView())
+	assert.Equal(t, number, i.views.Current().Number)
+	assert.Empty(t, i.directory.All())
+	assert.Contains(t, log.String(), "known backend servers not loaded")
+}
+
+// Guards against a start with an unreadable view, after which older manifests would be
+// taken for new ones.
+func TestLoadViewRefusesTornView(t *testing.T) {
+	fs, _ := ran(t)
+	require.NoError(t, gwstore.WriteFile(fs, testFolder, viewFile, []byte{0x9f, 0x01}))
+	require.Error(t, stopped(fs, new(bytes.Buffer)).loadView())
+	_, err := fs.ReadFile(path.Join(testFolder, viewFile))
+	assert.NoError(t, err, "the file stays for whoever looks into it")
+}
+
+// Guards against an operator's wait that ends before the manifest is in force, or that
+// goes on after the operator has left.
+func TestAwaitManifest(t *testing.T) {
+	fs, number := ran(t)
+	i := stopped(fs, new(bytes.Buffer))
+	done := make(chan error, 1)
+	go func() { done <- i.awaitManifest(t.Context(), number) }()
+	select {
+	case err := <-done:
+		t.Fatalf("wait ended without a manifest: %v", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	require.NoError(t, i.loadView())
+	assert.NoError(t, <-done)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, i.awaitManifest(ctx, number+1), context.Canceled)
+}
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -30,6 +30,8 @@
 // Conn is one connection to a backend server. A goroutine reads it all the
 // time, so that a connection that the server closes is noticed while it is idle.
 type Conn struct {
+	gwbackend.CloseNotice
+
 	codec ServerCodec
 	o     gwbackend.Options
 	nc    net.Conn
@@ -37,7 +39,6 @@
 	mu      sync.Mutex
 	waiting bool
 	err     error
-	onClose func()
 
 	unusable atomic.Bool
 	// abandoned means that the exchange whose answer is outstanding was given up.
@@ -155,26 +156,9 @@
 	_ = c.nc.Close()
 	c.mu.Lock()
 	c.err = err
-	fn := c.onClose
-	c.onClose = nil
 	c.mu.Unlock()
 	close(c.ended)
-	if fn != nil {
-		fn()
-	}
-}
-
-// NotifyClose calls fn once, when the connection ends.
-func (c *Conn) NotifyClose(fn func()) {
-	c.mu.Lock()
-	ended := c.err != nil
-	if !ended {
-		c.onClose = fn
-	}
-	c.mu.Unlock()
-	if ended {
-		fn()
-	}
+	c.Ended()
 }
 
 // Usable reports whether another exchange can run on the connection.
