gwlimit, gwpeer, gwowner: no slot for a statement that cannot meet its deadline; a panic ends one handler

Cause: at a server that turns slow, estimated waits are too short, so that statements got a slot just before their deadline: a fifth of the server's time went to answers that nobody waited for. A panic in a peer's handler ended the process. The facts of an owned server were read without the lock under which they changed, and the digest of the directory left out the run of a server. Change: a waiting request is refused once it can no longer start in time; handlers of streams, calls and datagrams recover; facts are replaced atomically; Born is hashed.

--- a/internal/gwcontrol/directory.go
+++ b/internal/gwcontrol/directory.go
@@ -45,14 +45,14 @@
 	return a == b
 }
 
-// hash returns a hash of the facts, including the version but not Born.
+// hash returns a hash of the facts, including the version.
 func (f ServerFacts) hash() uint64 {
 	d := xxhash.New()
 	for _, s := range []string{f.Server, f.Group, f.DataCentre, f.Address} {
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
-	var b [24]byte
+	var b [32]byte
 	binary.LittleEndian.PutUint64(b[:], f.Version)
 	binary.LittleEndian.PutUint64(b[8:], uint64(f.Slots)<<32|uint64(uint32(f.Connections)))
 	if f.Leaving {
@@ -61,6 +61,7 @@
 	if f.Gone {
 		b[16] |= 2
 	}
+	binary.LittleEndian.PutUint64(b[24:], f.Born)
 	_, _ = d.Write(b[:])
 	return d.Sum64()
 }
--- a/internal/gwcontrol/directory_test.go
+++ b/internal/gwcontrol/directory_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // Guards against a delayed announcement that restores an earlier state of a server, or
@@ -41,3 +42,18 @@
 		})
 	}
 }
+
+// Guards against two instances that know different runs of a server and find their
+// directories equal.
+func TestDigestCoversRun(t *testing.T) {
+	facts := ServerFacts{Server: "i-1", Group: "g", DataCentre: "a", Address: "10.0.0.1:1", Version: 4, Born: 1000}
+	later := facts
+	later.Born = 2000
+	a, b := NewDirectory(), NewDirectory()
+	a.Merge([]ServerFacts{facts})
+	b.Merge([]ServerFacts{later})
+	require.NotEqual(t, a.Digest(), b.Digest())
+	a.Merge(b.All())
+	b.Merge([]ServerFacts{facts})
+	require.Equal(t, a.All(), b.All(), "both keep the same run")
+}
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -85,12 +85,7 @@
 }
 
 // Close rolls back an open transaction.
-func (s *session) Close() {
-	if s.transaction != nil {
-		s.transaction.Close()
-		s.transaction = nil
-	}
-}
+func (s *session) Close() { s.dropTransaction() }
 
 // Names of the session parameters that the entry handles itself.
 const (
@@ -150,7 +145,7 @@
 	w.Error(&pgconn.PgError{Severity: "ERROR", Code: res.State, Message: res.Message}, 'I')
 }
 
-// dropTransaction closes the transaction that a failure has ended.
+// dropTransaction closes the open transaction, if any, which rolls it back.
 func (s *session) dropTransaction() {
 	if s.transaction != nil {
 		s.transaction.Close()
--- a/internal/gwowner/key.go
+++ b/internal/gwowner/key.go
@@ -254,9 +254,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, keySweepTimeout)
 	defer cancel()
-	req := &Request{Group: g.Group, Server: s.facts.Server, Request: gwbackend.Query(fmt.Sprintf(sqlDeleteKeys, now.Add(-expiry).Unix()))}
+	req := &Request{Group: g.Group, Server: s.facts().Server, Request: gwbackend.Query(fmt.Sprintf(sqlDeleteKeys, now.Add(-expiry).Unix()))}
 	x := s.run(ctx, req, now.Add(keySweepTimeout), nil, func() bool { return s.holdsLease(g.Term) })
 	if x.event != gwoutcome.Answered {
-		s.owner.log.Warn("expired request keys not removed", "server", s.facts.Server, "group", g.Group, "cause", x.detail)
+		s.owner.log.Warn("expired request keys not removed", "server", s.facts().Server, "group", g.Group, "cause", x.detail)
 	}
 }
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -159,7 +159,7 @@
 	groups := o.views.Current().Groups
 	out := make(map[string]uint64)
 	for _, s := range append(o.ownedServers(), o.drainingServers()...) {
-		if g := groups[s.facts.Group]; g.Primary == s.facts.Server && !g.Changing {
+		if g := groups[s.facts().Group]; g.Primary == s.facts().Server && !g.Changing {
 			out[g.Group] = g.Term
 		}
 	}
@@ -220,7 +220,7 @@
 			o.open(f)
 		case !owned && s != nil:
 			o.release(s)
-		case owned && s.facts != f:
+		case owned && s.facts() != f:
 			o.update(s, f)
 		}
 	}
@@ -228,7 +228,8 @@
 
 func (o *Owner) open(f gwcontrol.ServerFacts) {
 	ctx, cancel := context.WithCancel(o.ctx)
-	s := &server{owner: o, facts: f, cancel: cancel, admission: newAdmission(o.clock, max(1, f.Slots))}
+	s := &server{owner: o, cancel: cancel, admission: newAdmission(o.clock, max(1, f.Slots))}
+	s.known.Store(&f)
 	opts := o.backendOptions(f)
 	opts.OnPosition = nil
 	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: o.dialect, PollInterval: o.pollInterval, Pool: gwbackend.PoolOptions{
@@ -256,28 +257,28 @@
 // a server; the second call has no effect.
 func (o *Owner) release(s *server) {
 	o.mu.Lock()
-	if o.servers[s.facts.Server] != s {
+	if o.servers[s.facts().Server] != s {
 		o.mu.Unlock()
 		return
 	}
-	delete(o.servers, s.facts.Server)
+	delete(o.servers, s.facts().Server)
 	o.draining[s] = true
 	// Under the lock, so that no Add is concurrent with Release's Wait.
 	o.closing.Add(1)
 	o.mu.Unlock()
 	s.admission.close()
 	s.cancel()
-	o.log.Info("backend server released", "server", s.facts.Server, "group", s.facts.Group)
+	o.log.Info("backend server released", "server", s.facts().Server, "group", s.facts().Group)
 	go func() {
 		defer o.closing.Done()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), o.drainLimit())
 		defer cancel()
 		s.awaitActive(ctx)
-		if g := s.group(); g.Primary == s.facts.Server && o.handOver > 0 {
+		if g := s.group(); g.Primary == s.facts().Server && o.handOver > 0 {
 			s.endTransactions(ctx)
 		}
 		if err := s.backend.Close(ctx); err != nil {
-			o.log.Warn("connections to backend server closed with requests in flight", "server", s.facts.Server, "error", err)
+			o.log.Warn("connections to backend server closed with requests in flight", "server", s.facts().Server, "error", err)
 		}
 		// The commit of a transaction may have returned its connection to the pool and
 		// still wait for its confirmation, which needs the lease.
@@ -285,8 +286,8 @@
 		o.mu.Lock()
 		delete(o.draining, s)
 		o.mu.Unlock()
-		if g := s.group(); g.Primary == s.facts.Server {
-			o.leases.GiveUp(ctx, s.facts.Group)
+		if g := s.group(); g.Primary == s.facts().Server {
+			o.leases.GiveUp(ctx, s.facts().Group)
 		}
 	}()
 }
@@ -309,12 +310,12 @@
 // update applies changed facts. A server with another address, group or birth time is
 // released and opened again, as it needs new connections.
 func (o *Owner) update(s *server, f gwcontrol.ServerFacts) {
-	if f.Address != s.facts.Address || f.Group != s.facts.Group || f.Born != s.facts.Born {
+	if f.Address != s.facts().Address || f.Group != s.facts().Group || f.Born != s.facts().Born {
 		o.release(s)
 		o.open(f)
 		return
 	}
-	s.setFacts(f)
+	s.known.Store(&f)
 	s.backend.Pool().SetLimit(o.connectionLimit(f))
 	s.applyLimits(o.views.Current())
 }
@@ -413,23 +414,8 @@
 	for _, c := range v.Manifest.Manifest().Classes {
 		classes = append(classes, gwlimit.Class{Name: c.Name, Weight: max(1, c.Weight) * gwlimit.PriorityWeight(c.Priority), Queue: c.Queue, Concurrency: c.Concurrency})
 	}
-	s.admission.setLimits(max(1, s.slots()), classes)
-	s.mu.Lock()
-	facts := s.facts
-	s.mu.Unlock()
-	s.backend.Pool().SetLimit(s.owner.connectionLimit(facts))
-}
-
-func (s *server) slots() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.facts.Slots
-}
-
-func (s *server) setFacts(f gwcontrol.ServerFacts) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.facts = f
+	s.admission.setLimits(max(1, s.facts().Slots), classes)
+	s.backend.Pool().SetLimit(s.owner.connectionLimit(s.facts()))
 }
 
 // Await waits, through the owner of a server, until the server has reached p, and
@@ -487,7 +473,7 @@
 func (o *Owner) ServerNames() []string {
 	var out []string
 	for _, s := range o.ownedServers() {
-		out = append(out, s.facts.Server)
+		out = append(out, s.facts().Server)
 	}
 	slices.Sort(out)
 	return out
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -16,8 +16,9 @@
 
 // server is one owned backend server.
 type server struct {
-	owner     *Owner
-	facts     gwcontrol.ServerFacts
+	owner *Owner
+	// known holds the latest facts, see facts.
+	known     atomic.Pointer[gwcontrol.ServerFacts]
 	backend   *gwbackend.Server
 	admission *admission
 	confirm   *confirmer
@@ -60,14 +61,17 @@
 	followedTerm uint64
 }
 
+// facts returns what the server has announced about itself.
+func (s *server) facts() gwcontrol.ServerFacts { return *s.known.Load() }
+
 // group returns the state of the server's group in the replicated log.
 func (s *server) group() gwcontrol.GroupView {
-	return s.owner.views.Current().Groups[s.facts.Group]
+	return s.owner.views.Current().Groups[s.facts().Group]
 }
 
 // holdsLease reports whether this instance may acknowledge writes under term.
 func (s *server) holdsLease(term uint64) bool {
-	return term != 0 && s.owner.leases.Valid(s.facts.Group, term)
+	return term != 0 && s.owner.leases.Valid(s.facts().Group, term)
 }
 
 // position returns the last known position of the server.
@@ -96,7 +100,7 @@
 // fails with errNoLease unless the same lease period lasts until it returns.
 func (s *server) barrier(ctx context.Context) (gwsession.Position, error) {
 	g := s.group()
-	if g.Primary != s.facts.Server || g.Changing || !s.holdsLease(g.Term) {
+	if g.Primary != s.facts().Server || g.Changing || !s.holdsLease(g.Term) {
 		return gwsession.Position{}, errNoLease
 	}
 	period := leasePeriod{term: g.Term, grant: s.owner.leases.Grant(g.Group)}
@@ -149,7 +153,7 @@
 // is known.
 func (s *server) staleness(g gwcontrol.GroupView) (time.Duration, bool) {
 	now := s.owner.clock.Now()
-	primary := g.Primary == s.facts.Server
+	primary := g.Primary == s.facts().Server
 	leased := primary && s.holdsLease(g.Term)
 	r, _, _ := s.backend.Report()
 	s.mu.Lock()
@@ -194,7 +198,7 @@
 		Position:       s.position(),
 		Staleness:      staleness,
 		StalenessKnown: known,
-		Load:           float64(s.admission.load()) / float64(max(1, s.facts.Slots)),
+		Load:           float64(s.admission.load()) / float64(max(1, s.facts().Slots)),
 		ServiceTime:    s.admission.serviceTime(),
 	}
 }
@@ -217,7 +221,7 @@
 	ejected := s.health.Observe(e, now)
 	s.mu.Unlock()
 	if ejected && !before {
-		s.owner.log.Warn("backend server ejected", "server", s.facts.Server, "group", s.facts.Group, "cause", e.String())
+		s.owner.log.Warn("backend server ejected", "server", s.facts().Server, "group", s.facts().Group, "cause", e.String())
 		s.owner.recheck(s)
 	}
 }
@@ -241,7 +245,7 @@
 	}
 	release = s.limitSlotHold(release, s.pending.slotLimit())
 	defer release()
-	s.owner.metrics.QueueWait(req.Class, s.facts.Group, s.owner.clock.Since(queued))
+	s.owner.metrics.QueueWait(req.Class, s.facts().Group, s.owner.clock.Since(queued))
 	conn, err := s.backend.Pool().Acquire(ctx)
 	if err != nil {
 		e := acquireEvent(err)
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -72,7 +72,7 @@
 
 func (s *Session) read(ctx context.Context, srv *server, req *Request, deadline time.Time, out io.Writer) Result {
 	g := srv.group()
-	primary := g.Primary == srv.facts.Server
+	primary := g.Primary == srv.facts().Server
 	// The lease proves that no later primary has accepted writes.
 	underLease := primary && !req.SkipChecks && srv.holdsLease(g.Term)
 	if req.RequireLease && !underLease {
@@ -180,7 +180,7 @@
 func (s *Session) write(ctx context.Context, srv *server, req *Request, deadline time.Time, out io.Writer) Result {
 	g := srv.group()
 	switch {
-	case g.Primary != srv.facts.Server || g.Changing:
+	case g.Primary != srv.facts().Server || g.Changing:
 		return failed(gwoutcome.ServerReadOnly, "the server is not the group's primary")
 	case !srv.holdsLease(g.Term):
 		return failed(gwoutcome.NoLease, errNoLease.Error())
@@ -250,7 +250,7 @@
 		if err := s.confirm.wait(ctx, p); err != nil {
 			return gwoutcome.Unconfirmed
 		}
-		s.owner.metrics.ConfirmWait(req.Class, s.facts.Group, s.owner.clock.Since(started))
+		s.owner.metrics.ConfirmWait(req.Class, s.facts().Group, s.owner.clock.Since(started))
 	}
 	if !s.holdsLease(g.Term) {
 		return gwoutcome.LeaseLost
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -58,7 +58,7 @@
 	case g.Term == 0:
 		s.startGroup(ctx)
 	case g.Changing:
-	case g.Primary == s.facts.Server:
+	case g.Primary == s.facts().Server:
 		s.supervisePrimary(ctx, g)
 	default:
 		s.superviseReplica(ctx, g)
@@ -74,9 +74,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	a := gwcontrol.Announcement{ServerFacts: s.facts, Role: string(r.Role), Term: r.Term, Offset: r.Position.Offset}
+	a := gwcontrol.Announcement{ServerFacts: s.facts(), Role: string(r.Role), Term: r.Term, Offset: r.Position.Offset}
 	if err := s.owner.startGroup(ctx, a); err != nil {
-		s.owner.log.Warn("group not started with its first primary", "group", s.facts.Group, "primary", s.facts.Server, "error", err)
+		s.owner.log.Warn("group not started with its first primary", "group", s.facts().Group, "primary", s.facts().Server, "error", err)
 	}
 }
 
@@ -90,7 +90,7 @@
 		s.supervisedSince = now
 	}
 	silence := now.Sub(laterOf(reportedAt, s.supervisedSince))
-	leaving := s.facts.Leaving
+	leaving := s.facts().Leaving
 	s.mu.Unlock()
 	if gwbackend.ServerError(err) != nil {
 		// The server refuses connections of this instance, as it does while those of
@@ -106,7 +106,7 @@
 	case silence > limit && !s.alive(ctx):
 		s.requestChange(ctx, g, "the primary does not answer a new connection")
 	case err == nil && !reportedAt.IsZero() && r.Term > g.Term:
-		s.owner.log.Warn("primary reports a later term", "server", s.facts.Server, "group", g.Group, "term", g.Term, "reported", r.Term)
+		s.owner.log.Warn("primary reports a later term", "server", s.facts().Server, "group", g.Group, "term", g.Term, "reported", r.Term)
 	case err == nil && r.Role == gwbackend.RoleReplica && r.Term <= g.Term && silence < limit:
 		s.requestChange(ctx, g, "the primary runs as a replica")
 	default:
@@ -151,7 +151,7 @@
 		if _, err := s.backend.Refresh(ctx); err == nil || gwbackend.ServerError(err) != nil {
 			return // the server answers, if only with an error
 		}
-		if g := s.group(); g.Primary == s.facts.Server && !g.Changing {
+		if g := s.group(); g.Primary == s.facts().Server && !g.Changing {
 			s.requestChange(o.ctx, g, "the primary refuses connections")
 		}
 	}()
@@ -195,13 +195,13 @@
 	defer cancel()
 	dropped, err := s.backend.Follow(ctx, g.Term, f.Address)
 	if err != nil {
-		s.owner.log.Warn("backend server cannot follow the primary", "server", s.facts.Server, "group", g.Group, "term", g.Term, "error", err)
+		s.owner.log.Warn("backend server cannot follow the primary", "server", s.facts().Server, "group", g.Group, "term", g.Term, "error", err)
 		return
 	}
 	s.mu.Lock()
 	s.followedTerm = g.Term
 	s.mu.Unlock()
-	s.owner.log.Info("backend server follows the primary", "server", s.facts.Server, "group", g.Group, "term", g.Term, "primary", g.Primary, "dropped", dropped)
+	s.owner.log.Info("backend server follows the primary", "server", s.facts().Server, "group", g.Group, "term", g.Term, "primary", g.Primary, "dropped", dropped)
 }
 
 // updateFreshness asks the primary's owner for the primary's position and records it. An
--- a/internal/gwpeer/datagram.go
+++ b/internal/gwpeer/datagram.go
@@ -111,6 +111,7 @@
 }
 
 func (l *link) dispatch(data []byte) error {
+	defer l.recoverPanic("datagram")
 	id, size := binary.Uvarint(data)
 	if size <= 0 || id > 0xffff {
 		return errors.New("datagram without a kind")
--- a/internal/gwpeer/failure_test.go
+++ b/internal/gwpeer/failure_test.go
@@ -449,3 +449,34 @@
 	require.False(t, errors.Is(err, io.EOF), "a closed node is not a complete response")
 	require.Error(t, a.SendDatagram(b.Address(), kindNote, strings.Repeat("x", MaxDatagramBytes+1)))
 }
+
+// Guards against a process that ends because a handler panics at one peer's message.
+func TestHandlerPanic(t *testing.T) {
+	nodes := startNodes(t, "a", "b")
+	a, b := nodes[0], nodes[1]
+	kind := Kind{ID: 90, Name: "fragile"}
+	Handle(b, kind, func(_ context.Context, _ string, text string) (string, error) {
+		if text == "panic" {
+			panic("unexpected message")
+		}
+		return text, nil
+	})
+	received := make(chan string, 1)
+	HandleDatagram(b, Kind{ID: 91, Name: "fragileDatagram"}, func(_, text string) {
+		if text == "panic" {
+			panic("unexpected message")
+		}
+		received <- text
+	})
+	ctx := testContext(t, 20*time.Second)
+	_, err := Call[string, string](ctx, a, b.Address(), kind, "panic")
+	require.Error(t, err)
+	assert.False(t, IsNotSent(err), "the handler has run")
+	got, err := Call[string, string](ctx, a, b.Address(), kind, "text")
+	require.NoError(t, err)
+	assert.Equal(t, "text", got)
+
+	require.NoError(t, a.SendDatagram(b.Address(), Kind{ID: 91}, "panic"))
+	require.NoError(t, a.SendDatagram(b.Address(), Kind{ID: 91}, "text"))
+	assert.Equal(t, "text", receive(t, received))
+}
--- a/internal/gwpeer/link.go
+++ b/internal/gwpeer/link.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"crypto/x509"
+	"fmt"
 	"net/netip"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -147,6 +149,7 @@
 
 // serve reads the header of an accepted stream and runs the handler of its kind.
 func (l *link) serve(bs byteStream) {
+	defer l.recoverPanic("stream")
 	l.markUsed()
 	r := getReader(bs)
 	h, err := readStreamHeader(r)
@@ -172,6 +175,13 @@
 	fn(ctx, l.instance, s)
 }
 
+// recoverPanic ends only the stream or datagram whose handler panicked, not the process.
+func (l *link) recoverPanic(what string) {
+	if cause := recover(); cause != nil {
+		l.node.log.Error("handler of a peer's message ended by a panic", "peer", l.instance, "message", what, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	}
+}
+
 // handlerContext returns a context that ends with the link or when the peer cancels
 // the stream.
 func (l *link) handlerContext(bs byteStream) (context.Context, context.CancelFunc) {
--- a/pkg/gwlimit/load_test.go
+++ b/pkg/gwlimit/load_test.go
@@ -199,3 +199,52 @@
 	assert.GreaterOrEqual(t, float64(inTime["urgent"]), classes[0].minShare*served(classes[0].rate))
 	assert.GreaterOrEqual(t, float64(inTime["other"]), classes[1].minShare*served(capacity-classes[0].rate))
 }
+
+// Guards against slots that are used for answers after the deadline while a server turns
+// slow by five for 20 s: a fifth of its time went to requests that had waited too long.
+func TestSlowServer(t *testing.T) {
+	const (
+		slowFrom, slowUntil = 20 * time.Second, 40 * time.Second
+		slowBy              = 5
+	)
+	slow := func(at time.Time) bool {
+		since := at.Sub(testNow)
+		return since >= slowFrom && since < slowUntil
+	}
+	for seed := range uint64(5) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		q := NewFairQueue(loadSlots)
+		var ev events
+		for at := time.Duration(0); at < loadDuration; {
+			at += time.Duration(rng.ExpFloat64() / (0.8 * capacity) * float64(time.Second))
+			heap.Push(&ev, event{at: testNow.Add(at), item: &Item{Class: "c"}})
+		}
+		inTime, late, held := 0, 0, 0
+		for len(ev) > 0 {
+			e := heap.Pop(&ev).(event)
+			if started, ok := e.item.Ref.(time.Time); ok {
+				q.Done(e.item)
+				q.RecordServiceTime("c", e.at.Sub(started))
+				if slow(started) && e.at.After(e.item.Deadline) {
+					late++
+				} else if slow(started) {
+					inTime++
+				}
+			} else {
+				e.item.Deadline = e.at.Add(800 * time.Millisecond)
+				_ = q.Push(e.item, e.at) // a refusal
+			}
+			held += len(q.Expire(e.at))
+			for it := q.Pop(e.at); it != nil; it = q.Pop(e.at) {
+				it.Ref = e.at
+				took := time.Duration(float64(loadServiceTime) * (0.5 + rng.Float64()))
+				if slow(e.at) {
+					took *= slowBy
+				}
+				heap.Push(&ev, event{at: e.at.Add(took), item: it})
+			}
+		}
+		slowCapacity := capacity / slowBy * (slowUntil - slowFrom).Seconds()
+		assert.GreaterOrEqual(t, float64(inTime), 0.93*slowCapacity, "seed %d: %d late, %d refused after a wait", seed, late, held)
+	}
+}
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -13,7 +13,7 @@
 const (
 	// QueueFull means that the class has reached its limit of waiting requests.
 	QueueFull Kind = iota + 1
-	// Expired means that the deadline passed before the request got a slot.
+	// Expired means that the request got no slot in time to meet its deadline.
 	Expired
 	// Closed means that the queue admits no new requests.
 	Closed
@@ -37,7 +37,7 @@
 	case Overloaded:
 		return fmt.Sprintf("%s: expected wait for a slot is too long for class %q", e.Op, e.Class)
 	case Expired:
-		return fmt.Sprintf("%s: deadline of a request of class %q passed", e.Op, e.Class)
+		return fmt.Sprintf("%s: no slot in time for the deadline of a request of class %q", e.Op, e.Class)
 	default:
 		return fmt.Sprintf("%s: queue is closed to new requests", e.Op)
 	}
@@ -64,7 +64,9 @@
 	Ref any
 
 	virtualStart float64
-	seq          uint64
+	// startBy is the latest start at which the request is expected to meet its deadline.
+	startBy time.Time
+	seq     uint64
 	dequeued     bool
 	state        *classState
 }
@@ -251,6 +253,7 @@
 	s.waiting++
 	q.waiting++
 	if !it.Deadline.IsZero() {
+		it.startBy = it.Deadline.Add(-q.expectedService(s))
 		heap.Push(&q.expiry, it)
 	}
 	return nil
@@ -301,10 +304,13 @@
 	return true
 }
 
-// Expire removes and returns the requests whose deadline has passed.
+// Expire removes and returns the requests that can no longer meet their deadline.
+//
+// Load pattern: a server becomes slower than the waits were estimated with. Requests that
+// start just before their deadline use up slots for answers that nobody waits for.
 func (q *FairQueue) Expire(now time.Time) []*Item {
 	var out []*Item
-	for len(q.expiry) > 0 && (q.expiry[0].dequeued || !now.Before(q.expiry[0].Deadline)) {
+	for len(q.expiry) > 0 && (q.expiry[0].dequeued || !now.Before(q.expiry[0].startBy)) {
 		it, _ := heap.Pop(&q.expiry).(*Item)
 		if it.dequeued {
 			continue
@@ -315,7 +321,7 @@
 	return out
 }
 
-// NextExpiry returns the earliest deadline of a waiting request.
+// NextExpiry returns the earliest time at which Expire returns a request.
 func (q *FairQueue) NextExpiry() (time.Time, bool) {
 	for len(q.expiry) > 0 && q.expiry[0].dequeued {
 		heap.Pop(&q.expiry)
@@ -323,7 +329,7 @@
 	if len(q.expiry) == 0 {
 		return time.Time{}, false
 	}
-	return q.expiry[0].Deadline, true
+	return q.expiry[0].startBy, true
 }
 
 // dequeue marks a request as no longer waiting; trim drops it from the list of its class.
@@ -343,12 +349,12 @@
 	s.items = s.items[n:]
 }
 
-// skipExpired drops requests at the head whose deadline has passed. They stay in the
+// skipExpired drops requests at the head that can no longer meet their deadline. They stay in the
 // expiry heap, so that Expire returns them.
 func (s *classState) skipExpired(now time.Time) {
 	for len(s.items) > 0 {
 		it := s.items[0]
-		if !it.dequeued && (it.Deadline.IsZero() || now.Before(it.Deadline)) {
+		if !it.dequeued && (it.Deadline.IsZero() || now.Before(it.startBy)) {
 			return
 		}
 		s.items[0] = nil
@@ -364,11 +370,11 @@
 	return a.seq < b.seq
 }
 
-// expiryHeap orders waiting requests by deadline.
+// expiryHeap orders waiting requests by the latest useful start.
 type expiryHeap []*Item
 
 func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].startBy.Before(h[j].startBy) }
 func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(*Item)) }
 func (h *expiryHeap) Pop() any {
