--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -99,6 +99,7 @@
 	if err := i.listen(ctx); err != nil {
 		return err
 	}
+	i.exposeTraffic()
 	i.run(ctx)
 	return nil
 }
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -17,6 +17,7 @@
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/internal/gwstore"
+	"gentianward.example/gentianward/internal/gwtelemetry"
 )
 
 // Options configures an instance. The defaults of Settings must have been applied.
@@ -109,4 +110,6 @@
 	http.Handler
 	// FailoverGap records the duration of a change of primary as the leader saw it.
 	FailoverGap(group string, took time.Duration)
+	// Gauge adds a metric whose value is read from f.
+	Gauge(name string, f func() float64, labels ...gwtelemetry.Label)
 }
--- a/internal/gwdaemon/telemetry.go
+++ b/internal/gwdaemon/telemetry.go
@@ -51,3 +51,16 @@
 func (t telemetry) ConfirmWait(class, group string, d time.Duration) {
 	t.Histogram("gentianward_confirm_wait_seconds", gwtelemetry.Label{Name: "class", Value: class}, gwtelemetry.Label{Name: "group", Value: group}).Update(d.Seconds())
 }
+
+// exposeTraffic adds gauges of what the instance has sent to others, by kind of message.
+func (i *Instance) exposeTraffic() {
+	if i.Telemetry == nil {
+		return
+	}
+	for id, name := range i.node.Kinds() {
+		label := gwtelemetry.Label{Name: "kind", Value: name}
+		i.Telemetry.Gauge("gentianward_peer_sent_bytes", func() float64 { return float64(i.node.Traffic(id).Bytes) }, label)
+		i.Telemetry.Gauge("gentianward_peer_sent_messages", func() float64 { return float64(i.node.Traffic(id).Messages) }, label)
+	}
+	i.Telemetry.Gauge("gentianward_peer_links", func() float64 { return float64(len(i.node.Links())) })
+}
--- a/internal/gwpeer/datagram.go
+++ b/internal/gwpeer/datagram.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return newError(op, KindNotSent, address, err)
 	}
+	n.traffic.add(kind.ID, len(data))
 	return nil
 }
 
--- a/internal/gwpeer/failure_test.go
+++ b/internal/gwpeer/failure_test.go
@@ -480,3 +480,21 @@
 	require.NoError(t, a.SendDatagram(b.Address(), Kind{ID: 91}, "text"))
 	assert.Equal(t, "text", receive(t, received))
 }
+
+// Guards against traffic between instances whose cause cannot be found.
+func TestTraffic(t *testing.T) {
+	nodes := startNodes(t, "a", "b")
+	a, b := nodes[0], nodes[1]
+	kind := Kind{ID: 92, Name: "counted"}
+	Handle(b, kind, func(_ context.Context, _ string, text string) (string, error) { return text + text, nil })
+	ctx := testContext(t, 20*time.Second)
+	for range 3 {
+		_, err := Call[string, string](ctx, a, b.Address(), kind, "some text")
+		require.NoError(t, err)
+	}
+	requests, answers := a.Traffic(kind.ID), b.Traffic(kind.ID)
+	assert.Equal(t, uint64(3), requests.Messages)
+	assert.Equal(t, uint64(3), answers.Messages)
+	assert.Greater(t, answers.Bytes, requests.Bytes)
+	assert.Equal(t, "counted", b.Kinds()[kind.ID])
+}
--- a/internal/gwpeer/link.go
+++ b/internal/gwpeer/link.go
@@ -159,7 +159,7 @@
 		return
 	}
 	l.streams.Add(1) // subtracted by Stream.release
-	s := &Stream{link: l, bs: bs, address: l.remote.String(), r: r}
+	s := &Stream{link: l, bs: bs, address: l.remote.String(), kind: h.kind, r: r}
 	ctx, cancel := l.handlerContext(bs)
 	defer cancel()
 	defer s.finish(ctx)
--- a/internal/gwpeer/node.go
+++ b/internal/gwpeer/node.go
@@ -66,6 +66,7 @@
 	epoch     uint64 // random, distinguishes a restarted process from its predecessor
 	endpoint  endpoint
 	blocklist blocklist
+	traffic   trafficCounters
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
--- a/internal/gwpeer/stream.go
+++ b/internal/gwpeer/stream.go
@@ -18,6 +18,7 @@
 	link      *link
 	bs        byteStream
 	address   string
+	kind      uint16
 	opener    bool
 	exchange  atomic.Uint32 // number of the current request, assigned by the opener
 	idleSince time.Time     // set by idleStreams.push
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, newError("open stream "+kind.String(), KindNotSent, address, err)
 	}
-	s := &Stream{link: l, bs: bs, address: address, opener: true, r: getReader(bs)}
+	s := &Stream{link: l, bs: bs, address: address, kind: kind.ID, opener: true, r: getReader(bs)}
 	s.pendingHeader = streamHeader{typ: typ, kind: kind.ID}.encode()
 	return s, nil
 }
@@ -95,6 +96,7 @@
 		return s.classifyError("write frame", n < size, err)
 	}
 	s.pendingHeader = nil
+	s.link.node.traffic.add(s.kind, size)
 	return nil
 }
 
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -65,10 +65,10 @@
 
 	virtualStart float64
 	// startBy is the latest start at which the request is expected to meet its deadline.
-	startBy time.Time
-	seq     uint64
-	dequeued     bool
-	state        *classState
+	startBy  time.Time
+	seq      uint64
+	dequeued bool
+	state    *classState
 }
 
 // classState is a class with its waiting requests and its virtual finish time.
