--- a/cmd/gentianward-platform/standin_test.go
+++ b/cmd/gentianward-platform/standin_test.go
@@ -66,6 +66,9 @@
 			return
 		}
 		s.g.mu.Lock()
+		if s.down { // crashed after the connection was accepted
+			_ = nc.Close()
+		}
 		s.conns[nc] = true
 		s.g.mu.Unlock()
 		go s.serve(nc)
--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -9,6 +9,7 @@
 	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/internal/gwwire"
+	"gentianward.example/gentianward/pkg/gwlimit"
 	"gentianward.example/gentianward/pkg/gwoutcome"
 	"gentianward.example/gentianward/pkg/gwroute"
 )
@@ -99,10 +100,6 @@
 	// replyAllowance is how long after the deadline the owner's answer may arrive: a
 	// round trip between regions with some margin.
 	replyAllowance = 100 * time.Millisecond
-	// queueWaitDivisor divides a class's latency aim to give the time that one
-	// statement may wait for a slot. With it, a transaction of a few statements can
-	// still meet the aim, and a refused caller has time to retry.
-	queueWaitDivisor = 4
 )
 
 // initRequest sets the deadline and the fields that stay the same in all attempts.
@@ -122,7 +119,7 @@
 			Group: r.session.group, Class: r.session.class, Access: gwowner.Write,
 			PrimaryAcknowledges: class.Acknowledge == gwmanifest.AcknowledgePrimary,
 			Request:             r.backend,
-			QueueWait:           class.Aim.Duration / queueWaitDivisor,
+			QueueWait:           gwlimit.QueueWait(class.Aim.Duration),
 		}
 		if r.read() {
 			r.exec.Access = gwowner.Read
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -85,7 +85,7 @@
 	}
 	r.refused = gwowner.Result{}
 	if gwoutcome.IsBusyOrLagging(res.Event) {
-		if aim := r.rules.class.Aim.Duration; aim > 0 && e.Clock.Since(r.started) > aim/queueWaitDivisor {
+		if aim := r.rules.class.Aim.Duration; aim > 0 && e.Clock.Since(r.started) > aim/refusalsDivisor {
 			return false // on congested links, each refusal takes long
 		}
 		r.refused = res
@@ -100,6 +100,10 @@
 	return true
 }
 
+// refusalsDivisor divides a class's latency aim to give the time in which refusals by one
+// server are followed by a try at another.
+const refusalsDivisor = 4
+
 // noServer is the event of a request for which no server could be chosen.
 const noServer = gwoutcome.TooStale
 
--- a/pkg/gwlimit/load_test.go
+++ b/pkg/gwlimit/load_test.go
@@ -248,3 +248,74 @@
 		assert.GreaterOrEqual(t, float64(inTime), 0.93*slowCapacity, "seed %d: %d late, %d refused after a wait", seed, late, held)
 	}
 }
+
+// crowd replays the return of all callers after an outage of 2.5 s at 0.6 of the capacity. A
+// refused caller tries twice more, each time after about 250 ms, and a statement takes at
+// most 800 ms. It returns the share of the callers of the first 3 s that are served.
+func crowd(maxWait time.Duration, seed uint64) float64 {
+	const (
+		tries   = 3
+		backoff = 250 * time.Millisecond
+		outage  = 2500 * time.Millisecond
+		rate    = 0.6 * capacity
+		counted = 3 * time.Second
+	)
+	rng := rand.New(rand.NewPCG(seed, 9))
+	q := NewFairQueue(loadSlots)
+	var ev events
+	tried := make(map[*Item]int)
+	asked, served := 0, 0
+	arrive := func(at time.Time, n int) {
+		it := &Item{Class: "c", MaxWait: maxWait}
+		tried[it] = n
+		heap.Push(&ev, event{at: at, item: it})
+	}
+	for range int(rate * outage.Seconds()) {
+		arrive(testNow.Add(time.Duration(rng.Float64()*float64(backoff))), 1)
+		asked++
+	}
+	for at := time.Duration(0); at < counted; asked++ {
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		arrive(testNow.Add(at), 1)
+	}
+	for len(ev) > 0 {
+		e := heap.Pop(&ev).(event)
+		if started, ok := e.item.Ref.(time.Time); ok {
+			q.Done(e.item)
+			q.RecordServiceTime("c", e.at.Sub(started))
+			served++
+		} else {
+			e.item.Deadline = e.at.Add(800 * time.Millisecond)
+			if q.Push(e.item, e.at) != nil && tried[e.item] < tries {
+				arrive(e.at.Add(time.Duration((0.5+rng.Float64())*float64(backoff))), tried[e.item]+1)
+			}
+		}
+		for _, it := range q.Expire(e.at) {
+			if tried[it] < tries {
+				arrive(e.at.Add(backoff), tried[it]+1)
+			}
+		}
+		for it := q.Pop(e.at); it != nil; it = q.Pop(e.at) {
+			it.Ref = e.at
+			heap.Push(&ev, event{at: e.at.Add(time.Duration(float64(loadServiceTime) * (0.5 + rng.Float64()))), item: it})
+		}
+	}
+	return float64(served) / float64(asked)
+}
+
+// Guards against callers that are refused until they have no try left after an outage, by
+// servers that are idle a second later. The bound is a share of what an oracle serves, which
+// is all of them.
+func TestCrowdReturns(t *testing.T) {
+	for seed := range uint64(5) {
+		assert.GreaterOrEqual(t, crowd(QueueWait(800*time.Millisecond), seed), 0.93, "share served, seed %d", seed)
+	}
+}
+
+// Guards against a wait for a slot that is so short that a returning crowd is refused.
+func TestQueueWaitServesCrowd(t *testing.T) {
+	const aim = 800 * time.Millisecond
+	for seed := range uint64(5) {
+		assert.Greater(t, crowd(QueueWait(aim), seed), crowd(aim/4, seed), "seed %d", seed)
+	}
+}
