--- a/internal/gwdeploy/deployment.go
+++ b/internal/gwdeploy/deployment.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -139,7 +140,7 @@
 			return err
 		}
 		addresses[s.Instance] = peer
-		source, err := d.authority.IssueSource(s.Instance)
+		source, err := d.authority.IssueSourceAt(s.Instance, processIP())
 		if err != nil {
 			return err
 		}
@@ -194,12 +195,35 @@
 	portAttempts = 100
 )
 
-// freeAddress returns a loopback address with a free port.
+// processIP returns the loopback address of the instances of this process. Deployments of
+// other processes, such as the tests of other packages, have other ones, so that none can
+// take a port between its choice and its use.
+func processIP() net.IP {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(1+pid>>16&0x7f), byte(pid>>8), byte(pid))
+}
+
+// chosen holds the addresses that freeAddress has returned in this process.
+var chosen struct {
+	mu        sync.Mutex
+	addresses map[string]bool
+}
+
+// freeAddress returns an address of this process with a free port, each only once.
 func freeAddress(network string) (string, error) {
+	chosen.mu.Lock()
+	defer chosen.mu.Unlock()
+	if chosen.addresses == nil {
+		chosen.addresses = make(map[string]bool)
+	}
 	var last error
 	for range portAttempts {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		address := net.JoinHostPort(processIP().String(), strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		if chosen.addresses[network+address] {
+			continue
+		}
 		if last = tryListen(network, address); last == nil {
+			chosen.addresses[network+address] = true
 			return address, nil
 		}
 	}
