gwcontrol: a peer says against which manifest the answer may be encoded

Cause: read as a newcomer. An instance of an earlier release pulls without knowing of encoded differences and could not have read them; and a change between an announcement and its record would have been pulled instead of announced. Change: pullView names the base; announceView returns the view that it announced; the share of a window after an outage is a named constant. Ruled out: a new kind of message, which earlier releases would refuse. Result: TestViewsApplyEncodedRefuses covers a peer that names no base.

--- a/internal/gwcontrol/compress.go
+++ b/internal/gwcontrol/compress.go
@@ -98,8 +98,9 @@
 }
 
 // EncodeSince returns the changes since the given index and manifest number for a peer,
-// with the manifest compressed.
-func (v *Views) EncodeSince(index, number uint64) (ViewDelta, error) {
+// with the manifest compressed, against the one with the number known if this instance
+// still has that.
+func (v *Views) EncodeSince(index, number, known uint64) (ViewDelta, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	view := v.current.Load()
@@ -109,7 +110,7 @@
 	}
 	d.Digest = xxhash.Sum64(d.Text)
 	var err error
-	d.Text, d.Base, err = v.texts.encode(number, d.Text)
+	d.Text, d.Base, err = v.texts.encode(known, d.Text)
 	return d, err
 }
 
--- a/internal/gwcontrol/dissemination.go
+++ b/internal/gwcontrol/dissemination.go
@@ -26,6 +26,9 @@
 type pullView struct {
 	Index  uint64 `cbor:"1,keyasint"`
 	Number uint64 `cbor:"2,keyasint"`
+	// Base is the number of a manifest that the answer may be encoded against; 0 for none,
+	// as from instances of earlier releases.
+	Base uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // viewMoved announces the new version of the sender's view.
@@ -73,7 +76,7 @@
 func NewDisseminator(node *gwpeer.Node, clock clockwork.Clock, log *slog.Logger, views *Views, directory *Directory) *Disseminator {
 	d := &Disseminator{node: node, clock: clock, log: log, views: views, directory: directory, pulls: make(chan viewOffer, 16)}
 	gwpeer.Handle(node, kindPullView, func(_ context.Context, _ string, r pullView) (ViewDelta, error) {
-		return d.views.EncodeSince(r.Index, r.Number)
+		return d.views.EncodeSince(r.Index, r.Number, r.Base)
 	})
 	gwpeer.HandleDatagram(node, kindViewMoved, d.onViewMoved)
 	gwpeer.Handle(node, kindDirectory, d.onDirectory)
@@ -104,9 +107,8 @@
 	changed := d.views.Changed()
 	// The view may have been restored after a restart. Without this, the others would
 	// not learn of it before its next change.
-	announced := d.views.Current()
 	d.members.SetVersion(d.version())
-	d.announceView(announced)
+	announced := d.announceView(d.views.Current())
 	for {
 		select {
 		case <-ctx.Done():
@@ -118,8 +120,7 @@
 		case <-changed:
 			changed = d.views.Changed()
 			d.members.SetVersion(d.version())
-			d.announceView(announced)
-			announced = d.views.Current()
+			announced = d.announceView(announced)
 		}
 	}
 }
@@ -172,14 +173,14 @@
 	v := d.views.Current()
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	delta, err := gwpeer.Call[pullView, ViewDelta](ctx, d.node, m.Address, kindPullView, pullView{Index: v.Index, Number: v.Number})
+	delta, err := gwpeer.Call[pullView, ViewDelta](ctx, d.node, m.Address, kindPullView, pullView{Index: v.Index, Number: v.Number, Base: v.Number})
 	if err != nil {
 		d.log.Debug("view not pulled", "from", m.Instance, "error", err)
 		return
 	}
 	_, err = d.views.ApplyEncoded(delta)
 	if err != nil && delta.Base > 0 {
-		delta, err = gwpeer.Call[pullView, ViewDelta](ctx, d.node, m.Address, kindPullView, pullView{Index: v.Index})
+		delta, err = gwpeer.Call[pullView, ViewDelta](ctx, d.node, m.Address, kindPullView, pullView{Index: v.Index, Number: v.Number})
 		if err == nil {
 			_, err = d.views.ApplyEncoded(delta)
 		}
@@ -207,8 +208,8 @@
 const maxPushedGroups = 4
 
 // announceView announces the version of this instance's view, with the changes since
-// before if they are small.
-func (d *Disseminator) announceView(before *View) {
+// before if they are small, and returns that view.
+func (d *Disseminator) announceView(before *View) *View {
 	v := d.views.Current()
 	msg := viewMoved{Version: gwmember.Version{ManifestNumber: v.Number, ControlIndex: v.Index}}
 	if delta := v.Since(before.Index, before.Number); before.Index > 0 && len(delta.Text) == 0 && len(delta.Groups) <= maxPushedGroups {
@@ -219,6 +220,7 @@
 			d.log.Debug("view not announced", "to", m.Instance, "error", err)
 		}
 	}
+	return v
 }
 
 func (d *Disseminator) onViewMoved(from string, msg viewMoved) {
@@ -289,7 +291,8 @@
 	return answer.Digest, nil
 }
 
-// onDirectory merges the received facts and passes new ones on. It answers a message without facts with all facts if the digests differ.
+// onDirectory merges the received facts and passes new ones on. It answers a message
+// without facts with all facts if the digests differ.
 func (d *Disseminator) onDirectory(ctx context.Context, _ string, msg pullDirectory) (directoryFacts, error) {
 	fresh := d.directory.Merge(msg.Facts)
 	if len(fresh) > 0 && d.members != nil {
--- a/internal/gwcontrol/view_test.go
+++ b/internal/gwcontrol/view_test.go
@@ -99,7 +99,7 @@
 				_, err := peer.Apply(d)
 				require.NoError(t, err)
 			}
-			got, err := source.EncodeSince(peer.Current().Index, peer.Current().Number)
+			got, err := source.EncodeSince(peer.Current().Index, peer.Current().Number, peer.Current().Number)
 			require.NoError(t, err)
 			assert.Equal(t, tt.base, got.Base)
 			assert.Less(t, len(got.Text), len(deltas[2].Text)*2/3)
@@ -127,7 +127,7 @@
 			require.NoError(t, err)
 		}
 	}
-	good, err := source.EncodeSince(1, 1)
+	good, err := source.EncodeSince(1, 1, 1)
 	require.NoError(t, err)
 	tests := []struct {
 		name string
@@ -147,6 +147,9 @@
 			assert.Equal(t, uint64(1), peer.Current().Number)
 		})
 	}
+	whole, err := source.EncodeSince(1, 1, 0)
+	require.NoError(t, err)
+	assert.Zero(t, whole.Base, "a peer of an earlier release names no base")
 	_, err = peer.ApplyEncoded(good)
 	require.NoError(t, err)
 	assert.Equal(t, uint64(2), peer.Current().Number)
--- a/pkg/gwlimit/window.go
+++ b/pkg/gwlimit/window.go
@@ -16,6 +16,9 @@
 	// minOutage is the time without any answer after which an outage is assumed. On a full
 	// link, reduced windows let answers through sooner.
 	minOutage = 2 * time.Second
+	// outageDivisor divides the size before an outage to give the size that a window soon
+	// reaches again. On a full link, a larger share brings the next losses.
+	outageDivisor = 5
 	// maxGrowth bounds the growth for each window of answers, in requests.
 	maxGrowth = 4
 )
@@ -77,7 +80,7 @@
 
 func (w *Window) grow(now time.Time) {
 	if !w.outageAt.IsZero() && now.Sub(w.outageAt) >= minOutage {
-		w.fastUntil = w.sizeBefore / 5
+		w.fastUntil = w.sizeBefore / outageDivisor
 	}
 	w.outageAt = time.Time{}
 	if w.size < w.fastUntil {
