--- a/internal/gwcontrol/membership.go
+++ b/internal/gwcontrol/membership.go
@@ -118,9 +118,10 @@
 	stale       bool
 }
 
-// topologyInterval is the least time between two replacements of the topology. When all
-// instances start, each one learns of hundreds of members in hundreds of steps, and a
-// topology is as large as the member table.
+// topologyInterval is the least time between two replacements of the topology because of
+// new members. When all instances start, each one learns of hundreds of members in hundreds
+// of steps, and a topology is as large as the member table. The loss of a member takes
+// effect at once, as its servers need another owner.
 const topologyInterval = 100 * time.Millisecond
 
 // NewMembership returns a membership that knows only cfg.Self and joins through cfg.Seeds.
@@ -215,7 +216,8 @@
 	m.mu.Lock()
 	actions := f()
 	m.stale = m.stale || slices.ContainsFunc(actions, changesTopology)
-	if now := m.clock.Now(); m.stale && now.Sub(m.publishedAt) >= topologyInterval {
+	urgent := slices.ContainsFunc(actions, removesMembers)
+	if now := m.clock.Now(); m.stale && (urgent || now.Sub(m.publishedAt) >= topologyInterval) {
 		m.stale, m.publishedAt = false, now
 		m.publishTopology()
 	}
@@ -260,6 +262,19 @@
 	}
 }
 
+// removesMembers reports whether a member has left or died, or a data centre has become
+// reachable or unreachable.
+func removesMembers(a gwmember.Action) bool {
+	switch a := a.(type) {
+	case gwmember.MemberChanged:
+		return !a.Status.Live()
+	case gwmember.DataCentreChanged:
+		return true
+	default:
+		return false
+	}
+}
+
 // publishTopology replaces the topology and notifies the readers; the caller holds the lock.
 func (m *Membership) publishTopology() {
 	self := m.members.Self()
--- /dev/null
+++ b/internal/gwcontrol/membership_test.go
@@ -0,0 +1,50 @@
+package gwcontrol
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/pkg/gwmember"
+)
+
+// Guards against a topology that is rebuilt for each of hundreds of instances that start at
+// once, and against requests that go on to the owner that has left meanwhile.
+func TestTopologyInterval(t *testing.T) {
+	authority, err := gwpeer.NewAuthority("test")
+	require.NoError(t, err)
+	source, err := authority.IssueSource("a")
+	require.NoError(t, err)
+	node, err := gwpeer.Listen(t.Context(), gwpeer.Options{Address: "127.0.0.1:0", TLS: source, Instance: "a"})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = node.Close() })
+	clock := clockwork.NewFakeClock()
+	member := func(name string) gwmember.Member {
+		return gwmember.Member{Instance: name, DataCentre: "x", Region: "r", Address: "10.0.0.1:7000", Incarnation: 1}
+	}
+	m := NewMembership(node, clock, slog.New(slog.DiscardHandler), gwmember.Config{Self: member("a")}, func(gwmember.PeerAhead) {})
+	update := func(name string, status gwmember.Status) {
+		m.receive(name, gwmember.Message{Kind: gwmember.KindGossip, Updates: []gwmember.Update{{Member: member(name), Status: status}}})
+	}
+	live := func() int { return len(m.Topology().Live) }
+
+	update("b", gwmember.StatusAlive)
+	require.Equal(t, 2, live(), "the first member")
+	clock.Advance(10 * time.Millisecond)
+	update("c", gwmember.StatusAlive)
+	assert.Equal(t, 2, live(), "a member that joins soon after")
+	update("b", gwmember.StatusLeft)
+	assert.Equal(t, 2, live(), "a and c, as b has left")
+	_, ok := m.Topology().Member("b")
+	assert.False(t, ok)
+	update("d", gwmember.StatusAlive)
+	assert.Equal(t, 2, live())
+	clock.Advance(topologyInterval)
+	m.step(func() []gwmember.Action { return nil })
+	assert.Equal(t, 3, live(), "after the interval")
+}
