gwcontrol: leases are listed only for the instance that asks for them

Cause: every call for the contact with the leader, one per entry instance and 600 ms, copied and sorted all leases, although only a starting instance asks about its own. Change: the voter lists the leases only if a holder is named. Ruled out: a second kind of call, which would need a second round trip at a start.

--- a/internal/gwcontrol/contact.go
+++ b/internal/gwcontrol/contact.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwstate"
 	"gentianward.example/gentianward/pkg/gwquorum"
 )
 
@@ -58,8 +60,10 @@
 	case st.Role == gwquorum.Follower && st.Leader != "":
 		a.Age = max(0, l.clock.Since(st.LeaderHeardAt))
 	}
-	for _, held := range l.state.Leases() {
-		a.EarlierLeases = a.EarlierLeases || r.Holder != "" && l.isLaterRun(held, r.Holder, r.Epoch)
+	if r.Holder != "" { // asked once per start, unlike the age
+		a.EarlierLeases = slices.ContainsFunc(l.state.Leases(), func(held gwstate.Lease) bool {
+			return l.isLaterRun(held, r.Holder, r.Epoch)
+		})
 	}
 	return a, nil
 }
