--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -42,6 +44,14 @@
 	out, err := os.Create(*record)
 	check(err)
 	w := newWorld(path, folder, out)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		w.close()
+		_ = os.RemoveAll(folder)
+		os.Exit(exitFailed)
+	}()
 	code := func() int {
 		defer w.close()
 		if err := w.begin(); err != nil {
