gwcontrol, gwquorum: the state of voters in logs and metrics

The logs do not tell whether there was no leader, whether leaders changed, or whether the appends of a leader did not arrive: a voter logs only that it leads.

Change: no change of behaviour. A voter writes one line at its start, at its stop and for each change of its role, term or known leader, 2 a second with bursts of 20 at most; lines that are left out are counted. A leader writes a line with the state of each peer once its oldest uncommitted entry is 1 s, 2 s, 4 s ... old, and one when that ends. Gauges: role, term, commit index, age of the oldest uncommitted entry, dropped messages, failed streams. Status names the vote, the last entry's term and, of each peer, state, next index and last reply.

Ruled out: a line for each election message, which a voter without a quorum would write all the time.

Log volume on a deployment was not measured; the bound is a test.

--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -82,9 +82,12 @@
 	ready          bool
 	readyTerm      uint64
 	peers          map[string]*sender
+	voterLog       *voterLog
+	traffic        voterTraffic
 
-	mu     sync.RWMutex
-	status gwquorum.Status
+	mu             sync.RWMutex
+	status         gwquorum.Status
+	uncommittedAge time.Duration
 }
 
 // proposal is a call of Propose that waits until the entry at its index is applied.
@@ -103,6 +106,7 @@
 	c := &Consensus{
 		ConsensusOptions: o, calls: make(chan func(), callQueueLength),
 		proposals: make(map[uint64]proposal), reads: make(map[uint64]chan error), peers: make(map[string]*sender),
+		voterLog: newVoterLog(o.Log),
 	}
 	o.Node.HandleStream(kindQuorum, c.receive)
 	return c
@@ -153,6 +157,7 @@
 		return err
 	}
 	c.compactedIndex = snap.Index
+	c.voterLog.started(c.node.Status(), c.Clock.Now())
 	c.updateStatus()
 	c.running.Store(true)
 	return nil
@@ -341,9 +346,10 @@
 		c.Log.Info("leading the replicated log", "term", st.Term)
 	}
 	c.ready = st.LeaderReady
+	age := c.voterLog.observe(st, c.Clock.Now(), c.droppedMessages)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.status = st
+	c.status, c.uncommittedAge = st, age
 }
 
 // Status returns the state of the voter after the last pass of Run's loop.
@@ -463,7 +469,9 @@
 
 // stop fails all pending proposals and reads.
 func (c *Consensus) stop() {
-	c.running.Store(false)
+	if c.running.Swap(false) {
+		c.voterLog.stopped(c.node.Status(), c.Clock.Now())
+	}
 	c.ready = false
 	for index, p := range c.proposals {
 		p.done <- applied{err: &Error{Op: "propose command", Kind: Unavailable, Detail: "the voter has stopped"}}
@@ -476,4 +484,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.status.LeaderReady, c.status.Role, c.status.Leader = false, gwquorum.Follower, ""
+	c.uncommittedAge = 0
 }
--- a/internal/gwcontrol/quorumtransport.go
+++ b/internal/gwcontrol/quorumtransport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"gentianward.example/gentianward/internal/gwpeer"
@@ -17,7 +18,21 @@
 const frameQuorum = 1
 
 // sender queues the messages to one voter, which are sent in order over one stream.
-type sender struct{ queue chan gwquorum.Message }
+type sender struct {
+	queue   chan gwquorum.Message
+	dropped uint64 // messages for which the queue was full; owned by the goroutine of Run
+}
+
+// voterTraffic counts irregularities of the messages to other voters.
+type voterTraffic struct{ dropped, reopened atomic.Uint64 }
+
+// droppedMessages returns how many messages to a voter were dropped because its queue was full.
+func (c *Consensus) droppedMessages(to string) uint64 {
+	if s, ok := c.peers[to]; ok {
+		return s.dropped
+	}
+	return 0
+}
 
 // send queues m for its receiver, or drops it if the queue is full.
 func (c *Consensus) send(ctx context.Context, m gwquorum.Message) {
@@ -30,6 +45,8 @@
 	select {
 	case s.queue <- m:
 	default:
+		s.dropped++
+		c.traffic.dropped.Add(1)
 	}
 }
 
@@ -58,6 +75,7 @@
 			if err := stream.WriteFrame(frameQuorum, b); err != nil {
 				stream.Cancel()
 				stream = nil
+				c.traffic.reopened.Add(1)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/gwcontrol/voterlog_test.go
@@ -0,0 +1,115 @@
+package gwcontrol
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/pkg/gwquorum"
+)
+
+// recordedLines are the log lines that a test has caused.
+type recordedLines struct{ bytes.Buffer }
+
+// take returns the lines since the last call.
+func (r *recordedLines) take(t *testing.T) []map[string]any {
+	var out []map[string]any
+	for d := json.NewDecoder(bytes.NewReader(r.Bytes())); d.More(); {
+		line := make(map[string]any)
+		require.NoError(t, d.Decode(&line))
+		out = append(out, line)
+	}
+	r.Reset()
+	return out
+}
+
+// Guards against logs from which no leader, changing leaders and a leader whose appends do not
+// arrive cannot be told apart, and against lines for a voter in which nothing changes.
+func TestVoterLog(t *testing.T) {
+	var lines recordedLines
+	v := newVoterLog(slog.New(slog.NewJSONHandler(&lines, nil)))
+	now := time.Unix(1000, 0)
+	dropped := func(string) uint64 { return 7 }
+	v.started(gwquorum.Status{ID: "a", Term: 3, Vote: "b", Last: 9, LastTerm: 2, Commit: 8, Snapshot: 5}, now)
+	got := lines.take(t)
+	require.Len(t, got, 1)
+	assert.Equal(t, "voter started", got[0]["msg"])
+	assert.InDelta(t, 9, got[0]["last"], 0)
+
+	leader := gwquorum.Status{ID: "a", Role: gwquorum.Leader, Term: 4, Leader: "a", Last: 10, Commit: 8, Peers: []gwquorum.PeerStatus{
+		{Instance: "b", State: "restoring", Match: 0, Next: 1, Active: true, LastReplyAt: now},
+	}}
+	steps := []struct {
+		name  string
+		after time.Duration
+		st    gwquorum.Status
+		want  []string
+	}{
+		{"the voter leads", 0, leader, []string{"voter changed"}},
+		{"nothing changes", 900 * time.Millisecond, leader, nil},
+		{"no entry is committed", 200 * time.Millisecond, leader, []string{"entries of the replicated log are not committed"}},
+		{"nothing changes", 500 * time.Millisecond, leader, nil},
+		{"no entry is committed", 500 * time.Millisecond, leader, []string{"entries of the replicated log are not committed"}},
+		{"the entries are committed", 0, withCommit(leader, 10), []string{"entries of the replicated log are committed again"}},
+		{"nothing changes", 10 * time.Second, withCommit(leader, 10), nil},
+	}
+	for _, s := range steps {
+		now = now.Add(s.after)
+		v.observe(s.st, now, dropped)
+		var msgs []string
+		for _, line := range lines.take(t) {
+			msgs = append(msgs, line["msg"].(string))
+			if peers, ok := line["peers"].([]any); ok {
+				peer := peers[0].(map[string]any)
+				assert.Equal(t, "restoring", peer["state"])
+				assert.InDelta(t, 7, peer["dropped"], 0)
+			}
+		}
+		assert.Equal(t, s.want, msgs, s.name)
+	}
+}
+
+func withCommit(st gwquorum.Status, commit uint64) gwquorum.Status {
+	st.Commit = commit
+	return st
+}
+
+// Guards against a voter without a quorum that fills the log with its changes of role.
+func TestVoterLogIsBounded(t *testing.T) {
+	var lines recordedLines
+	v := newVoterLog(slog.New(slog.NewJSONHandler(&lines, nil)))
+	now := time.Unix(1000, 0)
+	const span = 60 * time.Second
+	for passed := time.Duration(0); passed < span; passed += consensusTick {
+		now = now.Add(consensusTick)
+		role := gwquorum.Follower
+		if passed%(2*consensusTick) == 0 {
+			role = gwquorum.PreCandidate
+		}
+		v.observe(gwquorum.Status{ID: "a", Role: role, Term: 1}, now, nil)
+	}
+	got := lines.take(t)
+	assert.LessOrEqual(t, len(got), voterLineBurst+int(span.Seconds())*voterLinesPerSecond+1)
+	assert.Contains(t, got[len(got)-1], "skipped")
+}
+
+// Guards against an age of the oldest uncommitted entry that restarts with each new entry, or
+// that counts entries which are committed.
+func TestUncommittedAge(t *testing.T) {
+	v := newVoterLog(slog.New(slog.DiscardHandler))
+	now := time.Unix(1000, 0)
+	steps := []struct {
+		last, commit uint64
+		want         time.Duration
+	}{{5, 5, 0}, {6, 5, 0}, {7, 5, time.Second}, {8, 6, time.Second}, {8, 7, time.Second}, {8, 8, 0}, {9, 8, 0}}
+	for i, s := range steps {
+		st := gwquorum.Status{Role: gwquorum.Leader, Last: s.last, Commit: s.commit}
+		assert.Equal(t, s.want, v.uncommittedAge(st, now), "step %d", i)
+		now = now.Add(time.Second)
+	}
+}
--- a/internal/gwdaemon/telemetry.go
+++ b/internal/gwdaemon/telemetry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwfilter"
 	"gentianward.example/gentianward/internal/gwtelemetry"
 	"gentianward.example/gentianward/pkg/gwoutcome"
@@ -52,6 +53,19 @@
 	t.Histogram("gentianward_confirm_wait_seconds", gwtelemetry.Label{Name: "class", Value: class}, gwtelemetry.Label{Name: "group", Value: group}).Update(d.Seconds())
 }
 
+// exposeVoter adds gauges of the state of this instance's voter.
+func (i *Instance) exposeVoter() {
+	gauge := func(name string, value func(gwcontrol.VoterMetrics) float64) {
+		i.Telemetry.Gauge(name, func() float64 { return value(i.consensus.Metrics()) })
+	}
+	gauge("gentianward_voter_role", func(m gwcontrol.VoterMetrics) float64 { return float64(m.Role) })
+	gauge("gentianward_voter_term", func(m gwcontrol.VoterMetrics) float64 { return float64(m.Term) })
+	gauge("gentianward_voter_commit_index", func(m gwcontrol.VoterMetrics) float64 { return float64(m.Commit) })
+	gauge("gentianward_voter_uncommitted_age_seconds", func(m gwcontrol.VoterMetrics) float64 { return m.UncommittedAge.Seconds() })
+	gauge("gentianward_voter_messages_dropped", func(m gwcontrol.VoterMetrics) float64 { return float64(m.Dropped) })
+	gauge("gentianward_voter_streams_reopened", func(m gwcontrol.VoterMetrics) float64 { return float64(m.Reopened) })
+}
+
 // exposeState adds gauges of what the instance has sent to others, by kind of message, and
 // of whether its voter takes part.
 func (i *Instance) exposeState() {
@@ -65,6 +79,7 @@
 			}
 			return 0
 		})
+		i.exposeVoter()
 	}
 	for id, name := range i.node.Kinds() {
 		label := gwtelemetry.Label{Name: "kind", Value: name}
--- a/pkg/gwquorum/node.go
+++ b/pkg/gwquorum/node.go
@@ -291,8 +291,8 @@
 func (n *Node) Status() Status {
 	m := n.log.members()
 	s := Status{
-		ID: n.cfg.ID, Role: n.role, Term: n.term, Leader: n.leader, LeaderHeardAt: n.leaderHeardAt,
-		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(), Snapshot: n.snapshot.Index,
+		ID: n.cfg.ID, Role: n.role, Term: n.term, Vote: n.vote, Leader: n.leader, LeaderHeardAt: n.leaderHeardAt,
+		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(), LastTerm: n.log.lastTerm(), Snapshot: n.snapshot.Index,
 		Voters: m.Clone().Voters, Learners: m.Clone().Learners, Transferring: n.transferTarget, Fault: n.fault,
 	}
 	if n.role != Leader {
@@ -301,7 +301,10 @@
 	s.LeaderReady = n.log.applied >= n.termStartIndex
 	for _, id := range n.peerIDs() {
 		pr := n.peers[id]
-		s.Peers = append(s.Peers, PeerStatus{Instance: id, Learner: m.IsLearner(id), Match: pr.match, Active: n.active(id)})
+		s.Peers = append(s.Peers, PeerStatus{
+			Instance: id, Learner: m.IsLearner(id), State: pr.state.String(), Match: pr.match, Next: pr.next,
+			Active: n.active(id), LastReplyAt: pr.lastReply,
+		})
 	}
 	return s
 }
--- a/pkg/gwquorum/replicate.go
+++ b/pkg/gwquorum/replicate.go
@@ -14,6 +14,11 @@
 	restoring                        // the peer needs a snapshot before it can get entries
 )
 
+// String returns the name of the state.
+func (s progressState) String() string {
+	return [...]string{"probing", "replicating", "restoring"}[s]
+}
+
 // progress is the replication state of one peer at the leader.
 type progress struct {
 	state          progressState
--- a/pkg/gwquorum/types.go
+++ b/pkg/gwquorum/types.go
@@ -157,12 +157,14 @@
 	ID     string
 	Role   Role
 	Term   uint64
+	Vote   string // "" if the node has not voted in the term
 	Leader string // "" if unknown
 	// LeaderHeardAt is when the last message of Leader arrived.
 	LeaderHeardAt time.Time
 	Commit        uint64
 	Applied       uint64
 	Last          uint64 // index of the last entry
+	LastTerm      uint64 // term of the last entry
 	Snapshot      uint64 // index of the snapshot
 	Voters        []string
 	Learners      []string
@@ -178,6 +180,10 @@
 type PeerStatus struct {
 	Instance string
 	Learner  bool
+	State    string // "probing", "replicating" or "restoring", as of its log
 	Match    uint64 // greatest index known to be synced on the peer
+	Next     uint64 // next index to send
 	Active   bool   // answered within the election timeout
+	// LastReplyAt is when the last reply arrived, or when replication to the peer began.
+	LastReplyAt time.Time
 }
