gwcontrol: one log line and one count for each call to the platform

Nothing was written about a call that was answered. Change: the leader logs group, server, fence, holder, attempt, outcome and duration of each call and counts calls by outcome on the metrics address. No behaviour changes. Ruled out: a line at the start of a call as well; the duration tells it.

--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -217,6 +217,7 @@
 	format         ManifestFormat
 	manifest       func() *gwmanifest.Index
 	promoter       Promoter
+	observeCall    func(outcome string)
 	exclusiveNames bool
 	onChanged      func(group string, took time.Duration)
 
--- a/internal/gwcontrol/promotion.go
+++ b/internal/gwcontrol/promotion.go
@@ -16,9 +16,33 @@
 	Promote(ctx context.Context, group, server string, fence uint64) error
 }
 
-// UsePromoter makes changes of primary call p, unless p is nil. It must be called before
-// Run.
-func (l *Leader) UsePromoter(p Promoter) { l.promoter = p }
+// UsePromoter makes changes of primary call p, unless p is nil, and observe with the outcome
+// of each call. It must be called before Run.
+func (l *Leader) UsePromoter(p Promoter, observe func(outcome string)) {
+	l.promoter, l.observeCall = p, observe
+}
+
+// Outcomes of a call to the platform, in logs and metrics.
+const (
+	outcomeAccepted = "accepted"
+	outcomeRefused  = "refused"
+	outcomeOpen     = "open" // no answer; the call may take effect
+)
+
+// recordOutcome logs how a call to the platform ended and counts it.
+func (l *Leader) recordOutcome(g gwstate.Group, server string, fence uint64, took time.Duration, err error) {
+	outcome, reason := outcomeAccepted, ""
+	if err != nil {
+		outcome, reason = outcomeOpen, err.Error()
+	}
+	if IsRefused(err) {
+		outcome = outcomeRefused
+	}
+	l.log.Info("call to the platform ended", "group", g.Name, "server", server, "fence", fence, "holder", l.Instance(), "attempt", g.NextTerm, "outcome", outcome, "took", took.String(), "reason", reason)
+	if l.observeCall != nil {
+		l.observeCall(outcome)
+	}
+}
 
 const (
 	// promoteCallLimit is how long a call to the platform may take effect. The platform
@@ -102,7 +126,9 @@
 		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), promoteCallLimit)
 		defer cancel()
 		go l.whileLeading(call, cancel)
+		began := l.clock.Now()
 		err := l.promoter.Promote(call, g.Name, server, fence)
+		l.recordOutcome(g, server, fence, l.clock.Since(began), err)
 		if err != nil && !IsRefused(err) && call.Err() == nil {
 			l.clock.Sleep(promoteErrorLimit)
 		}
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -197,7 +197,7 @@
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
-		i.leader.UsePromoter(i.Promoter)
+		i.leader.UsePromoter(i.Promoter, i.Telemetry.PlatformCall)
 		if i.NamedByAddress {
 			i.leader.AssumeExclusiveNames()
 		}
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -110,6 +110,8 @@
 	http.Handler
 	// FailoverGap records the duration of a change of primary as the leader saw it.
 	FailoverGap(group string, took time.Duration)
+	// PlatformCall counts a call of the leader to the platform.
+	PlatformCall(outcome string)
 	// Gauge adds a metric whose value is read from f.
 	Gauge(name string, f func() float64, labels ...gwtelemetry.Label)
 }
--- a/internal/gwtelemetry/metrics.go
+++ b/internal/gwtelemetry/metrics.go
@@ -163,6 +163,11 @@
 	return replica, primary
 }
 
+// PlatformCall counts a call to the platform by its outcome.
+func (m *Metrics) PlatformCall(outcome string) {
+	m.Counter("gentianward_platform_calls_total", Label{Name: "outcome", Value: outcome}).Inc()
+}
+
 // FailoverGap records the duration of a group's change of primary as the leader of the
 // replicated log saw it: from the report of the failure to the new primary.
 func (m *Metrics) FailoverGap(group string, d time.Duration) {
