gwpeer: listen for peers on another address than the announced one

A proxy between the processes of a soak has to take the address that an instance announces and that the others dial, so the process must listen elsewhere. Change: Options.ListenAddress for TCP, and the option -peer-listen of gentianward-platform run. Announcements, certificates and the source of dialed connections keep the announced address. Ruled out: a second announced address in the settings: peers would dial around the proxy. QUIC: it listens and dials on one socket, and is refused.

--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -81,12 +81,12 @@
 // platform provides no secret, so that the links are only as private as its network.
 const deploymentSecret = "gentianward on the platform"
 
-type runCmd struct{ level string }
+type runCmd struct{ level, peerListen string }
 
 func (*runCmd) Name() string     { return "run" }
 func (*runCmd) Synopsis() string { return "run the instance that the platform's settings describe" }
 func (*runCmd) Usage() string {
-	return `run [-log-level debug|info|warn|error]
+	return `run [-log-level debug|info|warn|error] [-peer-listen IP:PORT]
   Runs one instance. The platform names its settings file in the environment.
   Logs are JSON lines on standard output. SIGTERM stops the instance gracefully,
   SIGHUP reloads the settings.
@@ -98,6 +98,7 @@
 
 func (c *runCmd) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.level, "log-level", "info", "lowest level to log: debug, info, warn or error")
+	f.StringVar(&c.peerListen, "peer-listen", "", "listen for other instances on this address instead of the announced one, as behind address translation")
 }
 
 func (c *runCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -115,7 +116,7 @@
 		return subcommands.ExitFailure
 	}
 	log := gwtelemetry.NewLogger(out, level, s.Name)
-	p := process{settings: s, path: path, log: log}
+	p := process{settings: s, path: path, peerListen: c.peerListen, log: log}
 	if err := p.run(ctx); err != nil {
 		log.Error("instance not started, or ended by an error", "settings", path, "error", err.Error())
 		return subcommands.ExitFailure
@@ -127,7 +128,9 @@
 type process struct {
 	settings platform.Settings
 	path     string
-	log      *slog.Logger
+	// peerListen is the address to listen on for other instances, if not the announced one.
+	peerListen string
+	log        *slog.Logger
 }
 
 func (p process) run(ctx context.Context) error {
@@ -268,7 +271,7 @@
 		Clock: gwclock.NewBootTime(), Log: p.log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.ManifestFormat{Parse: platform.ConfigParser{Regions: s.Regions}.Parse, AnyLater: true},
 		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}}, ServeCallers: p.serveCallers,
-		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
+		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, PeerListenAddress: p.peerListen, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Client: platform.NewPromoterClient()},
 		Routes:       func(i *gwdaemon.Instance) http.Handler { return platform.ReadyRoutes(i) },
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -76,7 +76,7 @@
 
 func (i *Instance) start(ctx context.Context) error {
 	s := i.Settings
-	node, err := gwpeer.Listen(ctx, gwpeer.Options{Address: s.PeerAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shaper: i.Shaper, FixedPacketSize: i.Tuning.FixedPacketSize, Transport: i.Tuning.Transport})
+	node, err := gwpeer.Listen(ctx, gwpeer.Options{Address: s.PeerAddress, ListenAddress: i.PeerListenAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shaper: i.Shaper, FixedPacketSize: i.Tuning.FixedPacketSize, Transport: i.Tuning.Transport})
 	if err != nil {
 		return err
 	}
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -70,6 +70,9 @@
 	// StopDelay is how long a stopping instance still accepts callers after it has
 	// reported that it is not ready, because callers are directed elsewhere only after a delay.
 	StopDelay time.Duration
+	// PeerListenAddress is the address to listen on for other instances if it is not the
+	// announced Settings.PeerAddress, as behind address translation.
+	PeerListenAddress string
 	// Routes replaces the HTTP interface on the operators' address.
 	Routes func(i *Instance) http.Handler
 	// Drain is called when an operator asks this instance to stop gracefully; if it is
--- a/internal/gwpeer/node.go
+++ b/internal/gwpeer/node.go
@@ -41,11 +41,14 @@
 
 // Options configures a node.
 type Options struct {
-	Address  string    // "ip:port" to listen on; port 0 selects a free port
-	TLS      TLSSource // the node's certificate and trusted CAs
-	Instance string    // the node's name, equal to the name in its certificate
-	Logger   *slog.Logger
-	Shaper   Shaper // delays or drops sent packets; nil for none
+	Address string // "ip:port" that peers dial; port 0 selects a free port
+	// ListenAddress is the "ip:port" to listen on if it is not Address, as behind address
+	// translation. TCP only.
+	ListenAddress string
+	TLS           TLSSource // the node's certificate and trusted CAs
+	Instance      string    // the node's name, equal to the name in its certificate
+	Logger        *slog.Logger
+	Shaper        Shaper // delays or drops sent packets; nil for none
 	// IdleTimeout is after how long a silent QUIC link is closed; a TCP link is pinged
 	// after half of it. The default is 5 s.
 	IdleTimeout time.Duration
@@ -95,6 +98,9 @@
 	if err := o.validate(); err != nil {
 		return nil, newError("listen", KindKeys, o.Address, err)
 	}
+	if o.ListenAddress != "" && o.Transport != TCP {
+		return nil, newError("listen", KindInvalid, o.ListenAddress, errors.New("another address to listen on needs TCP"))
+	}
 	n := newNode(ctx, o)
 	if err := n.start(ap); err != nil {
 		n.cancel(err)
@@ -172,7 +178,7 @@
 	}
 }
 
-// Address returns the "ip:port" that the node listens on.
+// Address returns the "ip:port" that peers dial.
 func (n *Node) Address() string { return n.endpoint.address().String() }
 
 // Block simulates a network partition: while blocked is true, nothing passes to or from
--- a/internal/gwpeer/tcp.go
+++ b/internal/gwpeer/tcp.go
@@ -32,6 +32,7 @@
 type tcpEndpoint struct {
 	node     *Node
 	listener net.Listener
+	local    netip.AddrPort // that peers dial
 	accepted chan *mux
 	wg       sync.WaitGroup
 
@@ -41,11 +42,21 @@
 }
 
 func newTCPEndpoint(n *Node, at netip.AddrPort) (*tcpEndpoint, error) {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+	listenAt := at
+	if n.opts.ListenAddress != "" {
+		var err error
+		if listenAt, err = parseAddress(n.opts.ListenAddress); err != nil {
+			return nil, err
+		}
+	}
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(listenAt))
 	if err != nil {
 		return nil, err
 	}
-	e := &tcpEndpoint{node: n, listener: l, accepted: make(chan *mux, tcpBacklog), open: make(map[*mux]struct{})}
+	if at.Port() == 0 || listenAt == at {
+		at = addrPort(l.Addr())
+	}
+	e := &tcpEndpoint{node: n, listener: l, local: at, accepted: make(chan *mux, tcpBacklog), open: make(map[*mux]struct{})}
 	e.wg.Add(1)
 	go e.acceptLoop()
 	return e, nil
@@ -160,7 +171,7 @@
 	return nil, err
 }
 
-func (e *tcpEndpoint) address() netip.AddrPort { return addrPort(e.listener.Addr()) }
+func (e *tcpEndpoint) address() netip.AddrPort { return e.local }
 
 func (e *tcpEndpoint) announcedPort() uint16 { return e.address().Port() }
 
