gwsoak: a soak of the real programs as separate processes

Change: internal/gwsoak starts control and entry instances as processes on loopback addresses, with proxies on the links between them and before the platform, signals, named scenarios of the incident and a random schedule by seed. It checks fences, promotions, acknowledged writes, configurations, own reads, ended processes and recovery from what callers, servers, the platform and the operator see. platform/platformtest gets backend servers with terms, positions and asynchronous replication, the API for promotions, sessions and settings files. Command gentianward-soak runs and lists the scenarios. Ruled out: cuts that only stop reading at the proxy: its kernel acknowledges the bytes, so that a sender's TCP_USER_TIMEOUT never runs. A socket filter drops them instead.

--- /dev/null
+++ b/cmd/gentianward-soak/main.go
@@ -0,0 +1,20 @@
+// Command gentianward-soak runs gentianward-platform as separate processes on this machine,
+// injects faults and checks the promises of the pages.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.CommandsCommand(), "")
+	subcommands.Register(&runCmd{}, "")
+	subcommands.Register(&listCmd{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/internal/gwsoak/caller.go
@@ -0,0 +1,183 @@
+package gwsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"gentianward.example/gentianward/platform/platformtest"
+)
+
+const (
+	callerTimeout = 5 * time.Second
+	openTimeout   = 2 * time.Second
+	retryDelay    = 50 * time.Millisecond
+	maxPause      = 60 * time.Millisecond
+	// transactionShare is the share of writes in a transaction.
+	transactionShare = 0.3
+)
+
+// caller runs one session after another. Each uses items of its own and keeps its connection
+// open for as long as it works.
+type caller struct {
+	r        *Run
+	g        *platformtest.Group
+	number   int
+	database string
+	// everySession means that reads see the writes of earlier sessions too.
+	everySession bool
+	// item is replaced after a write whose outcome is unknown, as it may run later.
+	item       int
+	acked      int // last acknowledged value of item
+	statements int
+}
+
+func newCaller(r *Run, g *platformtest.Group, number int) *caller {
+	c := &caller{r: r, g: g, number: number, database: g.Name(), everySession: true}
+	if number%2 == 1 {
+		c.database, c.everySession = g.Name()+"-own", false
+	}
+	return c
+}
+
+func (c *caller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if p := c.r.anyReady(); p != nil {
+			c.session(ctx, p)
+		}
+		sleep(ctx, retryDelay)
+	}
+}
+
+func (c *caller) session(ctx context.Context, p *process) {
+	s, _, err := platformtest.OpenSession(ctx, p.settings.CallerAddress, c.database, openTimeout)
+	if s == nil || err != nil {
+		c.r.check.count("sessions not opened")
+		return
+	}
+	defer s.Close()
+	defer context.AfterFunc(ctx, s.Close)()
+	if !c.everySession {
+		c.nextItem()
+	}
+	for ctx.Err() == nil && c.write(ctx, s) && c.read(ctx, s, p) {
+		sleep(ctx, time.Duration(rand.Int64N(int64(maxPause))))
+	}
+}
+
+func (c *caller) nextItem() { c.item, c.acked = c.item+1, 0 }
+
+func (c *caller) id() string {
+	c.statements++
+	return fmt.Sprintf("%08x%08x", c.number, c.statements)
+}
+
+// write returns whether the session can go on.
+func (c *caller) write(ctx context.Context, s *platformtest.Session) bool {
+	value := c.acked + 1
+	statement := fmt.Sprintf("STORE %d-%d %d", c.number, c.item, value)
+	id := c.id()
+	a, err := platformtest.Answer{}, error(nil)
+	if rand.Float64() < transactionShare {
+		a, id, err = c.transaction(s, statement)
+	} else {
+		a, err = s.Do(id, statement, callerTimeout)
+	}
+	if a.Signed && err == nil {
+		c.acked = value
+		c.r.check.wrote(c.g, id)
+		return true
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	c.r.check.count("writes: " + outcome(a, err))
+	c.nextItem()
+	return err == nil
+}
+
+// transaction runs a write in a transaction and returns the answer to its last statement
+// that was sent, and the id under which servers log the write.
+func (c *caller) transaction(s *platformtest.Session, statement string) (a platformtest.Answer, id string, err error) {
+	id = c.id()
+	if a, err = s.Do(c.id(), "BEGIN", callerTimeout); err != nil || a.Code != "" {
+		return a, id, err
+	}
+	if a, err = s.Do(id, statement, callerTimeout); err != nil {
+		return a, id, err
+	}
+	if a.Code != "" {
+		_, err = s.Do(c.id(), "ROLLBACK", callerTimeout)
+		return a, id, err
+	}
+	a, err = s.Do(c.id(), "COMMIT", callerTimeout)
+	return a, id, err
+}
+
+func (c *caller) read(ctx context.Context, s *platformtest.Session, p *process) bool {
+	a, err := s.Do(c.id(), fmt.Sprintf("FETCH %d-%d", c.number, c.item), callerTimeout)
+	if err != nil || !a.Signed || len(a.Rows) != 1 {
+		if ctx.Err() == nil {
+			c.r.check.count("reads: " + outcome(a, err))
+		}
+		return err == nil
+	}
+	c.r.check.count("reads")
+	value, _ := strconv.Atoi(a.Rows[0]) // "none" is 0
+	if value < c.acked {
+		c.r.check.violate(RuleStale, c.g.Name(), "a read of %s at %s returns %d after write %d was acknowledged (database %s)",
+			a.Rows[0], p.settings.Name, value, c.acked, c.database)
+	}
+	return true
+}
+
+func outcome(a platformtest.Answer, err error) string {
+	switch {
+	case err != nil:
+		return "no answer"
+	case a.Code != "":
+		return a.Code
+	default:
+		return "no signature"
+	}
+}
+
+// anyReady returns an entry instance that the platform considers ready, or nil.
+func (r *Run) anyReady() *process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ready []*process
+	for _, p := range r.entries {
+		if r.ready[p] {
+			ready = append(ready, p)
+		}
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[rand.IntN(len(ready))]
+}
+
+// readyInterval is the interval at which the platform asks whether an instance is ready.
+const readyInterval = time.Second
+
+// watchReady asks each entry instance whether it is ready. Two misses take it out.
+func (r *Run) watchReady(ctx context.Context) {
+	client := platformtest.NewClient()
+	misses := make(map[*process]int)
+	for ctx.Err() == nil {
+		for _, p := range r.entries {
+			if p.active() && client.Ready(p.settings.ReadyAddress) {
+				misses[p] = 0
+			} else {
+				misses[p]++
+			}
+			r.mu.Lock()
+			r.ready[p] = misses[p] == 0 || misses[p] < 2 && r.ready[p]
+			r.mu.Unlock()
+		}
+		sleep(ctx, readyInterval)
+	}
+}
--- /dev/null
+++ b/internal/gwsoak/drop_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package gwsoak
+
+import "syscall"
+
+// setDrop does nothing: held bytes are acknowledged by the proxy.
+func setDrop(syscall.Conn, bool) {}
--- /dev/null
+++ b/internal/gwsoak/network.go
@@ -0,0 +1,123 @@
+package gwsoak
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// pair is a direction from one address to another.
+type pair struct{ from, to netip.Addr }
+
+// Network has the paths between the instances, and from the control instances to the
+// platform.
+type Network struct {
+	mu      sync.Mutex
+	paths   map[pair]*path
+	proxies []*proxy
+}
+
+func newNetwork() *Network { return &Network{paths: make(map[pair]*path)} }
+
+func (n *Network) path(from, to netip.Addr) *path {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	k := pair{from, to}
+	if n.paths[k] == nil {
+		n.paths[k] = newPath()
+	}
+	return n.paths[k]
+}
+
+// link forwards what other instances send to the announced address of an instance.
+func (n *Network) link(announced, listens netip.AddrPort) error {
+	to := announced.Addr()
+	_, err := n.start(announced.String(), proxy{
+		target: listens.String(), fromSource: true,
+		paths: func(from netip.Addr) (there, back *path) { return n.path(from, to), n.path(to, from) },
+	})
+	return err
+}
+
+// platformLink forwards the calls of one instance to the platform.
+func (n *Network) platformLink(address string, from, platform netip.AddrPort, accepted func()) error {
+	there, back := n.path(from.Addr(), platform.Addr()), n.path(platform.Addr(), from.Addr())
+	p, err := n.start(address, proxy{
+		target: platform.String(), accepted: accepted, paths: func(netip.Addr) (*path, *path) { return there, back },
+	})
+	if err != nil {
+		return err
+	}
+	there.listen(p.listener)
+	return nil
+}
+
+func (n *Network) start(address string, p proxy) (*proxy, error) {
+	started, err := startProxy(address, p)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.proxies = append(n.proxies, started)
+	return started, nil
+}
+
+// cut makes the direction from one address to another silent.
+func (n *Network) cut(from, to netip.Addr) { n.path(from, to).hold(true) }
+
+// heal ends a cut.
+func (n *Network) heal(from, to netip.Addr) { n.path(from, to).release() }
+
+// connected reports whether both directions between two addresses are open.
+func (n *Network) connected(a, b netip.Addr) bool {
+	return !n.path(a, b).isHeld() && !n.path(b, a).isHeld()
+}
+
+// healAll ends all cuts and delays.
+func (n *Network) healAll() {
+	n.mu.Lock()
+	paths := make([]*path, 0, len(n.paths))
+	for _, p := range n.paths {
+		paths = append(paths, p)
+	}
+	n.mu.Unlock()
+	for _, p := range paths {
+		p.setDelay(0)
+		p.release()
+	}
+}
+
+// bytes returns the number of bytes forwarded between two addresses, both ways.
+func (n *Network) bytes(a, b netip.Addr) int64 {
+	return n.path(a, b).bytes.Load() + n.path(b, a).bytes.Load()
+}
+
+// busiest returns the address that takes part in the two busiest of three links during a
+// time. Among control instances that is the leader, with which both others exchange
+// heartbeats.
+func (n *Network) busiest(during time.Duration, all [3]netip.Addr) netip.Addr {
+	var before [3]int64
+	other := func(i int) (a, b netip.Addr) { return all[(i+1)%3], all[(i+2)%3] }
+	for i := range all {
+		before[i] = n.bytes(other(i))
+	}
+	time.Sleep(during)
+	best, least := 0, int64(-1)
+	for i := range all {
+		if d := n.bytes(other(i)) - before[i]; least < 0 || d < least {
+			best, least = i, d
+		}
+	}
+	return all[best]
+}
+
+func (n *Network) close() {
+	n.mu.Lock()
+	proxies := n.proxies
+	n.mu.Unlock()
+	for _, p := range proxies {
+		p.close()
+	}
+	n.healAll()
+}
--- /dev/null
+++ b/internal/gwsoak/path.go
@@ -0,0 +1,129 @@
+package gwsoak
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// path is one direction between two addresses. It holds or delays what is sent on it.
+type path struct {
+	mu   sync.Mutex
+	held bool
+	// silent means that the packets of the senders are dropped while the path is held.
+	silent bool
+	freed  chan struct{} // closed when held ends
+	delay  time.Duration
+	conns  map[*net.TCPConn]struct{} // receiving ends at the proxy
+	// listener accepts connections of this path only, if it is not nil.
+	listener *net.TCPListener
+	bytes    atomic.Int64
+}
+
+func newPath() *path { return &path{conns: make(map[*net.TCPConn]struct{})} }
+
+// hold holds all bytes until release, without a reset. If silent is set, the kernels of the
+// senders get no acknowledgement of what they send meanwhile, as with a cut; otherwise they
+// do, as with a proxy or a server that has received the bytes and does not go on.
+func (p *path) hold(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held {
+		return
+	}
+	p.held, p.silent, p.freed = true, silent, make(chan struct{})
+	p.setDrop(silent)
+}
+
+// release delivers the held bytes, except those whose sender has reset its connection.
+func (p *path) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.held {
+		return
+	}
+	p.held, p.silent = false, false
+	close(p.freed)
+	p.setDrop(false)
+}
+
+// setDrop applies to all connections of the path; p.mu is held.
+func (p *path) setDrop(drop bool) {
+	if p.listener != nil {
+		setDrop(p.listener, drop)
+	}
+	for c := range p.conns {
+		setDrop(c, drop)
+	}
+}
+
+// listen makes l the listener that accepts the connections of this path only.
+func (p *path) listen(l *net.TCPListener) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = l
+}
+
+func (p *path) setDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+func (p *path) isHeld() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
+// await waits until the path is not held. It returns false if done is closed before.
+func (p *path) await(done <-chan struct{}) bool {
+	for {
+		p.mu.Lock()
+		held, freed := p.held, p.freed
+		p.mu.Unlock()
+		if !held {
+			return true
+		}
+		select {
+		case <-freed:
+		case <-done:
+			return false
+		}
+	}
+}
+
+func (p *path) add(c *net.TCPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = struct{}{}
+	setDrop(c, p.silent)
+}
+
+func (p *path) remove(c *net.TCPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+// reset resets the connections of the path.
+func (p *path) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		reset(c)
+	}
+}
+
+func (p *path) currentDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.delay
+}
+
+// reset closes a connection with a reset.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/gwsoak/process.go
@@ -0,0 +1,141 @@
+package gwsoak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"gentianward.example/gentianward/platform"
+	"gentianward.example/gentianward/platform/platformtest"
+)
+
+// process is one instance as a process of its own.
+type process struct {
+	program, folder string
+	settings        platform.Settings
+	peerListen      string
+	controlPort     int
+	// endedByItself is called when the process ended without an order of the soak.
+	endedByItself func(name, cause string)
+
+	mu          sync.Mutex
+	cmd         *exec.Cmd
+	done        chan struct{}
+	ordered     bool // the soak has ended the process
+	stopped     bool
+	incarnation int
+}
+
+func (p *process) logPath() string { return filepath.Join(p.folder, p.settings.Name+".log") }
+
+// start starts the process. Its log is appended to the file of its name.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running() {
+		return nil
+	}
+	file := filepath.Join(p.folder, p.settings.Name+".toml")
+	if err := os.WriteFile(file, []byte(platformtest.SettingsText(p.settings, p.controlPort)), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.program, "run", "-peer-listen", p.peerListen)
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.folder, platformtest.Environment(file)}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.settings.FirstStart = false
+	p.cmd, p.done, p.ordered, p.stopped = cmd, make(chan struct{}), false, false
+	p.incarnation++
+	go p.wait(cmd, p.done)
+	return nil
+}
+
+func (p *process) wait(cmd *exec.Cmd, done chan struct{}) {
+	err := cmd.Wait()
+	p.mu.Lock()
+	ordered := p.ordered
+	close(done)
+	p.mu.Unlock()
+	if !ordered {
+		cause := "exit code 0"
+		if err != nil {
+			cause = err.Error()
+		}
+		p.endedByItself(p.settings.Name, cause)
+	}
+}
+
+// running reports whether the process runs; p.mu is held.
+func (p *process) running() bool {
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// active reports whether the process runs and is not stopped.
+func (p *process) active() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running() && !p.stopped
+}
+
+// incarnationNumber returns how often the process was started.
+func (p *process) incarnationNumber() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.incarnation
+}
+
+// pause stops the process with SIGSTOP.
+func (p *process) pause() { p.signal(syscall.SIGSTOP) }
+
+// resume continues the process.
+func (p *process) resume() { p.signal(syscall.SIGCONT) }
+
+// kill ends the process and waits for its end.
+func (p *process) kill() { p.end(syscall.SIGKILL) }
+
+// terminate asks the process to stop gracefully. Its end is not waited for.
+func (p *process) terminate() { p.signal(syscall.SIGTERM) }
+
+func (p *process) end(sig syscall.Signal) {
+	p.signal(sig)
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done != nil {
+		<-done
+	}
+}
+
+func (p *process) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.running() {
+		return
+	}
+	switch sig {
+	case syscall.SIGKILL, syscall.SIGTERM:
+		p.ordered = true
+	case syscall.SIGSTOP:
+		p.stopped = true
+	case syscall.SIGCONT:
+		p.stopped = false
+	}
+	_ = p.cmd.Process.Signal(sig)
+}
--- /dev/null
+++ b/internal/gwsoak/schedule.go
@@ -0,0 +1,205 @@
+package gwsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Step is one fault of a schedule.
+type Step struct {
+	At     time.Duration // from the start of the faults
+	For    time.Duration
+	Action Action
+}
+
+// String returns the step as a line of the report.
+func (s Step) String() string {
+	return fmt.Sprintf("%s for %s: %#v", s.At.Round(time.Millisecond), s.For.Round(time.Millisecond), s.Action)
+}
+
+// Action is what a step does. Numbers select a control instance, an instance of all, a group
+// or a server, modulo how many there are.
+type Action interface{ isAction() }
+
+// The actions.
+type (
+	// Pause stops an instance.
+	Pause struct{ Instance int }
+	// Kill kills an instance and starts it again.
+	Kill struct{ Instance int }
+	// Terminate stops an instance gracefully and starts it again.
+	Terminate struct{ Instance int }
+	// KillControl kills all control instances and starts them again.
+	KillControl struct{}
+	// CutControl silences one or both directions between two control instances.
+	CutControl struct {
+		Control int
+		OneWay  bool
+	}
+	// Isolate cuts a control instance from the others.
+	Isolate struct{ Control int }
+	// CutZone cuts a data centre from the others.
+	CutZone struct{ Zone int }
+	// DelayLinks delays what two control instances send each other.
+	DelayLinks struct {
+		Control int
+		By      time.Duration
+	}
+	// ResetLinks resets the connections between two control instances.
+	ResetLinks struct{ Control int }
+	// HoldCalls holds the calls of a control instance to the platform.
+	HoldCalls struct {
+		Control int
+		Silent  bool
+	}
+	// SlowPlatform makes the platform act late.
+	SlowPlatform struct{ By time.Duration }
+	// CrashPrimary crashes the primary of a group.
+	CrashPrimary struct{ Group int }
+	// CrashServer crashes any server of a group.
+	CrashServer struct{ Group, Server int }
+	// LargeConfigurations makes the operator publish large configurations.
+	LargeConfigurations struct{ Bytes int }
+)
+
+func (Pause) isAction()               {}
+func (Kill) isAction()                {}
+func (Terminate) isAction()           {}
+func (KillControl) isAction()         {}
+func (CutControl) isAction()          {}
+func (Isolate) isAction()             {}
+func (CutZone) isAction()             {}
+func (DelayLinks) isAction()          {}
+func (ResetLinks) isAction()          {}
+func (HoldCalls) isAction()           {}
+func (SlowPlatform) isAction()        {}
+func (CrashPrimary) isAction()        {}
+func (CrashServer) isAction()         {}
+func (LargeConfigurations) isAction() {}
+
+// weighted is a kind of action and how often it is chosen.
+type weighted struct {
+	weight int
+	make   func(r *rand.Rand) Action
+}
+
+// instances bounds the numbers of instances in a schedule.
+const instances = 9
+
+var kinds = []weighted{
+	{6, func(r *rand.Rand) Action { return CrashPrimary{Group: r.IntN(3)} }},
+	{2, func(r *rand.Rand) Action { return CrashServer{Group: r.IntN(3), Server: r.IntN(3)} }},
+	{4, func(r *rand.Rand) Action { return Pause{Instance: r.IntN(instances)} }},
+	{3, func(r *rand.Rand) Action { return Kill{Instance: r.IntN(instances)} }},
+	{1, func(r *rand.Rand) Action { return Terminate{Instance: r.IntN(instances)} }},
+	{1, func(*rand.Rand) Action { return KillControl{} }},
+	{4, func(r *rand.Rand) Action { return CutControl{Control: r.IntN(3), OneWay: r.IntN(2) == 0} }},
+	{3, func(r *rand.Rand) Action { return Isolate{Control: r.IntN(3)} }},
+	{1, func(r *rand.Rand) Action { return CutZone{Zone: r.IntN(3)} }},
+	{1, func(r *rand.Rand) Action {
+		return DelayLinks{Control: r.IntN(3), By: 20*time.Millisecond + randomTime(r, 200*time.Millisecond)}
+	}},
+	{1, func(r *rand.Rand) Action { return ResetLinks{Control: r.IntN(3)} }},
+	{3, func(r *rand.Rand) Action { return HoldCalls{Control: r.IntN(3), Silent: r.IntN(2) == 0} }},
+	{2, func(r *rand.Rand) Action { return SlowPlatform{By: randomTime(r, 4*time.Second)} }},
+	{1, func(r *rand.Rand) Action { return LargeConfigurations{Bytes: 100_000 + r.IntN(400_000)} }},
+}
+
+func randomTime(r *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(limit)))
+}
+
+const (
+	minFaultTime  = 200 * time.Millisecond
+	moreFaultTime = 4 * time.Second
+	// stepInterval is the mean time between two faults, so that they overlap.
+	stepInterval = 700 * time.Millisecond
+)
+
+// RandomSchedule returns the schedule of a seed for a time. It depends on nothing else.
+func RandomSchedule(seed uint64, total time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, 1))
+	sum := 0
+	for _, k := range kinds {
+		sum += k.weight
+	}
+	var out []Step
+	for at := time.Duration(0); at < total; at += randomTime(r, 2*stepInterval) {
+		n := r.IntN(sum)
+		for _, k := range kinds {
+			if n -= k.weight; n < 0 {
+				out = append(out, Step{At: at, For: minFaultTime + randomTime(r, moreFaultTime), Action: k.make(r)})
+				break
+			}
+		}
+	}
+	return out
+}
+
+// playSteps plays a schedule and returns when the last fault has ended.
+func (r *Run) playSteps(ctx context.Context, steps []Step) {
+	for _, s := range steps {
+		r.steps = append(r.steps, s.String())
+	}
+	var wg sync.WaitGroup
+	started := time.Now()
+	for _, s := range steps {
+		if !sleep(ctx, s.At-time.Since(started)) {
+			break
+		}
+		wg.Go(func() { r.act(ctx, s) })
+	}
+	wg.Wait()
+}
+
+func (r *Run) act(ctx context.Context, s Step) {
+	control := func(n int) *process { return r.control[n%len(r.control)] }
+	all := r.processes()
+	switch a := s.Action.(type) {
+	case Pause:
+		r.pause(ctx, all[a.Instance%len(all)], s.For)
+	case Kill:
+		r.kill(ctx, all[a.Instance%len(all)], s.For)
+	case Terminate:
+		r.terminate(ctx, all[a.Instance%len(all)])
+	case KillControl:
+		r.killControl(ctx, s.For)
+	case CutControl:
+		r.cut(ctx, control(a.Control), control(a.Control+1), a.OneWay, s.For)
+	case Isolate:
+		end := r.isolate(control(a.Control))
+		sleep(ctx, s.For)
+		end()
+	case CutZone:
+		r.cutZone(ctx, zones[a.Zone], s.For)
+	case DelayLinks:
+		r.delayLinks(ctx, control(a.Control), control(a.Control+1), a.By, s.For)
+	case ResetLinks:
+		r.resetLinks(control(a.Control), control(a.Control+1))
+	default:
+		r.actOutside(ctx, s)
+	}
+}
+
+// actOutside plays the faults of what is not an instance.
+func (r *Run) actOutside(ctx context.Context, s Step) {
+	switch a := s.Action.(type) {
+	case HoldCalls:
+		r.holdCalls(ctx, r.control[a.Control%len(r.control)], a.Silent, s.For)
+	case SlowPlatform:
+		r.slowPlatform(ctx, a.By, s.For)
+	case CrashPrimary:
+		g := r.groups[a.Group%len(r.groups)]
+		r.crash(ctx, g, g.Primary(), s.For)
+	case CrashServer:
+		g := r.groups[a.Group%len(r.groups)]
+		r.crash(ctx, g, g.Servers()[a.Server], s.For)
+	case LargeConfigurations:
+		r.operator.setSize(a.Bytes)
+		sleep(ctx, s.For)
+		r.operator.setSize(0)
+	}
+}
