gwquorum: a leader that commits nothing gives way

Change: a leader whose uncommitted entries or unanswered reads make no progress for 1.2 s steps down and leaves the next election to the others for four to five election timeouts. The wait doubles with each time without a commit since, up to 19 s.

TestLeaderThatCommitsNothingGivesWay fails without the rule. Tests of gwquorum, gwcontrol, gwdaemon and cmd/gentianward-platform pass.

--- a/pkg/gwquorum/config.go
+++ b/pkg/gwquorum/config.go
@@ -13,11 +13,14 @@
 	// DefaultHeartbeatInterval allows three lost heartbeats before an election.
 	DefaultHeartbeatInterval = 75 * time.Millisecond
 	DefaultSnapshotTimeout   = 5 * time.Second
-	DefaultMaxBatchBytes     = 256 << 10
-	DefaultMaxInflight       = 16
-	DefaultKeepEntries       = 1024
-	DefaultMaxPromoteLag     = 64
-	DefaultMaxPending        = 4096
+	// DefaultStallTimeout exceeds the time that any message takes of which the leader's
+	// quorum survives: a heartbeat behind it must be answered within an election timeout.
+	DefaultStallTimeout  = 4 * DefaultElectionTimeout
+	DefaultMaxBatchBytes = 256 << 10
+	DefaultMaxInflight   = 16
+	DefaultKeepEntries   = 1024
+	DefaultMaxPromoteLag = 64
+	DefaultMaxPending    = 4096
 	// DefaultMaxDataBytes lets one entry fit into a message of 16 MiB.
 	DefaultMaxDataBytes = 8 << 20
 )
@@ -31,18 +34,22 @@
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
 	SnapshotTimeout   time.Duration // after which an unanswered snapshot is sent again
-	MaxBatchBytes     int           // maximum size of the entries in one message; a larger entry is sent alone
-	MaxInflight       int           // maximum unanswered messages with entries per peer
-	KeepEntries       uint64        // entries before the snapshot that stay in memory for slow followers
-	MaxPromoteLag     uint64        // maximum distance of a learner's synced log from the commit index at promotion
-	MaxDataBytes      int           // maximum size of the data of one entry
-	MaxPending        int           // maximum uncommitted entries, and maximum unanswered reads
+	// StallTimeout is how long a leader with uncommitted entries or unanswered reads waits
+	// for any progress before it gives way.
+	StallTimeout  time.Duration
+	MaxBatchBytes int    // maximum size of the entries in one message; a larger entry is sent alone
+	MaxInflight   int    // maximum unanswered messages with entries per peer
+	KeepEntries   uint64 // entries before the snapshot that stay in memory for slow followers
+	MaxPromoteLag uint64 // maximum distance of a learner's synced log from the commit index at promotion
+	MaxDataBytes  int    // maximum size of the data of one entry
+	MaxPending    int    // maximum uncommitted entries, and maximum unanswered reads
 }
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
 	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
 	setDefault(&c.SnapshotTimeout, DefaultSnapshotTimeout)
+	setDefault(&c.StallTimeout, DefaultStallTimeout)
 	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
--- a/pkg/gwquorum/election.go
+++ b/pkg/gwquorum/election.go
@@ -168,6 +168,7 @@
 	n.peers = map[string]*progress{}
 	n.updatePeers()
 	n.termStartIndex = n.appendAsLeader(Entry{Kind: EntryEmpty}).Index
+	n.stall.entries.since, n.stall.reads.since = n.now, n.now
 }
 
 func (n *Node) tickLeader() {
@@ -178,7 +179,8 @@
 		n.becomeFollower(n.term)
 		return
 	}
-	if !n.now.Before(n.nextHeartbeat) {
+	n.checkProgress()
+	if n.role == Leader && !n.now.Before(n.nextHeartbeat) {
 		n.nextHeartbeat = n.now.Add(n.cfg.HeartbeatInterval)
 		n.broadcast(true)
 	}
--- a/pkg/gwquorum/node.go
+++ b/pkg/gwquorum/node.go
@@ -31,6 +31,7 @@
 	transferDeadline time.Time
 
 	reads readTracker
+	stall stallTracker
 
 	messages        []Message
 	snapshotUnsaved bool
@@ -88,7 +89,7 @@
 }
 
 // Tick advances the time: it starts elections, sends heartbeats, makes a leader without
-// an active quorum step down and expires forwarded reads.
+// an active quorum or without progress step down and expires forwarded reads.
 func (n *Node) Tick(now time.Time) {
 	n.advanceTime(now)
 	if n.fault != nil {
@@ -99,7 +100,7 @@
 		n.tickLeader()
 		return
 	}
-	if !n.now.Before(n.electionDeadline) {
+	if !n.now.Before(n.electionDeadline) && !n.now.Before(n.stall.yieldUntil) {
 		n.resetElectionDeadline()
 		n.preCampaign()
 	}
--- a/pkg/gwquorum/replicate.go
+++ b/pkg/gwquorum/replicate.go
@@ -189,6 +189,7 @@
 	index := matches[len(matches)-m.Quorum()]
 	if t, ok := n.log.term(index); ok && t == n.term && index > n.log.commit {
 		n.log.commit = index
+		n.stall.count = 0
 	}
 }
 
