gwcontrol: a voter that stood still does not lead until it knows better

Cause: Leading answers from the state after the last pass of the voter's loop. While the loop waits for a disk, or right after the process was stopped, that state may be of any age. After a pause the loop handled what had arrived before it looked at the time: replies to messages from before the pause then counted as signs that a quorum still follows, for another election timeout.

Change: Leading is false while the last pass is older than an election timeout. A leader whose loop stood still that long looks at the time first, and steps down.

Ruled out: a check in gwquorum when a message arrives; a proposal that was queued during the pause would still find a leader.

--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -87,6 +87,7 @@
 
 	mu             sync.RWMutex
 	status         gwquorum.Status
+	statusAt       time.Time
 	uncommittedAge time.Duration
 }
 
@@ -210,6 +211,7 @@
 		case <-ctx.Done():
 			return nil
 		case f := <-c.calls:
+			c.noticePause()
 			f()
 			c.runQueuedCalls()
 		case <-ticker.Chan():
@@ -346,10 +348,11 @@
 		c.Log.Info("leading the replicated log", "term", st.Term)
 	}
 	c.ready = st.LeaderReady
-	age := c.voterLog.observe(st, c.Clock.Now(), c.droppedMessages)
+	now := c.Clock.Now()
+	age := c.voterLog.observe(st, now, c.droppedMessages)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.status, c.uncommittedAge = st, age
+	c.status, c.statusAt, c.uncommittedAge = st, now, age
 }
 
 // Status returns the state of the voter after the last pass of Run's loop.
@@ -363,10 +366,6 @@
 // writes.
 func (c *Consensus) Running() bool { return c.running.Load() }
 
-// Leading reports whether this voter leads and has applied everything that earlier
-// leaders committed.
-func (c *Consensus) Leading() bool { return c.Status().LeaderReady }
-
 // Propose commits cmd and returns the result of applying it. After an error of kind
 // Unavailable, the command may or may not have been committed.
 func (c *Consensus) Propose(ctx context.Context, cmd gwstate.Command) (gwstate.Result, error) {
--- /dev/null
+++ b/internal/gwcontrol/pause_test.go
@@ -0,0 +1,81 @@
+package gwcontrol
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/pkg/gwquorum"
+)
+
+// discardStore is a store that saves nothing.
+type discardStore struct{ Store }
+
+func (discardStore) Size() int64 { return 0 }
+
+func (discardStore) Save(gwquorum.HardState, []gwquorum.Entry, *gwquorum.Snapshot) error { return nil }
+
+// newLeadingConsensus returns voter a of the group a, b, c, which leads term 1; its messages
+// are lost.
+func newLeadingConsensus(t *testing.T, clock *clockwork.FakeClock) *Consensus {
+	c := &Consensus{
+		ConsensusOptions: ConsensusOptions{
+			Clock: clock, Log: slog.New(slog.DiscardHandler), Store: discardStore{}, State: gwstate.New(0),
+			Address: func(string) (string, bool) { return "", false }, OnApplied: func() {},
+		},
+		calls: make(chan func(), 8), peers: make(map[string]*sender), voterLog: newVoterLog(slog.New(slog.DiscardHandler)),
+	}
+	snap := gwquorum.Snapshot{Members: gwquorum.Members{Voters: []string{"a", "b", "c"}}}
+	var err error
+	c.node, err = gwquorum.NewNode(gwquorum.Config{ID: "a", Rand: rand.NewPCG(1, 1)}, gwquorum.HardState{}, snap, nil)
+	require.NoError(t, err)
+	c.node.Tick(clock.Now())
+	clock.Advance(time.Second)
+	c.node.Tick(clock.Now())
+	for _, m := range []gwquorum.Message{
+		{Kind: gwquorum.MessagePreVoteReply, Term: 1},
+		{Kind: gwquorum.MessageVoteReply, Term: 1},
+		{Kind: gwquorum.MessageAppendReply, Term: 1, Index: 1},
+	} {
+		require.NoError(t, c.processReady(t.Context()))
+		m.From, m.To = "b", "a"
+		c.node.Step(m, clock.Now())
+	}
+	require.NoError(t, c.processReady(t.Context()))
+	require.True(t, c.Leading())
+	return c
+}
+
+// Guards against a voter that is taken for the leader while it stands still, although the
+// others may have elected a successor.
+func TestNotLeadingDuringPause(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newLeadingConsensus(t, clock)
+	clock.Advance(maxPause - time.Millisecond)
+	assert.True(t, c.Leading())
+	clock.Advance(time.Millisecond)
+	assert.False(t, c.Leading())
+}
+
+// Guards against a leader that was stopped and takes the replies to messages from before that
+// for a sign that a quorum still follows it.
+func TestPauseEndsLeadership(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newLeadingConsensus(t, clock)
+	clock.Advance(time.Second)
+	ctx, cancel := context.WithCancel(t.Context())
+	c.calls <- func() {
+		c.node.Step(gwquorum.Message{Kind: gwquorum.MessageAppendReply, From: "b", To: "a", Term: 1, Index: 1}, clock.Now())
+		cancel()
+	}
+	require.NoError(t, c.drive(ctx))
+	assert.False(t, c.Leading())
+	assert.Equal(t, gwquorum.Follower, c.Status().Role)
+}
