gwquorum, gwcontrol: transfers of the leadership that do not help back off

Cause: the leadership is transferred every 2 s to a voter of a region with more voters, also if that voter cannot take over or commit. Proposals are refused for an election timeout for a target that is cut off, and each leadership of a target whose entries are lost stops the group. As the wait of a leader that commits nothing doubles, each such stop became longer.

Change: a transfer to a voter that does not answer or lacks more than MaxPromoteLag entries is refused. The wait before another transfer to the same voter doubles from 4 s to 2 minutes, unless twice the wait passed since the last one. A follower that learns of a commit of another leader forgets its stalls.

Ruled out: no transfers after a failed one; the voter may recover, and planned changes are slower under a leader in the smaller region.

Tests of gwquorum, gwcontrol and cmd/gentianward-platform pass.

--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -224,6 +224,7 @@
 	reconciling atomic.Bool
 	copies      copyKeeper
 	calls       openCalls
+	moves       leadershipMoves
 
 	mu       sync.Mutex
 	changing map[string]bool
@@ -231,7 +232,7 @@
 
 // NewLeader returns the leader's services of a voter and registers them at its node.
 func NewLeader(node *gwpeer.Node, c *Consensus) *Leader {
-	l := &Leader{consensus: c, state: c.State, clock: c.Clock, log: c.Log, changing: make(map[string]bool)}
+	l := &Leader{consensus: c, state: c.State, clock: c.Clock, log: c.Log, changing: make(map[string]bool), moves: make(leadershipMoves)}
 	serveLeader(node, kindLease, l.Lease)
 	serveLeader(node, kindReturnLease, l.ReturnLeases)
 	serveLeader(node, kindPublish, l.Publish)
--- a/internal/gwcontrol/leaderplacement.go
+++ b/internal/gwcontrol/leaderplacement.go
@@ -14,13 +14,43 @@
 // region, and from the start of a leader's term to its first check.
 const leaderPlacementInterval = 2 * time.Second
 
+// maxLeadershipMoveWait bounds the wait before the leadership is transferred again to a voter
+// that did not keep it.
+const maxLeadershipMoveWait = 2 * time.Minute
+
+// leadershipMove records the transfers of the leadership to one voter.
+type leadershipMove struct {
+	last time.Time
+	wait time.Duration // from last to the next transfer
+}
+
+// leadershipMoves holds the transfers of this voter by target. A target that cannot take over,
+// or loses the leadership again, would otherwise be given it every leaderPlacementInterval, and
+// each time the log stands still for an election or more. It is owned by the goroutine of Run.
+type leadershipMoves map[string]leadershipMove
+
+// allowed reports whether the leadership may be transferred to a voter now.
+func (m leadershipMoves) allowed(id string, now time.Time) bool {
+	return now.Sub(m[id].last) >= m[id].wait
+}
+
+// record records a transfer. The wait doubles with each one that follows soon after the last.
+func (m leadershipMoves) record(id string, now time.Time) {
+	wait := 2 * leaderPlacementInterval
+	if was, ok := m[id]; ok && now.Sub(was.last) < 2*was.wait {
+		wait = min(2*was.wait, maxLeadershipMoveWait)
+	}
+	m[id] = leadershipMove{last: now, wait: wait}
+}
+
 // moveLeadership transfers the leadership to a voter in a region that has more
 // voters than the leader's own. A leader in a region with fewer voters needs a
 // round trip between regions for each entry and each confirmation of its
 // leadership: planned changes of primary took 560 to 640 ms under such a leader,
 // against 60 to 290 ms.
 func (l *Leader) moveLeadership(ctx context.Context, members *Topology) {
-	st := l.consensus.Status()
+	st, now := l.consensus.Status(), l.clock.Now()
+	st.Peers = slices.DeleteFunc(slices.Clone(st.Peers), func(p gwquorum.PeerStatus) bool { return !l.moves.allowed(p.Instance, now) })
 	better := preferredLeader(st, func(id string) (string, bool) {
 		m, ok := members.Member(voterName(id))
 		return m.Region, ok
@@ -28,6 +58,7 @@
 	if better == "" || l.anyChangeRunning() || !l.leasesHeld() {
 		return
 	}
+	l.moves.record(better, now)
 	l.log.Info("transferring the leadership of the replicated log to a region with more voters", "to", better)
 	_ = l.consensus.do(ctx, func() { _ = l.consensus.node.TransferLeadership(better) })
 }
--- a/pkg/gwquorum/member.go
+++ b/pkg/gwquorum/member.go
@@ -66,8 +66,9 @@
 }
 
 // TransferLeadership hands the leadership to another voter once that voter has the whole
-// log. Until then, but for one election timeout at most, proposals are refused. An empty
-// name chooses the responsive voter with the longest synced log.
+// log. Until then, but for one election timeout at most, proposals are refused. A voter that
+// is not responsive or lacks more than MaxPromoteLag entries is refused. An empty name chooses
+// the responsive voter with the longest synced log.
 func (n *Node) TransferLeadership(to string) error {
 	const op = "transfer leadership"
 	if err := n.checkPropose(op); err != nil {
@@ -79,8 +80,12 @@
 	if to == n.cfg.ID || !n.log.members().IsVoter(to) {
 		return newError(op, KindInvalid, "%q is not another voter", to)
 	}
+	pr := n.peers[to]
+	if !n.active(to) || pr.match+n.cfg.MaxPromoteLag < n.log.commit {
+		return newError(op, KindNotCaughtUp, "%q is not responsive, or has synced only up to entry %d of %d", to, pr.match, n.log.commit)
+	}
 	n.transferTarget, n.transferDeadline = to, n.now.Add(n.cfg.ElectionTimeout)
-	n.maybeTransfer(to, n.peers[to])
+	n.maybeTransfer(to, pr)
 	return nil
 }
 
--- a/pkg/gwquorum/replicate.go
+++ b/pkg/gwquorum/replicate.go
@@ -240,7 +240,10 @@
 	case ok && t == m.LogTerm:
 		n.appendEntries(m.Entries)
 		reply.Index = m.Index + uint64(len(m.Entries))
-		n.log.commit = max(n.log.commit, min(m.Commit, reply.Index))
+		if commit := min(m.Commit, reply.Index); commit > n.log.commit {
+			n.log.commit = commit
+			n.stall.count = 0 // another voter can do better
+		}
 	default:
 		reply.Reject, reply.Index = true, m.Index
 		reply.HintIndex, reply.HintTerm = n.log.matchHint(m.Index, m.LogTerm)
--- a/pkg/gwquorum/stall.go
+++ b/pkg/gwquorum/stall.go
@@ -35,7 +35,8 @@
 // are separate, as heartbeats that confirm reads may arrive while entries do not.
 type stallTracker struct {
 	entries, reads stallWatch
-	// count is the number of stalls since the node last committed an entry as the leader.
+	// count is the number of stalls since the node last committed an entry as the leader, or
+	// learned that another leader did.
 	count int
 	// yieldUntil is when a node that gave way as the leader may ask for votes again.
 	yieldUntil time.Time
