--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -6,12 +6,14 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwdeadline"
 )
 
 const (
@@ -68,7 +70,7 @@
 func Dial(ctx context.Context, codec ServerCodec, o gwbackend.Options) (*Conn, error) {
 	dial := o.DialContext
 	if dial == nil {
-		dial = (&net.Dialer{Control: setUserTimeout}).DialContext
+		dial = (&net.Dialer{Control: limitUnacknowledged}).DialContext
 	}
 	nc, err := dial(ctx, "tcp", o.Address)
 	if err != nil {
@@ -91,6 +93,11 @@
 	return c, nil
 }
 
+// limitUnacknowledged makes userTimeout the bound on how long sent data may stay unacknowledged.
+func limitUnacknowledged(_, _ string, rc syscall.RawConn) error {
+	return gwdeadline.SetUserTimeout(rc, userTimeout)
+}
+
 func notSentError(op string, o gwbackend.Options, err error) error {
 	return &gwbackend.Error{Op: op, Kind: gwbackend.KindNotSent, Server: o.Name, Err: err}
 }
