gwstate: a call to the platform is recorded with its fence and holder

What a leader knew of its open calls ended with it, and what the log named ended with the change of primary; a successor could not know whether a call might still come. Change: NamePromotion carries fence, holder and the sequence of the record that it replaces or ends, in optional fields. Group.Call outlives FinishChange; a record is replaced only by a command that names it, and ended only by one that names it and its fence. Group.Attempt is the log index of the attempt, by which owners can order requests of all leaders. Commands of earlier releases have neither and work as before; releases before this one keep no record. Ruled out: a command of its own: earlier releases would log each one as not understood.

--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -138,7 +138,7 @@
 		g.Phase, g.Since, g.NextTerm = Changing, stamp, g.Term
 	}
 	g.NextTerm++
-	g.Reason = c.Reason
+	g.Reason, g.Attempt = c.Reason, s.index
 	s.groups[c.Group] = g
 	return s.groupResult(c.Group, Accepted)
 }
@@ -165,26 +165,44 @@
 	s.endLease(c.Group)
 	s.groups[c.Group] = Group{
 		Name: c.Group, Primary: c.Primary, Term: c.Term, Start: c.Start, Since: stamp, Reason: g.Reason,
-		Copies: c.Copies,
+		Copies: c.Copies, Call: g.Call,
 	}
 	return s.groupResult(c.Group, Accepted)
 }
 
 func (s *State) namePromotion(c NamePromotion) Result {
 	g, known := s.groups[c.Group]
+	closes := c.Server == "" && c.Fence != 0 && g.Call.Fence == c.Fence && g.Call.Sequence == c.Previous
 	switch {
 	case !known:
 		return s.groupResult(c.Group, GroupUnknown)
+	case closes:
 	case g.Phase != Changing:
 		return s.groupResult(c.Group, GroupNotChanging)
 	case g.NextTerm != c.Attempt:
 		return s.groupResult(c.Group, ChangeSuperseded)
+	case c.Server != "" && c.Fence != 0 && !g.Call.mayBeFollowedBy(c):
+		return s.groupResult(c.Group, CallOpen)
+	}
+	if g.Phase == Changing && g.NextTerm == c.Attempt {
+		g.Promoting = c.Server
+	}
+	switch {
+	case closes:
+		g.Call = PromotionCall{}
+	case c.Server != "" && c.Fence != 0:
+		g.Call = PromotionCall{Server: c.Server, Fence: c.Fence, Holder: c.Holder, Sequence: s.index}
 	}
-	g.Promoting = c.Server
 	s.groups[c.Group] = g
 	return s.groupResult(c.Group, Accepted)
 }
 
+// mayBeFollowedBy reports whether n may replace the record: there is none, or the leader that
+// proposes n has seen it and judged that the call cannot conflict with its own.
+func (c PromotionCall) mayBeFollowedBy(n NamePromotion) bool {
+	return c.Fence == 0 || n.Fence >= c.Fence && n.Previous == c.Sequence
+}
+
 // setCopies does nothing during a change of primary, which decides on the copies that were
 // known when it began.
 func (s *State) setCopies(c SetCopies) Result {
--- a/internal/gwstate/clock.go
+++ b/internal/gwstate/clock.go
@@ -75,10 +75,13 @@
 	return c.end(w), true
 }
 
-// end returns the end of the wait. One nanosecond is added for rounding, so that the
-// wait is never shorter than duration × (1 + drift).
-func (c *LeaseClock) end(w leaseWait) time.Time {
-	return w.start.Add(w.duration + time.Duration(float64(w.duration)*c.drift) + 1)
+// end returns the end of the wait.
+func (c *LeaseClock) end(w leaseWait) time.Time { return w.start.Add(c.Outlast(w.duration)) }
+
+// Outlast returns how long to wait here until d has passed on every clock. One nanosecond is
+// added for rounding, so that the wait is never shorter than d × (1 + drift).
+func (c *LeaseClock) Outlast(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*c.drift) + 1
 }
 
 // restore replaces all waits with those of leases, starting at now.
--- a/internal/gwstate/command.go
+++ b/internal/gwstate/command.go
@@ -68,13 +68,21 @@
 	return c.Term
 }
 
-// NamePromotion records, before the call, which server the platform is asked to promote, or
-// with an empty Server that the call has been answered.
+// NamePromotion records, before the call, which server the platform is asked to promote.
+//
+// With an empty Server, it ends the record of the call Previous of Fence, and in the same
+// Attempt allows another server to be named.
 type NamePromotion struct {
 	Group string `cbor:"1,keyasint" json:"group"`
 	// Attempt is the term that BeginChange allocated.
 	Attempt uint64 `cbor:"2,keyasint" json:"attempt"`
 	Server  string `cbor:"3,keyasint,omitempty" json:"server,omitempty"`
+	// Fence is the term of the leader that makes the call; 0 records no call, as in earlier
+	// releases.
+	Fence  uint64 `cbor:"4,keyasint,omitempty" json:"fence,omitempty"`
+	Holder string `cbor:"5,keyasint,omitempty" json:"holder,omitempty"` // the calling instance
+	// Previous is the sequence of the recorded call that this command replaces or ends.
+	Previous uint64 `cbor:"6,keyasint,omitempty" json:"previous,omitempty"`
 }
 
 // GrantLeases grants or renews write leases for one holder. Each lease is
--- a/internal/gwstate/result.go
+++ b/internal/gwstate/result.go
@@ -22,12 +22,13 @@
 	LeaseHeld                // another holder's lease may still be in use
 	LeaseNotHeld             // the holder does not have this lease
 	InvalidArgument          // a required field is empty or a value is out of range
+	CallOpen                 // a call to the platform is not known to be closed
 )
 
 var refusalNames = [...]string{
 	"accepted", "not the successor", "number taken", "number forgotten", "digest mismatch", "group exists",
 	"group unknown", "term mismatch", "group changing", "group not changing", "change superseded", "lease held",
-	"lease not held", "invalid argument",
+	"lease not held", "invalid argument", "call open",
 }
 
 // String returns the refusal in words.
--- a/internal/gwstate/state_test.go
+++ b/internal/gwstate/state_test.go
@@ -212,6 +212,7 @@
 		BeginChange{Group: "g", FromTerm: 1, Reason: "r"},
 		SetCopies{Group: "g", Term: 1, Copies: []CopyRef{{Server: "p", Born: 3}}},
 		NamePromotion{Group: "g", Attempt: 2, Server: "q"},
+		NamePromotion{Group: "g", Attempt: 2, Server: "q", Fence: 3, Holder: "h", Previous: 9},
 		FinishChange{Group: "g", FromTerm: 1, Term: 2, Primary: "s", Start: gwsession.Position{Term: 2}, Previous: 3},
 		GrantLeases{Holder: "h", Incarnation: 4, Leases: []LeaseRequest{{Group: "g", Term: 1, Duration: time.Second, Previous: 2}}},
 		ReturnLeases{Holder: "h", Incarnation: 4, Leases: []LeaseReturn{{Group: "g", Sequence: 9}}},
--- a/internal/gwstate/types.go
+++ b/internal/gwstate/types.go
@@ -63,6 +63,22 @@
 	// Promoting is the server that the platform may have been asked to promote, without an
 	// answer so far; empty unless the phase is Changing.
 	Promoting string `cbor:"10,keyasint,omitempty" json:"promoting,omitempty"`
+	// Call is the latest call to the platform about the group that is not known to be closed;
+	// its Fence is 0 if there is none. It outlives the change of primary.
+	Call PromotionCall `cbor:"11,keyasint,omitzero" json:"call,omitzero"`
+	// Attempt is the log index of the BeginChange that began the present attempt; 0 unless
+	// the phase is Changing.
+	Attempt uint64 `cbor:"12,keyasint,omitempty" json:"attempt,omitempty"`
+}
+
+// PromotionCall is a call to the platform as it was recorded before it was sent.
+type PromotionCall struct {
+	Server string `cbor:"1,keyasint" json:"server"`
+	// Fence is the term of the leader that makes the call, which the call carries.
+	Fence  uint64 `cbor:"2,keyasint" json:"fence"`
+	Holder string `cbor:"3,keyasint" json:"holder"` // the calling instance
+	// Sequence is the log index of the record.
+	Sequence uint64 `cbor:"4,keyasint" json:"sequence"`
 }
 
 // CopyRef identifies the data of one run of a backend server.
