gwcontrol, platform: no call of a replaced leader after its successor's

The fence was the voter's term when the call was sent, not that in which the log had confirmed the caller: a voter that has lost the leadership may be a candidate of a term that nobody leads, and the next leader's true fence is lower. The call was sent however long after the confirmation. A successor knew nothing of open calls of its predecessor. Change: a call is recorded in the log, in the term that is its fence, before it is sent; the commit is the quorum's confirmation. It is sent within 1 s of the proposal or not at all. A record ends when the call is closed. The leadership is not moved to another region while a call is open. The log line of a call has the time from record to sending. Ruled out: asking the quorum right before the call, as before: the pause may come after it.

--- a/cmd/gentianward-platform/run.go
+++ b/cmd/gentianward-platform/run.go
@@ -270,7 +270,7 @@
 		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}}, ServeCallers: p.serveCallers,
 		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
-		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Client: platform.NewPromoterClient()},
+		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Clock: gwclock.NewBootTime()},
 		Routes:       func(i *gwdaemon.Instance) http.Handler { return platform.ReadyRoutes(i) },
 	}
 	if s.ServesControl {
--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -85,6 +85,8 @@
 
 	mu     sync.RWMutex
 	status gwquorum.Status
+	// leadingSince is when the voter was first seen to lead in readyTerm.
+	leadingSince time.Time
 }
 
 // proposal is a call of Propose that waits until the entry at its index is applied.
@@ -335,15 +337,16 @@
 
 func (c *Consensus) updateStatus() {
 	st := c.node.Status()
+	since := c.leadingSince
 	if st.LeaderReady && st.Term != c.readyTerm {
-		c.readyTerm = st.Term
-		c.State.Clock().RestartAll(c.Clock.Now())
+		c.readyTerm, since = st.Term, c.Clock.Now()
+		c.State.Clock().RestartAll(since)
 		c.Log.Info("leading the replicated log", "term", st.Term)
 	}
 	c.ready = st.LeaderReady
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.status = st
+	c.status, c.leadingSince = st, since
 }
 
 // Status returns the state of the voter after the last pass of Run's loop.
@@ -361,16 +364,36 @@
 // leaders committed.
 func (c *Consensus) Leading() bool { return c.Status().LeaderReady }
 
+// Leadership is a term in which this voter leads.
+type Leadership struct {
+	Term uint64
+	// Since is when the voter had applied everything that earlier leaders committed.
+	Since time.Time
+}
+
+// Leadership returns the term in which this voter leads, and false if Leading is false.
+func (c *Consensus) Leadership() (Leadership, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return Leadership{Term: c.status.Term, Since: c.leadingSince}, c.status.LeaderReady
+}
+
 // Propose commits cmd and returns the result of applying it. After an error of kind
 // Unavailable, the command may or may not have been committed.
 func (c *Consensus) Propose(ctx context.Context, cmd gwstate.Command) (gwstate.Result, error) {
+	return c.ProposeInTerm(ctx, 0, cmd)
+}
+
+// ProposeInTerm is Propose, except that it fails with an error of kind NotLeader unless the
+// entry is appended in the given term. Term 0 means any.
+func (c *Consensus) ProposeInTerm(ctx context.Context, term uint64, cmd gwstate.Command) (gwstate.Result, error) {
 	data, err := gwstate.Encode(cmd, c.Clock.Now())
 	if err != nil {
 		return nil, err
 	}
 	done := make(chan applied, 1)
 	err = c.do(ctx, func() {
-		if !c.ready {
+		if !c.ready || term != 0 && c.node.Status().Term != term {
 			done <- applied{err: c.notLeader("propose command")}
 			return
 		}
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -223,8 +223,10 @@
 
 	// reconciling is set while reconcileVoters runs.
 	reconciling atomic.Bool
-	copies      copyKeeper
-	calls       openCalls
+	// endingRecords is set while endRecords runs.
+	endingRecords atomic.Bool
+	copies        copyKeeper
+	calls         openCalls
 
 	mu       sync.Mutex
 	changing map[string]bool
--- a/internal/gwcontrol/leaderplacement.go
+++ b/internal/gwcontrol/leaderplacement.go
@@ -18,14 +18,15 @@
 // voters than the leader's own. A leader in a region with fewer voters needs a
 // round trip between regions for each entry and each confirmation of its
 // leadership: planned changes of primary took 560 to 640 ms under such a leader,
-// against 60 to 290 ms.
+// against 60 to 290 ms. With a call to the platform under way, the next leader would have to
+// wait, see earlierCallLimit.
 func (l *Leader) moveLeadership(ctx context.Context, members *Topology) {
 	st := l.consensus.Status()
 	better := preferredLeader(st, func(id string) (string, bool) {
 		m, ok := members.Member(voterName(id))
 		return m.Region, ok
 	})
-	if better == "" || l.anyChangeRunning() || !l.leasesHeld() {
+	if better == "" || l.anyChangeRunning() || l.calls.any() || !l.leasesHeld() {
 		return
 	}
 	l.log.Info("transferring the leadership of the replicated log to a region with more voters", "to", better)
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -15,12 +15,17 @@
 type FenceRequest struct {
 	Server string `cbor:"1,keyasint"`
 	Term   uint64 `cbor:"2,keyasint"`
+	// Attempt is the log index of the attempt's BeginChange; 0 from earlier releases. An
+	// owner refuses requests of attempts before the latest that it knows.
+	Attempt uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // PromoteRequest asks the owner of a server to make it the primary of Term.
 type PromoteRequest struct {
 	Server string `cbor:"1,keyasint"`
 	Term   uint64 `cbor:"2,keyasint"`
+	// Attempt: see FenceRequest.
+	Attempt uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Copy is a fenced server and the position of its data.
@@ -134,6 +139,7 @@
 		if l.clock.Since(lastCopiesCheck) >= copiesCheckInterval {
 			lastCopiesCheck = l.clock.Now()
 			go l.copies.reconcile(ctx, l)
+			go l.endRecords(ctx)
 		}
 		if l.clock.Since(lastPlacement) >= leaderPlacementInterval {
 			lastPlacement = l.clock.Now()
@@ -212,12 +218,10 @@
 	ctx := context.Background()
 	started := l.clock.Now()
 	l.log.Info("change of primary begins", "group", group, "term", term, "reason", reason)
-	if g, ok := l.state.Group(group); ok && g.Term == term {
-		l.awaitOpenCalls(g)
-	}
 	var lastLog time.Time
 	var evidence *Evidence
 	for l.consensus.Leading() {
+		l.awaitCalls(group, term)
 		pctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 		res, err := l.consensus.Propose(pctx, gwstate.BeginChange{Group: group, FromTerm: term, Reason: reason})
 		cancel()
@@ -266,22 +270,15 @@
 	if err != nil {
 		return err
 	}
-	pctx, cancel := context.WithTimeout(ctx, promoteTimeout)
-	defer cancel()
 	if l.promoter != nil {
-		// A leader that has been replaced must not use its older fence after its
-		// successor has used a newer one. A quorum confirms that there is no successor yet.
-		if err := l.consensus.ConfirmLeadership(pctx); err != nil {
-			return err
-		}
-		if err := l.callPromoter(pctx, g, best); err != nil {
+		if err := l.callPlatform(ctx, g, best); err != nil {
 			return err
 		}
 	}
 	// The wait for the server has a time of its own, as the platform may have taken long.
 	pctx, cancelWait := context.WithTimeout(ctx, promoteTimeout)
 	defer cancelWait()
-	start, err := l.owners.PromoteAt(pctx, PromoteRequest{Server: best, Term: g.NextTerm})
+	start, err := l.owners.PromoteAt(pctx, PromoteRequest{Server: best, Term: g.NextTerm, Attempt: g.Attempt})
 	if err != nil {
 		return err
 	}
@@ -317,7 +314,7 @@
 	e.AddServers(servers)
 	if i := slices.IndexFunc(servers, func(f ServerFacts) bool { return f.Server == g.Primary && f.Leaving }); i >= 0 {
 		fctx, cancel := context.WithTimeout(ctx, fenceTimeout)
-		old, err := l.owners.FenceAt(fctx, FenceRequest{Server: g.Primary, Term: g.NextTerm})
+		old, err := l.owners.FenceAt(fctx, FenceRequest{Server: g.Primary, Term: g.NextTerm, Attempt: g.Attempt})
 		cancel()
 		if err == nil {
 			e.Add(old)
@@ -330,7 +327,7 @@
 	var wg sync.WaitGroup
 	for _, f := range servers {
 		wg.Go(func() {
-			if c, err := l.owners.FenceAt(fctx, FenceRequest{Server: f.Server, Term: g.NextTerm}); err == nil {
+			if c, err := l.owners.FenceAt(fctx, FenceRequest{Server: f.Server, Term: g.NextTerm, Attempt: g.Attempt}); err == nil {
 				answers <- c
 			}
 		})
--- a/internal/gwcontrol/promotion.go
+++ b/internal/gwcontrol/promotion.go
@@ -2,18 +2,29 @@
 
 import (
 	"context"
-	"sync"
+	"errors"
 	"time"
 
 	"gentianward.example/gentianward/internal/gwstate"
 )
 
+// Promotion is a call to the platform that makes a server the primary of its group.
+type Promotion struct {
+	Group  string
+	Server string
+	// Fence increases with every new leader of the replicated log.
+	Fence uint64
+	// Until is when the call must have been sent, by the leader's clock. Later, another
+	// leader may call.
+	Until time.Time
+}
+
 // Promoter asks the platform that runs the backend servers to make one of them the
-// primary. Promote may be called repeatedly; fence increases with every new leader of
-// the replicated log. After an error for which IsRefused is false, the call may still take
+// primary. Promote may be called repeatedly. It returns when the call was sent, which is zero
+// if it was not. After an error for which IsRefused is false, the call may still take
 // effect, even later.
 type Promoter interface {
-	Promote(ctx context.Context, group, server string, fence uint64) error
+	Promote(ctx context.Context, p Promotion) (sent time.Time, err error)
 }
 
 // UsePromoter makes changes of primary call p, unless p is nil, and observe with the outcome
@@ -22,76 +33,26 @@
 	l.promoter, l.observeCall = p, observe
 }
 
-// Outcomes of a call to the platform, in logs and metrics.
-const (
-	outcomeAccepted = "accepted"
-	outcomeRefused  = "refused"
-	outcomeOpen     = "open" // no answer; the call may take effect
-)
-
-// recordOutcome logs how a call to the platform ended and counts it.
-func (l *Leader) recordOutcome(g gwstate.Group, server string, fence uint64, took time.Duration, err error) {
-	outcome, reason := outcomeAccepted, ""
-	if err != nil {
-		outcome, reason = outcomeOpen, err.Error()
-	}
-	if IsRefused(err) {
-		outcome = outcomeRefused
-	}
-	l.log.Info("call to the platform ended", "group", g.Name, "server", server, "fence", fence, "holder", l.Instance(), "attempt", g.NextTerm, "outcome", outcome, "took", took.String(), "reason", reason)
-	if l.observeCall != nil {
-		l.observeCall(outcome)
-	}
-}
-
 const (
+	// promoteSendLimit is how long after the proposal of its record a call may be sent. A
+	// record is committed within 0.1 s, and the platform answers a connection at once.
+	promoteSendLimit = time.Second
 	// promoteCallLimit is how long a call to the platform may take effect. The platform
 	// names no limit.
 	promoteCallLimit = 30 * time.Second
 	// promoteErrorLimit is how long a call may still take effect whose connection broke
 	// before the answer. The platform acts some hundred milliseconds after a call.
 	promoteErrorLimit = 3 * time.Second
+	// earlierCallLimit is how long after the start of a leadership a call of an earlier
+	// leader may take effect: its record was proposed before, and its connection ends by the
+	// time at which it must have been sent.
+	earlierCallLimit = promoteSendLimit + promoteErrorLimit
 	// leadershipCheckInterval is the time between two checks that the caller still leads.
 	leadershipCheckInterval = 20 * time.Millisecond
 )
 
-// openCalls tracks the calls to the platform that have not been answered, by group. While
-// there are any, no other server is named: a call that takes effect after another server
-// was made the primary would leave two that commit writes.
-type openCalls struct {
-	mu      sync.Mutex
-	servers map[string]map[string]int // number of open calls by group and server
-}
-
-func (c *openCalls) add(group, server string, n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.servers == nil {
-		c.servers = make(map[string]map[string]int)
-	}
-	if c.servers[group] == nil {
-		c.servers[group] = make(map[string]int)
-	}
-	if c.servers[group][server] += n; c.servers[group][server] == 0 {
-		delete(c.servers[group], server)
-	}
-}
-
-// open returns a server of the group with an open call, other than except.
-func (c *openCalls) open(group, except string) (string, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for server := range c.servers[group] {
-		if server != except {
-			return server, true
-		}
-	}
-	return "", false
-}
-
-// choosePromotion returns the server to promote in this attempt, which it records before the
-// platform is asked for it. If the platform was asked before and has not answered, that server
-// is named again, and not fenced: it may lead already.
+// choosePromotion returns the server to promote in this attempt. If the platform was asked
+// before and has not answered, that server is named again, and not fenced: it may lead already.
 func (l *Leader) choosePromotion(ctx context.Context, g gwstate.Group, e *Evidence) (string, error) {
 	if g.Promoting != "" {
 		return g.Promoting, nil
@@ -100,53 +61,67 @@
 	if err != nil {
 		return "", err
 	}
-	server := candidates[0].Server
-	if l.promoter == nil {
-		return server, nil
-	}
-	if other, ok := l.calls.open(g.Name, server); ok {
-		return "", &Error{Op: "promote server", Kind: Unavailable, Detail: "the platform has not answered the call for " + other}
-	}
-	return server, l.namePromotion(ctx, g, server)
+	return candidates[0].Server, nil
 }
 
-func (l *Leader) namePromotion(ctx context.Context, g gwstate.Group, server string) error {
+// platformCall is a call to the platform whose record has been committed.
+type platformCall struct {
+	Promotion
+	attempt  uint64
+	recorded time.Time // when the record was proposed
+	sequence uint64    // see gwstate.PromotionCall
+}
+
+// recordCall commits the record of a call and counts the call as open. That the log has
+// accepted the record in this term is the quorum's confirmation: the leader that follows
+// either finds the record and waits for the call, or the record is never committed.
+func (l *Leader) recordCall(ctx context.Context, g gwstate.Group, server string) (platformCall, error) {
+	const op = "record call"
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	return l.proposeForGroup(ctx, "name promotion", gwstate.NamePromotion{Group: g.Name, Attempt: g.NextTerm, Server: server})
+	lead, leading := l.consensus.Leadership()
+	if !leading {
+		return platformCall{}, &Error{Op: op, Kind: NotLeader}
+	}
+	if other, ok := l.calls.open(g.Name, server); ok {
+		return platformCall{}, &Error{Op: op, Kind: Unavailable, Detail: "the platform has not answered the call for " + other}
+	}
+	present, _ := l.state.Group(g.Name)
+	if wait := l.earlierCallWait(present.Call, lead); wait > 0 {
+		return platformCall{}, &Error{Op: op, Kind: Unavailable, Detail: "a call of an earlier leader may take effect for " + wait.String()}
+	}
+	l.calls.add(g.Name, server, 1)
+	began := l.clock.Now()
+	res, err := l.consensus.ProposeInTerm(ctx, lead.Term, gwstate.NamePromotion{
+		Group: g.Name, Attempt: g.NextTerm, Server: server, Fence: lead.Term, Holder: l.Instance(), Previous: present.Call.Sequence,
+	})
+	gr, _ := res.(gwstate.GroupResult)
+	if err == nil && gr.Refusal != gwstate.Accepted {
+		err = &Error{Op: op, Kind: Refused, Detail: gr.Refusal.String()}
+	}
+	if err != nil {
+		l.calls.add(g.Name, server, -1)
+		return platformCall{}, err
+	}
+	return platformCall{
+		Promotion: Promotion{Group: g.Name, Server: server, Fence: lead.Term, Until: began.Add(promoteSendLimit)},
+		attempt:   g.NextTerm, recorded: began, sequence: gr.Group.Call.Sequence,
+	}, nil
 }
 
-// callPromoter asks the platform to promote a server and waits for the answer until ctx ends;
-// the call goes on without it. Once it is answered, another server may be named.
-func (l *Leader) callPromoter(ctx context.Context, g gwstate.Group, server string) error {
+// callPlatform asks the platform to promote a server and waits up to promoteTimeout for the
+// answer; the call goes on without it. Once it is answered, another server may be named.
+func (l *Leader) callPlatform(ctx context.Context, g gwstate.Group, server string) error {
+	c, err := l.recordCall(ctx, g, server)
+	if err != nil {
+		return err
+	}
 	done := make(chan error, 1)
-	l.calls.add(g.Name, server, 1)
-	fence := l.consensus.Status().Term
-	go func() {
-		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), promoteCallLimit)
-		defer cancel()
-		go l.whileLeading(call, cancel)
-		began := l.clock.Now()
-		err := l.promoter.Promote(call, g.Name, server, fence)
-		l.recordOutcome(g, server, fence, l.clock.Since(began), err)
-		if err != nil && !IsRefused(err) && call.Err() == nil {
-			l.clock.Sleep(promoteErrorLimit)
-		}
-		l.calls.add(g.Name, server, -1)
-		done <- err
-	}()
+	go l.runCall(context.WithoutCancel(ctx), c, done)
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
 	select {
 	case err := <-done:
-		switch {
-		case err == nil:
-			// Refused if the change has ended meanwhile.
-			go func() { _ = l.namePromotion(context.WithoutCancel(ctx), g, "") }()
-			return nil
-		case IsRefused(err):
-			if e := l.namePromotion(ctx, g, ""); e != nil {
-				return e
-			}
-		}
 		return err
 	case <-ctx.Done():
 		l.log.Warn("the platform has not answered a call to promote a server", "group", g.Name, "server", server, "after", promoteTimeout.String())
@@ -154,6 +129,50 @@
 	}
 }
 
+// runCall makes a call and reports its outcome to done once the call is closed, that is, can
+// take no effect any more, or has taken it.
+func (l *Leader) runCall(ctx context.Context, c platformCall, done chan<- error) {
+	call, cancel := context.WithTimeout(ctx, promoteCallLimit)
+	defer cancel()
+	go l.whileLeading(call, cancel)
+	sent, err := l.promoter.Promote(call, c.Promotion)
+	l.recordOutcome(c, sent, err)
+	switch {
+	case err == nil:
+		done <- nil // the change goes on while the record is ended
+		l.endCall(ctx, c, c.attempt)
+	case IsRefused(err):
+		l.endCall(ctx, c, c.attempt)
+		done <- err
+	case errors.Is(call.Err(), context.Canceled):
+		// The leadership has ended. The next leader, also this voter, waits by the record.
+		l.calls.add(c.Group, c.Server, -1)
+		done <- err
+	default:
+		if call.Err() == nil {
+			l.clock.Sleep(promoteErrorLimit)
+		}
+		l.endCall(ctx, c, 0)
+		done <- err
+	}
+}
+
+// endCall counts a call as closed and, if it was the last one of its record, ends the record.
+// In the given attempt, unless that is 0 or has ended, another server may then be named.
+func (l *Leader) endCall(ctx context.Context, c platformCall, attempt uint64) {
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	cmd := gwstate.NamePromotion{Group: c.Group, Attempt: attempt}
+	if l.calls.add(c.Group, c.Server, -1) == 0 {
+		cmd.Fence, cmd.Previous = c.Fence, c.sequence
+	}
+	if cmd.Fence != 0 || attempt != 0 {
+		// Refused if both the record and the attempt have ended. After an error the record
+		// is ended by endRecords.
+		_, _ = l.consensus.ProposeInTerm(ctx, c.Fence, cmd)
+	}
+}
+
 // whileLeading cancels a call when this voter no longer leads, as its fence is outdated then.
 func (l *Leader) whileLeading(ctx context.Context, cancel context.CancelFunc) {
 	ticker := l.clock.NewTicker(leadershipCheckInterval)
@@ -167,14 +186,3 @@
 	}
 	cancel()
 }
-
-// awaitOpenCalls waits until no call to promote the group's present primary is open any
-// more. Such a call would make it the primary again after it was replaced.
-func (l *Leader) awaitOpenCalls(g gwstate.Group) {
-	for g.Phase != gwstate.Changing && l.consensus.Leading() {
-		if _, open := l.calls.open(g.Name, ""); !open {
-			return
-		}
-		l.clock.Sleep(changeRetryDelay)
-	}
-}
--- /dev/null
+++ b/internal/gwcontrol/promotion_test.go
@@ -0,0 +1,192 @@
+package gwcontrol
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/pkg/gwquorum"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// steppedVoter is the only voter of a replicated log. The test runs its passes, so that it
+// decides what happens between an answer of the log and the next look at the voter's status.
+type steppedVoter struct {
+	*Consensus
+	t *testing.T
+}
+
+func newSteppedVoter(t *testing.T, clock clockwork.Clock) steppedVoter {
+	c := &Consensus{
+		ConsensusOptions: ConsensusOptions{Instance: "a", Clock: clock, Log: slog.New(slog.DiscardHandler), State: gwstate.New(0)},
+		calls:            make(chan func(), callQueueLength), proposals: make(map[uint64]proposal),
+		reads: make(map[uint64]chan error), peers: make(map[string]*sender),
+	}
+	var err error
+	cfg := gwquorum.Config{ID: "a", Rand: rand.NewPCG(1, 2)}
+	c.node, err = gwquorum.NewNode(cfg, gwquorum.HardState{}, gwquorum.Snapshot{Members: gwquorum.Members{Voters: []string{"a"}}}, nil)
+	require.NoError(t, err)
+	c.running.Store(true)
+	v := steppedVoter{c, t}
+	at := clock.Now()
+	for !v.pass(func() { c.node.Tick(at) }).LeaderReady {
+		at = at.Add(consensusTick)
+	}
+	return v
+}
+
+// pass runs f and what follows from it. The voter's status is not visible before it ends.
+func (v steppedVoter) pass(f ...func()) gwquorum.Status {
+	v.mu.Lock()
+	for _, f := range f {
+		f()
+		for rd := v.node.Ready(); !rd.Empty(); rd = v.node.Ready() {
+			v.apply(rd.Committed)
+			v.answerReads(rd.Reads)
+			v.node.Advance(rd)
+		}
+	}
+	v.mu.Unlock()
+	v.updateStatus()
+	return v.Status()
+}
+
+// loseLeadership makes the voter a follower of a much later term.
+func (v steppedVoter) loseLeadership() {
+	m := gwquorum.Message{Kind: gwquorum.MessageAppendReply, From: "b", To: "a", Term: v.node.Status().Term + 4}
+	v.node.Step(m, v.Clock.Now())
+}
+
+// serve runs the queued calls of the voter until done is closed, and lost after the n-th.
+func (v steppedVoter) serve(done <-chan struct{}, n int) {
+	for {
+		select {
+		case f := <-v.calls:
+			if n--; n == 0 {
+				v.pass(f, v.loseLeadership)
+				continue
+			}
+			v.pass(f)
+		case <-done:
+			return
+		}
+	}
+}
+
+// propose commits commands while no other goroutine uses the voter.
+func (v steppedVoter) propose(cmds ...gwstate.Command) {
+	for _, cmd := range cmds {
+		done := make(chan struct{})
+		go v.serve(done, 0)
+		res, err := v.Propose(v.t.Context(), cmd)
+		close(done)
+		require.NoError(v.t, err)
+		require.Equal(v.t, gwstate.Accepted, res.(gwstate.GroupResult).Refusal)
+	}
+}
+
+// fakeOwners answers for servers that lead as soon as they are asked for.
+type fakeOwners struct{ Owners }
+
+func (fakeOwners) PromoteAt(_ context.Context, r PromoteRequest) (gwsession.Position, error) {
+	return gwsession.Position{Term: r.Term}, nil
+}
+
+func (fakeOwners) Servers(string) []ServerFacts { return nil }
+
+// fakePlatform records the calls that reach it and accepts them.
+type fakePlatform struct {
+	mu     sync.Mutex
+	fences []uint64
+}
+
+func (p *fakePlatform) Promote(_ context.Context, c Promotion) (time.Time, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fences = append(p.fences, c.Fence)
+	return c.Until.Add(-promoteSendLimit), nil
+}
+
+// newPromotingLeader returns a leader on v whose group g is about to get the primary i-2.
+func newPromotingLeader(v steppedVoter, p Promoter) *Leader {
+	v.propose(
+		gwstate.StartGroup{Group: "g", Primary: "i-1", Term: 1},
+		gwstate.BeginChange{Group: "g", FromTerm: 1},
+		gwstate.NamePromotion{Group: "g", Attempt: 2, Server: "i-2"},
+	)
+	return &Leader{consensus: v.Consensus, state: v.State, clock: v.Clock, log: v.Log, owners: fakeOwners{}, promoter: p, changing: make(map[string]bool)}
+}
+
+// attempt makes one attempt of the change, in which the voter loses the leadership after the
+// n-th call of the log, unless n is 0.
+func (v steppedVoter) attempt(l *Leader, n int) error {
+	g, _ := l.state.Group("g")
+	done := make(chan struct{})
+	var err error
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(v.t.Context(), 5*time.Second)
+		defer cancel()
+		err = l.attemptChange(ctx, g, NewEvidence(g))
+	}()
+	v.serve(done, n)
+	return err
+}
+
+// Guards against a call with the fence of a term that its caller never led: the voter had lost
+// the leadership after the log had confirmed it, and its own term had moved on.
+func TestFenceIsTheTermOfTheLog(t *testing.T) {
+	v := newSteppedVoter(t, clockwork.NewRealClock())
+	term := v.Status().Term
+	p := &fakePlatform{}
+	_ = v.attempt(newPromotingLeader(v, p), 1) // the change goes on under another leader
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(t, []uint64{term}, p.fences)
+}
+
+// Guards against a call of a replaced leader that takes effect after its successor's, and
+// against a successor that waits although there is no such call.
+func TestSuccessorWaitsForRecordedCall(t *testing.T) {
+	tests := []struct {
+		name     string
+		recorded bool
+		waits    bool
+	}{
+		{"no call", false, false},
+		{"a call that is not known to be closed", true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			v := newSteppedVoter(t, clock)
+			p := &fakePlatform{}
+			l := newPromotingLeader(v, p)
+			if tt.recorded {
+				v.propose(gwstate.NamePromotion{Group: "g", Attempt: 2, Server: "i-2", Fence: v.Status().Term, Holder: "b"})
+			}
+			v.pass(v.loseLeadership)
+			at := clock.Now()
+			for !v.pass(func() { v.node.Tick(at) }).LeaderReady {
+				at = at.Add(consensusTick)
+			}
+			term := v.Status().Term
+			if tt.waits {
+				clock.Advance(earlierCallLimit)
+				require.Error(t, v.attempt(l, 0))
+				assert.Empty(t, p.fences)
+				clock.Advance(1)
+			}
+			_ = v.attempt(l, 0)
+			assert.Equal(t, []uint64{term}, p.fences)
+		})
+	}
+}
