gwowner: requests of an outdated change of primary are refused

A fence of a replaced leader, or of an earlier attempt, that comes late to the owner of a server makes it tell a primary of the successor to step down: attempts count terms that the servers do not use, so that the term in the statement does not protect it. Change: requests carry the log index at which their attempt began. An owner refuses those before the latest attempt that it knows, and those whose change has ended in its view; a later attempt ends requests that still wait. Requests of earlier releases are accepted. Ruled out: the leader's term, as proposed: it does not order the attempts of one leader. Left: an owner that stands still between its check and the statement.

--- /dev/null
+++ b/internal/gwowner/attempt.go
@@ -0,0 +1,112 @@
+package gwowner
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// codeOutdated is the error code of a request of an attempt at a change of primary that a
+// later one has replaced or that has ended.
+const codeOutdated = "outdated"
+
+var errOutdated = errors.New("a later attempt at a change of primary has begun, or the change has ended")
+
+// attempts holds, by group, the latest attempt at a change of primary that this instance has
+// been asked to take part in. The number of an attempt is the log index at which it began,
+// which grows over all leaders. A request that comes late, of a leader that was replaced or of
+// an earlier attempt, would stop a primary that a later attempt has made.
+type attempts struct {
+	mu     sync.Mutex
+	latest map[string]*attempt
+}
+
+type attempt struct {
+	number uint64
+	// ctx ends when a later attempt begins.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// begin returns a context for a request of an attempt, which ends when a later one begins,
+// and false if one has begun already.
+func (a *attempts) begin(ctx context.Context, group string, number uint64) (context.Context, context.CancelFunc, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	known := a.latest[group]
+	switch {
+	case known != nil && number < known.number:
+		return ctx, nil, false
+	case known == nil || number > known.number:
+		if known != nil {
+			known.cancel()
+		}
+		if a.latest == nil {
+			a.latest = make(map[string]*attempt)
+		}
+		known = &attempt{number: number}
+		known.ctx, known.cancel = context.WithCancel(context.Background())
+		a.latest[group] = known
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(known.ctx, func() { cancel(errOutdated) })
+	return ctx, func() { stop(); cancel(context.Canceled) }, true
+}
+
+// beginAttempt returns a context for a request about an owned server in an attempt, or an
+// error if the attempt is outdated: a later one is known, or the view of this instance shows
+// that the change has ended. Requests of earlier releases, with number 0, are not checked.
+func (o *Owner) beginAttempt(ctx context.Context, s *server, number uint64) (context.Context, context.CancelFunc, error) {
+	if number == 0 {
+		return ctx, func() {}, nil
+	}
+	f, g := s.facts(), s.group()
+	ended := !g.Changing && g.Index > number
+	if !ended {
+		if ctx, cancel, ok := o.attempts.begin(ctx, f.Group, number); ok {
+			return ctx, cancel, nil
+		}
+	}
+	o.log.Warn("request of an outdated change of primary refused", "group", f.Group, "server", f.Server, "attempt", number, "ended", ended)
+	return ctx, nil, gwpeer.Codef(codeOutdated, "%v", errOutdated)
+}
+
+// fence makes an owned server refuse writes and replication of earlier terms.
+func (o *Owner) fence(ctx context.Context, r gwcontrol.FenceRequest) (gwcontrol.Copy, error) {
+	s := o.server(r.Server)
+	if s == nil {
+		return gwcontrol.Copy{}, gwpeer.Codef(codeNotOwner, "backend server %s is not owned here", r.Server)
+	}
+	ctx, cancel, err := o.beginAttempt(ctx, s, r.Attempt)
+	if err != nil {
+		return gwcontrol.Copy{}, err
+	}
+	defer cancel()
+	rep, err := s.backend.Fence(ctx, r.Term)
+	if err != nil {
+		return gwcontrol.Copy{}, gwpeer.Codef(codeServer, "%v", err)
+	}
+	return gwcontrol.Copy{Server: r.Server, Position: rep.Position}, nil
+}
+
+// promote makes an owned server the primary of r.Term.
+func (o *Owner) promote(ctx context.Context, r gwcontrol.PromoteRequest) (gwsession.Position, error) {
+	s := o.server(r.Server)
+	if s == nil {
+		return gwsession.Position{}, gwpeer.Codef(codeNotOwner, "backend server %s is not owned here", r.Server)
+	}
+	ctx, cancel, err := o.beginAttempt(ctx, s, r.Attempt)
+	if err != nil {
+		return gwsession.Position{}, err
+	}
+	defer cancel()
+	p, err := s.backend.Promote(ctx, r.Term)
+	if err != nil {
+		return p, gwpeer.Codef(codeServer, "%v", err)
+	}
+	return p, nil
+}
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -101,6 +101,8 @@
 	joinedAt       time.Time
 	backendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
 
+	attempts attempts
+
 	mu      sync.RWMutex
 	servers map[string]*server
 	// draining holds the released servers that still have requests in progress. The
--- a/internal/gwowner/peer.go
+++ b/internal/gwowner/peer.go
@@ -97,32 +97,6 @@
 	return a, nil
 }
 
-// fence makes an owned server refuse writes and replication of earlier terms.
-func (o *Owner) fence(ctx context.Context, r gwcontrol.FenceRequest) (gwcontrol.Copy, error) {
-	s := o.server(r.Server)
-	if s == nil {
-		return gwcontrol.Copy{}, gwpeer.Codef(codeNotOwner, "backend server %s is not owned here", r.Server)
-	}
-	rep, err := s.backend.Fence(ctx, r.Term)
-	if err != nil {
-		return gwcontrol.Copy{}, gwpeer.Codef(codeServer, "%v", err)
-	}
-	return gwcontrol.Copy{Server: r.Server, Position: rep.Position}, nil
-}
-
-// promote makes an owned server the primary of r.Term.
-func (o *Owner) promote(ctx context.Context, r gwcontrol.PromoteRequest) (gwsession.Position, error) {
-	s := o.server(r.Server)
-	if s == nil {
-		return gwsession.Position{}, gwpeer.Codef(codeNotOwner, "backend server %s is not owned here", r.Server)
-	}
-	p, err := s.backend.Promote(ctx, r.Term)
-	if err != nil {
-		return p, gwpeer.Codef(codeServer, "%v", err)
-	}
-	return p, nil
-}
-
 // FenceAt fences a server through its owner.
 func (o *Owner) FenceAt(ctx context.Context, r gwcontrol.FenceRequest) (gwcontrol.Copy, error) {
 	return callOwner(ctx, o, r.Server, gwcontrol.KindFence, r, o.fence)
