gwowner: refuse the answer of a server that lost data; settle counts from the join

A server may start again under its id, without data, before its new run is announced; its answer to a fence counted as that of the run that had the data. Change: the owner remembers how far a run was seen to have received, and does not pass on an answer that is behind it in the same term. The join is recorded whether there are servers or not. Ruled out: refusing all empty answers; a new server that has received nothing is a fair answer, and with a primary gone for good the group would wait for an operator.

--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -213,6 +213,7 @@
 }
 
 func (o *Owner) reconcile() {
+	o.recordJoin()
 	for _, f := range o.directory.All() {
 		s := o.server(f.Server)
 		switch owned := o.owns(f); {
--- a/internal/gwowner/peer.go
+++ b/internal/gwowner/peer.go
@@ -103,10 +103,15 @@
 	if s == nil {
 		return gwcontrol.Copy{}, gwpeer.Codef(codeNotOwner, "backend server %s is not owned here", r.Server)
 	}
+	earlier := s.received.latest()
 	rep, err := s.backend.Fence(ctx, r.Term)
 	if err != nil {
 		return gwcontrol.Copy{}, gwpeer.Codef(codeServer, "%v", err)
 	}
+	if lostData(earlier, rep) {
+		return gwcontrol.Copy{}, gwpeer.Codef(codeServer, "backend server %s is at %s and was at %s: it has started again without its data", r.Server, rep.Position, earlier.Position)
+	}
+	s.received.record(rep)
 	return gwcontrol.Copy{Server: r.Server, Position: rep.Position, Held: rep.Term}, nil
 }
 
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -24,7 +24,8 @@
 	confirm   *confirmer
 	cancel    context.CancelFunc
 
-	pending pendingStatements
+	pending  pendingStatements
+	received received
 
 	// active counts the requests that have not been answered, including those that wait
 	// for a confirmation.
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -54,6 +54,9 @@
 
 func (s *server) supervise(ctx context.Context) {
 	g := s.group()
+	if r, at, err := s.backend.Report(); err == nil && !at.IsZero() {
+		s.received.record(r)
+	}
 	switch {
 	case g.Term == 0:
 		s.startGroup(ctx)
@@ -201,6 +204,7 @@
 		s.owner.log.Warn("backend server cannot follow the primary", "server", s.facts().Server, "group", g.Group, "term", g.Term, "error", err)
 		return
 	}
+	s.received.reset()
 	s.mu.Lock()
 	s.followedTerm = g.Term
 	s.mu.Unlock()
