gwcontrol: a wait that nothing can end is told, and its requests are refused at once

The line of a change that cannot go on named the servers that are missing, not what has become of them nor what would end the wait; requests for a group that no return of a server can help were held as those of a short gap. Change: Evidence.Wait says what each missing server is known to have become, what would end the wait, and whether anything that is left can. The histogram gentianward_held_seconds counts the requests that waited for a change, and how long. Ruled out: refusing at once during every wait. A caller has three tries, and those that are held are served when the server is back within them.

--- a/internal/gwcontrol/evidence.go
+++ b/internal/gwcontrol/evidence.go
@@ -36,6 +36,9 @@
 	answers map[run]answer
 }
 
+// opChoose is the operation of the errors of Candidates.
+const opChoose = "choose primary"
+
 // run identifies one run of a server.
 type run struct {
 	server string
@@ -215,7 +218,7 @@
 	missing := e.missing()
 	if !old && !allowLoss && (len(missing) > 0 || e.answered() < need-1) {
 		return nil, &Error{
-			Op: "choose primary", Kind: Unavailable,
+			Op: opChoose, Kind: Unavailable,
 			Detail: fmt.Sprintf("%d of %d copies can be read, without [%s]; an acknowledged write may be missing from them", e.answered(), need, serverNames(missing)),
 		}
 	}
@@ -230,7 +233,7 @@
 	}
 	slices.SortStableFunc(out, func(a, b Copy) int { return e.rank(a, preferOld) - e.rank(b, preferOld) })
 	if len(out) == 0 {
-		return nil, &Error{Op: "choose primary", Kind: Unavailable, Detail: fmt.Sprintf("no copy that stays has every write up to %s", required)}
+		return nil, &Error{Op: opChoose, Kind: Unavailable, Detail: fmt.Sprintf("no copy that stays has every write up to %s", required)}
 	}
 	return out, nil
 }
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -227,11 +227,12 @@
 
 	mu       sync.Mutex
 	changing map[string]bool
+	waits    changeWaits
 }
 
 // NewLeader returns the leader's services of a voter and registers them at its node.
 func NewLeader(node *gwpeer.Node, c *Consensus) *Leader {
-	l := &Leader{consensus: c, state: c.State, clock: c.Clock, log: c.Log, changing: make(map[string]bool)}
+	l := &Leader{consensus: c, state: c.State, clock: c.Clock, log: c.Log, changing: make(map[string]bool), waits: make(changeWaits)}
 	serveLeader(node, kindLease, l.Lease)
 	serveLeader(node, kindReturnLease, l.ReturnLeases)
 	serveLeader(node, kindPublish, l.Publish)
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -219,6 +220,7 @@
 	if g, ok := l.state.Group(group); ok && g.Term == term {
 		l.awaitOpenCalls(g)
 	}
+	defer l.forgetWait(group)
 	var lastLog time.Time
 	var evidence *Evidence
 	for l.consensus.Leading() {
@@ -244,9 +246,11 @@
 			l.onChanged(group, took)
 			return
 		}
+		w := l.recordWait(ctx, gr.Group, evidence, err)
 		if now := l.clock.Now(); now.Sub(lastLog) > waitLogInterval {
 			lastLog = now
-			l.log.Warn("change of primary not possible yet; retrying", "group", group, "term", term, "reason", err)
+			l.log.Warn("change of primary not possible yet; retrying", "group", group, "term", term, "reason", err,
+				"missing", strings.Join(w.Missing, "; "), "endedBy", w.EndedBy, "final", w.Final)
 		}
 		l.clock.Sleep(changeRetryDelay)
 	}
--- a/internal/gwcontrol/view.go
+++ b/internal/gwcontrol/view.go
@@ -19,6 +19,8 @@
 	Changing bool `cbor:"5,keyasint"`
 	// Index is the index in the replicated log of the group's last change.
 	Index uint64 `cbor:"6,keyasint"`
+	// Wait is why the change of primary cannot end unless an operator acts; empty if it can.
+	Wait string `cbor:"7,keyasint,omitempty"`
 }
 
 // Diverged reports whether a server at position p has writes of an earlier term that are
--- /dev/null
+++ b/internal/gwcontrol/wait.go
@@ -0,0 +1,189 @@
+package gwcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// Wait says why a change of primary cannot go on, and what would let it.
+type Wait struct {
+	// Missing names the servers whose answer is missing, and what has become of each.
+	Missing []string
+	// EndedBy names what would end the wait.
+	EndedBy string
+	// Final means that nothing that is left can end the wait, only an operator.
+	Final bool
+}
+
+// fate is what has become of a run of a server.
+type fate struct {
+	text string
+	// lost means that the run and its data cannot come back.
+	lost bool
+}
+
+// Wait returns why the copies that have answered do not suffice.
+func (e *Evidence) Wait(need int) Wait {
+	old := e.oldPrimaryAnswered()
+	missing := e.missing()
+	if !old && (len(missing) > 0 || e.answered() < need-1) {
+		return e.waitForProof(missing)
+	}
+	return e.waitForCopy(e.required(old, false), old)
+}
+
+// waitForProof is the wait while the answers do not include every acknowledged write.
+func (e *Evidence) waitForProof(missing []gwstate.CopyRef) Wait {
+	primary := e.fate(e.primary)
+	w := Wait{Missing: []string{describe(e.primary, primary)}}
+	others, lost := make([]string, 0, len(missing)), false
+	for _, c := range missing {
+		f := e.fate(c)
+		w.Missing = append(w.Missing, describe(c, f))
+		others = append(others, c.Server)
+		lost = lost || f.lost
+	}
+	var ends []string
+	if !primary.lost {
+		ends = append(ends, "the return of "+e.primary.Server+" with its log")
+	}
+	switch {
+	case len(others) == 0:
+		ends = append(ends, "the answer of a further server")
+	case !lost:
+		ends = append(ends, "answers of "+strings.Join(others, ", "))
+	}
+	w.Final, w.EndedBy = len(ends) == 0, endedBy(ends)
+	return w
+}
+
+// waitForCopy is the wait while no copy that stays has every write up to required.
+func (e *Evidence) waitForCopy(required gwsession.Position, old bool) Wait {
+	var w Wait
+	var ends []string
+	for _, a := range e.answers {
+		f := e.fate(a.copy)
+		switch {
+		case !a.position.AtLeast(required):
+			continue
+		case !f.lost && !e.servers[a.copy.Server].Leaving:
+			ends = append(ends, "the return of "+a.copy.Server)
+		}
+		w.Missing = append(w.Missing, describe(a.copy, f))
+	}
+	if primary := e.fate(e.primary); !old && !primary.lost {
+		w.Missing = append(w.Missing, describe(e.primary, primary))
+		ends = append(ends, "the return of "+e.primary.Server+" with its log")
+	}
+	slices.Sort(w.Missing)
+	slices.Sort(ends)
+	w.Final, w.EndedBy = len(ends) == 0, endedBy(ends)
+	return w
+}
+
+func endedBy(ends []string) string {
+	if len(ends) == 0 {
+		return "an operator who allows loss (allowLoss)"
+	}
+	return strings.Join(ends, ", or ")
+}
+
+func describe(c gwstate.CopyRef, f fate) string {
+	if c.Address == "" {
+		return c.Server + " " + f.text
+	}
+	return fmt.Sprintf("%s at %s %s", c.Server, c.Address, f.text)
+}
+
+// fate returns what is known of a run that would prove something if it answered.
+func (e *Evidence) fate(c gwstate.CopyRef) fate {
+	f, known := e.servers[c.Server]
+	switch {
+	case known && f.Born > c.Born && c.Born != 0:
+		return fate{text: "has started again without its data", lost: true}
+	case known:
+		if _, ok := e.answers[runOf(copyRef(f))]; !ok {
+			return fate{text: "does not answer"}
+		}
+		if e.isPrimary(copyRef(f)) && !e.oldPrimaryAnswered() {
+			return fate{text: "has lost data", lost: true}
+		}
+		if f.Leaving {
+			return fate{text: "has answered, but is leaving"}
+		}
+		return fate{text: "has answered"}
+	case c.Leaving:
+		return fate{text: "has left with its data", lost: true}
+	}
+	for _, later := range e.servers {
+		if !c.Returned(copyRef(later)) {
+			continue
+		}
+		if _, ok := e.answers[runOf(copyRef(later))]; !ok {
+			return fate{text: fmt.Sprintf("has come back as %s, which does not answer", later.Server)}
+		}
+		return fate{text: fmt.Sprintf("has come back as %s, whose answer does not show the log", later.Server), lost: true}
+	}
+	return fate{text: "has ended and is not back"}
+}
+
+// changeWaits holds the waits of the changes of primary that this leader runs.
+type changeWaits map[string]Wait
+
+// count returns the number of groups that wait, for good or not.
+func (w changeWaits) count(final bool) int {
+	n := 0
+	for _, wait := range w {
+		if wait.Final == final {
+			n++
+		}
+	}
+	return n
+}
+
+// Waiting returns the number of groups whose change of primary waits for servers: for good,
+// or for some that may come back.
+func (l *Leader) Waiting(final bool) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waits.count(final)
+}
+
+// recordWait keeps why an attempt failed with err if that is for want of proof, and makes
+// known to all instances whether the wait is final, so that they refuse requests at once.
+func (l *Leader) recordWait(ctx context.Context, g gwstate.Group, e *Evidence, err error) Wait {
+	var w Wait
+	var failure *Error
+	if errors.As(err, &failure) && failure.Op == opChoose {
+		need, allowLoss := l.owners.DurabilityRules(g.Name)
+		w = e.Wait(need)
+		w.Final = w.Final && !allowLoss
+	}
+	l.mu.Lock()
+	l.waits[g.Name] = w
+	l.mu.Unlock()
+	var reason string
+	if w.Final {
+		reason = strings.Join(w.Missing, "; ")
+	}
+	if current, ok := l.state.Group(g.Name); !ok || current.Wait == reason {
+		return w
+	}
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	// Tried again with the next attempt if it fails.
+	_ = l.proposeForGroup(ctx, "set wait", gwstate.SetWait{Group: g.Name, Term: g.Term, Reason: reason})
+	return w
+}
+
+func (l *Leader) forgetWait(group string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waits, group)
+}
--- a/internal/gwdaemon/telemetry.go
+++ b/internal/gwdaemon/telemetry.go
@@ -19,6 +19,9 @@
 func (t telemetry) Observe(o gwfilter.Observation) {
 	s := t.Series(o.Class, o.Group)
 	s.Latency(o.Duration)
+	if o.Held > 0 {
+		t.Histogram("gentianward_held_seconds", gwtelemetry.Label{Name: "group", Value: o.Group}).Update(o.Held.Seconds())
+	}
 	switch gwoutcome.Of(o.Event, gwsession.Position{}).(type) {
 	case gwoutcome.Done:
 		s.Outcome(gwtelemetry.Done)
@@ -59,6 +62,10 @@
 		return
 	}
 	if i.consensus != nil {
+		for _, end := range []string{"possible", "none"} {
+			final := end == "none"
+			i.Telemetry.Gauge("gentianward_groups_waiting", func() float64 { return float64(i.leader.Waiting(final)) }, gwtelemetry.Label{Name: "end", Value: end})
+		}
 		i.Telemetry.Gauge("gentianward_voter_running", func() float64 {
 			if i.consensus.Running() {
 				return 1
--- a/internal/gwdaemon/view.go
+++ b/internal/gwdaemon/view.go
@@ -162,7 +162,7 @@
 	for _, g := range state.Groups() {
 		v := gwcontrol.GroupView{
 			Group: g.Name, Primary: g.Primary, Term: g.Term, Start: g.Start,
-			Changing: g.Phase == gwstate.Changing, Index: d.Index,
+			Changing: g.Phase == gwstate.Changing, Index: d.Index, Wait: g.Wait,
 		}
 		known := old.Groups[g.Name]
 		known.Index = d.Index
--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -44,6 +44,8 @@
 	Bytes       int64 // of the answer
 	// Staleness is that of the server, as it matters for reads at replicas; 0 if unknown.
 	Staleness time.Duration
+	// Held is how long the request waited for a change of primary.
+	Held time.Duration
 }
 
 // Observer receives an Observation of every finished request.
--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -43,6 +43,8 @@
 	refused gwowner.Result
 	// served is the server of the last attempt; zero if none could be chosen.
 	served gwroute.Server
+	// held is how long the request has waited for a change of primary.
+	held time.Duration
 	// bytes counts the bytes of the answer.
 	bytes int64
 }
@@ -161,6 +163,7 @@
 			Class: r.session.class, Group: r.session.group, Read: r.read(),
 			Replica: r.served.Name != "" && !r.served.Primary, CrossRegion: r.served.Distance == gwroute.OtherRegion && r.served.Name != "",
 			Event: res.Event, Duration: e.Clock.Since(r.started), Bytes: r.bytes, Staleness: res.Report.Staleness,
+			Held: r.held,
 		})
 		return res
 	}
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -128,7 +128,8 @@
 
 // waitForChange waits for a change of the control state, at most for the next pause of
 // the backoff. It returns false if ctx ends, and at once if the request has already waited
-// for the limit GapWait or this instance has lost contact with the leader.
+// for the limit GapWait, this instance has lost contact with the leader, or the change of
+// primary cannot end by itself.
 func (e *Entry) waitForChange(ctx context.Context, r *request) bool {
 	waited := e.Clock.Since(r.started)
 	limit := r.rules.limits.GapWait.Duration
@@ -140,6 +141,13 @@
 		// instance.
 		return false
 	}
+	g := e.Views.Current().Groups[r.session.group]
+	if g.Wait != "" {
+		return false
+	}
+	if g.Changing {
+		defer func() { r.held += e.Clock.Since(r.started) - waited }()
+	}
 	select {
 	case <-ctx.Done():
 		return false
@@ -167,10 +175,14 @@
 		return e.serve(ctx, r, c)
 	case gwroute.Reject:
 		r.served = gwroute.Server{}
+		reason := c.Reason
+		if wait := e.Views.Current().Groups[s.group].Wait; wait != "" {
+			reason = "the change of primary waits for an operator: " + wait
+		}
 		if r.need.Write {
-			return notRun(gwoutcome.NoLease, c.Reason)
+			return notRun(gwoutcome.NoLease, reason)
 		}
-		return notRun(noServer, c.Reason)
+		return notRun(noServer, reason)
 	}
 	return gwowner.Result{}
 }
--- a/internal/gwfilter/retry_test.go
+++ b/internal/gwfilter/retry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwmanifest"
@@ -89,3 +90,48 @@
 		})
 	}
 }
+
+// Guards against requests that are held until their deadline while nothing can end the change
+// of primary, and against a change that can end whose requests are refused at once.
+func TestRequestsDuringChange(t *testing.T) {
+	const gapWait = 400 * time.Millisecond
+	tests := []struct {
+		name string
+		wait string
+		held bool
+	}{
+		{name: "the change can end", held: true},
+		{name: "the change waits for an operator", wait: "a has left with its data"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			views := gwcontrol.NewViews(gwcontrol.ManifestFormat{})
+			_, err := views.Apply(gwcontrol.ViewDelta{Index: 1, Groups: []gwcontrol.GroupView{{Group: "g", Term: 1, Changing: true, Wait: tt.wait, Index: 1}}})
+			require.NoError(t, err)
+			e := &Entry{
+				Options: Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Views: views},
+				rng:     rand.New(rand.NewPCG(1, 1)), budget: gwoutcome.NewBudget(retryRatio, retryBurst),
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			go func() { // advances the clock during pauses
+				for clock.BlockUntilContext(ctx, 1) == nil {
+					clock.Advance(10 * time.Millisecond)
+				}
+			}()
+			r := &request{
+				session: &session{entry: e, group: "g"}, w: &answerBuffer{}, kind: stmtWrite, started: clock.Now(), deadline: clock.Now().Add(time.Minute),
+				rules: rules{limits: gwmanifest.Limits{GapWait: gwmanifest.NewDuration(gapWait)}},
+			}
+			res := e.retry(func(context.Context, *request) gwowner.Result { return notRun(gwoutcome.NoLease, "no lease") })(ctx, r)
+			assert.Equal(t, gwoutcome.NoLease, res.Event)
+			if tt.held {
+				assert.GreaterOrEqual(t, r.held, gapWait-10*time.Millisecond)
+				return
+			}
+			assert.Zero(t, r.held)
+			assert.Zero(t, clock.Since(r.started))
+		})
+	}
+}
--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -40,6 +40,8 @@
 		return s.setCopies(c)
 	case NamePromotion:
 		return s.namePromotion(c)
+	case SetWait:
+		return s.setWait(c)
 	case GrantLeases:
 		return s.grantLeases(c, now)
 	case ReturnLeases:
@@ -185,6 +187,21 @@
 	return s.groupResult(c.Group, Accepted)
 }
 
+func (s *State) setWait(c SetWait) Result {
+	g, known := s.groups[c.Group]
+	switch {
+	case !known:
+		return s.groupResult(c.Group, GroupUnknown)
+	case g.Term != c.Term:
+		return s.groupResult(c.Group, TermMismatch)
+	case g.Phase != Changing:
+		return s.groupResult(c.Group, GroupNotChanging)
+	}
+	g.Wait = c.Reason
+	s.groups[c.Group] = g
+	return s.groupResult(c.Group, Accepted)
+}
+
 // setCopies does nothing during a change of primary, which decides on the copies that were
 // known when it began.
 func (s *State) setCopies(c SetCopies) Result {
--- a/internal/gwstate/codec.go
+++ b/internal/gwstate/codec.go
@@ -20,6 +20,7 @@
 	kindBatch           commandKind = 7
 	kindSetCopies       commandKind = 8
 	kindNamePromotion   commandKind = 9
+	kindSetWait         commandKind = 10
 )
 
 // envelope is the encoded form of a command.
@@ -62,6 +63,8 @@
 		e.Kind = kindSetCopies
 	case NamePromotion:
 		e.Kind = kindNamePromotion
+	case SetWait:
+		e.Kind = kindSetWait
 	case GrantLeases:
 		e.Kind = kindGrantLeases
 	case ReturnLeases:
@@ -121,6 +124,8 @@
 		return decodeBody[SetCopies](e)
 	case kindNamePromotion:
 		return decodeBody[NamePromotion](e)
+	case kindSetWait:
+		return decodeBody[SetWait](e)
 	case kindGrantLeases:
 		return decodeBody[GrantLeases](e)
 	case kindReturnLeases:
--- a/internal/gwstate/command.go
+++ b/internal/gwstate/command.go
@@ -77,6 +77,15 @@
 	Server  string `cbor:"3,keyasint,omitempty" json:"server,omitempty"`
 }
 
+// SetWait records whether a change of primary waits for good, and why; the empty Reason means
+// that it does not.
+type SetWait struct {
+	Group string `cbor:"1,keyasint" json:"group"`
+	// Term is the term that the change began at.
+	Term   uint64 `cbor:"2,keyasint" json:"term"`
+	Reason string `cbor:"3,keyasint,omitempty" json:"reason,omitempty"`
+}
+
 // GrantLeases grants or renews write leases for one holder. Each lease is
 // granted or refused on its own.
 type GrantLeases struct {
@@ -124,6 +133,7 @@
 func (FinishChange) command()    {}
 func (SetCopies) command()       {}
 func (NamePromotion) command()   {}
+func (SetWait) command()         {}
 func (GrantLeases) command()     {}
 func (ReturnLeases) command()    {}
 func (Batch) command()           {}
--- a/internal/gwstate/fuzz_test.go
+++ b/internal/gwstate/fuzz_test.go
@@ -16,6 +16,7 @@
 		FinishChange{Group: "g", Term: 2, Primary: "q"},
 		SetCopies{Group: "g", Term: 1, Copies: []CopyRef{{Server: "p", Born: 3}}},
 		NamePromotion{Group: "g", Attempt: 2, Server: "q"},
+		SetWait{Group: "g", Term: 1, Reason: "p has left"},
 	} {
 		b, err := Encode(cmd, now)
 		if err != nil {
--- a/internal/gwstate/state_test.go
+++ b/internal/gwstate/state_test.go
@@ -331,20 +331,27 @@
 		want      Refusal
 		copies    []CopyRef
 		promoting string
+		wait      string
 	}{
-		{SetCopies{Group: "g", Term: 1, Copies: copies}, GroupUnknown, nil, ""},
-		{StartGroup{Group: "g", Primary: "a", Term: 1}, Accepted, nil, ""},
-		{SetCopies{Group: "g", Term: 1, Copies: copies}, Accepted, copies, ""},
-		{SetCopies{Group: "g", Term: 2}, TermMismatch, copies, ""},
-		{NamePromotion{Group: "g", Attempt: 1, Server: "b"}, GroupNotChanging, copies, ""},
-		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, ""},
-		{SetCopies{Group: "g", Term: 1}, GroupChanging, copies, ""},
-		{NamePromotion{Group: "g", Attempt: 2, Server: "b"}, Accepted, copies, "b"},
-		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, "b"},
-		{NamePromotion{Group: "g", Attempt: 2}, ChangeSuperseded, copies, "b"},
-		{NamePromotion{Group: "g", Attempt: 3}, Accepted, copies, ""},
-		{NamePromotion{Group: "g", Attempt: 3, Server: "b"}, Accepted, copies, "b"},
-		{FinishChange{Group: "g", FromTerm: 1, Term: 3, Primary: "b", Copies: copies[1:]}, Accepted, copies[1:], ""},
+		{SetCopies{Group: "g", Term: 1, Copies: copies}, GroupUnknown, nil, "", ""},
+		{StartGroup{Group: "g", Primary: "a", Term: 1}, Accepted, nil, "", ""},
+		{SetCopies{Group: "g", Term: 1, Copies: copies}, Accepted, copies, "", ""},
+		{SetCopies{Group: "g", Term: 2}, TermMismatch, copies, "", ""},
+		{NamePromotion{Group: "g", Attempt: 1, Server: "b"}, GroupNotChanging, copies, "", ""},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, "", ""},
+		{SetCopies{Group: "g", Term: 1}, GroupChanging, copies, "", ""},
+		{NamePromotion{Group: "g", Attempt: 2, Server: "b"}, Accepted, copies, "b", ""},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, "b", ""},
+		{NamePromotion{Group: "g", Attempt: 2}, ChangeSuperseded, copies, "b", ""},
+		{NamePromotion{Group: "g", Attempt: 3}, Accepted, copies, "", ""},
+		{NamePromotion{Group: "g", Attempt: 3, Server: "b"}, Accepted, copies, "b", ""},
+		{SetWait{Group: "g", Term: 2, Reason: "a has left"}, TermMismatch, copies, "b", ""},
+		{SetWait{Group: "g", Term: 1, Reason: "a has left"}, Accepted, copies, "b", "a has left"},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, "b", "a has left"},
+		{SetWait{Group: "g", Term: 1}, Accepted, copies, "b", ""},
+		{SetWait{Group: "g", Term: 1, Reason: "a has left"}, Accepted, copies, "b", "a has left"},
+		{FinishChange{Group: "g", FromTerm: 1, Term: 4, Primary: "b", Copies: copies[1:]}, Accepted, copies[1:], "", ""},
+		{SetWait{Group: "g", Term: 4, Reason: "a has left"}, GroupNotChanging, copies[1:], "", ""},
 	}
 	for i, tt := range steps {
 		assert.Equal(t, tt.want, apply(tt.cmd), "step %d", i)
@@ -355,5 +362,6 @@
 		g, _ := s.Group("g")
 		assert.Equal(t, tt.copies, g.Copies, "step %d", i)
 		assert.Equal(t, tt.promoting, g.Promoting, "step %d", i)
+		assert.Equal(t, tt.wait, g.Wait, "step %d", i)
 	}
 }
--- a/internal/gwstate/types.go
+++ b/internal/gwstate/types.go
@@ -63,6 +63,9 @@
 	// Promoting is the server that the platform may have been asked to promote, without an
 	// answer so far; empty unless the phase is Changing.
 	Promoting string `cbor:"10,keyasint,omitempty" json:"promoting,omitempty"`
+	// Wait is why the change of primary cannot end unless an operator acts; empty if it can,
+	// or if there is none.
+	Wait string `cbor:"11,keyasint,omitempty" json:"wait,omitempty"`
 }
 
 // CopyRef identifies the data of one run of a backend server.
