gwcontrol: the proof of a change of primary is recorded before a server is promoted

If the leader is lost after the platform promoted a server and before the change is recorded, the next leader asks again. By then servers that crashed before the term, or the old primary, have followed the promoted server, and their later runs prove nothing any more: the group waited for good with all servers up. A later leader takes it and needs one copy that has it. A copy must also be at or past its offset, whatever its term. The liveness check of the model includes these sequences. Ruled out: taking the term of a promoted server for proof; a call of an earlier change that takes effect late leads to such a term as well. Cost: one more log entry for each change.

--- a/internal/gwcontrol/evidence.go
+++ b/internal/gwcontrol/evidence.go
@@ -216,7 +216,7 @@
 func (e *Evidence) Candidates(copies []Copy, need int, allowLoss, preferOld bool) ([]Copy, error) {
 	old := e.oldPrimaryAnswered()
 	missing := e.missing()
-	if !old && !allowLoss && (len(missing) > 0 || e.answered() < need-1) {
+	if !e.proven(need) && !allowLoss {
 		return nil, &Error{
 			Op: opChoose, Kind: Unavailable,
 			Detail: fmt.Sprintf("%d of %d copies can be read, without [%s]; an acknowledged write may be missing from them", e.answered(), need, serverNames(missing)),
@@ -226,7 +226,7 @@
 	var out []Copy
 	for _, c := range copies {
 		f := e.servers[c.Server]
-		if f.Leaving || !e.normalize(c.Position).AtLeast(required) || e.isPrimary(copyRef(f)) && !old {
+		if f.Leaving || !e.normalize(c.Position).AtLeast(required) || c.Position.Offset < required.Offset || e.isPrimary(copyRef(f)) && !old {
 			continue
 		}
 		out = append(out, c)
@@ -246,8 +246,17 @@
 	return strings.Join(names, " ")
 }
 
+// proven reports whether the answers, or those that an earlier attempt had, include every
+// acknowledged write.
+func (e *Evidence) proven(need int) bool {
+	return e.group.Proof.Term > 0 || e.oldPrimaryAnswered() || len(e.missing()) == 0 && e.answered() >= need-1
+}
+
 // required returns the position that a copy must have to be promoted.
 func (e *Evidence) required(old, allowLoss bool) gwsession.Position {
+	if e.group.Proof.Term > 0 {
+		return e.group.Proof
+	}
 	required, _ := e.greatest(false)
 	if p, _ := e.greatest(true); old && p.AtLeast(required) {
 		required = p
--- a/internal/gwcontrol/groupmodel_test.go
+++ b/internal/gwcontrol/groupmodel_test.go
@@ -259,6 +259,9 @@
 	if err != nil {
 		return Copy{}, err
 	}
+	if m.group.Proof.Term == 0 {
+		m.group.Proof = e.required(e.oldPrimaryAnswered(), false)
+	}
 	return got[0], nil
 }
 
@@ -314,9 +317,14 @@
 	return false
 }
 
-// recoverable reports whether the log of the old primary is at its address, in a run that
-// can show it.
+// recoverable reports whether a server has every write up to a proof that was recorded, or
+// the log of the old primary is at its address, in a run that can show it.
 func (m *groupModel) recoverable() bool {
+	if m.group.Proof.Term > 0 {
+		return slices.ContainsFunc(m.byAddress(), func(s *modelServer) bool {
+			return s.position.AtLeast(m.group.Proof) && s.position.Offset >= m.group.Proof.Offset && s.facts.Server != m.group.Primary
+		})
+	}
 	i := primaryRun(m.group)
 	if i < 0 {
 		return false
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -352,10 +352,26 @@
 		e.Add(c)
 		copies = append(copies, c)
 		if candidates, err := e.Candidates(copies, need, false, l.promoter == nil); err == nil && candidates[0].Server != g.Primary {
-			return candidates, nil
+			return candidates, l.recordProof(ctx, g, e, need)
 		}
 	}
-	return e.Candidates(copies, need, allowLoss, l.promoter == nil)
+	candidates, err := e.Candidates(copies, need, allowLoss, l.promoter == nil)
+	if err != nil {
+		return nil, err
+	}
+	return candidates, l.recordProof(ctx, g, e, need)
+}
+
+// recordProof makes the proof known to later leaders before a server is promoted. Without it,
+// a leader that follows would ask again, when servers that were rolled back or have followed
+// the promoted one prove nothing any more.
+func (l *Leader) recordProof(ctx context.Context, g gwstate.Group, e *Evidence, need int) error {
+	if !e.proven(need) || g.Proof.Term > 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	return l.proposeForGroup(ctx, "set proof", gwstate.SetProof{Group: g.Name, Term: g.Term, Proof: e.required(e.oldPrimaryAnswered(), false)})
 }
 
 // awaitCatchUp waits, up to catchUpTimeout, until one replica has reached the position
--- a/internal/gwcontrol/wait.go
+++ b/internal/gwcontrol/wait.go
@@ -30,11 +30,10 @@
 
 // Wait returns why the copies that have answered do not suffice.
 func (e *Evidence) Wait(need int) Wait {
-	old := e.oldPrimaryAnswered()
-	missing := e.missing()
-	if !old && (len(missing) > 0 || e.answered() < need-1) {
-		return e.waitForProof(missing)
+	if !e.proven(need) {
+		return e.waitForProof(e.missing())
 	}
+	old := e.oldPrimaryAnswered()
 	return e.waitForCopy(e.required(old, false), old)
 }
 
--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -42,6 +42,8 @@
 		return s.namePromotion(c)
 	case SetWait:
 		return s.setWait(c)
+	case SetProof:
+		return s.setProof(c)
 	case GrantLeases:
 		return s.grantLeases(c, now)
 	case ReturnLeases:
@@ -188,18 +190,27 @@
 }
 
 func (s *State) setWait(c SetWait) Result {
-	g, known := s.groups[c.Group]
+	return s.duringChange(c.Group, c.Term, func(g *Group) { g.Wait = c.Reason })
+}
+
+func (s *State) setProof(c SetProof) Result {
+	return s.duringChange(c.Group, c.Term, func(g *Group) { g.Proof = c.Proof })
+}
+
+// duringChange applies f to a group whose change of primary began at term.
+func (s *State) duringChange(group string, term uint64, f func(g *Group)) Result {
+	g, known := s.groups[group]
 	switch {
 	case !known:
-		return s.groupResult(c.Group, GroupUnknown)
-	case g.Term != c.Term:
-		return s.groupResult(c.Group, TermMismatch)
+		return s.groupResult(group, GroupUnknown)
+	case g.Term != term:
+		return s.groupResult(group, TermMismatch)
 	case g.Phase != Changing:
-		return s.groupResult(c.Group, GroupNotChanging)
+		return s.groupResult(group, GroupNotChanging)
 	}
-	g.Wait = c.Reason
-	s.groups[c.Group] = g
-	return s.groupResult(c.Group, Accepted)
+	f(&g)
+	s.groups[group] = g
+	return s.groupResult(group, Accepted)
 }
 
 // setCopies does nothing during a change of primary, which decides on the copies that were
--- a/internal/gwstate/codec.go
+++ b/internal/gwstate/codec.go
@@ -21,6 +21,7 @@
 	kindSetCopies       commandKind = 8
 	kindNamePromotion   commandKind = 9
 	kindSetWait         commandKind = 10
+	kindSetProof        commandKind = 11
 )
 
 // envelope is the encoded form of a command.
@@ -65,6 +66,8 @@
 		e.Kind = kindNamePromotion
 	case SetWait:
 		e.Kind = kindSetWait
+	case SetProof:
+		e.Kind = kindSetProof
 	case GrantLeases:
 		e.Kind = kindGrantLeases
 	case ReturnLeases:
@@ -126,6 +129,8 @@
 		return decodeBody[NamePromotion](e)
 	case kindSetWait:
 		return decodeBody[SetWait](e)
+	case kindSetProof:
+		return decodeBody[SetProof](e)
 	case kindGrantLeases:
 		return decodeBody[GrantLeases](e)
 	case kindReturnLeases:
--- a/internal/gwstate/command.go
+++ b/internal/gwstate/command.go
@@ -86,6 +86,14 @@
 	Reason string `cbor:"3,keyasint,omitempty" json:"reason,omitempty"`
 }
 
+// SetProof records a position that covers every write acknowledged in Term, before a server is
+// promoted, so that a later leader need not ask servers that may have ended.
+type SetProof struct {
+	Group string             `cbor:"1,keyasint" json:"group"`
+	Term  uint64             `cbor:"2,keyasint" json:"term"`
+	Proof gwsession.Position `cbor:"3,keyasint" json:"proof"`
+}
+
 // GrantLeases grants or renews write leases for one holder. Each lease is
 // granted or refused on its own.
 type GrantLeases struct {
@@ -134,6 +142,7 @@
 func (SetCopies) command()       {}
 func (NamePromotion) command()   {}
 func (SetWait) command()         {}
+func (SetProof) command()        {}
 func (GrantLeases) command()     {}
 func (ReturnLeases) command()    {}
 func (Batch) command()           {}
--- a/internal/gwstate/fuzz_test.go
+++ b/internal/gwstate/fuzz_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"gentianward.example/gentianward/pkg/gwsession"
 )
 
 // FuzzApply looks for log entries that cause a panic. An entry that cannot be decoded is
@@ -17,6 +19,7 @@
 		SetCopies{Group: "g", Term: 1, Copies: []CopyRef{{Server: "p", Born: 3}}},
 		NamePromotion{Group: "g", Attempt: 2, Server: "q"},
 		SetWait{Group: "g", Term: 1, Reason: "p has left"},
+		SetProof{Group: "g", Term: 1, Proof: gwsession.Position{Term: 1, Offset: 5}},
 	} {
 		b, err := Encode(cmd, now)
 		if err != nil {
--- a/internal/gwstate/state_test.go
+++ b/internal/gwstate/state_test.go
@@ -365,3 +365,36 @@
 		assert.Equal(t, tt.wait, g.Wait, "step %d", i)
 	}
 }
+
+// Guards against a proof that outlives the change of primary it was found for, or that a
+// snapshot loses.
+func TestProofOfChange(t *testing.T) {
+	s := New(0)
+	proof := gwsession.Position{Term: 1, Offset: 9}
+	steps := []struct {
+		cmd  Command
+		want Refusal
+		has  bool
+	}{
+		{SetProof{Group: "g", Term: 1, Proof: proof}, GroupUnknown, false},
+		{StartGroup{Group: "g", Primary: "a", Term: 1}, Accepted, false},
+		{SetProof{Group: "g", Term: 1, Proof: proof}, GroupNotChanging, false},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, false},
+		{SetProof{Group: "g", Term: 2, Proof: proof}, TermMismatch, false},
+		{SetProof{Group: "g", Term: 1, Proof: proof}, Accepted, true},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, true},
+		{FinishChange{Group: "g", FromTerm: 1, Term: 3, Primary: "b"}, Accepted, false},
+		{BeginChange{Group: "g", FromTerm: 3}, Accepted, false},
+	}
+	for i, tt := range steps {
+		data, err := Encode(tt.cmd, time.Unix(1, 0))
+		require.NoError(t, err)
+		assert.Equal(t, tt.want, s.Apply(uint64(i+1), data, time.Unix(1, 0)).(GroupResult).Refusal, "step %d", i)
+		data, err = s.Snapshot()
+		require.NoError(t, err)
+		s = New(0)
+		require.NoError(t, s.Restore(data, time.Unix(1, 0)))
+		g, _ := s.Group("g")
+		assert.Equal(t, tt.has, g.Proof == proof, "step %d", i)
+	}
+}
--- a/internal/gwstate/types.go
+++ b/internal/gwstate/types.go
@@ -66,6 +66,9 @@
 	// Wait is why the change of primary cannot end unless an operator acts; empty if it can,
 	// or if there is none.
 	Wait string `cbor:"11,keyasint,omitempty" json:"wait,omitempty"`
+	// Proof is a position that covers every write acknowledged in the term, found by an
+	// attempt of the change of primary; zero if none has found one yet.
+	Proof gwsession.Position `cbor:"12,keyasint,omitempty" json:"proof,omitzero"`
 }
 
 // CopyRef identifies the data of one run of a backend server.
