--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,10 @@
 type Copy struct {
 	Server   string             `cbor:"1,keyasint"`
 	Position gwsession.Position `cbor:"2,keyasint"`
+	// Held is the latest term that the server has led or followed; 0 if it has received
+	// nothing, or if its owner runs an earlier release. It may be later than the term of
+	// the position, which is that of the last write.
+	Held uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Owners performs the steps of a change of primary at the instances that own the
@@ -218,6 +223,7 @@
 	ctx := context.Background()
 	started := l.clock.Now()
 	l.log.Info("change of primary begins", "group", group, "term", term, "reason", reason)
+	defer l.forgetWait(group)
 	var lastLog time.Time
 	var evidence *Evidence
 	for l.consensus.Leading() {
@@ -244,9 +250,11 @@
 			l.onChanged(group, took)
 			return
 		}
+		w := l.recordWait(ctx, gr.Group, evidence, err)
 		if now := l.clock.Now(); now.Sub(lastLog) > waitLogInterval {
 			lastLog = now
-			l.log.Warn("change of primary not possible yet; retrying", "group", group, "term", term, "reason", err)
+			l.log.Warn("change of primary not possible yet; retrying", "group", group, "term", term, "reason", err,
+				"missing", strings.Join(w.Missing, "; "), "endedBy", w.EndedBy, "final", w.Final)
 		}
 		l.clock.Sleep(changeRetryDelay)
 	}
@@ -341,10 +349,26 @@
 		e.Add(c)
 		copies = append(copies, c)
 		if candidates, err := e.Candidates(copies, need, false, l.promoter == nil); err == nil && candidates[0].Server != g.Primary {
-			return candidates, nil
+			return candidates, l.recordProof(ctx, g, e, need)
 		}
 	}
-	return e.Candidates(copies, need, allowLoss, l.promoter == nil)
+	candidates, err := e.Candidates(copies, need, allowLoss, l.promoter == nil)
+	if err != nil {
+		return nil, err
+	}
+	return candidates, l.recordProof(ctx, g, e, need)
+}
+
+// recordProof makes the proof known to later leaders before a server is promoted. Without it,
+// a leader that follows would ask again, when servers that were rolled back or have followed
+// the promoted one prove nothing any more.
+func (l *Leader) recordProof(ctx context.Context, g gwstate.Group, e *Evidence, need int) error {
+	if !e.proven(need) || g.Proof.Term > 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	return l.proposeForGroup(ctx, "set proof", gwstate.SetProof{Group: g.Name, Term: g.Term, Proof: e.required(e.oldPrimaryAnswered(), false)})
 }
 
 // awaitCatchUp waits, up to catchUpTimeout, until one replica has reached the position
--- a/internal/gwowner/attempt.go
+++ b/internal/gwowner/attempt.go
@@ -86,11 +86,16 @@
 		return gwcontrol.Copy{}, err
 	}
 	defer cancel()
+	earlier := s.received.latest()
 	rep, err := s.backend.Fence(ctx, r.Term)
 	if err != nil {
 		return gwcontrol.Copy{}, gwpeer.Codef(codeServer, "%v", err)
 	}
-	return gwcontrol.Copy{Server: r.Server, Position: rep.Position}, nil
+	if lostData(earlier, rep) {
+		return gwcontrol.Copy{}, gwpeer.Codef(codeServer, "backend server %s is at %s and was at %s: it has started again without its data", r.Server, rep.Position, earlier.Position)
+	}
+	s.received.record(rep)
+	return gwcontrol.Copy{Server: r.Server, Position: rep.Position, Held: rep.Term}, nil
 }
 
 // promote makes an owned server the primary of r.Term.
--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -40,6 +40,10 @@
 		return s.setCopies(c)
 	case NamePromotion:
 		return s.namePromotion(c)
+	case SetWait:
+		return s.setWait(c)
+	case SetProof:
+		return s.setProof(c)
 	case GrantLeases:
 		return s.grantLeases(c, now)
 	case ReturnLeases:
@@ -203,6 +207,30 @@
 	return c.Fence == 0 || n.Fence >= c.Fence && n.Previous == c.Sequence
 }
 
+func (s *State) setWait(c SetWait) Result {
+	return s.duringChange(c.Group, c.Term, func(g *Group) { g.Wait = c.Reason })
+}
+
+func (s *State) setProof(c SetProof) Result {
+	return s.duringChange(c.Group, c.Term, func(g *Group) { g.Proof = c.Proof })
+}
+
+// duringChange applies f to a group whose change of primary began at term.
+func (s *State) duringChange(group string, term uint64, f func(g *Group)) Result {
+	g, known := s.groups[group]
+	switch {
+	case !known:
+		return s.groupResult(group, GroupUnknown)
+	case g.Term != term:
+		return s.groupResult(group, TermMismatch)
+	case g.Phase != Changing:
+		return s.groupResult(group, GroupNotChanging)
+	}
+	f(&g)
+	s.groups[group] = g
+	return s.groupResult(group, Accepted)
+}
+
 // setCopies does nothing during a change of primary, which decides on the copies that were
 // known when it began.
 func (s *State) setCopies(c SetCopies) Result {
--- a/internal/gwstate/codec.go
+++ b/internal/gwstate/codec.go
@@ -20,6 +20,8 @@
 	kindBatch           commandKind = 7
 	kindSetCopies       commandKind = 8
 	kindNamePromotion   commandKind = 9
+	kindSetWait         commandKind = 10
+	kindSetProof        commandKind = 11
 )
 
 // envelope is the encoded form of a command.
@@ -62,6 +64,10 @@
 		e.Kind = kindSetCopies
 	case NamePromotion:
 		e.Kind = kindNamePromotion
+	case SetWait:
+		e.Kind = kindSetWait
+	case SetProof:
+		e.Kind = kindSetProof
 	case GrantLeases:
 		e.Kind = kindGrantLeases
 	case ReturnLeases:
@@ -121,6 +127,10 @@
 		return decodeBody[SetCopies](e)
 	case kindNamePromotion:
 		return decodeBody[NamePromotion](e)
+	case kindSetWait:
+		return decodeBody[SetWait](e)
+	case kindSetProof:
+		return decodeBody[SetProof](e)
 	case kindGrantLeases:
 		return decodeBody[GrantLeases](e)
 	case kindReturnLeases:
--- a/internal/gwstate/command.go
+++ b/internal/gwstate/command.go
@@ -85,6 +85,23 @@
 	Previous uint64 `cbor:"6,keyasint,omitempty" json:"previous,omitempty"`
 }
 
+// SetWait records whether a change of primary waits for good, and why; the empty Reason means
+// that it does not.
+type SetWait struct {
+	Group string `cbor:"1,keyasint" json:"group"`
+	// Term is the term that the change began at.
+	Term   uint64 `cbor:"2,keyasint" json:"term"`
+	Reason string `cbor:"3,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// SetProof records a position that covers every write acknowledged in Term, before a server is
+// promoted, so that a later leader need not ask servers that may have ended.
+type SetProof struct {
+	Group string             `cbor:"1,keyasint" json:"group"`
+	Term  uint64             `cbor:"2,keyasint" json:"term"`
+	Proof gwsession.Position `cbor:"3,keyasint" json:"proof"`
+}
+
 // GrantLeases grants or renews write leases for one holder. Each lease is
 // granted or refused on its own.
 type GrantLeases struct {
@@ -132,6 +149,8 @@
 func (FinishChange) command()    {}
 func (SetCopies) command()       {}
 func (NamePromotion) command()   {}
+func (SetWait) command()         {}
+func (SetProof) command()        {}
 func (GrantLeases) command()     {}
 func (ReturnLeases) command()    {}
 func (Batch) command()           {}
--- a/internal/gwstate/state_test.go
+++ b/internal/gwstate/state_test.go
@@ -326,26 +326,33 @@
 		require.NoError(t, err)
 		return s.Apply(index, data, time.Unix(1, 0)).(GroupResult).Refusal
 	}
-	copies := []CopyRef{{Server: "a", Born: 7}, {Server: "b"}}
+	copies := []CopyRef{{Server: "a", Born: 7, Address: "a:1"}, {Server: "b", Leaving: true}}
 	steps := []struct {
 		cmd       Command
 		want      Refusal
 		copies    []CopyRef
 		promoting string
+		wait      string
 	}{
-		{SetCopies{Group: "g", Term: 1, Copies: copies}, GroupUnknown, nil, ""},
-		{StartGroup{Group: "g", Primary: "a", Term: 1}, Accepted, nil, ""},
-		{SetCopies{Group: "g", Term: 1, Copies: copies}, Accepted, copies, ""},
-		{SetCopies{Group: "g", Term: 2}, TermMismatch, copies, ""},
-		{NamePromotion{Group: "g", Attempt: 1, Server: "b"}, GroupNotChanging, copies, ""},
-		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, ""},
-		{SetCopies{Group: "g", Term: 1}, GroupChanging, copies, ""},
-		{NamePromotion{Group: "g", Attempt: 2, Server: "b"}, Accepted, copies, "b"},
-		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, "b"},
-		{NamePromotion{Group: "g", Attempt: 2}, ChangeSuperseded, copies, "b"},
-		{NamePromotion{Group: "g", Attempt: 3}, Accepted, copies, ""},
-		{NamePromotion{Group: "g", Attempt: 3, Server: "b"}, Accepted, copies, "b"},
-		{FinishChange{Group: "g", FromTerm: 1, Term: 3, Primary: "b", Copies: copies[1:]}, Accepted, copies[1:], ""},
+		{SetCopies{Group: "g", Term: 1, Copies: copies}, GroupUnknown, nil, "", ""},
+		{StartGroup{Group: "g", Primary: "a", Term: 1}, Accepted, nil, "", ""},
+		{SetCopies{Group: "g", Term: 1, Copies: copies}, Accepted, copies, "", ""},
+		{SetCopies{Group: "g", Term: 2}, TermMismatch, copies, "", ""},
+		{NamePromotion{Group: "g", Attempt: 1, Server: "b"}, GroupNotChanging, copies, "", ""},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, "", ""},
+		{SetCopies{Group: "g", Term: 1}, GroupChanging, copies, "", ""},
+		{NamePromotion{Group: "g", Attempt: 2, Server: "b"}, Accepted, copies, "b", ""},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, "b", ""},
+		{NamePromotion{Group: "g", Attempt: 2}, ChangeSuperseded, copies, "b", ""},
+		{NamePromotion{Group: "g", Attempt: 3}, Accepted, copies, "", ""},
+		{NamePromotion{Group: "g", Attempt: 3, Server: "b"}, Accepted, copies, "b", ""},
+		{SetWait{Group: "g", Term: 2, Reason: "a has left"}, TermMismatch, copies, "b", ""},
+		{SetWait{Group: "g", Term: 1, Reason: "a has left"}, Accepted, copies, "b", "a has left"},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, copies, "b", "a has left"},
+		{SetWait{Group: "g", Term: 1}, Accepted, copies, "b", ""},
+		{SetWait{Group: "g", Term: 1, Reason: "a has left"}, Accepted, copies, "b", "a has left"},
+		{FinishChange{Group: "g", FromTerm: 1, Term: 4, Primary: "b", Copies: copies[1:]}, Accepted, copies[1:], "", ""},
+		{SetWait{Group: "g", Term: 4, Reason: "a has left"}, GroupNotChanging, copies[1:], "", ""},
 	}
 	for i, tt := range steps {
 		assert.Equal(t, tt.want, apply(tt.cmd), "step %d", i)
@@ -356,5 +363,39 @@
 		g, _ := s.Group("g")
 		assert.Equal(t, tt.copies, g.Copies, "step %d", i)
 		assert.Equal(t, tt.promoting, g.Promoting, "step %d", i)
+		assert.Equal(t, tt.wait, g.Wait, "step %d", i)
+	}
+}
+
+// Guards against a proof that outlives the change of primary it was found for, or that a
+// snapshot loses.
+func TestProofOfChange(t *testing.T) {
+	s := New(0)
+	proof := gwsession.Position{Term: 1, Offset: 9}
+	steps := []struct {
+		cmd  Command
+		want Refusal
+		has  bool
+	}{
+		{SetProof{Group: "g", Term: 1, Proof: proof}, GroupUnknown, false},
+		{StartGroup{Group: "g", Primary: "a", Term: 1}, Accepted, false},
+		{SetProof{Group: "g", Term: 1, Proof: proof}, GroupNotChanging, false},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, false},
+		{SetProof{Group: "g", Term: 2, Proof: proof}, TermMismatch, false},
+		{SetProof{Group: "g", Term: 1, Proof: proof}, Accepted, true},
+		{BeginChange{Group: "g", FromTerm: 1}, Accepted, true},
+		{FinishChange{Group: "g", FromTerm: 1, Term: 3, Primary: "b"}, Accepted, false},
+		{BeginChange{Group: "g", FromTerm: 3}, Accepted, false},
+	}
+	for i, tt := range steps {
+		data, err := Encode(tt.cmd, time.Unix(1, 0))
+		require.NoError(t, err)
+		assert.Equal(t, tt.want, s.Apply(uint64(i+1), data, time.Unix(1, 0)).(GroupResult).Refusal, "step %d", i)
+		data, err = s.Snapshot()
+		require.NoError(t, err)
+		s = New(0)
+		require.NoError(t, s.Restore(data, time.Unix(1, 0)))
+		g, _ := s.Group("g")
+		assert.Equal(t, tt.has, g.Proof == proof, "step %d", i)
 	}
 }
