gwquorum, gwcontrol: a leader sends its entries before its own sync

Cause: a leader synced an entry, then sent it, and the others synced it before they answered: two syncs and a round trip. If all disks are slow, a new leader has no answer within an election timeout, steps down before its first entry is committed, and the next one fares the same. Leaders change, each refuses or does not answer, and nothing is committed. Separate processes on one machine share one disk.

Change: Ready.EarlyMessages are the appends of a leader whose term and vote are saved; the driver sends them before the save. A leader's entry counts for its own quorum only after its sync, as before. The simulated members of the random and scenario tests, which lose what is not synced, send them early as well. The timed cluster queues messages and proposals while a disk is busy, as the driver does.

Ruled out: a longer election timeout; a longer wait of new leaders, as the others ask for votes meanwhile.

--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -258,12 +258,15 @@
 // log if it is due.
 func (c *Consensus) processReady(ctx context.Context) error {
 	for rd := c.node.Ready(); !rd.Empty(); rd = c.node.Ready() {
+		for _, m := range rd.EarlyMessages() {
+			c.send(ctx, m)
+		}
 		if rd.MustSave() {
 			if err := c.Store.Save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
 				return err
 			}
 		}
-		for _, m := range rd.Messages {
+		for _, m := range rd.LateMessages() {
 			c.send(ctx, m)
 		}
 		if rd.Restore && rd.Snapshot.Index > c.State.Index() {
--- a/pkg/gwquorum/cluster_test.go
+++ b/pkg/gwquorum/cluster_test.go
@@ -147,16 +147,14 @@
 			c.check(m)
 			return
 		}
+		c.send(rd.EarlyMessages())
 		if rd.MustSave() {
 			if err := m.log.Save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
 				c.crash(id, true)
 				return
 			}
 		}
-		for _, msg := range rd.Messages {
-			c.delayed = append(c.delayed, delayedMessage{due: c.now.Add(c.delay), msg: msg})
-		}
-		c.releaseDelayed()
+		c.send(rd.LateMessages())
 		c.maybeStepBeforeAdvance(m)
 		if rd.Restore {
 			c.restore(m, *rd.Snapshot)
@@ -171,6 +169,13 @@
 	}
 }
 
+func (c *cluster) send(messages []gwquorum.Message) {
+	for _, msg := range messages {
+		c.delayed = append(c.delayed, delayedMessage{due: c.now.Add(c.delay), msg: msg})
+	}
+	c.releaseDelayed()
+}
+
 // releaseDelayed moves the delayed messages that are due to the network.
 func (c *cluster) releaseDelayed() {
 	for len(c.delayed) > 0 && !c.delayed[0].due.After(c.now) {
--- a/pkg/gwquorum/doc.go
+++ b/pkg/gwquorum/doc.go
@@ -12,15 +12,16 @@
 // ReadIndex it does the following until Ready returns nothing:
 //
 //	rd := n.Ready()
+//	send(rd.EarlyMessages())
 //	store.Save(rd.HardState, rd.Entries, rd.Snapshot) // returns after the sync
-//	send(rd.Messages)                                 // only after the sync
+//	send(rd.LateMessages())                           // only after the sync
 //	if rd.Restore { machine.Restore(rd.Snapshot.Data, now) }
 //	apply(rd.Committed)
 //	answer(rd.Reads)                                  // once applied >= Index
 //	n.Advance(rd)
 //
-// When Save fails, the driver sends none of the messages of that Ready and discards
-// the node. It also discards a node whose Status has a Fault: its log contradicts the
+// Without the early messages, all messages may be sent after the sync. When Save fails,
+// the driver sends none of the late messages of that Ready and discards the node. It also discards a node whose Status has a Fault: its log contradicts the
 // leader's. Step, Tick and Propose may also be called between Ready and Advance. Tick
 // is due about every 25 ms, a third of the heartbeat interval. Messages to one peer
 // should be sent in order; a message out of order is handled correctly but costs one
--- a/pkg/gwquorum/liveness_test.go
+++ b/pkg/gwquorum/liveness_test.go
@@ -182,3 +182,20 @@
 		require.NoError(t, c.err)
 	}
 }
+
+// Guards against a group in which every leader loses its quorum before its first entry is
+// committed, because the disks of all voters are slow: first the leader and then the others
+// saved the entry before the leader had an answer.
+func TestSlowDisksOfAll(t *testing.T) {
+	for _, sync := range []time.Duration{100 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond} {
+		for seed := range uint64(10) {
+			c := newTimedCluster(seed, "a", "b", "c")
+			for _, id := range c.ids {
+				c.members[id].sync = sync
+			}
+			c.run(2*time.Second, c.client())
+			assert.LessOrEqual(t, c.longestGap(20*time.Second), 3*time.Second, "sync %v, seed %d", sync, seed)
+			require.NoError(t, c.err)
+		}
+	}
+}
--- a/pkg/gwquorum/node.go
+++ b/pkg/gwquorum/node.go
@@ -252,6 +252,7 @@
 		Committed:        n.log.between(n.log.applied, n.log.commit),
 		Reads:            n.reads.answered,
 		hardStateChanged: hs.Term != n.saved.Term || hs.Vote != n.saved.Vote,
+		leading:          n.role == Leader,
 	}
 	if n.snapshotUnsaved {
 		s := n.snapshot
--- a/pkg/gwquorum/timedcluster_test.go
+++ b/pkg/gwquorum/timedcluster_test.go
@@ -49,8 +49,8 @@
 	snap     gwquorum.Snapshot
 	entries  []gwquorum.Entry
 	sync     time.Duration
-	inbox    []gwquorum.Message
-	saving   *gwquorum.Ready // whose save ends at busyUntil
+	calls    []func(*gwquorum.Node) // what waits while the disk is busy
+	saving   *gwquorum.Ready        // whose save ends at busyUntil
 	busy     time.Time
 	nextTick time.Time
 }
@@ -99,7 +99,7 @@
 		c.err = err
 		return
 	}
-	m.node, m.inbox, m.saving, m.busy = node, nil, nil, c.now
+	m.node, m.calls, m.saving, m.busy = node, nil, nil, c.now
 	m.nextTick = c.now.Add(time.Duration(c.rand.IntN(20)) * time.Millisecond)
 }
 
@@ -113,7 +113,8 @@
 		for len(c.arrivals) > 0 && !c.arrivals[0].due.After(c.now) {
 			msg := c.arrivals[0].msg
 			c.arrivals = c.arrivals[1:]
-			c.members[msg.To].inbox = append(c.members[msg.To].inbox, msg)
+			m := c.members[msg.To]
+			m.calls = append(m.calls, func(n *gwquorum.Node) { n.Step(msg, c.now) })
 		}
 		for _, id := range c.ids {
 			c.work(c.members[id])
@@ -134,18 +135,27 @@
 		m.saving = nil
 		m.save(rd)
 		c.finish(m, rd)
-	} else {
-		for _, msg := range m.inbox {
-			m.node.Step(msg, c.now)
-		}
-		m.inbox = nil
-		if !c.now.Before(m.nextTick) {
-			m.nextTick = c.now.Add(20 * time.Millisecond)
-			m.node.Tick(c.now)
+		if c.processReady(m); m.saving != nil {
+			return
 		}
 	}
+	for _, call := range m.calls {
+		call(m.node)
+	}
+	m.calls = nil
+	if !c.now.Before(m.nextTick) {
+		m.nextTick = c.now.Add(20 * time.Millisecond)
+		m.node.Tick(c.now)
+	}
+	c.processReady(m)
+}
+
+// processReady does the work that the node's Ready returns until there is none left, or
+// something must be saved.
+func (c *timedCluster) processReady(m *timedMember) {
 	for rd := m.node.Ready(); !rd.Empty(); rd = m.node.Ready() {
 		if rd.MustSave() {
+			c.sendAll(rd.EarlyMessages())
 			m.saving, m.busy = &rd, c.now.Add(m.sync)
 			return
 		}
@@ -172,9 +182,7 @@
 
 // finish sends the messages of rd and records what was committed.
 func (c *timedCluster) finish(m *timedMember, rd gwquorum.Ready) {
-	for _, msg := range rd.Messages {
-		c.send(msg)
-	}
+	c.sendAll(rd.LateMessages())
 	for _, e := range rd.Committed {
 		was, ok := c.committed[e.Index]
 		switch {
@@ -188,6 +196,12 @@
 	m.node.Advance(rd)
 }
 
+func (c *timedCluster) sendAll(messages []gwquorum.Message) {
+	for _, msg := range messages {
+		c.send(msg)
+	}
+}
+
 func (c *timedCluster) send(msg gwquorum.Message) {
 	l, size := c.links[[2]string{msg.From, msg.To}], messageSize(msg)
 	if l.freeAt.Before(c.now) {
@@ -205,9 +219,12 @@
 // propose proposes an entry at each member that leads, as clients that ask every member do.
 func (c *timedCluster) propose(size int) {
 	for _, id := range c.ids {
-		if n := c.members[id].node; n.Status().LeaderReady {
-			_, _, _ = n.Propose(make([]byte, size))
-		}
+		m := c.members[id]
+		m.calls = append(m.calls, func(n *gwquorum.Node) {
+			if n.Status().LeaderReady {
+				_, _, _ = n.Propose(make([]byte, size))
+			}
+		})
 	}
 }
 
--- a/pkg/gwquorum/types.go
+++ b/pkg/gwquorum/types.go
@@ -137,16 +137,39 @@
 	Entries   []Entry     // to save; they replace all saved entries from the first one's index on
 	Snapshot  *Snapshot   // to save; nil if there is none
 	Restore   bool        // the state machine must be restored from Snapshot
-	Messages  []Message   // to send after the save
+	Messages  []Message   // to send after the save, or some of them before it: see EarlyMessages
 	Committed []Entry     // to apply after the save, in order
 	Reads     []ReadState // answered reads
 
 	hardStateChanged bool
+	leading          bool
 }
 
 // MustSave reports whether there is something to save before messages are sent.
 func (r Ready) MustSave() bool { return r.hardStateChanged || len(r.Entries) > 0 || r.Snapshot != nil }
 
+// EarlyMessages returns the messages that may be sent before the save, in order: heartbeats and
+// entries of a leader whose term and vote are saved. The leader counts its own entries for a
+// quorum only after Advance.
+func (r Ready) EarlyMessages() []Message {
+	if !r.early() {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(r.Messages), func(m Message) bool { return m.Kind != MessageAppend })
+}
+
+// LateMessages returns the other messages.
+func (r Ready) LateMessages() []Message {
+	if !r.early() {
+		return r.Messages
+	}
+	return slices.DeleteFunc(slices.Clone(r.Messages), func(m Message) bool { return m.Kind == MessageAppend })
+}
+
+func (r Ready) early() bool {
+	return r.leading && r.MustSave() && !r.hardStateChanged && r.Snapshot == nil
+}
+
 // Empty reports whether there is nothing to do.
 func (r Ready) Empty() bool {
 	return !r.MustSave() && len(r.Messages) == 0 && len(r.Committed) == 0 && len(r.Reads) == 0
