--- a/internal/gwsoak/fault.go
+++ b/internal/gwsoak/fault.go
@@ -124,6 +124,12 @@
 	r.network.path(b.settings.IP, a.settings.IP).reset()
 }
 
+// silenceLinks silences the open connections from one instance to another for good.
+func (r *Run) silenceLinks(from, to *process) {
+	r.check.fault(0, "silence the connections from %s to %s", from.settings.Name, to.settings.Name)
+	r.network.path(from.settings.IP, to.settings.IP).silence()
+}
+
 // holdCalls holds what an instance sends to the platform and delivers it later.
 func (r *Run) holdCalls(ctx context.Context, p *process, silent bool, d time.Duration) {
 	calls := r.network.path(p.settings.IP, r.platform.Addr())
@@ -134,6 +140,34 @@
 	r.during(ctx, d, what, func() { calls.hold(silent) }, calls.release)
 }
 
+// pauseCaller pauses the control instance that opens the next connection to the platform
+// within a time. Its calls are cut for half of the pause, so that the platform gets them while
+// it is still paused.
+func (r *Run) pauseCaller(ctx context.Context, d time.Duration) {
+	calls := func(p *process) *path { return r.network.path(p.settings.IP, r.platform.Addr()) }
+	for _, p := range r.control {
+		calls(p).hold(true)
+	}
+	caller := r.firstCaller((*process).pause)
+	var p *process
+	select {
+	case p = <-caller:
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+	r.setOnPromote(nil)
+	for _, o := range r.control {
+		if o != p {
+			calls(o).release()
+		}
+	}
+	if p == nil {
+		return
+	}
+	r.during(ctx, d/2, "pause "+p.settings.Name+", which calls the platform, and cut its call", func() {}, calls(p).release)
+	r.during(ctx, d/2, "pause "+p.settings.Name+" after its call is let through", p.pause, p.resume)
+}
+
 // slowPlatform makes the platform act on calls after a delay.
 func (r *Run) slowPlatform(ctx context.Context, by, d time.Duration) {
 	r.during(ctx, d, "slow the platform by "+by.Round(time.Millisecond).String(), func() { r.api.SetDelay(by) }, func() { r.api.SetDelay(0) })
--- a/internal/gwsoak/path.go
+++ b/internal/gwsoak/path.go
@@ -36,6 +36,16 @@
 	p.setDrop(silent)
 }
 
+// silence drops for good what arrives on the open connections; new ones work.
+func (p *path) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		setDrop(c, true)
+		delete(p.conns, c) // so that a release does not apply to it
+	}
+}
+
 // release delivers the held bytes, except those whose sender has reset its connection.
 func (p *path) release() {
 	p.mu.Lock()
--- a/internal/gwsoak/scenario.go
+++ b/internal/gwsoak/scenario.go
@@ -29,6 +29,7 @@
 		{"flappingLinks", "the links between control instances are cut one way again and again while primaries crash", flappingLinks},
 		{"cutWhileChanging", "the leadership is transferred between regions; the new leader is cut off while it changes a primary", cutWhileChanging},
 		{"lostDirection", "control instances lose what another sends while large configurations are published", lostDirection},
+		{"silentLinks", "the open connections of the leader go silent for good, one direction of one link at a time", silentLinks},
 		{"stoppedLeader", "the leader is stopped for 1 to 3 s again and again while large configurations are published", stoppedLeader},
 		{"controlRestarts", "all control instances are killed and restarted while large configurations are published", controlRestarts},
 	}
@@ -211,15 +212,11 @@
 func stopConfirming(ctx context.Context, r *Run, g *platformtest.Group) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	p := r.leader()
-	delayAnswers := func(d time.Duration) {
-		for _, o := range r.control {
-			r.network.path(o.settings.IP, p.settings.IP).setDelay(d)
-		}
+	p, end := r.delayAnswers(ctx)
+	if p == nil {
+		r.check.logf("the leader changes while its answers are delayed")
+		return
 	}
-	r.check.fault(1, "delay what %s receives by %s", p.settings.Name, answerDelay)
-	delayAnswers(answerDelay)
-	sleep(ctx, time.Second)
 	fenced := make(chan *process, 1)
 	r.setOnPause(func(group string) {
 		if group == g.Name() {
@@ -239,11 +236,38 @@
 	acted := awaitSuccessor(ctx, r.calledByOther(g, p))
 	r.check.logf("the successor has acted: %v", acted)
 	p.resume()
-	delayAnswers(0)
-	r.check.fault(-1, "%s is continued", p.settings.Name)
+	end()
 	sleep(ctx, time.Second)
 }
 
+// delayAnswers delays what the leader receives from the others, step by step, so that it
+// keeps the leadership. It returns nil if it does not.
+func (r *Run) delayAnswers(ctx context.Context) (leader *process, end func()) {
+	const tries, steps = 4, 8
+	for range tries {
+		p := r.leader()
+		set := func(d time.Duration) {
+			for _, o := range r.control {
+				r.network.path(o.settings.IP, p.settings.IP).setDelay(d)
+			}
+		}
+		r.check.fault(1, "delay what %s receives by %s", p.settings.Name, answerDelay)
+		for i := range steps {
+			set(answerDelay * time.Duration(i+1) / steps)
+			sleep(ctx, 2*answerDelay/steps)
+		}
+		end = func() {
+			set(0)
+			r.check.fault(-1, "what %s receives is not delayed", p.settings.Name)
+		}
+		if r.leader() == p {
+			return p, end
+		}
+		end()
+	}
+	return nil, nil
+}
+
 // flapTime is the longest time that a link is cut in flappingLinks; elections take longer
 // than the shorter ones.
 const flapTime = 900 * time.Millisecond
@@ -335,6 +359,22 @@
 	r.operator.setSize(0)
 }
 
+func silentLinks(ctx context.Context, r *Run) {
+	ctx, cancel := context.WithTimeout(ctx, r.o.For)
+	defer cancel()
+	r.operator.setSize(largeConfiguration)
+	for ctx.Err() == nil {
+		p := r.leader()
+		o := r.control[(slices.Index(r.control, p)+1+r.rand.IntN(2))%len(r.control)]
+		if r.rand.IntN(2) == 0 {
+			p, o = o, p
+		}
+		r.silenceLinks(p, o)
+		sleep(ctx, time.Second+randomTime(r.rand, 2*time.Second))
+	}
+	r.operator.setSize(0)
+}
+
 func stoppedLeader(ctx context.Context, r *Run) {
 	ctx, cancel := context.WithTimeout(ctx, r.o.For)
 	defer cancel()
--- a/internal/gwsoak/schedule.go
+++ b/internal/gwsoak/schedule.go
@@ -50,11 +50,16 @@
 	}
 	// ResetLinks resets the connections between two control instances.
 	ResetLinks struct{ Control int }
+	// SilenceLinks silences the open connections from a control instance to another.
+	SilenceLinks struct{ Control int }
 	// HoldCalls holds the calls of a control instance to the platform.
 	HoldCalls struct {
 		Control int
 		Silent  bool
 	}
+	// PauseCaller stops the control instance that next opens a connection to the platform,
+	// whose calls are cut meanwhile.
+	PauseCaller struct{}
 	// SlowPlatform makes the platform act late.
 	SlowPlatform struct{ By time.Duration }
 	// CrashPrimary crashes the primary of a group.
@@ -74,7 +79,9 @@
 func (CutZone) isAction()             {}
 func (DelayLinks) isAction()          {}
 func (ResetLinks) isAction()          {}
+func (SilenceLinks) isAction()        {}
 func (HoldCalls) isAction()           {}
+func (PauseCaller) isAction()         {}
 func (SlowPlatform) isAction()        {}
 func (CrashPrimary) isAction()        {}
 func (CrashServer) isAction()         {}
@@ -103,7 +110,9 @@
 		return DelayLinks{Control: r.IntN(3), By: 20*time.Millisecond + randomTime(r, 200*time.Millisecond)}
 	}},
 	{1, func(r *rand.Rand) Action { return ResetLinks{Control: r.IntN(3)} }},
+	{1, func(r *rand.Rand) Action { return SilenceLinks{Control: r.IntN(3)} }},
 	{3, func(r *rand.Rand) Action { return HoldCalls{Control: r.IntN(3), Silent: r.IntN(2) == 0} }},
+	{3, func(*rand.Rand) Action { return PauseCaller{} }},
 	{2, func(r *rand.Rand) Action { return SlowPlatform{By: randomTime(r, 4*time.Second)} }},
 	{1, func(r *rand.Rand) Action { return LargeConfigurations{Bytes: 100_000 + r.IntN(400_000)} }},
 }
@@ -179,6 +188,8 @@
 		r.delayLinks(ctx, control(a.Control), control(a.Control+1), a.By, s.For)
 	case ResetLinks:
 		r.resetLinks(control(a.Control), control(a.Control+1))
+	case SilenceLinks:
+		r.silenceLinks(control(a.Control), control(a.Control+1))
 	default:
 		r.actOutside(ctx, s)
 	}
@@ -189,6 +200,8 @@
 	switch a := s.Action.(type) {
 	case HoldCalls:
 		r.holdCalls(ctx, r.control[a.Control%len(r.control)], a.Silent, s.For)
+	case PauseCaller:
+		r.pauseCaller(ctx, s.For)
 	case SlowPlatform:
 		r.slowPlatform(ctx, a.By, s.For)
 	case CrashPrimary:
