gwowner: freshness is asked for again once the primary's owner is known

Ruled out: asking at once after every error. An owner that is cut off would be asked in each check.

Result: TestFreshnessIsAskedAgainOnceOwnerIsKnown fails before and passes now.

--- a/internal/gwowner/server_test.go
+++ b/internal/gwowner/server_test.go
@@ -1,12 +1,14 @@
 package gwowner
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 
+	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -58,3 +60,13 @@
 	}
 	assert.Eventually(t, func() bool { return s.overdue.Load() == 0 }, time.Second, time.Millisecond, "statements that have ended")
 }
+
+// Guards against a replica that refuses reads with a staleness bound for a whole interval
+// after its owner has learned which server is the primary.
+func TestFreshnessIsAskedAgainOnceOwnerIsKnown(t *testing.T) {
+	s := &server{owner: &Owner{clock: clockwork.NewFakeClock(), views: gwcontrol.NewViews(gwcontrol.ManifestFormat{}), freshnessInterval: time.Second}}
+	assert.True(t, s.freshnessDue())
+	assert.False(t, s.freshnessDue(), "within the interval")
+	s.updateFreshness(context.Background(), gwcontrol.GroupView{Group: "foyers"})
+	assert.True(t, s.freshnessDue(), "nobody was asked, as the group's primary is unknown")
+}
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -208,12 +209,20 @@
 }
 
 // updateFreshness asks the primary's owner for the primary's position and records it. An
-// error leaves the freshness as it was.
+// error leaves the freshness as it was. If the owner is not known yet, the next check asks
+// again without waiting for the interval: until the first answer the replica serves no read
+// with a staleness bound.
 func (s *server) updateFreshness(ctx context.Context, g gwcontrol.GroupView) {
 	sent := s.owner.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	a, err := s.owner.askPrimary(ctx, barrierRequest{Group: g.Group, Earlier: s.owner.freshnessInterval})
+	var unasked *gwcontrol.Error
+	if errors.As(err, &unasked) && unasked.Kind == gwcontrol.UnknownServer {
+		s.mu.Lock()
+		s.freshnessAskedAt = time.Time{}
+		s.mu.Unlock()
+	}
 	if err != nil {
 		return
 	}
