cmd: tests hold their ports from the choice to the end

Cause: the tests of both programs took a free port, closed it and opened it later, when another process could have taken it. Two tests of the platform's program at once could also derive the same addresses from different ports.

Change: a port is held while the test runs, and the addresses of the instances derive from its number, so that they are those of the test alone.

Ruled out: handing open listeners to the instances. The programs take addresses from their settings files, which is what these tests are for.

Result: both packages pass once; the collision itself was not provoked.

--- a/cmd/gentianward-platform/run_test.go
+++ b/cmd/gentianward-platform/run_test.go
@@ -39,11 +39,14 @@
 	group     *standinGroup
 }
 
-func freePort(t *testing.T) int {
+// holdPort returns a port that no other test has until t ends. The addresses that derive
+// from it are those of the test alone, so that none of their ports can be taken between
+// its choice and its use.
+func holdPort(t *testing.T) int {
 	t.Helper()
 	l, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
-	defer l.Close()
+	t.Cleanup(func() { _ = l.Close() })
 	return l.LocalAddr().(*net.UDPAddr).Port
 }
 
@@ -53,16 +56,15 @@
 // primary.
 func startWithServers(t *testing.T, ids ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, platform: platformtest.NewClient(), peerPort: freePort(t), group: newStandinGroup(t, "core", ids...)}
+	d := &deployment{t: t, platform: platformtest.NewClient(), peerPort: holdPort(t), group: newStandinGroup(t, "core", ids...)}
 	cloud := httptest.NewServer(http.HandlerFunc(d.group.promote))
 	t.Cleanup(cloud.Close)
-	// Each run has its own addresses, as those of an earlier test may still be in use.
-	net16 := fmt.Sprintf("127.%d.%d", 1+d.peerPort%200, d.peerPort/256)
+	net24 := fmt.Sprintf("127.%d.%d", d.peerPort>>8, d.peerPort&0xff)
 	zones := []string{"a", "b", "c"}
 	regions := map[string]string{"a": "r", "b": "r", "c": "r"}
 	var seeds []netip.Addr
 	for i := range 3 {
-		seeds = append(seeds, netip.MustParseAddr(fmt.Sprintf("%s.%d", net16, 10+i)))
+		seeds = append(seeds, netip.MustParseAddr(fmt.Sprintf("%s.%d", net24, 10+i)))
 	}
 	run := func(ip netip.Addr, s platform.Settings) {
 		s.IP, s.Name, s.Region, s.Regions, s.PeerPort, s.Seeds = ip, ip.String(), "r", regions, d.peerPort, seeds
@@ -76,7 +78,7 @@
 		run(ip, platform.Settings{DataCentre: zones[i], ServesControl: true, ControlAddress: address, DataFolder: t.TempDir()})
 	}
 	for i := range 3 {
-		ip := netip.MustParseAddr(fmt.Sprintf("%s.%d", net16, 20+i))
+		ip := netip.MustParseAddr(fmt.Sprintf("%s.%d", net24, 20+i))
 		callers, ready := fmt.Sprintf("%s:%d", ip, d.peerPort+2), fmt.Sprintf("%s:%d", ip, d.peerPort+1)
 		d.callerAddresses, d.readyAddresses = append(d.callerAddresses, callers), append(d.readyAddresses, ready)
 		run(ip, platform.Settings{DataCentre: zones[i], ServesCallers: true, CallerAddress: callers, ReadyAddress: ready, MaxFiles: 4096})
--- a/cmd/gentianward/serve_test.go
+++ b/cmd/gentianward/serve_test.go
@@ -51,29 +51,35 @@
 	return commander.Execute(context.Background())
 }
 
-func freePort(t *testing.T, network string) string {
+// holdAddress returns a loopback address that no other test has until t ends, so that none
+// of its ports can be taken between its choice and its use. It derives from a port that is
+// held meanwhile.
+func holdAddress(t *testing.T) string {
 	t.Helper()
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().String()
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = c.Close() })
+	port := c.LocalAddr().(*net.UDPAddr).Port
+	return fmt.Sprintf("127.%d.%d.1", port>>8, port&0xff)
 }
 
+// Ports of the instances of a serveFixture, each at its own address.
+const (
+	peerPort = 7000 + iota
+	operatorPort
+	callerPort
+)
+
 func newServeFixture(t *testing.T) *serveFixture {
 	f := &serveFixture{T: t, dir: t.TempDir(), names: []string{"a-1", "b-1", "c-1"}}
 	f.keys("init", f.file("keys"))
 	f.keys("issue", "-operator", f.file("keys"), "op")
 	for _, n := range f.names {
-		f.peers = append(f.peers, freePort(t, "udp"))
-		f.operators = append(f.operators, freePort(t, "tcp"))
-		f.callers = append(f.callers, freePort(t, "tcp"))
-		f.keys("issue", f.file("keys"), n, "-ip", "127.0.0.1")
+		ip := holdAddress(t)
+		f.peers = append(f.peers, fmt.Sprintf("%s:%d", ip, peerPort))
+		f.operators = append(f.operators, fmt.Sprintf("%s:%d", ip, operatorPort))
+		f.callers = append(f.callers, fmt.Sprintf("%s:%d", ip, callerPort))
+		f.keys("issue", f.file("keys"), n, "-ip", ip)
 	}
 	f.manifest("m1.jsonc", 1, "5s")
 	f.signals = make([]chan os.Signal, len(f.names))
