gwdeploy: the partition test waits for the replica that it is about

Cause: the test waited until any server had answered a read, and then cut the data centre. In a failing run the owner of the data centre's replica had never learned the primary's position when the cut came, 250 ms after the instances were ready: their directories had been complete only just before. The staleness of such a replica is unknown, so refusing is right.

Change: the test cuts the data centre once its own replica has answered, within 5 s, and fails if it does not. All later checks are unchanged.

Ruled out: an ejected own replica, an owner that moved, and a change of term; the failing run's log has none of them.

--- a/internal/gwdeploy/guarantee_test.go
+++ b/internal/gwdeploy/guarantee_test.go
@@ -227,11 +227,15 @@
 	_, err := connect(t, d, 0, "adviser", group).Exec(ctx, "create table visit (id int)")
 	require.NoError(t, err)
 	council, planner, adviser := connect(t, d, 5, "council", group), connect(t, d, 5, "planner", group), connect(t, d, 5, "adviser", group)
+	// Until its owner has learned the primary's position once, the replica of the data centre
+	// has no known staleness and rightly refuses; another data centre answers instead.
+	replica := d.Server(group + "-brest-a")
 	for _, c := range []*pgx.Conn{council, planner} {
 		require.Eventually(t, func() bool {
+			before := replica.Statements()
 			var n int
-			return c.QueryRow(ctx, "select count(*) from visit").Scan(&n) == nil
-		}, 5*time.Second, 10*time.Millisecond, "the table must reach the replica")
+			return c.QueryRow(ctx, "select count(*) from visit").Scan(&n) == nil && replica.Statements() > before
+		}, 5*time.Second, 10*time.Millisecond, "the replica of the data centre must answer")
 	}
 	d.CutDataCentre("brest-a", true)
 	// Until the partition is detected, a write is sent over the broken link, and its outcome
