gwwire: a panic in one session ends that session

Cause: a session and its handshake ran without a recover, so that a panic in either ended the process with all of its callers. Sessions of the statement protocol and handlers of peers' messages were covered already.

Change: a panic becomes an error of the session, with a log line and its stack; the session is closed like after any other error.

Ruled out: one recover in the goroutine. The session's registration, its counter and its connection would have needed a second way to end.

Result: TestServerSurvivesPanic ended the test process before and passes now.

--- a/internal/gwwire/conn.go
+++ b/internal/gwwire/conn.go
@@ -77,7 +77,7 @@
 func (c *conn) run() {
 	defer c.srv.wg.Done()
 	defer c.srv.openConns.Add(-1)
-	err := c.loop()
+	err := c.srv.recoverPanic(c, c.loop)
 	c.srv.sessions.remove(c)
 	c.cancelSession()
 	c.session.Close()
--- a/internal/gwwire/errors.go
+++ b/internal/gwwire/errors.go
@@ -62,6 +62,7 @@
 	errNoUser       = errors.New("no user name in the startup message")
 	errIdleTimeout  = errors.New("idle-in-transaction timeout")
 	errShutdown     = errors.New("the instance is shutting down")
+	errPanic        = errors.New("the session ended because of an internal error")
 	errFrameTooLong = errors.New("message exceeds the limit")
 	errMalformed    = errors.New("malformed message")
 )
--- a/internal/gwwire/lifecycle_test.go
+++ b/internal/gwwire/lifecycle_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -176,6 +177,30 @@
 	}
 }
 
+// panickingHandler panics when a session is opened on the database "bad".
+type panickingHandler struct{ echo }
+
+func (h panickingHandler) Authenticate(ctx context.Context, s Startup) (Session, error) {
+	if s.Database == "bad" {
+		panic("unexpected startup")
+	}
+	return h.echo.Authenticate(ctx, s)
+}
+
+// Guards against a panic in one session, during its start or a request, that ends the
+// process or keeps the session counted as open.
+func TestServerSurvivesPanic(t *testing.T) {
+	var log logBuffer
+	s := serve(t, Options{Logger: log.logger(), Handler: panickingHandler{echo{handle: func(context.Context, Request, ResponseWriter) error { panic("unexpected request") }}}})
+	r := rawConnect(t, s)
+	r.send(&pgproto3.Query{String: "x"})
+	require.Equal(t, "EXX000!", r.receive('!'))
+	_, err := pgx.Connect(t.Context(), fmt.Sprintf("postgres://u@%s/bad?sslmode=disable", s.Address()))
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return s.Stats().Open == 0 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, 2, strings.Count(strings.Join(log.lines(), ""), "session ended by a panic"))
+}
+
 // recorder is a net.Conn that records the output.
 type recorder struct {
 	discardConn
--- a/internal/gwwire/server.go
+++ b/internal/gwwire/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -159,7 +161,12 @@
 func (s *Server) startSession(nc net.Conn) {
 	c := &conn{srv: s, txStatus: 'I'}
 	stopCloseOnEnd := context.AfterFunc(s.ctx, func() { _ = nc.Close() })
-	nc, err := s.handshake(nc, c)
+	opened := nc
+	err := s.recoverPanic(c, func() (err error) {
+		opened, err = s.handshake(nc, c)
+		return err
+	})
+	nc = opened
 	if err == nil && !stopCloseOnEnd() {
 		err = newError("start session", KindShutdown, "", errShutdown)
 	}
@@ -181,6 +188,18 @@
 	go c.run()
 }
 
+// recoverPanic runs f, a part of one session. A panic becomes an error that ends the
+// session instead of the process.
+func (s *Server) recoverPanic(c *conn, f func() error) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.log.Error("session ended by a panic", "caller", c.user, "database", c.database, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+			err = newError("run session", KindHandler, codeInternal, errPanic)
+		}
+	}()
+	return f()
+}
+
 // logClosed logs a connection that ended for a reason other than a Terminate message of
 // the caller. It is called at most once for a connection.
 func (s *Server) logClosed(nc net.Conn, c *conn, err error) {
