gwowner: a panic leaves no slot, connection or statement counted

Cause: a request gave its connection back only on the ways that return. After a panic in an exchange the pool counted the connection as in use for ever, a statement of a transaction stayed counted as load, and the server's list of unanswered statements kept it. Writes with a request key acquired their slot by themselves, without the metric of the wait and without the limit on how long a statement that is not answered may hold its slot.

Change: what a request holds is released in deferred calls, and both kinds of requests acquire it in one function. A write with a key may hold its slot as long as the five exchanges that it takes.

Ruled out: the limit of one exchange for writes with a key. They would give up their slot in ordinary operation.

--- a/internal/gwowner/key.go
+++ b/internal/gwowner/key.go
@@ -33,26 +33,23 @@
 // sqlUndefinedTable is the SQLSTATE of a missing table.
 const sqlUndefinedTable = "42P01"
 
+// keyedExchanges is the usual number of exchanges of a request with a key: the lookup,
+// BEGIN, the request itself, the record of the key, and COMMIT.
+const keyedExchanges = 5
+
 // writeKeyed runs req and records its key in the same transaction, so that the key is
 // stored if and only if the request is done.
 func (s *Session) writeKeyed(ctx context.Context, srv *server, req *Request, g gwcontrol.GroupView, deadline time.Time, sink *bufferedSink) Result {
-	release, err := srv.admission.acquire(ctx, req.Class, deadline, req.QueueWait)
-	if err != nil {
-		return failed(admissionEvent(err), err.Error())
+	conn, release, x := srv.acquire(ctx, req, deadline, keyedExchanges, func() bool { return srv.holdsLease(g.Term) })
+	if conn == nil {
+		return x.failure(sink)
 	}
 	defer release()
-	conn, err := srv.backend.Pool().Acquire(ctx)
-	if err != nil {
-		e := acquireEvent(err)
-		srv.observe(e)
-		return failed(e, err.Error())
-	}
-	if !srv.holdsLease(g.Term) {
-		srv.backend.Pool().Release(conn, true)
-		return failed(gwoutcome.NoLease, errNoLease.Error())
-	}
+	panicked := true
+	defer srv.discardIf(&panicked, conn)
 	k := keyedWrite{server: srv, conn: conn, req: req, term: g.Term, sink: sink}
-	x := k.run(ctx)
+	x = k.run(ctx)
+	panicked = false
 	srv.backend.Pool().Release(conn, x.event == gwoutcome.Answered)
 	if x.event != gwoutcome.Answered {
 		r := x.failure(sink)
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -238,25 +238,15 @@
 // run acquires a slot and a connection and executes the request. leaseHeld, unless nil,
 // is called before the request is sent; if it returns false the request is not run.
 func (s *server) run(ctx context.Context, req *Request, deadline time.Time, sink gwbackend.Sink, leaseHeld func() bool) execution {
-	queued := s.owner.clock.Now()
-	release, err := s.admission.acquire(ctx, req.Class, deadline, req.QueueWait)
-	if err != nil {
-		return execution{event: admissionEvent(err), detail: err.Error()}
+	conn, release, x := s.acquire(ctx, req, deadline, 1, leaseHeld)
+	if conn == nil {
+		return x
 	}
-	release = s.limitSlotHold(release, s.pending.slotLimit())
 	defer release()
-	s.owner.metrics.QueueWait(req.Class, s.facts().Group, s.owner.clock.Since(queued))
-	conn, err := s.backend.Pool().Acquire(ctx)
-	if err != nil {
-		e := acquireEvent(err)
-		s.observe(e)
-		return execution{event: e, detail: err.Error()}
-	}
-	if leaseHeld != nil && !leaseHeld() {
-		s.backend.Pool().Release(conn, true)
-		return execution{event: gwoutcome.NoLease, detail: errNoLease.Error()}
-	}
-	x := s.exchange(ctx, conn, req.Request, sink)
+	panicked := true
+	defer s.discardIf(&panicked, conn)
+	x = s.exchange(ctx, conn, req.Request, sink)
+	panicked = false
 	if x.event == gwoutcome.Answered && x.TxStatus != 'I' {
 		x.conn = conn
 		return x
@@ -271,6 +261,40 @@
 	return x
 }
 
+// acquire acquires a slot, for up to the given number of exchanges, and a connection. It
+// returns the function that releases the slot. If it fails, the connection is nil and the
+// execution tells why.
+func (s *server) acquire(ctx context.Context, req *Request, deadline time.Time, exchanges int, leaseHeld func() bool) (gwbackend.Connection, func(), execution) {
+	queued := s.owner.clock.Now()
+	release, err := s.admission.acquire(ctx, req.Class, deadline, req.QueueWait)
+	if err != nil {
+		return nil, nil, execution{event: admissionEvent(err), detail: err.Error()}
+	}
+	release = s.limitSlotHold(release, time.Duration(exchanges)*s.pending.slotLimit())
+	s.owner.metrics.QueueWait(req.Class, s.facts().Group, s.owner.clock.Since(queued))
+	conn, err := s.backend.Pool().Acquire(ctx)
+	if err != nil {
+		release()
+		e := acquireEvent(err)
+		s.observe(e)
+		return nil, nil, execution{event: e, detail: err.Error()}
+	}
+	if leaseHeld != nil && !leaseHeld() {
+		s.backend.Pool().Release(conn, true)
+		release()
+		return nil, nil, execution{event: gwoutcome.NoLease, detail: errNoLease.Error()}
+	}
+	return conn, release, execution{}
+}
+
+// discardIf closes a connection whose request ended by a panic, in a deferred call. The
+// pool would otherwise count it as in use for ever.
+func (s *server) discardIf(panicked *bool, conn gwbackend.Connection) {
+	if *panicked {
+		s.backend.Pool().Release(conn, false)
+	}
+}
+
 // maxOverdue is the number of statements per server that may have given up their slot
 // and still run. It suffices for a server that loses 10 answers per second. At a slow
 // server, more of them would fill the server's own queue of 16 and slow it down further:
@@ -325,9 +349,11 @@
 // exchange runs one request on a connection and classifies how it ended.
 func (s *server) exchange(ctx context.Context, conn gwbackend.Connection, req gwbackend.Request, sink gwbackend.Sink) execution {
 	ctx, pending := s.pending.begin(ctx, s.owner.clock.Now(), req)
+	answered := false
+	defer func() { s.pending.end(pending, s.owner.clock.Now(), answered) }()
 	res, err := conn.Exchange(ctx, req, sink)
 	x := execution{Result: res, event: exchangeEvent(ctx, res, err)}
-	s.pending.end(pending, s.owner.clock.Now(), err == nil)
+	answered = err == nil
 	switch {
 	case err != nil:
 		x.detail = err.Error()
@@ -338,6 +364,12 @@
 	return x
 }
 
+// exchangeWithoutSlot runs a later request of a transaction, which waits for no slot.
+func (s *server) exchangeWithoutSlot(ctx context.Context, conn gwbackend.Connection, req gwbackend.Request, sink gwbackend.Sink) execution {
+	defer s.admission.acquireWithoutSlot()()
+	return s.exchange(ctx, conn, req, sink)
+}
+
 // opensTransaction reports whether the request opens a transaction, so that no earlier
 // statement has run in it.
 func opensTransaction(req gwbackend.Request) bool {
--- a/internal/gwowner/session.go
+++ b/internal/gwowner/session.go
@@ -283,9 +283,7 @@
 		return failed(gwoutcome.NoLease, "the transaction was rolled back because the primary's lease ended")
 	}
 	sink := &bufferedSink{out: out, limit: readBufferBytes}
-	release := t.server.admission.acquireWithoutSlot()
-	x := t.server.exchange(ctx, t.conn, req.Request, sink)
-	release()
+	x := t.server.exchangeWithoutSlot(ctx, t.conn, req.Request, sink)
 	if x.event != gwoutcome.Answered {
 		s.finishTransaction(false)
 		r := x.failure(sink)
