gwfilter: a panic leaves no attempt counted and no stream open

Cause: an attempt at a server was ended after it returned. A panic left it counted, so that the window to the server shrank, and left its stream to the owner open. A stream of a transaction went back to the pool with its answer outstanding.

Change: the end of an attempt is deferred, and a stream counts as unusable from the begin of a request until its whole answer has arrived.

Result: TestPanicEndsAttempt passes, and fails with the deferred call made an ordinary one.

--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -183,19 +183,30 @@
 	if err != nil {
 		return notRun(gwoutcome.PeerUnreachable, err.Error())
 	}
+	return e.attempt(ctx, r, c.Server.Name, up)
+}
+
+// attempt runs the request at a server over up, which it closes unless a transaction is
+// open on it afterwards.
+func (e *Entry) attempt(ctx context.Context, r *request, server string, up upstream) (res gwowner.Result) {
+	kept := false
+	defer func() {
+		if !kept {
+			up.Close()
+		}
+	}()
 	started := e.Clock.Now()
-	if !e.servers.beginAttempt(c.Server.Name) {
-		up.Close()
+	if !e.servers.beginAttempt(server) {
 		return notRun(gwoutcome.QueueFull, "too many statements at the server have not been answered yet")
 	}
-	res := e.exec(ctx, r, up)
-	e.servers.endAttempt(c.Server.Name, res, started, e.Clock.Now(), r.exec.MaxWait)
-	s := r.session
+	// Deferred, so that a panic leaves no attempt counted and no stream open.
+	defer func() { e.servers.endAttempt(server, res, started, e.Clock.Now(), r.exec.MaxWait) }()
+	res = e.exec(ctx, r, up)
 	if res.Event == gwoutcome.Answered && res.TxStatus != 'I' {
-		s.transaction, s.transactionServer, s.transactionWrites = up, c.Server.Name, r.need.Write
-		return res
+		s := r.session
+		s.transaction, s.transactionServer, s.transactionWrites = up, server, r.need.Write
+		kept = true
 	}
-	up.Close()
 	return res
 }
 
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -225,6 +225,7 @@
 
 // Exec runs one request at the owner.
 func (u *pooledUpstream) Exec(ctx context.Context, req *gwowner.Request, out writer) gwowner.Result {
+	u.dirty = true // until the whole answer has arrived, even if Exec panics
 	res := u.RemoteSession.Exec(ctx, req, out)
 	u.dirty = res.TxStatus != 'I' || u.Broken()
 	return res
--- a/internal/gwfilter/servers_test.go
+++ b/internal/gwfilter/servers_test.go
@@ -1,11 +1,14 @@
 package gwfilter
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 
+	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/pkg/gwoutcome"
 )
@@ -44,3 +47,22 @@
 		})
 	}
 }
+
+// panickingUpstream is an upstream whose requests panic.
+type panickingUpstream struct{ closed bool }
+
+func (*panickingUpstream) Owner() string { return "i" }
+func (u *panickingUpstream) Close()      { u.closed = true }
+func (*panickingUpstream) Exec(context.Context, *gwowner.Request, writer) gwowner.Result {
+	panic("unexpected answer")
+}
+
+// Guards against a panic during a request that leaves its attempt counted for ever, so that
+// the window to the server shrinks, or its stream open.
+func TestPanicEndsAttempt(t *testing.T) {
+	e := &Entry{Options: Options{Clock: clockwork.NewFakeClock(), Views: gwcontrol.NewViews(gwcontrol.ManifestFormat{})}, servers: newServerTable(), inflight: newInflight()}
+	var up panickingUpstream
+	assert.Panics(t, func() { e.attempt(t.Context(), &request{session: &session{entry: e}}, "s", &up) })
+	assert.True(t, up.closed, "stream")
+	assert.Zero(t, e.servers.shard("s").stat("s").window.Pending(), "unanswered attempts")
+}
