cmd/gentianward-platform: a closed session does not end a test's condition

Cause: in a failing run of TestSlowPlatform an entry instance that had lost contact with the leader closed the test's idle session in the moment in which the test sent a statement.

Change: a statement whose session is closed is answered with the cause, which no check accepts as an answer; the next statement opens the session again. With GENTIANWARD_TEST_LOG the instances log to standard error.

Ruled out: a change of leader alone. The log has one, and a new primary within 4 s.

--- a/cmd/gentianward-platform/run_test.go
+++ b/cmd/gentianward-platform/run_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -91,10 +92,18 @@
 	return d
 }
 
+// testLog returns a log to standard error if GENTIANWARD_TEST_LOG is set.
+func testLog() *slog.Logger {
+	if os.Getenv("GENTIANWARD_TEST_LOG") == "" {
+		return slog.New(slog.DiscardHandler)
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+}
+
 // start starts an instance, which ends with the test.
 func (d *deployment) start(s platform.Settings) *gwdaemon.Instance {
 	d.t.Helper()
-	p := process{settings: s, log: slog.New(slog.DiscardHandler)}
+	p := process{settings: s, log: testLog().With("instance", s.Name)}
 	o, err := p.options(gwdaemon.NewTelemetry())
 	require.NoError(d.t, err)
 	o.StopDelay = 0
@@ -157,58 +166,85 @@
 func dial(t *testing.T, address, database string) *callerSession {
 	t.Helper()
 	c := &callerSession{t: t, address: address, database: database}
-	c.open()
+	require.NoError(t, c.open())
 	return c
 }
 
-func (c *callerSession) open() {
-	c.t.Helper()
+func (c *callerSession) open() error {
 	nc, err := net.Dial("tcp", c.address)
-	require.NoError(c.t, err)
+	if err != nil {
+		return err
+	}
 	c.t.Cleanup(func() { _ = nc.Close() })
 	c.nc, c.r = nc, bufio.NewReader(nc)
 	_, err = fmt.Fprintf(nc, "STARTUP %s u1\r\n", c.database)
-	require.NoError(c.t, err)
+	return err
 }
 
 // reopen opens the session again if the instance has closed it while it was idle, as an
 // instance does that has lost contact with the leader, for example because this process
 // stood still.
-func (c *callerSession) reopen() {
-	c.t.Helper()
-	if !c.idle {
-		return
-	}
+func (c *callerSession) reopen() error {
 	_ = c.nc.SetReadDeadline(time.Now().Add(time.Millisecond))
-	if _, err := c.r.Peek(1); errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-		c.open()
-		assert.Equal(c.t, "READY I", c.readAnswer())
+	if _, err := c.r.Peek(1); !c.idle || !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	if err := c.open(); err != nil {
+		return err
+	}
+	answer, err := c.tryReadAnswer()
+	if err == nil && answer != "READY I" {
+		return fmt.Errorf("the session was answered with %q", answer)
 	}
+	return err
 }
 
 // readAnswer reads the lines of an answer up to READY and joins them with commas.
 func (c *callerSession) readAnswer() string {
 	c.t.Helper()
+	answer, err := c.tryReadAnswer()
+	require.NoError(c.t, err)
+	return answer
+}
+
+func (c *callerSession) tryReadAnswer() (string, error) {
 	var out []string
 	for {
 		_ = c.nc.SetReadDeadline(time.Now().Add(10 * time.Second))
 		line, err := c.r.ReadString('\n')
-		require.NoError(c.t, err)
+		if err != nil {
+			return "", err
+		}
 		if line = strings.TrimSpace(line); strings.HasPrefix(line, "READY") {
 			c.idle = strings.HasPrefix(line, "READY I")
-			return strings.Join(append(out, strings.TrimSuffix(line, " -")), ",")
+			return strings.Join(append(out, strings.TrimSuffix(line, " -")), ","), nil
 		}
 		out = append(out, line)
 	}
 }
 
+// query sends a statement and returns its answer, or "no answer" and the cause if the
+// instance closed the session meanwhile, as in the moment in which it loses contact with
+// the leader. A condition of require.Eventually must not end its goroutine: it would not be
+// tried again.
 func (c *callerSession) query(text string) string {
-	c.t.Helper()
-	c.reopen()
+	answer, err := c.tryQuery(text)
+	if err != nil {
+		_ = c.nc.Close() // a late answer must not be taken for that of the next statement
+		return "no answer: " + err.Error()
+	}
+	return answer
+}
+
+func (c *callerSession) tryQuery(text string) (string, error) {
+	if err := c.reopen(); err != nil {
+		return "", err
+	}
 	c.n++
-	_, err := fmt.Fprintf(c.nc, "QUERY %016x %s\r\n", c.n, text)
-	require.NoError(c.t, err)
-	return c.readAnswer()
+	if _, err := fmt.Fprintf(c.nc, "QUERY %016x %s\r\n", c.n, text); err != nil {
+		return "", err
+	}
+	return c.tryReadAnswer()
 }
 
 // Guards against parts that do not work together: sessions, transactions and prepared
