gwbackend, gwstatement: a panic while an answer is read closes one connection

Cause: answers of servers are read in a goroutine of the connection, which also writes to the sink of the session. A panic there ended the process.

Change: it is an error that names the panic and closes the connection.

--- a/internal/gwbackend/exchange_test.go
+++ b/internal/gwbackend/exchange_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -239,6 +241,55 @@
 	require.Equal(t, []string{"query BEGIN", "query ROLLBACK"}, f.takeLog())
 }
 
+type panickingSink struct{}
+
+func (panickingSink) Write([]byte) (int, error) { panic("unexpected answer") }
+
+// Guards against an answer whose processing panics and ends the process: answers are read
+// outside of the session.
+func TestPanicClosesConnection(t *testing.T) {
+	c := startFake(t, nil).dial(t)
+	_, err := c.Exchange(t.Context(), Query("x"), panickingSink{})
+	require.ErrorIs(t, err, ErrProtocol)
+	require.False(t, c.Usable())
+}
+
+// discardingConn discards what is written to it.
+type discardingConn struct{ net.Conn }
+
+func (discardingConn) Write(b []byte) (int, error) { return len(b), nil }
+
+// FuzzAnswer guards against panics on arbitrary bytes of a server, in and outside of an
+// answer.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("C\x00\x00\x00\x06x\x00Z\x00\x00\x00\x05I"), true)
+	f.Add([]byte("1\x00\x00\x00\x043\x00\x00\x00\x04D\x00\x00\x00\x0a\x00\x01\xff\xff\xff\xffZ\x00\x00\x00\x05T"), true)
+	f.Add([]byte("E\x00\x00\x00\x0cSFATAL\x00\x00"), false)
+	f.Add([]byte("G\x00\x00\x00\x07\x00\x00\x00A\x00\x00\x00\x04"), true)
+	f.Fuzz(func(_ *testing.T, sent []byte, asked bool) {
+		c := &Conn{nc: discardingConn{}, smallBuffer: make([]byte, readBufferBytes), finished: make(chan struct{}, 1), statements: statementCache{limit: 4}}
+		c.rbuf = c.smallBuffer
+		var x *exchange
+		if asked {
+			c.x.reset(io.Discard)
+			c.x.parses, c.x.closes = append(c.x.parses, parseOp{}), append(c.x.closes, closeHide)
+			x = &c.x
+		}
+		for len(sent) > 0 {
+			n := copy(c.rbuf[c.w:], sent)
+			c.w, sent = c.w+n, sent[n:]
+			if c.process(x) != nil || n == 0 {
+				return
+			}
+			select {
+			case <-c.finished:
+				x = nil
+			default:
+			}
+		}
+	})
+}
+
 // Guards against answers that are truncated or reordered when messages are larger
 // than the read buffer or span several reads.
 func TestLargeAnswer(t *testing.T) {
--- a/internal/gwbackend/reader.go
+++ b/internal/gwbackend/reader.go
@@ -20,7 +20,7 @@
 			c.mu.Lock()
 			x := c.current
 			c.mu.Unlock()
-			if err := c.process(x); err != nil {
+			if err := c.processRecovered(x); err != nil {
 				c.closeWithError(err)
 				return
 			}
@@ -32,6 +32,17 @@
 	}
 }
 
+// processRecovered is process. A panic, also one of the sink, is an error that closes only
+// this connection: the loop runs outside of the session whose answer it reads.
+func (c *Conn) processRecovered(x *exchange) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Wrapf(ErrProtocol, "panic: %v", cause)
+		}
+	}()
+	return c.process(x)
+}
+
 // process handles the messages in rbuf. Consecutive messages that are forwarded
 // unchanged are written to the sink in one call. x is nil while no answer is expected.
 func (c *Conn) process(x *exchange) error {
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -107,7 +107,7 @@
 	var a answer
 	started := false
 	for {
-		reply, raw, err := c.codec.ReadReply(r)
+		reply, raw, err := c.readReply(r)
 		if err != nil {
 			c.closeWithError(err)
 			return
@@ -138,6 +138,17 @@
 	}
 }
 
+// readReply reads one message. A panic is an error that closes only this connection: the
+// loop runs outside of the session whose answer it reads.
+func (c *Conn) readReply(r *bufio.Reader) (reply Reply, raw []byte, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &Error{Op: "read reply", Kind: KindProtocol, Err: errors.Newf("panic: %v", cause)}
+		}
+	}()
+	return c.codec.ReadReply(r)
+}
+
 // deliver passes the answer to the exchange that waits for it. It reports false if there
 // is none.
 func (c *Conn) deliver(a answer) bool {
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -232,3 +232,13 @@
 	_, err = d.Position(t.Context(), c)
 	assert.ErrorIs(t, err, gwbackend.ErrServerBusy)
 }
+
+// Guards against a malformed answer that ends the process: answers are read outside of the
+// session. The codec of this test panics on a ready message without a status.
+func TestPanicClosesConnection(t *testing.T) {
+	s := startScriptedServer(t, map[string]string{"odd": "ready\n"})
+	c := s.dial(t)
+	_, err := c.Exchange(t.Context(), textRequest("odd"), nil)
+	require.Error(t, err)
+	assert.False(t, c.Usable())
+}
