gwpeer: a write over TCP keeps its deadline while the write queue is full

Cause: a stream's write observed its deadline only while it waited for flow control credit. With a full write queue it waited until the connection was closed, 5 s later.

Change: the wait for room in the queue ends at the deadline, too.

--- a/internal/gwpeer/mux_test.go
+++ b/internal/gwpeer/mux_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -138,6 +139,23 @@
 	}
 }
 
+// Guards against a write that outlasts its deadline because the connection's write queue is
+// full: it waited until the connection was closed.
+func TestMuxWriteKeepsDeadline(t *testing.T) {
+	a, b := net.Pipe() // nobody reads from a
+	m := newMux(b, b, nil, true, time.Minute)
+	s, err := m.OpenStream(t.Context())
+	require.NoError(t, err)
+	require.NoError(t, s.SetDeadline(time.Now().Add(50*time.Millisecond)))
+	started := time.Now()
+	_, err = s.Write(make([]byte, muxWindowBytes))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	assert.Less(t, time.Since(started), muxWriteTimeout/2)
+	_ = a.Close()
+	m.shutDown(errPeerUnresponsive)
+	m.wg.Wait()
+}
+
 // FuzzMuxFrames guards against panics on arbitrary bytes.
 func FuzzMuxFrames(f *testing.F) {
 	f.Add(appendMuxFrame(nil, muxOpen, 1, []byte("x")))
--- a/internal/gwpeer/muxstream.go
+++ b/internal/gwpeer/muxstream.go
@@ -106,16 +106,29 @@
 	return n, nil
 }
 
+// withDeadline returns a context that ends with the stream and at its present deadline.
+func (s *muxStream) withDeadline() (context.Context, context.CancelFunc) {
+	s.mu.Lock()
+	deadline := s.deadline
+	s.mu.Unlock()
+	if deadline.IsZero() {
+		return s.ctx, func() {}
+	}
+	return context.WithDeadlineCause(s.ctx, deadline, os.ErrDeadlineExceeded)
+}
+
 // Write implements io.Writer. It waits for flow control credit and for room in the
 // write queue.
 func (s *muxStream) Write(p []byte) (int, error) {
 	total := 0
+	ctx, cancel := s.withDeadline()
+	defer cancel()
 	for len(p) > 0 {
 		f, n, urgent, err := s.reserve(len(p))
 		if err != nil {
 			return total, err
 		}
-		if err := s.mux.enqueueData(s.ctx, f, s.id, urgent, p[:n]); err != nil {
+		if err := s.mux.enqueueData(ctx, f, s.id, urgent, p[:n]); err != nil {
 			return total, err
 		}
 		total += n
