cmd/gentianward: -delay is checked, and only loaded key files are called read

Cause: load and gaps took any value of -delay but "on" for off. A reload of key files logged "key files read" after an error, too.

Change: both commands refuse other values, like demo and replay; the line is logged only if all files were loaded.

--- a/cmd/gentianward/gaps.go
+++ b/cmd/gentianward/gaps.go
@@ -63,7 +63,11 @@
 }
 
 func (c *gapsCmd) run(ctx context.Context) (bool, error) {
-	c.options.Delay = c.delay == "on"
+	delay, err := parseDelay(c.delay)
+	if err != nil {
+		return false, err
+	}
+	c.options.Delay = delay
 	c.options.Progress = func(s gwload.GapSample) {
 		fmt.Fprintf(os.Stderr, "%s %s %s from %s: %s open=%v\n", s.Deployment, s.Path, s.Group, s.From, s.Gap, s.Open)
 	}
--- a/cmd/gentianward/keyfiles.go
+++ b/cmd/gentianward/keyfiles.go
@@ -70,15 +70,19 @@
 // ones stay in use.
 func (k *keyFiles) reload() {
 	k.lastDigest = k.digest()
-	if err := k.peerKeys.Reload(); err != nil {
-		k.log.Error("keys for peers not reloaded", "error", err.Error())
+	peerErr := k.peerKeys.Reload()
+	if peerErr != nil {
+		k.log.Error("keys for peers not reloaded", "error", peerErr.Error())
 	} else {
 		k.warnIfRefused()
 	}
-	if err := k.loadCallerCert(); err != nil {
-		k.log.Error("certificate for callers not reloaded", "error", err.Error())
+	callerErr := k.loadCallerCert()
+	if callerErr != nil {
+		k.log.Error("certificate for callers not reloaded", "error", callerErr.Error())
+	}
+	if peerErr == nil && callerErr == nil {
+		k.log.Info("key files read")
 	}
-	k.log.Info("key files read")
 }
 
 // reloadChanged reloads if the files have changed since the last attempt.
--- a/cmd/gentianward/keyfiles_test.go
+++ b/cmd/gentianward/keyfiles_test.go
@@ -39,9 +39,12 @@
 	assert.NotEqual(t, oldCaller.Certificate, k.callerCert.Load().Certificate)
 
 	oldPeer, oldCaller = k.peerKeys.Identity(), k.callerCert.Load()
+	assert.Contains(t, log.String(), "key files read")
+	log.Reset()
 	require.NoError(t, os.WriteFile(file("a-1.pem"), []byte("half"), 0o600))
 	k.reloadChanged()
 	assert.Same(t, oldPeer, k.peerKeys.Identity())
 	assert.Same(t, oldCaller, k.callerCert.Load())
 	assert.Contains(t, log.String(), "not reloaded")
+	assert.NotContains(t, log.String(), "key files read")
 }
--- a/cmd/gentianward/load.go
+++ b/cmd/gentianward/load.go
@@ -61,6 +61,14 @@
 	return subcommands.ExitSuccess
 }
 
+// parseDelay parses the value of the flag -delay.
+func parseDelay(text string) (bool, error) {
+	if text != "on" && text != "off" {
+		return false, fmt.Errorf("-delay is %q; accepted: on, off", text)
+	}
+	return text == "on", nil
+}
+
 // parseFaults parses a list of faults AT:NAME[:GROUP], separated by commas.
 func parseFaults(text string) ([]gwtrace.Fault, error) {
 	var out []gwtrace.Fault
@@ -90,7 +98,11 @@
 	if err != nil {
 		return err
 	}
-	c.options.Faults, c.options.Delay = faults, c.delay == "on"
+	delay, err := parseDelay(c.delay)
+	if err != nil {
+		return err
+	}
+	c.options.Faults, c.options.Delay = faults, delay
 	c.options.Progress = progressPrinter()
 	if c.logFile != "" {
 		f, err := os.Create(c.logFile)
