gwfilter: the refusal of a group that waits names no servers

The text of a refusal goes to callers, and named servers and addresses. Ruled out: the full text for operators only; the instance that refuses has it from the log, but the lines of its requests would repeat it thousands of times.

--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -176,8 +176,8 @@
 	case gwroute.Reject:
 		r.served = gwroute.Server{}
 		reason := c.Reason
-		if wait := e.Views.Current().Groups[s.group].Wait; wait != "" {
-			reason = "the change of primary waits for an operator: " + wait
+		if e.Views.Current().Groups[s.group].Wait != "" {
+			reason = "the group waits for an operator, as an acknowledged write may be missing from the copies that are left"
 		}
 		if r.need.Write {
 			return notRun(gwoutcome.NoLease, reason)
