gwcontrol: a wait for a copy that has not answered is not final

Cause: the model, extended by a check that no wait told as final is ended by the return of servers. With a proof from the log and no answers yet, only copies that had answered counted as hope, so that a new leader told a wait as final while a server that has everything was away. Change: waitForCopy lists the copies that have not answered as well. The model asserts that a final wait does not end when all servers are back, and no longer takes back what a leaving server has announced. Ruled out: a final wait only after all known servers have answered; one that is gone for good never does.

--- a/internal/gwcontrol/groupmodel_test.go
+++ b/internal/gwcontrol/groupmodel_test.go
@@ -317,12 +317,12 @@
 	return false
 }
 
-// recoverable reports whether a server has every write up to a proof that was recorded, or
-// the log of the old primary is at its address, in a run that can show it.
+// recoverable reports whether a server that stays has every write up to a proof that was
+// recorded, or has the log of the old primary, at its address and in a run that can show it.
 func (m *groupModel) recoverable() bool {
 	if m.group.Proof.Term > 0 {
 		return slices.ContainsFunc(m.byAddress(), func(s *modelServer) bool {
-			return s.position.AtLeast(m.group.Proof) && s.position.Offset >= m.group.Proof.Offset && s.facts.Server != m.group.Primary
+			return !s.facts.Leaving && s.position.AtLeast(m.group.Proof) && s.position.Offset >= m.group.Proof.Offset && s.facts.Server != m.group.Primary
 		})
 	}
 	i := primaryRun(m.group)
@@ -331,7 +331,15 @@
 	}
 	p := m.group.Copies[i]
 	s := m.servers[p.Address]
-	return s != nil && s.led && m.leader == s.facts.Server && m.leaderStart == m.group.Start && (!p.Leaving && !s.facts.Leaving || p.SameRun(copyRef(s.facts)))
+	return s != nil && s.led && m.leader == s.facts.Server && m.leaderStart == m.group.Start && !s.facts.Leaving && (!p.Leaving || p.SameRun(copyRef(s.facts)))
+}
+
+// waitIsFinal reports whether an attempt that asks all servers within reach finds that nothing
+// can end the wait.
+func (m *groupModel) waitIsFinal() bool {
+	e := NewEvidence(m.group)
+	_, err := m.attempt(e, 1)
+	return err != nil && e.Wait(gwmanifest.DefaultCopies).Final
 }
 
 // heal brings every server back within reach, and reports whether a change ends then within
@@ -339,7 +347,6 @@
 func (m *groupModel) heal(t *testing.T, seed uint64) bool {
 	for _, s := range m.byAddress() {
 		s.deaf, s.down = false, false
-		s.facts.Leaving = false
 		m.announce(s)
 	}
 	e := NewEvidence(m.group)
@@ -357,7 +364,7 @@
 // sequences of servers that join, leave, crash, come back with their data or without, or
 // receive nothing, attempts that fail half-way and new leaders in the middle.
 func TestPromotedCopyHasEveryAcknowledgedWrite(t *testing.T) {
-	changes, healed, stuck := 0, 0, 0
+	changes, healed, stuck, finals := 0, 0, 0, 0
 	for seed := range uint64(3000) {
 		m := newGroupModel(seed)
 		for range 6 {
@@ -373,6 +380,12 @@
 				changes++
 				continue
 			}
+			final := m.waitIsFinal()
+			if final {
+				finals++
+				require.False(t, m.heal(t, seed), "seed %d: a return of servers has ended a wait told as final: %+v", seed, m.group)
+				break
+			}
 			if !m.recoverable() {
 				break // waits for an operator
 			}
@@ -386,8 +399,9 @@
 			healed++
 		}
 	}
-	t.Logf("%d changes of primary, %d after the servers came back, %d not ended", changes, healed, stuck)
+	t.Logf("%d changes of primary, %d after the servers came back, %d not ended, %d told as final", changes, healed, stuck, finals)
 	assert.Zero(t, stuck, "changes of primary that did not end")
 	assert.Greater(t, changes, 3000, "changes of primary that succeeded")
 	assert.Greater(t, healed, 100, "changes of primary after the servers came back")
+	assert.Greater(t, finals, 30, "waits told as final")
 }
--- a/internal/gwcontrol/wait.go
+++ b/internal/gwcontrol/wait.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -33,8 +34,7 @@
 	if !e.proven(need) {
 		return e.waitForProof(e.missing())
 	}
-	old := e.oldPrimaryAnswered()
-	return e.waitForCopy(e.required(old, false), old)
+	return e.waitForCopy(e.required(e.oldPrimaryAnswered(), false))
 }
 
 // waitForProof is the wait while the answers do not include every acknowledged write.
@@ -62,23 +62,23 @@
 	return w
 }
 
-// waitForCopy is the wait while no copy that stays has every write up to required.
-func (e *Evidence) waitForCopy(required gwsession.Position, old bool) Wait {
+// waitForCopy is the wait while no copy that stays has every write up to required: for those
+// that have it, and for those that have not answered and may have it.
+func (e *Evidence) waitForCopy(required gwsession.Position) Wait {
 	var w Wait
 	var ends []string
-	for _, a := range e.answers {
-		f := e.fate(a.copy)
-		switch {
-		case !a.position.AtLeast(required):
+	runs := maps.Clone(e.copies)
+	runs[runOf(e.primary)] = e.primary
+	for r, c := range runs {
+		f := e.fate(c)
+		a, answered := e.answers[r]
+		if answered && !a.position.AtLeast(required) || !answered && f.lost {
 			continue
-		case !f.lost && !e.servers[a.copy.Server].Leaving:
-			ends = append(ends, "the return of "+a.copy.Server)
 		}
-		w.Missing = append(w.Missing, describe(a.copy, f))
-	}
-	if primary := e.fate(e.primary); !old && !primary.lost {
-		w.Missing = append(w.Missing, describe(e.primary, primary))
-		ends = append(ends, "the return of "+e.primary.Server+" with its log")
+		w.Missing = append(w.Missing, describe(c, f))
+		if !f.lost && !e.servers[c.Server].Leaving {
+			ends = append(ends, "the return of "+c.Server)
+		}
 	}
 	slices.Sort(w.Missing)
 	slices.Sort(ends)
