--- a/internal/gwcontrol/dutycluster_test.go
+++ b/internal/gwcontrol/dutycluster_test.go
@@ -158,7 +158,7 @@
 			},
 		},
 		calls: make(chan func(), callQueueLength), proposals: make(map[uint64]proposal),
-		reads: make(map[uint64]chan error), peers: make(map[string]*sender),
+		reads: make(map[uint64]chan error), peers: make(map[string]*sender), voterLog: newVoterLog(modelLog(name)),
 	}
 	for _, other := range m.names {
 		if other != name {
@@ -170,7 +170,7 @@
 	p.consensus = c
 	p.leader = &Leader{
 		consensus: c, state: c.State, clock: p, log: c.Log, owners: modelOwners{p}, promoter: p,
-		changing: make(map[string]bool), onChanged: m.recordFinish,
+		changing: make(map[string]bool), moves: make(leadershipMoves), waits: make(changeWaits), onChanged: m.recordFinish,
 	}
 	m.mu.Lock()
 	m.processes[name] = p
