gwquorum, gwcontrol: uncommitted entries are bounded by their size

Cause: a leader accepts up to 4,096 uncommitted entries of any size. Callers give up after 0.7 s and send the same configuration again, which is appended again. Once more is proposed than the links carry, the log grows and everything is committed after its caller has given up: publish, lease and confirmation of the leadership fail in turn while the leader keeps its quorum.

Change: an entry of more than 16 KB is accepted while the uncommitted ones have 1 MB at most, or if there are none.

Ruled out: refusing such calls; their callers would send them again over links that are full.

Not measured on a deployment.

--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -394,6 +394,9 @@
 	}
 	select {
 	case a := <-done:
+		if gwquorum.KindOf(a.err) == gwquorum.KindBusy && c.awaitRoom(ctx) {
+			return c.Propose(ctx, cmd)
+		}
 		return a.result, a.err
 	case <-ctx.Done():
 		return nil, &Error{Op: "propose command", Kind: Unavailable, Err: ctx.Err()}
--- a/pkg/gwquorum/config.go
+++ b/pkg/gwquorum/config.go
@@ -21,6 +21,8 @@
 	DefaultKeepEntries   = 1024
 	DefaultMaxPromoteLag = 64
 	DefaultMaxPending    = 4096
+	// DefaultMaxPendingBytes is what a link of 30 Mbit/s carries in 0.3 s.
+	DefaultMaxPendingBytes = 1 << 20
 	// DefaultMaxDataBytes lets one entry fit into a message of 16 MiB.
 	DefaultMaxDataBytes = 8 << 20
 )
@@ -43,6 +45,9 @@
 	MaxPromoteLag uint64 // maximum distance of a learner's synced log from the commit index at promotion
 	MaxDataBytes  int    // maximum size of the data of one entry
 	MaxPending    int    // maximum uncommitted entries, and maximum unanswered reads
+	// MaxPendingBytes is the maximum size of the uncommitted entries with which an entry of
+	// more than 16 KB is accepted. A larger one is accepted if none is uncommitted.
+	MaxPendingBytes int
 }
 
 func (c Config) withDefaults() Config {
@@ -56,6 +61,7 @@
 	setDefault(&c.MaxPromoteLag, DefaultMaxPromoteLag)
 	setDefault(&c.MaxDataBytes, DefaultMaxDataBytes)
 	setDefault(&c.MaxPending, DefaultMaxPending)
+	setDefault(&c.MaxPendingBytes, DefaultMaxPendingBytes)
 	return c
 }
 
--- a/pkg/gwquorum/node.go
+++ b/pkg/gwquorum/node.go
@@ -194,10 +194,26 @@
 	if len(data) > n.cfg.MaxDataBytes {
 		return 0, 0, newError("propose entry", KindInvalid, "data has %d bytes, the limit is %d", len(data), n.cfg.MaxDataBytes)
 	}
+	if size := n.pendingBytes(); len(data) > smallEntryBytes && size > 0 && size+len(data) > n.cfg.MaxPendingBytes {
+		return 0, 0, newError("propose entry", KindBusy, "uncommitted entries have %d bytes", size)
+	}
 	e := n.appendAsLeader(Entry{Kind: EntryData, Data: data})
 	return e.Index, e.Term, nil
 }
 
+// smallEntryBytes is the size up to which entries are accepted whatever the size of the
+// uncommitted ones, so that leases are granted while configurations wait.
+const smallEntryBytes = 16 << 10
+
+// pendingBytes returns the size of the data of the uncommitted entries.
+func (n *Node) pendingBytes() int {
+	size := 0
+	for _, e := range n.log.between(n.log.commit, n.log.last()) {
+		size += len(e.Data)
+	}
+	return size
+}
+
 func (n *Node) checkPropose(op string) error {
 	switch {
 	case n.fault != nil:
