--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -403,6 +403,9 @@
 	}
 	select {
 	case a := <-done:
+		if gwquorum.KindOf(a.err) == gwquorum.KindBusy && c.awaitRoom(ctx) {
+			return c.ProposeInTerm(ctx, term, cmd)
+		}
 		return a.result, a.err
 	case <-ctx.Done():
 		return nil, &Error{Op: "propose command", Kind: Unavailable, Err: ctx.Err()}
--- a/internal/gwcontrol/dutycluster_test.go
+++ b/internal/gwcontrol/dutycluster_test.go
@@ -244,7 +244,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, name := range m.names {
-		if p := m.processes[name]; p.consensus.Leading() {
+		if p := m.processes[name]; p.consensus.Status().LeaderReady {
 			return p
 		}
 	}
--- a/internal/gwcontrol/leadership.go
+++ b/internal/gwcontrol/leadership.go
@@ -20,9 +20,10 @@
 
 // Leadership returns the term in which this voter leads, and false if Leading is false.
 func (c *Consensus) Leadership() (Leadership, bool) {
+	now := c.Clock.Now()
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	leading := c.status.LeaderReady && c.Clock.Since(c.statusAt) < maxPause
+	leading := c.status.LeaderReady && now.Sub(c.statusAt) < maxPause
 	return Leadership{Term: c.status.Term, Since: c.leadingSince}, leading
 }
 
