--- a/internal/gwstate/types.go
+++ b/internal/gwstate/types.go
@@ -65,10 +65,10 @@
 	Promoting string `cbor:"10,keyasint,omitempty" json:"promoting,omitempty"`
 	// Call is the latest call to the platform about the group that is not known to be closed;
 	// its Fence is 0 if there is none. It outlives the change of primary.
-	Call PromotionCall `cbor:"11,keyasint,omitzero" json:"call,omitzero"`
+	Call PromotionCall `cbor:"13,keyasint,omitzero" json:"call,omitzero"`
 	// Attempt is the log index of the BeginChange that began the present attempt; 0 unless
 	// the phase is Changing.
-	Attempt uint64 `cbor:"12,keyasint,omitempty" json:"attempt,omitempty"`
+	Attempt uint64 `cbor:"14,keyasint,omitempty" json:"attempt,omitempty"`
 }
 
 // PromotionCall is a call to the platform as it was recorded before it was sent.
