gwcontrol: a call that is given up stays open for as long as it may take effect

Change: such a call counts as open for promoteErrorLimit, like one whose connection broke. Ruled out: nothing.

--- a/internal/gwcontrol/promotion.go
+++ b/internal/gwcontrol/promotion.go
@@ -145,9 +145,10 @@
 		l.endCall(ctx, c, c.attempt)
 		done <- err
 	case errors.Is(call.Err(), context.Canceled):
-		// The leadership has ended. The next leader, also this voter, waits by the record.
-		l.calls.add(c.Group, c.Server, -1)
+		// This voter has stopped leading, perhaps for a moment: the reset may have come too late.
 		done <- err
+		l.clock.Sleep(promoteErrorLimit)
+		l.endCall(ctx, c, 0)
 	default:
 		if call.Err() == nil {
 			l.clock.Sleep(promoteErrorLimit)
--- a/internal/gwcontrol/promotion_test.go
+++ b/internal/gwcontrol/promotion_test.go
@@ -194,3 +194,35 @@
 		})
 	}
 }
+
+// hangingPlatform takes calls and answers none.
+type hangingPlatform struct{}
+
+func (hangingPlatform) Promote(ctx context.Context, c Promotion) (time.Time, error) {
+	<-ctx.Done()
+	return c.Until.Add(-promoteSendLimit), ctx.Err()
+}
+
+// Guards against a call that is given up because its leader seems to lose the leadership, and
+// then counts as closed at once, so that a leader that still leads names another server.
+func TestCallThatIsGivenUpStaysOpen(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	v := newSteppedVoter(t, clock)
+	l := newPromotingLeader(v, hangingPlatform{})
+	l.calls.add("g", "i-2", 1)
+	done := make(chan error, 1)
+	go l.runCall(t.Context(), platformCall{Promotion: Promotion{Group: "g", Server: "i-2", Fence: 1}, recorded: clock.Now()}, done)
+	isOpen := func() bool {
+		_, open := l.calls.open("g", "i-3")
+		return open
+	}
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1)) // whileLeading
+	v.pass(v.loseLeadership)
+	clock.Advance(leadershipCheckInterval)
+	require.Error(t, <-done)
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(promoteErrorLimit - 1)
+	assert.True(t, isOpen())
+	clock.Advance(1)
+	assert.Eventually(t, func() bool { return !isOpen() }, time.Second, time.Millisecond)
+}
