gwbackend: a refused dial fails no request while another dial is under way

Cause: callers of a server that had reached its limit were refused if the refusal of a dial arrived before another dial, started with it, had succeeded. Change: the waiters stay until the last dial under way has ended; if none succeeds, as many fail as dials were refused, as before.

--- a/internal/gwbackend/pool.go
+++ b/internal/gwbackend/pool.go
@@ -74,6 +74,7 @@
 	idle            []idleConn // most recently used last
 	inUse           map[Connection]struct{}
 	dialing         int
+	refusedDials    int       // refused while no connection was open and others were under way
 	waiters         list.List // of *waiter, in order of arrival
 	controlConn     Connection
 	closed          bool
@@ -224,6 +225,22 @@
 	p.mu.Unlock()
 }
 
+// failDials fails a waiter for each dial that has failed since no connection was open or under
+// way, and starts dials for the others. p.mu is held.
+func (p *Pool) failDials(err error) {
+	failed := 1
+	if p.connectionCount() == 0 && p.refusedDials > 0 {
+		failed += p.refusedDials
+		p.refusedDials, p.nextDial = 0, time.Time{}
+	}
+	for range failed {
+		if !p.serveWaiter(grant{err: err}) {
+			return
+		}
+	}
+	p.startDials()
+}
+
 // serveWaiter passes g to the first waiter. p.mu is held.
 func (p *Pool) serveWaiter(g grant) bool {
 	e := p.waiters.Front()
@@ -295,18 +312,23 @@
 	if err != nil {
 		p.stats.DialErrors++
 		p.nextMinIdleDial = p.o.Clock.Now().Add(maintainInterval)
-		if ServerError(err) != nil && len(p.idle)+len(p.inUse) > 0 {
+		if ServerError(err) != nil && p.connectionCount() > 0 {
 			// The server refuses more connections, for example while those of a
-			// previous owner are still open. The open ones will serve the waiters.
+			// previous owner are still open. The open ones, or those of the dials under
+			// way, will serve the waiters.
 			p.nextDial = p.o.Clock.Now().Add(refusedDialDelay)
-		} else if p.serveWaiter(grant{err: err}) {
-			p.startDials()
+			if p.connectionCount() == p.dialing {
+				p.refusedDials++
+			}
+		} else {
+			p.failDials(err)
 		}
 		p.checkAllClosed()
 		p.mu.Unlock()
 		return
 	}
 	p.stats.DialTime = p.o.Clock.Since(start)
+	p.refusedDials = 0
 	p.inUse[c] = struct{}{}
 	p.mu.Unlock()
 	p.put(c)
--- a/internal/gwbackend/pool_test.go
+++ b/internal/gwbackend/pool_test.go
@@ -322,6 +322,35 @@
 	assert.Less(t, dials.Load(), int64(20), "dials to a server that refuses more connections")
 }
 
+// Guards against requests that fail because a dial is refused while another one, which
+// succeeds, is under way.
+func TestPoolWaitsForDialsUnderWay(t *testing.T) {
+	refused := make(chan struct{})
+	var dials atomic.Int64
+	p := NewPool(PoolOptions{Limit: 16, Dial: func(context.Context, Options) (Connection, error) {
+		if dials.Add(1) == 1 {
+			<-refused
+			return &stubConn{}, nil
+		}
+		return nil, &pgconn.PgError{Severity: "ERROR", Code: "53300", Message: "too many connections"}
+	}})
+	defer func() { _ = p.Close(t.Context()) }()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			c, err := p.Acquire(ctx)
+			if assert.NoError(t, err) {
+				p.Release(c, true)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return p.Stats().DialErrors > 0 }, time.Second, time.Millisecond)
+	close(refused)
+	wg.Wait()
+}
+
 // Guards against requests that wait for a server which refuses every connection.
 func TestPoolFailsWithoutAnyConnection(t *testing.T) {
 	p := NewPool(PoolOptions{Limit: 16, Dial: func(context.Context, Options) (Connection, error) {
