--- a/cmd/gentianward-soak/run.go
+++ b/cmd/gentianward-soak/run.go
@@ -92,7 +92,7 @@
 	report, err := gwsoak.Play(ctx, gwsoak.Options{
 		Program: program, Scenario: s, Seed: seed, For: c.duration, Folder: folder,
 		Progress: func(p gwsoak.Progress) {
-			fmt.Fprintf(os.Stderr, "%s seed %d: %s, at most %s left, %d writes, %d violations\n",
+			fmt.Fprintf(os.Stderr, "%s seed %d: %s, %s of faults left, %d writes, %d violations\n",
 				s.Name, seed, p.Phase, p.Left.Round(time.Second), p.Writes, p.Violations)
 		},
 	})
--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -452,22 +452,6 @@
 	return <-done
 }
 
-// TransferLeadership starts the transfer of the leadership to the reachable other voter
-// with the most complete log, and does not wait for its end.
-func (c *Consensus) TransferLeadership(ctx context.Context) {
-	_ = c.do(ctx, func() {
-		best, match := "", uint64(0)
-		for _, p := range c.node.Status().Peers {
-			if !p.Learner && p.Active && p.Match >= match {
-				best, match = p.Instance, p.Match
-			}
-		}
-		if best != "" {
-			_ = c.node.TransferLeadership(best)
-		}
-	})
-}
-
 // do queues f for the goroutine of Run and does not wait for it to run.
 func (c *Consensus) do(ctx context.Context, f func()) error {
 	if !c.running.Load() {
--- a/internal/gwcontrol/leadership.go
+++ b/internal/gwcontrol/leadership.go
@@ -1,6 +1,7 @@
 package gwcontrol
 
 import (
+	"context"
 	"time"
 
 	"gentianward.example/gentianward/pkg/gwquorum"
@@ -41,3 +42,19 @@
 		c.node.Tick(now)
 	}
 }
+
+// TransferLeadership starts the transfer of the leadership to the reachable other voter
+// with the most complete log, and does not wait for its end.
+func (c *Consensus) TransferLeadership(ctx context.Context) {
+	_ = c.do(ctx, func() {
+		best, match := "", uint64(0)
+		for _, p := range c.node.Status().Peers {
+			if !p.Learner && p.Active && p.Match >= match {
+				best, match = p.Instance, p.Match
+			}
+		}
+		if best != "" {
+			_ = c.node.TransferLeadership(best)
+		}
+	})
+}
--- a/internal/gwsoak/run.go
+++ b/internal/gwsoak/run.go
@@ -36,7 +36,7 @@
 // Progress says how far a run is.
 type Progress struct {
 	Phase      string
-	Left       time.Duration // at most
+	Left       time.Duration // until the faults are expected to end; 0 while the system recovers
 	Writes     int
 	Violations int
 }
@@ -132,7 +132,7 @@
 			continue
 		}
 		r.mu.Lock()
-		p := Progress{Phase: r.phase, Left: time.Until(r.until)}
+		p := Progress{Phase: r.phase, Left: max(0, time.Until(r.until))}
 		r.mu.Unlock()
 		r.check.mu.Lock()
 		p.Writes, p.Violations = r.check.counts["writes"], len(r.check.violations)
