gwcontrol: a pause of the leader ends neither a lease nor a call

Leading is false while a voter stands still, for example in a save that takes 0.3 s, and may be true again in the same term. The wait for the end of a lease returned then as if the lease had ended, and the change went on while its holder acted on it; a call was canceled and counted as closed after 3 s although its leader stayed. Change: awaitLeaseEnd says whether the lease has ended, and a change is finished only if it has. A call is canceled when the voter's state says that the leadership has ended. Ruled out: to step down after each long save: with slow disks no leader would stay. Result: the review saw the wait return under a lease of 10 s; TestPauseDoesNotEndLease covers it. gwcontrol passes.

--- a/internal/gwcontrol/leadership_test.go
+++ b/internal/gwcontrol/leadership_test.go
@@ -79,3 +79,14 @@
 	assert.False(t, c.Leading())
 	assert.Equal(t, gwquorum.Follower, c.Status().Role)
 }
+
+// Guards against a change of primary that goes on under the lease of the old primary, because
+// the voter stood still for a moment while it waited for the lease to end.
+func TestPauseDoesNotEndLease(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	v := newSteppedVoter(t, clock)
+	l := newPromotingLeader(v, &fakePlatform{})
+	assert.True(t, l.awaitLeaseEnd("g"), "there is no lease")
+	clock.Advance(maxPause)
+	assert.False(t, l.awaitLeaseEnd("g"))
+}
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -239,7 +239,9 @@
 		if gr.Refusal != gwstate.Accepted {
 			return
 		}
-		l.awaitLeaseEnd(group)
+		if !l.awaitLeaseEnd(group) {
+			continue // Leading may be true again if the voter stood still for a moment
+		}
 		if evidence == nil {
 			evidence = NewEvidence(gr.Group)
 		}
@@ -260,15 +262,16 @@
 	}
 }
 
-// awaitLeaseEnd waits until the old lease has been returned or has expired, or this
-// voter no longer leads.
-func (l *Leader) awaitLeaseEnd(group string) {
+// awaitLeaseEnd waits until the old lease has been returned or has expired, and returns false
+// if this voter no longer leads before that.
+func (l *Leader) awaitLeaseEnd(group string) bool {
 	for l.consensus.Leading() {
 		if _, expired := l.state.Clock().Expired(group, l.clock.Now()); expired {
-			return
+			return true
 		}
 		l.clock.Sleep(5 * time.Millisecond)
 	}
+	return false
 }
 
 // attemptChange fences the servers of a group, promotes one of them and commits it as
@@ -290,7 +293,10 @@
 	if err != nil {
 		return err
 	}
-	seq, _ := l.state.Clock().Expired(g.Name, l.clock.Now())
+	seq, expired := l.state.Clock().Expired(g.Name, l.clock.Now())
+	if !expired {
+		return &Error{Op: "finish change of primary", Kind: Unavailable, Detail: "the lease of the old primary has not ended"}
+	}
 	return l.proposeForGroup(pctx, "finish change of primary", gwstate.FinishChange{
 		Group: g.Name, FromTerm: g.Term, Term: start.Term, Attempt: g.NextTerm, Primary: best, Start: start, Previous: seq,
 		Copies: copyRefs(l.owners.Servers(g.Name)),
--- a/internal/gwcontrol/promotion.go
+++ b/internal/gwcontrol/promotion.go
@@ -175,12 +175,13 @@
 }
 
 // whileLeading cancels a call when this voter no longer leads in term, as its fence is
-// outdated then.
+// outdated then. A voter that only stands still may find that it still leads; when its call
+// may be sent does not depend on that.
 func (l *Leader) whileLeading(ctx context.Context, term uint64, cancel context.CancelFunc) {
 	ticker := l.clock.NewTicker(leadershipCheckInterval)
 	defer ticker.Stop()
 	for {
-		if lead, leading := l.consensus.Leadership(); !leading || lead.Term != term {
+		if st := l.consensus.Status(); !st.LeaderReady || st.Term != term {
 			cancel()
 			return
 		}
