gwcontrol: a leader sends its entries after its own save again

Cause: since the others may commit an entry that its leader could not save; the caller, who asks the next leader, was told that its manifest was a resend. Ruled out: to accept a resend in the tests: a caller cannot tell it from its number being taken.

--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -260,15 +260,14 @@
 // log if it is due.
 func (c *Consensus) processReady(ctx context.Context) error {
 	for rd := c.node.Ready(); !rd.Empty(); rd = c.node.Ready() {
-		for _, m := range rd.EarlyMessages() {
-			c.send(ctx, m)
-		}
 		if rd.MustSave() {
 			if err := c.Store.Save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
 				return err
 			}
 		}
-		for _, m := range rd.LateMessages() {
+		// EarlyMessages wait, too: an entry that the others commit although its leader could not
+		// save it is answered as a resend to the caller, who asks the next leader.
+		for _, m := range rd.Messages {
 			c.send(ctx, m)
 		}
 		if rd.Restore && rd.Snapshot.Index > c.State.Index() {
