gwcontrol: the reason for promoteSendLimit without how it was measured

Cause: read once more. Change: the comment. Ruled out: one branch of runCall for calls that are canceled and that are broken: they report their outcome at different times. Result: comment only; lint and the packages gwcontrol and platform pass.

--- a/internal/gwcontrol/promotion.go
+++ b/internal/gwcontrol/promotion.go
@@ -34,8 +34,8 @@
 }
 
 const (
-	// promoteSendLimit is how long after the proposal of its record a call may be sent. In
-	// plays, 18 calls were sent after 12 to 162 ms.
+	// promoteSendLimit is how long after the proposal of its record a call may be sent. It
+	// covers a commit between regions and a slow disk.
 	promoteSendLimit = time.Second
 	// promoteCallLimit is how long a call to the platform may take effect. The platform
 	// names no limit.
