gwcontrol, platform: log lines that tell a learner, a voter without a leader and an undone change apart

No logic is changed. Test: TestVoterLogTellsWhoHearsNoLeader; nothing logged it before. Tests of platform and of the lines in gwcontrol pass.

--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -287,6 +287,8 @@
 	reconciling atomic.Bool
 	// undone is a change of the voters that is wanted and not made; owned by reconcileVoters.
 	undone undoneChange
+	// spares holds the learners without a planned vote; owned by reconcileVoters.
+	spares spareLearners
 	// identities holds the answers of the instances that may be voters.
 	identities voterAnswers
 	// endingRecords is set while endRecords runs.
--- a/internal/gwcontrol/voterlog.go
+++ b/internal/gwcontrol/voterlog.go
@@ -1,6 +1,7 @@
 package gwcontrol
 
 import (
+	"fmt"
 	"log/slog"
 	"slices"
 	"time"
@@ -21,6 +22,9 @@
 	// slowSave is the duration from which a save, or a pause of a voter's loop, is logged. It
 	// is a third of an election timeout.
 	slowSave = gwquorum.DefaultElectionTimeout / 3
+	// leaderlessLogAge is how long a member hears from no leader when it is logged first. An
+	// election ends within it.
+	leaderlessLogAge = 2 * time.Second
 )
 
 // voterLog logs the changes of a voter, and of a leader the entries that stay uncommitted.
@@ -33,6 +37,10 @@
 	// proposed holds the uncommitted entries of a leader, oldest first.
 	proposed []proposedEntries
 	nextAge  time.Duration // age at which uncommitted entries are logged next
+	// heardAt is when a leader was last heard from, or the process started, and nextLeaderless
+	// the age of that at which it is logged next.
+	heardAt        time.Time
+	nextLeaderless time.Duration
 }
 
 // proposedEntries are the entries up to index that were appended at the time at.
@@ -42,12 +50,15 @@
 }
 
 func newVoterLog(log *slog.Logger) *voterLog {
-	return &voterLog{log: log, limiter: rate.NewLimiter(voterLinesPerSecond, voterLineBurst), nextAge: uncommittedLogAge}
+	return &voterLog{
+		log: log, limiter: rate.NewLimiter(voterLinesPerSecond, voterLineBurst),
+		nextAge: uncommittedLogAge, nextLeaderless: leaderlessLogAge,
+	}
 }
 
 // started logs the state that a voter continues from.
 func (v *voterLog) started(st gwquorum.Status, now time.Time) {
-	v.last = st
+	v.last, v.heardAt = st, now
 	v.state("voter started", st, now)
 }
 
@@ -104,9 +115,42 @@
 	}
 	age := v.uncommittedAge(st, now)
 	v.logUncommitted(st, now, age, dropped)
+	v.logLeaderless(st, now)
 	return age
 }
 
+// logLeaderless logs that a member hears from no leader, each time the age of that has doubled,
+// and the end of it. A member that has no log yet is not counted.
+func (v *voterLog) logLeaderless(st gwquorum.Status, now time.Time) {
+	if st.Role == gwquorum.Leader || len(st.Voters) == 0 {
+		v.heardAt = now
+	} else if st.LeaderHeardAt.After(v.heardAt) {
+		v.heardAt = st.LeaderHeardAt
+	}
+	age := now.Sub(v.heardAt)
+	switch {
+	case age >= v.nextLeaderless:
+		v.nextLeaderless = 2 * age.Truncate(leaderlessLogAge)
+		v.log.Warn("no leader is heard from", "age", age.Round(time.Millisecond).String(), "role", roleName(st), "term", st.Term,
+			"named", st.Leader, "voters", st.Voters, "learners", st.Learners)
+	case v.nextLeaderless > leaderlessLogAge && age < leaderlessLogAge:
+		v.nextLeaderless = leaderlessLogAge
+		v.log.Info("a leader is heard from again", "role", roleName(st), "term", st.Term, "leader", st.Leader)
+	}
+}
+
+// roleName returns the role of a member; one without a vote is a learner or no member.
+func roleName(st gwquorum.Status) string {
+	switch {
+	case slices.Contains(st.Voters, st.ID):
+		return st.Role.String()
+	case slices.Contains(st.Learners, st.ID):
+		return "learner"
+	default:
+		return "noMember"
+	}
+}
+
 // uncommittedAge records the entries that were appended, and returns the age of the oldest
 // uncommitted one.
 func (v *voterLog) uncommittedAge(st gwquorum.Status, now time.Time) time.Duration {
@@ -166,6 +210,26 @@
 	return out
 }
 
+// VoterSummary describes the voter in a few words for the line of a request that failed; "" if
+// the instance has no voter.
+func (c *Consensus) VoterSummary() string {
+	if c == nil {
+		return ""
+	}
+	st := c.Status()
+	if st.ID == "" {
+		return "not started"
+	}
+	leader := "no leader"
+	switch {
+	case st.Role == gwquorum.Leader:
+		leader = "leads"
+	case !st.LeaderHeardAt.IsZero():
+		leader = "heard " + c.Clock.Since(st.LeaderHeardAt).Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("%s t%d, %s, %d+%d members", roleName(st), st.Term, leader, len(st.Voters), len(st.Learners))
+}
+
 // VoterMetrics is what the metrics address tells of a voter.
 type VoterMetrics struct {
 	Role           gwquorum.Role
--- a/internal/gwcontrol/voterlog_test.go
+++ b/internal/gwcontrol/voterlog_test.go
@@ -74,6 +74,46 @@
 	}
 }
 
+// Guards against logs from which a member that hears from no leader cannot be told from one that
+// does, and a learner from a voter.
+func TestVoterLogTellsWhoHearsNoLeader(t *testing.T) {
+	var lines recordedLines
+	v := newVoterLog(slog.New(slog.NewJSONHandler(&lines, nil)))
+	now := time.Unix(1000, 0)
+	st := gwquorum.Status{ID: "d", Term: 3, Leader: "a", Voters: []string{"a", "b", "c"}, Learners: []string{"d"}, LeaderHeardAt: now}
+	v.started(st, now)
+	lines.take(t)
+	steps := []struct {
+		name  string
+		after time.Duration
+		heard bool
+		role  string
+		want  string
+	}{
+		{"the leader is silent for a short time", 1900 * time.Millisecond, false, "", ""},
+		{"and longer", 200 * time.Millisecond, false, "learner", "no leader is heard from"},
+		{"no line before the age has doubled", 1800 * time.Millisecond, false, "", ""},
+		{"twice as long", 200 * time.Millisecond, false, "learner", "no leader is heard from"},
+		{"the leader is back", 50 * time.Millisecond, true, "learner", "a leader is heard from again"},
+		{"nothing changes", time.Second, true, "", ""},
+	}
+	for _, s := range steps {
+		now = now.Add(s.after)
+		if s.heard {
+			st.LeaderHeardAt = now
+		}
+		v.observe(st, now, func(string) uint64 { return 0 })
+		got := lines.take(t)
+		if s.want == "" {
+			assert.Empty(t, got, s.name)
+			continue
+		}
+		require.Len(t, got, 1, s.name)
+		assert.Equal(t, s.want, got[0]["msg"], s.name)
+		assert.Equal(t, s.role, got[0]["role"], s.name)
+	}
+}
+
 // Guards against logs from which a slow disk, a process that stands still and changes of the
 // voters cannot be told from other reasons of a voter that commits nothing.
 func TestVoterLogTellsWhyNothingIsCommitted(t *testing.T) {
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -207,6 +207,7 @@
 		}
 		if reason == "" || !l.clock.Now().Before(until) {
 			l.undone.observe(l.log, l.clock.Now(), reason, st)
+			l.spares.observe(l.log, reason, st)
 			return false
 		}
 		if !l.sleep(ctx, consensusTick) {
@@ -422,6 +423,18 @@
 	log.Warn("change of the voters is not made", "age", age.Round(time.Millisecond).String(), "reason", reason, "voters", st.Voters, "learners", st.Learners)
 }
 
+// spareLearners holds the learners that were last logged as not needed for a vote.
+type spareLearners []string
+
+// observe logs the learners for which no vote is planned when they change.
+func (s *spareLearners) observe(log *slog.Logger, reason string, st gwquorum.Status) {
+	if reason != "" || slices.Equal(*s, st.Learners) {
+		return
+	}
+	*s = slices.Clone(st.Learners)
+	log.Info("learners stay without a vote", "voters", st.Voters, "learners", st.Learners)
+}
+
 // listedVoters returns the voters that the manifest lists and true, or the given ones and false if
 // it lists none. The two are told apart here, as live instances that are taken for a list would
 // make the leader remove all other voters.
--- a/internal/gwdaemon/announce.go
+++ b/internal/gwdaemon/announce.go
@@ -97,6 +97,9 @@
 	return i.client.CurrentManifest(ctx)
 }
 
+// VoterSummary describes the instance's part in the replicated log, "" if it has none.
+func (i *Instance) VoterSummary() string { return i.consensus.VoterSummary() }
+
 // serveAnnouncements records the announcements that other instances forward.
 func (i *Instance) serveAnnouncements() {
 	gwpeer.Handle(i.node, kindAnnounced, func(ctx context.Context, _ string, a gwcontrol.Announcement) (gwcontrol.Empty, error) {
