gwcontrol: a failing test of a successor beside its predecessor

A successor starts while its predecessor still runs, as in planned work. From 4 s after its start the users' pages no longer count the predecessor: it may end at any moment, and any one other disk (two with six control instances) may be lost at the same time. The leader keeps the predecessor as a voter and the successor as a learner, so that one voter of three is left.

The model of the voters now has data centres, successors beside predecessors that end, linger, restart, pause, are cut off or lose their disk, instances that are added to each data centre and leave, and two disks that are lost at a time. Losses count from the start of the process.

The transfer of the leadership in TestVotersChangeUnderFaults was never drawn (case 7 of 7 cases from 0); it is now.

--- a/internal/gwcontrol/voterorder_test.go
+++ b/internal/gwcontrol/voterorder_test.go
@@ -1,10 +1,14 @@
 package gwcontrol
 
 import (
+	"math/bits"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+
+	"gentianward.example/gentianward/pkg/gwquorum"
 )
 
 // orderCase is the replacement of one voter, which does not answer, by a learner that has caught
@@ -111,3 +115,107 @@
 		assert.Equal(t, [2]int{tt.stopped, tt.all}, [2]int{stopped, all}, "%+v", tt.orderCase)
 	}
 }
+
+// successionCase is a group of instances, one per data centre, of which some have a successor that
+// has caught up, and which have settled.
+type successionCase struct {
+	instances, disks int
+	successors       []int // by data centre, how many there are, each the successor of the last one
+}
+
+// ids returns the identities in a data centre, the oldest first.
+func (c successionCase) ids(dataCentre int) []string {
+	var out []string
+	for i := range c.successors[dataCentre] + 1 {
+		out = append(out, string(rune('a'+dataCentre))+strings.Repeat("x", i))
+	}
+	return out
+}
+
+// settled returns the voters after the successors have started, one after the other.
+func (c successionCase) settled(t *testing.T) []string {
+	var live []string
+	st := &memberStatus{gwquorum.Status{Commit: 10}}
+	for dc := range c.instances {
+		id := c.ids(dc)[0]
+		live = append(live, id)
+		st.Voters = append(st.Voters, id)
+		st.Peers = append(st.Peers, gwquorum.PeerStatus{Instance: id, Match: 10})
+	}
+	st.ID = live[len(live)-1]
+	st.settle(t, live...)
+	for dc := range c.instances {
+		for _, id := range c.ids(dc)[1:] {
+			live = append(live, id)
+			st.settle(t, live...)
+		}
+	}
+	return st.Voters
+}
+
+// count returns in how many situations no quorum is left: any of the predecessors are gone, and any
+// of the allowed number of other disks are lost.
+func (c successionCase) count(voters []string) (stopped, all int) {
+	var ids []string
+	predecessors := 0 // a bit for each
+	for dc := range c.instances {
+		in := c.ids(dc)
+		for range in[1:] {
+			predecessors |= 1 << len(ids)
+			ids = append(ids, in[0])
+			in = in[1:]
+		}
+		ids = append(ids, in[0])
+	}
+	for lost := range 1 << len(ids) {
+		left := 0
+		for i, id := range ids {
+			if lost&(1<<i) == 0 && slices.Contains(voters, id) {
+				left++
+			}
+		}
+		if bits.OnesCount(uint(lost&^predecessors)) > c.disks {
+			continue
+		}
+		all++
+		if left <= len(voters)/2 {
+			stopped++
+		}
+	}
+	return stopped, all
+}
+
+// Guards against voters of which the end of any predecessors, together with the loss of as many
+// other disks as are allowed, leaves no quorum.
+func TestVotersBesideTheirPredecessors(t *testing.T) {
+	tests := []struct {
+		successionCase
+		all int
+	}{
+		{successionCase{3, 1, []int{0, 0, 0}}, 4},
+		{successionCase{3, 1, []int{1, 0, 0}}, 8},
+		{successionCase{3, 1, []int{2, 0, 0}}, 16},
+		{successionCase{3, 1, []int{1, 1, 0}}, 16},
+		{successionCase{3, 1, []int{2, 1, 0}}, 32},
+		{successionCase{3, 1, []int{1, 1, 1}}, 32},
+		{successionCase{4, 1, []int{0, 0, 0, 0}}, 5},
+		{successionCase{4, 1, []int{1, 0, 0, 0}}, 10},
+		{successionCase{4, 1, []int{0, 0, 0, 1}}, 10},
+		{successionCase{4, 1, []int{1, 1, 1, 1}}, 80},
+		{successionCase{5, 1, []int{1, 0, 0, 0, 0}}, 12},
+		{successionCase{5, 2, []int{1, 0, 0, 0, 0}}, 32},
+		{successionCase{5, 2, []int{1, 1, 1, 1, 1}}, 512},
+		{successionCase{6, 1, []int{1, 0, 0, 0, 0, 0}}, 14},
+		{successionCase{6, 2, []int{0, 0, 0, 0, 0, 0}}, 22},
+		{successionCase{6, 2, []int{1, 0, 0, 0, 0, 0}}, 44},
+		{successionCase{6, 2, []int{0, 0, 1, 0, 0, 1}}, 88},
+		{successionCase{6, 2, []int{2, 0, 1, 0, 0, 0}}, 176},
+		{successionCase{6, 2, []int{1, 1, 1, 1, 1, 1}}, 1408},
+	}
+	for _, tt := range tests {
+		voters := tt.settled(t)
+		stopped, all := tt.count(voters)
+		assert.Equal(t, tt.all, all, "%+v", tt.successionCase)
+		assert.Zero(t, stopped, "%+v: voters %v, of %d situations", tt.successionCase, voters, all)
+	}
+}
--- a/internal/gwcontrol/votersfaults_test.go
+++ b/internal/gwcontrol/votersfaults_test.go
@@ -12,32 +12,91 @@
 )
 
 // loseDisk destroys an instance and its disk. An empty successor starts at another address, or
-// at the same one, after the time d.
+// at the same one, after the time d. The loss counts unless the instance has another successor.
 func (m *votersModel) loseDisk(x *modelInstance, d time.Duration, sameName bool) {
 	voter := false
 	if l := m.leader(); l != nil {
 		voter = slices.Contains(l.node.Status().Voters, x.id)
 	}
-	delete(m.instances, x.name)
+	m.remove(x)
 	name := x.name
 	if !sameName {
 		name = fmt.Sprintf("n%d", m.started+1)
 	}
-	s := m.create(name)
-	s.startAt, s.outSince = m.now.Add(d), m.now
+	s := m.create(name, x.dataCentre)
+	s.startAt, s.outSince, s.freeAt, s.added = m.now.Add(d), m.now, x.freeAt, x.added
 	if sameName {
 		s.upSince, s.outSince = x.upSince, x.outSince
 	}
-	delete(m.changing, x.name)
-	m.successorAt, m.diskFreeAt, m.disturbed = s.startAt, s.startAt.Add(changeLimit), 0
+	if m.hasSuccessor(x) {
+		m.log("disk of the predecessor %s lost, %s starts in %s", x.id, s.id, d)
+		return
+	}
+	m.lose(s.startAt)
 	if voter {
-		m.changing[s.name] = s.startAt
+		m.changing[s.name] = modelChange{at: s.startAt}
 	}
 	m.log("disk of %s lost, %s starts in %s", x.id, s.id, d)
 }
 
-// observeChanges records how long a successor took to vote, in a group without the lost voter
-// and with as many voters as before.
+// startSuccessor starts a successor beside an instance that still runs.
+func (m *votersModel) startSuccessor(x *modelInstance) {
+	s := m.create(fmt.Sprintf("n%d", m.started+1), x.dataCentre)
+	s.startAt, s.added, x.freeAt = m.now, x.added, m.now.Add(changeLimit)
+	m.lose(m.now)
+	m.changing[s.name] = modelChange{at: m.now, predecessor: x.name}
+	m.log("%s starts as the successor of %s", s.id, x.id)
+}
+
+// hasSuccessor reports whether an instance has a successor that has had changeLimit to replace it.
+func (m *votersModel) hasSuccessor(x *modelInstance) bool {
+	return !x.freeAt.IsZero() && !m.now.Before(x.freeAt)
+}
+
+// end ends an instance for good. After SIGTERM the others know of it at once.
+func (m *votersModel) end(x *modelInstance) {
+	m.log("%s ends", x.id)
+	if m.IntN(2) == 0 {
+		m.remove(x)
+		return
+	}
+	x.node, x.saving, x.ended = nil, nil, true
+}
+
+// disturbSuccession starts a successor beside its predecessor, ends a predecessor or lets it lose
+// its disk, adds an instance to each data centre, or removes an added one.
+func (m *votersModel) disturbSuccession() {
+	for _, name := range m.names {
+		if x := m.instances[name]; x.ended && m.now.Sub(x.outSince) > 2*deathAfter {
+			m.remove(x)
+		}
+	}
+	x := m.instances[m.names[m.IntN(len(m.names))]]
+	switch may := m.mayLose(); {
+	case x.ended:
+	case m.hasSuccessor(x) && m.IntN(4) == 0:
+		m.loseDisk(x, m.between(200*time.Millisecond, 6*time.Second), true)
+	case !x.freeAt.IsZero():
+		m.end(x)
+	case may > 0 && x.added && m.IntN(2) == 0:
+		m.lose(m.now).freeAt = m.now.Add(leaveLimit)
+		m.end(x)
+	case may > 0 && len(m.instances) < 2*m.initial:
+		m.startSuccessor(x)
+	}
+}
+
+// add adds one instance to each data centre.
+func (m *votersModel) add() {
+	for i := range m.initial {
+		s := m.create(fmt.Sprintf("n%d", m.started+1), string(rune('a'+i)))
+		s.startAt, s.added = m.now.Add(m.between(0, 300*time.Millisecond)), true
+	}
+	m.log("an instance is added to each data centre")
+}
+
+// observeChanges records how long a successor took to vote, in a group without the lost voter or
+// the predecessor and with an odd number of voters.
 func (m *votersModel) observeChanges() {
 	l := m.leader()
 	if l == nil || len(m.changing) == 0 {
@@ -47,13 +106,13 @@
 	if st.Commit < l.pending || len(st.Voters)%2 == 0 || slices.ContainsFunc(st.Voters, func(id string) bool { return !m.exists(id) }) {
 		return
 	}
-	for name, at := range m.changing {
-		if m.now.Before(at) {
+	for name, c := range m.changing {
+		if m.now.Before(c.at) || slices.ContainsFunc(st.Voters, func(id string) bool { return voterName(id) == c.predecessor }) {
 			continue
 		}
 		delete(m.changing, name)
-		m.took = append(m.took, m.now.Sub(at))
-		m.log("the voters are %v, %s after the start of %s", st.Voters, m.now.Sub(at), name)
+		m.took = append(m.took, m.now.Sub(c.at))
+		m.log("the voters are %v, %s after the start of %s", st.Voters, m.now.Sub(c.at), name)
 	}
 }
 
@@ -66,11 +125,11 @@
 // disturb makes one random fault of those that are allowed together.
 func (m *votersModel) disturb() {
 	x := m.instances[m.names[m.IntN(len(m.names))]]
-	if !m.now.Before(m.diskFreeAt) && m.IntN(2) == 0 {
-		m.loseDisk(x, m.between(200*time.Millisecond, 6*time.Second), m.IntN(2) == 0)
+	if m.mayLose() > 0 && m.IntN(2) == 0 {
+		m.loseDisks()
 		return
 	}
-	switch m.IntN(7) {
+	switch m.IntN(10) {
 	case 0, 1, 2:
 		if x.node != nil {
 			m.log("%s stops", x.id)
@@ -99,6 +158,29 @@
 			m.log("%s gives the leadership away", l.id)
 			_ = l.node.TransferLeadership("")
 		}
+	case 8, 9:
+		m.disturbSuccession()
+	}
+}
+
+// loseDisks loses one disk, or as many as may be lost at the same time. At the same moment all
+// predecessors that have a successor may end.
+func (m *votersModel) loseDisks() {
+	if m.IntN(2) == 0 {
+		for _, name := range m.names {
+			if x := m.instances[name]; m.hasSuccessor(x) && !x.ended {
+				m.end(x)
+			}
+		}
+	}
+	for m.mayLose() > 0 {
+		x := m.instances[m.names[m.IntN(len(m.names))]]
+		if !x.ended {
+			m.loseDisk(x, m.between(200*time.Millisecond, 6*time.Second), m.IntN(2) == 0)
+		}
+		if m.IntN(2) == 0 {
+			return
+		}
 	}
 }
 
@@ -150,7 +232,9 @@
 		if err := m.requireCommit(6 * time.Second); err != nil {
 			return err
 		}
-		m.run(max(0, m.diskFreeAt.Sub(m.now)))
+		for m.mayLose() < m.tolerance {
+			m.run(max(votersModelStep, m.losses[0].freeAt.Sub(m.now)))
+		}
 		if m.IntN(2) == 0 {
 			m.run(m.between(0, 4*time.Second))
 		}
@@ -159,8 +243,9 @@
 }
 
 // Guards against a change of the voters that stays undone or stops halfway, so that the next
-// loss of a disk stops the group for good, and against lost entries, over random schedules of
-// replaced and lost disks, crashes, pauses, cuts, slow disks and losses of power everywhere.
+// loss of a disk stops the group for good, also with a predecessor that still runs, and against
+// lost entries, over random schedules of replaced and lost disks, successors beside their
+// predecessors, added instances, crashes, pauses, cuts, slow disks and losses of power everywhere.
 // GENTIANWARD_VOTERS_SEED and GENTIANWARD_VOTERS_SCHEDULES choose others.
 func TestVotersChangeUnderFaults(t *testing.T) {
 	first, count := 1000, 40
@@ -173,7 +258,13 @@
 	changes := 0
 	for seed := first; seed < first+count; seed++ {
 		m := newVotersModel(uint64(seed), 3, seed%3/2)
-		if seed%8 == 7 {
+		switch seed % 8 {
+		case 3:
+			m.add()
+		case 5:
+			m = newVotersModel(uint64(seed), 6, 0)
+			m.tolerance = 2
+		case 7:
 			m = newVotersModel(uint64(seed), 5, 0)
 		}
 		err := m.play(4)
@@ -231,6 +322,56 @@
 	}
 }
 
+// Guards against a successor that stays a learner as long as its predecessor runs: the loss of
+// another disk when the predecessor ends left one of three voters.
+func TestSuccessorBesideItsPredecessor(t *testing.T) {
+	tests := []struct {
+		name             string
+		instances, disks int
+		stays            time.Duration // of the predecessor, after the start of the successor
+		fault            func(m *votersModel, predecessor *modelInstance)
+	}{
+		{"the predecessor ends with the other disk", 3, 1, changeLimit, nil},
+		{"it stays for long", 3, 1, 20 * time.Second, nil},
+		{"it restarts before it ends", 3, 1, changeLimit, func(m *votersModel, x *modelInstance) { m.stop(x, time.Second) }},
+		{"it pauses before it ends", 3, 1, changeLimit, func(m *votersModel, x *modelInstance) { x.paused = m.now.Add(2 * time.Second) }},
+		{"it is cut off before it ends", 3, 1, changeLimit, func(m *votersModel, x *modelInstance) { x.cut = m.now.Add(2 * time.Second) }},
+		{"it loses its disk before it ends", 3, 1, 2 * changeLimit, func(m *votersModel, x *modelInstance) {
+			m.run(changeLimit)
+			m.loseDisk(x, time.Second, true)
+		}},
+		{"four instances", 4, 1, changeLimit, nil},
+		{"five instances", 5, 1, changeLimit, nil},
+		{"six instances, two other disks", 6, 2, changeLimit, nil},
+	}
+	for _, tt := range tests {
+		for seed := range uint64(6) {
+			m := newVotersModel(seed, tt.instances, 0)
+			m.tolerance = tt.disks
+			m.run(3 * time.Second)
+			x := m.instances[m.names[int(seed)%tt.instances]]
+			m.startSuccessor(x)
+			at := m.now
+			m.run(m.between(0, time.Second))
+			if tt.fault != nil {
+				tt.fault(m, x)
+			}
+			m.run(max(0, at.Add(tt.stays).Sub(m.now)) + m.between(0, time.Second))
+			if x = m.instances[x.name]; seed%2 == 0 {
+				m.end(x)
+			}
+			for range tt.disks {
+				i := slices.IndexFunc(m.names, func(name string) bool { return name != x.name && m.instances[name].node != nil })
+				m.loseDisk(m.instances[m.names[i]], time.Second, false)
+			}
+			if seed%2 > 0 {
+				m.end(x)
+			}
+			assert.NoError(t, m.requireCommit(6*time.Second), "%s, seed %d: %q", tt.name, seed, m.trace)
+		}
+	}
+}
+
 // otherVoter returns the name of a voter that does not lead and still has its disk.
 func (m *votersModel) otherVoter(l *modelInstance) string {
 	i := slices.IndexFunc(l.node.Status().Voters, func(id string) bool { return id != l.id && m.exists(id) })
--- a/internal/gwcontrol/votersmodel_test.go
+++ b/internal/gwcontrol/votersmodel_test.go
@@ -24,6 +24,8 @@
 	changeLimit      = 4 * time.Second
 	electionTime     = time.Second
 	disturbanceLimit = 2*time.Second + electionTime
+	// leaveLimit is how long an added instance that leaves without a successor counts as lost.
+	leaveLimit = 10*time.Second + changeLimit
 )
 
 // votersModel is a group of control instances with disks that take time and are lost, under the
@@ -36,6 +38,7 @@
 	arrivals  []modelArrival
 	committed map[uint64]gwquorum.Entry
 	commits   int // entries with data
+	initial   int // instances of the first start, one per data centre
 	started   int
 	sync      time.Duration // of the disks, up to twice that
 	writes    time.Duration // between two entries
@@ -43,13 +46,12 @@
 	err       error
 	// plan returns the next change that a leader makes.
 	plan func(st gwquorum.Status, identities map[string]string) (gwquorum.Change, string)
-	// diskFreeAt is when another disk may be lost, at the earliest changeLimit after successorAt;
-	// disturbed is how long since then an instance was out of reach, at last at lastOut. changing
-	// holds the successors that do not vote yet.
-	diskFreeAt, successorAt, lastOut time.Time
-
-	disturbed time.Duration
-	changing  map[string]time.Time
+	// losses holds the disks that count as lost, of which there are at most tolerance. An instance
+	// was last out of reach at lastOut. changing holds the successors whose predecessors vote yet.
+	losses    []*modelLoss
+	tolerance int
+	lastOut   time.Time
+	changing  map[string]modelChange
 	// took holds the times from the start of a successor to the end of the change.
 	took []time.Duration
 	// interval is the time between two plans of a leader.
@@ -59,11 +61,17 @@
 
 // modelInstance is an instance with one disk.
 type modelInstance struct {
-	name, id string
-	node     *gwquorum.Node // nil while the process does not run
-	hard     gwquorum.HardState
-	snap     gwquorum.Snapshot
-	entries  []gwquorum.Entry
+	name, id   string
+	dataCentre string
+	// freeAt is when the loss of an instance with a successor has no more to be made up for;
+	// zero without a successor. added means that it is an additional one, and ended that its
+	// process does not start again.
+	freeAt       time.Time
+	added, ended bool
+	node         *gwquorum.Node // nil while the process does not run
+	hard         gwquorum.HardState
+	snap         gwquorum.Snapshot
+	entries      []gwquorum.Entry
 
 	queue    []gwquorum.Message
 	saving   *gwquorum.Ready
@@ -82,6 +90,19 @@
 	identityChosen time.Time
 }
 
+// modelLoss is a disk that counts as lost until freeAt, changeLimit after the start of its
+// successor or later by what exceeds disturbanceLimit of the time that instances were out of reach.
+type modelLoss struct {
+	startAt, freeAt time.Time
+	disturbed       time.Duration
+}
+
+// modelChange is the start of a successor; predecessor is an instance that still ran then, or "".
+type modelChange struct {
+	at          time.Time
+	predecessor string
+}
+
 type modelArrival struct {
 	due time.Time
 	msg gwquorum.Message
@@ -90,14 +111,16 @@
 func newVotersModel(seed uint64, voters, spares int) *votersModel {
 	m := &votersModel{
 		Rand: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1000, 0), instances: make(map[string]*modelInstance),
-		committed: make(map[uint64]gwquorum.Entry), changing: make(map[string]time.Time), sync: 5 * time.Millisecond, interval: consensusTick, writes: 20 * time.Millisecond,
+		committed: make(map[uint64]gwquorum.Entry), changing: make(map[string]modelChange), tolerance: 1, sync: 5 * time.Millisecond, interval: consensusTick, writes: 20 * time.Millisecond,
 	}
 	m.plan = func(st gwquorum.Status, identities map[string]string) (gwquorum.Change, string) {
 		return newVoterPlan(st, identities, false).next()
 	}
 	var ids []string
-	for i := range voters + spares {
-		x := m.create(string(rune('a' + i)))
+	m.initial = voters + spares
+	for i := range m.initial {
+		name := string(rune('a' + i))
+		x := m.create(name, name)
 		x.id = x.name
 		if i < voters {
 			ids = append(ids, x.id)
@@ -113,14 +136,21 @@
 }
 
 // create adds an instance with an empty disk, which is not started.
-func (m *votersModel) create(name string) *modelInstance {
+func (m *votersModel) create(name, dataCentre string) *modelInstance {
 	m.started++
-	x := &modelInstance{name: name, id: fmt.Sprintf("%s%s%d", name, identitySeparator, m.started)}
+	x := &modelInstance{name: name, dataCentre: dataCentre, id: fmt.Sprintf("%s%s%d", name, identitySeparator, m.started)}
 	m.instances[name] = x
 	m.names = slices.Sorted(maps.Keys(m.instances))
 	return x
 }
 
+// remove removes an instance and its disk.
+func (m *votersModel) remove(x *modelInstance) {
+	delete(m.instances, x.name)
+	delete(m.changing, x.name)
+	m.names = slices.Sorted(maps.Keys(m.instances))
+}
+
 func (m *votersModel) log(format string, args ...any) {
 	m.trace = append(m.trace, fmt.Sprintf("%.3f ", m.now.Sub(time.Unix(1000, 0)).Seconds())+fmt.Sprintf(format, args...))
 }
@@ -178,17 +208,35 @@
 
 // countDisturbance delays the next loss of a disk by what exceeds disturbanceLimit.
 func (m *votersModel) countDisturbance() {
-	if slices.ContainsFunc(m.names, func(name string) bool { return !m.reachable(m.instances[name]) }) {
+	if slices.ContainsFunc(m.names, func(name string) bool { return !m.reachable(m.instances[name]) && !m.instances[name].ended }) {
 		m.lastOut = m.now
 	}
-	if m.now.Before(m.successorAt) || !m.now.Before(m.diskFreeAt) || m.now.Sub(m.lastOut) >= electionTime {
+	if m.now.Sub(m.lastOut) >= electionTime {
 		return
 	}
-	if m.disturbed += votersModelStep; m.disturbed > disturbanceLimit {
-		m.diskFreeAt = m.diskFreeAt.Add(votersModelStep)
+	for _, l := range m.losses {
+		if m.now.Before(l.startAt) || !m.now.Before(l.freeAt) {
+			continue
+		}
+		if l.disturbed += votersModelStep; l.disturbed > disturbanceLimit {
+			l.freeAt = l.freeAt.Add(votersModelStep)
+		}
 	}
 }
 
+// lose records a loss whose successor starts at a time.
+func (m *votersModel) lose(successor time.Time) *modelLoss {
+	l := &modelLoss{startAt: successor, freeAt: successor.Add(changeLimit)}
+	m.losses = append(m.losses, l)
+	return l
+}
+
+// mayLose returns how many more disks may be lost now.
+func (m *votersModel) mayLose() int {
+	m.losses = slices.DeleteFunc(m.losses, func(l *modelLoss) bool { return !m.now.Before(l.freeAt) })
+	return m.tolerance - len(m.losses)
+}
+
 func (m *votersModel) deliver() {
 	for len(m.arrivals) > 0 && !m.arrivals[0].due.After(m.now) {
 		msg := m.arrivals[0].msg
