gwcontrol: the wait for a call of an earlier leader counts from the first leader after that of the call

Cause: each leader waited 4.04 s from its own start for a recorded call of an earlier one.

Change: a voter notes when it first applied an entry of each term, whether it leads or not. A leader waits until 4.04 s after the first entry of a term later than the record's. By then the entry was committed: the record had been proposed, and the sender could not confirm its leadership any more. The bound is thus the one that the first leader after the call has kept to.

An entry of the first leader that begins the wait: the entry that begins its term says the same.

Tests: TestWaitForCallOutlastsLeaders failed before, TestTermTimes is new.

--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -87,6 +87,7 @@
 	voterLog       *voterLog
 	saving         *pendingSave // nil if none runs
 	traffic        voterTraffic
+	terms          termTimes
 
 	mu             sync.RWMutex
 	status         gwquorum.Status
@@ -272,6 +273,7 @@
 func (c *Consensus) apply(entries []gwquorum.Entry) {
 	now := c.Clock.Now()
 	for _, e := range entries {
+		c.terms.note(e.Term, now)
 		var res gwstate.Result
 		if e.Kind == gwquorum.EntryData {
 			res = c.State.Apply(e.Index, e.Data, now)
--- a/internal/gwcontrol/duty_test.go
+++ b/internal/gwcontrol/duty_test.go
@@ -218,7 +218,18 @@
 // successor's, and against a group that waits for ever. The seed chooses the faults; where
 // goroutines wake up at the same time, the order may differ from run to run.
 func TestDutyOfReplacedLeaders(t *testing.T) {
-	schedules, first := 100, 1
+	playDuty(t, 100, 500*time.Millisecond, 4*time.Second)
+}
+
+// Guards against the same while leaders change more often than a call may take effect, so that
+// a leader counts from the start of one before it.
+func TestDutyOfLeadersThatChangeOften(t *testing.T) {
+	playDuty(t, 40, 200*time.Millisecond, 1500*time.Millisecond)
+}
+
+// playDuty plays schedules whose faults follow each other after the given times.
+func playDuty(t *testing.T, schedules int, shortest, longest time.Duration) {
+	first := 1
 	if s, err := strconv.Atoi(os.Getenv("GENTIANWARD_DUTY_SCHEDULES")); err == nil {
 		schedules = s
 	}
@@ -226,19 +237,19 @@
 		first, schedules = s, 1
 	}
 	var late, effected, calls int
-	var longest time.Duration
+	var slowest time.Duration
 	for seed := first; seed < first+schedules && !t.Failed(); seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			m := newDutyCluster(t, uint64(seed), 0.1, time.Millisecond)
 			for end := time.Now().Add(disturbedTime); time.Now().Before(end); {
-				time.Sleep(m.between(500*time.Millisecond, 4*time.Second))
+				time.Sleep(m.between(shortest, longest))
 				m.disturb()
 			}
 			calm := m.calmDown()
 			time.Sleep(calmLimit)
 			for _, g := range m.groups {
 				took, ok := m.finishedAfter(g, calm)
-				longest = max(longest, took)
+				slowest = max(slowest, took)
 				assert.True(t, ok, "seed %d: no change of group %s within %s", seed, g, calmLimit)
 			}
 			m.end()
@@ -249,5 +260,5 @@
 			late, effected, calls = late+p.lateSends, effected+p.effected, calls+p.calls
 		})
 	}
-	t.Logf("%d schedules, %d calls, %d took effect, %d not sent; first change after the faults within %s", schedules, calls, effected, late, longest)
+	t.Logf("%d schedules, %d calls, %d took effect, %d not sent; first change after the faults within %s", schedules, calls, effected, late, slowest)
 }
--- a/internal/gwcontrol/leadership.go
+++ b/internal/gwcontrol/leadership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"gentianward.example/gentianward/pkg/gwquorum"
@@ -28,6 +30,50 @@
 	return Leadership{Term: c.status.Term, Since: c.leadingSince}, leading
 }
 
+// keptTerms limits the number of terms in termTimes. Without an old one, a later one is used.
+const keptTerms = 32
+
+// termTimes holds when this run of the process first applied an entry of each term, of the
+// latest terms, in ascending order.
+type termTimes struct {
+	mu    sync.Mutex
+	terms []termTime
+}
+
+type termTime struct {
+	term uint64
+	at   time.Time
+}
+
+// note records that entries of a term were applied at a time.
+func (t *termTimes) note(term uint64, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := len(t.terms); n > 0 && t.terms[n-1].term >= term {
+		return
+	}
+	t.terms = append(t.terms, termTime{term, at})
+	if len(t.terms) > keptTerms {
+		t.terms = slices.Delete(t.terms, 0, 1)
+	}
+}
+
+// after returns when an entry of a term after the given one was first applied.
+func (t *termTimes) after(term uint64) (at time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := slices.IndexFunc(t.terms, func(o termTime) bool { return o.term > term })
+	if i < 0 {
+		return time.Time{}, false
+	}
+	return t.terms[i].at, true
+}
+
+// SucceededAt returns a time, by this instance's clock, at which a leader that follows the given
+// term had an entry of its own committed, or false if none is known. By then the leader of the
+// given term could commit nothing any more.
+func (c *Consensus) SucceededAt(term uint64) (time.Time, bool) { return c.terms.after(term) }
+
 // Leading reports whether this voter leads and has applied everything that earlier
 // leaders committed. It is false while the voter stands still for maxPause or longer.
 func (c *Consensus) Leading() bool {
--- a/internal/gwcontrol/leadership_test.go
+++ b/internal/gwcontrol/leadership_test.go
@@ -99,3 +99,35 @@
 	clock.Advance(maxPause)
 	assert.False(t, l.awaitLeaseEnd("g"))
 }
+
+// Guards against a wait that ends early because the time of an earlier term is taken, or that of
+// a term which is no longer kept.
+func TestTermTimes(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var times termTimes
+	for term := uint64(1); term <= 2*keptTerms; term++ {
+		at := start.Add(time.Duration(term) * time.Second)
+		times.note(term*2, at)
+		times.note(term*2, at.Add(time.Millisecond)) // the first counts
+	}
+	tests := []struct {
+		name  string
+		term  uint64
+		want  time.Duration
+		found bool
+	}{
+		{"the next term", 4*keptTerms - 2, 2 * keptTerms * time.Second, true},
+		{"a term without entries", 4*keptTerms - 3, (2*keptTerms - 1) * time.Second, true},
+		{"no later term", 4 * keptTerms, 0, false},
+		{"a term that is no longer kept", 2, (keptTerms + 1) * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, ok := times.after(tt.term)
+			assert.Equal(t, tt.found, ok)
+			if ok {
+				assert.Equal(t, tt.want, got.Sub(start))
+			}
+		})
+	}
+}
--- a/internal/gwcontrol/platformcalls.go
+++ b/internal/gwcontrol/platformcalls.go
@@ -100,13 +100,19 @@
 }
 
 // earlierCallWait returns how long a recorded call of an earlier leader may still take effect,
-// or 0. Its record was proposed before the present leadership began.
+// or 0. It counts from the first leader that followed the one that made the call, as this
+// instance saw it: by then the record had been proposed, and the caller could not confirm its
+// leadership any more. If each leader counted from its own start, leaders that change more
+// often than that would keep the group waiting.
 func (l *Leader) earlierCallWait(c gwstate.PromotionCall, lead Leadership) time.Duration {
 	if c.Fence == 0 || c.Fence == lead.Term {
 		return 0
 	}
-	end := lead.Since.Add(l.state.Clock().Outlast(earlierCallLimit))
-	return max(0, l.clock.Until(end))
+	since := lead.Since
+	if at, ok := l.consensus.SucceededAt(c.Fence); ok && at.Before(since) {
+		since = at
+	}
+	return max(0, l.clock.Until(since.Add(l.state.Clock().Outlast(earlierCallLimit))))
 }
 
 // awaitCalls waits, before an attempt, until no call of an earlier leader about the group can
--- a/internal/gwcontrol/promotion.go
+++ b/internal/gwcontrol/promotion.go
@@ -43,9 +43,9 @@
 	// promoteErrorLimit is how long a call may still take effect whose connection broke
 	// before the answer. The platform acts some hundred milliseconds after a call.
 	promoteErrorLimit = 3 * time.Second
-	// earlierCallLimit is how long after the start of a leadership a call of an earlier
-	// leader may take effect: its record was proposed before, and its connection ends by the
-	// time at which it must have been sent.
+	// earlierCallLimit is how long after the start of the next leadership a call may take
+	// effect: its record was proposed before, and its connection ends by the time at which it
+	// must have been sent.
 	earlierCallLimit = promoteSendLimit + promoteErrorLimit
 	// leadershipCheckInterval is the time between two checks that the caller still leads.
 	leadershipCheckInterval = 20 * time.Millisecond
--- a/internal/gwcontrol/promotion_test.go
+++ b/internal/gwcontrol/promotion_test.go
@@ -198,6 +198,32 @@
 	}
 }
 
+// Guards against a group that is not served for as long as leaders change more often than a
+// recorded call may take effect, because each leader waits anew, and against a wait that counts
+// from the record: the call is open for as long as the leader that made it leads.
+func TestWaitForCallOutlastsLeaders(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	v := newSteppedVoter(t, clock)
+	p := &fakePlatform{}
+	l := newPromotingLeader(v, p)
+	v.propose(gwstate.NamePromotion{Group: "g", Attempt: 2, Server: "i-2", Fence: v.Status().Term, Holder: "b"})
+	clock.Advance(2 * earlierCallLimit)
+	for passed := time.Duration(0); passed <= earlierCallLimit; passed += time.Second {
+		v.pass(v.loseLeadership)
+		v.lead()
+		require.ErrorContains(t, v.attempt(l, 0), "earlier leader", "%v after the first leader that follows", passed)
+		if passed < earlierCallLimit {
+			clock.Advance(time.Second)
+		}
+	}
+	v.pass(v.loseLeadership)
+	v.lead()
+	clock.Advance(1)
+	v.updateStatus()
+	_ = v.attempt(l, 0)
+	assert.Equal(t, []uint64{v.Status().Term}, p.fences)
+}
+
 // hangingPlatform takes calls and answers none.
 type hangingPlatform struct{}
 
