gwstatement: a planned stop ends busy sessions after an answer

Story: during a planned stop under load, requests that had just been accepted were cut off without an answer.

Cause: a draining server looked for idle sessions every 20 ms. A session whose caller sends its next statement at once is hardly ever idle at that moment, so that the drain ran to its limit, ended the statements that ran, and told their callers that the outcome is unknown.

Change: while it drains, a server closes a session right after an answer outside of a transaction, unless the next statement has been read.

Ruled out: closing only sessions that have been quiet for a while. It ends none of the sessions that never are. A statement that is under way when its session is closed is not read, as before.

--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,6 +65,7 @@
 	// statements is the context of statements; it ends before ctx at the end of a drain.
 	statements    context.Context
 	endStatements context.CancelFunc
+	draining      atomic.Bool
 	wg            sync.WaitGroup
 
 	mu    sync.Mutex
@@ -177,7 +179,7 @@
 		_ = c.nc.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
 		_, err = c.nc.Write(out)
 		c.setBusy(false)
-		if err != nil || s.statements.Err() != nil {
+		if err != nil || s.statements.Err() != nil || s.endsSession(c, r) {
 			return err
 		}
 		if cap(out) > maxKeptBufferBytes {
@@ -186,6 +188,13 @@
 	}
 }
 
+// endsSession reports whether a session that has just been answered ends because of a drain. A
+// caller that sends its next statement at once would hardly ever be found idle, and one of its
+// statements would be ended at the end of the drain, while it runs.
+func (s *Server) endsSession(c *callerConn, r *bufio.Reader) bool {
+	return s.draining.Load() && c.session.Idle() && r.Buffered() == 0
+}
+
 // awaitMessage waits for the first byte of a message and marks the connection as busy.
 // A draining server ends the wait of an idle session, and ended is true; a message whose
 // first byte has been read is always answered.
@@ -275,6 +284,7 @@
 // others. When ctx ends first, the statements in progress are ended and answered, the
 // remaining connections are closed, and ctx's error is returned.
 func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
 	_ = s.o.Listener.Close()
 	done := make(chan struct{})
 	go func() {
--- a/internal/gwstatement/server_test.go
+++ b/internal/gwstatement/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -166,6 +167,56 @@
 	assert.Equal(t, fmt.Sprintf("error %d ended\nready I\n", Aborted), string(got))
 }
 
+// busyHandler answers a statement after a while.
+type busyHandler struct{ echoHandler }
+
+func (h *busyHandler) Open(context.Context, string) (Session, *Failure) { return h, nil }
+func (h *busyHandler) Handle(ctx context.Context, q Query, b []byte) []byte {
+	select {
+	case <-ctx.Done():
+		return fmt.Appendf(b, "error %d ended\nready I\n", Unknown)
+	case <-time.After(200 * time.Millisecond):
+		return h.echoHandler.Handle(ctx, q, b)
+	}
+}
+
+// Guards against a planned stop that ends statements at its limit, with an outcome that their
+// callers don't know, because sessions that send the next one at once never seem idle.
+func TestDrainEndsBusySessions(t *testing.T) {
+	h := &busyHandler{}
+	s := startServer(t, h)
+	var wg sync.WaitGroup
+	var answered, ended atomic.Int64
+	for range 20 {
+		nc, r := openSession(t, s, "d")
+		_, err := r.ReadString('\n')
+		require.NoError(t, err)
+		wg.Go(func() {
+			for {
+				_, _ = nc.Write([]byte("ask 1 x\n"))
+				line, err := r.ReadString('\n')
+				if strings.HasPrefix(line, "error") {
+					ended.Add(1)
+				}
+				if err != nil || line != "row x\n" {
+					return
+				}
+				for range 2 {
+					_, _ = r.ReadString('\n')
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	assert.NoError(t, s.Drain(ctx))
+	wg.Wait()
+	assert.Zero(t, ended.Load(), "statements ended by the stop")
+	assert.Equal(t, h.handled.Load(), answered.Load(), "statements handled and answered")
+}
+
 // Guards against a process that ends because of one unexpected statement.
 func TestServerSurvivesPanic(t *testing.T) {
 	h := &slowHandler{started: make(chan struct{}, 1)}
