gwpeer: a short partition in tests delays the data of a TCP link instead of losing part of it

Cause: Node.Block, which tests use to cut links, dropped what arrived over TCP meanwhile, in the middle of a TLS stream. After a cut of 0.3 s the link broke with "bad record MAC", and what ran over it ended with an unknown outcome. A real cut only delays the data.

Change: a read holds what has arrived until the block ends or the link is closed. No effect without a blocked peer.

TestShortPartitionKeepsLink failed before with that error.

--- a/internal/gwpeer/failure_test.go
+++ b/internal/gwpeer/failure_test.go
@@ -226,6 +226,32 @@
 	}, 15*time.Second, 20*time.Millisecond)
 }
 
+// Guards against a short partition in tests that breaks a TCP link, on which a real one only
+// delays the data.
+func TestShortPartitionKeepsLink(t *testing.T) {
+	ca, err := NewAuthority("test")
+	require.NoError(t, err)
+	a := startNode(t, ca, Options{Instance: "a"})
+	b := startNode(t, ca, Options{Instance: "b"})
+	release := make(chan struct{})
+	Handle(b, kindEcho, func(_ context.Context, _ string, e echo) (echo, error) {
+		<-release
+		return e, nil
+	})
+	ctx := testContext(t, 20*time.Second)
+	done := make(chan error, 1)
+	go func() {
+		_, err := callEcho(ctx, a, b.Address(), "x")
+		done <- err
+	}()
+	time.Sleep(100 * time.Millisecond) // the request has arrived
+	a.Block(b.Address(), true)
+	close(release) // the answer arrives during the partition
+	time.Sleep(100 * time.Millisecond)
+	a.Block(b.Address(), false)
+	assert.NoError(t, <-done)
+}
+
 // Guards against a second link per pair of instances, and against a restarted process
 // that is taken for its predecessor.
 func TestOneLinkPerPair(t *testing.T) {
--- a/internal/gwpeer/tcp.go
+++ b/internal/gwpeer/tcp.go
@@ -197,7 +197,7 @@
 	return &blockableConn{Conn: nc, blocklist: &e.node.blocklist, peer: peer, closed: make(chan struct{})}
 }
 
-// blockedPollInterval is how often a blocked write checks whether the block has ended.
+// blockedPollInterval is how often a blocked read or write checks whether the block has ended.
 const blockedPollInterval = 5 * time.Millisecond
 
 // blockableConn neither sends nor receives while its peer is blocked. Without fault
@@ -217,23 +217,36 @@
 		if deadline := c.writeDeadline.Load(); deadline > 0 && time.Now().UnixNano() > deadline {
 			return 0, os.ErrDeadlineExceeded
 		}
-		select {
-		case <-c.closed:
-			return 0, net.ErrClosed
-		case <-time.After(blockedPollInterval):
+		if err := c.pause(); err != nil {
+			return 0, err
 		}
 	}
 	return c.Conn.Write(b)
 }
 
-// Read drops data that arrives while the peer is blocked.
+// Read returns data that arrives while the peer is blocked once it is not blocked any more, as
+// TCP delivers it after a partition.
 func (c *blockableConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.blocklist.contains(c.peer) {
-			return n, err
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		return n, err
+	}
+	for c.blocklist.contains(c.peer) {
+		if err := c.pause(); err != nil {
+			return 0, err
 		}
 	}
+	return n, nil
+}
+
+// pause waits for blockedPollInterval, and fails once the connection is closed.
+func (c *blockableConn) pause() error {
+	select {
+	case <-c.closed:
+		return net.ErrClosed
+	case <-time.After(blockedPollInterval):
+		return nil
+	}
 }
 
 // SetWriteDeadline implements net.Conn.
