gwdeploy: tests of lost voters begin with three voters, and wait for changes that the others know

KNOWN-RED: TestVotersContinueAfterFullDisks, TestVotersKeepPromisesWithFaultyDisks, TestVoterIsReplaced.

Trace, 8 copies of the compiled tests at once: an instance that starts 0.7 s late, when the others have elected a leader, is no voter under its first identity (voter-identity.md), and takes another. From then on - the first test looked for the voter under the name of its instance. TestVoterIsReplaced kills a voter at once, too, and its error is that of the second test; not seen again. TestVoterLosesDisk failed once with a cause of the same kind: it killed the leader when that had appended the end of the exchange, which no other voter had.

Change: the tests begin once the log has three voters that take part, use identities and the instances that belong to them, and take a change of the voters for made once the voters that run know it. Bounds are unchanged. What is awaited is stricter: the identity that was there before must take part again.

By the users' rules one voter may be lost at a time, and counts as lost until 4 s after its return.

--- a/internal/gwdeploy/voter_test.go
+++ b/internal/gwdeploy/voter_test.go
@@ -18,15 +18,45 @@
 	"gentianward.example/gentianward/pkg/gwquorum"
 )
 
-// voters returns the voters and learners that the leader knows, nil if there is no leader.
+// voters returns the voters and learners that the leader knows, nil if there is no leader or if
+// one of their running instances does not know the same yet: a change that only the leader has is
+// lost with it.
 func (d *Deployment) voters() []string {
+	var voters []string
 	for _, n := range d.Instances() {
 		if i := n.Instance(); i != nil && i.Leading() {
 			st, _ := i.VoterStatus()
-			return append(slices.Clone(st.Voters), st.Learners...)
+			voters = append(slices.Clone(st.Voters), st.Learners...)
 		}
 	}
-	return nil
+	for _, v := range voters {
+		if i := d.Instance(instanceOf(v)).Instance(); i != nil {
+			if st, _ := i.VoterStatus(); !slices.Equal(voters, append(slices.Clone(st.Voters), st.Learners...)) {
+				return nil
+			}
+		}
+	}
+	return voters
+}
+
+// instanceOf returns the name of a voter's instance.
+func instanceOf(voter string) string {
+	name, _, _ := strings.Cut(voter, "#")
+	return name
+}
+
+// awaitVoters waits until the log has three voters that all take part, and returns them. An
+// instance that starts after the others have elected a leader is no voter under its first
+// identity. Until the leader has exchanged the two, the loss of another voter ends the quorum,
+// as one is lost already.
+func (d *Deployment) awaitVoters(t *testing.T) []string {
+	t.Helper()
+	var voters []string
+	require.Eventually(t, func() bool {
+		voters = d.voters()
+		return len(voters) == 3 && !slices.ContainsFunc(voters, func(v string) bool { return !d.voting(v) })
+	}, 10*time.Second, 10*time.Millisecond, "three voters")
+	return voters
 }
 
 // publish publishes an edited manifest with the next number through an instance, and waits
@@ -55,6 +85,7 @@
 // right after the first has been replaced.
 func TestVoterLosesDisk(t *testing.T) {
 	d := startTest(t, Options{})
+	voters := d.awaitVoters(t)
 	lost, other := d.Instance("rennes-a-1"), d.Instance("rennes-b-1")
 	d.publish(t, d.Instance("brest-a-2"), unchanged)
 	d.LoseDisk(lost)
@@ -63,8 +94,9 @@
 
 	repaired := func() bool {
 		v := d.voters()
-		return len(v) == 3 && !slices.Contains(v, "rennes-a-1") &&
-			slices.ContainsFunc(v, func(id string) bool { return strings.HasPrefix(id, "rennes-a-1#") })
+		return len(v) == 3 && slices.ContainsFunc(v, func(id string) bool {
+			return strings.HasPrefix(id, "rennes-a-1#") && !slices.Contains(voters, id)
+		})
 	}
 	require.Eventually(t, repaired, 10*time.Second, 20*time.Millisecond, "voters %v", d.voters())
 	d.Kill(other)
@@ -79,6 +111,7 @@
 // Guards against a voter that cannot be replaced after it has failed permanently.
 func TestVoterIsReplaced(t *testing.T) {
 	d := startTest(t, Options{})
+	d.awaitVoters(t)
 	gone, next := d.Instance("rennes-b-1"), d.Instance("rennes-b-2")
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -95,27 +128,27 @@
 	})
 	replaced := func() bool {
 		v := d.voters()
-		return len(v) == 3 && !slices.Contains(v, "rennes-b-1") &&
+		return len(v) == 3 && !slices.ContainsFunc(v, func(id string) bool { return instanceOf(id) == "rennes-b-1" }) &&
 			slices.ContainsFunc(v, func(id string) bool { return strings.HasPrefix(id, "rennes-b-2") })
 	}
 	require.Eventually(t, replaced, 15*time.Second, 20*time.Millisecond, "voters %v", d.voters())
 	d.publish(t, d.Instance("rennes-a-2"), unchanged)
 }
 
-// voting reports whether an instance is a voter that the leader reaches and whose log is
+// voting reports whether a voter leads, or is one that the leader reaches and whose log is
 // complete.
-func (d *Deployment) voting(name string) bool {
+func (d *Deployment) voting(voter string) bool {
 	for _, n := range d.Instances() {
 		i := n.Instance()
 		if i == nil || !i.Leading() {
 			continue
 		}
 		st, _ := i.VoterStatus()
-		if n.Settings.Instance == name {
-			return true
+		if n.Settings.Instance == instanceOf(voter) {
+			return slices.Contains(st.Voters, voter)
 		}
 		return slices.ContainsFunc(st.Peers, func(p gwquorum.PeerStatus) bool {
-			return p.Instance == name && !p.Learner && p.Active && p.Match >= st.Commit
+			return p.Instance == voter && !p.Learner && p.Active && p.Match >= st.Commit
 		})
 	}
 	return false
@@ -129,11 +162,11 @@
 // second such fault ends the quorum until processes are restarted.
 func TestVotersContinueAfterFullDisks(t *testing.T) {
 	d := startTest(t, Options{})
-	voters := d.voters()
+	voters := d.awaitVoters(t)
 	entry := d.Instance("brest-a-2")
 	for range 2 {
 		for _, name := range voters {
-			n := d.Instance(name)
+			n := d.Instance(instanceOf(name))
 			n.fs.SetLimit(1)
 			for range 3 {
 				d.publish(t, entry, unchanged)
@@ -143,7 +176,7 @@
 		}
 	}
 	require.Len(t, voters, 3)
-	d.Kill(d.Instance(voters[0]))
+	d.Kill(d.Instance(instanceOf(voters[0])))
 	d.publish(t, entry, unchanged)
 }
 
@@ -151,13 +184,14 @@
 // of the disks fail at random and all voters lose power afterwards.
 func TestVotersKeepPromisesWithFaultyDisks(t *testing.T) {
 	d := startTest(t, Options{})
-	voters := d.voters()
+	voters := d.awaitVoters(t)
 	entry := d.Instance("brest-a-2")
 	const seed = 29
 	r := rand.New(rand.NewPCG(seed, 1))
 	accepted := uint64(0)
 	for round := range 3 {
-		faulty := d.Instance(voters[round%len(voters)])
+		voter := voters[round%len(voters)]
+		faulty := d.Instance(instanceOf(voter))
 		var mu sync.Mutex
 		faulty.fs.SetFault(func(gwstore.Op, string) error {
 			mu.Lock()
@@ -172,17 +206,17 @@
 		}
 		accepted = entry.Instance().View().Number
 		faulty.fs.SetFault(nil)
-		require.Eventually(t, func() bool { return d.voting(faulty.Settings.Instance) }, voterRecoveryLimit, 20*time.Millisecond, "round %d", round)
+		require.Eventually(t, func() bool { return d.voting(voter) }, voterRecoveryLimit, 20*time.Millisecond, "round %d", round)
 	}
 	for _, name := range voters {
-		d.Kill(d.Instance(name)) // unsynced data is lost
+		d.Kill(d.Instance(instanceOf(name))) // unsynced data is lost
 	}
 	for _, name := range voters {
-		require.NoError(t, d.Restart(context.Background(), d.Instance(name)))
+		require.NoError(t, d.Restart(context.Background(), d.Instance(instanceOf(name))))
 	}
 	require.Eventually(t, func() bool { return len(d.voters()) == 3 }, 10*time.Second, 20*time.Millisecond, "a leader")
 	for _, name := range voters {
-		assert.Eventually(t, func() bool { return d.Instance(name).Instance().View().Number >= accepted }, 5*time.Second, 20*time.Millisecond, name)
+		assert.Eventually(t, func() bool { return d.Instance(instanceOf(name)).Instance().View().Number >= accepted }, 5*time.Second, 20*time.Millisecond, name)
 	}
 	d.publish(t, entry, unchanged)
 }
