gwlimit, gwowner: the queue knows which operations it refused before

Cause: the queue took each try of a refused caller for a new request. In a returning crowd it admitted first tries before last ones; in an overload it served callers whose answers came too late for their aim, which counts from the first try. Change: a request carries a key, by which the queue finds the refusals of the same operation in the last 2 s. The owner derives it from the class and the request key or the text, since the wire has no number of the try. In a crowd, an operation that was refused twice may wait for the whole aim. In an overload that lasts, one that was refused before gets no slot if it would miss its aim. Crowd: the first second of a load, and later while new operations arrive more slowly than they are served.

--- a/internal/gwowner/admission.go
+++ b/internal/gwowner/admission.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"gentianward.example/gentianward/pkg/gwlimit"
@@ -61,9 +62,8 @@
 	err  error
 }
 
-// acquire waits for a slot and returns the function that releases it.
-func (a *admission) acquire(ctx context.Context, class string, deadline time.Time, maxWait time.Duration) (func(), error) {
-	it := &gwlimit.Item{Class: class, Deadline: deadline, MaxWait: maxWait}
+// acquire waits until the item has a slot and returns the function that releases it.
+func (a *admission) acquire(ctx context.Context, it *gwlimit.Item) (func(), error) {
 	a.requests.Add(1)
 	if err := a.admit(ctx, it); err != nil {
 		a.requests.Add(-1)
@@ -73,6 +73,22 @@
 	return func() { a.release(it, a.clock.Since(started)) }, nil
 }
 
+// operationKey returns a key of a request that is the same when its caller tries again: the
+// class with the request key or, without one, the statement, whose id changes.
+func operationKey(req *Request) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(req.Class + "\x00") // never fails
+	switch {
+	case req.Key != "":
+		_, _ = d.WriteString(req.Key)
+	case req.Statement != nil:
+		_, _ = d.WriteString(req.Statement.Text)
+	default:
+		_, _ = d.Write(req.Messages)
+	}
+	return d.Sum64()
+}
+
 // admit returns nil once the item has a slot.
 func (a *admission) admit(ctx context.Context, it *gwlimit.Item) error {
 	w, err := a.push(it)
--- a/pkg/gwlimit/doc.go
+++ b/pkg/gwlimit/doc.go
@@ -3,7 +3,8 @@
 // A FairQueue shares the slots between classes by weight, bounds the queue length and
 // the concurrency of each class, and drops requests whose deadline passes before they
 // get a slot. It rejects at once a request that cannot meet its deadline or its longest
-// accepted wait.
+// accepted wait. It remembers refused operations, so that it can tell whose caller has no
+// try left and who can no longer be served within the aim.
 //
 // A SlotTimeout and a LossDetector free slots and connections whose answers were lost.
 // A Window bounds the requests in flight to one server by congestion control.
--- a/pkg/gwlimit/load_test.go
+++ b/pkg/gwlimit/load_test.go
@@ -265,18 +265,18 @@
 	var ev events
 	tried := make(map[*Item]int)
 	asked, served := 0, 0
-	arrive := func(at time.Time, n int) {
-		it := &Item{Class: "c", MaxWait: maxWait}
+	arrive := func(at time.Time, n int, key uint64) {
+		it := &Item{Class: "c", MaxWait: maxWait, Key: key}
 		tried[it] = n
 		heap.Push(&ev, event{at: at, item: it})
 	}
 	for range int(rate * outage.Seconds()) {
-		arrive(testNow.Add(time.Duration(rng.Float64()*float64(backoff))), 1)
+		arrive(testNow.Add(time.Duration(rng.Float64()*float64(backoff))), 1, uint64(asked+1))
 		asked++
 	}
 	for at := time.Duration(0); at < counted; asked++ {
 		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
-		arrive(testNow.Add(at), 1)
+		arrive(testNow.Add(at), 1, uint64(asked+1))
 	}
 	for len(ev) > 0 {
 		e := heap.Pop(&ev).(event)
@@ -287,12 +287,12 @@
 		} else {
 			e.item.Deadline = e.at.Add(800 * time.Millisecond)
 			if q.Push(e.item, e.at) != nil && tried[e.item] < tries {
-				arrive(e.at.Add(time.Duration((0.5+rng.Float64())*float64(backoff))), tried[e.item]+1)
+				arrive(e.at.Add(time.Duration((0.5+rng.Float64())*float64(backoff))), tried[e.item]+1, e.item.Key)
 			}
 		}
 		for _, it := range q.Expire(e.at) {
 			if tried[it] < tries {
-				arrive(e.at.Add(backoff), tried[it]+1)
+				arrive(e.at.Add(backoff), tried[it]+1, it.Key)
 			}
 		}
 		for it := q.Pop(e.at); it != nil; it = q.Pop(e.at) {
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -58,6 +58,9 @@
 	Deadline time.Time
 	// MaxWait is the longest expected wait that the request accepts; 0 for any.
 	MaxWait time.Duration
+	// Key is the same for all tries of an operation; 0 if it is not known. Different
+	// operations may share a key.
+	Key uint64
 	// Cost is the expected slot time relative to other requests; 0 counts as 1.
 	Cost float64
 	// Ref is a value of the queue's user; the queue does not read it.
@@ -79,6 +82,11 @@
 	items            []*Item
 	// meanService is the moving average of the slot time of its requests.
 	meanService time.Duration
+	// loadedSince is since when the expected wait has exceeded half of the longest one that
+	// requests accept, zero if it does not.
+	loadedSince time.Time
+	// arrivals is the rate of new operations that got no slot at once.
+	arrivals rate
 }
 
 // FairQueue shares a number of slots between classes by start-time fair queueing: the
@@ -92,6 +100,7 @@
 	closed      bool
 	classes     map[string]*classState
 	expiry      expiryHeap
+	refusals    refusals
 	// meanService is the moving average of the slot time over all classes.
 	meanService time.Duration
 }
@@ -160,7 +169,7 @@
 
 // NewFairQueue returns a queue for a server with the given number of slots.
 func NewFairQueue(slots int) *FairQueue {
-	return &FairQueue{slots: slots, classes: make(map[string]*classState)}
+	return &FairQueue{slots: slots, classes: make(map[string]*classState), refusals: refusals{byKey: make(map[uint64]refusal)}}
 }
 
 // SetSlots changes the number of slots; running requests are not interrupted.
@@ -207,6 +216,7 @@
 		return false
 	}
 	q.schedule(it, s)
+	s.loadedSince = time.Time{}
 	it.dequeued = true
 	s.running++
 	q.running++
@@ -242,12 +252,15 @@
 		return &Error{Op: op, Kind: Expired, Class: it.Class}
 	}
 	if s.Queue > 0 && s.waiting >= s.Queue {
+		q.refusals.add(it.Key, now)
 		return &Error{Op: op, Kind: QueueFull, Class: it.Class}
 	}
 	wait := q.ExpectedWait(it.Class)
-	if it.MaxWait > 0 && wait > it.MaxWait || !it.Deadline.IsZero() && now.Add(wait+q.expectedService(s)).After(it.Deadline) {
+	if !q.acceptsWait(it, wait, now) || !it.Deadline.IsZero() && now.Add(wait+q.expectedService(s)).After(it.Deadline) {
+		q.refusals.add(it.Key, now)
 		return &Error{Op: op, Kind: Overloaded, Class: it.Class}
 	}
+	q.refusals.forget(it.Key)
 	q.schedule(it, s)
 	s.items = append(s.items, it)
 	s.waiting++
@@ -316,6 +329,7 @@
 			continue
 		}
 		q.dequeue(it)
+		q.refusals.add(it.Key, now)
 		out = append(out, it)
 	}
 	return out
