gwlimit: the expected wait counts the slots that other classes use

Cause: the queue estimated the wait of a class by the weights of the classes that wait at the moment. A class that uses part of the slots and rarely waits did not count, so that the wait of a class that floods was estimated too short by that part, and its answers missed their aim.

--- a/pkg/gwlimit/callers_test.go
+++ b/pkg/gwlimit/callers_test.go
@@ -253,6 +253,8 @@
 		{name: "three times the capacity", rates: []float64{3}, counted: always},
 		{name: "flapping", rates: []float64{0.55}, slowBy: slowDuring(5, flapping), counted: disturbed},
 		{name: "owner lost", rates: []float64{0.6}, ownerLost: 20 * time.Second, counted: between(19*time.Second, 25*time.Second)},
+		// With waits estimated as if the other class used no slot, 0.80.
+		{name: "a class that floods", rates: []float64{0.4, 2}, counted: always},
 	}
 	for _, p := range patterns {
 		t.Run(p.name, func(t *testing.T) {
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -85,6 +85,8 @@
 	// loadedSince is since when the expected wait has exceeded half of the longest one that
 	// requests accept, zero if it does not.
 	loadedSince time.Time
+	// slotTime is the slot time of its started requests, in seconds per second.
+	slotTime rate
 	// arrivals is the rate of new operations that got no slot at once.
 	arrivals rate
 }
@@ -122,6 +124,10 @@
 	q.meanService += time.Duration(serviceTimeWeight * float64(d-q.meanService))
 }
 
+// idleUse is the share of the slots below which a class without waiting requests does not
+// count as one that shares them.
+const idleUse = 0.01
+
 // defaultServiceTime is the assumed slot time until the first request has ended, as after
 // a restart, when many callers reconnect at once. It is about the time of a statement at
 // the users' databases.
@@ -145,26 +151,31 @@
 
 // ExpectedWait estimates how long a new request of a class waits for a slot. It is 0 if a
 // slot is free and no request waits. Otherwise it is the remaining time of the running
-// requests plus the time to serve all waiting requests with all slots or, if that is less,
-// the waiting requests of its own class with the class's share of the slots.
-func (q *FairQueue) ExpectedWait(class string) time.Duration {
+// requests plus the time to serve the waiting requests of its class with the slots that the
+// class gets: its share by weight or, if that is more, what the other classes leave.
+func (q *FairQueue) ExpectedWait(class string, now time.Time) time.Duration {
+	if q.running < q.slots && q.waiting == 0 {
+		return 0
+	}
 	own := q.class(class)
-	var all time.Duration
-	weights := 0
+	slots := float64(max(1, q.slots))
+	weights, others := 0, 0.0
 	for _, s := range q.classes {
-		all += time.Duration(s.waiting) * q.expectedService(s)
-		if s.waiting > 0 || s == own {
+		if s == own {
 			weights += s.Weight
+			continue
+		}
+		used := s.slotTime.perSecond(now) / slots
+		if s.waiting > 0 || used > idleUse {
+			weights += s.Weight
+			others += used
 		}
 	}
-	slots := time.Duration(max(1, q.slots))
+	share := max(float64(own.Weight)/float64(weights), 1-others)
 	// Running requests are half done on average.
-	running := time.Duration(min(q.running, q.slots)) * q.ServiceTime() / 2 / slots
-	if q.running < q.slots && q.waiting == 0 {
-		return 0
-	}
-	shared := time.Duration(own.waiting) * q.expectedService(own) * time.Duration(weights) / time.Duration(max(1, own.Weight))
-	return running + min(all, shared)/slots
+	running := float64(min(q.running, q.slots)) * float64(q.ServiceTime()) / 2
+	waiting := float64(own.waiting) * float64(q.expectedService(own)) / share
+	return time.Duration((running + waiting) / slots)
 }
 
 // NewFairQueue returns a queue for a server with the given number of slots.
@@ -218,9 +229,7 @@
 	q.schedule(it, s)
 	s.loadedSince = time.Time{}
 	it.dequeued = true
-	s.running++
-	q.running++
-	q.virtualTime = max(q.virtualTime, it.virtualStart)
+	q.start(it, s, now)
 	return true
 }
 
@@ -255,7 +264,7 @@
 		q.refusals.add(it.Key, now)
 		return &Error{Op: op, Kind: QueueFull, Class: it.Class}
 	}
-	wait := q.ExpectedWait(it.Class)
+	wait := q.ExpectedWait(it.Class, now)
 	if !q.acceptsWait(it, wait, now) || !it.Deadline.IsZero() && now.Add(wait+q.expectedService(s)).After(it.Deadline) {
 		q.refusals.add(it.Key, now)
 		return &Error{Op: op, Kind: Overloaded, Class: it.Class}
@@ -295,10 +304,16 @@
 	it := best.items[0]
 	q.dequeue(it)
 	best.trim()
-	best.running++
+	q.start(it, best, now)
+	return it
+}
+
+// start counts a request as running.
+func (q *FairQueue) start(it *Item, s *classState, now time.Time) {
+	s.running++
 	q.running++
 	q.virtualTime = max(q.virtualTime, it.virtualStart)
-	return it
+	s.slotTime.add(q.expectedService(s).Seconds(), now)
 }
 
 // Done frees the slot of a request that Pop returned or TryStart started.
