gwquorum: change Replace with quorums of both memberships, and ranks of members

Replace appends a membership with Outgoing, the voters before. While it is the latest in a log, elections, commits, reads, the check of the leader's quorum and further changes need quorums of both. Once it is committed, the leader, or a later one, appends the membership without Outgoing. The replaced voter becomes a learner. A replaced voter that leads when this takes effect hands the leadership over once the second entry is committed; until then it may be elected, as it may be the only one with that entry.

--- a/pkg/gwquorum/election.go
+++ b/pkg/gwquorum/election.go
@@ -56,8 +56,7 @@
 // preCampaign asks the voters whether this node could win an election, without changing
 // the term, so that an isolated node does not disturb a working leader when it returns.
 func (n *Node) preCampaign() {
-	m := n.log.members()
-	if !m.IsVoter(n.cfg.ID) {
+	if !n.log.mayElect(n.cfg.ID) {
 		return
 	}
 	n.role, n.leader, n.votersSave = PreCandidate, "", 0
@@ -85,7 +84,7 @@
 
 func (n *Node) requestVotes(m Message) {
 	m.Index, m.LogTerm = n.log.last(), n.log.lastTerm()
-	for _, id := range n.log.members().Voters {
+	for _, id := range n.log.members().electors() {
 		if id != n.cfg.ID {
 			m.To = id
 			n.send(m)
@@ -93,28 +92,15 @@
 	}
 }
 
-func (n *Node) countVotes() (granted, refused int) {
-	for _, id := range n.log.members().Voters {
-		v, ok := n.votes[id]
-		switch {
-		case ok && v:
-			granted++
-		case ok:
-			refused++
-		}
-	}
-	return granted, refused
-}
-
 func (n *Node) hasWonElection() bool {
-	granted, _ := n.countVotes()
-	return granted >= n.log.members().Quorum()
+	return n.log.members().hasQuorum(func(id string) bool { return n.votes[id] })
 }
 
 func (n *Node) hasLostElection() bool {
-	m := n.log.members()
-	_, refused := n.countVotes()
-	return len(m.Voters)-refused < m.Quorum()
+	return !n.log.members().hasQuorum(func(id string) bool {
+		granted, answered := n.votes[id]
+		return granted || !answered
+	})
 }
 
 func (n *Node) onPreVote(m Message) {
@@ -192,6 +178,10 @@
 func (n *Node) tickLeader() {
 	if n.transferTarget != "" && !n.now.Before(n.transferDeadline) {
 		n.transferTarget = ""
+		if n.hasLeft() {
+			n.becomeFollower(n.term)
+			return
+		}
 	}
 	if !n.hasActiveQuorum(n.log.members()) {
 		n.becomeFollower(n.term)
@@ -210,15 +200,7 @@
 
 // hasActiveQuorum reports whether a quorum of the voters in m answered within the
 // election timeout.
-func (n *Node) hasActiveQuorum(m Members) bool {
-	count := 0
-	for _, id := range m.Voters {
-		if n.active(id) {
-			count++
-		}
-	}
-	return count >= m.Quorum()
-}
+func (n *Node) hasActiveQuorum(m Members) bool { return m.hasQuorum(n.active) }
 
 func (n *Node) active(id string) bool {
 	if id == n.cfg.ID {
--- a/pkg/gwquorum/log.go
+++ b/pkg/gwquorum/log.go
@@ -116,6 +116,20 @@
 	return l.memberships[0].members
 }
 
+// mayElect reports whether id has a vote in the committed membership or in a later one. One that
+// a Replace turns into a learner may be the only one that can be elected until that is committed.
+func (l *entryLog) mayElect(id string) bool {
+	for _, r := range slices.Backward(l.memberships) {
+		if r.members.isElector(id) {
+			return true
+		}
+		if r.index <= l.commit {
+			return false
+		}
+	}
+	return false
+}
+
 // trimMemberships drops the memberships that were replaced at or before index.
 func (l *entryLog) trimMemberships(index uint64) {
 	for len(l.memberships) > 1 && l.memberships[1].index <= index {
--- a/pkg/gwquorum/node.go
+++ b/pkg/gwquorum/node.go
@@ -160,7 +160,7 @@
 	case MessageAppendReply:
 		n.onAppendReply(m)
 	case MessageTimeoutNow:
-		if n.role == Follower && n.log.members().IsVoter(n.cfg.ID) {
+		if n.role == Follower && n.log.mayElect(n.cfg.ID) {
 			n.campaign(true)
 		}
 	case MessageReadIndex:
@@ -267,12 +267,13 @@
 
 // Status returns the current state of the node.
 func (n *Node) Status() Status {
-	m := n.log.members()
+	m := n.log.members().Clone()
 	s := Status{
 		ID: n.cfg.ID, Role: n.role, Term: n.term, Vote: n.vote, Leader: n.leader, LeaderHeardAt: n.leaderHeardAt,
 		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(), LastTerm: n.log.lastTerm(), Synced: n.log.stable, Snapshot: n.snapshot.Index,
-		Voters: m.Clone().Voters, Learners: m.Clone().Learners, Transferring: n.transferTarget, Fault: n.fault,
+		Transferring: n.transferTarget, Fault: n.fault,
 	}
+	s.Voters, s.Learners, s.Outgoing, s.Ranks = m.Voters, m.Learners, m.Outgoing, m.Ranks
 	if n.role != Leader {
 		return s
 	}
--- a/pkg/gwquorum/read.go
+++ b/pkg/gwquorum/read.go
@@ -112,14 +112,9 @@
 }
 
 func (n *Node) roundConfirmed(round uint64) bool {
-	m := n.log.members()
-	count := 0
-	for _, id := range m.Voters {
-		if id == n.cfg.ID || n.peers[id] != nil && n.peers[id].confirmedRound >= round {
-			count++
-		}
-	}
-	return count >= m.Quorum()
+	return n.log.members().hasQuorum(func(id string) bool {
+		return id == n.cfg.ID || n.peers[id] != nil && n.peers[id].confirmedRound >= round
+	})
 }
 
 // failReads fails the node's own reads when it steps down as leader. Reads forwarded by
--- a/pkg/gwquorum/replicate.go
+++ b/pkg/gwquorum/replicate.go
@@ -190,24 +190,20 @@
 	if n.role != Leader {
 		return
 	}
-	m := n.log.members()
-	var matches []uint64
-	for _, id := range m.Voters {
-		switch {
+	index := n.log.members().syncedByQuorum(func(id string) uint64 {
+		switch pr := n.peers[id]; {
 		case id == n.cfg.ID:
-			matches = append(matches, n.log.stable)
-		case n.peers[id] != nil:
-			matches = append(matches, n.peers[id].match)
+			return n.log.stable
+		case pr != nil:
+			return pr.match
 		}
-	}
-	slices.Sort(matches)
-	if len(matches) < m.Quorum() {
-		return
-	}
-	index := matches[len(matches)-m.Quorum()]
+		return 0
+	})
 	if t, ok := n.log.term(index); ok && t == n.term && index > n.log.commit {
 		n.log.commit = index
 		n.stall.count = 0
+		n.finishReplace()
+		n.leaveLeadership()
 	}
 }
 
--- a/pkg/gwquorum/stall.go
+++ b/pkg/gwquorum/stall.go
@@ -62,7 +62,7 @@
 
 func (n *Node) entriesStalledFor() time.Duration {
 	mark := progressMark{target: max(n.log.commit+1, n.termStartIndex)}
-	for _, id := range n.log.members().Voters {
+	for _, id := range n.log.members().electors() {
 		switch pr := n.peers[id]; {
 		case id == n.cfg.ID:
 			mark.sum += min(n.log.stable, mark.target)
@@ -79,7 +79,7 @@
 	if outstanding {
 		mark.target = n.reads.pending[0].round
 	}
-	for _, id := range n.log.members().Voters {
+	for _, id := range n.log.members().electors() {
 		if pr := n.peers[id]; pr != nil {
 			mark.sum += min(pr.confirmedRound, mark.target)
 		}
--- a/pkg/gwquorum/types.go
+++ b/pkg/gwquorum/types.go
@@ -41,41 +41,16 @@
 func (e Entry) size() int {
 	n := entryOverhead + len(e.Data)
 	if e.Members != nil {
-		for _, id := range slices.Concat(e.Members.Voters, e.Members.Learners) {
+		for _, id := range slices.Concat(e.Members.Voters, e.Members.Learners, e.Members.Outgoing) {
 			n += len(id) + 2
 		}
+		for id := range e.Members.Ranks {
+			n += len(id) + 11
+		}
 	}
 	return n
 }
 
-// Members is the membership of a group: voters count for quorums, learners only
-// receive the log.
-type Members struct {
-	Voters   []string `cbor:"1,keyasint"`
-	Learners []string `cbor:"2,keyasint,omitempty"`
-}
-
-// Clone returns a deep copy.
-func (m Members) Clone() Members {
-	return Members{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
-}
-
-// IsVoter reports whether id is a voter.
-func (m Members) IsVoter(id string) bool { return slices.Contains(m.Voters, id) }
-
-// IsLearner reports whether id is a learner.
-func (m Members) IsLearner(id string) bool { return slices.Contains(m.Learners, id) }
-
-// All returns the voters and learners, sorted.
-func (m Members) All() []string {
-	ids := slices.Concat(m.Voters, m.Learners)
-	slices.Sort(ids)
-	return ids
-}
-
-// Quorum returns the number of voters that form a majority.
-func (m Members) Quorum() int { return len(m.Voters)/2 + 1 }
-
 // Snapshot is the state of the state machine after the entry at Index. The snapshot
 // that bootstraps a group has Index 0 and names the first voters.
 type Snapshot struct {
@@ -93,12 +68,24 @@
 	AddLearner ChangeKind = iota + 1 // adds an instance that receives the log but has no vote
 	Promote                          // turns a learner that has caught up into a voter
 	Remove                           // removes a voter or learner
+	// Replace turns a learner that has caught up into a voter in place of another voter,
+	// which becomes a learner. A release without this kind takes the membership in between
+	// for the one after it, so all members must know it before it is proposed.
+	Replace
 )
 
 // Change is a membership change of one instance.
 type Change struct {
 	Kind     ChangeKind `cbor:"1,keyasint" json:"kind"`
 	Instance string     `cbor:"2,keyasint" json:"instance"`
+	// Replaced is the voter that becomes a learner, for Replace.
+	Replaced string `cbor:"3,keyasint,omitempty" json:"replaced,omitempty"`
+	// Rank is the rank of the learner, for AddLearner; nil gives it the rank that is kept
+	// for it, or else that of a new member.
+	Rank *uint64 `cbor:"4,keyasint,omitempty" json:"rank,omitempty"`
+	// Heir is a member that takes the rank of the removed one if that is smaller, for
+	// Remove; "" if there is none.
+	Heir string `cbor:"5,keyasint,omitempty" json:"heir,omitempty"`
 }
 
 // Role is the role of a node.
@@ -188,6 +175,10 @@
 	Snapshot      uint64 // index of the snapshot
 	Voters        []string
 	Learners      []string
+	// Outgoing holds the voters before a Replace that is in progress, nil if there is none.
+	Outgoing []string
+	// Ranks holds the ranks of members by identity: see Members.Ranks.
+	Ranks map[string]uint64
 	// LeaderReady is set on a leader that has applied an entry of its own term, and
 	// hence every entry that earlier leaders committed.
 	LeaderReady  bool
