gwquorum: a learner forgets a leader that it does not hear from

Cause: preCampaign returned for a node without a vote before it cleared the leader.

Change: such a node clears the leader after the time in which a voter misses it, and does nothing else. It takes up the next leader by its messages, as before; ReadIndex fails at once meanwhile.

--- a/pkg/gwquorum/election.go
+++ b/pkg/gwquorum/election.go
@@ -54,9 +54,11 @@
 }
 
 // preCampaign asks the voters whether this node could win an election, without changing
-// the term, so that an isolated node does not disturb a working leader when it returns.
+// the term, so that an isolated node does not disturb a working leader when it returns. A
+// node without a vote only forgets the leader, so that it does not send callers to it.
 func (n *Node) preCampaign() {
 	if !n.log.mayElect(n.cfg.ID) {
+		n.leader = ""
 		return
 	}
 	n.role, n.leader, n.votersSave = PreCandidate, "", 0
