gwquorum: exploration of replacements

A leader must have committed the membership before its latest one (checkOneChange, for all explorations). Keys of states hold learners and outgoing voters; the other starts and their bounds are as before.

The test of a committed membership is removed from ProposeChange's condition, as a leader appends the end of a replacement with the commit itself.

Seven mutations each make TestExploreAllOrders fail: elections, reads and changes with a quorum of one membership only (two), commits with one of them only (two), the end appended before the replacement is committed (two), changes before the leader's first entry. The last explorations were added because the first ones let three of them pass.

--- a/pkg/gwquorum/explore_test.go
+++ b/pkg/gwquorum/explore_test.go
@@ -20,6 +20,7 @@
 	steps                                         int // all actions, including deliveries
 	campaigns, proposals, restarts, reads         int
 	compactions, heartbeats, changes, repetitions int
+	replaces                                      int
 }
 
 // systemState is a state of all voters and the messages in flight. Messages may be
@@ -42,18 +43,19 @@
 	seen     map[[sha256.Size]byte]bool
 	frontier []*systemState // states to visit in the next step
 	ids      []string
+	members  Members // the first ones
 	now      time.Time
 }
 
-func newExplorer(t *testing.T, ids ...string) *explorer {
-	return &explorer{t: t, seen: map[[sha256.Size]byte]bool{}, ids: ids, now: time.Unix(1, 0)}
+func newExplorer(t *testing.T, first Members) *explorer {
+	return &explorer{t: t, seen: map[[sha256.Size]byte]bool{}, ids: first.All(), members: first, now: time.Unix(1, 0)}
 }
 
 func (x *explorer) newSystemState() *systemState {
 	s := &systemState{messages: map[string]Message{}, leaders: map[uint64]string{}}
 	for _, id := range x.ids {
 		n, err := NewNode(Config{ID: id, Rand: rand.NewPCG(1, 1), KeepEntries: 1, MaxBatchBytes: 1},
-			HardState{}, Snapshot{Members: Members{Voters: x.ids}}, nil)
+			HardState{}, Snapshot{Members: x.members}, nil)
 		require.NoError(x.t, err)
 		n.advanceTime(x.now)
 		s.nodes = append(s.nodes, n)
@@ -116,7 +118,7 @@
 	for _, e := range entries {
 		k = append(k.num(e.Index, e.Term, uint64(e.Kind)), e.Data...)
 		if e.Members != nil {
-			k = k.text(e.Members.Voters...)
+			k = k.text(e.Members.Voters...).text("/").text(e.Members.Learners...).text("/").text(e.Members.Outgoing...)
 		}
 	}
 	return append(k, '|')
@@ -158,7 +160,7 @@
 	b := s.remaining
 	k := key{}.num(s.readFloor).num(s.commitTerms...).entries(s.committed)
 	k = k.num(uint64(b.campaigns), uint64(b.proposals), uint64(b.restarts), uint64(b.reads), uint64(b.compactions),
-		uint64(b.heartbeats), uint64(b.changes), uint64(b.repetitions))
+		uint64(b.heartbeats), uint64(b.changes), uint64(b.repetitions), uint64(b.replaces))
 	for _, hs := range s.hardStates {
 		k = k.num(hs.Term, hs.Commit).text(hs.Vote)
 	}
@@ -202,6 +204,7 @@
 			x.act(s, i, func(b *bounds) *int { return &b.changes }, func(n *Node) {
 				_ = n.ProposeChange(Change{Kind: Remove, Instance: x.ids[(i+2)%len(x.ids)]})
 			})
+			x.act(s, i, func(b *bounds) *int { return &b.replaces }, func(n *Node) { _ = n.ProposeChange(replace(n)) })
 		}
 		if n.log.applied > n.snapshot.Index {
 			x.act(s, i, func(b *bounds) *int { return &b.compactions }, func(n *Node) { _ = n.Compact(n.log.applied, nil) })
@@ -296,6 +299,7 @@
 	}
 	s.nodeKeys[i] = nodeKey(n)
 	require.NoError(x.t, n.fault)
+	x.checkOneChange(n)
 	if n.role == Leader && s.leaders[n.term] != n.cfg.ID {
 		require.Empty(x.t, s.leaders[n.term], "two leaders in term %d", n.term)
 		s.leaders[n.term] = n.cfg.ID
@@ -312,6 +316,13 @@
 	require.Equal(x.t, e.Data, was.Data, "committed entry %d", e.Index)
 }
 
+// checkOneChange requires a leader to have committed the membership before its latest one.
+func (x *explorer) checkOneChange(n *Node) {
+	if r := n.log.memberships; n.role == Leader && len(r) > 1 && n.log.changeIndex() >= n.termStartIndex {
+		require.LessOrEqual(x.t, r[len(r)-2].index, n.log.commit, "membership before the one of entry %d", n.log.changeIndex())
+	}
+}
+
 // checkLeaderCompleteness requires a new leader to have every entry that was committed in
 // an earlier term.
 func (x *explorer) checkLeaderCompleteness(s *systemState, n *Node) {
@@ -362,12 +373,40 @@
 	x.deliverAll(s)
 }
 
+// replace returns the replacement of the second voter after n by the first learner.
+func replace(n *Node) Change {
+	m := n.log.members()
+	c := Change{Kind: Replace, Replaced: m.Voters[(slices.Index(m.Voters, n.cfg.ID)+2)%len(m.Voters)]}
+	if len(m.Learners) > 0 {
+		c.Instance = m.Learners[0]
+	}
+	return c
+}
+
+// proposeReplace makes leader a replace voter c by learner d, without a message delivered.
+func proposeReplace(x *explorer, s *systemState) {
+	elect(x, s)
+	x.onNode(s, 0, func(n *Node) { require.NoError(x.t, n.ProposeChange(replace(n))) })
+}
+
+// commitReplace lets a commit a replacement that only a and b know of. The entry that ends it
+// is only on a, and in messages that are in flight.
+func commitReplace(x *explorer, s *systemState) {
+	x.deliverAll(s, fmt.Sprint(MessageAppend, " a b"))
+	x.onNode(s, 0, func(n *Node) {
+		n.Step(Message{Kind: MessageAppendReply, From: "b", To: "a", Term: n.term, Index: n.log.last()}, x.now)
+		require.True(x.t, s.nodes[1].log.members().joint())
+		require.False(x.t, n.log.members().joint())
+	})
+}
+
 // explorations start in states from which few steps lead to a known difficult situation.
 var explorations = []struct {
-	name   string
-	voters int // 3 if 0
-	start  func(x *explorer, s *systemState)
-	bounds bounds
+	name    string
+	voters  int  // 3 if 0
+	learner bool // d is a learner
+	start   func(x *explorer, s *systemState)
+	bounds  bounds
 }{
 	{
 		name: "competing elections", bounds: bounds{steps: 6, campaigns: 2, restarts: 1, repetitions: 1},
@@ -466,6 +505,99 @@
 		},
 	},
 	{name: "removal under a new leader", bounds: bounds{steps: 8, campaigns: 2, changes: 2}, start: elect},
+	{name: "replacement", learner: true, bounds: bounds{steps: 7, campaigns: 1, replaces: 1, restarts: 1}, start: elect},
+	{
+		name: "replacement on the leader and the learner", learner: true, bounds: bounds{steps: 7, campaigns: 2, heartbeats: 1},
+		start: func(x *explorer, s *systemState) {
+			proposeReplace(x, s)
+			x.deliverAll(s, requestsAndReplies("a", "d", MessageAppend)...)
+		},
+	},
+	{
+		name: "replacement on two voters", learner: true, bounds: bounds{steps: 6, campaigns: 2, restarts: 1, heartbeats: 1},
+		start: func(x *explorer, s *systemState) {
+			proposeReplace(x, s)
+			x.deliverAll(s, fmt.Sprint(MessageAppend, " a b"))
+		},
+	},
+	{
+		name: "end of a replacement on the leader", learner: true, bounds: bounds{steps: 6, campaigns: 2, restarts: 1},
+		start: func(x *explorer, s *systemState) {
+			proposeReplace(x, s)
+			commitReplace(x, s)
+		},
+	},
+	{
+		// Leader c, which is replaced, does not know that a has ended the replacement.
+		name: "replacement that two leaders end", learner: true, bounds: bounds{steps: 7, campaigns: 1, restarts: 1},
+		start: func(x *explorer, s *systemState) {
+			proposeReplace(x, s)
+			toOthers := maps.Clone(s.messages)
+			commitReplace(x, s)
+			for _, m := range toOthers {
+				if m.To != "b" {
+					x.onNode(s, x.index(m.To), func(n *Node) { n.Step(m, x.now) })
+				}
+			}
+			clear(s.messages)
+			x.onNode(s, 2, campaign)
+			x.deliverAll(s, append(requestsAndReplies("c", "b", MessageVote), requestsAndReplies("c", "d", MessageVote)...)...)
+			require.Equal(x.t, Leader, s.nodes[2].role)
+			x.onNode(s, 2, func(n *Node) { n.broadcast(true) })
+			x.onNode(s, 0, func(n *Node) { n.becomeFollower(2) })
+		},
+	},
+	{
+		// Voter b acknowledges the entry before the replacement only.
+		name: "replacement after a proposal", learner: true, bounds: bounds{steps: 5, campaigns: 1, restarts: 1},
+		start: func(x *explorer, s *systemState) {
+			elect(x, s)
+			x.onNode(s, 0, propose)
+			x.onNode(s, 0, func(n *Node) { require.NoError(x.t, n.ProposeChange(replace(n))) })
+		},
+	},
+	{
+		// Voter c, which is replaced, is elected with the entries of a.
+		name: "replaced voter leads", learner: true, bounds: bounds{steps: 7, campaigns: 1, restarts: 1},
+		start: func(x *explorer, s *systemState) {
+			proposeReplace(x, s)
+			x.deliverAll(s, fmt.Sprint(MessageAppend, " a c"))
+			x.onNode(s, 2, campaign)
+			x.deliverAll(s, append(requestsAndReplies("c", "b", MessageVote), requestsAndReplies("c", "d", MessageVote)...)...)
+			require.Equal(x.t, Leader, s.nodes[2].role)
+			x.onNode(s, 2, func(n *Node) { n.broadcast(true) })
+		},
+	},
+	{
+		// Nodes c and d have no entries, and get a snapshot with both memberships.
+		name: "snapshot during a replacement", learner: true, bounds: bounds{steps: 7, campaigns: 1, restarts: 1, heartbeats: 1},
+		start: func(x *explorer, s *systemState) {
+			x.onNode(s, 0, campaign)
+			x.deliverAll(s, requestsAndReplies("a", "b", MessageVote, MessageAppend)...)
+			x.onNode(s, 0, func(n *Node) { require.NoError(x.t, n.ProposeChange(replace(n))) })
+			commitReplace(x, s)
+			x.onNode(s, 0, func(n *Node) { require.NoError(x.t, n.Compact(2, nil)) })
+			require.True(x.t, s.nodes[0].snapshot.Members.joint())
+			for _, id := range []string{"c", "d"} {
+				reply := Message{Kind: MessageAppendReply, From: id, To: "a", Term: 1, Reject: true}
+				x.onNode(s, 0, func(n *Node) { n.Step(reply, x.now) })
+			}
+			isSnapshot := func(m Message) bool { return m.Kind == MessageSnapshot }
+			require.True(x.t, slices.ContainsFunc(slices.Collect(maps.Values(s.messages)), isSnapshot))
+		},
+	},
+	{
+		// Leaders a and b replace c and a by d.
+		name: "two replacements by two leaders", learner: true, bounds: bounds{steps: 8, campaigns: 1, replaces: 1},
+		start: func(x *explorer, s *systemState) {
+			proposeReplace(x, s)
+			clear(s.messages)
+			x.onNode(s, 1, campaign)
+			x.deliverAll(s, requestsAndReplies("b", "c", MessageVote)...)
+			x.onNode(s, 0, func(n *Node) { n.becomeFollower(2) })
+			x.onNode(s, 1, func(n *Node) { n.broadcast(true) })
+		},
+	},
 }
 
 // Guards against short sequences of events that violate the guarantees: it tries every
@@ -474,7 +606,11 @@
 	for _, tt := range explorations {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			x := newExplorer(t, []string{"a", "b", "c", "d"}[:max(3, tt.voters)]...)
+			first := Members{Voters: []string{"a", "b", "c", "d"}[:max(3, tt.voters)]}
+			if tt.learner {
+				first.Learners = []string{"d"}
+			}
+			x := newExplorer(t, first)
 			s := x.newSystemState()
 			tt.start(x, s)
 			s.remaining = tt.bounds
--- a/pkg/gwquorum/member.go
+++ b/pkg/gwquorum/member.go
@@ -14,7 +14,7 @@
 	}
 	// Until the leader has committed an entry of its own term, its change could overlap
 	// with a change of an earlier leader.
-	if n.log.commit < n.termStartIndex || n.log.changeIndex() > n.log.commit || n.log.members().joint() {
+	if n.log.commit < n.termStartIndex || n.log.changeIndex() > n.log.commit {
 		return newError(opChange, KindPending, "an earlier change or the leader's first entry is not committed yet")
 	}
 	m, err := n.applyChange(c)
@@ -135,7 +135,7 @@
 // committed, also if an earlier leader appended that.
 func (n *Node) finishReplace() {
 	m := n.log.members()
-	if !m.joint() || n.log.changeIndex() > n.log.commit || n.log.commit < n.termStartIndex {
+	if !m.joint() || n.log.changeIndex() > n.log.commit {
 		return
 	}
 	m = m.Clone()
