--- a/pkg/gwquorum/cluster_test.go
+++ b/pkg/gwquorum/cluster_test.go
@@ -80,14 +80,17 @@
 }
 
 func (c *cluster) bootstrap(m *member, voters []string) {
+	c.bootstrapFrom(m, gwquorum.HardState{}, gwquorum.Snapshot{Members: gwquorum.Members{Voters: voters}})
+}
+
+func (c *cluster) bootstrapFrom(m *member, hs gwquorum.HardState, snap gwquorum.Snapshot) {
 	log, err := gwstore.Open(m.fs, m.id)
 	if err != nil {
 		c.fail("bootstrap: %v", err)
 		return
 	}
 	defer log.Close()
-	snap := &gwquorum.Snapshot{Members: gwquorum.Members{Voters: voters}}
-	if err := log.Save(gwquorum.HardState{}, nil, snap); err != nil {
+	if err := log.Save(hs, nil, &snap); err != nil {
 		c.fail("bootstrap: %v", err)
 	}
 }
--- a/pkg/gwquorum/timedcluster_test.go
+++ b/pkg/gwquorum/timedcluster_test.go
@@ -76,13 +76,18 @@
 	err       error
 }
 
-func newTimedCluster(seed uint64, ids ...string) *timedCluster {
+func newTimedCluster(seed uint64, voters ...string) *timedCluster {
+	return newTimedClusterOf(seed, gwquorum.Members{Voters: voters})
+}
+
+func newTimedClusterOf(seed uint64, members gwquorum.Members) *timedCluster {
+	ids := members.All()
 	c := &timedCluster{
 		rand: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), ids: ids,
 		members: map[string]*timedMember{}, links: map[[2]string]*link{}, committed: map[uint64]gwquorum.Entry{},
 	}
 	for _, id := range ids {
-		c.members[id] = &timedMember{id: id, sync: 5 * time.Millisecond, snap: gwquorum.Snapshot{Members: gwquorum.Members{Voters: ids}}}
+		c.members[id] = &timedMember{id: id, sync: 5 * time.Millisecond, snap: gwquorum.Snapshot{Members: members}}
 		c.restart(id)
 		for _, to := range ids {
 			c.links[[2]string{id, to}] = healthyLink()
@@ -331,17 +336,23 @@
 	ids := slices.Clone(c.ids)
 	c.rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	majority := ids[:len(ids)/2+1]
+	c.healAmong(majority)
+	return majority
+}
+
+// healAmong makes the links and disks of some members healthy; the other links stay, or become,
+// harmed.
+func (c *timedCluster) healAmong(connected []string) {
 	for _, from := range c.ids {
 		for _, to := range c.ids {
 			l := c.links[[2]string{from, to}]
 			*l = *healthyLink()
-			if !slices.Contains(majority, from) || !slices.Contains(majority, to) {
+			if !slices.Contains(connected, from) || !slices.Contains(connected, to) {
 				c.harm(l)
 			}
 		}
 	}
-	for _, id := range majority {
+	for _, id := range connected {
 		c.members[id].sync = time.Duration(1+c.rand.IntN(30)) * time.Millisecond
 	}
-	return majority
 }
