--- a/pkg/gwquorum/random_test.go
+++ b/pkg/gwquorum/random_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"flag"
+	"maps"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -32,6 +35,7 @@
 // without their unsynced data, have disk failures or change, and against a group that
 // does not recover after the faults.
 func TestRandomFaults(t *testing.T) {
+	joint, ended := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(rapid.Uint64().Draw(t, "seed"), []string{"a", "b", "c"}, "d", "e")
 		c.stepBeforeAdvance = true
@@ -85,6 +89,14 @@
 			"change": func(t *rapid.T) {
 				_ = c.change(gwquorum.ChangeKind(rapid.IntRange(1, 3).Draw(t, "kind")), anyID(t))
 			},
+			"replace": func(t *rapid.T) { _ = c.replace(anyID(t), anyID(t)) },
+			"replaceAnyway": func(t *rapid.T) {
+				if replaced, instance := c.replaceable(); replaced != "" {
+					_ = c.replace(replaced, instance)
+					return
+				}
+				_ = c.change(gwquorum.AddLearner, anyID(t))
+			},
 			"transfer": func(t *rapid.T) {
 				if l := c.leader(); l != nil {
 					_ = l.node.TransferLeadership(anyID(t))
@@ -94,7 +106,51 @@
 			"failDisk": func(t *rapid.T) { c.failDisk(anyID(t), rapid.IntRange(0, 8).Draw(t, "operations")) },
 		})
 		c.recover(t)
+		begun, done := c.replacements()
+		joint, ended = joint+begun, ended+done
 	})
+	t.Logf("%d replacements committed, %d of them ended", joint, ended)
+}
+
+// replacements returns how many replacements were committed, and how many of them were ended.
+func (c *cluster) replacements() (begun, ended int) {
+	joint := false
+	for _, index := range slices.Sorted(maps.Keys(c.committed)) {
+		if m := c.committed[index].Members; m != nil {
+			if joint && len(m.Outgoing) == 0 {
+				ended++
+			}
+			if joint = len(m.Outgoing) > 0; joint {
+				begun++
+			}
+		}
+	}
+	return begun, ended
+}
+
+// replace proposes to replace a voter by a learner.
+func (c *cluster) replace(replaced, instance string) error {
+	l := c.leader()
+	if l == nil {
+		return errors.New("no leader")
+	}
+	err := l.node.ProposeChange(gwquorum.Change{Kind: gwquorum.Replace, Instance: instance, Replaced: replaced})
+	c.processReady(l.id)
+	return err
+}
+
+// replaceable returns a voter other than the leader and a learner, "" if there are none.
+func (c *cluster) replaceable() (replaced, instance string) {
+	l := c.leader()
+	if l == nil {
+		return "", ""
+	}
+	st := l.node.Status()
+	others := slices.DeleteFunc(st.Voters, func(id string) bool { return id == l.id })
+	if len(others) == 0 || len(st.Learners) == 0 {
+		return "", ""
+	}
+	return others[c.rand.IntN(len(others))], st.Learners[c.rand.IntN(len(st.Learners))]
 }
 
 // failDisk makes the member's disk fail after the given number of operations.
@@ -129,10 +185,12 @@
 	require.False(t, c.answered[read].Failed)
 	want, err := l.state.Snapshot()
 	require.NoError(t, err)
+	require.Empty(t, l.node.Status().Outgoing, "a replacement has not ended")
 	for _, id := range l.node.Status().Voters {
 		require.Equal(t, c.lastCommitted, c.members[id].applied, "voter %s", id)
 		got, err := c.members[id].state.Snapshot()
 		require.NoError(t, err)
 		require.Equal(t, want, got, "state of voter %s", id)
+		require.Equal(t, l.node.Status().Ranks, c.members[id].node.Status().Ranks, "ranks of voter %s", id)
 	}
 }
--- a/pkg/gwquorum/replace_test.go
+++ b/pkg/gwquorum/replace_test.go
@@ -35,7 +35,7 @@
 	change := gwquorum.Change{Kind: gwquorum.Replace, Instance: successor, Replaced: r.replaced}
 	require.NoError(t, r.members[r.leader].node.ProposeChange(change))
 	r.processReady(r.leader)
-	require.NoError(t, r.cluster.propose(r.leader))
+	require.NoError(t, r.propose(r.leader))
 }
 
 // deliverAmong delivers the messages among the given members, in order, and drops the others.
@@ -60,7 +60,7 @@
 	l := r.cluster.leader()
 	require.NotNil(t, l, msg)
 	last := r.lastCommitted
-	require.NoError(t, r.cluster.propose(l.id), msg)
+	require.NoError(t, r.propose(l.id), msg)
 	r.run(200 * time.Millisecond)
 	require.Greater(t, r.lastCommitted, last, msg)
 	st := l.node.Status()
@@ -137,7 +137,7 @@
 				l := r.cluster.leader()
 				require.NotNil(t, l, at)
 				last := r.lastCommitted
-				require.NoError(t, r.cluster.propose(l.id), at)
+				require.NoError(t, r.propose(l.id), at)
 				r.run(200 * time.Millisecond)
 				require.Greater(t, r.lastCommitted, last, at)
 				for _, id := range r.ids {
@@ -308,7 +308,7 @@
 	r.proposeIt(t)
 	assert.Equal(t, threeVoters, l.Status().Outgoing)
 	assert.Equal(t, gwquorum.KindPending, change(r.other, r.replaced))
-	assert.Equal(t, gwquorum.KindPending, gwquorum.KindOf(r.cluster.change(gwquorum.AddLearner, "e")))
+	assert.Equal(t, gwquorum.KindPending, gwquorum.KindOf(r.change(gwquorum.AddLearner, "e")))
 	assert.Equal(t, gwquorum.KindInvalid, gwquorum.KindOf(l.TransferLeadership(r.replaced)), "it is about to lose its vote")
 	r.run(time.Second)
 	assert.Equal(t, gwquorum.KindInvalid, gwquorum.KindOf(l.TransferLeadership(r.replaced)), "it has lost its vote")
