gwcontrol: a successor takes the seat of its predecessor while that one still runs

Cause: the voters were planned by their number only. A successor that started beside its predecessor was one instance too many, and stayed a learner for as long as the predecessor answered. After its end, and the loss of one other disk with it, one of three voters was left.

Change: the plan counts, for each data centre, the instances that are younger than its oldest ones (gwquorum ranks). Each may be the successor of an older one. With j of them, only the newest may vote, and the others too if they are more than 2j. An eligible learner that has caught up takes the seat of a voter that has lost its data, has been given up, or is not eligible, by one Replace if all members have told that they know it, else by Promote and Remove as before. A leader hands its leadership to a voter that stays first.

A voter that is away keeps its seat for absenceLimit (10 s), unless a younger instance of its data centre or its own new identity can take it; a learner is removed after that time, too, and its successor takes its rank. Every instance remembers where the others were last live, as the next leader must know the data centre of a voter that ended with the last. A voter that the leader has never seen may be succeeded by any younger learner, and the group does not grow while the data centre of a voter is unknown. Three voters are not reduced to two.

Ruled out: to remove the predecessor when it gets SIGTERM only (it may end without); to let an instance of first start be succeeded by any new one regardless of the data centre (an instance that is added would take the seats of others).

Tests: TestVoterPlan gives each instance a data centre, and the new identity of a known instance is added with the rank of the old one. TestVotersChangeAtOnce runs without and with Replace, and waits for absenceLimit in the latter case until the learner is removed. memberStatus takes instances that are not live for given up. The model asks a node for its status only after a change of it.

--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -291,6 +291,8 @@
 	spares spareLearners
 	// identities holds the answers of the instances that may be voters.
 	identities voterAnswers
+	// presence holds when and where the instances that may vote were last live.
+	presence presence
 	// endingRecords is set while endRecords runs.
 	endingRecords atomic.Bool
 	copies        copyKeeper
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -119,7 +119,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	ticker := l.clock.NewTicker(groupCheckInterval)
 	defer ticker.Stop()
-	var leadingSince, lastVoterCheck, lastCopiesCheck, lastPlacement time.Time
+	var leadingSince, lastVoterCheck, lastCopiesCheck, lastPlacement, lastPresence time.Time
 	unleased := make(leaselessSince)
 	for {
 		select {
@@ -127,6 +127,10 @@
 			return
 		case <-ticker.Chan():
 		}
+		if l.clock.Since(lastPresence) >= voterCheckInterval {
+			lastPresence = l.clock.Now()
+			l.observePresence()
+		}
 		if !l.consensus.Leading() {
 			leadingSince = time.Time{}
 			clear(unleased)
@@ -153,6 +157,14 @@
 	}
 }
 
+// observePresence records the live instances, also while another voter leads.
+func (l *Leader) observePresence() {
+	if l.topology == nil {
+		return
+	}
+	l.presence.observe(l.topology().Live, l.clock.Now())
+}
+
 // leaselessSince holds, by group, the time since which the group has had no lease while
 // no change of primary was running.
 type leaselessSince map[string]time.Time
--- /dev/null
+++ b/internal/gwcontrol/voteranswers.go
@@ -0,0 +1,102 @@
+package gwcontrol
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"gentianward.example/gentianward/pkg/gwquorum"
+)
+
+// voterAnswers holds the answers of instances to the question for their identity. It asks all at
+// once, and an instance that does not answer delays a step by identityWait at most.
+type voterAnswers struct {
+	// askOne asks the instance at an address.
+	askOne func(ctx context.Context, address string) (voterInfo, error)
+
+	mu     sync.Mutex
+	byName map[string]voterAnswer
+}
+
+type voterAnswer struct {
+	id     string
+	at     time.Time
+	asking bool
+	// replaces is what the instance answered last; it counts for as long as the process runs.
+	replaces bool
+}
+
+// ask asks the instances and waits up to identityWait for their answers. A later answer
+// counts for the next step.
+func (v *voterAnswers) ask(ctx context.Context, clock clockwork.Clock, addresses map[string]string) {
+	var wait sync.WaitGroup
+	for name, address := range addresses {
+		if !v.begin(name) {
+			continue
+		}
+		wait.Go(func() {
+			info, err := v.askOne(ctx, address)
+			v.end(name, info, err == nil, clock.Now())
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		wait.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-clock.After(identityWait):
+	}
+}
+
+// begin returns false if the instance is being asked already.
+func (v *voterAnswers) begin(name string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.byName == nil {
+		v.byName = make(map[string]voterAnswer)
+	}
+	a := v.byName[name]
+	if a.asking {
+		return false
+	}
+	a.asking = true
+	v.byName[name] = a
+	return true
+}
+
+func (v *voterAnswers) end(name string, info voterInfo, answered bool, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	a := v.byName[name]
+	a.asking = false
+	if answered {
+		a.id, a.at, a.replaces = info.ID, now, info.Replaces
+	}
+	v.byName[name] = a
+}
+
+// answer returns the identity that an instance answered lately, or "".
+func (v *voterAnswers) answer(name string, now time.Time) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	a, ok := v.byName[name]
+	if !ok || now.Sub(a.at) > identityLifetime {
+		return ""
+	}
+	return a.id
+}
+
+// replaces reports whether the instances of all other members have answered that they know
+// gwquorum.Replace. A release that does not know it takes the members in between for those after.
+func (v *voterAnswers) replaces(st gwquorum.Status) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !slices.ContainsFunc(slices.Concat(st.Voters, st.Learners), func(id string) bool {
+		return voterName(id) != voterName(st.ID) && !v.byName[voterName(id)].replaces
+	})
+}
--- a/internal/gwcontrol/voterchange_test.go
+++ b/internal/gwcontrol/voterchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -92,6 +93,12 @@
 // Guards against a change of the voters that takes long because an instance does not answer the
 // question for its identity, or because each step waits for the next look at the voters.
 func TestVotersChangeAtOnce(t *testing.T) {
+	for _, replaces := range []bool{false, true} {
+		t.Run(fmt.Sprintf("replaces %t", replaces), func(t *testing.T) { testVotersChangeAtOnce(t, replaces) })
+	}
+}
+
+func testVotersChangeAtOnce(t *testing.T, replaces bool) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newVoterGroup(t, []string{"a", "b", "c"}, []string{"d#1"})
 		c := g.leading()
@@ -108,21 +115,32 @@
 		}
 		l.identities.askOne = func(ctx context.Context, address string) (voterInfo, error) {
 			if address == "d#1" {
-				return voterInfo{ID: address}, nil
+				return voterInfo{ID: address, Replaces: replaces}, nil
 			}
 			<-ctx.Done() // a voter that does not answer this question
 			return voterInfo{}, ctx.Err()
 		}
+		for _, id := range []string{"a", "b", "c"} { // as they have answered before
+			l.identities.begin(id)
+			l.identities.end(id, voterInfo{ID: id, Replaces: replaces}, true, c.Clock.Now().Add(-time.Minute))
+		}
 		time.Sleep(time.Second)
 		began := time.Now()
 		l.reconcileVotersOnce(t.Context(), wanted)
+		// One wait for an answer, three commits and a learner that catches up.
+		assert.Less(t, time.Since(began), identityWait+6*60*time.Millisecond+8*consensusTick)
 		st := c.Status()
 		assert.Contains(t, st.Voters, "d#1")
 		assert.NotContains(t, st.Voters, lost)
 		assert.Len(t, st.Voters, 3)
+		if replaces {
+			assert.Equal(t, []string{lost}, st.Learners, "kept for absenceLimit")
+			time.Sleep(absenceLimit)
+			l.reconcileVotersOnce(t.Context(), wanted)
+			st = c.Status()
+			assert.Len(t, st.Voters, 3)
+		}
 		assert.Empty(t, st.Learners)
-		// One wait for an answer, three commits and a learner that catches up.
-		assert.Less(t, time.Since(began), identityWait+6*60*time.Millisecond+8*consensusTick)
 		for _, stop := range g.stop {
 			stop()
 		}
--- a/internal/gwcontrol/voterorder_test.go
+++ b/internal/gwcontrol/voterorder_test.go
@@ -135,7 +135,7 @@
 // settled returns the voters after the successors have started, one after the other.
 func (c successionCase) settled(t *testing.T) []string {
 	var live []string
-	st := &memberStatus{gwquorum.Status{Commit: 10}}
+	st := &memberStatus{gwquorum.Status{Commit: 10, Last: 10}}
 	for dc := range c.instances {
 		id := c.ids(dc)[0]
 		live = append(live, id)
--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -11,50 +11,97 @@
 
 // voterPlan is what the leader knows when it plans the next change of the voters.
 //
-// A voter is replaced in two steps: another is promoted, then it is removed. In the other order
-// the loss of a disk between the two steps would stop the group for good even if the replaced
-// voter returned with its data. See docs/decisions/voter-identity.md.
+// A voter is replaced in one change, with quorums of the voters before and after it. If a member
+// does not know that kind of change, another voter is promoted, then it is removed. In the other
+// order the loss of a disk between the two steps would stop the group for good even if the
+// replaced voter returned with its data. See docs/decisions/voter-identity.md.
 type voterPlan struct {
+	voterView
 	st gwquorum.Status
 	// current holds the identities under which the wanted instances take part.
 	current []string
+	// eligible holds the current identities, and the voters that are away for a short time,
+	// that may vote.
+	eligible []string
 	// gone holds the voters whose instance has lost their data, as it takes part under another
-	// identity, and away the other voters that are not wanted.
+	// identity, and away the other voters that are not wanted, without the eligible ones.
 	gone, away []string
 	// target is the number of voters.
 	target int
 }
 
-// newVoterPlan returns a plan. identities holds the current identities of the wanted instances
-// by name, "" for one that is not known. Without a list of the voters in the manifest, a voter
-// that answers is wanted, and one that does not stays until another can replace it.
-func newVoterPlan(st gwquorum.Status, identities map[string]string, listed bool) voterPlan {
-	p := voterPlan{st: st}
-	for _, id := range identities {
+// newVoterPlan returns a plan. Without a list of the voters in the manifest, a voter that answers
+// is wanted, and one that does not stays until another can replace it.
+func newVoterPlan(st gwquorum.Status, view voterView) voterPlan {
+	p := voterPlan{voterView: view, st: st}
+	for _, id := range view.identities {
 		if id != "" {
 			p.current = append(p.current, id)
 		}
 	}
+	var absent []string // for a short time
 	for _, id := range st.Voters {
-		_, wanted := identities[voterName(id)]
+		_, wanted := view.identities[voterName(id)]
 		switch {
 		case slices.Contains(p.current, id):
 		case wanted:
 			p.gone = append(p.gone, id)
-		case !listed && p.answers(id):
+		case !view.listed && p.answers(id):
 			p.current = append(p.current, id)
-		default:
+		case view.listed || view.givenUp(voterName(id)):
 			p.away = append(p.away, id)
+		default:
+			absent = append(absent, id)
 		}
 	}
 	slices.Sort(p.current)
-	p.target = len(identities)
-	if !listed {
-		p.target = max(oddVoters(len(p.current)), oddVoters(len(st.Voters)-len(p.gone)))
+	p.eligible, p.target = p.current, len(view.identities)
+	if !view.listed {
+		p.setSeats(absent)
 	}
 	return p
 }
 
+// setSeats sets the eligible identities and the number of voters. absent holds the voters that
+// are away for a short time.
+func (p *voterPlan) setSeats(absent []string) {
+	members := slices.DeleteFunc(slices.Clone(p.current), func(id string) bool { return !p.isMember(id) })
+	p.eligible = seats(p.st, slices.Concat(members, absent), p.dataCentres)
+	for _, id := range absent {
+		if p.mayBeSucceeded(id) {
+			p.eligible = slices.DeleteFunc(p.eligible, func(e string) bool { return e == id })
+		}
+	}
+	for _, id := range absent {
+		if !slices.Contains(p.eligible, id) {
+			p.away = append(p.away, id)
+		}
+	}
+	p.target = oddVoters(len(p.eligible))
+	if n := len(p.st.Voters); p.target > n && slices.ContainsFunc(p.st.Voters, p.isPlaceless) {
+		// One of them may be the successor of an instance that would be promoted.
+		p.target = n
+	}
+	p.target = max(p.target, oddVoters(p.eligibleVoters()+len(p.away)), min(minVoters, len(p.st.Voters)))
+}
+
+// minVoters is the number of voters below which they are not reduced: of two, both are needed.
+const minVoters = 3
+
+// isPlaceless reports whether the data centre of a member's instance is not known.
+func (p voterPlan) isPlaceless(id string) bool {
+	_, known := p.dataCentres[voterName(id)]
+	return !known
+}
+
+// mayBeSucceeded reports whether an absent voter of an unknown data centre, which the leader has
+// not seen since its own start, has a younger learner that may be its successor.
+func (p voterPlan) mayBeSucceeded(id string) bool {
+	return p.isPlaceless(id) && slices.ContainsFunc(p.eligible, func(e string) bool {
+		return slices.Contains(p.st.Learners, e) && p.st.Ranks[e] > p.st.Ranks[id]
+	})
+}
+
 // oddVoters returns how many of n instances vote; the others stay learners. If an even
 // number of voters is split into two halves by a partition, neither half has a quorum:
 // six voters in two halves stopped all writes for 6 s.
@@ -67,49 +114,68 @@
 
 // next returns the next change, or none and the reason why a wanted one is not made.
 func (p voterPlan) next() (gwquorum.Change, string) {
+	if len(p.st.Outgoing) > 0 {
+		return gwquorum.Change{}, fmt.Sprintf("a replacement of one of the voters %v is not committed", p.st.Outgoing)
+	}
 	for _, id := range p.current {
-		if !p.isVoter(id) && !slices.Contains(p.st.Learners, id) {
-			return gwquorum.Change{Kind: gwquorum.AddLearner, Instance: id}, ""
+		if !p.isMember(id) {
+			return gwquorum.Change{Kind: gwquorum.AddLearner, Instance: id, Rank: knownRank(p.st, voterName(id))}, ""
 		}
 	}
 	change, reason := p.nextOfVoters()
 	if change == (gwquorum.Change{}) {
 		if id := p.uselessLearner(); id != "" {
-			return gwquorum.Change{Kind: gwquorum.Remove, Instance: id}, ""
+			return p.remove(id), ""
 		}
 	}
 	return change, reason
 }
 
 func (p voterPlan) nextOfVoters() (gwquorum.Change, string) {
-	if p.currentVoters() < p.target {
-		if id := p.bestLearner(); id != "" {
-			return p.ifSafe(gwquorum.Promote, id)
+	if p.eligibleVoters() < p.target {
+		learner, voter := p.bestLearner(), p.seatToTake()
+		switch {
+		case learner == "":
+			return gwquorum.Change{}, p.waitReason()
+		case voter != "" && p.replaces && len(p.st.Voters) >= p.target:
+			return p.ifSafe(gwquorum.Change{Kind: gwquorum.Replace, Instance: learner, Replaced: voter})
+		default:
+			return p.ifSafe(gwquorum.Change{Kind: gwquorum.Promote, Instance: learner})
 		}
-		return gwquorum.Change{}, p.waitReason()
 	}
 	if id := p.surplusVoter(); id != "" {
-		return p.ifSafe(gwquorum.Remove, id)
+		return p.ifSafe(p.remove(id))
 	}
 	return gwquorum.Change{}, ""
 }
 
-// ifSafe returns a change if the voters after it that answer and have caught up are a quorum.
-func (p voterPlan) ifSafe(kind gwquorum.ChangeKind, id string) (gwquorum.Change, string) {
-	voters := slices.DeleteFunc(slices.Clone(p.st.Voters), func(v string) bool { return v == id })
-	if kind == gwquorum.Promote {
-		voters = append(voters, id)
+func (p voterPlan) remove(id string) gwquorum.Change {
+	return gwquorum.Change{Kind: gwquorum.Remove, Instance: id, Heir: p.heir(id)}
+}
+
+// ifSafe returns a change if the voters after it that answer and have caught up are a quorum, for
+// a replacement those before it, too.
+func (p voterPlan) ifSafe(c gwquorum.Change) (gwquorum.Change, string) {
+	voters := slices.DeleteFunc(slices.Clone(p.st.Voters), func(v string) bool { return v == c.Instance || v == c.Replaced })
+	if c.Kind != gwquorum.Remove {
+		voters = append(voters, c.Instance)
 	}
-	usable := 0
-	for _, v := range voters {
-		if p.caughtUp(v) {
-			usable++
-		}
+	groups := [][]string{voters}
+	if c.Kind == gwquorum.Replace {
+		groups = append(groups, p.st.Voters)
 	}
-	if quorum := (gwquorum.Members{Voters: voters}).Quorum(); usable < quorum {
-		return gwquorum.Change{}, fmt.Sprintf("%d of the voters %v would answer and have caught up, the quorum is %d", usable, voters, quorum)
+	for _, voters := range groups {
+		usable := 0
+		for _, v := range voters {
+			if p.caughtUp(v) {
+				usable++
+			}
+		}
+		if quorum := (gwquorum.Members{Voters: voters}).Quorum(); usable < quorum {
+			return gwquorum.Change{}, fmt.Sprintf("%d of the voters %v would answer and have caught up, the quorum is %d", usable, voters, quorum)
+		}
 	}
-	return gwquorum.Change{Kind: kind, Instance: id}, ""
+	return c, ""
 }
 
 // waitReason says which learners are not promoted yet.
@@ -126,16 +192,16 @@
 	case len(p.away) > 0:
 		return fmt.Sprintf("no instance can replace %v", p.away)
 	default:
-		return fmt.Sprintf("%d of %d voters are known", p.currentVoters(), p.target)
+		return fmt.Sprintf("%d of %d voters are known", p.eligibleVoters(), p.target)
 	}
 }
 
-// bestLearner returns the wanted learner that has caught up and has the longest synced log,
+// bestLearner returns the eligible learner that has caught up and has the longest synced log,
 // or "".
 func (p voterPlan) bestLearner() string {
 	best := gwquorum.PeerStatus{}
 	for _, peer := range p.st.Peers {
-		if peer.Learner && slices.Contains(p.current, peer.Instance) && p.caughtUp(peer.Instance) &&
+		if peer.Learner && slices.Contains(p.eligible, peer.Instance) && p.caughtUp(peer.Instance) &&
 			(best.Instance == "" || peer.Match > best.Match) {
 			best = peer
 		}
@@ -143,22 +209,33 @@
 	return best.Instance
 }
 
-// surplusVoter returns a voter that is not needed any more, or "". A voter that is gone or away is
-// kept as long as the number of voters does not exceed the target. If all are wanted, as one that
-// was away has returned after its replacement was promoted, the one that is behind goes.
+// seatToTake returns the voter that is replaced next, or "": one whose instance has lost its
+// data, then one that is away, then one that is not eligible.
+func (p voterPlan) seatToTake() string {
+	ineligible := slices.DeleteFunc(slices.Clone(p.st.Voters), func(id string) bool { return slices.Contains(p.eligible, id) })
+	for _, ids := range [][]string{p.gone, p.away, ineligible} {
+		if len(ids) > 0 {
+			return slices.MinFunc(ids, p.compareRemoval)
+		}
+	}
+	return ""
+}
+
+// surplusVoter returns a voter that is not needed any more, or "". A voter that is gone, away or not
+// eligible is kept as long as the number of voters does not exceed the target. If all are eligible,
+// as one that was away has returned after its replacement was promoted, the one that is behind goes.
 func (p voterPlan) surplusVoter() string {
 	if len(p.st.Voters) <= p.target {
 		return ""
 	}
-	order := func(a, b string) int { return cmp.Compare(p.removalOrder(a), p.removalOrder(b)) }
-	switch {
-	case len(p.gone) > 0:
-		return p.gone[0]
-	case len(p.away) > 0:
-		return slices.MinFunc(p.away, order)
-	default:
-		return slices.MinFunc(p.st.Voters, order)
+	if id := p.seatToTake(); id != "" {
+		return id
 	}
+	return slices.MinFunc(p.st.Voters, p.compareRemoval)
+}
+
+func (p voterPlan) compareRemoval(a, b string) int {
+	return cmp.Compare(p.removalOrder(a), p.removalOrder(b))
 }
 
 // removalOrder orders voters by what their removal costs: those that do not answer come first,
@@ -175,13 +252,26 @@
 	}
 }
 
-// uselessLearner returns a learner that is not wanted and does not answer, or whose instance
-// takes part under another identity; "" if there is none. One that answers is kept: a leader
-// that has just started does not know all live instances.
+// nextLeader returns the voter that can lead while the leader is replaced or removed: one that
+// stays and has the longest synced log; "" if there is none.
+func (p voterPlan) nextLeader() string {
+	best := gwquorum.PeerStatus{}
+	for _, peer := range p.st.Peers {
+		if !peer.Learner && slices.Contains(p.eligible, peer.Instance) && p.caughtUp(peer.Instance) &&
+			(best.Instance == "" || peer.Match > best.Match) {
+			best = peer
+		}
+	}
+	return best.Instance
+}
+
+// uselessLearner returns a learner that is not wanted and is given up, or not listed, or whose
+// instance takes part under another identity; "" if there is none. One that answers is kept:
+// a leader that has just started does not know all live instances.
 func (p voterPlan) uselessLearner() string {
 	for _, id := range p.st.Learners {
 		replaced := slices.ContainsFunc(p.current, func(c string) bool { return voterName(c) == voterName(id) })
-		if !slices.Contains(p.current, id) && (replaced || !p.answers(id)) {
+		if !slices.Contains(p.current, id) && (replaced || !p.answers(id) && (p.listed || p.givenUp(voterName(id)))) {
 			return id
 		}
 	}
@@ -190,10 +280,14 @@
 
 func (p voterPlan) isVoter(id string) bool { return slices.Contains(p.st.Voters, id) }
 
-// currentVoters returns how many of the voters are wanted.
-func (p voterPlan) currentVoters() int {
+func (p voterPlan) isMember(id string) bool {
+	return p.isVoter(id) || slices.Contains(p.st.Learners, id)
+}
+
+// eligibleVoters returns how many of the voters are eligible.
+func (p voterPlan) eligibleVoters() int {
 	n := 0
-	for _, id := range p.current {
+	for _, id := range p.eligible {
 		if p.isVoter(id) {
 			n++
 		}
--- /dev/null
+++ b/internal/gwcontrol/voterpresence.go
@@ -0,0 +1,89 @@
+package gwcontrol
+
+import (
+	"sync"
+	"time"
+
+	"gentianward.example/gentianward/pkg/gwmember"
+)
+
+// absenceLimit is how long a voter is away until any other instance may replace it, and a learner
+// until it is removed. A plain restart takes less. A successor need not wait for it.
+const absenceLimit = 10 * time.Second
+
+// presence holds when and where the instances that may vote were last live. Every instance keeps
+// it, as the one that leads next must know the data centre of a voter that ended with the last.
+type presence struct {
+	mu     sync.Mutex
+	byName map[string]lastPresence
+	// leads and term are when and in which term this instance was found to lead first.
+	leads time.Time
+	term  uint64
+}
+
+type lastPresence struct {
+	dataCentre string
+	at         time.Time
+}
+
+// maxPresences bounds the instances that are remembered; the ones seen last are kept.
+const maxPresences = 200
+
+// observe records the live instances.
+func (p *presence) observe(live []gwmember.Member, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byName == nil {
+		p.byName = make(map[string]lastPresence)
+	}
+	for _, m := range live {
+		if m.ControlOnly {
+			p.byName[m.Instance] = lastPresence{dataCentre: m.DataCentre, at: now}
+		}
+	}
+	for len(p.byName) > maxPresences {
+		delete(p.byName, p.oldest())
+	}
+}
+
+func (p *presence) oldest() string {
+	var out string
+	for name, l := range p.byName {
+		if out == "" || l.at.Before(p.byName[out].at) {
+			out = name
+		}
+	}
+	return out
+}
+
+// dataCentres returns the known data centres by instance.
+func (p *presence) dataCentres() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]string, len(p.byName))
+	for name, l := range p.byName {
+		out[name] = l.dataCentre
+	}
+	return out
+}
+
+// startTerm records that this instance leads in a term.
+func (p *presence) startTerm(term uint64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.term != term {
+		p.leads, p.term = now, term
+	}
+}
+
+// givenUp reports whether an instance has not been live for absenceLimit, counted from the start
+// of the leadership for one that was never seen.
+func (p *presence) givenUp(name string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := p.leads
+	if l, seen := p.byName[name]; seen {
+		since = l.at
+	}
+	return now.Sub(since) >= absenceLimit
+}
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -11,7 +11,6 @@
 	"path"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -48,6 +47,8 @@
 	ID string `cbor:"1,keyasint"`
 	// Initialized means that the voter has data of a replicated log.
 	Initialized bool `cbor:"2,keyasint"`
+	// Replaces means that the voter knows gwquorum.Replace.
+	Replaces bool `cbor:"3,keyasint,omitempty"`
 }
 
 // identityFile is the name of the file in the data folder that holds a voter's identity.
@@ -171,7 +172,7 @@
 func (c *Consensus) ServeIdentity(hasData bool) {
 	gwpeer.Handle(c.Node, kindVoter, func(context.Context, string, Empty) (voterInfo, error) {
 		st := c.Status()
-		return voterInfo{ID: st.ID, Initialized: hasData || st.Commit > 0}, nil
+		return voterInfo{ID: st.ID, Initialized: hasData || st.Commit > 0, Replaces: true}, nil
 	})
 }
 
@@ -195,9 +196,10 @@
 	l.identities.ask(ctx, l.clock, l.others(wanted))
 	for until := l.clock.Now().Add(voterCheckInterval); l.consensus.Leading(); {
 		st := l.consensus.Status()
-		change, reason := newVoterPlan(st, l.currentIdentities(wanted, st), listed).next()
+		plan := l.plan(wanted, listed, st)
+		change, reason := plan.next()
 		if change != (gwquorum.Change{}) {
-			err := l.proposeChange(ctx, change, st)
+			err := l.proposeChange(ctx, change, plan)
 			switch gwquorum.KindOf(err) {
 			case gwquorum.KindPending, gwquorum.KindNotCaughtUp: // may be made soon
 				reason = err.Error()
@@ -227,10 +229,25 @@
 	}
 }
 
+// plan returns the plan of the next change of the voters.
+func (l *Leader) plan(wanted map[string]string, listed bool, st gwquorum.Status) voterPlan {
+	now := l.clock.Now()
+	l.observePresence()
+	l.presence.startTerm(st.Term, now)
+	return newVoterPlan(st, voterView{
+		identities:  l.currentIdentities(wanted, st),
+		listed:      listed,
+		dataCentres: l.presence.dataCentres(),
+		givenUp:     func(name string) bool { return l.presence.givenUp(name, now) },
+		replaces:    l.identities.replaces(st),
+	})
+}
+
 // proposeChange proposes a change, or transfers the leadership to make it possible.
-func (l *Leader) proposeChange(ctx context.Context, change gwquorum.Change, st gwquorum.Status) error {
-	if change.Kind == gwquorum.Remove && change.Instance == st.ID {
-		l.consensus.TransferLeadership(ctx)
+func (l *Leader) proposeChange(ctx context.Context, change gwquorum.Change, plan voterPlan) error {
+	st := plan.st
+	if leaves(change, st.ID) {
+		l.transferLeadership(ctx, plan.nextLeader())
 		l.undone.observe(l.log, l.clock.Now(), errLeavesFirst.Error(), st)
 		return errLeavesFirst
 	}
@@ -240,6 +257,9 @@
 		return err
 	}
 	l.log.Info("change of the voters proposed", "kind", int(change.Kind), "voter", change.Instance, "error", err)
+	if change.Kind == gwquorum.Replace && err == nil {
+		plan.logReplacement(l.log, change)
+	}
 	var reason string
 	if err != nil {
 		reason = err.Error()
@@ -248,6 +268,27 @@
 	return err
 }
 
+// leaves reports whether a change takes the vote of a voter.
+func leaves(change gwquorum.Change, id string) bool {
+	return change.Kind == gwquorum.Remove && change.Instance == id || change.Kind == gwquorum.Replace && change.Replaced == id
+}
+
+// transferLeadership starts the transfer of the leadership to a voter, "" for any.
+func (l *Leader) transferLeadership(ctx context.Context, to string) {
+	if to == "" {
+		l.consensus.TransferLeadership(ctx)
+		return
+	}
+	_ = l.consensus.do(ctx, func() { _ = l.consensus.node.TransferLeadership(to) })
+}
+
+// logReplacement logs that a voter is replaced by another.
+func (p voterPlan) logReplacement(log *slog.Logger, c gwquorum.Change) {
+	log.Info("voter replaced", "voter", c.Replaced, "successor", c.Instance,
+		"dataCentre", p.dataCentres[voterName(c.Replaced)], "successorDataCentre", p.dataCentres[voterName(c.Instance)],
+		"rank", p.st.Ranks[c.Replaced], "successorRank", p.st.Ranks[c.Instance], "answers", p.answers(c.Replaced))
+}
+
 var errLeavesFirst = &Error{Op: "change voters", Kind: NotLeader, Detail: "the leader is to be removed and gives its leadership away"}
 
 // awaitChange waits up to changeCommitTimeout until a change is committed.
@@ -279,6 +320,8 @@
 		return learner
 	case gwquorum.Promote:
 		return voter
+	case gwquorum.Replace:
+		return voter && len(st.Outgoing) == 0
 	default:
 		return !voter && !learner
 	}
@@ -319,84 +362,6 @@
 	return ""
 }
 
-// voterAnswers holds the answers of instances to the question for their identity. It asks all at
-// once, and an instance that does not answer delays a step by identityWait at most.
-type voterAnswers struct {
-	// askOne asks the instance at an address.
-	askOne func(ctx context.Context, address string) (voterInfo, error)
-
-	mu     sync.Mutex
-	byName map[string]voterAnswer
-}
-
-type voterAnswer struct {
-	id     string
-	at     time.Time
-	asking bool
-}
-
-// ask asks the instances and waits up to identityWait for their answers. A later answer
-// counts for the next step.
-func (v *voterAnswers) ask(ctx context.Context, clock clockwork.Clock, addresses map[string]string) {
-	var wait sync.WaitGroup
-	for name, address := range addresses {
-		if !v.begin(name) {
-			continue
-		}
-		wait.Go(func() {
-			info, err := v.askOne(ctx, address)
-			v.end(name, info.ID, err == nil, clock.Now())
-		})
-	}
-	done := make(chan struct{})
-	go func() {
-		wait.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-clock.After(identityWait):
-	}
-}
-
-// begin returns false if the instance is being asked already.
-func (v *voterAnswers) begin(name string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.byName == nil {
-		v.byName = make(map[string]voterAnswer)
-	}
-	a := v.byName[name]
-	if a.asking {
-		return false
-	}
-	a.asking = true
-	v.byName[name] = a
-	return true
-}
-
-func (v *voterAnswers) end(name, id string, answered bool, now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	a := v.byName[name]
-	a.asking = false
-	if answered {
-		a.id, a.at = id, now
-	}
-	v.byName[name] = a
-}
-
-// answer returns the identity that an instance answered lately, or "".
-func (v *voterAnswers) answer(name string, now time.Time) string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	a, ok := v.byName[name]
-	if !ok || now.Sub(a.at) > identityLifetime {
-		return ""
-	}
-	return a.id
-}
-
 // undoneLogAge is how long a change of the voters is undone when it is logged first.
 const undoneLogAge = time.Second
 
--- a/internal/gwcontrol/voters_test.go
+++ b/internal/gwcontrol/voters_test.go
@@ -59,7 +59,7 @@
 		{"of two absent voters the one that does not answer", []gwquorum.PeerStatus{up("b"), up("c"), down("d"), up("e"), up("f")}, []string{"a", "b", "e", "f"}, false, remove("d"), ""},
 		{"an additional learner stays one", []gwquorum.PeerStatus{up("b"), up("c"), learner(up("d"))}, []string{"a", "b", "c", "d"}, false, none, ""},
 		{"two additional learners vote", []gwquorum.PeerStatus{up("b"), up("c"), learner(up("d")), learner(up("e"))}, []string{"a", "b", "c", "d", "e"}, false, promote("d"), ""},
-		{"a voter that lost its disk returns under a new identity", []gwquorum.PeerStatus{up("b"), up("c")}, []string{"a", "b", "c=c#1"}, false, add("c#1"), ""},
+		{"a voter that lost its disk returns under a new identity", []gwquorum.PeerStatus{up("b"), up("c")}, []string{"a", "b", "c=c#1"}, false, gwquorum.Change{Kind: gwquorum.AddLearner, Instance: "c#1", Rank: new(uint64)}, ""},
 		{"which is promoted first", []gwquorum.PeerStatus{up("b"), down("c"), learner(up("c#1"))}, []string{"a", "b", "c=c#1"}, false, promote("c#1"), ""},
 		{"then the old identity is removed", []gwquorum.PeerStatus{up("b"), down("c"), up("c#1")}, []string{"a", "b", "c=c#1"}, false, remove("c"), ""},
 		{"also if the instance does not answer now", []gwquorum.PeerStatus{up("b"), down("c"), up("c#1")}, []string{"a", "b", "c="}, false, remove("c"), ""},
@@ -82,7 +82,10 @@
 			}
 			st.Voters = append(st.Voters, p.Instance)
 		}
-		identities := make(map[string]string)
+		identities, dataCentres := make(map[string]string), make(map[string]string)
+		for _, id := range slices.Concat(st.Voters, st.Learners) {
+			dataCentres[voterName(id)] = voterName(id)
+		}
 		for _, w := range tt.wanted {
 			name, id, given := strings.Cut(w, "=")
 			if !given {
@@ -90,57 +93,96 @@
 			}
 			identities[name] = currentIdentity(name, id, st)
 		}
-		got, reason := newVoterPlan(st, identities, tt.listed).next()
+		got, reason := newVoterPlan(st, voterView{identities: identities, listed: tt.listed, dataCentres: dataCentres, givenUp: longAgo}).next()
 		assert.Equal(t, tt.want, got, tt.name)
 		assert.Equal(t, tt.reason, reason, tt.name)
 	}
 }
 
-// memberStatus holds the members of a log under changes that take effect at once.
+// longAgo gives up every instance that is not live.
+func longAgo(string) bool { return true }
+
+// memberStatus holds the members of a log under changes that take effect at once. The data centre
+// of an instance is the first letter of its name.
 type memberStatus struct{ gwquorum.Status }
 
 func (s *memberStatus) apply(c gwquorum.Change) {
-	drop := func(ids []string) []string {
-		return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == c.Instance })
+	drop := func(ids []string, drop string) []string {
+		return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == drop })
 	}
-	s.Voters, s.Learners = drop(s.Voters), drop(s.Learners)
+	s.Voters, s.Learners = drop(s.Voters, c.Instance), drop(s.Learners, c.Instance)
 	i := slices.IndexFunc(s.Peers, func(p gwquorum.PeerStatus) bool { return p.Instance == c.Instance })
 	switch c.Kind {
 	case gwquorum.AddLearner:
 		s.Learners = append(s.Learners, c.Instance)
 		s.Peers = append(s.Peers, gwquorum.PeerStatus{Instance: c.Instance, Learner: true, Active: true, Match: s.Commit})
+		if c.Rank == nil {
+			s.Last++
+			c.Rank = &s.Last
+		}
+		s.setRank(c.Instance, *c.Rank)
 	case gwquorum.Promote:
 		s.Voters = append(s.Voters, c.Instance)
 		s.Peers[i].Learner = false
+	case gwquorum.Replace:
+		s.Voters, s.Learners = append(drop(s.Voters, c.Replaced), c.Instance), append(s.Learners, c.Replaced)
+		s.Peers[i].Learner = false
+		s.Peers[slices.IndexFunc(s.Peers, func(p gwquorum.PeerStatus) bool { return p.Instance == c.Replaced })].Learner = true
 	case gwquorum.Remove:
 		s.Peers = slices.Delete(s.Peers, i, i+1)
+		s.setRank(c.Instance, s.Ranks[c.Instance])
+		if c.Heir != "" {
+			s.setRank(c.Heir, min(s.Ranks[c.Heir], s.Ranks[c.Instance]))
+		}
 	}
 }
 
-// settle makes the planned changes until there are none. Only the instances of the given
-// identities are live, and the others do not answer.
-func (s *memberStatus) settle(t *testing.T, ids ...string) {
-	identities := make(map[string]string)
+func (s *memberStatus) setRank(id string, rank uint64) {
+	if s.Ranks == nil {
+		s.Ranks = make(map[string]uint64)
+	}
+	s.Ranks[id] = rank
+}
+
+// lead makes another member the leader.
+func (s *memberStatus) lead(id string) {
+	i := slices.IndexFunc(s.Peers, func(p gwquorum.PeerStatus) bool { return p.Instance == id })
+	s.ID, s.Peers[i] = id, gwquorum.PeerStatus{Instance: s.ID, Active: true, Match: s.Commit}
+}
+
+// settle makes the planned changes until there are none, and returns their number. Only the
+// instances of the given identities are live, and the others have been away for long.
+func (s *memberStatus) settle(t *testing.T, ids ...string) int {
+	view := voterView{identities: make(map[string]string), dataCentres: make(map[string]string), givenUp: longAgo, replaces: true}
+	for _, id := range slices.Concat(ids, s.Voters, s.Learners) {
+		view.dataCentres[voterName(id)] = id[:1]
+	}
 	for _, id := range ids {
-		identities[voterName(id)] = id
+		view.identities[voterName(id)] = id
 	}
 	for i := range s.Peers {
 		s.Peers[i].Active = slices.Contains(ids, s.Peers[i].Instance)
 	}
-	for range 20 {
-		change, _ := newVoterPlan(s.Status, identities, false).next()
-		if change == (gwquorum.Change{}) {
-			return
+	for changes := range 20 {
+		plan := newVoterPlan(s.Status, view)
+		change, _ := plan.next()
+		switch {
+		case change == (gwquorum.Change{}):
+			return changes
+		case leaves(change, s.ID):
+			s.lead(plan.nextLeader())
+		default:
+			s.apply(change)
 		}
-		s.apply(change)
 	}
-	t.Fatal("the voters do not converge")
+	require.Fail(t, "the voters do not converge", "voters %v, learners %v, ranks %v", s.Voters, s.Learners, s.Ranks)
+	return 0
 }
 
 // Guards against an even number of voters, which has no quorum once a partition splits
 // it into halves, and against a spare learner that does not replace a lost voter.
 func TestVotersOfSixInstances(t *testing.T) {
-	st := &memberStatus{gwquorum.Status{ID: "a", Commit: 10, Voters: []string{"a", "b", "c"}, Peers: []gwquorum.PeerStatus{
+	st := &memberStatus{gwquorum.Status{ID: "a", Commit: 10, Last: 10, Voters: []string{"a", "b", "c"}, Peers: []gwquorum.PeerStatus{
 		{Instance: "b", Match: 10}, {Instance: "c", Match: 10},
 	}}}
 	st.settle(t, "a", "b", "c", "d", "e", "f")
--- /dev/null
+++ b/internal/gwcontrol/voterseats.go
@@ -0,0 +1,121 @@
+package gwcontrol
+
+import (
+	"cmp"
+	"slices"
+
+	"gentianward.example/gentianward/pkg/gwquorum"
+)
+
+// voterView is what the leader knows of the instances, beside the status of the log.
+type voterView struct {
+	// identities holds the current identities of the wanted instances by name, "" for one that
+	// is not known.
+	identities map[string]string
+	// listed means that the manifest lists the wanted instances.
+	listed bool
+	// dataCentres holds the data centres of instances by name, as far as they are known.
+	dataCentres map[string]string
+	// givenUp reports whether an instance has been away for absenceLimit.
+	givenUp func(name string) bool
+	// replaces means that all members know gwquorum.Replace.
+	replaces bool
+}
+
+// seniority orders the instances of a data centre by their ranks.
+type seniority struct {
+	ids   []string // the newest last
+	ranks map[string]uint64
+}
+
+func newSeniority(ids []string, ranks map[string]uint64) seniority {
+	s := seniority{ids: slices.Clone(ids), ranks: ranks}
+	slices.SortFunc(s.ids, func(a, b string) int { return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(a, b)) })
+	return s
+}
+
+// younger returns how many instances are younger than the oldest ones.
+func (s seniority) younger() int {
+	n := 0
+	for _, id := range s.ids {
+		if s.ranks[id] > s.ranks[s.ids[0]] {
+			n++
+		}
+	}
+	return n
+}
+
+// eligible returns the instances that may vote.
+//
+// Each younger instance may be the successor of an older one, and once it has been up for some
+// time, the older one may end at any moment while another disk is lost. Of j younger ones, up to
+// j others end at no cost, and never the newest. As voters, the others make up for these ends
+// only if they are more than 2j.
+func (s seniority) eligible() []string {
+	j := s.younger()
+	if others := len(s.ids) - 1; j == 0 || others > 2*j {
+		return s.ids
+	}
+	return s.ids[len(s.ids)-1:]
+}
+
+// seats returns those of the given members that may vote, by the data centres of their instances.
+// One of an unknown data centre counts as alone in it.
+func seats(st gwquorum.Status, members []string, dataCentres map[string]string) []string {
+	var out []string
+	groups := make(map[string][]string)
+	for _, id := range members {
+		dc, known := dataCentres[voterName(id)]
+		if !known {
+			out = append(out, id)
+			continue
+		}
+		groups[dc] = append(groups[dc], id)
+	}
+	for _, ids := range groups {
+		out = append(out, newSeniority(ids, st.Ranks).eligible()...)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// knownRank returns the smallest rank that the log has for an instance, nil if it has none. An
+// instance that returns without its data is thus not taken for the successor of another.
+func knownRank(st gwquorum.Status, name string) *uint64 {
+	var out *uint64
+	add := func(id string, rank uint64) {
+		if voterName(id) == name && (out == nil || rank < *out) {
+			out = &rank
+		}
+	}
+	for id, rank := range st.Ranks {
+		add(id, rank)
+	}
+	for _, id := range slices.Concat(st.Voters, st.Learners) {
+		add(id, st.Ranks[id])
+	}
+	return out
+}
+
+// heir returns the member that takes the rank of one that is removed for good: the oldest younger
+// one of its data centre, which is taken for its successor; "" if there is none.
+func (p voterPlan) heir(removed string) string {
+	dc, known := p.dataCentres[voterName(removed)]
+	if !known || p.listed || p.answers(removed) || !p.givenUp(voterName(removed)) {
+		return ""
+	}
+	var ids []string
+	for _, id := range slices.Concat(p.st.Voters, p.st.Learners) {
+		switch {
+		case id == removed:
+		case voterName(id) == voterName(removed):
+			return ""
+		case p.dataCentres[voterName(id)] == dc && p.st.Ranks[id] > p.st.Ranks[removed]:
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return ""
+	}
+	return newSeniority(ids, p.st.Ranks).ids[0]
+}
--- a/internal/gwcontrol/votersfaults_test.go
+++ b/internal/gwcontrol/votersfaults_test.go
@@ -16,10 +16,12 @@
 func (m *votersModel) loseDisk(x *modelInstance, d time.Duration, sameName bool) {
 	voter := false
 	if l := m.leader(); l != nil {
-		voter = slices.Contains(l.node.Status().Voters, x.id)
+		voter = slices.Contains(l.status().Voters, x.id)
 	}
 	m.remove(x)
 	name := x.name
+	// An instance at a new address is the successor of another, never one that has a successor.
+	sameName = sameName || !x.freeAt.IsZero()
 	if !sameName {
 		name = fmt.Sprintf("n%d", m.started+1)
 	}
@@ -102,8 +104,8 @@
 	if l == nil || len(m.changing) == 0 {
 		return
 	}
-	st := l.node.Status()
-	if st.Commit < l.pending || len(st.Voters)%2 == 0 || slices.ContainsFunc(st.Voters, func(id string) bool { return !m.exists(id) }) {
+	st := l.status()
+	if st.Commit < l.pending || len(st.Outgoing) > 0 || len(st.Voters)%2 == 0 || slices.ContainsFunc(st.Voters, func(id string) bool { return !m.exists(id) }) {
 		return
 	}
 	for name, c := range m.changing {
@@ -157,6 +159,7 @@
 		if l := m.leader(); l != nil && l.saving == nil {
 			m.log("%s gives the leadership away", l.id)
 			_ = l.node.TransferLeadership("")
+			l.known = nil
 		}
 	case 8, 9:
 		m.disturbSuccession()
@@ -212,7 +215,7 @@
 	var states []string
 	for _, name := range m.names {
 		if x := m.instances[name]; x.node != nil {
-			st := x.node.Status()
+			st := x.status()
 			states = append(states, fmt.Sprintf("%s: %s of term %d, last %d, commit %d, voters %v | %v, %s", st.ID, st.Role, st.Term, st.Last, st.Commit, st.Voters, st.Learners, x.reason))
 		}
 	}
@@ -267,6 +270,7 @@
 		case 7:
 			m = newVotersModel(uint64(seed), 5, 0)
 		}
+		m.replaces = seed%4 > 0
 		err := m.play(4)
 		assert.NoError(t, err, "seed %d: %q", seed, m.trace)
 		changes += len(m.took)
@@ -288,8 +292,8 @@
 	}{
 		{"steady writes", 5 * time.Millisecond, changeLimit, nil},
 		{"slow disks", 100 * time.Millisecond, changeLimit, nil},
-		{"the leadership moves", 5 * time.Millisecond, changeLimit, func(_ *votersModel, l, _ *modelInstance) { _ = l.node.TransferLeadership("") }},
-		{"the leadership moves on slow disks", 100 * time.Millisecond, changeLimit, func(_ *votersModel, l, _ *modelInstance) { _ = l.node.TransferLeadership("") }},
+		{"the leadership moves", 5 * time.Millisecond, changeLimit, func(_ *votersModel, l, _ *modelInstance) { _, l.known = l.node.TransferLeadership(""), nil }},
+		{"the leadership moves on slow disks", 100 * time.Millisecond, changeLimit, func(_ *votersModel, l, _ *modelInstance) { _, l.known = l.node.TransferLeadership(""), nil }},
 		{"the leader stops", 5 * time.Millisecond, changeLimit, func(m *votersModel, l, _ *modelInstance) { m.stop(l, time.Second) }},
 		{"a voter is cut off", 5 * time.Millisecond, changeLimit, func(m *votersModel, _, o *modelInstance) { o.cut = m.now.Add(outage) }},
 		{"a voter pauses", 5 * time.Millisecond, changeLimit, func(m *votersModel, _, o *modelInstance) { o.paused = m.now.Add(outage) }},
@@ -374,6 +378,6 @@
 
 // otherVoter returns the name of a voter that does not lead and still has its disk.
 func (m *votersModel) otherVoter(l *modelInstance) string {
-	i := slices.IndexFunc(l.node.Status().Voters, func(id string) bool { return id != l.id && m.exists(id) })
-	return voterName(l.node.Status().Voters[i])
+	i := slices.IndexFunc(l.status().Voters, func(id string) bool { return id != l.id && m.exists(id) })
+	return voterName(l.status().Voters[i])
 }
--- a/internal/gwcontrol/votersmodel_test.go
+++ b/internal/gwcontrol/votersmodel_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"gentianward.example/gentianward/pkg/gwmember"
 	"gentianward.example/gentianward/pkg/gwquorum"
 )
 
@@ -28,6 +29,9 @@
 	leaveLimit = 10*time.Second + changeLimit
 )
 
+// modelSnapshot is the state of every snapshot.
+var modelSnapshot = make([]byte, 50<<10)
+
 // votersModel is a group of control instances with disks that take time and are lost, under the
 // plans of their leaders.
 type votersModel struct {
@@ -44,8 +48,8 @@
 	writes    time.Duration // between two entries
 	nextWrite time.Time
 	err       error
-	// plan returns the next change that a leader makes.
-	plan func(st gwquorum.Status, identities map[string]string) (gwquorum.Change, string)
+	// replaces means that the instances know gwquorum.Replace.
+	replaces bool
 	// losses holds the disks that count as lost, of which there are at most tolerance. An instance
 	// was last out of reach at lastOut. changing holds the successors whose predecessors vote yet.
 	losses    []*modelLoss
@@ -88,6 +92,18 @@
 	nextPlan       time.Time
 	reason         string
 	identityChosen time.Time
+	presence       *presence
+	nextPresence   time.Time
+	known          *gwquorum.Status // nil after a change
+}
+
+// status returns the status of the node.
+func (x *modelInstance) status() gwquorum.Status {
+	if x.known == nil {
+		st := x.node.Status()
+		x.known = &st
+	}
+	return *x.known
 }
 
 // modelLoss is a disk that counts as lost until freeAt, changeLimit after the start of its
@@ -111,10 +127,7 @@
 func newVotersModel(seed uint64, voters, spares int) *votersModel {
 	m := &votersModel{
 		Rand: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1000, 0), instances: make(map[string]*modelInstance),
-		committed: make(map[uint64]gwquorum.Entry), changing: make(map[string]modelChange), tolerance: 1, sync: 5 * time.Millisecond, interval: consensusTick, writes: 20 * time.Millisecond,
-	}
-	m.plan = func(st gwquorum.Status, identities map[string]string) (gwquorum.Change, string) {
-		return newVoterPlan(st, identities, false).next()
+		committed: make(map[uint64]gwquorum.Entry), changing: make(map[string]modelChange), tolerance: 1, replaces: true, sync: 5 * time.Millisecond, interval: consensusTick, writes: 20 * time.Millisecond,
 	}
 	var ids []string
 	m.initial = voters + spares
@@ -167,8 +180,9 @@
 		m.err = err
 		return
 	}
-	x.node, x.queue, x.saving, x.busy, x.pending = node, nil, nil, m.now, 0
+	x.node, x.queue, x.saving, x.busy, x.pending, x.known = node, nil, nil, m.now, 0, nil
 	x.upSince, x.startAt, x.worked, x.nextTick = m.now, time.Time{}, m.now, m.now
+	x.presence, x.nextPresence = &presence{}, m.now
 	x.identityChosen = m.now.Add(m.between(0, 300*time.Millisecond))
 	m.log("%s starts as %s", x.name, x.id)
 }
@@ -256,9 +270,14 @@
 	}
 	if m.now.Sub(x.worked) >= maxPause {
 		x.node.Tick(m.now)
+		x.known = nil
 	}
 	x.worked = m.now
-	if x.saving != nil && !m.now.Before(x.busy) {
+	saved, ticks := x.saving != nil && !m.now.Before(x.busy), !m.now.Before(x.nextTick)
+	if !saved && !ticks && len(x.queue) == 0 && x.known != nil {
+		return // nothing has happened
+	}
+	if saved {
 		rd := *x.saving
 		x.saving = nil
 		x.save(rd)
@@ -267,11 +286,14 @@
 	}
 	for _, msg := range x.queue {
 		x.node.Step(msg, m.now)
+		x.known = nil
 	}
 	x.queue = nil
-	if !m.now.Before(x.nextTick) {
+	if ticks {
 		x.nextTick = m.now.Add(consensusTick)
 		x.node.Tick(m.now)
+		x.known = nil
+		m.observe(x)
 		m.lead(x)
 	}
 	m.processReady(x)
@@ -284,6 +306,7 @@
 		ready = x.node.ReadyDuringSave
 	}
 	for rd := ready(); !rd.Empty(); rd = ready() {
+		x.known = nil
 		if rd.MustSave() {
 			m.send(rd.EarlyMessages())
 			x.saving, x.busy = &rd, m.now.Add(m.sync+time.Duration(m.Int64N(int64(m.sync))))
@@ -292,7 +315,7 @@
 		}
 		m.finish(x, rd)
 	}
-	if f := x.node.Status().Fault; f != nil {
+	if f := x.status().Fault; f != nil {
 		m.err = f
 	}
 }
@@ -325,8 +348,10 @@
 		m.committed[e.Index] = e
 	}
 	x.node.Advance(rd)
-	if st := x.node.Status(); x.saving == nil && st.Applied >= st.Snapshot+100 && st.Applied <= st.Synced {
-		_ = x.node.Compact(st.Applied, make([]byte, 50<<10))
+	x.known = nil
+	if st := x.status(); x.saving == nil && st.Applied >= st.Snapshot+100 && st.Applied <= st.Synced {
+		_ = x.node.Compact(st.Applied, modelSnapshot)
+		x.known = nil
 	}
 }
 
@@ -345,7 +370,7 @@
 // lead does what the leader does: it proposes entries and makes the planned changes, each as
 // soon as the one before is committed and the identities are known.
 func (m *votersModel) lead(x *modelInstance) {
-	st := x.node.Status()
+	st := x.status()
 	if !st.LeaderReady {
 		x.pending = 0
 		return
@@ -353,6 +378,7 @@
 	if !m.now.Before(m.nextWrite) {
 		m.nextWrite = m.now.Add(m.writes)
 		_, _, _ = x.node.Propose(make([]byte, 100))
+		x.known = nil
 	}
 	if x.pending > 0 && (st.Commit < x.pending && st.Term == x.pendingTerm) {
 		x.nextPlan = m.now.Add(60 * time.Millisecond)
@@ -363,27 +389,58 @@
 		return
 	}
 	x.nextPlan = m.now.Add(m.interval)
-	identities := make(map[string]string)
-	for _, name := range m.names {
-		if m.live(x, name) {
-			identities[name] = currentIdentity(name, m.answer(x, name), st)
-		}
-	}
-	change, reason := m.plan(st, identities)
+	plan := m.plan(x, st)
+	change, reason := plan.next()
 	x.reason = reason
 	if change == (gwquorum.Change{}) {
 		return
 	}
-	if change.Kind == gwquorum.Remove && change.Instance == st.ID {
-		_ = x.node.TransferLeadership("")
+	if leaves(change, st.ID) {
+		_ = x.node.TransferLeadership(plan.nextLeader())
+		x.known = nil
 		return
 	}
+	x.known = nil
 	if err := x.node.ProposeChange(change); err != nil {
 		x.reason = err.Error()
 		return
 	}
-	m.log("%s of term %d: change %d of %s, was %v | %v", x.id, st.Term, change.Kind, change.Instance, st.Voters, st.Learners)
-	x.pending, x.pendingTerm = x.node.Status().Last, st.Term
+	m.log("%s of term %d: change %d of %s%s, was %v | %v", x.id, st.Term, change.Kind, change.Instance, change.Replaced, st.Voters, st.Learners)
+	x.pending, x.pendingTerm = x.status().Last, st.Term
+}
+
+// observe records the live instances, as every instance does.
+func (m *votersModel) observe(x *modelInstance) {
+	if m.now.Before(x.nextPresence) {
+		return
+	}
+	x.nextPresence = m.now.Add(voterCheckInterval)
+	var live []gwmember.Member
+	for _, name := range m.names {
+		if m.live(x, name) {
+			live = append(live, gwmember.Member{Instance: name, DataCentre: m.instances[name].dataCentre, ControlOnly: true})
+		}
+	}
+	x.presence.observe(live, m.now)
+}
+
+// plan returns the plan of a leader.
+func (m *votersModel) plan(x *modelInstance, st gwquorum.Status) voterPlan {
+	x.nextPresence = time.Time{}
+	m.observe(x)
+	x.presence.startTerm(st.Term, m.now)
+	view := voterView{
+		identities:  make(map[string]string),
+		dataCentres: x.presence.dataCentres(),
+		givenUp:     func(name string) bool { return x.presence.givenUp(name, m.now) },
+		replaces:    m.replaces,
+	}
+	for _, name := range m.names {
+		if m.live(x, name) {
+			view.identities[name] = currentIdentity(name, m.answer(x, name), st)
+		}
+	}
+	return newVoterPlan(st, view)
 }
 
 // live reports whether an instance takes another for live.
@@ -414,7 +471,7 @@
 	var best *modelInstance
 	for _, name := range m.names {
 		x := m.instances[name]
-		if x.node != nil && x.node.Status().LeaderReady && (best == nil || x.node.Status().Term > best.node.Status().Term) {
+		if x.node != nil && x.status().LeaderReady && (best == nil || x.status().Term > best.status().Term) {
 			best = x
 		}
 	}
