--- a/internal/gwcontrol/voterorder_test.go
+++ b/internal/gwcontrol/voterorder_test.go
@@ -12,16 +12,20 @@
 )
 
 // orderCase is the replacement of one voter, which does not answer, by a learner that has caught
-// up, in two changes. Members are numbered; the last one is the learner, the one before it the
-// voter that is replaced.
+// up, in two changes, or in one with two entries. Members are numbered; the last one is the
+// learner, the one before it the voter that is replaced.
 type orderCase struct {
 	voters      int
 	removeFirst bool
+	replace     bool // with quorums of both after the first entry
 	returns     bool // the replaced voter returns with its disk
 }
 
-// config returns the voters after a number of the changes.
-func (c orderCase) config(changes int) []int {
+// config returns the voters after a number of the changes, or both groups of them.
+func (c orderCase) config(changes int) [][]int {
+	if c.replace && changes == 1 {
+		return slices.Concat(c.config(0), c.config(2))
+	}
 	var out []int
 	for id := range c.voters + 1 {
 		old, learner := id == c.voters-1, id == c.voters
@@ -31,18 +35,20 @@
 			out = append(out, id)
 		}
 	}
-	return out
+	return [][]int{out}
 }
 
 // holds reports whether the given members are a quorum of the voters after a number of changes.
 func (c orderCase) holds(changes int, members func(id int) bool) bool {
-	voters, n := c.config(changes), 0
-	for _, id := range voters {
-		if members(id) {
-			n++
+	return !slices.ContainsFunc(c.config(changes), func(voters []int) bool {
+		n := 0
+		for _, id := range voters {
+			if members(id) {
+				n++
+			}
 		}
-	}
-	return n > len(voters)/2
+		return n <= len(voters)/2
+	})
 }
 
 // reachable reports whether the members can know of the given numbers of changes, where the
@@ -58,7 +64,7 @@
 func (c orderCase) stopped(known []int, lost int) bool {
 	present := func(id int) bool { return id != lost && (c.returns || id != c.voters-1) }
 	for candidate, changes := range known {
-		if present(candidate) && slices.Contains(c.config(changes), candidate) &&
+		if present(candidate) && slices.Contains(slices.Concat(c.config(changes)...), candidate) &&
 			c.holds(changes, func(id int) bool { return present(id) && known[id] <= changes }) {
 			return false
 		}
@@ -109,6 +115,10 @@
 		{orderCase{voters: 5, returns: true, removeFirst: true}, 0, 380},
 		{orderCase{voters: 5}, 0, 320},
 		{orderCase{voters: 5, removeFirst: true}, 0, 380},
+		{orderCase{voters: 3, replace: true, returns: true}, 0, 30},
+		{orderCase{voters: 3, replace: true}, 10, 30},
+		{orderCase{voters: 5, replace: true, returns: true}, 0, 380},
+		{orderCase{voters: 5, replace: true}, 0, 380},
 	}
 	for _, tt := range tests {
 		stopped, all := tt.count()
