gwsoak: random schedules change the control instances while they run

Cause: random schedules replaced a control instance only after it had ended, and lost a disk only if the pages allowed it at the moment of the step, which overlapping faults rarely left.

Change: ReplaceBeside (the predecessor ends at any time after the start of its successor, every second time as soon as it does not count, by SIGTERM or SIGKILL, or never), AddControl (an additional instance, removed in the same ways) and LoseNext (a lost disk or a replacement as soon as the pages allow it). The seeds that are divisible by three have fewer faults and more of these kinds.

A seed of random stands for another schedule now.

--- a/internal/gwsoak/beside.go
+++ b/internal/gwsoak/beside.go
@@ -40,12 +40,32 @@
 	return n
 }
 
+// replaceBeside starts a successor of p while p runs, and ends p later.
+func (r *Run) replaceBeside(ctx context.Context, p *process, e Ending, seeds SeedsOf) {
+	if n := r.startBeside(p, seeds); n != nil {
+		r.remove(ctx, p, n.startTime(), e)
+	}
+}
+
+// addControl starts an additional control instance and ends it later.
+func (r *Run) addControl(ctx context.Context, dataCentre string, e Ending, seeds SeedsOf) {
+	n, err := r.describeControl(dataCentre)
+	if err != nil {
+		r.check.logf("no additional instance: %v", err)
+		return
+	}
+	r.check.fault(0, "add %s", n.settings.Name)
+	r.changeControl(n, nil, seeds)
+	r.restart(n)
+	r.remove(ctx, n, n.startTime(), e)
+}
+
 // remove ends a control instance for good, some time after start and once the pages allow it.
 func (r *Run) remove(ctx context.Context, p *process, start time.Time, e Ending) {
 	if e.Never || !sleep(ctx, time.Until(start.Add(e.After))) {
 		return
 	}
-	if !r.await(ctx, p, lossWait, func(d *redundancy) bool { return d.done[p] || d.take(p, nil, time.Now()) }) {
+	if !r.await(ctx, p, lossWait, func(d *redundancy) bool { return d.remove(p, time.Now(), platformtest.Grace) }) {
 		r.check.logf("not done, as it is gone or another disk is lost: remove %s", p.settings.Name)
 		return
 	}
--- a/internal/gwsoak/failed_test.go
+++ b/internal/gwsoak/failed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,6 +47,19 @@
 	{"besideControl", 7, causeNoVote},
 }
 
+// failedBeforeBeside has seeds of random schedules that failed before there were memberKinds.
+var failedBeforeBeside = []struct {
+	seed        uint64
+	total, sync time.Duration
+	cause       string
+}{
+	{202, time.Minute, 100 * time.Millisecond, "the first configuration took 7.4 s; not traced (issue 36)"},
+	{309, 12 * time.Second, 0, causeBusy},
+	{310, 12 * time.Second, 0, causeBusy},
+	{312, 12 * time.Second, 0, causeBusy},
+	{321, 12 * time.Second, 0, causeBusy},
+}
+
 // failedSchedules has the random schedules that failed, step by step, since a seed stands for
 // another schedule once a kind of fault is added. A cause that occurred often has two.
 var failedSchedules = []struct {
@@ -132,6 +146,13 @@
 			assert.Empty(t, play(t, s, test.seed, 15*time.Second).Violations, "seed %d failed before: %s", test.seed, test.cause)
 		})
 	}
+	for _, test := range failedBeforeBeside {
+		t.Run(fmt.Sprintf("random seed %d before besideControl", test.seed), func(t *testing.T) {
+			steps := scheduleOf(kinds, test.seed, test.total, stepInterval)
+			s := Scenario{Name: "random", play: func(ctx context.Context, r *Run) { r.playSteps(ctx, steps) }}
+			assert.Empty(t, playWith(t, s, test.seed, test.total, test.sync).Violations, "failed before: %s", test.cause)
+		})
+	}
 	for _, test := range failedSchedules {
 		t.Run(test.name, func(t *testing.T) {
 			s := Scenario{Name: test.name, play: func(ctx context.Context, r *Run) { r.playSteps(ctx, test.steps) }}
--- a/internal/gwsoak/loss.go
+++ b/internal/gwsoak/loss.go
@@ -85,6 +85,16 @@
 	}}, nil
 }
 
+// replace replaces a control instance that ends first.
+func (r *Run) replace(ctx context.Context, p *process, silent bool, seeds SeedsOf, d, wait time.Duration) {
+	l, err := r.replacing(p, silent, seeds)
+	if err != nil {
+		r.check.logf("no replacement: %v", err)
+		return
+	}
+	r.lose(ctx, l, false, d, wait)
+}
+
 func addressText(silent bool) string {
 	if silent {
 		return "its address is silent"
@@ -139,7 +149,7 @@
 	}
 	if added != nil {
 		control = slices.Insert(control, at, added)
-		r.redundancy.restoring[added] = true
+		r.redundancy.restoring[added] = gone != nil
 	}
 	var ips []netip.Addr
 	for _, p := range control {
@@ -222,7 +232,7 @@
 
 // awaitUp waits until a control instance accepts connections.
 func (r *Run) awaitUp(ctx context.Context, p *process) {
-	for end := time.Now().Add(upLimit); time.Now().Before(end); {
+	for end := time.Now().Add(upLimit); time.Now().Before(end) && !p.isGone(); {
 		if c, err := net.DialTimeout("tcp", p.settings.ControlAddress, time.Second); err == nil {
 			_ = c.Close()
 			return
--- a/internal/gwsoak/process.go
+++ b/internal/gwsoak/process.go
@@ -119,6 +119,13 @@
 	return p.started
 }
 
+// isGone reports whether the process was ended for good.
+func (p *process) isGone() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gone
+}
+
 // pause stops the process with SIGSTOP.
 func (p *process) pause() { p.signal(syscall.SIGSTOP) }
 
--- a/internal/gwsoak/redundancy.go
+++ b/internal/gwsoak/redundancy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 )
@@ -15,7 +14,8 @@
 // where a machine without its disk is lost until it and all others that count have had
 // catchUpLimit. Run.mu guards it.
 type redundancy struct {
-	// restoring has the control instances without a disk, or that started with an empty one.
+	// restoring has the control instances without their disk, or that started with an empty one;
+	// true stands for a disk that is lost.
 	restoring map[*process]bool
 	// since is when a control instance started or was last seen to be lost.
 	since map[*process]time.Time
@@ -23,7 +23,7 @@
 	successors map[*process]*process
 	// done has those that do not count any more, as their successors have had their time.
 	done map[*process]bool
-	// removed is when a control instance was last removed that has no successor.
+	// removed is when a control instance that has no successor was last removed, or will be.
 	removed time.Time
 }
 
@@ -79,11 +79,7 @@
 		d.since[p] = latest(d.since[p], at)
 	}
 	had := func(p *process) bool { return now.Sub(d.since[p]) >= catchUpLimit }
-	for p := range since {
-		if n := d.successors[p]; n != nil && since[n] != (time.Time{}) && had(n) && d.only(p) {
-			d.done[p] = true
-		}
-	}
+	d.release(since, had)
 	for p := range since {
 		if !d.done[p] && !had(p) {
 			return
@@ -91,13 +87,24 @@
 	}
 	if now.Sub(d.removed) >= catchUpLimit {
 		clear(d.restoring)
+		d.release(since, had)
+	}
+}
+
+// release notes which control instances do not count any more.
+func (d *redundancy) release(since map[*process]time.Time, had func(p *process) bool) {
+	for p := range since {
+		if n := d.successors[p]; n != nil && since[n] != (time.Time{}) && had(n) && d.only(p, true) {
+			d.done[p] = true
+		}
 	}
 }
 
-// only reports whether no disk is lost but that of p, its successor or its predecessor.
-func (d *redundancy) only(p *process) bool {
-	for o := range maps.Keys(d.restoring) {
-		if o != p && d.successors[p] != o && d.successors[o] != p {
+// only reports whether none is restoring but p, its successor or its predecessor; with lost set,
+// none whose disk is lost.
+func (d *redundancy) only(p *process, lost bool) bool {
+	for o, disk := range d.restoring {
+		if (disk || !lost) && o != p && d.successors[p] != o && d.successors[o] != p {
 			return false
 		}
 	}
@@ -106,7 +113,7 @@
 
 // take reports whether p may lose its disk, and be succeeded by n if n is not nil.
 func (d *redundancy) take(p, n *process, now time.Time) bool {
-	if d.restoring[p] || !d.only(p) || n != nil && d.successors[p] != nil {
+	if d.restoring[p] || !d.only(p, false) || n != nil && d.successors[p] != nil {
 		return false
 	}
 	d.restoring[p], d.since[p] = true, now
@@ -134,6 +141,17 @@
 	}
 }
 
+// remove reports whether p may end for good, for which it has a grace time.
+func (d *redundancy) remove(p *process, now time.Time, grace time.Duration) bool {
+	if !d.done[p] && !d.take(p, nil, now) {
+		return false
+	}
+	if d.successors[p] == nil {
+		d.removed = now.Add(grace)
+	}
+	return true
+}
+
 // takeDisk reports whether p may lose its disk, and be succeeded by n if n is not nil.
 func (r *Run) takeDisk(ctx context.Context, p, n *process, wait time.Duration) bool {
 	return r.await(ctx, p, wait, func(d *redundancy) bool { return !d.done[p] && d.take(p, n, time.Now()) })
--- a/internal/gwsoak/schedule.go
+++ b/internal/gwsoak/schedule.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -66,6 +67,24 @@
 		Silent  bool // the old address is silent, rather than refusing connections
 		Seeds   SeedsOf
 	}
+	// ReplaceBeside starts a successor beside a control instance, which ends later.
+	ReplaceBeside struct {
+		Control int
+		Ending  Ending
+		Seeds   SeedsOf
+	}
+	// AddControl starts an additional control instance, which is removed later.
+	AddControl struct {
+		Zone   int
+		Ending Ending
+		Seeds  SeedsOf
+	}
+	// LoseNext loses the disk of a control instance as soon as the pages allow it, or replaces
+	// the instance.
+	LoseNext struct {
+		Control         int
+		Replace, Silent bool
+	}
 	// LoseDisk kills a control instance and starts it again with an empty disk.
 	LoseDisk struct{ Control int }
 	// PowerLoss kills all instances and starts them again, a control instance with an empty
@@ -103,6 +122,9 @@
 func (HoldCalls) isAction()           {}
 func (PauseCaller) isAction()         {}
 func (ReplaceControl) isAction()      {}
+func (ReplaceBeside) isAction()       {}
+func (AddControl) isAction()          {}
+func (LoseNext) isAction()            {}
 func (LoseDisk) isAction()            {}
 func (PowerLoss) isAction()           {}
 func (SlowDisks) isAction()           {}
@@ -122,6 +144,7 @@
 // instances bounds the numbers of instances in a schedule.
 const instances = 9
 
+// kinds are those of the seeds in failedBeforeBeside; new ones go into memberKinds.
 var kinds = []weighted{
 	{6, func(r *rand.Rand) Action { return CrashPrimary{Group: r.IntN(3)} }},
 	{2, func(r *rand.Rand) Action { return CrashServer{Group: r.IntN(3), Server: r.IntN(3)} }},
@@ -153,6 +176,29 @@
 	{1, func(r *rand.Rand) Action { return Busy{Loops: 1 + r.IntN(maxLoops)} }},
 }
 
+// memberKinds change the control instances.
+var memberKinds = []weighted{
+	{4, func(r *rand.Rand) Action {
+		return ReplaceBeside{Control: r.IntN(instances), Ending: randomEnding(r, 2*catchUpLimit), Seeds: SeedsOf(r.IntN(3))}
+	}},
+	{2, func(r *rand.Rand) Action {
+		return AddControl{Zone: r.IntN(len(zones)), Ending: randomEnding(r, 3*catchUpLimit), Seeds: SeedsOf(r.IntN(3))}
+	}},
+	{4, func(r *rand.Rand) Action {
+		return LoseNext{Control: r.IntN(instances), Replace: r.IntN(2) == 0, Silent: r.IntN(2) == 0}
+	}},
+}
+
+// randomEnding ends a control instance at any time, every second time as soon as its successor
+// has had its time.
+func randomEnding(r *rand.Rand, limit time.Duration) Ending {
+	e := Ending{After: randomTime(r, limit), Kill: r.IntN(2) == 0, Silent: r.IntN(2) == 0, Never: r.IntN(6) == 0}
+	if r.IntN(2) == 0 {
+		e.After = catchUpLimit
+	}
+	return e
+}
+
 func randomTime(r *rand.Rand, limit time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(limit)))
 }
@@ -165,19 +211,30 @@
 	moreSync = 350 * time.Millisecond
 	// stepInterval is the mean time between two faults, so that they overlap.
 	stepInterval = 700 * time.Millisecond
+	// calmInterval is that of every third seed, so that the pages allow the loss of several
+	// disks in a run.
+	calmInterval = 2 * time.Second
 )
 
 // RandomSchedule returns the schedule of a seed for a time. It depends on nothing else.
 func RandomSchedule(seed uint64, total time.Duration) []Step {
+	all := slices.Concat(kinds, memberKinds)
+	if seed%3 == 0 {
+		return scheduleOf(slices.Concat(all, memberKinds, memberKinds, memberKinds), seed, total, calmInterval)
+	}
+	return scheduleOf(all, seed, total, stepInterval)
+}
+
+func scheduleOf(of []weighted, seed uint64, total, interval time.Duration) []Step {
 	r := rand.New(rand.NewPCG(seed, 1))
 	sum := 0
-	for _, k := range kinds {
+	for _, k := range of {
 		sum += k.weight
 	}
 	var out []Step
-	for at := time.Duration(0); at < total; at += randomTime(r, 2*stepInterval) {
+	for at := time.Duration(0); at < total; at += randomTime(r, 2*interval) {
 		n := r.IntN(sum)
-		for _, k := range kinds {
+		for _, k := range of {
 			if n -= k.weight; n < 0 {
 				out = append(out, Step{At: at, For: minFaultTime + randomTime(r, moreFaultTime), Action: k.make(r)})
 				break
@@ -203,8 +260,11 @@
 	wg.Wait()
 }
 
+// nth returns the process with a number, modulo how many there are.
+func nth(all []*process, n int) *process { return all[n%len(all)] }
+
 func (r *Run) act(ctx context.Context, s Step) {
-	control := func(n int) *process { return r.controls()[n%len(r.controls())] }
+	control := func(n int) *process { return nth(r.controls(), n) }
 	all := r.processes()
 	switch a := s.Action.(type) {
 	case Pause:
@@ -236,23 +296,28 @@
 
 // actOnDisks plays the faults of disks, power and processors.
 func (r *Run) actOnDisks(ctx context.Context, s Step) {
-	control := func(n int) *process { return r.controls()[n%len(r.controls())] }
+	control := func(n int) *process { return nth(r.controls(), n) }
 	switch a := s.Action.(type) {
 	case ReplaceControl:
-		l, err := r.replacing(control(a.Control), a.Silent, a.Seeds)
-		if err != nil {
-			r.check.logf("no replacement: %v", err)
+		r.replace(ctx, nth(r.replaceable(), a.Control), a.Silent, a.Seeds, s.For, 0)
+	case ReplaceBeside:
+		r.replaceBeside(ctx, nth(r.replaceable(), a.Control), a.Ending, a.Seeds)
+	case AddControl:
+		r.addControl(ctx, zones[a.Zone], a.Ending, a.Seeds)
+	case LoseNext:
+		if a.Replace {
+			r.replace(ctx, nth(r.replaceable(), a.Control), a.Silent, SeedsPresent, s.For, lossWait)
 			return
 		}
-		r.lose(ctx, l, false, s.For, 0)
+		r.lose(ctx, r.wiping(nth(r.counting(), a.Control)), false, s.For, lossWait)
 	case LoseDisk:
-		r.lose(ctx, r.wiping(control(a.Control)), false, s.For, 0)
+		r.lose(ctx, r.wiping(nth(r.counting(), a.Control)), false, s.For, 0)
 	case PowerLoss:
 		if a.Control < 0 {
 			r.losePower(ctx, s.For, nil)
 			return
 		}
-		r.lose(ctx, r.wiping(control(a.Control)), true, s.For, 0)
+		r.lose(ctx, r.wiping(nth(r.counting(), a.Control)), true, s.For, 0)
 	case SlowDisks:
 		all := r.controls()
 		if a.Control >= 0 {
@@ -272,7 +337,7 @@
 func (r *Run) actOutside(ctx context.Context, s Step) {
 	switch a := s.Action.(type) {
 	case HoldCalls:
-		r.holdCalls(ctx, r.controls()[a.Control%len(r.controls())], a.Silent, s.For)
+		r.holdCalls(ctx, nth(r.controls(), a.Control), a.Silent, s.For)
 	case PauseCaller:
 		r.pauseCaller(ctx, s.For)
 	case SlowPlatform:
