gwsoak: the random schedules of seeds 31 and 33 stay as regression cases

In 33 the voters were three old instances and the successors of two of them when both predecessors ended and the third instance was replaced: two of five were left. In 31 there were seven voters; two predecessors and an additional instance ended at once, a second additional one 4 s later: three of seven were left.

--- a/internal/gwsoak/failed_test.go
+++ b/internal/gwsoak/failed_test.go
@@ -17,6 +17,7 @@
 	causeNewID         = "a crashed server that returned with its log under a new id was waited for without end (issue 33)"
 	causeUnseenPrimary = "as above, for a server that crashed before the control instances had seen that it led (issue 33)"
 	causeNoVote        = "a successor that started beside its predecessor had no vote when that one ended (issue 39)"
+	causeOldVotes      = "predecessors voted beside their successors, and too few voters were left when several ended (issue 39)"
 	causeTwoChanges    = "a leader was lost between the two changes that replace a voter, and the next disk after that (issue 36)"
 	causeBusy          = "processes stood still again and again on a busy machine; not traced (issue 36)"
 	causeSlowSyncs     = "a voter did nothing else while it synced, so that no leader lasted (issue 36)"
@@ -132,6 +133,39 @@
 		{10559 * time.Millisecond, 2764 * time.Millisecond, CutZone{Zone: 0}},
 		{11905 * time.Millisecond, 1025 * time.Millisecond, Kill{Instance: 6}},
 	}},
+	{"random seed 33", 33, causeOldVotes, []Step{
+		{0 * time.Millisecond, 990 * time.Millisecond, Busy{Loops: 6}},
+		{2701 * time.Millisecond, 3082 * time.Millisecond, LargeConfigurations{Bytes: 103186}},
+		{4019 * time.Millisecond, 1101 * time.Millisecond, ReplaceBeside{Control: 1, Ending: Ending{After: catchUpLimit, Kill: true}, Seeds: 0x1}},
+		{7447 * time.Millisecond, 1316 * time.Millisecond, ReplaceBeside{Control: 4, Ending: Ending{After: 341145701, Kill: true, Silent: true}, Seeds: 0x1}},
+		{7887 * time.Millisecond, 2834 * time.Millisecond, LoseDisk{Control: 1}},
+		{11025 * time.Millisecond, 1233 * time.Millisecond, LoseNext{Control: 0, Replace: true}},
+		{14599 * time.Millisecond, 305 * time.Millisecond, PauseCaller{}},
+	}},
+	{"random seed 31", 31, causeOldVotes, []Step{
+		{0 * time.Millisecond, 1206 * time.Millisecond, Isolate{Control: 2}},
+		{436 * time.Millisecond, 552 * time.Millisecond, Kill{Instance: 6}},
+		{1241 * time.Millisecond, 2030 * time.Millisecond, HoldCalls{Control: 2}},
+		{1488 * time.Millisecond, 1290 * time.Millisecond, ReplaceControl{Control: 1, Seeds: 0x2}},
+		{2141 * time.Millisecond, 2072 * time.Millisecond, CrashPrimary{Group: 2}},
+		{2418 * time.Millisecond, 3230 * time.Millisecond, AddControl{Zone: 0, Ending: Ending{After: catchUpLimit, Kill: false}, Seeds: 0x2}},
+		{3555 * time.Millisecond, 2978 * time.Millisecond, Pause{Instance: 0}},
+		{4919 * time.Millisecond, 355 * time.Millisecond, PauseCaller{}},
+		{5276 * time.Millisecond, 746 * time.Millisecond, ReplaceBeside{Control: 2, Ending: Ending{After: 3165355481, Kill: false, Silent: true}, Seeds: 0x1}},
+		{6648 * time.Millisecond, 1282 * time.Millisecond, CutControl{Control: 0, OneWay: false}},
+		{7523 * time.Millisecond, 1122 * time.Millisecond, CrashPrimary{Group: 0}},
+		{7918 * time.Millisecond, 3559 * time.Millisecond, Isolate{Control: 2}},
+		{9183 * time.Millisecond, 1721 * time.Millisecond, SlowDisks{Control: 2, By: 56752619}},
+		{9458 * time.Millisecond, 3094 * time.Millisecond, AddControl{Zone: 2, Ending: Ending{After: catchUpLimit, Kill: true, Silent: true}, Seeds: 0x2}},
+		{10853 * time.Millisecond, 624 * time.Millisecond, ReplaceBeside{Control: 3, Ending: Ending{After: catchUpLimit, Kill: false, Silent: true}, Seeds: 0x2}},
+		{11778 * time.Millisecond, 812 * time.Millisecond, CrashPrimary{Group: 2}},
+		{12189 * time.Millisecond, 2832 * time.Millisecond, CutControl{Control: 1, OneWay: true}},
+		{12259 * time.Millisecond, 3819 * time.Millisecond, CutControl{Control: 0, OneWay: false}},
+		{12876 * time.Millisecond, 507 * time.Millisecond, SlowPlatform{By: 3654357516}},
+		{13291 * time.Millisecond, 4008 * time.Millisecond, CrashPrimary{Group: 0}},
+		{13727 * time.Millisecond, 882 * time.Millisecond, CrashPrimary{Group: 0}},
+		{14365 * time.Millisecond, 2821 * time.Millisecond, Kill{Instance: 7}},
+	}},
 }
 
 // Guards against faults that the soak has found before. It takes half a minute per seed and
