gentianward-platform: tests of work at a silent owner, planned stops under load and lost answers

TestWorkOfSilentOwner: the owner loses all links to other instances for 0.3, 1.5 and 4 s while its server works.

TestPlannedStopUnderLoadAnswersRequests: three entry instances stop one after another.

TestLostAnswerIsNotRunAgain: the connection to the server closes in place of one answer in 20.

--- a/cmd/gentianward-platform/standin_test.go
+++ b/cmd/gentianward-platform/standin_test.go
@@ -30,6 +30,10 @@
 	// beforePromote, if set, runs when a call that names a server has arrived. ctx ends when
 	// the connection of the call breaks.
 	beforePromote func(ctx context.Context, id string)
+	// cost is how long a write or a commit runs, and loses reports whether the connection
+	// closes in place of the answer to such a statement, if set.
+	cost  time.Duration
+	loses func(statement string) bool
 }
 
 type standinCommit struct {
@@ -181,8 +185,18 @@
 		}
 		f := strings.Fields(line)
 		s.g.mu.Lock()
+		cost, loses := s.g.cost, s.g.loses
+		s.g.mu.Unlock()
+		writes := f[0] == "QUERY" && (f[2] == "STORE" || f[2] == "COMMIT")
+		if writes {
+			time.Sleep(cost)
+		}
+		s.g.mu.Lock()
 		answer := ses.handle(f)
 		s.g.mu.Unlock()
+		if writes && loses != nil && loses(f[2]) {
+			return
+		}
 		if _, err := nc.Write([]byte(answer)); err != nil {
 			return
 		}
