gwcontrol: all instances learn which others know Replace, also while they do not lead

A leader that takes over from a voter that ended without SIGTERM could not ask that voter whether it knows Replace, so that its successor was promoted and the old one removed, with three of four voters needed in between. Instances now ask each of the others until it has told so.

TestVotersTellTheirReleaseToAll; 20 runs with the race detector.

--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -130,6 +131,7 @@
 		if l.clock.Since(lastPresence) >= voterCheckInterval {
 			lastPresence = l.clock.Now()
 			l.observePresence()
+			l.askReleases(ctx)
 		}
 		if !l.consensus.Leading() {
 			leadingSince = time.Time{}
@@ -165,6 +167,19 @@
 	l.presence.observe(l.topology().Live, l.clock.Now())
 }
 
+// askReleases asks the instances that have not told yet that they know gwquorum.Replace while
+// another voter leads: the next leader cannot ask a voter that ended with the last.
+func (l *Leader) askReleases(ctx context.Context) {
+	if l.consensus.Leading() {
+		return // reconcileVoters asks
+	}
+	unknown := l.others(l.voters())
+	maps.DeleteFunc(unknown, func(name, _ string) bool { return l.identities.knowsReplace(name) })
+	if len(unknown) > 0 {
+		go l.identities.ask(ctx, l.clock, unknown)
+	}
+}
+
 // leaselessSince holds, by group, the time since which the group has had no lease while
 // no change of primary was running.
 type leaselessSince map[string]time.Time
--- a/internal/gwcontrol/voteranswers.go
+++ b/internal/gwcontrol/voteranswers.go
@@ -91,12 +91,17 @@
 	return a.id
 }
 
+// knowsReplace reports whether an instance has answered that it knows gwquorum.Replace.
+func (v *voterAnswers) knowsReplace(name string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.byName[name].replaces
+}
+
 // replaces reports whether the instances of all other members have answered that they know
 // gwquorum.Replace. A release that does not know it takes the members in between for those after.
 func (v *voterAnswers) replaces(st gwquorum.Status) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	return !slices.ContainsFunc(slices.Concat(st.Voters, st.Learners), func(id string) bool {
-		return voterName(id) != voterName(st.ID) && !v.byName[voterName(id)].replaces
+		return voterName(id) != voterName(st.ID) && !v.knowsReplace(voterName(id))
 	})
 }
--- a/internal/gwcontrol/voterchange_test.go
+++ b/internal/gwcontrol/voterchange_test.go
@@ -189,6 +189,41 @@
 	})
 }
 
+// Guards against a leader that does not know whether a voter that ended with the last leader knows
+// gwquorum.Replace, so that its successor is promoted beside it.
+func TestVotersTellTheirReleaseToAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newVoterGroup(t, []string{"a", "b", "c"}, nil)
+		c := g.leading()
+		follower := g.voters[slices.DeleteFunc([]string{"a", "b", "c"}, func(id string) bool { return id == c.Instance })[0]]
+		l := &Leader{consensus: follower, clock: c.Clock, log: c.Log, voters: func() map[string]string {
+			return map[string]string{"a": "a", "b": "b", "c": "c", "d": "d"}
+		}}
+		var mu sync.Mutex
+		asked := make(map[string]int)
+		l.identities.askOne = func(_ context.Context, address string) (voterInfo, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			asked[address]++
+			return voterInfo{ID: address, Replaces: address != "d"}, nil
+		}
+		for range 3 {
+			l.askReleases(t.Context())
+			synctest.Wait()
+		}
+		others := slices.DeleteFunc([]string{"a", "b", "c"}, func(id string) bool { return id == follower.Instance })
+		assert.Equal(t, map[string]int{others[0]: 1, others[1]: 1, "d": 3}, asked, "d may be updated")
+		st := follower.Status()
+		assert.True(t, l.identities.replaces(st))
+		st.Learners = []string{"d"}
+		assert.False(t, l.identities.replaces(st))
+		for _, stop := range g.stop {
+			stop()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against live instances that are taken for the list of a manifest that came in force
 // after they were read: a leader that knows no other instance yet removed the other voters.
 func TestLiveInstancesAreNoList(t *testing.T) {
