gwcontrol: a leader that is to be replaced tries one voter at intervals

Nothing is committed during a transfer of the leadership, for 300 ms if the target cannot take over, and the leader planned again every 250 ms. The attempts at one voter are now as far apart as those of moveLeadership (4 s and more); another voter that stays is tried at once.

TestLeaderIsReplaced; the tests of the voters and leaders of the package pass.

--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -291,6 +291,9 @@
 	spares spareLearners
 	// identities holds the answers of the instances that may be voters.
 	identities voterAnswers
+	// handOvers holds the transfers of the leadership by a leader that is to be replaced; owned by
+	// reconcileVoters.
+	handOvers leadershipMoves
 	// presence holds when and where the instances that may vote were last live.
 	presence presence
 	// endingRecords is set while endRecords runs.
--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"gentianward.example/gentianward/pkg/gwquorum"
 )
@@ -253,11 +254,12 @@
 }
 
 // nextLeader returns the voter that can lead while the leader is replaced or removed: one that
-// stays and has the longest synced log; "" if there is none.
-func (p voterPlan) nextLeader() string {
+// stays, to which the leadership may be transferred now, and has the longest synced log; "" if there
+// is none.
+func (p voterPlan) nextLeader(moves leadershipMoves, now time.Time) string {
 	best := gwquorum.PeerStatus{}
 	for _, peer := range p.st.Peers {
-		if !peer.Learner && slices.Contains(p.eligible, peer.Instance) && p.caughtUp(peer.Instance) &&
+		if !peer.Learner && slices.Contains(p.eligible, peer.Instance) && p.caughtUp(peer.Instance) && moves.allowed(peer.Instance, now) &&
 			(best.Instance == "" || peer.Match > best.Match) {
 			best = peer
 		}
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -247,7 +247,7 @@
 func (l *Leader) proposeChange(ctx context.Context, change gwquorum.Change, plan voterPlan) error {
 	st := plan.st
 	if leaves(change, st.ID) {
-		l.transferLeadership(ctx, plan.nextLeader())
+		l.handOver(ctx, plan)
 		l.undone.observe(l.log, l.clock.Now(), errLeavesFirst.Error(), st)
 		return errLeavesFirst
 	}
@@ -273,12 +273,20 @@
 	return change.Kind == gwquorum.Remove && change.Instance == id || change.Kind == gwquorum.Replace && change.Replaced == id
 }
 
-// transferLeadership starts the transfer of the leadership to a voter, "" for any.
-func (l *Leader) transferLeadership(ctx context.Context, to string) {
+// handOver starts the transfer of the leadership to a voter that stays, if there is one. The
+// attempts at one voter are as far apart as those of moveLeadership, as nothing is committed
+// during each.
+func (l *Leader) handOver(ctx context.Context, plan voterPlan) {
+	now := l.clock.Now()
+	to := plan.nextLeader(l.handOvers, now)
 	if to == "" {
-		l.consensus.TransferLeadership(ctx)
 		return
 	}
+	if l.handOvers == nil {
+		l.handOvers = make(leadershipMoves)
+	}
+	l.handOvers.record(to, now)
+	l.log.Info("transferring the leadership of the replicated log, as this voter is to be replaced", "to", to)
 	_ = l.consensus.do(ctx, func() { _ = l.consensus.node.TransferLeadership(to) })
 }
 
--- a/internal/gwcontrol/voters_test.go
+++ b/internal/gwcontrol/voters_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -170,7 +171,7 @@
 		case change == (gwquorum.Change{}):
 			return changes
 		case leaves(change, s.ID):
-			s.lead(plan.nextLeader())
+			s.lead(plan.nextLeader(nil, time.Time{}))
 		default:
 			s.apply(change)
 		}
--- a/internal/gwcontrol/voterseats_test.go
+++ b/internal/gwcontrol/voterseats_test.go
@@ -131,7 +131,8 @@
 	assert.Equal(t, gwquorum.Change{Kind: gwquorum.AddLearner, Instance: "b", Rank: &rank}, change, "it keeps its rank")
 }
 
-// Guards against a leader that is replaced and leaves the leadership to a voter that is not wanted.
+// Guards against a leader that is replaced and leaves the leadership to a voter that is not wanted,
+// or stops all commits by one attempt after the other at a voter that cannot take over.
 func TestLeaderIsReplaced(t *testing.T) {
 	st, view := seatStatus([]seatMember{
 		{id: "a"},
@@ -146,7 +147,11 @@
 	change, _ := plan.next()
 	assert.Equal(t, "b", change.Replaced, "another voter first")
 	assert.False(t, leaves(change, "a"))
-	assert.Equal(t, "e", plan.nextLeader())
+	moves, now := make(leadershipMoves), time.Unix(1000, 0)
+	assert.Equal(t, "e", plan.nextLeader(moves, now))
+	moves.record("e", now)
+	assert.Empty(t, plan.nextLeader(moves, now.Add(time.Second)))
+	assert.Equal(t, "e", plan.nextLeader(moves, now.Add(2*leaderPlacementInterval)))
 	assert.True(t, leaves(gwquorum.Change{Kind: gwquorum.Replace, Instance: "ax", Replaced: "a"}, "a"))
 	assert.True(t, leaves(gwquorum.Change{Kind: gwquorum.Remove, Instance: "a"}, "a"))
 	assert.False(t, leaves(gwquorum.Change{Kind: gwquorum.Promote, Instance: "a"}, "a"))
--- a/internal/gwcontrol/votersmodel_test.go
+++ b/internal/gwcontrol/votersmodel_test.go
@@ -93,6 +93,7 @@
 	reason         string
 	identityChosen time.Time
 	presence       *presence
+	handOvers      leadershipMoves
 	nextPresence   time.Time
 	known          *gwquorum.Status // nil after a change
 }
@@ -182,7 +183,7 @@
 	}
 	x.node, x.queue, x.saving, x.busy, x.pending, x.known = node, nil, nil, m.now, 0, nil
 	x.upSince, x.startAt, x.worked, x.nextTick = m.now, time.Time{}, m.now, m.now
-	x.presence, x.nextPresence = &presence{}, m.now
+	x.presence, x.nextPresence, x.handOvers = &presence{}, m.now, make(leadershipMoves)
 	x.identityChosen = m.now.Add(m.between(0, 300*time.Millisecond))
 	m.log("%s starts as %s", x.name, x.id)
 }
@@ -396,8 +397,11 @@
 		return
 	}
 	if leaves(change, st.ID) {
-		_ = x.node.TransferLeadership(plan.nextLeader())
-		x.known = nil
+		if to := plan.nextLeader(x.handOvers, m.now); to != "" {
+			x.handOvers.record(to, m.now)
+			_ = x.node.TransferLeadership(to)
+			x.known = nil
+		}
 		return
 	}
 	x.known = nil
