gwcontrol, gwdaemon: instances of the first start are no successors

Only up to three instances, the seeds, are the first voters; the others of the first start are added by the leader, and had a rank above 0. Where one shared its data centre with a first voter, it was taken for that one's successor: six instances in three data centres had three voters in place of five, which withstand the loss of one disk in place of two.

An instance now tells, along with its identity, that it began with an empty store at the first start of the deployment, and the leader adds it with the rank 0.

TestInstancesOfFirstStart.

--- a/internal/gwcontrol/voteranswers.go
+++ b/internal/gwcontrol/voteranswers.go
@@ -25,8 +25,9 @@
 	id     string
 	at     time.Time
 	asking bool
-	// replaces is what the instance answered last; it counts for as long as the process runs.
-	replaces bool
+	// replaces and firstStart are what the instance answered last; they count for as long as
+	// this process runs.
+	replaces, firstStart bool
 }
 
 // ask asks the instances and waits up to identityWait for their answers. A later answer
@@ -75,7 +76,7 @@
 	a := v.byName[name]
 	a.asking = false
 	if answered {
-		a.id, a.at, a.replaces = info.ID, now, info.Replaces
+		a.id, a.at, a.replaces, a.firstStart = info.ID, now, info.Replaces, info.FirstStart
 	}
 	v.byName[name] = a
 }
@@ -98,6 +99,13 @@
 	return v.byName[name].replaces
 }
 
+// firstStart reports whether an instance has answered that it is one of the first start.
+func (v *voterAnswers) firstStart(name string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.byName[name].firstStart
+}
+
 // replaces reports whether the instances of all other members have answered that they know
 // gwquorum.Replace. A release that does not know it takes the members in between for those after.
 func (v *voterAnswers) replaces(st gwquorum.Status) bool {
--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -120,7 +120,7 @@
 	}
 	for _, id := range p.current {
 		if !p.isMember(id) {
-			return gwquorum.Change{Kind: gwquorum.AddLearner, Instance: id, Rank: knownRank(p.st, voterName(id))}, ""
+			return gwquorum.Change{Kind: gwquorum.AddLearner, Instance: id, Rank: p.rankOfNew(id)}, ""
 		}
 	}
 	change, reason := p.nextOfVoters()
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -49,6 +49,9 @@
 	Initialized bool `cbor:"2,keyasint"`
 	// Replaces means that the voter knows gwquorum.Replace.
 	Replaces bool `cbor:"3,keyasint,omitempty"`
+	// FirstStart means that the process began with an empty store at the first start of the
+	// deployment, so that its instance is no successor of another.
+	FirstStart bool `cbor:"4,keyasint,omitempty"`
 }
 
 // identityFile is the name of the file in the data folder that holds a voter's identity.
@@ -168,11 +171,12 @@
 
 // ServeIdentity registers the handler of requests for this voter's identity.
 // Every instance that may become a voter must serve it, so that others can distinguish
-// the initial start of the deployment from a loss of their data.
-func (c *Consensus) ServeIdentity(hasData bool) {
+// the initial start of the deployment from a loss of their data. firstStart means that the process
+// was started as a part of that start.
+func (c *Consensus) ServeIdentity(hasData, firstStart bool) {
 	gwpeer.Handle(c.Node, kindVoter, func(context.Context, string, Empty) (voterInfo, error) {
 		st := c.Status()
-		return voterInfo{ID: st.ID, Initialized: hasData || st.Commit > 0, Replaces: true}, nil
+		return voterInfo{ID: st.ID, Initialized: hasData || st.Commit > 0, Replaces: true, FirstStart: firstStart && !hasData}, nil
 	})
 }
 
@@ -240,6 +244,7 @@
 		dataCentres: l.presence.dataCentres(),
 		givenUp:     func(name string) bool { return l.presence.givenUp(name, now) },
 		replaces:    l.identities.replaces(st),
+		firstStart:  l.identities.firstStart,
 	})
 }
 
--- a/internal/gwcontrol/voterseats.go
+++ b/internal/gwcontrol/voterseats.go
@@ -20,6 +20,8 @@
 	givenUp func(name string) bool
 	// replaces means that all members know gwquorum.Replace.
 	replaces bool
+	// firstStart reports whether an instance is one of the first start of the deployment.
+	firstStart func(name string) bool
 }
 
 // seniority orders the instances of a data centre by their ranks.
@@ -79,6 +81,15 @@
 	return out
 }
 
+// rankOfNew returns the rank of an identity that is to be added, nil for that of a new member.
+func (p voterPlan) rankOfNew(id string) *uint64 {
+	rank := knownRank(p.st, voterName(id))
+	if rank == nil && p.firstStart != nil && p.firstStart(voterName(id)) {
+		rank = new(uint64)
+	}
+	return rank
+}
+
 // knownRank returns the smallest rank that the log has for an instance, nil if it has none. An
 // instance that returns without its data is thus not taken for the successor of another.
 func knownRank(st gwquorum.Status, name string) *uint64 {
--- a/internal/gwcontrol/voterseats_test.go
+++ b/internal/gwcontrol/voterseats_test.go
@@ -157,6 +157,36 @@
 	assert.False(t, leaves(gwquorum.Change{Kind: gwquorum.Promote, Instance: "a"}, "a"))
 }
 
+// Guards against an instance of the first start that is taken for the successor of another one of
+// its data centre, as it was not one of the first voters: six instances in three data centres would
+// have three voters in place of five.
+func TestInstancesOfFirstStart(t *testing.T) {
+	st, view := seatStatus([]seatMember{{id: "a"}, {id: "b"}, {id: "c"}})
+	view.firstStart = func(name string) bool { return name != "bx" }
+	s := &memberStatus{st}
+	for _, id := range []string{"a2#1", "b2#1", "c2#1"} {
+		view.identities[voterName(id)] = id
+		view.dataCentres[voterName(id)] = id[:1]
+	}
+	grow := func() {
+		for {
+			change, _ := newVoterPlan(s.Status, view).next()
+			if change == (gwquorum.Change{}) {
+				return
+			}
+			s.apply(change)
+		}
+	}
+	grow()
+	assert.Len(t, s.Voters, 5)
+	view.identities["bx"], view.dataCentres["bx"] = "bx", "b"
+	grow()
+	assert.Contains(t, s.Voters, "bx", "the successor of b or b2")
+	assert.NotContains(t, s.Voters, "b")
+	assert.NotContains(t, s.Voters, "b2#1")
+	assert.Len(t, s.Voters, 5)
+}
+
 // Guards against a second change beside a replacement whose voters before still count.
 func TestNoChangeDuringReplacement(t *testing.T) {
 	st, view := seatStatus([]seatMember{{id: "a"}, {id: "bx", rank: 50}, {id: "c"}, {id: "b", learner: true, forLong: true}})
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -144,7 +144,7 @@
 		Heartbeat: i.Tuning.Heartbeat, State: gwstate.New(i.Settings.MaxClockDrift), Address: i.voterAddress, OnApplied: i.updateView,
 		Identity: func(ctx context.Context) (gwcontrol.Identity, error) { return gwcontrol.LoadIdentity(ctx, identity) },
 	})
-	i.consensus.ServeIdentity(!identity.StoreEmpty)
+	i.consensus.ServeIdentity(!identity.StoreEmpty, len(identity.InitialVoters) > 0)
 	i.leader = gwcontrol.NewLeader(i.node, i.consensus)
 	return nil
 }
