--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -49,6 +49,9 @@
 	Initialized bool `cbor:"2,keyasint"`
 	// Replaces means that the voter knows gwquorum.Replace.
 	Replaces bool `cbor:"3,keyasint,omitempty"`
+	// FirstStart means that the process began with an empty store at the first start of the
+	// deployment, so that its instance is no successor of another.
+	FirstStart bool `cbor:"4,keyasint,omitempty"`
 }
 
 // identityFile is the name of the file in the data folder that holds a voter's identity.
@@ -168,11 +171,12 @@
 
 // ServeIdentity registers the handler of requests for this voter's identity.
 // Every instance that may become a voter must serve it, so that others can distinguish
-// the initial start of the deployment from a loss of their data.
-func (c *Consensus) ServeIdentity(hasData bool) {
+// the initial start of the deployment from a loss of their data. firstStart means that the process
+// was started as a part of that start.
+func (c *Consensus) ServeIdentity(hasData, firstStart bool) {
 	gwpeer.Handle(c.Node, kindVoter, func(context.Context, string, Empty) (voterInfo, error) {
 		st := c.Status()
-		return voterInfo{ID: st.ID, Initialized: hasData || st.Commit > 0, Replaces: true}, nil
+		return voterInfo{ID: st.ID, Initialized: hasData || st.Commit > 0, Replaces: true, FirstStart: firstStart && !hasData}, nil
 	})
 }
 
@@ -240,6 +244,7 @@
 		dataCentres: l.presence.dataCentres(),
 		givenUp:     func(name string) bool { return l.presence.givenUp(name, now) },
 		replaces:    l.identities.replaces(st),
+		firstStart:  l.identities.firstStart,
 	})
 }
 
@@ -247,7 +252,7 @@
 func (l *Leader) proposeChange(ctx context.Context, change gwquorum.Change, plan voterPlan) error {
 	st := plan.st
 	if leaves(change, st.ID) {
-		l.transferLeadership(ctx, plan.nextLeader())
+		l.handOver(ctx, plan)
 		l.undone.observe(l.log, l.clock.Now(), errLeavesFirst.Error(), st)
 		return errLeavesFirst
 	}
@@ -273,12 +278,20 @@
 	return change.Kind == gwquorum.Remove && change.Instance == id || change.Kind == gwquorum.Replace && change.Replaced == id
 }
 
-// transferLeadership starts the transfer of the leadership to a voter, "" for any.
-func (l *Leader) transferLeadership(ctx context.Context, to string) {
+// handOver starts the transfer of the leadership to a voter that stays, if there is one. The
+// attempts at one voter are as far apart as those of moveLeadership, as nothing is committed
+// during each.
+func (l *Leader) handOver(ctx context.Context, plan voterPlan) {
+	now := l.clock.Now()
+	to := plan.nextLeader(l.handOvers, now)
 	if to == "" {
-		l.consensus.TransferLeadership(ctx)
 		return
 	}
+	if l.handOvers == nil {
+		l.handOvers = make(leadershipMoves)
+	}
+	l.handOvers.record(to, now)
+	l.log.Info("transferring the leadership of the replicated log, as this voter is to be replaced", "to", to)
 	_ = l.consensus.do(ctx, func() { _ = l.consensus.node.TransferLeadership(to) })
 }
 
