gwcontrol: a voter that is away keeps its seat from an older learner for 2 s, not 10 s

Trace: an added control instance took the seat of the older one of its data centre, and was removed 1 s later; 4 s after its end the disk of another one was lost. The older one still was a learner, as the seat of the voter that was away stayed its own for 10 s: one voter of three was left.

Change: the seat is free once the voter has not answered for 2 s (the earlier of its last reply to the leader and of when it was live). A successor still need not wait, and a learner is still removed after 10 s only, as its rank goes to its heir then. A plain restart takes less than 2 s; one that takes longer costs one change of the voters.

--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -49,7 +49,7 @@
 			p.gone = append(p.gone, id)
 		case !view.listed && p.answers(id):
 			p.current = append(p.current, id)
-		case view.listed || view.givenUp(voterName(id)):
+		case view.listed || p.isSeatVacant(id):
 			p.away = append(p.away, id)
 		default:
 			absent = append(absent, id)
@@ -86,6 +86,16 @@
 	p.target = max(p.target, oddVoters(p.eligibleVoters()+len(p.away)), min(minVoters, len(p.st.Voters)))
 }
 
+// isSeatVacant reports whether a voter that is not live has been away for seatLimit. The others
+// take it for live for some time after its last reply.
+func (p voterPlan) isSeatVacant(id string) bool {
+	since := p.lastSeen(voterName(id))
+	if peer := p.peer(id); !peer.LastReplyAt.IsZero() && peer.LastReplyAt.Before(since) {
+		since = peer.LastReplyAt
+	}
+	return p.now.Sub(since) >= seatLimit
+}
+
 // minVoters is the number of voters below which they are not reduced: of two, both are needed.
 const minVoters = 3
 
--- a/internal/gwcontrol/voterpresence.go
+++ b/internal/gwcontrol/voterpresence.go
@@ -7,9 +7,15 @@
 	"gentianward.example/gentianward/pkg/gwmember"
 )
 
-// absenceLimit is how long a voter is away until any other instance may replace it, and a learner
-// until it is removed. A plain restart takes less. A successor need not wait for it.
-const absenceLimit = 10 * time.Second
+const (
+	// absenceLimit is how long an instance is away until it is given up: a learner is removed, and
+	// its successor takes its rank.
+	absenceLimit = 10 * time.Second
+	// seatLimit is how long a voter is away until a learner that is no successor of it may take its
+	// seat. A plain restart takes less; with the change itself it ends before the next disk may be
+	// lost, 4 s after an added instance was removed. A successor need not wait for it.
+	seatLimit = 2 * time.Second
+)
 
 // presence holds when and where the instances that may vote were last live. Every instance keeps
 // it, as the one that leads next must know the data centre of a voter that ended with the last.
@@ -76,14 +82,13 @@
 	}
 }
 
-// givenUp reports whether an instance has not been live for absenceLimit, counted from the start
-// of the leadership for one that was never seen.
-func (p *presence) givenUp(name string, now time.Time) bool {
+// lastSeen returns when an instance was last live, or the start of the leadership for one that
+// was never seen.
+func (p *presence) lastSeen(name string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	since := p.leads
 	if l, seen := p.byName[name]; seen {
-		since = l.at
+		return l.at
 	}
-	return now.Sub(since) >= absenceLimit
+	return p.leads
 }
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -242,7 +242,8 @@
 		identities:  l.currentIdentities(wanted, st),
 		listed:      listed,
 		dataCentres: l.presence.dataCentres(),
-		givenUp:     func(name string) bool { return l.presence.givenUp(name, now) },
+		now:         now,
+		lastSeen:    l.presence.lastSeen,
 		replaces:    l.identities.replaces(st),
 		firstStart:  l.identities.firstStart,
 	})
--- a/internal/gwcontrol/voterseats.go
+++ b/internal/gwcontrol/voterseats.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gentianward.example/gentianward/pkg/gwquorum"
 )
@@ -16,14 +17,18 @@
 	listed bool
 	// dataCentres holds the data centres of instances by name, as far as they are known.
 	dataCentres map[string]string
-	// givenUp reports whether an instance has been away for absenceLimit.
-	givenUp func(name string) bool
+	now         time.Time
+	// lastSeen returns when an instance was last live.
+	lastSeen func(name string) time.Time
 	// replaces means that all members know gwquorum.Replace.
 	replaces bool
 	// firstStart reports whether an instance is one of the first start of the deployment.
 	firstStart func(name string) bool
 }
 
+// givenUp reports whether an instance has been away for absenceLimit.
+func (v voterView) givenUp(name string) bool { return v.now.Sub(v.lastSeen(name)) >= absenceLimit }
+
 // seniority orders the instances of a data centre by their ranks.
 type seniority struct {
 	ids   []string // the newest last
--- a/internal/gwcontrol/votersfaults_test.go
+++ b/internal/gwcontrol/votersfaults_test.go
@@ -376,6 +376,33 @@
 	}
 }
 
+// Guards against an added instance that has taken a seat, leaves without a successor and keeps it:
+// the loss of another disk 4 s later left one of three voters.
+func TestAddedInstanceLeavesItsSeat(t *testing.T) {
+	for seed := range uint64(12) {
+		m := newVotersModel(seed, 3, 0)
+		m.run(3 * time.Second)
+		m.add()
+		m.run(changeLimit)
+		var added, others []*modelInstance
+		for _, name := range m.names {
+			if x := m.instances[name]; x.added {
+				added = append(added, x)
+			}
+		}
+		leaves := added[int(seed)%len(added)]
+		m.end(leaves)
+		m.run(leaveLimit + m.between(0, 500*time.Millisecond))
+		for _, name := range m.names {
+			if x := m.instances[name]; x != leaves && x.node != nil && x.dataCentre != leaves.dataCentre {
+				others = append(others, x)
+			}
+		}
+		m.loseDisk(others[int(seed)%len(others)], time.Second, seed%2 == 0)
+		assert.NoError(t, m.requireCommit(6*time.Second), "seed %d: %q", seed, m.trace)
+	}
+}
+
 // otherVoter returns the name of a voter that does not lead and still has its disk.
 func (m *votersModel) otherVoter(l *modelInstance) string {
 	i := slices.IndexFunc(l.status().Voters, func(id string) bool { return id != l.id && m.exists(id) })
