--- a/pkg/gwquorum/doc.go
+++ b/pkg/gwquorum/doc.go
@@ -1,6 +1,7 @@
 // Package gwquorum implements the Raft consensus algorithm for a small group of
 // voters: leader election with pre-vote, log replication, linearizable reads by
-// read index, snapshots, single-server membership changes and leadership transfer.
+// read index, snapshots, single-server membership changes, replacement of one voter by
+// another, and leadership transfer.
 //
 // A Node is a deterministic state machine without I/O. It opens no sockets, starts
 // no goroutines and reads no clock; callers pass messages and the current time and
@@ -31,6 +32,23 @@
 // should be sent in order; a message out of order is handled correctly but costs one
 // more round trip.
 //
+// # Replacement of a voter
+//
+// Replace turns a learner into a voter and another voter into a learner. Of three voters,
+// majorities before and after it may have no member in common. So its entry holds both
+// memberships, and a node with that entry as its latest change needs quorums of both: for
+// its election and, as the leader, for commits, reads, and to go on leading. Once it is
+// committed, the leader appends the later membership alone. A later leader does so once it
+// has committed an entry of its own term. No other change is accepted before.
+//
+// The replaced voter may be elected until the second entry is committed; it then hands the
+// leadership over. It stays a learner until it is removed.
+//
+// Releases that do not know Replace ignore Members.Outgoing, and would take a quorum of the
+// later voters for enough. The caller proposes it only if all members know it, and lets no
+// member go back to such a release while Status.Outgoing is not empty. Members.Ranks is
+// harmless to them, but a leader of such a release drops the ranks with its next change.
+//
 // # Guarantees
 //
 // There is at most one leader per term; a committed entry is never lost or changed;
--- a/pkg/gwquorum/fuzz_test.go
+++ b/pkg/gwquorum/fuzz_test.go
@@ -21,6 +21,15 @@
 		{Kind: MessageAppendReply, Term: 2, Index: 1 << 63, Reject: true},
 		{Kind: MessageSnapshot, Term: 2, Snapshot: &Snapshot{Index: 9, Term: 2, Members: Members{Voters: []string{"a", "b"}}}},
 		{Kind: MessageSnapshot, Term: 2},
+		{Kind: MessageSnapshot, Term: 2, Snapshot: &Snapshot{Index: 9, Term: 2, Members: Members{
+			Voters: []string{"b", "c", "d"}, Learners: []string{"a"}, Outgoing: []string{"a", "b", "c"}, Ranks: map[string]uint64{"d": 4},
+		}}},
+		{Kind: MessageAppend, Term: 2, Index: 2, LogTerm: 1, Entries: []Entry{
+			{Index: 3, Term: 2, Kind: EntryChange, Members: &Members{Outgoing: []string{"a"}, Learners: []string{"a", "a"}}},
+		}},
+		{Kind: MessageAppend, Term: 2, Index: 2, LogTerm: 1, Commit: 3, Entries: []Entry{
+			{Index: 3, Term: 2, Kind: EntryChange, Members: &Members{Voters: []string{"a"}, Learners: []string{"b"}, Outgoing: []string{"a"}}},
+		}},
 		{Kind: MessageVote, Term: 1<<64 - 1, Index: 9, LogTerm: 9},
 		{Kind: MessageTimeoutNow, Term: 1},
 		{Kind: MessageReadIndex, Term: 1},
