gwsoak: busy loops slow all instances, so that no further disk is lost beside them

By DEPLOY.md a machine is lost while it is slowed. Busy loops were no reason to hold up the next lost disk; they were none before besideControl either.

TestPredecessorStopsCounting checks that an instance beside busy loops is seen as lost.

--- a/internal/gwsoak/loss_test.go
+++ b/internal/gwsoak/loss_test.go
@@ -80,6 +80,12 @@
 	assert.False(t, r.takeDisk(t.Context(), a, nil, 0), "it does not count")
 	assert.False(t, r.takeDisk(t.Context(), &process{}, nil, 0), "it is gone")
 	assert.True(t, r.redundancy.remove(a, start.Add(catchUpLimit), 0))
+	r.redundancy.restoring[m] = true
+	r.countBusy(1)
+	r.redundancy.since[n] = start.Add(-time.Hour)
+	r.observe()
+	assert.WithinDuration(t, time.Now(), r.redundancy.since[n], time.Second, "busy loops slow it")
+	clear(r.redundancy.restoring)
 	assert.True(t, r.takeDisk(t.Context(), n, nil, 0))
 	assert.False(t, r.takeDisk(t.Context(), n, nil, 0), "it is lost")
 }
--- a/internal/gwsoak/redundancy.go
+++ b/internal/gwsoak/redundancy.go
@@ -25,6 +25,8 @@
 	done map[*process]bool
 	// removed is when a control instance that has no successor was last removed, or will be.
 	removed time.Time
+	// busy is the number of faults that keep the processors busy, which slow every instance.
+	busy int
 }
 
 func newRedundancy() redundancy {
@@ -63,7 +65,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.redundancy.advance(since, time.Now())
+	now := time.Now()
+	for p := range since {
+		if r.redundancy.busy > 0 {
+			since[p] = now
+		}
+	}
+	r.redundancy.advance(since, now)
 }
 
 // lost reports whether a control instance is down, paused, slowed or cut off from others.
--- a/internal/gwsoak/slow.go
+++ b/internal/gwsoak/slow.go
@@ -44,9 +44,17 @@
 // maxLoops bounds the processes that keep the machine busy.
 const maxLoops = 16
 
+func (r *Run) countBusy(change int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.redundancy.busy += change
+}
+
 // busy keeps some processors busy.
 func (r *Run) busy(ctx context.Context, loops int, d time.Duration) {
 	var started []*exec.Cmd
+	r.countBusy(1)
+	defer r.countBusy(-1)
 	r.during(ctx, d, fmt.Sprintf("%d busy loops", loops), func() {
 		for range min(loops, maxLoops) {
 			cmd := exec.Command(r.o.Program, "busy", "-for", d.String())
