--- a/pkg/gwquorum/ranks_test.go
+++ b/pkg/gwquorum/ranks_test.go
@@ -82,3 +82,20 @@
 	}
 	assert.Equal(t, want, c.ranks())
 }
+
+// Guards against the loss of the rank of an old member: one that is removed after many others, and
+// returns, would be the youngest of all and be taken for the successor of its own successor.
+func TestRankOfAnOldMemberIsKept(t *testing.T) {
+	c := newElectedCluster(t, 43, threeVoters, "d")
+	first := c.followers()[0]
+	c.mustChange(t, gwquorum.Change{Kind: gwquorum.AddLearner, Instance: "d"})
+	c.mustChange(t, gwquorum.Change{Kind: gwquorum.Replace, Instance: "d", Replaced: first})
+	for i := range 40 {
+		id := fmt.Sprint("x", i)
+		c.mustChange(t, gwquorum.Change{Kind: gwquorum.AddLearner, Instance: id})
+		c.mustChange(t, gwquorum.Change{Kind: gwquorum.Remove, Instance: id})
+	}
+	c.mustChange(t, gwquorum.Change{Kind: gwquorum.Remove, Instance: first})
+	c.mustChange(t, gwquorum.Change{Kind: gwquorum.AddLearner, Instance: first})
+	assert.Less(t, c.ranks()[first], c.ranks()["d"], "%s is older than d", first)
+}
