--- a/internal/gwcontrol/votersholes_test.go
+++ b/internal/gwcontrol/votersholes_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/pkg/gwquorum"
 )
 
 // Guards against first instances that are taken for successors. The settings of a first start name
@@ -109,3 +111,13 @@
 		assert.NoError(t, m.requireCommit(6*time.Second), "seed %d: voters were %v: %q", seed, voters, m.trace)
 	}
 }
+
+// Guards against a voter that the list of the manifest names no more and that stays a member for as
+// long as it runs, since Replace makes it a learner instead of removing it.
+func TestUnlistedVoterIsRemoved(t *testing.T) {
+	st, view := seatStatus([]seatMember{{id: "a"}, {id: "b"}, {id: "d", rank: 50}, {id: "c", learner: true}})
+	view.listed = true
+	delete(view.identities, "c")
+	change, reason := newVoterPlan(st, view).next()
+	assert.Equal(t, gwquorum.Change{Kind: gwquorum.Remove, Instance: "c"}, change, reason)
+}
