--- a/internal/gwcontrol/votersholes_test.go
+++ b/internal/gwcontrol/votersholes_test.go
@@ -121,3 +121,21 @@
 	change, reason := newVoterPlan(st, view).next()
 	assert.Equal(t, gwquorum.Change{Kind: gwquorum.Remove, Instance: "c"}, change, reason)
 }
+
+// Guards against a successor that makes three voters of five, where two disks may be lost: of five
+// instances in three data centres, one of the data centres with two gets a successor. No voters hold
+// in all situations, as nobody knows which of the two is replaced, but with three voters two disks
+// are too many even if all others run; with five, that holds.
+func TestSuccessorBesideTwoKeepsFiveVoters(t *testing.T) {
+	live := []string{"a", "a2", "b", "b2", "c"}
+	st := &memberStatus{gwquorum.Status{ID: "c", Commit: 10, Last: 10}}
+	for _, id := range live {
+		st.Voters = append(st.Voters, id)
+		st.Peers = append(st.Peers, gwquorum.PeerStatus{Instance: id, Match: 10})
+	}
+	st.settle(t, live...)
+	require.Len(t, st.Voters, 5)
+	st.settle(t, append(live, "ax")...)
+	assert.Len(t, st.Voters, 5, "%v", st.Voters)
+	assert.Contains(t, st.Voters, "ax")
+}
