gwquorum, gwcontrol: a predecessor that was given up is not as old as its successor when it returns

Found by review: a predecessor was cut off for more than 10 s, removed with its successor as its heir, and returned. Both had one rank, so that it took the seat of a third instance that lost its disk, and its end beside one more disk left one voter of three. A member that is removed with an heir now has RankSucceeded, and votes only where it is alone.

Of the ranks of former members, the one removed first is dropped, not the smallest: a first member lost its rank at once after 32 other identities.

TestRanksOfMembers expects the new rank of a removed member, and checks that it stays when the member returns.

--- a/internal/gwcontrol/voterseats.go
+++ b/internal/gwcontrol/voterseats.go
@@ -35,8 +35,14 @@
 	ranks map[string]uint64
 }
 
+// newSeniority leaves out the instances that were given up and have a successor, unless they are
+// alone.
 func newSeniority(ids []string, ranks map[string]uint64) seniority {
-	s := seniority{ids: slices.Clone(ids), ranks: ranks}
+	succeeded := func(id string) bool { return ranks[id] == gwquorum.RankSucceeded }
+	s := seniority{ids: slices.DeleteFunc(slices.Clone(ids), succeeded), ranks: ranks}
+	if len(s.ids) == 0 {
+		s.ids = slices.Clone(ids)
+	}
 	slices.SortFunc(s.ids, func(a, b string) int { return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(a, b)) })
 	return s
 }
@@ -52,7 +58,8 @@
 	return n
 }
 
-// eligible returns the instances that may vote.
+// eligible returns the instances that may vote, and those of the others that may vote as well if
+// the number of voters is even without them.
 //
 // Each younger instance may be the successor of an older one, and once it has been up for some
 // time, the older one may end at any moment while another disk is lost. Of j younger ones, up to
@@ -95,12 +102,16 @@
 	return rank
 }
 
-// knownRank returns the smallest rank that the log has for an instance, nil if it has none. An
-// instance that returns without its data is thus not taken for the successor of another.
+// knownRank returns the smallest rank that the log has for an instance, or RankSucceeded if it has
+// that; nil if it has none. An instance that returns without its data is thus not taken for the
+// successor of another.
 func knownRank(st gwquorum.Status, name string) *uint64 {
 	var out *uint64
 	add := func(id string, rank uint64) {
-		if voterName(id) == name && (out == nil || rank < *out) {
+		if voterName(id) != name || out != nil && *out == gwquorum.RankSucceeded {
+			return
+		}
+		if out == nil || rank < *out || rank == gwquorum.RankSucceeded {
 			out = &rank
 		}
 	}
--- a/pkg/gwquorum/member.go
+++ b/pkg/gwquorum/member.go
@@ -70,7 +70,7 @@
 	if c.Instance == "" || m.IsVoter(c.Instance) || m.IsLearner(c.Instance) {
 		return m, newError(opChange, KindInvalid, "%q is empty or already a member", c.Instance)
 	}
-	m.Learners = append(m.Learners, c.Instance)
+	m.Learners, m.Former = append(m.Learners, c.Instance), without(m.Former, c.Instance)
 	_, kept := m.Ranks[c.Instance]
 	switch {
 	case c.Rank != nil:
@@ -94,9 +94,9 @@
 		if !m.IsVoter(c.Heir) && !m.IsLearner(c.Heir) {
 			return m, newError(opChange, KindInvalid, "the heir %q is not another member", c.Heir)
 		}
-		m = m.withRank(c.Heir, min(m.Ranks[c.Heir], m.Ranks[c.Instance]))
+		m = m.withRank(c.Heir, min(m.Ranks[c.Heir], m.Ranks[c.Instance])).withRank(c.Instance, RankSucceeded)
 	}
-	return m.withFewFormerRanks(), nil
+	return m.withFormer(c.Instance), nil
 }
 
 // applyReplace returns the membership in which both quorums are needed. The entry after it is
--- a/pkg/gwquorum/members.go
+++ b/pkg/gwquorum/members.go
@@ -1,13 +1,17 @@
 package gwquorum
 
 import (
-	"cmp"
 	"maps"
+	"math"
 	"slices"
 )
 
-// maxFormerRanks is the maximum number of ranks that are kept of former members.
-const maxFormerRanks = 32
+// maxFormer is the maximum number of former members whose ranks are kept.
+const maxFormer = 32
+
+// RankSucceeded is the rank of a former member that was removed with an heir. If it returns, it
+// is not as old as its heir.
+const RankSucceeded = math.MaxUint64
 
 // Members is the membership of a group: voters count for quorums, learners only
 // receive the log.
@@ -22,13 +26,15 @@
 	// the member was added. One without a rank is as old as the group: 0. Those of some
 	// former members are kept, so that one that returns is not taken for a new one.
 	Ranks map[string]uint64 `cbor:"4,keyasint,omitempty"`
+	// Former holds the former members whose ranks are kept, in the order of their removal.
+	Former []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Clone returns a deep copy.
 func (m Members) Clone() Members {
 	return Members{
 		Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners),
-		Outgoing: slices.Clone(m.Outgoing), Ranks: maps.Clone(m.Ranks),
+		Outgoing: slices.Clone(m.Outgoing), Ranks: maps.Clone(m.Ranks), Former: slices.Clone(m.Former),
 	}
 }
 
@@ -116,19 +122,14 @@
 	return m
 }
 
-// withFewFormerRanks returns m without the smallest ranks of former members that exceed the
-// number to keep.
-func (m Members) withFewFormerRanks() Members {
-	former := slices.DeleteFunc(slices.Collect(maps.Keys(m.Ranks)), func(id string) bool {
-		return m.IsVoter(id) || m.IsLearner(id)
-	})
-	if len(former) <= maxFormerRanks {
-		return m
-	}
-	slices.SortFunc(former, func(a, b string) int { return cmp.Or(cmp.Compare(m.Ranks[a], m.Ranks[b]), cmp.Compare(a, b)) })
-	m.Ranks = maps.Clone(m.Ranks)
-	for _, id := range former[:len(former)-maxFormerRanks] {
-		delete(m.Ranks, id)
+// withFormer returns m with one more former member. Of too many, the rank of the one that was
+// removed first is dropped.
+func (m Members) withFormer(id string) Members {
+	m.Former = append(without(m.Former, id), id)
+	if len(m.Former) > maxFormer {
+		m.Ranks = maps.Clone(m.Ranks)
+		delete(m.Ranks, m.Former[0])
+		m.Former = m.Former[1:]
 	}
 	return m
 }
--- a/pkg/gwquorum/ranks_test.go
+++ b/pkg/gwquorum/ranks_test.go
@@ -40,11 +40,14 @@
 	assert.Equal(t, map[string]uint64{"d": at, "e": 0, first: 0}, c.ranks(), "the kept rank counts")
 
 	c.mustChange(t, gwquorum.Change{Kind: gwquorum.Remove, Instance: "e", Heir: "d"})
-	assert.Equal(t, map[string]uint64{"d": 0, "e": 0, first: 0}, c.ranks())
+	assert.Equal(t, map[string]uint64{"d": 0, "e": gwquorum.RankSucceeded, first: 0}, c.ranks())
+	c.mustChange(t, gwquorum.Change{Kind: gwquorum.AddLearner, Instance: "e"})
+	assert.Equal(t, uint64(gwquorum.RankSucceeded), c.ranks()["e"], "one that returns is not as old as its heir")
+	c.mustChange(t, gwquorum.Change{Kind: gwquorum.Remove, Instance: "e"})
 	later := uint64(500)
 	c.mustChange(t, gwquorum.Change{Kind: gwquorum.AddLearner, Instance: "e", Rank: &later})
 	c.mustChange(t, gwquorum.Change{Kind: gwquorum.Remove, Instance: "e", Heir: "d"})
-	assert.Equal(t, map[string]uint64{"d": 0, "e": later, first: 0}, c.ranks(), "an heir keeps a smaller rank")
+	assert.Equal(t, map[string]uint64{"d": 0, "e": gwquorum.RankSucceeded, first: 0}, c.ranks(), "an heir keeps a smaller rank")
 	for _, heir := range []string{first, "x"} {
 		err := c.leader().node.ProposeChange(gwquorum.Change{Kind: gwquorum.Remove, Instance: first, Heir: heir})
 		assert.Equal(t, gwquorum.KindInvalid, gwquorum.KindOf(err), heir)
--- a/pkg/gwquorum/types.go
+++ b/pkg/gwquorum/types.go
@@ -47,6 +47,9 @@
 		for id := range e.Members.Ranks {
 			n += len(id) + 11
 		}
+		for _, id := range e.Members.Former {
+			n += len(id) + 2
+		}
 	}
 	return n
 }
@@ -84,7 +87,7 @@
 	// for it, or else that of a new member.
 	Rank *uint64 `cbor:"4,keyasint,omitempty" json:"rank,omitempty"`
 	// Heir is a member that takes the rank of the removed one if that is smaller, for
-	// Remove; "" if there is none.
+	// Remove; "" if there is none. The removed one then has RankSucceeded.
 	Heir string `cbor:"5,keyasint,omitempty" json:"heir,omitempty"`
 }
 
