gwcontrol: a learner that the manifest's list does not name is removed also if it answers

Replace made a voter that the list drops a learner, which was kept for as long as it ran. TestUnlistedVoterIsRemoved failed before (found by review).

--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -283,7 +283,7 @@
 func (p voterPlan) uselessLearner() string {
 	for _, id := range p.st.Learners {
 		replaced := slices.ContainsFunc(p.current, func(c string) bool { return voterName(c) == voterName(id) })
-		if !slices.Contains(p.current, id) && (replaced || !p.answers(id) && (p.listed || p.givenUp(voterName(id)))) {
+		if !slices.Contains(p.current, id) && (replaced || p.listed || !p.answers(id) && p.givenUp(voterName(id))) {
 			return id
 		}
 	}
