gwcontrol: a successor beside two instances of its data centre does not halve the voters

Found by review: five instances in three data centres, one of which got a successor, were left with three voters. With j younger instances and 2j others, the others add as many voters as their ends cost; they vote as well now if the number of voters is even without them, and the newest takes the seat of the oldest. No choice of voters holds in all situations there, as the survivors may be half of the instances.

--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -157,9 +157,38 @@
 	if id := p.surplusVoter(); id != "" {
 		return p.ifSafe(p.remove(id))
 	}
+	if learner, voter := p.successorOfVoter(); learner != "" && p.replaces {
+		return p.ifSafe(gwquorum.Change{Kind: gwquorum.Replace, Instance: learner, Replaced: voter})
+	}
 	return gwquorum.Change{}, ""
 }
 
+// successorOfVoter returns an eligible learner that is the newest of its data centre and has caught
+// up, and the oldest voter there. Where the others of the data centre may vote as well, the newest
+// is the one that does not end at no cost.
+func (p voterPlan) successorOfVoter() (learner, voter string) {
+	for _, id := range p.eligible {
+		if p.isVoter(id) || !p.isMember(id) || !p.caughtUp(id) {
+			continue
+		}
+		s := p.seniorityBeside(id)
+		voters := slices.DeleteFunc(slices.Clone(s.ids), func(o string) bool { return !p.isVoter(o) || s.ranks[o] >= s.ranks[id] })
+		if s.ids[len(s.ids)-1] == id && len(voters) > 0 {
+			return id, voters[0]
+		}
+	}
+	return "", ""
+}
+
+// seniorityBeside returns the eligible instances of the data centre of one of them.
+func (p voterPlan) seniorityBeside(id string) seniority {
+	dc, known := p.dataCentres[voterName(id)]
+	return newSeniority(slices.DeleteFunc(slices.Clone(p.eligible), func(o string) bool {
+		other, otherKnown := p.dataCentres[voterName(o)]
+		return o != id && (!known || !otherKnown || other != dc)
+	}), p.st.Ranks)
+}
+
 func (p voterPlan) remove(id string) gwquorum.Change {
 	return gwquorum.Change{Kind: gwquorum.Remove, Instance: id, Heir: p.heir(id)}
 }
--- a/internal/gwcontrol/voterseats.go
+++ b/internal/gwcontrol/voterseats.go
@@ -64,13 +64,17 @@
 // Each younger instance may be the successor of an older one, and once it has been up for some
 // time, the older one may end at any moment while another disk is lost. Of j younger ones, up to
 // j others end at no cost, and never the newest. As voters, the others make up for these ends
-// only if they are more than 2j.
-func (s seniority) eligible() []string {
-	j := s.younger()
-	if others := len(s.ids) - 1; j == 0 || others > 2*j {
-		return s.ids
+// if they are 2j, and more than that if they are more.
+func (s seniority) eligible() (first, others []string) {
+	j, newest := s.younger(), len(s.ids)-1
+	switch {
+	case j == 0 || newest > 2*j:
+		return s.ids, nil
+	case newest == 2*j:
+		return s.ids[newest:], s.ids[:newest]
+	default:
+		return s.ids[newest:], nil
 	}
-	return s.ids[len(s.ids)-1:]
 }
 
 // seats returns those of the given members that may vote, by the data centres of their instances.
@@ -86,8 +90,13 @@
 		}
 		groups[dc] = append(groups[dc], id)
 	}
+	var more []string
 	for _, ids := range groups {
-		out = append(out, newSeniority(ids, st.Ranks).eligible()...)
+		first, others := newSeniority(ids, st.Ranks).eligible()
+		out, more = append(out, first...), append(more, others...)
+	}
+	if oddVoters(len(out)) < len(out) {
+		out = append(out, more...)
 	}
 	slices.Sort(out)
 	return out
