gwcontrol: absence counts from when a process began to observe the others, not from its election

A process that was never seen counts as away since the process began to observe, and a leader waits 0.5 s for a first reply.

--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -87,13 +87,14 @@
 }
 
 // isSeatVacant reports whether a voter that is not live has been away for seatLimit. The others
-// take it for live for some time after its last reply.
+// take it for live for some time after its last reply, and a leader that has just been elected
+// has no reply yet.
 func (p voterPlan) isSeatVacant(id string) bool {
-	since := p.lastSeen(voterName(id))
-	if peer := p.peer(id); !peer.LastReplyAt.IsZero() && peer.LastReplyAt.Before(since) {
-		since = peer.LastReplyAt
+	since, reply := p.lastSeen(voterName(id)), p.peer(id).LastReplyAt
+	if reply.Before(since) {
+		since = reply
 	}
-	return p.now.Sub(since) >= seatLimit
+	return p.now.Sub(since) >= seatLimit && p.now.Sub(reply) >= replyLimit
 }
 
 // minVoters is the number of voters below which they are not reduced: of two, both are needed.
--- a/internal/gwcontrol/voterpresence.go
+++ b/internal/gwcontrol/voterpresence.go
@@ -15,6 +15,8 @@
 	// seat. A plain restart takes less; with the change itself it ends before the next disk may be
 	// lost, 4 s after an added instance was removed. A successor need not wait for it.
 	seatLimit = 2 * time.Second
+	// replyLimit is how long a new leader waits for the first reply of a voter that it takes for away.
+	replyLimit = 500 * time.Millisecond
 )
 
 // presence holds when and where the instances that may vote were last live. Every instance keeps
@@ -22,9 +24,7 @@
 type presence struct {
 	mu     sync.Mutex
 	byName map[string]lastPresence
-	// leads and term are when and in which term this instance was found to lead first.
-	leads time.Time
-	term  uint64
+	began  time.Time // when the process observed the others first
 }
 
 type lastPresence struct {
@@ -40,7 +40,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.byName == nil {
-		p.byName = make(map[string]lastPresence)
+		p.byName, p.began = make(map[string]lastPresence), now
 	}
 	for _, m := range live {
 		if m.ControlOnly {
@@ -73,22 +73,13 @@
 	return out
 }
 
-// startTerm records that this instance leads in a term.
-func (p *presence) startTerm(term uint64, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.term != term {
-		p.leads, p.term = now, term
-	}
-}
-
-// lastSeen returns when an instance was last live, or the start of the leadership for one that
-// was never seen.
+// lastSeen returns when an instance was last live, or when this process began to observe for one
+// that was never seen.
 func (p *presence) lastSeen(name string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l, seen := p.byName[name]; seen {
 		return l.at
 	}
-	return p.leads
+	return p.began
 }
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -237,7 +237,6 @@
 func (l *Leader) plan(wanted map[string]string, listed bool, st gwquorum.Status) voterPlan {
 	now := l.clock.Now()
 	l.observePresence()
-	l.presence.startTerm(st.Term, now)
 	return newVoterPlan(st, voterView{
 		identities:  l.currentIdentities(wanted, st),
 		listed:      listed,
