gwlimit: failing test of callers when a server turns slow or its owner is lost

Change: TestCallersUnderLoad has the time in which a server is slow; TestCallersWhenServerChanges counts the seconds of the change, too, and the loss of an owner near the capacity. By seconds, what is lost belongs to the first two of the slow time (waits that were estimated with the former service times, a crowd's waits for the last tries) and to the last one, in which callers spend their last try just before the server recovers. Faster averages of service times (weights 0.2 and 0.3, a trial) made nothing better and broke TestCrowdReturns and TestSlowServer.

--- a/pkg/gwlimit/callers_test.go
+++ b/pkg/gwlimit/callers_test.go
@@ -251,11 +251,27 @@
 		{name: "one and a fifth of the capacity", rates: []float64{1.2}, counted: always},
 		{name: "one and a half of the capacity", rates: []float64{1.5}, counted: always},
 		{name: "three times the capacity", rates: []float64{3}, counted: always},
+		{name: "slow by 5", rates: []float64{0.8}, slowBy: slowDuring(5, disturbed), counted: between(22*time.Second, 39*time.Second)},
 		{name: "flapping", rates: []float64{0.55}, slowBy: slowDuring(5, flapping), counted: disturbed},
 		{name: "owner lost", rates: []float64{0.6}, ownerLost: 20 * time.Second, counted: between(19*time.Second, 25*time.Second)},
 		// With waits estimated as if the other class used no slot, 0.80.
 		{name: "a class that floods", rates: []float64{0.4, 2}, counted: always},
 	}
+	testCallers(t, patterns)
+}
+
+// Guards against callers that have no try left when a server recovers, or that are admitted with
+// waits that a server no longer has when it turns slow. The oracle knows both beforehand.
+func TestCallersWhenServerChanges(t *testing.T) {
+	disturbed := between(20*time.Second, 40*time.Second)
+	testCallers(t, []callers{
+		{name: "slow by 5", rates: []float64{0.8}, slowBy: slowDuring(5, disturbed), counted: disturbed},
+		{name: "owner lost near the capacity", rates: []float64{0.9}, ownerLost: 20 * time.Second, counted: between(19*time.Second, 25*time.Second)},
+	})
+}
+
+func testCallers(t *testing.T, patterns []callers) {
+	t.Helper()
 	for _, p := range patterns {
 		t.Run(p.name, func(t *testing.T) {
 			for seed := range uint64(5) {
