gwmember: an instance that joins knows its ring before it writes to its contacts

Cause: when all instances start at once, the first table that each gets holds a part of the ring. Each wrote to the contacts, and as one that took itself for a relay to the relays, of every partial ring: 36 links with 300 instances and 50 with 1,000 (TestPeersStayFewAtStart). Change: after joining through a member of its own data centre, an instance compares tables with it every 200 ms until there is no difference, for 1 s at most, and sends no gossip, no probes and nothing as a relay until then. One comparison with a contact follows. A relay that has just joined compares its data centre's rows with the others, and rows on pages from another data centre are passed on while the joiner compares.

--- a/pkg/gwmember/members.go
+++ b/pkg/gwmember/members.go
@@ -47,6 +47,8 @@
 	nextAhead       time.Time
 	seedIndex       int
 	joined          bool
+	joinedWith      *entry    // the member through which this instance joined
+	settleUntil     time.Time // see settling, zero if over
 	joinSyncsLeft   int       // table comparisons left to complete the join
 	differsSince    time.Time // since when no digest received from the data centre equals the own one
 }
--- a/pkg/gwmember/overlay_test.go
+++ b/pkg/gwmember/overlay_test.go
@@ -93,3 +93,36 @@
 		assert.LessOrEqual(t, hops, 8, "hops among %d members", size)
 	}
 }
+
+// Guards against rows that are missing for seconds after instances started within a second:
+// links were held back until the ring was quiet, and nobody passed on what all others of a
+// data centre had learned by comparing tables.
+func TestRowsSpreadAtStart(t *testing.T) {
+	tests := []struct {
+		size   int
+		within time.Duration // the time in which all but the seeds start
+	}{
+		{size: 100},
+		{size: 100, within: time.Second},
+		{size: 200},
+		{size: 200, within: time.Second},
+	}
+	for _, tt := range tests {
+		for seed := range uint64(3) {
+			w := newNetwork(20+seed, tt.size, 6)
+			all := w.nodes
+			w.nodes = all[:12]
+			for _, nd := range w.nodes {
+				w.start(nd)
+			}
+			for _, i := range w.rnd.Perm(tt.size - 12) {
+				w.nodes = append(w.nodes, all[12+i])
+				w.start(all[12+i])
+				w.run(tt.within / time.Duration(tt.size))
+			}
+			took, ok := w.runUntilReunited(3 * time.Second)
+			assert.True(t, ok, "%d instances within %v, seed %d: %d rows missing", tt.size, tt.within, seed, w.missingRows())
+			t.Logf("%d instances within %v: %v", tt.size, tt.within, took)
+		}
+	}
+}
--- a/pkg/gwmember/probe.go
+++ b/pkg/gwmember/probe.go
@@ -64,7 +64,7 @@
 
 // probe advances the probes of all watched members.
 func (m *Members) probe(now time.Time) {
-	if m.leaving {
+	if m.leaving || m.settling(now) {
 		return
 	}
 	for _, e := range m.watched {
@@ -176,7 +176,7 @@
 // pingRandom pings one random contact, which spreads versions and updates faster than the
 // ring does.
 func (m *Members) pingRandom(now time.Time) {
-	if m.leaving || now.Before(m.nextRandom) {
+	if m.leaving || now.Before(m.nextRandom) || m.settling(now) {
 		return
 	}
 	m.nextRandom = now.Add(m.cfg.ProbeInterval)
--- a/pkg/gwmember/queue.go
+++ b/pkg/gwmember/queue.go
@@ -94,7 +94,7 @@
 
 // gossip sends pending updates to a few random contacts.
 func (m *Members) gossip(now time.Time) {
-	if now.Before(m.nextGossip) {
+	if now.Before(m.nextGossip) || m.settling(now) {
 		return
 	}
 	m.nextGossip = now.Add(m.cfg.GossipInterval)
--- a/pkg/gwmember/relay.go
+++ b/pkg/gwmember/relay.go
@@ -8,7 +8,7 @@
 // runRelay does the work of a relay if this instance is one, and merges the views of the
 // relays of the own data centre.
 func (m *Members) runRelay(now time.Time) {
-	is := m.IsRelay() && m.joined && !m.leaving
+	is := m.IsRelay() && m.joined && !m.leaving && !m.settling(now)
 	if is && !m.wasRelay {
 		m.becomeRelay(now)
 	}
@@ -44,6 +44,23 @@
 		}
 	}
 	m.nextViewRefresh = now
+	if m.joinSyncsLeft > 0 {
+		m.compareOwnRows(now)
+	}
+}
+
+// compareOwnRows compares the rows of the own data centre with each other data centre. A
+// relay that has just joined does not know which of them the previous one has sent.
+func (m *Members) compareOwnRows(now time.Time) {
+	for _, name := range m.table.dataCentreNames {
+		dc := m.table.dataCentres[name]
+		if name == m.self.DataCentre || dc.down {
+			continue
+		}
+		if e := m.chooseContact(dc, now); e != nil {
+			m.sendSync(e.Address, Message{Scope: m.self.DataCentre})
+		}
+	}
 }
 
 // pingDataCentres pings one member of each other data centre per RelayInterval.
--- a/pkg/gwmember/sync.go
+++ b/pkg/gwmember/sync.go
@@ -13,6 +13,9 @@
 // that finds no difference; several may be needed because pages can be lost.
 const joinSyncs = 10
 
+// maxSettling bounds the time between joining and the first messages to the contacts.
+const maxSettling = time.Second
+
 // sync starts the table comparisons that are due: with the seeds until joined, with the
 // member through which another part of the deployment was found, with a random member and,
 // on a relay, with another data centre.
@@ -24,7 +27,9 @@
 		m.syncSeed(now)
 	}
 	m.syncReunited(now)
-	if !now.Before(m.nextLocalSync) {
+	if m.settling(now) {
+		m.syncSettling(now)
+	} else if !now.Before(m.nextLocalSync) {
 		m.nextLocalSync = now.Add(m.cfg.SyncInterval)
 		if m.joinSyncsLeft > 0 {
 			m.joinSyncsLeft--
@@ -42,6 +47,20 @@
 	}
 }
 
+// settling reports whether this instance has just joined and may not know the ring of its
+// data centre yet. Until then it only compares tables with the member of it through which it
+// joined. When all instances start at once, each would otherwise open links to the contacts
+// and, as one that takes itself for a relay, to the relays of each partial ring.
+func (m *Members) settling(now time.Time) bool { return now.Before(m.settleUntil) }
+
+func (m *Members) syncSettling(now time.Time) {
+	if now.Before(m.nextLocalSync) {
+		return
+	}
+	m.nextLocalSync = now.Add(seedRetry)
+	m.sendSync(m.joinedWith.Address, Message{})
+}
+
 // syncSeed starts a comparison with the next seed until this instance has joined, and then
 // with each remaining seed that is not a live member, so that parts of a deployment that
 // started separately merge. After that, reconnect tries the seeds.
@@ -191,6 +210,17 @@
 	}
 }
 
+// endJoin ends what a comparison without a difference ends: settling or, in a later one with
+// a contact, the comparisons after joining.
+func (m *Members) endJoin(now time.Time) {
+	if !m.settling(now) {
+		m.joinSyncsLeft = 0
+		return
+	}
+	m.settleUntil = time.Time{}
+	m.nextLocalSync = now.Add(joinRetry)
+}
+
 // onSyncPage continues a comparison. A joining instance has joined once a comparison of
 // the whole table is complete.
 func (m *Members) onSyncPage(sender *entry, msg Message, now time.Time) {
@@ -205,7 +235,7 @@
 		return
 	}
 	if msg.Answer && msg.Scope == "" {
-		m.joinSyncsLeft = 0
+		m.endJoin(now)
 		m.reunion.complete(sender)
 	}
 	if !m.joined && len(m.table.rows) > 1 {
@@ -213,5 +243,9 @@
 		m.enqueue(m.self) // earlier announcements had no receiver
 		m.joinSyncsLeft = joinSyncs
 		m.nextLocalSync = now.Add(joinRetry)
+		if sender.DataCentre == m.self.DataCentre {
+			m.joinedWith, m.settleUntil = sender, now.Add(maxSettling)
+			m.nextLocalSync = now.Add(seedRetry)
+		}
 	}
 }
--- a/pkg/gwmember/update.go
+++ b/pkg/gwmember/update.go
@@ -41,10 +41,10 @@
 	e = m.setRow(u.Member, u.Status, now)
 	m.applyView(e, u, now)
 	// Rows from a page may be new to others too, unless only this instance lacked them
-	// because it is joining.
+	// because it is joining its data centre.
 	switch {
 	case kind != KindSyncPage:
-	case !m.joined || m.joinSyncsLeft > 0:
+	case !m.joined || m.joinSyncsLeft > 0 && m.isLocal(sender):
 		m.local.remove(e)
 		m.remote.remove(e)
 	default:
@@ -52,6 +52,12 @@
 	}
 }
 
+// isLocal reports whether an instance is a member of the own data centre.
+func (m *Members) isLocal(instance string) bool {
+	e := m.table.rows[instance]
+	return e != nil && e.DataCentre == m.self.DataCentre
+}
+
 // overrides reports whether an update is newer than a row.
 func overrides(u Update, e *entry) bool {
 	if u.Member.Incarnation != e.Incarnation {
