gwcontrol: a leader without a topology counts absence from its first plan

Where no instance is known yet, everything counted as away for ever, so that a replaced voter was removed at once. TestVotersChangeAtOnce failed since.

--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/pkg/gwmember"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -161,10 +162,11 @@
 
 // observePresence records the live instances, also while another voter leads.
 func (l *Leader) observePresence() {
-	if l.topology == nil {
-		return
+	var live []gwmember.Member
+	if l.topology != nil {
+		live = l.topology().Live
 	}
-	l.presence.observe(l.topology().Live, l.clock.Now())
+	l.presence.observe(live, l.clock.Now())
 }
 
 // askReleases asks the instances that have not told yet that they know gwquorum.Replace while
