gwcontrol: an instance that becomes known late ranks before younger ones of its data centre

Found by review: a successor that is cut off from its start on, and has a successor itself before the leader knows it, was ranked as the younger one and took the seat; its end beside one more disk left one voter of three. Instances tell how long they have been up since they began with an empty store.

--- a/internal/gwcontrol/voteranswers.go
+++ b/internal/gwcontrol/voteranswers.go
@@ -28,6 +28,8 @@
 	// replaces and firstStart are what the instance answered last; they count for as long as
 	// this process runs.
 	replaces, firstStart bool
+	// began is when the instance began with an empty store, zero if it has not told.
+	began time.Time
 }
 
 // ask asks the instances and waits up to identityWait for their answers. A later answer
@@ -77,6 +79,9 @@
 	a.asking = false
 	if answered {
 		a.id, a.at, a.replaces, a.firstStart = info.ID, now, info.Replaces, info.FirstStart
+		if info.Age > 0 {
+			a.began = now.Add(-info.Age)
+		}
 	}
 	v.byName[name] = a
 }
@@ -99,6 +104,13 @@
 	return v.byName[name].replaces
 }
 
+// began returns when an instance began with an empty store, zero if that is not known.
+func (v *voterAnswers) began(name string) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.byName[name].began
+}
+
 // firstStart reports whether an instance has answered that it is one of the first start.
 func (v *voterAnswers) firstStart(name string) bool {
 	v.mu.Lock()
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -52,6 +52,8 @@
 	// FirstStart means that the process began with an empty store at the first start of the
 	// deployment, so that its instance is no successor of another.
 	FirstStart bool `cbor:"4,keyasint,omitempty"`
+	// Age is how long ago the process began with an empty store; 0 if it began with data.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // identityFile is the name of the file in the data folder that holds a voter's identity.
@@ -174,9 +176,14 @@
 // the initial start of the deployment from a loss of their data. firstStart means that the process
 // was started as a part of that start.
 func (c *Consensus) ServeIdentity(hasData, firstStart bool) {
+	began := c.Clock.Now()
 	gwpeer.Handle(c.Node, kindVoter, func(context.Context, string, Empty) (voterInfo, error) {
 		st := c.Status()
-		return voterInfo{ID: st.ID, Initialized: hasData || st.Commit > 0, Replaces: true, FirstStart: firstStart && !hasData}, nil
+		info := voterInfo{ID: st.ID, Initialized: hasData || st.Commit > 0, Replaces: true, FirstStart: firstStart && !hasData}
+		if !hasData {
+			info.Age = c.Clock.Since(began)
+		}
+		return info, nil
 	})
 }
 
@@ -245,6 +252,7 @@
 		lastSeen:    l.presence.lastSeen,
 		replaces:    l.identities.replaces(st),
 		firstStart:  l.identities.firstStart,
+		began:       l.identities.began,
 	})
 }
 
--- a/internal/gwcontrol/voterseats.go
+++ b/internal/gwcontrol/voterseats.go
@@ -24,6 +24,8 @@
 	replaces bool
 	// firstStart reports whether an instance is one of the first start of the deployment.
 	firstStart func(name string) bool
+	// began returns when an instance began with an empty store, zero if that is not known.
+	began func(name string) time.Time
 }
 
 // givenUp reports whether an instance has been away for absenceLimit.
@@ -105,10 +107,36 @@
 // rankOfNew returns the rank of an identity that is to be added, nil for that of a new member.
 func (p voterPlan) rankOfNew(id string) *uint64 {
 	rank := knownRank(p.st, voterName(id))
-	if rank == nil && p.firstStart != nil && p.firstStart(voterName(id)) {
-		rank = new(uint64)
+	switch {
+	case rank != nil:
+		return rank
+	case p.firstStart != nil && p.firstStart(voterName(id)):
+		return new(uint64)
+	default:
+		return p.rankBeforeYounger(id)
+	}
+}
+
+// startMargin is the difference between two starts from which their order is taken for certain.
+const startMargin = time.Second
+
+// rankBeforeYounger returns a rank before those of the members of an instance's data centre that
+// have started later and were known earlier, as it was out of reach; nil if there are none.
+func (p voterPlan) rankBeforeYounger(id string) *uint64 {
+	if p.began == nil || p.began(voterName(id)).IsZero() || p.isPlaceless(id) {
+		return nil
 	}
-	return rank
+	dc, began := p.dataCentres[voterName(id)], p.began(voterName(id))
+	var out *uint64
+	for _, o := range slices.Concat(p.st.Voters, p.st.Learners) {
+		rank := p.st.Ranks[o]
+		younger := p.dataCentres[voterName(o)] == dc && p.began(voterName(o)).Sub(began) >= startMargin
+		if younger && rank > 0 && rank != gwquorum.RankSucceeded && (out == nil || rank-1 < *out) {
+			before := rank - 1
+			out = &before
+		}
+	}
+	return out
 }
 
 // knownRank returns the smallest rank that the log has for an instance, or RankSucceeded if it has
--- a/internal/gwcontrol/votersmodel_test.go
+++ b/internal/gwcontrol/votersmodel_test.go
@@ -85,6 +85,7 @@
 
 	startAt        time.Time // of a process that does not run
 	upSince        time.Time
+	firstUp        time.Time // of the first start
 	outSince       time.Time // since when it cannot be reached, zero if it can
 	paused, cut    time.Time // until when
 	pending        uint64    // index of the change that the leader waits for
@@ -185,6 +186,9 @@
 	x.upSince, x.startAt, x.worked, x.nextTick = m.now, time.Time{}, m.now, m.now
 	x.presence, x.nextPresence, x.handOvers = &presence{}, m.now, make(leadershipMoves)
 	x.identityChosen = m.now.Add(m.between(0, 300*time.Millisecond))
+	if x.firstUp.IsZero() {
+		x.firstUp = m.now
+	}
 	m.log("%s starts as %s", x.name, x.id)
 }
 
@@ -438,6 +442,7 @@
 		now:         m.now,
 		lastSeen:    x.presence.lastSeen,
 		firstStart:  func(name string) bool { i := m.instances[name]; return i != nil && i.id == i.name },
+		began:       m.began,
 		replaces:    m.replaces,
 	}
 	for _, name := range m.names {
@@ -471,6 +476,14 @@
 	return x.id
 }
 
+// began returns when an instance first started, zero for one of the first start.
+func (m *votersModel) began(name string) time.Time {
+	if x := m.instances[name]; x != nil && x.id != x.name {
+		return x.firstUp
+	}
+	return time.Time{}
+}
+
 // leader returns the leader of the greatest term that has applied an entry of it, or nil.
 func (m *votersModel) leader() *modelInstance {
 	var best *modelInstance
