--- a/internal/gwcontrol/duty_test.go
+++ b/internal/gwcontrol/duty_test.go
@@ -218,12 +218,14 @@
 // successor's, and against a group that waits for ever. The seed chooses the faults; where
 // goroutines wake up at the same time, the order may differ from run to run.
 func TestDutyOfReplacedLeaders(t *testing.T) {
+	t.Parallel()
 	playDuty(t, 100, 500*time.Millisecond, 4*time.Second)
 }
 
 // Guards against the same while leaders change more often than a call may take effect, so that
 // a leader counts from the start of one before it.
 func TestDutyOfLeadersThatChangeOften(t *testing.T) {
+	t.Parallel()
 	playDuty(t, 40, 200*time.Millisecond, 1500*time.Millisecond)
 }
 
--- a/internal/gwcontrol/groupmodel_test.go
+++ b/internal/gwcontrol/groupmodel_test.go
@@ -364,6 +364,7 @@
 // sequences of servers that join, leave, crash, come back with their data or without, or
 // receive nothing, attempts that fail half-way and new leaders in the middle.
 func TestPromotedCopyHasEveryAcknowledgedWrite(t *testing.T) {
+	t.Parallel()
 	changes, healed, stuck, finals := 0, 0, 0, 0
 	for seed := range uint64(3000) {
 		m := newGroupModel(seed)
--- a/internal/gwcontrol/leasecluster_test.go
+++ b/internal/gwcontrol/leasecluster_test.go
@@ -204,6 +204,7 @@
 // crash, are cut off or replaced, and changes of primary. The voters' code is the real one. As
 // in TestDutyOfReplacedLeaders, the order may differ from run to run.
 func TestLeasesOfReplacedLeaders(t *testing.T) {
+	t.Parallel()
 	schedules, first := 40, 1
 	if s, err := strconv.Atoi(os.Getenv("GENTIANWARD_LEASE_SCHEDULES")); err == nil {
 		schedules = s
--- a/internal/gwcontrol/votersfaults_test.go
+++ b/internal/gwcontrol/votersfaults_test.go
@@ -251,6 +251,7 @@
 // predecessors, added instances, crashes, pauses, cuts, slow disks and losses of power everywhere.
 // GENTIANWARD_VOTERS_SEED and GENTIANWARD_VOTERS_SCHEDULES choose others.
 func TestVotersChangeUnderFaults(t *testing.T) {
+	t.Parallel()
 	first, count := 1000, 40
 	if s, err := strconv.Atoi(os.Getenv("GENTIANWARD_VOTERS_SEED")); err == nil {
 		first = s
@@ -283,6 +284,7 @@
 // start of a successor, with steady writes, slow disks, a change of the leader, or a voter that is
 // cut off or paused, in its middle.
 func TestVotersChangeInTime(t *testing.T) {
+	t.Parallel()
 	const outage = 2 * time.Second
 	tests := []struct {
 		name  string
@@ -329,6 +331,7 @@
 // Guards against a successor that stays a learner as long as its predecessor runs: the loss of
 // another disk when the predecessor ends left one of three voters.
 func TestSuccessorBesideItsPredecessor(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name             string
 		instances, disks int
@@ -379,6 +382,7 @@
 // Guards against an added instance that has taken a seat, leaves without a successor and keeps it:
 // the loss of another disk 4 s later left one of three voters.
 func TestAddedInstanceLeavesItsSeat(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(12) {
 		m := newVotersModel(seed, 3, 0)
 		m.run(3 * time.Second)
--- a/internal/gwcontrol/votersholes_test.go
+++ b/internal/gwcontrol/votersholes_test.go
@@ -14,6 +14,7 @@
 // three instances, so that the leader adds the others after the start; of two of one age in each
 // data centre one is then no voter, and the loss of two disks leaves one voter of three.
 func TestFirstInstancesAreNoSuccessors(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name        string
 		dataCentres string // of the instances beside the three voters of the start
@@ -46,6 +47,7 @@
 // then loses its disk, the predecessor takes that seat and keeps it, so that its end beside the
 // loss of one disk leaves one voter of three.
 func TestPredecessorReturnsAfterItWasGivenUp(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		m := newVotersModel(seed, 3, 0)
 		m.run(3 * time.Second)
@@ -92,6 +94,7 @@
 // that is cut off from its start on is itself succeeded before the leader knows it. It must not be
 // taken for the younger one when it comes into reach, as it may end at any moment.
 func TestSuccessorsRankInTheOrderOfTheirStarts(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		m := newVotersModel(seed, 3, 0)
 		m.run(3 * time.Second)
