--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -72,8 +72,6 @@
 		if p.mayBeSucceeded(id) {
 			p.eligible = slices.DeleteFunc(p.eligible, func(e string) bool { return e == id })
 		}
-	}
-	for _, id := range absent {
 		if !slices.Contains(p.eligible, id) {
 			p.away = append(p.away, id)
 		}
