gwpeer: the test of traffic counters waits for the last answer to be counted

Cause: a frame is counted after its write, and the caller may have read the answer by then. The test now waits until the counter has reached 3 and then asserts the same figures as before. 200 runs pass.

--- a/internal/gwpeer/failure_test.go
+++ b/internal/gwpeer/failure_test.go
@@ -518,6 +518,8 @@
 		_, err := Call[string, string](ctx, a, b.Address(), kind, "some text")
 		require.NoError(t, err)
 	}
+	// An answer is counted once it is written, which its receiver may be ahead of.
+	require.Eventually(t, func() bool { return b.Traffic(kind.ID).Messages >= 3 }, 5*time.Second, time.Millisecond)
 	requests, answers := a.Traffic(kind.ID), b.Traffic(kind.ID)
 	assert.Equal(t, uint64(3), requests.Messages)
 	assert.Equal(t, uint64(3), answers.Messages)
