gwcontrol: log lines that tell how far a new member of the log is

A cut record of a deployment that reads no configuration did not tell whether a member without a vote got entries slowly, none at all, or was not heard. The lines of refused requests now carry commit index and last entry; the leader logs its learners that are behind, and a new member that it has no vote yet and how long it took to get it. TestVoterLogTellsHowFarLearnersAre and TestVoterLogTellsWhenMemberHasItsVote fail without the lines.

--- a/internal/gwcontrol/voterlog.go
+++ b/internal/gwcontrol/voterlog.go
@@ -41,6 +41,7 @@
 	// the age of that at which it is logged next.
 	heardAt        time.Time
 	nextLeaderless time.Duration
+	catchUp        catchUpLog
 }
 
 // proposedEntries are the entries up to index that were appended at the time at.
@@ -59,6 +60,7 @@
 // started logs the state that a voter continues from.
 func (v *voterLog) started(st gwquorum.Status, now time.Time) {
 	v.last, v.heardAt = st, now
+	v.catchUp.started(st, now)
 	v.state("voter started", st, now)
 }
 
@@ -116,6 +118,7 @@
 	age := v.uncommittedAge(st, now)
 	v.logUncommitted(st, now, age, dropped)
 	v.logLeaderless(st, now)
+	v.catchUp.observe(v, st, now, dropped)
 	return age
 }
 
@@ -202,16 +205,21 @@
 func peerViews(st gwquorum.Status, now time.Time, dropped func(peer string) uint64) []peerView {
 	out := make([]peerView, 0, len(st.Peers))
 	for _, p := range st.Peers {
-		out = append(out, peerView{
-			Peer: p.Instance, State: p.State, Match: p.Match, Next: p.Next, Active: p.Active,
-			Reply: now.Sub(p.LastReplyAt).Milliseconds(), Dropped: dropped(p.Instance),
-		})
+		out = append(out, newPeerView(p, now, dropped))
 	}
 	return out
 }
 
+func newPeerView(p gwquorum.PeerStatus, now time.Time, dropped func(peer string) uint64) peerView {
+	return peerView{
+		Peer: p.Instance, State: p.State, Match: p.Match, Next: p.Next, Active: p.Active,
+		Reply: now.Sub(p.LastReplyAt).Milliseconds(), Dropped: dropped(p.Instance),
+	}
+}
+
 // VoterSummary describes the voter in a few words for the line of a request that failed; "" if
-// the instance has no voter.
+// the instance has no voter. "217/220" is the commit index and the last entry, "learner 57" how far
+// a leader's learner has synced.
 func (c *Consensus) VoterSummary() string {
 	if c == nil {
 		return ""
@@ -227,7 +235,13 @@
 	case !st.LeaderHeardAt.IsZero():
 		leader = "heard " + c.Clock.Since(st.LeaderHeardAt).Round(time.Millisecond).String()
 	}
-	return fmt.Sprintf("%s t%d, %s, %d+%d members", roleName(st), st.Term, leader, len(st.Voters), len(st.Learners))
+	out := fmt.Sprintf("%s t%d %d/%d, %s, %d+%d members", roleName(st), st.Term, st.Commit, st.Last, leader, len(st.Voters), len(st.Learners))
+	for _, p := range st.Peers {
+		if p.Learner {
+			out += fmt.Sprintf(", learner %d", p.Match)
+		}
+	}
+	return out
 }
 
 // VoterMetrics is what the metrics address tells of a voter.
--- a/internal/gwcontrol/voterlog_test.go
+++ b/internal/gwcontrol/voterlog_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -198,3 +200,79 @@
 		now = now.Add(time.Second)
 	}
 }
+
+// Guards against logs from which a learner that gets entries slowly, one that is sent nothing and
+// one whose replies do not arrive cannot be told apart.
+func TestVoterLogTellsHowFarLearnersAre(t *testing.T) {
+	var lines recordedLines
+	v := newVoterLog(slog.New(slog.NewJSONHandler(&lines, nil)))
+	now := time.Unix(1000, 0)
+	leader := func(match uint64) gwquorum.Status {
+		return gwquorum.Status{ID: "a", Role: gwquorum.Leader, Term: 1, Leader: "a", Last: 285, Commit: 285, Snapshot: 284, Voters: []string{"a", "b"}, Learners: []string{"c"}, Peers: []gwquorum.PeerStatus{
+			{Instance: "b", State: "replicating", Match: 285, Next: 286, Active: true, LastReplyAt: now},
+			{Instance: "c", Learner: true, State: "replicating", Match: match, Next: match + 9, Active: true, LastReplyAt: now},
+		}}
+	}
+	v.started(leader(0), now)
+	v.observe(leader(0), now, func(string) uint64 { return 7 })
+	lines.take(t)
+	for _, s := range []struct {
+		name  string
+		after time.Duration
+		match uint64
+		want  any
+	}{
+		{"it has just been added", 900 * time.Millisecond, 30, nil},
+		{"it is behind for 1 s", 200 * time.Millisecond, 57, 57.0},
+		{"the age has not doubled", 500 * time.Millisecond, 70, nil},
+		{"the age has doubled", time.Second, 99, 99.0},
+		{"it has caught up", 10 * time.Second, 284, nil},
+	} {
+		now = now.Add(s.after)
+		v.observe(leader(s.match), now, func(string) uint64 { return 7 })
+		var got any
+		for _, line := range lines.take(t) {
+			if line["msg"] == "learner is behind" {
+				learner := line["learner"].(map[string]any)
+				assert.Equal(t, []any{"c", "replicating", 7.0}, []any{learner["peer"], learner["state"], learner["dropped"]}, s.name)
+				got = learner["match"]
+			}
+		}
+		assert.Equal(t, s.want, got, s.name)
+	}
+}
+
+// Guards against logs from which it cannot be told how long a new member has been without a vote,
+// and how much of the log it had.
+func TestVoterLogTellsWhenMemberHasItsVote(t *testing.T) {
+	var lines recordedLines
+	v := newVoterLog(slog.New(slog.NewJSONHandler(&lines, nil)))
+	now := time.Unix(1000, 0)
+	member := func(last uint64, voters ...string) gwquorum.Status {
+		return gwquorum.Status{ID: "c", Term: 1, Leader: "a", LeaderHeardAt: now, Last: last, Commit: last, Voters: voters}
+	}
+	dropped := func(string) uint64 { return 0 }
+	v.started(member(0), now)
+	lines.take(t)
+	for _, s := range []struct {
+		name  string
+		after time.Duration
+		st    gwquorum.Status
+		want  []string
+	}{
+		{"it has just started", 500 * time.Millisecond, member(0), []string{}},
+		{"it has part of the log", time.Second, member(57), []string{"member has no vote yet 57"}},
+		{"it is a voter", 300 * time.Millisecond, member(285, "a", "b", "c"), []string{"member has its vote 285"}},
+		{"it loses the vote later", 10 * time.Second, member(290, "a", "b"), []string{}},
+	} {
+		now = now.Add(s.after)
+		v.observe(s.st, now, dropped)
+		got := []string{}
+		for _, line := range lines.take(t) {
+			if msg := line["msg"].(string); strings.HasPrefix(msg, "member has") {
+				got = append(got, fmt.Sprint(msg, " ", line["last"]))
+			}
+		}
+		assert.Equal(t, s.want, got, s.name)
+	}
+}
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -387,9 +387,7 @@
 const undoneLogAge = time.Second
 
 // undoneChange says since when a change of the voters is wanted and not made.
-type undoneChange struct {
-	since, nextLine time.Time
-}
+type undoneChange struct{ lastingState }
 
 // observe logs why a change is not made, each time the wait has doubled. An empty reason means
 // that none is wanted or one was made.
@@ -398,15 +396,9 @@
 		*u = undoneChange{}
 		return
 	}
-	if u.since.IsZero() {
-		*u = undoneChange{since: now, nextLine: now.Add(undoneLogAge)}
-	}
-	if now.Before(u.nextLine) {
-		return
+	if age, due := u.due(now, undoneLogAge); due {
+		log.Warn("change of the voters is not made", "age", age.Round(time.Millisecond).String(), "reason", reason, "voters", st.Voters, "learners", st.Learners)
 	}
-	age := now.Sub(u.since)
-	u.nextLine = now.Add(age)
-	log.Warn("change of the voters is not made", "age", age.Round(time.Millisecond).String(), "reason", reason, "voters", st.Voters, "learners", st.Learners)
 }
 
 // spareLearners holds the learners that were last logged as not needed for a vote.
