--- a/internal/gwcontrol/save.go
+++ b/internal/gwcontrol/save.go
@@ -104,6 +104,9 @@
 	c.apply(rd.Committed)
 	c.answerReads(rd.Reads)
 	c.node.Advance(rd)
+	if rd.Restore {
+		c.compactedIndex = max(c.compactedIndex, rd.Snapshot.Index)
+	}
 	if len(rd.Committed) > 0 || rd.Restore {
 		c.OnApplied()
 	}
@@ -114,7 +117,7 @@
 // last one or the log has reached compactBytes. It waits until the entries are synced here.
 func (c *Consensus) compact() error {
 	index := c.State.Index()
-	if c.saving != nil || index == c.compactedIndex || index < c.compactedIndex+compactEntries && c.Store.Size() < compactBytes {
+	if c.saving != nil || index <= c.compactedIndex || index < c.compactedIndex+compactEntries && c.Store.Size() < compactBytes {
 		return nil
 	}
 	if st := c.node.Status(); index > min(st.Applied, st.Synced) {
