gwquorum, gwcontrol: a member that is behind is sent the state, not the history

Callers saw that no control instance reads the configuration any more after a new one had run for longer than catch_up_s and the next disk was lost.

--- a/internal/gwcontrol/save.go
+++ b/internal/gwcontrol/save.go
@@ -28,6 +28,12 @@
 func (c *Consensus) processReady(ctx context.Context) error {
 	for {
 		rd := c.nextReady()
+		if rd.Empty() && c.node.SnapshotWanted() {
+			if err := c.provideSnapshot(); err != nil {
+				return err
+			}
+			continue
+		}
 		if rd.Empty() {
 			break
 		}
@@ -113,6 +119,21 @@
 	return nil
 }
 
+// provideSnapshot gives the node the present state for members that are behind. It is not saved,
+// so that it costs no sync.
+func (c *Consensus) provideSnapshot() error {
+	began := c.Clock.Now()
+	data, err := c.State.Snapshot()
+	if err != nil {
+		return err
+	}
+	c.node.ProvideSnapshot(data)
+	now := c.Clock.Now()
+	c.voterLog.line(now, "snapshot made for members that are behind", "bytes", len(data),
+		"took", now.Sub(began).Round(time.Millisecond).String(), "applied", c.node.Status().Applied)
+	return nil
+}
+
 // compact takes a snapshot once compactEntries entries have been applied since the
 // last one or the log has reached compactBytes. It waits until the entries are synced here.
 func (c *Consensus) compact() error {
--- a/internal/gwcontrol/votersmodel_test.go
+++ b/internal/gwcontrol/votersmodel_test.go
@@ -310,8 +310,12 @@
 	if x.saving != nil {
 		ready = x.node.ReadyDuringSave
 	}
-	for rd := ready(); !rd.Empty(); rd = ready() {
+	for rd := ready(); !rd.Empty() || x.node.SnapshotWanted(); rd = ready() {
 		x.known = nil
+		if rd.Empty() {
+			x.node.ProvideSnapshot(modelSnapshot)
+			continue
+		}
 		if rd.MustSave() {
 			m.send(rd.EarlyMessages())
 			x.saving, x.busy = &rd, m.now.Add(m.sync+time.Duration(m.Int64N(int64(m.sync))))
--- a/pkg/gwquorum/cluster_test.go
+++ b/pkg/gwquorum/cluster_test.go
@@ -114,7 +114,7 @@
 	cfg := gwquorum.Config{ID: id, Rand: rand.NewPCG(c.rand.Uint64(), 2)}
 	if !c.defaultLimits {
 		// Few entries suffice to reach these limits.
-		cfg.KeepEntries, cfg.MaxPromoteLag, cfg.MaxBatchBytes = 4, 4, 256
+		cfg.KeepEntries, cfg.MaxPromoteLag, cfg.MaxBatchBytes, cfg.KeepBytes, cfg.MinSnapshotBytes = 4, 4, 256, 1024, 512
 	}
 	node, err := gwquorum.NewNode(cfg, hs, snap, entries)
 	if err != nil {
@@ -146,6 +146,10 @@
 	m := c.members[id]
 	for m.node != nil {
 		rd := m.node.Ready()
+		if rd.Empty() && m.node.SnapshotWanted() {
+			c.provideSnapshot(m)
+			continue
+		}
 		if rd.Empty() {
 			c.check(m)
 			return
@@ -167,6 +171,14 @@
 	}
 }
 
+func (c *cluster) provideSnapshot(m *member) {
+	data, err := m.state.Snapshot()
+	if err != nil {
+		c.fail("%s: snapshot: %v", m.id, err)
+	}
+	m.node.ProvideSnapshot(data)
+}
+
 func (c *cluster) finish(m *member, rd gwquorum.Ready) {
 	for _, e := range rd.Committed {
 		c.apply(m, e)
--- a/pkg/gwquorum/config.go
+++ b/pkg/gwquorum/config.go
@@ -19,8 +19,13 @@
 	DefaultMaxBatchBytes = 256 << 10
 	DefaultMaxInflight   = 16
 	DefaultKeepEntries   = 1024
-	DefaultMaxPromoteLag = 64
-	DefaultMaxPending    = 4096
+	// DefaultKeepBytes lets a voter that was away for a moment continue with entries. Between
+	// regions they take 0.3 s.
+	DefaultKeepBytes = 1 << 20
+	// DefaultMinSnapshotBytes is a quarter of what a link between regions carries in a round trip.
+	DefaultMinSnapshotBytes = 64 << 10
+	DefaultMaxPromoteLag    = 64
+	DefaultMaxPending       = 4096
 	// DefaultMaxPendingBytes is what a link of 30 Mbit/s carries in 0.3 s.
 	DefaultMaxPendingBytes = 1 << 20
 	// DefaultMaxDataBytes lets one entry fit into a message of 16 MiB.
@@ -44,9 +49,16 @@
 	MaxBatchBytes int    // maximum size of the entries in one message; a larger entry is sent alone
 	MaxInflight   int    // maximum unanswered messages with entries per peer
 	KeepEntries   uint64 // entries before the snapshot that stay in memory for slow followers
-	MaxPromoteLag uint64 // maximum distance of a learner's synced log from the commit index at promotion
-	MaxDataBytes  int    // maximum size of the data of one entry
-	MaxPending    int    // maximum uncommitted entries, and maximum unanswered reads
+	// KeepBytes is the maximum size of these entries, or the size of the snapshot if that is
+	// larger. A member that has part of the log is sent a snapshot if it lacks more.
+	KeepBytes int
+	// MinSnapshotBytes is KeepBytes for a voter without a log, and the size of the entries after
+	// a snapshot up to which that is sent. A learner without a log is always sent a snapshot, as
+	// it does not know the members before its own addition.
+	MinSnapshotBytes int
+	MaxPromoteLag    uint64 // maximum distance of a learner's synced log from the commit index at promotion
+	MaxDataBytes     int    // maximum size of the data of one entry
+	MaxPending       int    // maximum uncommitted entries, and maximum unanswered reads
 	// MaxPendingBytes is the maximum size of the uncommitted entries with which an entry of
 	// more than 16 KB is accepted. A larger one is accepted if none is uncommitted.
 	MaxPendingBytes int
@@ -60,6 +72,8 @@
 	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	setDefault(&c.KeepBytes, DefaultKeepBytes)
+	setDefault(&c.MinSnapshotBytes, DefaultMinSnapshotBytes)
 	setDefault(&c.MaxPromoteLag, DefaultMaxPromoteLag)
 	setDefault(&c.MaxDataBytes, DefaultMaxDataBytes)
 	setDefault(&c.MaxPending, DefaultMaxPending)
--- a/pkg/gwquorum/election.go
+++ b/pkg/gwquorum/election.go
@@ -49,7 +49,7 @@
 		n.failReads()
 	}
 	n.role, n.leader = Follower, ""
-	n.peers, n.votes, n.transferTarget = nil, nil, ""
+	n.peers, n.votes, n.transferTarget, n.transfer = nil, nil, "", transfer{}
 	n.resetElectionDeadline()
 }
 
@@ -196,6 +196,7 @@
 	n.checkProgress()
 	if n.role == Leader && !n.now.Before(n.nextHeartbeat) {
 		n.nextHeartbeat = n.now.Add(n.cfg.HeartbeatInterval)
+		n.dropTransfer()
 		n.broadcast(true)
 	}
 }
--- a/pkg/gwquorum/log.go
+++ b/pkg/gwquorum/log.go
@@ -65,6 +65,28 @@
 	return all
 }
 
+// size returns the approximate encoded size of the entries in (after, to].
+func (l *entryLog) size(after, to uint64) int {
+	size := 0
+	for _, e := range l.between(after, to) {
+		size += e.size()
+	}
+	return size
+}
+
+// keptBefore returns the index up to which entries may be dropped so that up to count entries of
+// up to limit bytes in total are left before index.
+func (l *entryLog) keptBefore(index, count uint64, limit int) uint64 {
+	size, first := 0, index
+	for first > l.base && index-first < count {
+		if size += l.entries[first-l.base-1].size(); size > limit {
+			break
+		}
+		first--
+	}
+	return first
+}
+
 func (l *entryLog) append(entries ...Entry) {
 	l.entries = append(l.entries, entries...)
 	for _, e := range entries {
--- a/pkg/gwquorum/node.go
+++ b/pkg/gwquorum/node.go
@@ -16,7 +16,8 @@
 	vote     string
 	saved    HardState // as of the last Advance
 	log      entryLog
-	snapshot Snapshot // the latest; sent to members that are too far behind
+	snapshot Snapshot // the latest that is or will be saved
+	transfer transfer
 
 	role             Role
 	leader           string
@@ -259,9 +260,7 @@
 	n.snapshot = Snapshot{Index: index, Term: term, Members: n.log.membersAt(index).Clone(), Data: data}
 	n.snapshotUnsaved = true
 	n.log.trimMemberships(index)
-	if index > n.cfg.KeepEntries {
-		n.log.trim(index - n.cfg.KeepEntries)
-	}
+	n.log.trim(n.log.keptBefore(index, n.cfg.KeepEntries, max(n.cfg.KeepBytes, len(data))))
 	return nil
 }
 
@@ -271,6 +270,7 @@
 	s := Status{
 		ID: n.cfg.ID, Role: n.role, Term: n.term, Vote: n.vote, Leader: n.leader, LeaderHeardAt: n.leaderHeardAt,
 		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(), LastTerm: n.log.lastTerm(), Synced: n.log.stable, Snapshot: n.snapshot.Index,
+		First:        n.log.base + 1,
 		Transferring: n.transferTarget, Fault: n.fault,
 	}
 	s.Voters, s.Learners, s.Outgoing, s.Ranks = m.Voters, m.Learners, m.Outgoing, m.Ranks
@@ -282,7 +282,7 @@
 		pr := n.peers[id]
 		s.Peers = append(s.Peers, PeerStatus{
 			Instance: id, Learner: m.IsLearner(id), State: pr.state.String(), Match: pr.match, Next: pr.next,
-			Active: n.active(id), LastReplyAt: pr.lastReply,
+			Active: n.active(id), LastReplyAt: pr.lastReply, LagBytes: n.log.size(pr.match, n.log.commit),
 		})
 	}
 	return s
--- a/pkg/gwquorum/replicate.go
+++ b/pkg/gwquorum/replicate.go
@@ -27,7 +27,8 @@
 	commitSent     uint64 // commit index last sent
 	inflight       []uint64
 	probeSent      bool          // a probe was sent and is unanswered
-	snapshotSent   time.Time     // when the last snapshot was sent
+	snapshotSent   time.Time     // when the last snapshot was sent, zero if another one is due
+	snapshotIndex  uint64        // of the last snapshot that was sent
 	snapshotRound  uint64        // confirmation round that began after the last snapshot was sent
 	lastReply      time.Time     // when the last reply of this term arrived
 	advancedAt     time.Time     // when match last grew
@@ -73,7 +74,7 @@
 	}
 	prev := pr.next - 1
 	prevTerm, ok := n.log.term(prev)
-	if !ok {
+	if !ok || pr.state == probing && !pr.probeSent && n.prefersSnapshot(id, prev) {
 		n.sendSnapshot(id, pr)
 		return
 	}
@@ -101,38 +102,6 @@
 	}
 }
 
-// sendSnapshot sends the snapshot to a responsive peer. Other peers get only heartbeats,
-// so that an unreachable peer costs little bandwidth.
-func (n *Node) sendSnapshot(id string, pr *progress) {
-	pr.state, pr.inflight, pr.snapshotSent = restoring, nil, time.Time{}
-	if !n.active(id) {
-		return
-	}
-	pr.snapshotSent = n.now
-	s := n.snapshot
-	n.send(Message{Kind: MessageSnapshot, To: id, Snapshot: &s, ReadRound: n.reads.round})
-	n.reads.round++
-	pr.snapshotRound = n.reads.round
-}
-
-// snapshotLost reports whether a reply to a message that was sent after the last snapshot shows
-// that the peer does not have it. Messages to a peer arrive in order; one that overtakes the
-// snapshot costs another snapshot, at most one for each election timeout.
-func (n *Node) snapshotLost(pr *progress, m Message) bool {
-	return pr.state == restoring && m.ReadRound >= pr.snapshotRound && pr.match < n.log.base &&
-		n.now.Sub(pr.snapshotSent) >= n.cfg.ElectionTimeout
-}
-
-func (n *Node) resendSnapshot(id string, pr *progress, heartbeat bool) {
-	switch {
-	case n.active(id) && n.now.Sub(pr.snapshotSent) >= n.cfg.SnapshotTimeout:
-		n.sendSnapshot(id, pr)
-	case heartbeat:
-		// Entry 0 matches in every log; the reply contains the peer's commit index.
-		n.send(Message{Kind: MessageAppend, To: id, ReadRound: n.reads.round})
-	}
-}
-
 func (n *Node) onAppendReply(m Message) {
 	pr := n.peers[m.From]
 	if n.role != Leader || pr == nil {
@@ -160,7 +129,7 @@
 		pr.snapshotSent = time.Time{}
 	}
 	switch {
-	case pr.state == restoring && pr.match < n.log.base:
+	case pr.state == restoring && n.needsSnapshot(m.From, pr):
 	case pr.state != replicating && m.Index == pr.match:
 		pr.state, pr.next, pr.probeSent = replicating, pr.match+1, false
 	}
@@ -266,24 +235,3 @@
 		return
 	}
 }
-
-func (n *Node) onSnapshot(m Message) {
-	s := m.Snapshot
-	if s == nil || s.Term > m.Term {
-		return // malformed: no leader sends this
-	}
-	reply := Message{Kind: MessageAppendReply, To: m.From, ReadRound: m.ReadRound}
-	t, ok := n.log.term(s.Index)
-	switch {
-	case s.Index <= n.log.commit:
-		reply.Index = n.log.commit
-	case ok && t == s.Term:
-		n.log.commit = s.Index
-		reply.Index = s.Index
-	default:
-		n.snapshot, n.snapshotUnsaved, n.restorePending, n.restoring = *s, true, true, true
-		n.log.reset(*s)
-		reply.Index = s.Index
-	}
-	n.send(reply)
-}
--- a/pkg/gwquorum/timedcluster_test.go
+++ b/pkg/gwquorum/timedcluster_test.go
@@ -73,7 +73,10 @@
 	arrivals  []arrival
 	committed map[uint64]gwquorum.Entry
 	commits   int // entries with data that were committed
-	err       error
+	// stateBytes is the size of the snapshots that leaders make for members that are behind.
+	stateBytes int
+	onSend     func(m gwquorum.Message) // called with each message, unless it is nil
+	err        error
 }
 
 func newTimedCluster(seed uint64, voters ...string) *timedCluster {
@@ -161,7 +164,11 @@
 	if m.saving != nil {
 		ready = m.node.ReadyDuringSave
 	}
-	for rd := ready(); !rd.Empty(); rd = ready() {
+	for rd := ready(); !rd.Empty() || m.node.SnapshotWanted(); rd = ready() {
+		if rd.Empty() {
+			m.node.ProvideSnapshot(make([]byte, c.stateBytes))
+			continue
+		}
 		if rd.MustSave() {
 			c.sendAll(rd.EarlyMessages())
 			m.saving, m.busy = &rd, c.now.Add(m.sync)
@@ -212,6 +219,9 @@
 }
 
 func (c *timedCluster) send(msg gwquorum.Message) {
+	if c.onSend != nil {
+		c.onSend(msg)
+	}
 	l, size := c.links[[2]string{msg.From, msg.To}], messageSize(msg)
 	if l.freeAt.Before(c.now) {
 		l.freeAt = c.now
--- a/pkg/gwquorum/types.go
+++ b/pkg/gwquorum/types.go
@@ -176,6 +176,7 @@
 	LastTerm      uint64 // term of the last entry
 	Synced        uint64 // index of the last entry that is synced here
 	Snapshot      uint64 // index of the snapshot
+	First         uint64 // index of the first entry in memory
 	Voters        []string
 	Learners      []string
 	// Outgoing holds the voters before a Replace that is in progress, nil if there is none.
@@ -198,6 +199,8 @@
 	Match    uint64 // greatest index known to be synced on the peer
 	Next     uint64 // next index to send
 	Active   bool   // answered within the election timeout
+	// LagBytes is the approximate size of the committed entries in memory after Match.
+	LagBytes int
 	// LastReplyAt is when the last reply arrived, or when replication to the peer began.
 	LastReplyAt time.Time
 }
