--- a/pkg/gwquorum/replicate.go
+++ b/pkg/gwquorum/replicate.go
@@ -79,18 +79,7 @@
 		return
 	}
 	m := Message{Kind: MessageAppend, To: id, Index: prev, LogTerm: prevTerm, Commit: n.log.commit, ReadRound: n.reads.round}
-	switch {
-	case pr.state == probing && !pr.probeSent:
-		// Heartbeats to a peer that does not answer carry no entries.
-		m.Entries = n.log.batch(pr.next, n.cfg.MaxBatchBytes)
-		pr.probeSent = len(m.Entries) > 0
-	case pr.state == replicating && len(pr.inflight) < n.cfg.MaxInflight:
-		m.Entries = n.log.batch(pr.next, n.cfg.MaxBatchBytes)
-		if c := len(m.Entries); c > 0 {
-			pr.next = m.Entries[c-1].Index + 1
-			pr.inflight = append(pr.inflight, pr.next-1)
-		}
-	}
+	m.Entries = n.nextEntries(pr)
 	newCommit := pr.state == replicating && pr.commitSent < n.log.commit
 	if len(m.Entries) == 0 && !heartbeat && !newCommit {
 		return
@@ -102,6 +91,25 @@
 	}
 }
 
+// nextEntries returns the entries that a peer is sent now, none if it has to answer first.
+func (n *Node) nextEntries(pr *progress) []Entry {
+	switch {
+	case pr.state == probing && !pr.probeSent:
+		// Heartbeats to a peer that does not answer carry no entries.
+		entries := n.log.batch(pr.next, n.cfg.MaxBatchBytes)
+		pr.probeSent = len(entries) > 0
+		return entries
+	case pr.state == replicating && len(pr.inflight) < n.cfg.MaxInflight:
+		entries := n.log.batch(pr.next, n.cfg.MaxBatchBytes)
+		if c := len(entries); c > 0 {
+			pr.next = entries[c-1].Index + 1
+			pr.inflight = append(pr.inflight, pr.next-1)
+		}
+		return entries
+	}
+	return nil
+}
+
 func (n *Node) onAppendReply(m Message) {
 	pr := n.peers[m.From]
 	if n.role != Leader || pr == nil {
