gwpeer: streams of the replicated log have a window of 2 MB, and urgent messages overtake a full queue

An urgent message also waited for room in the write queue of the link, which a transfer of lower priority keeps full.

Change: Stream.GrowWindow grants the peer more credit, up to 2 MB, which is what 150 Mbit/s carry in two round trips of 60 ms. The receiver checks each stream against its own window. At most four streams of a node have a grown window, which bounds the memory; a voter asks for it on the streams that carry messages of a leader only. Data of urgent streams waits only for other urgent data.

Compatible with the earlier release in both directions: the window that a stream starts with is the same, a peer adds any credit that it is granted, and a peer that grants none bounds the sender as before. QUIC grows the windows of its streams by itself.

Ruled out: a larger initial window, as an earlier release closes the connection of a peer that uses it, and credit for all streams, as callers' streams would then hold 2 MB each.

Result: TestMuxWindowGrows: 2,097,151 bytes are accepted while the receiver reads nothing, 262,143 without the change. TestMuxUrgentDataOvertakes failed without the change of the queue. gwpeer and gwcontrol pass with -race (50 s, 240 s).

--- a/internal/gwcontrol/quorumtransport.go
+++ b/internal/gwcontrol/quorumtransport.go
@@ -107,6 +107,9 @@
 		if err := gwpeer.Unmarshal(payload, &m); err != nil || voterName(m.From) != from {
 			return
 		}
+		if m.Kind == gwquorum.MessageAppend || m.Kind == gwquorum.MessageSnapshot {
+			s.GrowWindow() // only a leader sends these, so that few streams of a voter have a large window
+		}
 		if c.do(ctx, func() { c.node.Step(m, c.Clock.Now()) }) != nil && ctx.Err() != nil {
 			return
 		}
--- a/internal/gwpeer/mux.go
+++ b/internal/gwpeer/mux.go
@@ -39,7 +39,7 @@
 	// do not wait long behind it.
 	muxChunkBytes = 8 << 10
 	// muxWindowBytes bounds the bytes of a stream that are in flight or received and
-	// unread.
+	// unread, unless the receiver grows the window. Peers of all releases start with it.
 	muxWindowBytes = 256 << 10
 	// muxBatchBytes bounds the bytes of non-urgent frames in one write, which urgent
 	// frames have to wait for: 65 ms on a link of 2 Mbit/s.
@@ -47,8 +47,8 @@
 	// muxMaxFrameBytes bounds the payload of a received frame. It exceeds the largest
 	// payload that is sent, that of a datagram or a chunk.
 	muxMaxFrameBytes = 64 << 10
-	// muxQueueBytes is the length of the write queue above which senders of data wait:
-	// 0.25 s on a link of 2 Mbit/s.
+	// muxQueueBytes is the length of the write queue above which senders of data wait, of
+	// its urgent part above which senders of urgent data do: 0.25 s on a link of 2 Mbit/s.
 	muxQueueBytes = 64 << 10
 	// muxWriteTimeout is how long one write may take before the connection is closed.
 	muxWriteTimeout = 5 * time.Second
@@ -223,7 +223,7 @@
 			m.mu.Unlock()
 			return context.Cause(m.ctx)
 		}
-		if len(m.urgent)+len(m.normal) <= muxQueueBytes {
+		if m.queuedBefore(urgent) <= muxQueueBytes {
 			m.enqueue(f, stream, urgent, b)
 			m.mu.Unlock()
 			return nil
@@ -243,6 +243,15 @@
 	}
 }
 
+// queuedBefore returns how many queued bytes are written before a new frame; m.mu is held. Urgent
+// frames need not wait for room behind a transfer that keeps the queue full.
+func (m *mux) queuedBefore(urgent bool) int {
+	if urgent {
+		return len(m.urgent)
+	}
+	return len(m.urgent) + len(m.normal)
+}
+
 // enqueueControl queues a frame without stream data behind the frames of its priority.
 // It never waits: such frames are exempt from muxQueueBytes.
 func (m *mux) enqueueControl(f muxFrameType, stream uint64, urgent bool, payload []byte) {
--- a/internal/gwpeer/muxstream.go
+++ b/internal/gwpeer/muxstream.go
@@ -26,6 +26,7 @@
 	deadline time.Time
 
 	recvBuf    []byte // received and unread
+	recvWindow int    // bytes that the peer may have in flight or unread here
 	uncredited int    // bytes read since credit was last granted to the peer
 	readErr    error  // returned by Read once recvBuf is empty
 	readDone   bool   // the peer ended its write side, or the read side was canceled
@@ -36,7 +37,7 @@
 }
 
 func newMuxStream(m *mux, id uint64) *muxStream {
-	s := &muxStream{mux: m, id: id, sendCredit: muxWindowBytes, knownToPeer: id%2 == 1 != m.dialed, changed: make(chan struct{})}
+	s := &muxStream{mux: m, id: id, sendCredit: muxWindowBytes, recvWindow: muxWindowBytes, knownToPeer: id%2 == 1 != m.dialed, changed: make(chan struct{})}
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	return s
 }
@@ -106,6 +107,19 @@
 	return n, nil
 }
 
+// GrowWindow implements byteStream. A peer of an earlier release obeys it, too, as it adds all
+// credit that it is granted.
+func (s *muxStream) GrowWindow(size int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	more := size - s.recvWindow
+	if more <= 0 || s.readDone {
+		return
+	}
+	s.recvWindow = size
+	s.mux.enqueueControl(muxCredit, s.id, s.urgent, binary.AppendUvarint(nil, uint64(more)))
+}
+
 // withDeadline returns a context that ends with the stream and at its present deadline.
 func (s *muxStream) withDeadline() (context.Context, context.CancelFunc) {
 	s.mu.Lock()
@@ -244,7 +258,7 @@
 	var stopped error
 	switch f {
 	case muxOpen, muxData:
-		if len(s.recvBuf)+len(payload) > muxWindowBytes {
+		if len(s.recvBuf)+len(payload) > s.recvWindow {
 			s.mu.Unlock()
 			return &Error{Op: "read frame", Kind: KindInvalid, Err: errors.Newf("stream %d exceeds its flow control window", s.id)}
 		}
--- a/internal/gwpeer/node.go
+++ b/internal/gwpeer/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,6 +71,8 @@
 	endpoint  endpoint
 	blocklist blocklist
 	traffic   trafficCounters
+	// largeWindows counts the streams with a grown window.
+	largeWindows atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
--- a/internal/gwpeer/stream.go
+++ b/internal/gwpeer/stream.go
@@ -28,6 +28,8 @@
 	wbuf          []byte
 	closed        bool // the write side is closed
 
+	grown atomic.Bool // the window was grown
+
 	rmu  sync.Mutex
 	r    *bufio.Reader // nil once released
 	rbuf []byte
@@ -68,6 +70,29 @@
 // Peer returns the name of the instance at the other end.
 func (s *Stream) Peer() string { return s.link.instance }
 
+// largeWindow is the window that GrowWindow gives a stream: what a link of 150 Mbit/s carries in
+// two round trips of 60 ms. maxLargeWindows bounds the streams of a node that have one.
+const (
+	largeWindow     = 2 << 20
+	maxLargeWindows = 4
+)
+
+// GrowWindow lets the peer send large frames without a wait for each round trip. It has no effect
+// while maxLargeWindows other streams of the node have a grown window, which bounds the memory
+// that peers can fill.
+func (s *Stream) GrowWindow() {
+	n := s.link.node
+	if !s.grown.CompareAndSwap(false, true) {
+		return
+	}
+	if n.largeWindows.Add(1) > maxLargeWindows {
+		n.largeWindows.Add(-1)
+		s.grown.Store(false)
+		return
+	}
+	s.bs.GrowWindow(largeWindow)
+}
+
 // CancelOn cancels the stream when ctx ends, unless stop is called before. If stop
 // returns false, the stream is being canceled and must not be reused.
 func (s *Stream) CancelOn(ctx context.Context) (stop func() bool) {
@@ -212,6 +237,9 @@
 		putReader(s.r)
 		s.r = nil
 		s.rmu.Unlock()
+		if s.grown.CompareAndSwap(true, false) {
+			s.link.node.largeWindows.Add(-1)
+		}
 		s.link.streams.Add(-1)
 		s.link.markUsed()
 	})
--- a/internal/gwpeer/transport.go
+++ b/internal/gwpeer/transport.go
@@ -60,6 +60,9 @@
 	Context() context.Context
 	SetPriority(p Priority)
 	SetDeadline(t time.Time) error
+	// GrowWindow lets the peer send up to size bytes that have not been read here, if it may
+	// send fewer.
+	GrowWindow(size int)
 }
 
 // quicConn implements transportConn on a QUIC connection.
@@ -109,6 +112,10 @@
 	}
 }
 
+// GrowWindow implements byteStream. It has nothing to do, as QUIC grows the window of a stream
+// that is read as fast as it is filled, up to maxStreamWindow.
+func (s quicStream) GrowWindow(int) {}
+
 // endpoint accepts and dials the connections of a node.
 type endpoint interface {
 	accept(ctx context.Context) (transportConn, error)
