gwmember: a control instance that joins tries all seeds at once

A replaced control instance may have its own predecessor, or the other one that was lost, as a seed.

Others go on one by one, as thousands of them start together. Ruled out: a shorter retry interval, which asks a seed that is only slow more often.

--- a/pkg/gwmember/sync.go
+++ b/pkg/gwmember/sync.go
@@ -63,7 +63,9 @@
 
 // syncSeed starts a comparison with the next seed until this instance has joined, and then
 // with each remaining seed that is not a live member, so that parts of a deployment that
-// started separately merge. After that, reconnect tries the seeds.
+// started separately merge. After that, reconnect tries the seeds. A control-only instance tries
+// all seeds at once until it has joined: it is to have a vote soon, and some of the seeds may be
+// gone, among them the one that it replaces.
 func (m *Members) syncSeed(now time.Time) {
 	if m.joined && m.joinSyncsLeft == 0 && m.seedIndex >= len(m.cfg.Seeds) {
 		return
@@ -79,7 +81,9 @@
 			continue
 		}
 		m.sendSync(address, Message{})
-		return
+		if m.joined || !m.self.ControlOnly {
+			return
+		}
 	}
 }
 
