gwcontrol: a new control instance is asked for its identity without delay

From its being known to its addition, a new member waited for the next look at the voters (250 ms), for one that was waiting for a change to become possible (another 250 ms, without a look at the instances), and for questions that were sent before its machine was back: each blocked the next one for up to 500 ms.

The leader now plans when the instances that it knows change, also while it waits, and asks again after 150 ms. An answer to an earlier question than the one answered last does not count, as it may be of an earlier process. begin and end of the answers take the time, in TestVotersChangeAtOnce as well; its bounds are as they were.

--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -122,6 +122,7 @@
 	ticker := l.clock.NewTicker(groupCheckInterval)
 	defer ticker.Stop()
 	var leadingSince, lastVoterCheck, lastCopiesCheck, lastPlacement, lastPresence time.Time
+	var lastWanted map[string]string
 	unleased := make(leaselessSince)
 	for {
 		select {
@@ -144,8 +145,9 @@
 			lastPlacement = leadingSince
 		}
 		l.checkGroups(unleased)
-		if wanted := l.voters(); len(wanted) > 0 && l.clock.Since(lastVoterCheck) >= voterCheckInterval {
-			lastVoterCheck = l.clock.Now()
+		wanted := l.voters()
+		if due := l.clock.Since(lastVoterCheck) >= voterCheckInterval || !maps.Equal(wanted, lastWanted); due && len(wanted) > 0 {
+			lastVoterCheck, lastWanted = l.clock.Now(), wanted
 			go l.reconcileVotersOnce(ctx, wanted)
 		}
 		if l.clock.Since(lastCopiesCheck) >= copiesCheckInterval {
--- a/internal/gwcontrol/voteranswers.go
+++ b/internal/gwcontrol/voteranswers.go
@@ -22,9 +22,13 @@
 }
 
 type voterAnswer struct {
-	id     string
-	at     time.Time
-	asking bool
+	id string
+	at time.Time
+	// asking is the number of questions under way, of which the latest began at askedAt.
+	asking  int
+	askedAt time.Time
+	// answeredAt is when the question began that was answered last.
+	answeredAt time.Time
 	// replaces and firstStart are what the instance answered last; they count for as long as
 	// this process runs.
 	replaces, firstStart bool
@@ -32,18 +36,25 @@
 	began time.Time
 }
 
-// ask asks the instances and waits up to identityWait for their answers. A later answer
-// counts for the next step.
+// ask asks the instances and waits up to identityWait for the answers of those that are not being
+// asked already. A later answer counts for the next step.
 func (v *voterAnswers) ask(ctx context.Context, clock clockwork.Clock, addresses map[string]string) {
 	var wait sync.WaitGroup
 	for name, address := range addresses {
-		if !v.begin(name) {
+		asked := clock.Now()
+		begun, again := v.begin(name, asked)
+		if !begun {
 			continue
 		}
-		wait.Go(func() {
+		one := func() {
 			info, err := v.askOne(ctx, address)
-			v.end(name, info, err == nil, clock.Now())
-		})
+			v.end(name, asked, info, err == nil, clock.Now())
+		}
+		if again {
+			go one()
+			continue
+		}
+		wait.Go(one)
 	}
 	done := make(chan struct{})
 	go func() {
@@ -56,28 +67,35 @@
 	}
 }
 
-// begin returns false if the instance is being asked already.
-func (v *voterAnswers) begin(name string) bool {
+// begin reports whether the instance is to be asked, and whether it is being asked already. It is
+// asked again after identityWait, as a question that was sent before it could be reached may be
+// lost and ends after askVoterTimeout only.
+func (v *voterAnswers) begin(name string, now time.Time) (begun, again bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.byName == nil {
 		v.byName = make(map[string]voterAnswer)
 	}
 	a := v.byName[name]
-	if a.asking {
-		return false
+	again = a.asking > 0
+	if again && now.Sub(a.askedAt) <= identityWait {
+		return false, true
 	}
-	a.asking = true
+	a.asking++
+	a.askedAt = now
 	v.byName[name] = a
-	return true
+	return true, again
 }
 
-func (v *voterAnswers) end(name string, info voterInfo, answered bool, now time.Time) {
+// end records the end of a question that began at the time asked. An answer to an earlier question
+// than the one that was answered last does not count, as it may be that of an earlier process.
+func (v *voterAnswers) end(name string, asked time.Time, info voterInfo, answered bool, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	a := v.byName[name]
-	a.asking = false
-	if answered {
+	a.asking--
+	if answered && !asked.Before(a.answeredAt) {
+		a.answeredAt = asked
 		a.id, a.at, a.replaces, a.firstStart = info.ID, now, info.Replaces, info.FirstStart
 		if info.Age > 0 {
 			a.began = now.Add(-info.Age)
--- a/internal/gwcontrol/voterchange_test.go
+++ b/internal/gwcontrol/voterchange_test.go
@@ -121,8 +121,9 @@
 			return voterInfo{}, ctx.Err()
 		}
 		for _, id := range []string{"a", "b", "c"} { // as they have answered before
-			l.identities.begin(id)
-			l.identities.end(id, voterInfo{ID: id, Replaces: replaces}, true, c.Clock.Now().Add(-time.Minute))
+			before := c.Clock.Now().Add(-time.Minute)
+			l.identities.begin(id, before)
+			l.identities.end(id, before, voterInfo{ID: id, Replaces: replaces}, true, before)
 		}
 		time.Sleep(time.Second)
 		began := time.Now()
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -200,10 +200,11 @@
 }
 
 // reconcileVoters takes the next step towards the wanted members of the replicated log and
-// reports whether it is committed. It waits up to voterCheckInterval for a step to become
-// possible. wanted holds peer addresses by instance; it counts unless the manifest lists voters.
-func (l *Leader) reconcileVoters(ctx context.Context, wanted map[string]string) bool {
-	wanted, listed := l.listedVoters(wanted)
+// reports whether the next one is to follow at once: the step is committed, or other instances
+// have become known. It waits up to voterCheckInterval for a step to become possible. live holds
+// peer addresses by instance; it counts unless the manifest lists voters.
+func (l *Leader) reconcileVoters(ctx context.Context, live map[string]string) bool {
+	wanted, listed := l.listedVoters(live)
 	l.identities.ask(ctx, l.clock, l.others(wanted))
 	for until := l.clock.Now().Add(voterCheckInterval); l.consensus.Leading(); {
 		st := l.consensus.Status()
@@ -226,6 +227,9 @@
 		if !l.sleep(ctx, consensusTick) {
 			return false
 		}
+		if !maps.Equal(l.voters(), live) {
+			return true
+		}
 	}
 	return false
 }
