gwcontrol: a learner that is away does not forbid the replacement of a voter in one change

A leader makes a Replace only if all other members have answered that they know it. One whose process is younger than the end of another member never gets that answer, so that until that one was given up after 10 s, voters were promoted and removed one by one, which needs three of four of them in between. Where the older instances of a data centre may vote, too, its newest one got no vote at all in that time.

A voter that is away, and a learner that answers, as it may be promoted, must have answered as before.

--- a/internal/gwcontrol/voterjoin_test.go
+++ b/internal/gwcontrol/voterjoin_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/pkg/gwquorum"
 )
 
 // Guards against a question for the identity of an instance that was sent before its machine was
@@ -113,3 +114,32 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a member that is away and that a young leader has never asked: until it was given
+// up after 10 s, voters were promoted and removed one by one, and where the older instances of a
+// data centre may vote, too, its newest one got no vote at all.
+func TestAbsentLearnerDoesNotForbidReplace(t *testing.T) {
+	var v voterAnswers
+	for _, name := range []string{"b", "c"} {
+		v.begin(name, time.Time{})
+		v.end(name, time.Time{}, voterInfo{ID: name, Replaces: true}, true, time.Time{})
+	}
+	st := gwquorum.Status{ID: "a", Voters: []string{"a", "b", "c"}, Learners: []string{"old"}}
+	peers := func(active bool) []gwquorum.PeerStatus {
+		return []gwquorum.PeerStatus{{Instance: "b", Active: true}, {Instance: "c"}, {Instance: "old", Learner: true, Active: active}}
+	}
+	tests := []struct {
+		name             string
+		voters, learners []string
+		active, want     bool
+	}{
+		{"the learner is away", []string{"a", "b", "c"}, []string{"old"}, false, true},
+		{"the learner answers and may be promoted", []string{"a", "b", "c"}, []string{"old"}, true, false},
+		{"a voter is away and was never asked", []string{"a", "b", "d"}, nil, false, false},
+		{"a voter is away and was asked before", []string{"a", "b", "c"}, nil, false, true},
+	}
+	for _, tt := range tests {
+		st.Voters, st.Learners, st.Peers = tt.voters, tt.learners, peers(tt.active)
+		assert.Equal(t, tt.want, v.replaces(st), tt.name)
+	}
+}
