--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -96,12 +96,15 @@
 // they have no data of a replicated log. Unless one answers that it has data, LoadIdentity
 // waits for all answers, because a voter that does not answer may have the log in which
 // this instance has voted.
+//
+// The identity is durable once the log in the same folder has been reloaded, which syncs the
+// folder. The voter takes part after that, and names its identity to no one before.
 func LoadIdentity(ctx context.Context, o IdentityOptions) (Identity, error) {
 	saved, err := o.FS.ReadFile(path.Join(o.Folder, identityFile))
 	if err == nil {
 		// A file whose sync failed, perhaps in an earlier process, can be read but may not
 		// survive a loss of power.
-		return Identity{ID: string(saved)}, gwstore.WriteFile(o.FS, o.Folder, identityFile, saved)
+		return Identity{ID: string(saved)}, gwstore.ReplaceFile(o.FS, o.Folder, identityFile, saved)
 	}
 	if !errors.Is(err, fs.ErrNotExist) {
 		return Identity{}, err
@@ -121,7 +124,7 @@
 			identity.ID = newIdentity(o.Instance)
 		}
 	}
-	if err := gwstore.WriteFile(o.FS, o.Folder, identityFile, []byte(identity.ID)); err != nil {
+	if err := gwstore.ReplaceFile(o.FS, o.Folder, identityFile, []byte(identity.ID)); err != nil {
 		return Identity{}, err
 	}
 	return identity, nil
--- a/internal/gwstore/log.go
+++ b/internal/gwstore/log.go
@@ -34,8 +34,11 @@
 	lock   io.Closer
 
 	fileNumber uint64 // of the current log file
-	file       File
+	file       File   // nil until the first log file is created
 	fileBytes  int64
+	// fileBehind means that the log file lacks entries before the snapshot, so that entries after
+	// it need another file.
+	fileBehind bool
 
 	hard     gwquorum.HardState
 	snapshot gwquorum.Snapshot
@@ -50,8 +53,9 @@
 var _ Store = (*Log)(nil)
 
 // Open reads the state in folder, truncates an incomplete last record and returns a log
-// that is ready for saves. It creates the folder if necessary. If a file is damaged, the
-// error names it and the offset.
+// that is ready for saves. It creates the folder if necessary, and no file: an empty folder gets
+// its first one by Reload or the first save. If a file is damaged, the error names it and the
+// offset.
 func Open(fs FS, folder string) (*Log, error) {
 	l := &Log{fs: fs, folder: folder}
 	if err := fs.MkdirAll(folder); err != nil {
@@ -162,6 +166,10 @@
 	if err := l.checkEntries(c); err != nil {
 		return err
 	}
+	if l.file == nil || l.fileBehind {
+		l.apply(c)
+		return l.rotate()
+	}
 	b, err := encodeRecord(c)
 	if err != nil {
 		return &Error{Op: "save state", Kind: KindEncode, File: l.logPath(l.fileNumber), Err: err}
@@ -215,6 +223,12 @@
 			Err: fmt.Errorf("snapshot of entry %d is older than the saved one of entry %d", snap.Index, l.snapshot.Index),
 		}
 	}
+	if l.file == nil {
+		// A snapshot without a log file counts as damage.
+		if err := l.rotate(); err != nil {
+			return err
+		}
+	}
 	if err := l.writeSnapshot(snap); err != nil {
 		return err
 	}
@@ -273,7 +287,7 @@
 			return l.ioError("rotate log", l.logPath(l.fileNumber), err)
 		}
 	}
-	l.file, l.fileNumber, l.fileBytes = f, l.fileNumber+1, int64(len(b))
+	l.file, l.fileNumber, l.fileBytes, l.fileBehind = f, l.fileNumber+1, int64(len(b)), false
 	return nil
 }
 
--- a/internal/gwstore/memoryfs.go
+++ b/internal/gwstore/memoryfs.go
@@ -77,18 +77,16 @@
 }
 
 // Crash simulates a crash of the machine. With a nil r all unsynced changes are lost.
-// Otherwise r chooses what survives: a prefix of the unsynced changes of names, and for
-// each file a prefix of its unsynced data, in which one byte may be damaged. Files that
+// Otherwise r chooses what survives: each unsynced change of a name independently of the others,
+// and for each file a prefix of its unsynced data, in which one byte may be damaged. Files that
 // are open become unusable and locks are released.
 func (m *MemoryFS) Crash(r *rand.Rand) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	survive := 0
-	if r != nil {
-		survive = r.IntN(len(m.pending) + 1)
-	}
-	for _, change := range m.pending[:survive] {
-		change(m.durable)
+	for _, change := range m.pending {
+		if r != nil && r.IntN(2) == 0 {
+			change(m.durable)
+		}
 	}
 	m.pending = nil
 	m.files = map[string]*memoryData{}
--- a/internal/gwstore/open.go
+++ b/internal/gwstore/open.go
@@ -30,30 +30,37 @@
 	}
 	if len(logs) == 0 {
 		if snap != nil {
-			// Open creates the first log file before any snapshot can be saved.
+			// The first log file is created before any snapshot is saved.
 			return l.corrupt(l.path(snapshotName), 0, "there is a snapshot but no log file")
 		}
-		return l.rotate()
+		return nil
 	}
 	l.fileNumber = logs[len(logs)-1]
 	if err := l.readLog(); err != nil {
 		return err
 	}
-	snapshotNewer, err := l.mergeSnapshot(snap)
-	if err != nil {
+	if l.fileBehind, err = l.mergeSnapshot(snap); err != nil {
 		return err
 	}
-	// A crash during a rotation leaves the older file in place.
-	for _, n := range logs[:len(logs)-1] {
+	return l.removeOlder(logs[:len(logs)-1])
+}
+
+// removeOlder removes the log files before the current one, which the end of a process or a loss of
+// power during a rotation leaves in place.
+func (l *Log) removeOlder(numbers []uint64) error {
+	if len(numbers) == 0 {
+		return nil
+	}
+	// The name of the current file may not be durable yet. A loss of power could keep the removal
+	// and lose that name.
+	if err := l.fs.SyncFolder(l.folder); err != nil {
+		return l.ioError("open log", l.folder, err)
+	}
+	for _, n := range numbers {
 		if err := l.fs.Remove(l.logPath(n)); err != nil {
 			return l.ioError("open log", l.logPath(n), err)
 		}
 	}
-	if snapshotNewer {
-		// Entries after the snapshot must not be appended to a file that lacks some of
-		// those before it.
-		return l.rotate()
-	}
 	return nil
 }
 
