gwcontrol: a change of primary that waits for servers adds no entries to the log

Cause: each try of a change of primary proposed BeginChange, also when the last one had promoted nothing because no server, or too few, answered. A group whose servers are away added 20 entries a second to the replicated log for as long as they were away, each synced by every voter. This is a history that a new member is sent: 50 s of one such group fill the 1,024 entries that a leader keeps.

Change: an attempt that has not gone on to promote a server is repeated, in the same term and after a quorum has confirmed the leadership, which costs no entry. One that may have promoted a server is followed by a new attempt as before. FenceRequest and PromoteRequest carry the number of the try, so that an owner refuses late requests of an earlier try as it does those of an earlier attempt.

Ruled out: longer waits between tries, as the entries still grow with the time and a group whose servers are back would wait longer; repeating without the number of the try, as a late request to step down of an earlier try would stop the primary that a later one made.

--- /dev/null
+++ b/internal/gwcontrol/attemptcost_test.go
@@ -0,0 +1,92 @@
+package gwcontrol
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/internal/gwstate"
+	"gentianward.example/gentianward/pkg/gwsession"
+)
+
+// pastOwners answer only while the servers are within reach, and keep what they were asked.
+type pastOwners struct {
+	scriptedOwners
+	fences []FenceRequest
+}
+
+func (o *pastOwners) FenceAt(ctx context.Context, r FenceRequest) (Copy, error) {
+	o.mu.Lock()
+	o.fences = append(o.fences, r)
+	o.mu.Unlock()
+	return o.scriptedOwners.FenceAt(ctx, r)
+}
+
+// Guards against a change of primary that waits for servers and adds an entry to the replicated
+// log with each of its tries: the log, and what a voter that was cut off is sent, then grow with
+// the time for which the servers are away.
+func TestWaitingChangeAddsNoEntries(t *testing.T) {
+	tests := []struct {
+		name    string
+		servers []ServerFacts
+	}{
+		{"no server is known", nil},
+		{"no server answers", returnedAt(at10("a", "b", "c"))},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			v := newSteppedVoter(t, clock)
+			v.propose(
+				gwstate.StartGroup{Group: "g", Primary: "a", Term: 1},
+				gwstate.SetCopies{Group: "g", Term: 1, Copies: at10("a", "b", "c")},
+			)
+			owners := &pastOwners{scriptedOwners: scriptedOwners{servers: tt.servers}}
+			l := &Leader{
+				consensus: v.Consensus, state: v.State, clock: clock, log: v.Log, owners: owners,
+				waits: make(changeWaits), onChanged: func(string, time.Duration) {},
+			}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				l.changePrimary("g", 1, "the primary is lost")
+			}()
+			run := func(d time.Duration) {
+				for end := clock.Now().Add(d); clock.Now().Before(end); {
+					select {
+					case f := <-v.calls:
+						v.pass(f)
+					case <-done:
+						return
+					case <-time.After(200 * time.Microsecond):
+						v.pass()
+						clock.Advance(changeRetryDelay)
+					}
+				}
+			}
+			run(time.Second)
+			first := v.State.Index()
+			run(20 * time.Second)
+			assert.LessOrEqual(t, v.State.Index()-first, uint64(1), "entries in 20 s in which nothing happens")
+
+			owners.mu.Lock()
+			owners.servers = returnedAt(at10("a", "b", "c"))
+			owners.answers = map[string]Copy{
+				"a": copyAt("a", gwsession.Position{Term: 1, Offset: 5}),
+				"b": copyAt("b", gwsession.Position{Term: 1, Offset: 5}),
+			}
+			owners.mu.Unlock()
+			run(time.Second)
+			g, _ := v.State.Group("g")
+			require.Equal(t, gwstate.Serving, g.Phase, "a server that is back is found within a second")
+			for i := 1; i < len(owners.fences); i++ {
+				a, b := owners.fences[i-1], owners.fences[i]
+				assert.True(t, a.Attempt < b.Attempt || a.Attempt == b.Attempt && a.Try <= b.Try, "%+v before %+v", a, b)
+			}
+		})
+	}
+}
--- a/internal/gwcontrol/evidence.go
+++ b/internal/gwcontrol/evidence.go
@@ -30,6 +30,8 @@
 	// term is that of the leadership which collects the answers; what follows from them is
 	// committed in no other. 0 means any.
 	term uint64
+	// try counts how often the servers were asked, see FenceRequest.
+	try uint64
 	// primary is the run of the old primary; without a start if the log does not name it.
 	primary gwstate.CopyRef
 	// copies holds the servers that may have confirmed a write, without the old primary.
--- a/internal/gwcontrol/groupmodel_test.go
+++ b/internal/gwcontrol/groupmodel_test.go
@@ -33,6 +33,9 @@
 	keeper copyKeeper
 	born   uint64
 	acked  uint64 // offset of the last acknowledged write
+	// repeats means that the last attempt has promoted no server, so that the same leader
+	// repeats it at its term.
+	repeats bool
 }
 
 type modelServer struct {
@@ -240,7 +243,10 @@
 
 // attempt asks the servers, of which some do not answer, and returns the one to promote.
 func (m *groupModel) attempt(e *Evidence, answering float64) (Copy, error) {
-	m.group.NextTerm++
+	if !m.repeats {
+		m.group.NextTerm++
+	}
+	m.repeats = true
 	e.AddServers(m.facts())
 	var copies []Copy
 	for _, f := range m.facts() {
@@ -269,6 +275,7 @@
 // platform promotes a server which has started again under its id since it answered is not
 // part of the model: nothing can tell the leader in time.
 func (m *groupModel) promote(t *testing.T, seed uint64, c Copy, e *Evidence) bool {
+	m.repeats = false
 	best := m.server(c.Server)
 	if best == nil || best.facts.Born != e.servers[c.Server].Born {
 		return false
@@ -297,11 +304,11 @@
 // disturbances in and between them, and new leaders that know only the agreed state. It
 // returns false if no attempt succeeds.
 func (m *groupModel) change(t *testing.T, seed uint64) bool {
-	m.group.NextTerm = m.group.Term
+	m.group.NextTerm, m.repeats = m.group.Term, false
 	e := NewEvidence(m.group)
 	for range 12 {
 		if m.r.IntN(5) == 0 {
-			e = NewEvidence(m.group)
+			e, m.repeats = NewEvidence(m.group), false // a new leader
 		}
 		c, err := m.attempt(e, 0.75)
 		if err != nil {
@@ -338,6 +345,7 @@
 // can end the wait.
 func (m *groupModel) waitIsFinal() bool {
 	e := NewEvidence(m.group)
+	m.repeats = false
 	_, err := m.attempt(e, 1)
 	return err != nil && e.Wait(gwmanifest.DefaultCopies).Final
 }
@@ -350,6 +358,7 @@
 		m.announce(s)
 	}
 	e := NewEvidence(m.group)
+	m.repeats = false
 	for range 2 {
 		if c, err := m.attempt(e, 1); err == nil && m.promote(t, seed, c, e) {
 			m.finish()
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -21,14 +21,18 @@
 	// Attempt is the log index of the attempt's BeginChange; 0 from earlier releases. An
 	// owner refuses requests of attempts before the latest that it knows.
 	Attempt uint64 `cbor:"3,keyasint,omitempty"`
+	// Try orders the requests of one attempt as Attempt does those of a group: while servers do
+	// not answer, an attempt asks them again. It is 0 from earlier releases.
+	Try uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // PromoteRequest asks the owner of a server to make it the primary of Term.
 type PromoteRequest struct {
 	Server string `cbor:"1,keyasint"`
 	Term   uint64 `cbor:"2,keyasint"`
-	// Attempt: see FenceRequest.
+	// Attempt and Try: see FenceRequest.
 	Attempt uint64 `cbor:"3,keyasint,omitempty"`
+	Try     uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Copy is a fenced server and the position of its data.
@@ -248,8 +252,9 @@
 // changePrimary replaces the primary of a group and retries until it succeeds or the
 // leadership in which the change began ends, also if it comes back: another leader may have
 // ended the change, after which the group has acknowledged more than the servers answered.
-// Each attempt uses a new term, because an earlier attempt may have promoted another server
-// at its term.
+// An attempt that may have promoted a server is followed by one with a new term. One that has
+// not is repeated: with an entry for each try, a group whose servers are away added 20 entries a
+// second to the log.
 func (l *Leader) changePrimary(group string, term uint64, reason string) {
 	ctx := context.Background()
 	started := l.clock.Now()
@@ -258,39 +263,41 @@
 	var lastLog time.Time
 	var begun uint64 // the term of the leadership in which the change began
 	var evidence *Evidence
+	var attempt gwstate.Group // the attempt to repeat, zero if there is none
 	for {
 		lead, leading := l.consensus.Leadership()
 		if !leading || begun != 0 && lead.Term != begun {
 			return
 		}
 		l.awaitCalls(group, term)
-		pctx, cancel := context.WithTimeout(ctx, promoteTimeout)
-		res, err := l.consensus.ProposeInTerm(pctx, lead.Term, gwstate.BeginChange{Group: group, FromTerm: term, Reason: reason})
-		cancel()
-		gr, ok := res.(gwstate.GroupResult)
-		if err != nil || !ok {
+		g, err := l.beginAttempt(ctx, lead, attempt, gwstate.BeginChange{Group: group, FromTerm: term, Reason: reason})
+		if IsRefused(err) {
+			return
+		}
+		if err != nil {
 			l.clock.Sleep(changeRetryDelay)
 			continue
 		}
-		if gr.Refusal != gwstate.Accepted {
-			return
-		}
-		begun = lead.Term
+		begun, attempt = lead.Term, g
 		if !l.awaitLeaseEnd(group) {
 			continue // Leading may be true again if the voter stood still for a moment
 		}
 		if evidence == nil {
-			evidence = NewEvidence(gr.Group)
+			evidence = NewEvidence(g)
 			evidence.term = lead.Term
 		}
-		err = l.attemptChange(ctx, gr.Group, evidence)
+		evidence.try++
+		promoting, err := l.attemptChange(ctx, g, evidence)
 		if err == nil {
 			took := l.clock.Since(started)
-			l.log.Info("change of primary done", "group", group, "term", gr.Group.NextTerm, "took", took.String())
+			l.log.Info("change of primary done", "group", group, "term", g.NextTerm, "took", took.String())
 			l.onChanged(group, took)
 			return
 		}
-		w := l.recordWait(ctx, gr.Group, evidence, err)
+		if promoting {
+			attempt = gwstate.Group{}
+		}
+		w := l.recordWait(ctx, g, evidence, err)
 		if now := l.clock.Now(); now.Sub(lastLog) > waitLogInterval {
 			lastLog = now
 			l.log.Warn("change of primary not possible yet; retrying", "group", group, "term", term, "reason", err,
@@ -300,6 +307,36 @@
 	}
 }
 
+// beginAttempt returns the group in the attempt to repeat, once a quorum has confirmed that this
+// voter still leads, or in a new one if there is none or another has replaced it. The error is
+// of kind Refused if the change has ended.
+func (l *Leader) beginAttempt(ctx context.Context, lead Leadership, repeat gwstate.Group, begin gwstate.BeginChange) (gwstate.Group, error) {
+	const op = "begin change of primary"
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	if repeat.Attempt != 0 {
+		if err := l.consensus.ConfirmLeadership(ctx); err != nil {
+			return gwstate.Group{}, err
+		}
+		if g, ok := l.state.Group(begin.Group); ok && g.Phase == gwstate.Changing && g.Attempt == repeat.Attempt {
+			return g, nil
+		}
+	}
+	res, err := l.consensus.ProposeInTerm(ctx, lead.Term, begin)
+	if err != nil {
+		return gwstate.Group{}, err
+	}
+	gr, ok := res.(gwstate.GroupResult)
+	switch {
+	case !ok:
+		return gwstate.Group{}, &Error{Op: op, Kind: Unavailable}
+	case gr.Refusal != gwstate.Accepted:
+		return gwstate.Group{}, &Error{Op: op, Kind: Refused, Detail: gr.Refusal.String()}
+	default:
+		return gr.Group, nil
+	}
+}
+
 // awaitLeaseEnd waits until the old lease has been returned or has expired, and returns false
 // if this voter no longer leads before that.
 func (l *Leader) awaitLeaseEnd(group string) bool {
@@ -313,13 +350,19 @@
 }
 
 // attemptChange fences the servers of a group, promotes one of them and commits it as
-// the primary. What the servers answer is added to the evidence.
-func (l *Leader) attemptChange(ctx context.Context, g gwstate.Group, e *Evidence) error {
+// the primary. What the servers answer is added to the evidence. After an error, promoting
+// means that the attempt has gone on to promote a server.
+func (l *Leader) attemptChange(ctx context.Context, g gwstate.Group, e *Evidence) (promoting bool, err error) {
 	best, err := l.choosePromotion(ctx, g, e)
 	if err != nil {
-		return err
+		return false, err
 	}
-	if l.promoter != nil && !l.leadsAlready(ctx, g, best) {
+	return true, l.promote(ctx, g, e, best)
+}
+
+// promote makes a server the primary and commits it.
+func (l *Leader) promote(ctx context.Context, g gwstate.Group, e *Evidence, best string) error {
+	if l.promoter != nil && !l.leadsAlready(ctx, g, e, best) {
 		if err := l.callPlatform(ctx, g, best); err != nil {
 			return err
 		}
@@ -327,7 +370,7 @@
 	// The wait for the server has a time of its own, as the platform may have taken long.
 	pctx, cancelWait := context.WithTimeout(ctx, promoteTimeout)
 	defer cancelWait()
-	start, err := l.owners.PromoteAt(pctx, PromoteRequest{Server: best, Term: g.NextTerm, Attempt: g.Attempt})
+	start, err := l.owners.PromoteAt(pctx, PromoteRequest{Server: best, Term: g.NextTerm, Attempt: g.Attempt, Try: e.try})
 	if err != nil {
 		return err
 	}
@@ -368,7 +411,7 @@
 	e.AddServers(servers)
 	if i := slices.IndexFunc(servers, func(f ServerFacts) bool { return f.Server == g.Primary && f.Leaving }); i >= 0 {
 		fctx, cancel := context.WithTimeout(ctx, fenceTimeout)
-		old, err := l.owners.FenceAt(fctx, FenceRequest{Server: g.Primary, Term: g.NextTerm, Attempt: g.Attempt})
+		old, err := l.owners.FenceAt(fctx, FenceRequest{Server: g.Primary, Term: g.NextTerm, Attempt: g.Attempt, Try: e.try})
 		cancel()
 		if err == nil {
 			e.Add(old)
@@ -381,7 +424,7 @@
 	var wg sync.WaitGroup
 	for _, f := range servers {
 		wg.Go(func() {
-			if c, err := l.owners.FenceAt(fctx, FenceRequest{Server: f.Server, Term: g.NextTerm, Attempt: g.Attempt}); err == nil {
+			if c, err := l.owners.FenceAt(fctx, FenceRequest{Server: f.Server, Term: g.NextTerm, Attempt: g.Attempt, Try: e.try}); err == nil {
 				answers <- c
 			}
 		})
--- a/internal/gwcontrol/promotion.go
+++ b/internal/gwcontrol/promotion.go
@@ -67,7 +67,7 @@
 // leadsAlready reports whether a server that the platform was asked for before, without a known
 // answer, leads. Another call would change nothing, and its record costs a commit. A call that
 // may conflict is left to callPlatform to refuse.
-func (l *Leader) leadsAlready(ctx context.Context, g gwstate.Group, server string) bool {
+func (l *Leader) leadsAlready(ctx context.Context, g gwstate.Group, e *Evidence, server string) bool {
 	lead, leading := l.consensus.Leadership()
 	present, _ := l.state.Group(g.Name)
 	if !leading || g.Promoting != server || l.checkCalls(present, server, lead) != nil {
@@ -75,7 +75,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
-	_, err := l.owners.PromoteAt(ctx, PromoteRequest{Server: server, Term: g.NextTerm, Attempt: g.Attempt})
+	_, err := l.owners.PromoteAt(ctx, PromoteRequest{Server: server, Term: g.NextTerm, Attempt: g.Attempt, Try: e.try})
 	return err == nil
 }
 
--- a/internal/gwcontrol/promotion_test.go
+++ b/internal/gwcontrol/promotion_test.go
@@ -161,7 +161,7 @@
 		defer close(done)
 		ctx, cancel := context.WithTimeout(v.t.Context(), 5*time.Second)
 		defer cancel()
-		err = l.attemptChange(ctx, g, NewEvidence(g))
+		_, err = l.attemptChange(ctx, g, NewEvidence(g))
 	}()
 	v.serve(done, n)
 	return err
--- a/internal/gwowner/attempt.go
+++ b/internal/gwowner/attempt.go
@@ -1,6 +1,7 @@
 package gwowner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -18,37 +19,43 @@
 
 // attempts holds, by group, the latest attempt at a change of primary that this instance has
 // been asked to take part in. The number of an attempt is the log index at which it began,
-// which grows over all leaders. A request that comes late, of a leader that was replaced or of
-// an earlier attempt, would stop a primary that a later attempt has made.
+// which grows over all leaders; its tries count from 1. A request that comes late, of a leader
+// that was replaced or of an earlier attempt or try, would stop a primary that a later one has
+// made.
 type attempts struct {
 	mu     sync.Mutex
 	latest map[string]*attempt
 }
 
 type attempt struct {
-	number uint64
-	// ctx ends when a later attempt begins.
+	number, try uint64
+	// ctx ends when a later attempt or try begins.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-// begin returns a context for a request of an attempt, which ends when a later one begins,
-// and false if one has begun already.
-func (a *attempts) begin(ctx context.Context, group string, number uint64) (context.Context, context.CancelFunc, bool) {
+// compare returns 1 for a try that is later than a, 0 for a itself and -1 for an earlier one.
+func (a *attempt) compare(number, try uint64) int {
+	return cmp.Or(cmp.Compare(number, a.number), cmp.Compare(try, a.try))
+}
+
+// begin returns a context for a request of a try of an attempt, which ends when a later one
+// begins, and false if one has begun already.
+func (a *attempts) begin(ctx context.Context, group string, number, try uint64) (context.Context, context.CancelFunc, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	known := a.latest[group]
 	switch {
-	case known != nil && number < known.number:
+	case known != nil && known.compare(number, try) < 0:
 		return ctx, nil, false
-	case known == nil || number > known.number:
+	case known == nil || known.compare(number, try) > 0:
 		if known != nil {
 			known.cancel()
 		}
 		if a.latest == nil {
 			a.latest = make(map[string]*attempt)
 		}
-		known = &attempt{number: number}
+		known = &attempt{number: number, try: try}
 		known.ctx, known.cancel = context.WithCancel(context.Background())
 		a.latest[group] = known
 	}
@@ -60,18 +67,18 @@
 // beginAttempt returns a context for a request about an owned server in an attempt, or an
 // error if the attempt is outdated: a later one is known, or the view of this instance shows
 // that the change has ended. Requests of earlier releases, with number 0, are not checked.
-func (o *Owner) beginAttempt(ctx context.Context, s *server, number uint64) (context.Context, context.CancelFunc, error) {
+func (o *Owner) beginAttempt(ctx context.Context, s *server, number, try uint64) (context.Context, context.CancelFunc, error) {
 	if number == 0 {
 		return ctx, func() {}, nil
 	}
 	f, g := s.facts(), s.group()
 	ended := !g.Changing && g.Index > number
 	if !ended {
-		if ctx, cancel, ok := o.attempts.begin(ctx, f.Group, number); ok {
+		if ctx, cancel, ok := o.attempts.begin(ctx, f.Group, number, try); ok {
 			return ctx, cancel, nil
 		}
 	}
-	o.log.Warn("request of an outdated change of primary refused", "group", f.Group, "server", f.Server, "attempt", number, "ended", ended)
+	o.log.Warn("request of an outdated change of primary refused", "group", f.Group, "server", f.Server, "attempt", number, "try", try, "ended", ended)
 	return ctx, nil, gwpeer.Codef(codeOutdated, "%v", errOutdated)
 }
 
@@ -81,7 +88,7 @@
 	if s == nil {
 		return gwcontrol.Copy{}, gwpeer.Codef(codeNotOwner, "backend server %s is not owned here", r.Server)
 	}
-	ctx, cancel, err := o.beginAttempt(ctx, s, r.Attempt)
+	ctx, cancel, err := o.beginAttempt(ctx, s, r.Attempt, r.Try)
 	if err != nil {
 		return gwcontrol.Copy{}, err
 	}
@@ -104,7 +111,7 @@
 	if s == nil {
 		return gwsession.Position{}, gwpeer.Codef(codeNotOwner, "backend server %s is not owned here", r.Server)
 	}
-	ctx, cancel, err := o.beginAttempt(ctx, s, r.Attempt)
+	ctx, cancel, err := o.beginAttempt(ctx, s, r.Attempt, r.Try)
 	if err != nil {
 		return gwsession.Position{}, err
 	}
--- a/internal/gwowner/attempt_test.go
+++ b/internal/gwowner/attempt_test.go
@@ -68,14 +68,20 @@
 		view     gwcontrol.GroupView
 		promoted uint64 // the attempt whose promotion came before, if any
 		fence    uint64 // the attempt that fences
-		stops    bool
+		// The tries of both, 0 from earlier releases.
+		promotedTry, fenceTry uint64
+		stops                 bool
 	}{
-		{"the present attempt", gwcontrol.GroupView{Index: 10, Changing: true}, 10, 10, true},
-		{"a later attempt", gwcontrol.GroupView{Index: 10, Changing: true}, 10, 12, true},
-		{"an earlier attempt", gwcontrol.GroupView{Index: 10, Changing: true}, 12, 10, false},
-		{"a change that has ended", gwcontrol.GroupView{Index: 14}, 0, 10, false},
-		{"a change that this instance has not heard of", gwcontrol.GroupView{Index: 8}, 0, 10, true},
-		{"an earlier release", gwcontrol.GroupView{Index: 8}, 12, 0, true},
+		{"the present attempt", gwcontrol.GroupView{Index: 10, Changing: true}, 10, 10, 0, 0, true},
+		{"a later attempt", gwcontrol.GroupView{Index: 10, Changing: true}, 10, 12, 0, 0, true},
+		{"an earlier attempt", gwcontrol.GroupView{Index: 10, Changing: true}, 12, 10, 0, 0, false},
+		{"a change that has ended", gwcontrol.GroupView{Index: 14}, 0, 10, 0, 0, false},
+		{"a change that this instance has not heard of", gwcontrol.GroupView{Index: 8}, 0, 10, 0, 0, true},
+		{"the present try", gwcontrol.GroupView{Index: 10, Changing: true}, 10, 10, 2, 2, true},
+		{"an earlier try", gwcontrol.GroupView{Index: 10, Changing: true}, 10, 10, 2, 1, false},
+		{"a later attempt, whose tries count anew", gwcontrol.GroupView{Index: 10, Changing: true}, 10, 12, 2, 1, true},
+		{"an earlier attempt, of a later try", gwcontrol.GroupView{Index: 10, Changing: true}, 12, 10, 1, 2, false},
+		{"an earlier release", gwcontrol.GroupView{Index: 8}, 12, 0, 0, 0, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -83,10 +89,10 @@
 			f := &fakeServer{stopped: make(chan uint64, 1)}
 			o := newFakeOwner(t, f, tt.view)
 			if tt.promoted != 0 {
-				_, err := o.PromoteAt(t.Context(), gwcontrol.PromoteRequest{Server: "i-1", Term: 5, Attempt: tt.promoted})
+				_, err := o.PromoteAt(t.Context(), gwcontrol.PromoteRequest{Server: "i-1", Term: 5, Attempt: tt.promoted, Try: tt.promotedTry})
 				require.NoError(t, err)
 			}
-			_, err := o.FenceAt(t.Context(), gwcontrol.FenceRequest{Server: "i-1", Term: 7, Attempt: tt.fence})
+			_, err := o.FenceAt(t.Context(), gwcontrol.FenceRequest{Server: "i-1", Term: 7, Attempt: tt.fence, Try: tt.fenceTry})
 			assert.Equal(t, tt.stops, err == nil, "%v", err)
 			assert.Equal(t, tt.stops, len(f.stopped) == 1)
 		})
@@ -108,7 +114,7 @@
 		defer o.attempts.mu.Unlock()
 		return o.attempts.latest["g"] != nil
 	}, time.Second, time.Millisecond)
-	_, cancel, ok := o.attempts.begin(t.Context(), "g", 12)
+	_, cancel, ok := o.attempts.begin(t.Context(), "g", 12, 1)
 	require.True(t, ok)
 	defer cancel()
 	require.ErrorContains(t, <-ended, errOutdated.Error())
