gwcontrol: the model of the voters counts transfers, and losses of disks together with power

Leaders know of the others what these have told since their start, as in the program.

TestLossAfterLongHistory: 40 s of entries of 60 KB, then one disk of 3 to 5 or two of 6 are lost, with slow disks, a state of 2 MB, and a leader that moves or stops on the way, and large writes all the while. From 4 s after the start of the new members on, each 50 ms, it counts the further losses that are allowed, while all other machines lose power: can one be elected, and has each that can all committed entries?

The syncs before the identity, 4, are new in the model, and the times include them.

--- a/internal/gwcontrol/votersmodel_test.go
+++ b/internal/gwcontrol/votersmodel_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"gentianward.example/gentianward/pkg/gwmember"
 	"gentianward.example/gentianward/pkg/gwquorum"
 )
 
@@ -25,13 +24,12 @@
 	changeLimit      = 4 * time.Second
 	electionTime     = time.Second
 	disturbanceLimit = 2*time.Second + electionTime
+	// identitySyncs is the number of syncs that a process does until it tells its identity.
+	identitySyncs = 4
 	// leaveLimit is how long an added instance that leaves without a successor counts as lost.
 	leaveLimit = changeLimit
 )
 
-// modelSnapshot is the state of every snapshot.
-var modelSnapshot = make([]byte, 50<<10)
-
 // votersModel is a group of control instances with disks that take time and are lost, under the
 // plans of their leaders.
 type votersModel struct {
@@ -46,6 +44,8 @@
 	started   int
 	sync      time.Duration // of the disks, up to twice that
 	writes    time.Duration // between two entries
+	transfer  modelTransfer
+	links     map[string]*modelLink
 	nextWrite time.Time
 	err       error
 	// replaces means that the instances know gwquorum.Replace.
@@ -58,6 +58,9 @@
 	changing  map[string]modelChange
 	// took holds the times from the start of a successor to the end of the change.
 	took []time.Duration
+	// losses of disks are counted at intervals from nextCount on, unless count is nil.
+	count     *lossCount
+	nextCount time.Time
 	// interval is the time between two plans of a leader.
 	interval time.Duration
 	trace    []string
@@ -94,6 +97,7 @@
 	reason         string
 	identityChosen time.Time
 	presence       *presence
+	identities     *voterAnswers
 	handOvers      leadershipMoves
 	nextPresence   time.Time
 	known          *gwquorum.Status // nil after a change
@@ -130,6 +134,7 @@
 	m := &votersModel{
 		Rand: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1000, 0), instances: make(map[string]*modelInstance),
 		committed: make(map[uint64]gwquorum.Entry), changing: make(map[string]modelChange), tolerance: 1, replaces: true, sync: 5 * time.Millisecond, interval: consensusTick, writes: 20 * time.Millisecond,
+		transfer: shortTransfer, links: make(map[string]*modelLink),
 	}
 	var ids []string
 	m.initial = voters + spares
@@ -176,7 +181,7 @@
 }
 
 func (m *votersModel) start(x *modelInstance) {
-	cfg := gwquorum.Config{ID: x.id, Rand: rand.NewPCG(m.Uint64(), 2), KeepEntries: 50}
+	cfg := gwquorum.Config{ID: x.id, Rand: rand.NewPCG(m.Uint64(), 2), KeepEntries: m.transfer.keepEntries}
 	node, err := gwquorum.NewNode(cfg, x.hard, x.snap, x.entries)
 	if err != nil {
 		m.err = err
@@ -185,7 +190,8 @@
 	x.node, x.queue, x.saving, x.busy, x.pending, x.known = node, nil, nil, m.now, 0, nil
 	x.upSince, x.startAt, x.worked, x.nextTick = m.now, time.Time{}, m.now, m.now
 	x.presence, x.nextPresence, x.handOvers = &presence{}, m.now, make(leadershipMoves)
-	x.identityChosen = m.now.Add(m.between(0, 300*time.Millisecond))
+	x.identities = &voterAnswers{}
+	x.identityChosen = m.now.Add(m.between(0, 300*time.Millisecond) + identitySyncs*m.sync)
 	if x.firstUp.IsZero() {
 		x.firstUp = m.now
 	}
@@ -222,6 +228,10 @@
 		}
 		m.countDisturbance()
 		m.observeChanges()
+		if m.count != nil && !m.now.Before(m.nextCount) {
+			m.nextCount = m.now.Add(lossCountInterval)
+			m.countLosses(m.count)
+		}
 	}
 }
 
@@ -313,12 +323,12 @@
 	for rd := ready(); !rd.Empty() || x.node.SnapshotWanted(); rd = ready() {
 		x.known = nil
 		if rd.Empty() {
-			x.node.ProvideSnapshot(modelSnapshot)
+			x.node.ProvideSnapshot(modelData[:m.transfer.snapshotBytes])
 			continue
 		}
 		if rd.MustSave() {
 			m.send(rd.EarlyMessages())
-			x.saving, x.busy = &rd, m.now.Add(m.sync+time.Duration(m.Int64N(int64(m.sync))))
+			x.saving, x.busy = &rd, m.now.Add(m.sync+time.Duration(m.Int64N(int64(m.sync)))+m.transfer.saveTime(rd))
 			ready = x.node.ReadyDuringSave
 			continue
 		}
@@ -358,10 +368,7 @@
 	}
 	x.node.Advance(rd)
 	x.known = nil
-	if st := x.status(); x.saving == nil && st.Applied >= st.Snapshot+100 && st.Applied <= st.Synced {
-		_ = x.node.Compact(st.Applied, modelSnapshot)
-		x.known = nil
-	}
+	m.compact(x)
 }
 
 func (m *votersModel) send(messages []gwquorum.Message) {
@@ -370,7 +377,11 @@
 		if from == nil || to == nil || m.now.Before(from.cut) || m.now.Before(to.cut) {
 			continue
 		}
-		a := modelArrival{due: m.now.Add(30 * time.Millisecond), msg: msg}
+		due, sent := m.transmit(msg)
+		if !sent {
+			continue
+		}
+		a := modelArrival{due: due, msg: msg}
 		i, _ := slices.BinarySearchFunc(m.arrivals, a, func(x, y modelArrival) int { return cmp.Or(x.due.Compare(y.due), -1) })
 		m.arrivals = slices.Insert(m.arrivals, i, a)
 	}
@@ -386,7 +397,7 @@
 	}
 	if !m.now.Before(m.nextWrite) {
 		m.nextWrite = m.now.Add(m.writes)
-		_, _, _ = x.node.Propose(make([]byte, 100))
+		_, _, _ = x.node.Propose(m.transfer.entry())
 		x.known = nil
 	}
 	if x.pending > 0 && (st.Commit < x.pending && st.Term == x.pendingTerm) {
@@ -420,82 +431,3 @@
 	m.log("%s of term %d: change %d of %s%s, was %v | %v", x.id, st.Term, change.Kind, change.Instance, change.Replaced, st.Voters, st.Learners)
 	x.pending, x.pendingTerm = x.status().Last, st.Term
 }
-
-// observe records the live instances, as every instance does.
-func (m *votersModel) observe(x *modelInstance) {
-	if m.now.Before(x.nextPresence) {
-		return
-	}
-	x.nextPresence = m.now.Add(voterCheckInterval)
-	var live []gwmember.Member
-	for _, name := range m.names {
-		if m.live(x, name) {
-			live = append(live, gwmember.Member{Instance: name, DataCentre: m.instances[name].dataCentre, ControlOnly: true})
-		}
-	}
-	x.presence.observe(live, m.now)
-}
-
-// plan returns the plan of a leader.
-func (m *votersModel) plan(x *modelInstance, st gwquorum.Status) voterPlan {
-	x.nextPresence = time.Time{}
-	m.observe(x)
-	view := voterView{
-		identities:  make(map[string]string),
-		dataCentres: x.presence.dataCentres(),
-		now:         m.now,
-		lastSeen:    x.presence.lastSeen,
-		firstStart:  func(name string) bool { i := m.instances[name]; return i != nil && i.id == i.name },
-		began:       m.began,
-		replaces:    m.replaces,
-	}
-	for _, name := range m.names {
-		if m.live(x, name) {
-			view.identities[name] = currentIdentity(name, m.answer(x, name), st)
-		}
-	}
-	return newVoterPlan(st, view)
-}
-
-// live reports whether an instance takes another for live.
-func (m *votersModel) live(observer *modelInstance, name string) bool {
-	x := m.instances[name]
-	switch {
-	case x == observer:
-		return true
-	case m.now.Sub(observer.upSince) < joinAfter || x.upSince.IsZero() || m.now.Sub(x.upSince) < joinAfter && x.node != nil:
-		return false
-	default:
-		return x.outSince.IsZero() || m.now.Sub(x.outSince) < deathAfter
-	}
-}
-
-// answer returns the identity that an instance tells another, "" if it does not answer or has
-// none yet.
-func (m *votersModel) answer(observer *modelInstance, name string) string {
-	x := m.instances[name]
-	if !m.reachable(x) || m.now.Before(observer.cut) || m.now.Before(x.identityChosen) {
-		return ""
-	}
-	return x.id
-}
-
-// began returns when an instance first started, zero for one of the first start.
-func (m *votersModel) began(name string) time.Time {
-	if x := m.instances[name]; x != nil && x.id != x.name {
-		return x.firstUp
-	}
-	return time.Time{}
-}
-
-// leader returns the leader of the greatest term that has applied an entry of it, or nil.
-func (m *votersModel) leader() *modelInstance {
-	var best *modelInstance
-	for _, name := range m.names {
-		x := m.instances[name]
-		if x.node != nil && x.status().LeaderReady && (best == nil || x.status().Term > best.status().Term) {
-			best = x
-		}
-	}
-	return best
-}
