gwquorum, gwcontrol: a learner that lacks more than 1 MiB has not caught up

Cause: a learner counted as caught up within 64 entries of the commit index, whatever their size; of configurations of 60 KB these are 4 MB, which take seconds between regions, and a voter that lacks them can be part of no quorum. Change: the committed entries that it lacks are at most 1 MiB as well. TestLearnerThatLacksLargeEntriesIsNotPromoted fails without it.

--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -353,5 +353,6 @@
 // last few. With steady writes a member in another region is always some entries behind.
 func (p voterPlan) caughtUp(id string) bool {
 	peer := p.peer(id)
-	return id == p.st.ID || peer.Active && peer.Match+gwquorum.DefaultMaxPromoteLag >= p.st.Commit
+	return id == p.st.ID || peer.Active && peer.Match+gwquorum.DefaultMaxPromoteLag >= p.st.Commit &&
+		peer.LagBytes <= gwquorum.DefaultMaxPromoteLagBytes
 }
--- a/pkg/gwquorum/config.go
+++ b/pkg/gwquorum/config.go
@@ -25,7 +25,10 @@
 	// DefaultMinSnapshotBytes is a quarter of what a link between regions carries in a round trip.
 	DefaultMinSnapshotBytes = 64 << 10
 	DefaultMaxPromoteLag    = 64
-	DefaultMaxPending       = 4096
+	// DefaultMaxPromoteLagBytes takes 0.3 s between regions, and is more than a learner lacks while
+	// a configuration is written each 0.1 s.
+	DefaultMaxPromoteLagBytes = 1 << 20
+	DefaultMaxPending         = 4096
 	// DefaultMaxPendingBytes is what a link of 30 Mbit/s carries in 0.3 s.
 	DefaultMaxPendingBytes = 1 << 20
 	// DefaultMaxDataBytes lets one entry fit into a message of 16 MiB.
@@ -57,8 +60,10 @@
 	// it does not know the members before its own addition.
 	MinSnapshotBytes int
 	MaxPromoteLag    uint64 // maximum distance of a learner's synced log from the commit index at promotion
-	MaxDataBytes     int    // maximum size of the data of one entry
-	MaxPending       int    // maximum uncommitted entries, and maximum unanswered reads
+	// MaxPromoteLagBytes is the maximum size of the committed entries that a learner lacks then.
+	MaxPromoteLagBytes int
+	MaxDataBytes       int // maximum size of the data of one entry
+	MaxPending         int // maximum uncommitted entries, and maximum unanswered reads
 	// MaxPendingBytes is the maximum size of the uncommitted entries with which an entry of
 	// more than 16 KB is accepted. A larger one is accepted if none is uncommitted.
 	MaxPendingBytes int
@@ -75,6 +80,7 @@
 	setDefault(&c.KeepBytes, DefaultKeepBytes)
 	setDefault(&c.MinSnapshotBytes, DefaultMinSnapshotBytes)
 	setDefault(&c.MaxPromoteLag, DefaultMaxPromoteLag)
+	setDefault(&c.MaxPromoteLagBytes, DefaultMaxPromoteLagBytes)
 	setDefault(&c.MaxDataBytes, DefaultMaxDataBytes)
 	setDefault(&c.MaxPending, DefaultMaxPending)
 	setDefault(&c.MaxPendingBytes, DefaultMaxPendingBytes)
--- a/pkg/gwquorum/member.go
+++ b/pkg/gwquorum/member.go
@@ -124,7 +124,8 @@
 		return newError(opChange, KindInvalid, "%q is not a learner", id)
 	}
 	// A learner that has synced the latest change also knows of its own addition.
-	caughtUp := pr.match >= n.log.changeIndex() && pr.match+n.cfg.MaxPromoteLag >= n.log.commit
+	caughtUp := pr.match >= n.log.changeIndex() && pr.match+n.cfg.MaxPromoteLag >= n.log.commit &&
+		n.log.size(pr.match, n.log.commit) <= n.cfg.MaxPromoteLagBytes
 	if !caughtUp || !n.active(id) {
 		return newError(opChange, KindNotCaughtUp, "%q has synced up to entry %d, the commit index is %d", id, pr.match, n.log.commit)
 	}
--- a/pkg/gwquorum/newmember_test.go
+++ b/pkg/gwquorum/newmember_test.go
@@ -165,6 +165,40 @@
 	}
 }
 
+// Guards against a learner that gets a vote while it lacks so much of the log that it cannot be
+// part of a quorum for seconds.
+func TestLearnerThatLacksLargeEntriesIsNotPromoted(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		size int
+		want bool
+	}{
+		{"small entries", 1000, true},
+		{"large entries", 60 << 10, false},
+	} {
+		c := newTimedClusterOf(7, gwquorum.Members{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}})
+		c.run(2*time.Second, nil)
+		l := c.leader()
+		for range 40 { // fewer than are allowed by their number
+			c.propose(tt.size)
+			c.run(50*time.Millisecond, nil)
+			c.members["d"].sync = 10 * time.Second // it answers and saves nothing
+		}
+		c.run(300*time.Millisecond, nil)
+		st := l.node.Status()
+		require.Equal(t, st.Last, st.Commit, tt.name)
+		p := st.Peers[slices.IndexFunc(st.Peers, func(p gwquorum.PeerStatus) bool { return p.Instance == "d" })]
+		require.True(t, p.Active, tt.name)
+		require.NotZero(t, p.LagBytes, tt.name)
+		err := l.node.ProposeChange(gwquorum.Change{Kind: gwquorum.Promote, Instance: "d"})
+		if tt.want {
+			assert.NoError(t, err, tt.name)
+		} else {
+			assert.Equal(t, gwquorum.KindNotCaughtUp, gwquorum.KindOf(err), "%s: lacks %d bytes", tt.name, p.LagBytes)
+		}
+	}
+}
+
 // Guards against a leader that keeps entries before its snapshot whatever their size.
 func TestKeptEntriesAreBoundedByBytes(t *testing.T) {
 	for _, tt := range []struct {
