--- a/internal/gwsoak/checker.go
+++ b/internal/gwsoak/checker.go
@@ -29,6 +29,7 @@
 	RuleStale   Rule = "STALE"
 	RuleRecover Rule = "RECOVER"
 	RuleFault   Rule = "FAULT" // a process ended by itself
+	RuleVote    Rule = "VOTE"  // a newcomer has no vote when the pages let the next disk be lost
 )
 
 // Violation is one break of a rule.
@@ -100,6 +101,14 @@
 	c.broken(rule, group, format, args...)
 }
 
+// violateAt records a violation that is found later.
+func (c *Checker) violateAt(at time.Time, rule Rule, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken(rule, "", format, args...)
+	c.violations[len(c.violations)-1].At = at
+}
+
 func (c *Checker) broken(rule Rule, group, format string, args ...any) {
 	v := Violation{At: time.Now(), Rule: rule, Group: group, Detail: fmt.Sprintf(format, args...)}
 	c.violations = append(c.violations, v)
@@ -185,6 +194,13 @@
 	c.counts[what]++
 }
 
+// counted returns how often count was called for something.
+func (c *Checker) counted(what string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[what]
+}
+
 // fault records the beginning (1) or the end (-1) of a fault, or a momentary fault (0).
 func (c *Checker) fault(change int, format string, args ...any) {
 	c.mu.Lock()
--- a/internal/gwsoak/disasters.go
+++ b/internal/gwsoak/disasters.go
@@ -31,23 +31,24 @@
 // replacedSlow is replacedControl with syncs that take the longest time with which all bounds
 // apply beside other faults.
 func replacedSlow(ctx context.Context, r *Run) {
-	r.calmDisk = promptSync.String()
-	r.setDisks(r.controls(), r.calmDisk)
-	r.check.logf("all syncs of control instances take %s more", promptSync)
+	r.setCalmDisk(promptSync.String())
 	replacedControl(ctx, r)
 }
 
-// loseAnyhow replaces or wipes a control instance.
-func (r *Run) loseAnyhow(ctx context.Context, p *process, replace, power bool) {
+// loseAnyhow replaces or wipes a control instance, with power set right after an acknowledgement
+// and while all others lose their power. It returns the instance that starts empty.
+func (r *Run) loseAnyhow(ctx context.Context, p *process, replace, power bool) *process {
 	l := r.wiping(p)
 	if replace {
 		var err error
 		if l, err = r.replacing(p, r.rand.IntN(2) == 0, SeedsOf(r.rand.IntN(3))); err != nil {
 			r.check.logf("no replacement: %v", err)
-			return
+			return nil
 		}
 	}
+	l.afterAck = power
 	r.lose(ctx, l, power, shortestOutage+randomTime(r.rand, moreOutage), lossWait)
+	return l.started()
 }
 
 // slowDisks makes all disks slower step by step. Nothing else happens, so that the bounds of
@@ -64,15 +65,24 @@
 }
 
 // lastDisk loses the power of all instances and the disk of a control instance right after an
-// acknowledgement.
+// acknowledgement: beside nothing else, beside a successor in its first seconds, whose predecessor
+// or own disk is lost, or beside a predecessor that still runs and does not count.
 func lastDisk(ctx context.Context, r *Run) {
 	sleep(ctx, randomTime(r.rand, 3*time.Second))
-	select {
-	case p := <-r.operator.nextAck():
-		r.check.logf("%s has acknowledged", p.settings.Name)
-		r.loseAnyhow(ctx, r.controls()[r.rand.IntN(len(zones))], r.rand.IntN(2) == 0, true)
-	case <-time.After(recoveryLimit):
-		r.check.logf("nothing is acknowledged")
-	case <-ctx.Done():
+	control := r.controls()
+	at, replace := r.rand.IntN(len(control)), r.rand.IntN(2) == 0
+	p, lost := control[at], control[(at+1+r.rand.IntN(2))%len(control)]
+	switch r.rand.IntN(3) {
+	case 1:
+		if n := r.startBeside(p, SeedsPresent); n != nil {
+			sleep(ctx, randomTime(r.rand, catchUpLimit))
+			lost, replace = []*process{p, n}[r.rand.IntN(2)], false
+		}
+	case 2:
+		if n := r.startBeside(p, SeedsPresent); n != nil {
+			sleep(ctx, time.Until(n.startTime().Add(catchUpLimit)))
+			lost = []*process{lost, n}[r.rand.IntN(2)]
+		}
 	}
+	r.loseAnyhow(ctx, lost, replace, true)
 }
--- a/internal/gwsoak/fault.go
+++ b/internal/gwsoak/fault.go
@@ -33,7 +33,10 @@
 	})
 }
 
+// restart starts a process if it does not run, while there is power.
 func (r *Run) restart(p *process) {
+	r.power.RLock()
+	defer r.power.RUnlock()
 	if err := p.start(); err != nil {
 		r.check.violate(RuleFault, "", "%s does not start: %v", p.settings.Name, err)
 	}
--- a/internal/gwsoak/loss.go
+++ b/internal/gwsoak/loss.go
@@ -60,6 +60,8 @@
 	successor *process
 	// begin ends the process. end starts it, or its successor.
 	begin, end func()
+	// afterAck loses the disk right after the next acknowledgement.
+	afterAck bool
 }
 
 // wiping is a control instance that returns at its address with an empty disk.
@@ -86,13 +88,14 @@
 }
 
 // replace replaces a control instance that ends first.
-func (r *Run) replace(ctx context.Context, p *process, silent bool, seeds SeedsOf, d, wait time.Duration) {
+func (r *Run) replace(ctx context.Context, p *process, silent bool, seeds SeedsOf, power bool, d, wait time.Duration) {
 	l, err := r.replacing(p, silent, seeds)
 	if err != nil {
 		r.check.logf("no replacement: %v", err)
 		return
 	}
-	r.lose(ctx, l, false, d, wait)
+	l.afterAck = power
+	r.lose(ctx, l, power, d, wait)
 }
 
 func addressText(silent bool) string {
@@ -181,6 +184,9 @@
 		r.check.logf("not done, as it is gone or another disk is lost: %s", l.what)
 		return
 	}
+	if l.afterAck {
+		r.operator.awaitAck(ctx, ackLimit)
+	}
 	if power {
 		r.losePower(ctx, d, &l)
 		return
@@ -199,15 +205,16 @@
 	return l.lost
 }
 
-// losePower kills all processes at once and starts them again after a while, and a disk is
-// lost with it if l is not nil.
+// losePower kills all processes at once, also those that do not count, and starts them again after
+// a while. A disk is lost with it if l is not nil.
 func (r *Run) losePower(ctx context.Context, d time.Duration, l *loss) {
 	what := "lose the power of all instances"
 	if l != nil {
 		what += ", and " + l.what
 	}
-	all := r.processes()
 	r.during(ctx, d, what, func() {
+		r.power.Lock()
+		all := r.everyProcess()
 		for _, p := range all {
 			p.signal(syscall.SIGKILL)
 		}
@@ -218,10 +225,11 @@
 			l.begin()
 		}
 	}, func() {
+		r.power.Unlock()
 		if l != nil {
 			l.end()
 		}
-		for _, p := range all {
+		for _, p := range r.everyProcess() {
 			r.restart(p)
 		}
 		if l != nil {
--- a/internal/gwsoak/network.go
+++ b/internal/gwsoak/network.go
@@ -17,10 +17,11 @@
 	paths   map[pair]*path
 	proxies []*proxy
 	links   map[netip.Addr]*proxy // by announced address
+	regions map[netip.Addr]string // of the announced addresses
 }
 
 func newNetwork() *Network {
-	return &Network{paths: make(map[pair]*path), links: make(map[netip.Addr]*proxy)}
+	return &Network{paths: make(map[pair]*path), links: make(map[netip.Addr]*proxy), regions: make(map[netip.Addr]string)}
 }
 
 func (n *Network) path(from, to netip.Addr) *path {
@@ -28,11 +29,22 @@
 	defer n.mu.Unlock()
 	k := pair{from, to}
 	if n.paths[k] == nil {
-		n.paths[k] = newPath()
+		p := newPath()
+		if a, b := n.regions[from], n.regions[to]; a != "" && b != "" && a != b {
+			p.distance, p.rate = regionDelay, regionRate
+		}
+		n.paths[k] = p
 	}
 	return n.paths[k]
 }
 
+// locate says in which region an instance is, before its first connection.
+func (n *Network) locate(a netip.Addr, region string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.regions[a] = region
+}
+
 // link forwards what other instances send to the announced address of an instance.
 func (n *Network) link(announced, listens netip.AddrPort) error {
 	to := announced.Addr()
--- a/internal/gwsoak/operator.go
+++ b/internal/gwsoak/operator.go
@@ -28,7 +28,8 @@
 	client *platformtest.Client
 
 	mu       sync.Mutex
-	size     int // of a configuration, at least, in bytes
+	size     int           // of a configuration, at least, in bytes
+	interval time.Duration // from an acknowledgement to the next configuration
 	version  int
 	marks    []string
 	acked    int
@@ -44,12 +45,12 @@
 	// configuration, and unread whether it was reported that none does.
 	readBack time.Time
 	unread   bool
-	// next, if not nil, receives the instance that acknowledges the next configuration.
-	next chan *process
+	// next are closed when the next configuration is acknowledged.
+	next []chan struct{}
 }
 
 func newOperator(r *Run) *operator {
-	return &operator{r: r, client: platformtest.NewClient(), obeyed: make(map[*process]int)}
+	return &operator{r: r, client: platformtest.NewClient(), interval: publishInterval, obeyed: make(map[*process]int)}
 }
 
 func (o *operator) setSize(n int) {
@@ -58,6 +59,12 @@
 	o.size = n
 }
 
+func (o *operator) setInterval(d time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.interval = d
+}
+
 // end makes the operator publish nothing new.
 func (o *operator) end() {
 	o.mu.Lock()
@@ -71,12 +78,12 @@
 	o.r.wg.Go(func() { o.watchPending(ctx) })
 	for ctx.Err() == nil {
 		o.mu.Lock()
-		ended := o.ended
+		ended, interval := o.ended, o.interval
 		o.mu.Unlock()
 		if !ended {
 			o.publish(ctx)
 		}
-		sleep(ctx, publishInterval)
+		sleep(ctx, interval)
 	}
 }
 
@@ -119,18 +126,24 @@
 	if o.readBack.IsZero() {
 		o.readBack = o.ackedAt
 	}
-	if o.next != nil {
-		o.next <- p
-		o.next = nil
+	for _, c := range o.next {
+		close(c)
 	}
+	o.next = nil
 }
 
-// nextAck returns a channel with the instance that acknowledges the next configuration.
-func (o *operator) nextAck() <-chan *process {
+// awaitAck waits until a configuration is acknowledged, for a time.
+func (o *operator) awaitAck(ctx context.Context, d time.Duration) {
+	acked := make(chan struct{})
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.next = make(chan *process, 1)
-	return o.next
+	o.next = append(o.next, acked)
+	o.mu.Unlock()
+	select {
+	case <-acked:
+	case <-time.After(d):
+		o.r.check.logf("nothing is acknowledged for %s", d)
+	case <-ctx.Done():
+	}
 }
 
 func (o *operator) lastRead() time.Time {
--- a/internal/gwsoak/path.go
+++ b/internal/gwsoak/path.go
@@ -17,7 +17,11 @@
 	gone  bool
 	freed chan struct{} // closed when held ends
 	delay time.Duration
-	conns map[*net.TCPConn]struct{} // receiving ends at the proxy
+	// distance and rate are those of the link, without a fault. A rate of 0 is not limited.
+	distance time.Duration
+	rate     int                       // bytes per second
+	sent     time.Time                 // when the link has sent all that has arrived
+	conns    map[*net.TCPConn]struct{} // receiving ends at the proxy
 	// listener accepts connections of this path only, if it is not nil.
 	listener *net.TCPListener
 	bytes    atomic.Int64
@@ -150,6 +154,17 @@
 	return p.delay
 }
 
+// due returns when n bytes that arrive now are delivered, by the delay and the rate of the link.
+func (p *path) due(now time.Time, n int) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent = latest(p.sent, now)
+	if p.rate > 0 {
+		p.sent = p.sent.Add(time.Duration(n) * time.Second / time.Duration(p.rate))
+	}
+	return p.sent.Add(p.distance + p.delay)
+}
+
 // reset closes a connection with a reset.
 func reset(c *net.TCPConn) {
 	_ = c.SetLinger(0)
--- a/internal/gwsoak/process.go
+++ b/internal/gwsoak/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,9 +31,9 @@
 	ordered     bool // the soak has ended the process
 	stopped     bool
 	incarnation int
-	started     time.Time
-	gone        bool   // for good
-	diskFaults  string // text of the file of faults
+	starts      []time.Time // of all its processes
+	gone        bool        // for good
+	diskFaults  string      // text of the file of faults
 }
 
 func (p *process) logPath() string { return filepath.Join(p.folder, p.settings.Name+".log") }
@@ -65,7 +66,7 @@
 	p.settings.FirstStart = false
 	p.cmd, p.done, p.ordered, p.stopped = cmd, make(chan struct{}), false, false
 	p.incarnation++
-	p.started = time.Now()
+	p.starts = append(p.starts, time.Now())
 	go p.wait(cmd, p.done)
 	return nil
 }
@@ -116,7 +117,17 @@
 func (p *process) startTime() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.started
+	if len(p.starts) == 0 {
+		return time.Time{}
+	}
+	return p.starts[len(p.starts)-1]
+}
+
+// startTimes returns when each process of the instance was started.
+func (p *process) startTimes() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.starts)
 }
 
 // isGone reports whether the process was ended for good.
--- a/internal/gwsoak/proxy.go
+++ b/internal/gwsoak/proxy.go
@@ -129,7 +129,7 @@
 			close(f.reset)
 		}
 		if n > 0 || err != nil {
-			f.queue <- chunk{data: b[:n], due: time.Now().Add(f.path.currentDelay()), err: err}
+			f.queue <- chunk{data: b[:n], due: f.path.due(time.Now(), n), err: err}
 		}
 		if err != nil {
 			return
--- a/internal/gwsoak/redundancy.go
+++ b/internal/gwsoak/redundancy.go
@@ -27,6 +27,8 @@
 	removed time.Time
 	// busy is the number of faults that keep the processors busy, which slow every instance.
 	busy int
+	// due has when the pages counted each newcomer.
+	due []dueVote
 }
 
 func newRedundancy() redundancy {
@@ -94,6 +96,11 @@
 		}
 	}
 	if now.Sub(d.removed) >= catchUpLimit {
+		for p := range since {
+			if _, ok := d.restoring[p]; ok {
+				d.noteDue(p, since, now)
+			}
+		}
 		clear(d.restoring)
 		d.release(since, had)
 	}
@@ -102,10 +109,31 @@
 // release notes which control instances do not count any more.
 func (d *redundancy) release(since map[*process]time.Time, had func(p *process) bool) {
 	for p := range since {
-		if n := d.successors[p]; n != nil && since[n] != (time.Time{}) && had(n) && d.only(p, true) {
+		if n := d.successors[p]; n != nil && since[n] != (time.Time{}) && had(n) && d.only(p, true) && !d.done[p] {
 			d.done[p] = true
+			d.noteDue(n, since, d.since[n].Add(catchUpLimit))
+		}
+	}
+}
+
+// noteDue notes that a newcomer counts from now on.
+func (d *redundancy) noteDue(p *process, since map[*process]time.Time, now time.Time) {
+	d.due = append(d.due, dueVote{p: p, at: now, spare: d.spare(p, since)})
+}
+
+// spare reports whether a control instance may stay without a vote: the number of voters is odd
+// by design, so that one of an even number of instances is a learner, which is one of a data centre
+// that has another one. That is so while an added instance runs.
+func (d *redundancy) spare(p *process, since map[*process]time.Time) bool {
+	n, other := 0, false
+	for o := range since {
+		if d.done[o] {
+			continue
 		}
+		n++
+		other = other || o != p && o.settings.DataCentre == p.settings.DataCentre
 	}
+	return n%2 == 0 && other
 }
 
 // only reports whether none is restoring but p, its successor or its predecessor; with lost set,
--- a/internal/gwsoak/report.go
+++ b/internal/gwsoak/report.go
@@ -24,6 +24,7 @@
 	Gaps       map[string]string `json:"gaps"`       // longest time without an acknowledged write, by group
 	Waited     string            `json:"waited"`     // longest time that a configuration waited with a connected majority
 	StoodStill string            `json:"stoodStill"` // longest time for which the soak itself stood still
+	Newcomers  []Newcomer        `json:"newcomers"`
 	Violations []Violation       `json:"violations"`
 	Events     []Event           `json:"events"`
 }
@@ -39,13 +40,14 @@
 )
 
 func (r *Run) report(started time.Time) Report {
+	newcomers := r.newcomers()
 	r.check.mu.Lock()
 	defer r.check.mu.Unlock()
 	c := r.check
 	out := Report{
 		Seed: r.o.Seed, Scenario: r.o.Scenario.Name, Program: filepath.Base(r.o.Program), Started: started,
 		Took: time.Since(started).Round(time.Millisecond).String(), Schedule: r.steps, Counts: maps.Clone(c.counts),
-		Gaps: make(map[string]string), Violations: slices.Clone(c.violations), Events: c.events,
+		Gaps: make(map[string]string), Newcomers: newcomers, Violations: slices.Clone(c.violations), Events: c.events,
 	}
 	for g, d := range c.gaps {
 		out.Gaps[g] = d.Round(time.Millisecond).String()
@@ -101,6 +103,9 @@
 	}
 	fmt.Fprintf(w, "  longest wait of a configuration with a connected majority: %s\n", r.Waited)
 	fmt.Fprintf(w, "  longest standstill of the soak itself: %s\n", r.StoodStill)
+	for _, n := range r.Newcomers {
+		fmt.Fprintf(w, "  %s\n", n)
+	}
 	for _, s := range r.Schedule {
 		fmt.Fprintf(w, "  %s\n", s)
 	}
--- a/internal/gwsoak/run.go
+++ b/internal/gwsoak/run.go
@@ -54,6 +54,7 @@
 const (
 	localDelay       = time.Millisecond
 	regionDelay      = 30 * time.Millisecond
+	regionRate       = 20 << 20 // bytes per second and direction of a link between regions
 	startLimit       = 20 * time.Second
 	minEntries       = 3
 	moreEntries      = 4 // 3 to 6 entry instances
@@ -87,6 +88,9 @@
 	operator *operator
 	wg       sync.WaitGroup
 
+	// power is locked while all instances are without power: none starts.
+	power sync.RWMutex
+
 	mu sync.Mutex
 	// control has the present control instances, first those in the order of zones. It is
 	// replaced, not changed. gone has those that were replaced or removed.
@@ -308,6 +312,7 @@
 // connect starts the proxies before a process and creates its data folder.
 func (r *Run) connect(p *process) error {
 	s := &p.settings
+	r.network.locate(s.IP, s.Region)
 	announced, listens := netip.AddrPortFrom(s.IP, uint16(r.port)), netip.MustParseAddrPort(p.peerListen)
 	if err := r.network.link(announced, listens); err != nil {
 		return err
--- a/internal/gwsoak/scenario.go
+++ b/internal/gwsoak/scenario.go
@@ -36,7 +36,8 @@
 		{"besideControl", "successors start beside control instances, which end as soon as the pages allow it, while another one loses its disk", besideControl},
 		{"replacedSlow", "as replacedControl, with syncs of all control instances that take 150 ms more", replacedSlow},
 		{"slowDisks", "the syncs of all control instances get slower step by step", slowDisks},
-		{"lastDisk", "right after an acknowledgement all instances lose power and one control instance its disk", lastDisk},
+		{"lastDisk", "right after an acknowledgement all instances lose power, also those that do not count, and one control instance its disk", lastDisk},
+		{"longHistory", "after a long history of large configurations one control instance after another is replaced or loses its disk, each as soon as the pages allow it", longHistory},
 	}
 }
 
--- a/internal/gwsoak/schedule.go
+++ b/internal/gwsoak/schedule.go
@@ -84,6 +84,7 @@
 	LoseNext struct {
 		Control         int
 		Replace, Silent bool
+		Power           bool // all instances lose their power with it, right after an acknowledgement
 	}
 	// LoseDisk kills a control instance and starts it again with an empty disk.
 	LoseDisk struct{ Control int }
@@ -105,6 +106,8 @@
 	CrashPrimary struct{ Group int }
 	// CrashServer crashes any server of a group.
 	CrashServer struct{ Group, Server int }
+	// LongHistory publishes large configurations before the next step.
+	LongHistory struct{ Configurations, Bytes int }
 	// LargeConfigurations makes the operator publish large configurations.
 	LargeConfigurations struct{ Bytes int }
 )
@@ -133,6 +136,7 @@
 func (SlowPlatform) isAction()        {}
 func (CrashPrimary) isAction()        {}
 func (CrashServer) isAction()         {}
+func (LongHistory) isAction()         {}
 func (LargeConfigurations) isAction() {}
 
 // weighted is a kind of action and how often it is chosen.
@@ -185,7 +189,7 @@
 		return AddControl{Zone: r.IntN(len(zones)), Ending: randomEnding(r, 3*catchUpLimit), Seeds: SeedsOf(r.IntN(3))}
 	}},
 	{4, func(r *rand.Rand) Action {
-		return LoseNext{Control: r.IntN(instances), Replace: r.IntN(2) == 0, Silent: r.IntN(2) == 0}
+		return LoseNext{Control: r.IntN(instances), Replace: r.IntN(2) == 0, Silent: r.IntN(2) == 0, Power: r.IntN(3) == 0}
 	}},
 }
 
@@ -220,7 +224,12 @@
 func RandomSchedule(seed uint64, total time.Duration) []Step {
 	all := slices.Concat(kinds, memberKinds)
 	if seed%3 == 0 {
-		return scheduleOf(slices.Concat(all, memberKinds, memberKinds, memberKinds), seed, total, calmInterval)
+		out := scheduleOf(slices.Concat(all, memberKinds, memberKinds, memberKinds), seed, total, calmInterval)
+		if seed%2 == 0 {
+			h := LongHistory{Configurations: minHistory + int(seed%moreHistory), Bytes: minEntryBytes + int(seed*997%moreEntryBytes)}
+			out = slices.Insert(out, 0, Step{Action: h})
+		}
+		return out
 	}
 	return scheduleOf(all, seed, total, stepInterval)
 }
@@ -255,6 +264,11 @@
 		if !sleep(ctx, s.At-time.Since(started)) {
 			break
 		}
+		if h, ok := s.Action.(LongHistory); ok {
+			r.publishHistory(ctx, h.Configurations, h.Bytes)
+			started = time.Now().Add(-s.At)
+			continue
+		}
 		wg.Go(func() { r.act(ctx, s) })
 	}
 	wg.Wait()
@@ -299,17 +313,19 @@
 	control := func(n int) *process { return nth(r.controls(), n) }
 	switch a := s.Action.(type) {
 	case ReplaceControl:
-		r.replace(ctx, nth(r.replaceable(), a.Control), a.Silent, a.Seeds, s.For, 0)
+		r.replace(ctx, nth(r.replaceable(), a.Control), a.Silent, a.Seeds, false, s.For, 0)
 	case ReplaceBeside:
 		r.replaceBeside(ctx, nth(r.replaceable(), a.Control), a.Ending, a.Seeds)
 	case AddControl:
 		r.addControl(ctx, zones[a.Zone], a.Ending, a.Seeds)
 	case LoseNext:
 		if a.Replace {
-			r.replace(ctx, nth(r.replaceable(), a.Control), a.Silent, SeedsPresent, s.For, lossWait)
+			r.replace(ctx, nth(r.replaceable(), a.Control), a.Silent, SeedsPresent, a.Power, s.For, lossWait)
 			return
 		}
-		r.lose(ctx, r.wiping(nth(r.counting(), a.Control)), false, s.For, lossWait)
+		l := r.wiping(nth(r.counting(), a.Control))
+		l.afterAck = a.Power
+		r.lose(ctx, l, a.Power, s.For, lossWait)
 	case LoseDisk:
 		r.lose(ctx, r.wiping(nth(r.counting(), a.Control)), false, s.For, 0)
 	case PowerLoss:
