--- a/internal/gwsoak/disasters.go
+++ b/internal/gwsoak/disasters.go
@@ -36,19 +36,18 @@
 }
 
 // loseAnyhow replaces or wipes a control instance, with power set right after an acknowledgement
-// and while all others lose their power. It returns the instance that starts empty.
-func (r *Run) loseAnyhow(ctx context.Context, p *process, replace, power bool) *process {
+// and while all others lose their power.
+func (r *Run) loseAnyhow(ctx context.Context, p *process, replace, power bool) {
 	l := r.wiping(p)
 	if replace {
 		var err error
 		if l, err = r.replacing(p, r.rand.IntN(2) == 0, SeedsOf(r.rand.IntN(3))); err != nil {
 			r.check.logf("no replacement: %v", err)
-			return nil
+			return
 		}
 	}
 	l.afterAck = power
 	r.lose(ctx, l, power, shortestOutage+randomTime(r.rand, moreOutage), lossWait)
-	return l.started()
 }
 
 // slowDisks makes all disks slower step by step. Nothing else happens, so that the bounds of
--- a/internal/gwsoak/history.go
+++ b/internal/gwsoak/history.go
@@ -62,11 +62,11 @@
 	if rounds[0] == int(powerAfterAck) {
 		rounds[0], rounds[1] = rounds[1], rounds[0]
 	}
-	for i, round := range rounds[:roundsPerRun] {
-		r.historyRound(ctx, &wg, historyRound(round), i > 0, sync)
+	next := r.victim(false)
+	for _, round := range rounds[:roundsPerRun] {
+		next = r.historyRound(ctx, &wg, historyRound(round), next, sync)
 	}
-	// The last one waits until the pages allow it, and all instances lose their power with it.
-	r.loseAnyhow(ctx, r.victim(r.rand.IntN(2) == 0), r.rand.IntN(2) == 0, true)
+	r.loseAnyhow(ctx, next, r.rand.IntN(2) == 0, true)
 	r.operator.setSize(0)
 }
 
@@ -81,8 +81,8 @@
 	return of[r.rand.IntN(len(of))]
 }
 
-func (r *Run) historyRound(ctx context.Context, wg *sync.WaitGroup, round historyRound, leader bool, sync string) {
-	p := r.victim(leader)
+// historyRound loses p and returns the instance that is lost next, when the pages allow it.
+func (r *Run) historyRound(ctx context.Context, wg *sync.WaitGroup, round historyRound, p *process, sync string) (next *process) {
 	switch round {
 	case steadyWrites:
 		r.operator.setInterval(steadyInterval)
@@ -91,10 +91,7 @@
 		r.setCalmDisk(promptSync.String())
 		defer r.setCalmDisk(sync)
 	}
-	n := r.loseForNewcomer(ctx, wg, p, round == powerAfterAck)
-	if n == nil {
-		return
-	}
+	r.loseForNewcomer(ctx, wg, p, round == powerAfterAck)
 	if round == leaderAway {
 		sleep(ctx, randomTime(r.rand, time.Second))
 		l, d := r.leader(), shortestOutage+randomTime(r.rand, moreOutage)
@@ -104,25 +101,26 @@
 			r.kill(ctx, l, d)
 		}
 	}
+	next = r.victim(true)
 	// The conditions of the round last until the newcomer counts.
-	r.await(ctx, n, lossWait, func(d *redundancy) bool { return len(d.restoring) == 0 })
+	r.await(ctx, next, lossWait, func(d *redundancy) bool { return len(d.restoring) == 0 })
+	return next
 }
 
 // loseForNewcomer replaces or wipes a control instance, or starts a successor beside it, as soon
-// as the pages allow it, and returns the newcomer.
-func (r *Run) loseForNewcomer(ctx context.Context, wg *sync.WaitGroup, p *process, power bool) *process {
+// as the pages allow it.
+func (r *Run) loseForNewcomer(ctx context.Context, wg *sync.WaitGroup, p *process, power bool) {
 	how := r.rand.IntN(3)
 	if power || how > 0 {
-		return r.loseAnyhow(ctx, p, how == 1, power)
+		r.loseAnyhow(ctx, p, how == 1, power)
+		return
 	}
 	e := Ending{After: catchUpLimit, Kill: r.rand.IntN(2) == 0, Silent: r.rand.IntN(2) == 0, Never: r.rand.IntN(5) == 0}
 	r.await(ctx, p, lossWait, func(d *redundancy) bool { return len(d.restoring) == 0 })
-	n := r.startBeside(p, SeedsOf(r.rand.IntN(3)))
-	if n != nil {
+	if n := r.startBeside(p, SeedsOf(r.rand.IntN(3))); n != nil {
 		start := n.startTime()
 		wg.Go(func() { r.remove(ctx, p, start, e) })
 	}
-	return n
 }
 
 // setCalmDisk sets the faults of all disks beside other faults.
--- a/internal/gwsoak/schedule.go
+++ b/internal/gwsoak/schedule.go
@@ -227,7 +227,7 @@
 		out := scheduleOf(slices.Concat(all, memberKinds, memberKinds, memberKinds), seed, total, calmInterval)
 		if seed%2 == 0 {
 			h := LongHistory{Configurations: minHistory + int(seed%moreHistory), Bytes: minEntryBytes + int(seed*997%moreEntryBytes)}
-			out = slices.Insert(out, 0, Step{Action: h})
+			out = slices.Insert(out, 0, Step{For: historyLimit, Action: h})
 		}
 		return out
 	}
