--- a/internal/gwsoak/soak_test.go
+++ b/internal/gwsoak/soak_test.go
@@ -97,6 +97,20 @@
 	assert.Empty(t, r.Violations)
 }
 
+// Guards against a new member that is sent the history before it can vote: it had no vote 4 s after
+// its start, when the pages let the next disk be lost (issue 42).
+func TestHistoryBeforeVote(t *testing.T) {
+	r := play(t, Scenario{Name: "history", play: func(ctx context.Context, r *Run) {
+		r.publishHistory(ctx, 120, 250_000)
+		control := r.controls()
+		far := control[len(control)-1] // the leader is in the other region
+		r.lose(ctx, r.wiping(far), false, time.Second, 0)
+		r.await(ctx, far, lossWait, func(d *redundancy) bool { return len(d.restoring) == 0 })
+	}}, 1, time.Second)
+	assert.Empty(t, r.Violations)
+	assert.Len(t, r.Newcomers, 1)
+}
+
 // Guards against programs that do not keep the promises of the pages under faults of all
 // kinds: a short run of the soak. Longer ones are run by hand (docs/soak.md).
 func TestShortSoak(t *testing.T) {
