--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -96,12 +96,15 @@
 // they have no data of a replicated log. Unless one answers that it has data, LoadIdentity
 // waits for all answers, because a voter that does not answer may have the log in which
 // this instance has voted.
+//
+// The identity is durable once the log in the same folder has been reloaded, which syncs the
+// folder. The voter takes part after that, and names its identity to no one before.
 func LoadIdentity(ctx context.Context, o IdentityOptions) (Identity, error) {
 	saved, err := o.FS.ReadFile(path.Join(o.Folder, identityFile))
 	if err == nil {
 		// A file whose sync failed, perhaps in an earlier process, can be read but may not
 		// survive a loss of power.
-		return Identity{ID: string(saved)}, gwstore.WriteFile(o.FS, o.Folder, identityFile, saved)
+		return Identity{ID: string(saved)}, gwstore.ReplaceFile(o.FS, o.Folder, identityFile, saved)
 	}
 	if !errors.Is(err, fs.ErrNotExist) {
 		return Identity{}, err
@@ -121,7 +124,7 @@
 			identity.ID = newIdentity(o.Instance)
 		}
 	}
-	if err := gwstore.WriteFile(o.FS, o.Folder, identityFile, []byte(identity.ID)); err != nil {
+	if err := gwstore.ReplaceFile(o.FS, o.Folder, identityFile, []byte(identity.ID)); err != nil {
 		return Identity{}, err
 	}
 	return identity, nil
@@ -200,10 +203,11 @@
 }
 
 // reconcileVoters takes the next step towards the wanted members of the replicated log and
-// reports whether it is committed. It waits up to voterCheckInterval for a step to become
-// possible. wanted holds peer addresses by instance; it counts unless the manifest lists voters.
-func (l *Leader) reconcileVoters(ctx context.Context, wanted map[string]string) bool {
-	wanted, listed := l.listedVoters(wanted)
+// reports whether the next one is to follow at once: the step is committed, or other instances
+// have become known. It waits up to voterCheckInterval for a step to become possible. live holds
+// peer addresses by instance; it counts unless the manifest lists voters.
+func (l *Leader) reconcileVoters(ctx context.Context, live map[string]string) bool {
+	wanted, listed := l.listedVoters(live)
 	l.identities.ask(ctx, l.clock, l.others(wanted))
 	for until := l.clock.Now().Add(voterCheckInterval); l.consensus.Leading(); {
 		st := l.consensus.Status()
@@ -226,6 +230,9 @@
 		if !l.sleep(ctx, consensusTick) {
 			return false
 		}
+		if !maps.Equal(l.voters(), live) {
+			return true
+		}
 	}
 	return false
 }
