gwsoak: an instance that starts during an observation does not count as ready

Change: an observation is dropped if other instances count by then. TestStartWhileObserving fails without that check.

--- a/internal/gwsoak/loss_test.go
+++ b/internal/gwsoak/loss_test.go
@@ -90,6 +90,19 @@
 	assert.False(t, r.takeDisk(t.Context(), n, nil, 0), "it is lost")
 }
 
+// Guards against an observation that began before an instance started and counts it as ready: the
+// next disk was lost 1 s after that start on a busy machine.
+func TestStartWhileObserving(t *testing.T) {
+	a, n := &process{}, &process{}
+	r := &Run{check: newChecker(), network: newNetwork(), redundancy: newRedundancy(), control: []*process{a}, seedHistory: [][]netip.Addr{nil}}
+	before, since := r.counting(), map[*process]time.Time{a: time.Now().Add(-time.Hour)}
+	r.changeControl(n, nil, SeedsPresent)
+	r.advance(before, since)
+	assert.Contains(t, r.redundancy.restoring, n)
+	r.advance(r.counting(), map[*process]time.Time{a: since[a], n: since[a]})
+	assert.Empty(t, r.redundancy.restoring)
+}
+
 // Guards against settings that name only control instances which are gone.
 func TestSeeds(t *testing.T) {
 	a := func(last byte) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, last}) }
--- a/internal/gwsoak/redundancy.go
+++ b/internal/gwsoak/redundancy.go
@@ -39,6 +39,11 @@
 func (r *Run) counting() []*process {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.countingNow()
+}
+
+// countingNow is counting; r.mu is held.
+func (r *Run) countingNow() []*process {
 	return slices.DeleteFunc(slices.Clone(r.control), func(p *process) bool { return r.redundancy.done[p] })
 }
 
@@ -65,8 +70,17 @@
 			since[p] = time.Now()
 		}
 	}
+	r.advance(control, since)
+}
+
+// advance notes since when the given control instances are not lost, unless others count by now:
+// an instance that has started meanwhile has had no time of its own.
+func (r *Run) advance(control []*process, since map[*process]time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !slices.Equal(control, r.countingNow()) {
+		return
+	}
 	now := time.Now()
 	for p := range since {
 		if r.redundancy.busy > 0 {
