--- a/internal/gwcontrol/votersloss_test.go
+++ b/internal/gwcontrol/votersloss_test.go
@@ -133,6 +133,7 @@
 	const (
 		usual, slow  = 5 * time.Millisecond, 75 * time.Millisecond // up to twice that
 		state, large = 512 << 10, 2 << 20
+		steady       = 150 * time.Millisecond
 	)
 	moves := func(_ *votersModel, l *modelInstance) { _, l.known = l.node.TransferLeadership(""), nil }
 	stops := func(m *votersModel, l *modelInstance) { m.stop(l, 500*time.Millisecond) }
@@ -141,26 +142,29 @@
 		instances, disks int
 		state            int
 		sync             time.Duration
+		writes           time.Duration // between two entries
 		fault            func(m *votersModel, leader *modelInstance)
 	}{
-		{"three instances", 3, 1, state, usual, nil},
-		{"a large state", 3, 1, large, usual, nil},
-		{"slow disks", 3, 1, state, slow, nil},
-		{"the leadership moves", 3, 1, state, usual, moves},
-		{"the leader stops", 3, 1, state, usual, stops},
-		{"the leader stops, slow disks", 3, 1, state, slow, stops},
-		{"the leader stops, slow disks, a large state", 3, 1, large, slow, stops},
-		{"four instances", 4, 1, state, usual, nil},
-		{"five instances", 5, 1, state, usual, nil},
-		{"six instances, two disks", 6, 2, state, usual, nil},
-		{"six instances, two disks, the leader stops, slow disks, a large state", 6, 2, large, slow, stops},
+		{"three instances", 3, 1, state, usual, steady, nil},
+		{"a large state", 3, 1, large, usual, steady, nil},
+		{"slow disks", 3, 1, state, slow, steady, nil},
+		{"the leadership moves", 3, 1, state, usual, steady, moves},
+		{"the leader stops", 3, 1, state, usual, steady, stops},
+		{"the leader stops, slow disks", 3, 1, state, slow, steady, stops},
+		{"the leader stops, slow disks, a large state", 3, 1, large, slow, steady, stops},
+		{"writes of 1.5 MB/s", 3, 1, state, usual, 40 * time.Millisecond, nil},
+		{"writes of 1.5 MB/s, slow disks", 3, 1, state, slow, 40 * time.Millisecond, nil},
+		{"four instances", 4, 1, state, usual, steady, nil},
+		{"five instances", 5, 1, state, usual, steady, nil},
+		{"six instances, two disks", 6, 2, state, usual, steady, nil},
+		{"six instances, two disks, the leader stops, slow disks, a large state", 6, 2, large, slow, steady, stops},
 	}
 	for _, tt := range tests {
 		var count lossCount
 		var slowest time.Duration
 		for seed := range uint64(4) {
 			m := newVotersModel(seed, tt.instances, 0)
-			m.tolerance, m.transfer, m.writes = tt.disks, longTransfer, 150*time.Millisecond
+			m.tolerance, m.transfer, m.writes = tt.disks, longTransfer, tt.writes
 			m.transfer.snapshotBytes = tt.state
 			m.run(40 * time.Second)
 			m.sync = tt.sync
