gwcontrol: an instance that becomes known during a look at the voters is added at once

A look at the voters takes up to 150 ms if an instance does not answer, as the one that is being replaced. The leader notices a change of the instances once; if that fell into such a look, nothing followed for 250 ms.

The look is repeated if the instances have changed. TestInstanceKnownDuringQuestion fails before.

--- a/internal/gwcontrol/voterjoin_test.go
+++ b/internal/gwcontrol/voterjoin_test.go
@@ -115,6 +115,39 @@
 	})
 }
 
+// Guards against an instance that becomes known while the leader, which has nothing to change, waits
+// for the answer of another one: the next look at the voters was up to 250 ms away.
+func TestInstanceKnownDuringQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newVoterGroup(t, []string{"a", "b", "c"}, []string{"d#1"})
+		c := g.leading()
+		known := time.Now().Add(identityWait / 2)
+		l := &Leader{
+			consensus: c, clock: c.Clock, log: c.Log, manifest: func() *gwmanifest.Index { return nil },
+			voters: func() map[string]string {
+				wanted := map[string]string{"a": "a", "b": "b", "c": "c", "silent": "silent"}
+				if !time.Now().Before(known) {
+					wanted["d"] = "d#1"
+				}
+				return wanted
+			},
+		}
+		l.identities.askOne = func(ctx context.Context, address string) (voterInfo, error) {
+			if address == "silent" {
+				<-ctx.Done()
+				return voterInfo{}, ctx.Err()
+			}
+			return voterInfo{ID: address, Replaces: true}, nil
+		}
+		l.reconcileVotersOnce(t.Context(), l.voters())
+		assert.Contains(t, append(c.Status().Voters, c.Status().Learners...), "d#1")
+		for _, stop := range g.stop {
+			stop()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against a member that is away and that a young leader has never asked: until it was given
 // up after 10 s, voters were promoted and removed one by one, and where the older instances of a
 // data centre may vote, too, its newest one got no vote at all.
--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -191,13 +191,13 @@
 }
 
 // reconcileVotersOnce changes the voters step by step while each step follows the one before at
-// once, unless an earlier call is still running.
+// once or other instances have become known, unless an earlier call is still running.
 func (l *Leader) reconcileVotersOnce(ctx context.Context, wanted map[string]string) {
 	if !l.reconciling.CompareAndSwap(false, true) {
 		return
 	}
 	defer l.reconciling.Store(false)
-	for l.reconcileVoters(ctx, wanted) {
+	for l.reconcileVoters(ctx, wanted) || l.consensus.Leading() && ctx.Err() == nil && !maps.Equal(l.voters(), wanted) {
 		wanted = l.voters()
 	}
 }
