gwcontrol: random schedules of the voters count losses of disks together with power

TestVotersChangeUnderFaults counts, each 0.2 s, every allowed loss of disks while all other machines lose power, and fails if one of the rest can be elected without all committed entries.

--- a/internal/gwcontrol/votersfaults_test.go
+++ b/internal/gwcontrol/votersfaults_test.go
@@ -83,7 +83,7 @@
 	case may > 0 && x.added && m.IntN(2) == 0:
 		m.lose(m.now).freeAt = m.now.Add(leaveLimit)
 		m.end(x)
-	case may > 0 && len(m.instances) < 2*m.initial:
+	case may > 0 && len(m.instances) < 2*m.initial && !x.firstUp.IsZero():
 		m.startSuccessor(x)
 	}
 }
@@ -266,6 +266,7 @@
 	t.Parallel()
 	first, count := votersSchedules(1000, 40)
 	changes := 0
+	losses := lossCount{interval: 200 * time.Millisecond}
 	for seed := first; seed < first+count; seed++ {
 		m := newVotersModel(uint64(seed), 3, seed%3/2)
 		switch seed % 8 {
@@ -277,12 +278,13 @@
 		case 7:
 			m = newVotersModel(uint64(seed), 5, 0)
 		}
-		m.replaces = seed%4 > 0
+		m.replaces, m.count = seed%4 > 0, &losses
 		err := m.play(4)
 		assert.NoError(t, err, "seed %d: %q", seed, m.trace)
 		changes += len(m.took)
 	}
-	t.Logf("seeds %d to %d: %d replaced voters", first, first+count-1, changes)
+	t.Logf("seeds %d to %d: %d replaced voters; of %d losses of disks and power, no quorum after %d", first, first+count-1, changes, losses.all, losses.noQuorum)
+	assert.Zero(t, losses.incomplete, "losses after which something committed is missing: %s", losses.first)
 	assert.Greater(t, changes, count, "replaced voters")
 }
 
--- a/internal/gwcontrol/votersloss_test.go
+++ b/internal/gwcontrol/votersloss_test.go
@@ -67,6 +67,7 @@
 
 // lossCount counts the situations in which disks are lost while all other machines lose power.
 type lossCount struct {
+	interval                  time.Duration // between two moments, lossCountInterval if it is 0
 	all, noQuorum, incomplete int
 	first                     string // describes the first bad one
 }
--- a/internal/gwcontrol/votersmodel_test.go
+++ b/internal/gwcontrol/votersmodel_test.go
@@ -229,7 +229,7 @@
 		m.countDisturbance()
 		m.observeChanges()
 		if m.count != nil && !m.now.Before(m.nextCount) {
-			m.nextCount = m.now.Add(lossCountInterval)
+			m.nextCount = m.now.Add(cmp.Or(m.count.interval, lossCountInterval))
 			m.countLosses(m.count)
 		}
 	}
