--- a/pkg/gwquorum/replicate.go
+++ b/pkg/gwquorum/replicate.go
@@ -115,9 +115,6 @@
 	if n.role != Leader || pr == nil {
 		return
 	}
-	if !n.active(m.From) {
-		pr.snapshotSent = time.Time{} // sent before the peer became unresponsive, it may be lost
-	}
 	pr.lastReply, pr.excused = n.now, 0
 	pr.confirmedRound = max(pr.confirmedRound, min(m.ReadRound, n.reads.round))
 	if m.Reject {
--- a/pkg/gwquorum/snapshot.go
+++ b/pkg/gwquorum/snapshot.go
@@ -95,7 +95,8 @@
 
 // snapshotLost reports whether a reply to a message that was sent after the last snapshot shows
 // that the peer does not have it. Messages to a peer arrive in order; one that overtakes the
-// snapshot costs another snapshot, at most one for each election timeout.
+// snapshot costs another snapshot, at most one for each election timeout. Silence shows nothing, as
+// a member sends no reply while it receives and saves a snapshot.
 func (n *Node) snapshotLost(pr *progress, m Message) bool {
 	return pr.state == restoring && m.ReadRound >= pr.snapshotRound && pr.match < pr.snapshotIndex &&
 		n.now.Sub(pr.snapshotSent) >= n.cfg.ElectionTimeout
--- a/pkg/gwquorum/timedcluster_test.go
+++ b/pkg/gwquorum/timedcluster_test.go
@@ -43,17 +43,19 @@
 
 // timedMember is a member whose disk takes time.
 type timedMember struct {
-	id       string
-	node     *gwquorum.Node
-	hard     gwquorum.HardState
-	snap     gwquorum.Snapshot
-	entries  []gwquorum.Entry
-	sync     time.Duration
-	stopped  time.Time              // until when the process is stopped
-	calls    []func(*gwquorum.Node) // what waits while the member is busy
-	saving   *gwquorum.Ready        // whose save ends at busyUntil
-	busy     time.Time
-	nextTick time.Time
+	id      string
+	node    *gwquorum.Node
+	hard    gwquorum.HardState
+	snap    gwquorum.Snapshot
+	entries []gwquorum.Entry
+	sync    time.Duration
+	// snapshotSyncs is how many syncs the save of a snapshot takes; 0 means 1.
+	snapshotSyncs int
+	stopped       time.Time              // until when the process is stopped
+	calls         []func(*gwquorum.Node) // what waits while the member is busy
+	saving        *gwquorum.Ready        // whose save ends at busyUntil
+	busy          time.Time
+	nextTick      time.Time
 }
 
 // arrival is a message that arrives at the time due.
@@ -171,7 +173,7 @@
 		}
 		if rd.MustSave() {
 			c.sendAll(rd.EarlyMessages())
-			m.saving, m.busy = &rd, c.now.Add(m.sync)
+			m.saving, m.busy = &rd, c.now.Add(m.saveTime(rd))
 			ready = m.node.ReadyDuringSave
 			continue
 		}
@@ -182,6 +184,14 @@
 	}
 }
 
+// saveTime returns how long the save of rd takes.
+func (m *timedMember) saveTime(rd gwquorum.Ready) time.Duration {
+	if rd.Snapshot != nil {
+		return m.sync * time.Duration(max(1, m.snapshotSyncs))
+	}
+	return m.sync
+}
+
 // save keeps what rd asks to save.
 func (m *timedMember) save(rd gwquorum.Ready) {
 	m.hard = rd.HardState
