gwstate: the texts of earlier manifests are bounded by bytes

The state keeps the texts of the latest 20 manifests, whatever their size.

Now the texts before the current one have at most 4 MiB together (TestKeptTextsAreBoundedByBytes). ManifestText, the only reader of these texts, tells one that was dropped from an empty one.

--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -104,14 +104,23 @@
 		s.manifests[last].Manifest.Text = ""
 	}
 	s.manifests = append(s.manifests, manifestRecord{Manifest: m})
-	if len(s.manifests) > keptTexts {
-		s.manifests[len(s.manifests)-1-keptTexts].CompressedText = nil
-	}
+	s.dropTexts()
 	if len(s.manifests) > keptDigests {
 		s.manifests = slices.Delete(s.manifests, 0, 1)
 	}
 }
 
+// dropTexts drops the texts of the manifests before the latest ones.
+func (s *State) dropTexts() {
+	size := 0
+	for i := len(s.manifests) - 2; i >= 0 && s.manifests[i].CompressedText != nil; i-- {
+		size += len(s.manifests[i].CompressedText)
+		if size > keptTextBytes || i < len(s.manifests)-keptTexts {
+			s.manifests[i].CompressedText = nil
+		}
+	}
+}
+
 func (s *State) groupResult(group string, refusal Refusal) Result {
 	return GroupResult{Refusal: refusal, Group: s.groups[group], Lease: s.leases[group]}
 }
--- a/internal/gwstate/state.go
+++ b/internal/gwstate/state.go
@@ -11,6 +11,10 @@
 const (
 	keptTexts   = 20
 	keptDigests = 1000
+	// keptTextBytes is the maximum size of the compressed texts before the current one. 20 texts
+	// of 1 MB that do not compress made a snapshot of 20 MB, which no message of 16 MiB carries,
+	// so that no new voter could be sent the state.
+	keptTextBytes = 4 << 20
 )
 
 // State is the replicated state.
@@ -55,7 +59,7 @@
 }
 
 // History returns the latest manifests, at most 1,000, oldest first. Only the
-// current one has its text; ManifestText returns those of the latest 20.
+// current one has its text; ManifestText returns those of the latest ones.
 func (s *State) History() []Manifest {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -66,7 +70,8 @@
 	return out
 }
 
-// ManifestText returns the text of one of the latest 20 manifests.
+// ManifestText returns the text of one of the latest 20 manifests, or of fewer if the earlier
+// ones of them have more than 4 MiB together, compressed.
 func (s *State) ManifestText(number uint64) (string, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -76,6 +81,8 @@
 		return "", false
 	case i == len(s.manifests)-1:
 		return s.manifests[i].Manifest.Text, true
+	case s.manifests[i].CompressedText == nil:
+		return "", false
 	}
 	text, err := decompress(s.manifests[i].CompressedText)
 	return string(text), err == nil
--- a/internal/gwstate/state_test.go
+++ b/internal/gwstate/state_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"testing"
 	"time"
@@ -106,6 +108,34 @@
 	assert.Equal(t, NumberForgotten, m.apply(manifest(100, "text 100")).(ManifestResult).Refusal)
 }
 
+// Guards against a state that no message carries, so that a new voter is never sent it: the
+// number of texts that are kept was bounded, whatever their size.
+func TestKeptTextsAreBoundedByBytes(t *testing.T) {
+	const size = 1000 << 10 // the text of a request of 1 MiB
+	r := rand.NewChaCha8([32]byte{1})
+	m := newMachine(t)
+	texts := make([]string, 40)
+	for i := range texts {
+		b := make([]byte, size*3/4)
+		_, _ = r.Read(b)
+		texts[i] = base64.StdEncoding.EncodeToString(b) // keys and salts do not compress
+		m.apply(manifest(uint64(i+1), texts[i]))
+	}
+	data, err := m.state.Snapshot()
+	require.NoError(t, err)
+	assert.Less(t, len(data), keptTextBytes+2*size)
+	restored := New(0.01)
+	require.NoError(t, restored.Restore(data, start))
+	for _, s := range []*State{m.state, restored} {
+		text, ok := s.ManifestText(37)
+		assert.True(t, ok)
+		assert.Equal(t, texts[36], text)
+		_, ok = s.ManifestText(35)
+		assert.False(t, ok)
+		assert.Equal(t, texts[39], s.Manifest().Text)
+	}
+}
+
 // Guards against a change of primary that finishes while the old lease may still be
 // in use, and against two leaders of the log that promote servers at the same term.
 func TestChangeOfPrimary(t *testing.T) {
