gwcontrol: an empty voter asks the first voters all at once

It asked them one after the other, in random order, and waited up to 500 ms for each one whose machine is gone: up to 1.5 s with three of five (TestEmptyVoterAsksAllAtOnce), which delayed its vote by as much. Now the first answer of a voter with data counts.

--- a/internal/gwcontrol/voters.go
+++ b/internal/gwcontrol/voters.go
@@ -136,36 +136,46 @@
 	return instance + identitySeparator + hex.EncodeToString(b[:])
 }
 
-// isInitialStart asks the other initial voters until one answers that it has data of a
-// replicated log or all have answered that they have none.
+// isInitialStart asks the other initial voters, all at once, until one answers that it has data of
+// a replicated log or all have answered that they have none.
 func (o IdentityOptions) isInitialStart(ctx context.Context) (bool, error) {
 	if _, listed := o.InitialVoters[o.Instance]; !listed {
 		return false, nil
 	}
-	waiting := make(map[string]string)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan voterInfo, len(o.InitialVoters))
 	for name, address := range o.InitialVoters {
 		if name != o.Instance {
-			waiting[name] = address
+			go o.askUntilAnswered(ctx, address, answers)
 		}
 	}
-	for len(waiting) > 0 {
-		for name, address := range waiting {
-			info, err := askVoter(ctx, o.Node, address)
-			switch {
-			case err != nil:
-			case info.Initialized:
+	for range len(o.InitialVoters) - 1 {
+		select {
+		case <-ctx.Done():
+			return false, ctx.Err()
+		case info := <-answers:
+			if info.Initialized {
 				return false, nil
-			default:
-				delete(waiting, name)
 			}
 		}
+	}
+	return true, nil
+}
+
+// askUntilAnswered asks a voter again and again until it answers or ctx ends.
+func (o IdentityOptions) askUntilAnswered(ctx context.Context, address string, answers chan<- voterInfo) {
+	for {
+		if info, err := askVoter(ctx, o.Node, address); err == nil {
+			answers <- info
+			return
+		}
 		select {
 		case <-ctx.Done():
-			return false, ctx.Err()
+			return
 		case <-o.Clock.After(identityRetryInterval):
 		}
 	}
-	return true, nil
 }
 
 func askVoter(ctx context.Context, node *gwpeer.Node, address string) (voterInfo, error) {
