--- a/internal/gwcontrol/votercatchup.go
+++ b/internal/gwcontrol/votercatchup.go
@@ -56,7 +56,7 @@
 	}
 	behind := make(map[string]*lastingState)
 	for _, p := range st.Peers {
-		if !p.Learner || p.Match+gwquorum.DefaultMaxPromoteLag >= st.Commit && p.Match > 0 {
+		if !p.Learner || hasAlmostAll(st, p) && p.Match > 0 {
 			continue
 		}
 		s := c.learners[p.Instance]
--- a/internal/gwcontrol/voterplan.go
+++ b/internal/gwcontrol/voterplan.go
@@ -353,6 +353,11 @@
 // last few. With steady writes a member in another region is always some entries behind.
 func (p voterPlan) caughtUp(id string) bool {
 	peer := p.peer(id)
-	return id == p.st.ID || peer.Active && peer.Match+gwquorum.DefaultMaxPromoteLag >= p.st.Commit &&
-		peer.LagBytes <= gwquorum.DefaultMaxPromoteLagBytes
+	return id == p.st.ID || peer.Active && hasAlmostAll(p.st, peer)
+}
+
+// hasAlmostAll reports whether a member has synced the committed entries but for the last few, as
+// gwquorum does. One that lacks entries which the leader does not have in memory needs a snapshot.
+func hasAlmostAll(st gwquorum.Status, p gwquorum.PeerStatus) bool {
+	return p.Match+1 >= st.First && p.Match+gwquorum.DefaultMaxPromoteLag >= st.Commit && p.LagBytes <= gwquorum.DefaultMaxPromoteLagBytes
 }
--- a/pkg/gwquorum/member.go
+++ b/pkg/gwquorum/member.go
@@ -124,14 +124,19 @@
 		return newError(opChange, KindInvalid, "%q is not a learner", id)
 	}
 	// A learner that has synced the latest change also knows of its own addition.
-	caughtUp := pr.match >= n.log.changeIndex() && pr.match+n.cfg.MaxPromoteLag >= n.log.commit &&
-		n.log.size(pr.match, n.log.commit) <= n.cfg.MaxPromoteLagBytes
-	if !caughtUp || !n.active(id) {
+	if pr.match < n.log.changeIndex() || !n.hasAlmostAll(pr) || !n.active(id) {
 		return newError(opChange, KindNotCaughtUp, "%q has synced up to entry %d, the commit index is %d", id, pr.match, n.log.commit)
 	}
 	return nil
 }
 
+// hasAlmostAll reports whether a peer lacks few of the committed entries. One that lacks entries which
+// are not in memory needs a snapshot first, and their size is not known.
+func (n *Node) hasAlmostAll(pr *progress) bool {
+	return pr.match >= n.log.base && pr.match+n.cfg.MaxPromoteLag >= n.log.commit &&
+		n.log.size(pr.match, n.log.commit) <= n.cfg.MaxPromoteLagBytes
+}
+
 // finishReplace appends the membership after a Replace once the one with both quorums is
 // committed, also if an earlier leader appended that.
 func (n *Node) finishReplace() {
@@ -165,7 +170,7 @@
 
 // TransferLeadership hands the leadership to another voter once that voter has the whole
 // log. Until then, but for one election timeout at most, proposals are refused. A voter that
-// is not responsive or lacks more than MaxPromoteLag entries is refused. An empty name chooses
+// is not responsive or lacks more than a learner may at its promotion is refused. An empty name chooses
 // the responsive voter with the longest synced log.
 func (n *Node) TransferLeadership(to string) error {
 	const op = "transfer leadership"
@@ -179,7 +184,7 @@
 		return newError(op, KindInvalid, "%q is not another voter", to)
 	}
 	pr := n.peers[to]
-	if !n.active(to) || pr.match+n.cfg.MaxPromoteLag < n.log.commit {
+	if !n.active(to) || !n.hasAlmostAll(pr) {
 		return newError(op, KindNotCaughtUp, "%q is not responsive, or has synced only up to entry %d of %d", to, pr.match, n.log.commit)
 	}
 	n.transferTo(to)
--- a/pkg/gwquorum/newmember_test.go
+++ b/pkg/gwquorum/newmember_test.go
@@ -238,3 +238,36 @@
 		})
 	}
 }
+
+// Guards against a learner that gets a vote, or a voter that is handed the leadership, while it
+// lacks large entries that the leader has dropped from its memory, whose size does not count.
+func TestMemberThatNeedsASnapshotHasNotCaughtUp(t *testing.T) {
+	const entry = 256 << 10
+	for _, learner := range []bool{true, false} {
+		c := newTimedClusterOf(7, gwquorum.Members{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}})
+		c.run(2*time.Second, nil)
+		l := c.leader()
+		behind := "d"
+		if !learner {
+			behind = c.ids[slices.IndexFunc(c.ids, func(id string) bool { return id != l.id })]
+		}
+		for range 40 {
+			c.propose(entry)
+			c.run(150*time.Millisecond, nil)
+			c.members[behind].sync = 10 * time.Second // it answers and saves nothing
+		}
+		c.run(300*time.Millisecond, nil)
+		require.NoError(t, l.node.Compact(l.node.Status().Applied, make([]byte, 300<<10)))
+		st := l.node.Status()
+		require.Equal(t, st.Last, st.Commit)
+		p := st.Peers[slices.IndexFunc(st.Peers, func(p gwquorum.PeerStatus) bool { return p.Instance == behind })]
+		require.True(t, p.Active)
+		require.Less(t, p.Match, st.Commit-10)
+		require.Less(t, p.LagBytes, gwquorum.DefaultMaxPromoteLagBytes)
+		err := l.node.TransferLeadership(behind)
+		if learner {
+			err = l.node.ProposeChange(gwquorum.Change{Kind: gwquorum.Promote, Instance: behind})
+		}
+		assert.Equal(t, gwquorum.KindNotCaughtUp, gwquorum.KindOf(err), "learner: %t", learner)
+	}
+}
