gwpeer, gwcontrol: a member that is back is dialed at once

After failed dials an address is not dialed for up to 2 s. A machine that was away for some seconds, lost its disk and is back at its address was therefore asked for its identity by the leader that much later, unless it dialed the leader itself, and added as a learner that much later. Now the news that a member lives ends the back-off of its address (TestReturnedMemberIsDialedAtOnce).

--- a/internal/gwcontrol/membership.go
+++ b/internal/gwcontrol/membership.go
@@ -333,6 +333,9 @@
 			m.log.Debug("membership message not sent", "to", a.To, "error", err)
 		}
 	case gwmember.MemberChanged: // logged by logChanges
+		if a.Status == gwmember.StatusAlive {
+			m.node.ExpectUp(a.Member.Address)
+		}
 	case gwmember.DataCentreChanged:
 		m.log.Info("data centre reachability changed", "dataCentre", a.DataCentre, "reachable", a.Reachable)
 	case gwmember.PartFound:
--- a/internal/gwcontrol/membership_test.go
+++ b/internal/gwcontrol/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -52,6 +53,39 @@
 	assert.Equal(t, 3, live(), "after the interval")
 }
 
+// Guards against an instance that is back at its address, and to which the leader makes no link for
+// up to 2 s, as it dialed the address in vain meanwhile.
+func TestReturnedMemberIsDialedAtOnce(t *testing.T) {
+	authority, err := gwpeer.NewAuthority("test")
+	require.NoError(t, err)
+	listen := func(name, address string) *gwpeer.Node {
+		source, err := authority.IssueSource(name)
+		require.NoError(t, err)
+		node, err := gwpeer.Listen(t.Context(), gwpeer.Options{Address: address, TLS: source, Instance: name, Transport: gwpeer.TCP})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = node.Close() })
+		return node
+	}
+	a, b := listen("a", "127.0.0.1:0"), listen("b", "127.0.0.1:0")
+	address := b.Address()
+	require.NoError(t, b.Close())
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		_, err := askVoter(t.Context(), a, address)
+		require.Error(t, err)
+	}
+	gwpeer.Handle(listen("b", address), kindVoter, func(context.Context, string, Empty) (voterInfo, error) {
+		return voterInfo{ID: "b#1"}, nil
+	})
+	member := func(name, address string) gwmember.Member {
+		return gwmember.Member{Instance: name, DataCentre: "x", Region: "r", Address: address, Incarnation: 1}
+	}
+	m := NewMembership(a, clockwork.NewRealClock(), slog.New(slog.DiscardHandler), gwmember.Config{Self: member("a", a.Address())}, func(gwmember.PeerAhead) {})
+	m.receive("c", gwmember.Message{Kind: gwmember.KindGossip, Updates: []gwmember.Update{{Member: member("b", address), Status: gwmember.StatusAlive}}})
+	info, err := askVoter(t.Context(), a, address)
+	require.NoError(t, err)
+	assert.Equal(t, "b#1", info.ID)
+}
+
 // Guards against an instance that looks for others in vain without a word, so that its log does
 // not tell this from other reasons not to serve, and against a line for each attempt.
 func TestAloneIsReported(t *testing.T) {
--- a/internal/gwpeer/peer.go
+++ b/internal/gwpeer/peer.go
@@ -179,6 +179,24 @@
 	p.node.log.Warn("peer dial failed", "address", p.addr.String(), "failures", p.failures, "cause", err.Error())
 }
 
+// ExpectUp ends the back-off of an address whose peer is said to have returned, so that its next
+// use dials at once.
+func (n *Node) ExpectUp(address string) {
+	addr, err := parseAddress(address)
+	if err != nil {
+		return
+	}
+	n.mu.RLock()
+	p := n.peers[addr]
+	n.mu.RUnlock()
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures, p.retryAt = 0, time.Time{}
+}
+
 // register makes a new link current unless the existing one is preferred.
 //
 // If both instances dial at the same time, both keep the link that the instance with
