gwcontrol: a withdrawn group costs the leader nothing

Cause: the replicated state keeps groups that a manifest has withdrawn. A lease that nobody holds also kept the leadership from moving to a region with more voters. All of it grew with the number of groups that there ever were.

Change: groups that are not in the manifest in force start no change, end a running one, and do not count when the leadership moves. A group that comes back is resumed by the next check.

Ruled out: deleting the group from the state, as a group that comes back must keep its term and what it needs to know which copy has every acknowledged write.

--- a/internal/gwcontrol/attemptcost_test.go
+++ b/internal/gwcontrol/attemptcost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	gwexamples "gentianward.example/gentianward/examples"
+	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwstate"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
@@ -90,3 +93,61 @@
 		})
 	}
 }
+
+// Guards against groups that were withdrawn from the manifest and cost the leader more the more of
+// them there were: a change of primary that never ends for each of them, and a leadership that
+// never moves to a better region because nobody holds their leases.
+func TestWithdrawnGroupsCostNothing(t *testing.T) {
+	const withdrawn = 100
+	clock := clockwork.NewFakeClock()
+	v := newSteppedVoter(t, clock)
+	text, err := gwexamples.Files.ReadFile("ecodour/manifest.jsonc")
+	require.NoError(t, err)
+	parsed, err := gwmanifest.ParseManifest("example", text)
+	require.NoError(t, err)
+	m := parsed.WithDefaults()
+	manifest := m.Index()
+	inForce := m.Databases[0].Groups[0].Name
+	for i := range withdrawn {
+		v.propose(gwstate.StartGroup{Group: fmt.Sprintf("withdrawn-%d", i), Primary: "a", Term: 1})
+	}
+	l := &Leader{
+		consensus: v.Consensus, state: v.State, clock: clock, log: v.Log, owners: silentOwners{},
+		waits: make(changeWaits), changing: make(map[string]bool), onChanged: func(string, time.Duration) {},
+		manifest: func() *gwmanifest.Index { return manifest },
+	}
+	unleased := make(leaselessSince)
+	check := func() int {
+		for range 5 {
+			l.checkGroups(unleased)
+			clock.Advance(leaselessLimit / 2)
+			v.updateStatus() // else the voter counts as standing still
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.changing)
+	}
+	assert.Zero(t, check(), "changes of primary of withdrawn groups")
+	assert.True(t, l.leasesHeld())
+
+	v.propose(gwstate.StartGroup{Group: inForce, Primary: "a", Term: 1})
+	assert.False(t, l.leasesHeld())
+	assert.Equal(t, 1, check(), "the group in force")
+	v.pass(<-v.calls) // the change begins
+	g, _ := v.State.Group(inForce)
+	require.Equal(t, gwstate.Changing, g.Phase)
+	manifest = (&gwmanifest.Manifest{}).Index()
+	ended := func() bool {
+		clock.Advance(changeRetryDelay)
+		v.updateStatus()
+		select {
+		case f := <-v.calls:
+			v.pass(f)
+		default:
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.changing) == 0
+	}
+	assert.Eventually(t, ended, 5*time.Second, time.Millisecond, "the change ends when its group is withdrawn")
+}
--- a/internal/gwcontrol/leaderplacement.go
+++ b/internal/gwcontrol/leaderplacement.go
@@ -64,14 +64,14 @@
 	_ = l.consensus.do(ctx, func() { _ = l.consensus.node.TransferLeadership(better) })
 }
 
-// leasesHeld reports whether the lease of every group is held. A new leader waits
+// leasesHeld reports whether the lease of every group in force is held. A new leader waits
 // until every lease that it has not seen renewed has expired. A group that is already
 // waiting for a new lease would therefore wait a second time.
 func (l *Leader) leasesHeld() bool {
 	now := l.clock.Now()
 	return !slices.ContainsFunc(l.state.Groups(), func(g gwstate.Group) bool {
 		_, expired := l.state.Clock().Expired(g.Name, now)
-		return expired
+		return expired && l.inForce(g.Name)
 	})
 }
 
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -211,10 +211,29 @@
 	return true
 }
 
-// checkGroups starts a change of primary for each group that needs one.
+// inForce reports whether the manifest has the group, or there is none. The replicated state
+// keeps a group that was withdrawn, as it may come back.
+func (l *Leader) inForce(group string) bool {
+	if l.manifest == nil {
+		return true
+	}
+	m := l.manifest()
+	if m == nil {
+		return true
+	}
+	_, ok := m.GroupByName(group)
+	return ok
+}
+
+// checkGroups starts a change of primary for each group that needs one. One that was withdrawn
+// has no callers and often no servers, so that a change of its primary would never end.
 func (l *Leader) checkGroups(unleased leaselessSince) {
 	now := l.clock.Now()
 	for _, g := range l.state.Groups() {
+		if !l.inForce(g.Name) {
+			delete(unleased, g.Name)
+			continue
+		}
 		changing := g.Phase == gwstate.Changing
 		seq, expired := l.state.Clock().Expired(g.Name, now)
 		overdue := unleased.exceedsLimit(g.Name, changing, !expired, now)
@@ -252,6 +271,8 @@
 // changePrimary replaces the primary of a group and retries until it succeeds or the
 // leadership in which the change began ends, also if it comes back: another leader may have
 // ended the change, after which the group has acknowledged more than the servers answered.
+// It also ends when the group is withdrawn; checkGroups resumes it if the group comes back.
+//
 // An attempt that may have promoted a server is followed by one with a new term. One that has
 // not is repeated: with an entry for each try, a group whose servers are away added 20 entries a
 // second to the log.
@@ -266,7 +287,7 @@
 	var attempt gwstate.Group // the attempt to repeat, zero if there is none
 	for {
 		lead, leading := l.consensus.Leadership()
-		if !leading || begun != 0 && lead.Term != begun {
+		if !leading || begun != 0 && lead.Term != begun || !l.inForce(group) {
 			return
 		}
 		l.awaitCalls(group, term)
