gwmember: rows of departed members are removed also where others join

Cause: a row of a dead or departed member takes part in comparisons for 30 minutes and is removed after an hour, counted from when the own instance heard of it. An instance that joined in that time counted from its join and passed the row on to those that joined after it.

Change: an update about a dead or departed member carries for how long it has been so, and the receiver counts from there.

Ruled out: a shorter lifetime, which only moves the rate of joins from which on it happens; leaving such rows out of what one that joins is sent, as it could be told by a third that the member lives.

--- a/pkg/gwmember/members.go
+++ b/pkg/gwmember/members.go
@@ -267,9 +267,24 @@
 
 func (m *Members) sendTo(address string, msg Message) {
 	msg.Version = m.version
+	m.addAges(msg.Updates)
 	m.actions = append(m.actions, SendMessage{To: address, Message: msg})
 }
 
+// addAges sets the ages of dead and departed members. With the time of its arrival, each
+// instance that joined would keep a row for the whole lifetime of a tombstone and pass it on to
+// those that join after it, so that no row would ever be removed from all tables.
+func (m *Members) addAges(updates []Update) {
+	for i := range updates {
+		u := &updates[i]
+		e := m.table.rows[u.Member.Instance]
+		if u.Status.Live() || e == nil || e.status != u.Status || e.Incarnation != u.Member.Incarnation {
+			continue
+		}
+		u.Age = uint32(max(0, min(m.lastTick.Sub(e.since), 2*m.cfg.TombstoneLifetime)) / time.Second)
+	}
+}
+
 func (m *Members) nextSequence() uint32 {
 	m.sequence++
 	return m.sequence
--- a/pkg/gwmember/message.go
+++ b/pkg/gwmember/message.go
@@ -11,7 +11,7 @@
 
 const (
 	maxMessageOverhead = 72  // bytes of a message without its strings, digest and updates, at most
-	maxUpdateOverhead  = 48  // bytes of an update without its strings, at most
+	maxUpdateOverhead  = 54  // bytes of an update without its strings, at most
 	maxUpdateSize      = 560 // bytes; fits into a message along with a table digest
 )
 
@@ -87,6 +87,8 @@
 	// cannot reach.
 	ViewVersion uint64   `cbor:"3,keyasint,omitempty"`
 	Unreachable []string `cbor:"4,keyasint,omitempty"`
+	// Age is how many seconds ago a dead or departed member became so, as the sender knows.
+	Age uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // ErrorKind classifies an Error.
--- a/pkg/gwmember/update.go
+++ b/pkg/gwmember/update.go
@@ -39,6 +39,9 @@
 		e.viewVersion, e.viewTime, e.unreachable = 0, time.Time{}, nil
 	}
 	e = m.setRow(u.Member, u.Status, now)
+	if !u.Status.Live() {
+		e.since = now.Add(-min(time.Duration(u.Age)*time.Second, 2*m.cfg.TombstoneLifetime))
+	}
 	m.applyView(e, u, now)
 	// Rows from a page may be new to others too, unless only this instance lacked them
 	// because it is joining its data centre.
