gwmember: seeds of earlier settings do not pile up

Cause: AddSeeds kept every seed that the settings ever named. An instance that has not joined tries its seeds in turn, one each 200 ms, so that the time until it came back to those that exist grew with how often they were exchanged; one that has joined compared each of them with all members in every attempt to reconnect.

Change: the seeds of the present settings come first, and at most 16 earlier ones stay.

Ruled out: forgetting all earlier seeds, as a seed may come back, and settings that name only machines which do not run yet must not cut off an instance that is joining.

--- a/pkg/gwmember/longday_test.go
+++ b/pkg/gwmember/longday_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -56,3 +57,36 @@
 		})
 	}
 }
+
+// Guards against seeds of earlier settings that pile up: an instance that has not joined tries all
+// of them before it comes back to those that exist, so that the time to join, and the work for each
+// attempt of one that has, grow with how often the seeds were exchanged.
+func TestExchangedSeedsDoNotPileUp(t *testing.T) {
+	for _, exchanges := range []int{2, 300} {
+		m := New(Config{Self: Member{Instance: "a", DataCentre: "d", Address: "10.0.0.1:1"}, Seeds: []string{"10.0.0.9:1"}, Rand: rand.New(rand.NewPCG(1, 1))})
+		seeds := make([]string, 3)
+		for run := range exchanges {
+			for i := range seeds {
+				seeds[i] = fmt.Sprintf("10.1.%d.%d:1", run, i)
+			}
+			m.AddSeeds(seeds)
+		}
+		now := time.Unix(1000, 0)
+		asked := make(map[string]int)
+		for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(DefaultTick) {
+			for _, a := range m.Tick(now) {
+				if s, ok := a.(SendMessage); ok {
+					asked[s.To]++
+				}
+			}
+		}
+		for _, s := range seeds {
+			if asked[s] < 4 {
+				t.Errorf("after %d exchanges, seed %s was tried %d times in 20 s, want at least 4", exchanges, s, asked[s])
+			}
+		}
+		if n := len(m.Tried()); n > 3+maxFormerPeers {
+			t.Errorf("after %d exchanges, %d addresses are tried, want at most %d", exchanges, n, 3+maxFormerPeers)
+		}
+	}
+}
--- a/pkg/gwmember/sync.go
+++ b/pkg/gwmember/sync.go
@@ -83,17 +83,20 @@
 	}
 }
 
-// AddSeeds adds peer addresses to join through, which are tried soon. Earlier seeds stay:
-// one that no longer exists costs at most a ping per reconnect attempt, and it may come back.
+// maxFormerSeeds is the number of seeds of earlier settings that are still tried.
+const maxFormerSeeds = 16
+
+// AddSeeds makes addresses the peer addresses to join through, which are tried soon. The last
+// earlier ones stay: one that no longer exists costs at most a ping per reconnect attempt, and it
+// may come back.
 func (m *Members) AddSeeds(addresses []string) {
-	for _, a := range addresses {
-		if !slices.Contains(m.cfg.Seeds, a) {
-			// In front of the seeds that were tried already.
-			m.cfg.Seeds = append([]string{a}, m.cfg.Seeds...)
-			m.seedIndex = 0
-			m.nextSeedSync = time.Time{}
-		}
+	if !slices.ContainsFunc(addresses, func(a string) bool { return !slices.Contains(m.cfg.Seeds, a) }) {
+		return
 	}
+	former := slices.DeleteFunc(slices.Clone(m.cfg.Seeds), func(a string) bool { return slices.Contains(addresses, a) })
+	m.cfg.Seeds = slices.Concat(addresses, former[:min(len(former), maxFormerSeeds)])
+	m.seedIndex = 0
+	m.nextSeedSync = time.Time{}
 }
 
 // hasLiveAddress reports whether a live member has the address.
