gwsoak: a vote is due when the next disk may be lost

A successor was judged once its predecessor did not count any more, also while the leader was paused.

--- a/internal/gwsoak/newcomer.go
+++ b/internal/gwsoak/newcomer.go
@@ -37,7 +37,8 @@
 	return text
 }
 
-// dueVote is the time at which the pages count a newcomer, so that it needs its vote.
+// dueVote is the time at which the pages let the next disk be lost, so that a newcomer needs its
+// vote.
 type dueVote struct {
 	p     *process
 	at    time.Time
--- a/internal/gwsoak/redundancy.go
+++ b/internal/gwsoak/redundancy.go
@@ -27,7 +27,8 @@
 	removed time.Time
 	// busy is the number of faults that keep the processors busy, which slow every instance.
 	busy int
-	// due has when the pages counted each newcomer.
+	// due has when each newcomer and all others had had their time, so that the next disk may be
+	// lost. That a predecessor does not count any more needs no vote, as it loses one disk only.
 	due []dueVote
 }
 
@@ -112,7 +113,7 @@
 	if now.Sub(d.removed) >= catchUpLimit {
 		for p := range since {
 			if _, ok := d.restoring[p]; ok {
-				d.noteDue(p, since, now)
+				d.due = append(d.due, dueVote{p: p, at: now, spare: d.spare(p, since)})
 			}
 		}
 		clear(d.restoring)
@@ -123,18 +124,12 @@
 // release notes which control instances do not count any more.
 func (d *redundancy) release(since map[*process]time.Time, had func(p *process) bool) {
 	for p := range since {
-		if n := d.successors[p]; n != nil && since[n] != (time.Time{}) && had(n) && d.only(p, true) && !d.done[p] {
+		if n := d.successors[p]; n != nil && since[n] != (time.Time{}) && had(n) && d.only(p, true) {
 			d.done[p] = true
-			d.noteDue(n, since, d.since[n].Add(catchUpLimit))
 		}
 	}
 }
 
-// noteDue notes that a newcomer counts from now on.
-func (d *redundancy) noteDue(p *process, since map[*process]time.Time, now time.Time) {
-	d.due = append(d.due, dueVote{p: p, at: now, spare: d.spare(p, since)})
-}
-
 // spare reports whether a control instance may stay without a vote: the number of voters is odd
 // by design, so that one of an even number of instances is a learner, which is one of a data centre
 // that has another one. That is so while an added instance runs.
