--- a/internal/gwsoak/failed_test.go
+++ b/internal/gwsoak/failed_test.go
@@ -21,6 +21,7 @@
 	causeAdded         = "an added instance took the seat of the older one of its data centre, which did not get it back when that one was removed (issue 39)"
 	causeTwoChanges    = "a leader was lost between the two changes that replace a voter, and the next disk after that (issue 36)"
 	causeBusy          = "processes stood still again and again on a busy machine; not traced (issue 36)"
+	causeHistory       = "a new member was sent the history of the log before it could vote (issue 42)"
 	causeSlowSyncs     = "a voter did nothing else while it synced, so that no leader lasted (issue 36)"
 )
 
@@ -47,6 +48,9 @@
 	{"besideControl", 1, causeNoVote},
 	{"besideControl", 2, causeNoVote},
 	{"besideControl", 7, causeNoVote},
+	{"longHistory", 31, causeHistory},
+	{"longHistory", 32, causeHistory},
+	{"longHistory", 33, causeHistory},
 }
 
 // failedBeforeBeside has seeds of random schedules that failed before there were memberKinds.
--- a/internal/gwsoak/loss.go
+++ b/internal/gwsoak/loss.go
@@ -151,7 +151,7 @@
 		r.gone = append(r.gone, gone)
 	}
 	if added != nil {
-		control = slices.Insert(control, at, added)
+		control, added.joined = slices.Insert(control, at, added), len(r.seedHistory)
 		r.redundancy.restoring[added] = gone != nil
 	}
 	var ips []netip.Addr
--- a/internal/gwsoak/newcomer_test.go
+++ b/internal/gwsoak/newcomer_test.go
@@ -69,6 +69,7 @@
 		return &process{settings: platform.Settings{DataCentre: dataCentre}}
 	}
 	a, b, c, n := in("x"), in("y"), in("z"), in("x")
+	n.joined = 1
 	for _, test := range []struct {
 		name  string
 		begin func(d *redundancy)
@@ -92,9 +93,14 @@
 			[]dueVote{{p: n, at: at(10)}},
 		},
 		{
-			"an added one makes an even number", func(d *redundancy) { d.restoring[n] = false },
+			"an added one takes the seat of its data centre", func(d *redundancy) { d.restoring[n] = false },
 			map[*process]time.Time{a: at(0), b: at(0), c: at(0), n: at(0)},
-			[]dueVote{{p: n, at: at(4), spare: true}},
+			[]dueVote{{p: n, at: at(4)}},
+		},
+		{
+			"the older one of its data centre was wiped beside an added one", func(d *redundancy) { d.restoring[a] = true },
+			map[*process]time.Time{a: at(0), b: at(0), c: at(0), n: at(0)},
+			[]dueVote{{p: a, at: at(4), spare: true}},
 		},
 		{
 			"one of another data centre was wiped beside an added one", func(d *redundancy) { d.restoring[b] = true },
--- a/internal/gwsoak/process.go
+++ b/internal/gwsoak/process.go
@@ -25,6 +25,9 @@
 	// endedByItself is called when the process ended without an order of the soak.
 	endedByItself func(name, cause string)
 
+	// joined grows with each control instance that joins a deployment; Run.mu guards it.
+	joined int
+
 	mu          sync.Mutex
 	cmd         *exec.Cmd
 	done        chan struct{}
--- a/internal/gwsoak/redundancy.go
+++ b/internal/gwsoak/redundancy.go
@@ -130,19 +130,16 @@
 	}
 }
 
-// spare reports whether a control instance may stay without a vote: the number of voters is odd
-// by design, so that one of an even number of instances is a learner, which is one of a data centre
-// that has another one. That is so while an added instance runs.
+// spare reports whether a control instance may stay without a vote: by design the one that joined
+// last has the seat of its data centre, so that an older one beside it stays a learner. That is so
+// while an added instance or a successor runs.
 func (d *redundancy) spare(p *process, since map[*process]time.Time) bool {
-	n, other := 0, false
 	for o := range since {
-		if d.done[o] {
-			continue
+		if !d.done[o] && o.settings.DataCentre == p.settings.DataCentre && o.joined > p.joined {
+			return true
 		}
-		n++
-		other = other || o != p && o.settings.DataCentre == p.settings.DataCentre
 	}
-	return n%2 == 0 && other
+	return false
 }
 
 // only reports whether none is restoring but p, its successor or its predecessor; with lost set,
