gwsoak: the last disk is also lost with the power of those that count only

The users' final fault takes the power of all other machines or of those that count; the soak had the former only. lastDisk and longHistory do the latter in one of three runs.

--- a/internal/gwsoak/disasters.go
+++ b/internal/gwsoak/disasters.go
@@ -38,16 +38,31 @@
 // loseAnyhow replaces or wipes a control instance, with power set right after an acknowledgement
 // and while all others lose their power.
 func (r *Run) loseAnyhow(ctx context.Context, p *process, replace, power bool) {
-	l := r.wiping(p)
-	if replace {
-		var err error
-		if l, err = r.replacing(p, r.rand.IntN(2) == 0, SeedsOf(r.rand.IntN(3))); err != nil {
-			r.check.logf("no replacement: %v", err)
-			return
-		}
+	if l, ok := r.anyLoss(p, replace); ok {
+		l.afterAck = power
+		r.lose(ctx, l, power, shortestOutage+randomTime(r.rand, moreOutage), lossWait)
+	}
+}
+
+// loseLast is loseAnyhow with a loss of power that spares the instances that do not count in one of
+// three runs.
+func (r *Run) loseLast(ctx context.Context, p *process, replace bool) {
+	if l, ok := r.anyLoss(p, replace); ok {
+		l.afterAck, l.countingOnly = true, r.rand.IntN(3) == 0
+		r.lose(ctx, l, true, shortestOutage+randomTime(r.rand, moreOutage), lossWait)
+	}
+}
+
+// anyLoss is the replacement or the loss of the disk of a control instance.
+func (r *Run) anyLoss(p *process, replace bool) (l loss, ok bool) {
+	if !replace {
+		return r.wiping(p), true
+	}
+	l, err := r.replacing(p, r.rand.IntN(2) == 0, SeedsOf(r.rand.IntN(3)))
+	if err != nil {
+		r.check.logf("no replacement: %v", err)
 	}
-	l.afterAck = power
-	r.lose(ctx, l, power, shortestOutage+randomTime(r.rand, moreOutage), lossWait)
+	return l, err == nil
 }
 
 // slowDisks makes all disks slower step by step. Nothing else happens, so that the bounds of
@@ -83,5 +98,5 @@
 			lost = []*process{lost, n}[r.rand.IntN(2)]
 		}
 	}
-	r.loseAnyhow(ctx, lost, replace, true)
+	r.loseLast(ctx, lost, replace)
 }
--- a/internal/gwsoak/history.go
+++ b/internal/gwsoak/history.go
@@ -66,7 +66,7 @@
 	for _, round := range rounds[:roundsPerRun] {
 		next = r.historyRound(ctx, &wg, historyRound(round), next, sync)
 	}
-	r.loseAnyhow(ctx, next, r.rand.IntN(2) == 0, true)
+	r.loseLast(ctx, next, r.rand.IntN(2) == 0)
 	r.operator.setSize(0)
 }
 
--- a/internal/gwsoak/loss.go
+++ b/internal/gwsoak/loss.go
@@ -62,6 +62,8 @@
 	begin, end func()
 	// afterAck loses the disk right after the next acknowledgement.
 	afterAck bool
+	// countingOnly spares the power of the instances that do not count.
+	countingOnly bool
 }
 
 // wiping is a control instance that returns at its address with an empty disk.
@@ -205,16 +207,22 @@
 	return l.lost
 }
 
-// losePower kills all processes at once, also those that do not count, and starts them again after
-// a while. A disk is lost with it if l is not nil.
+// losePower kills all processes at once, also those that do not count unless l spares them, and
+// starts them again after a while. A disk is lost with it if l is not nil.
 func (r *Run) losePower(ctx context.Context, d time.Duration, l *loss) {
 	what := "lose the power of all instances"
 	if l != nil {
 		what += ", and " + l.what
+		if l.countingOnly {
+			what = "lose the power of the control instances that count, and " + l.what
+		}
 	}
 	r.during(ctx, d, what, func() {
 		r.power.Lock()
 		all := r.everyProcess()
+		if l != nil && l.countingOnly {
+			all = r.counting()
+		}
 		for _, p := range all {
 			p.signal(syscall.SIGKILL)
 		}
