--- a/internal/gwsoak/newcomer_test.go
+++ b/internal/gwsoak/newcomer_test.go
@@ -121,17 +121,20 @@
 // Guards against a loss of power that spares a predecessor which still runs, as it is not among
 // the present control instances once it is asked to stop.
 func TestPowerLossTakesEveryProcess(t *testing.T) {
-	r := &Run{check: newChecker()}
-	for _, all := range []*[]*process{&r.control, &r.gone, &r.entries} {
-		p := &process{cmd: exec.Command("sleep", "60"), done: make(chan struct{}), gone: true}
-		require.NoError(t, p.cmd.Start())
-		go p.wait(p.cmd, p.done)
-		t.Cleanup(p.kill)
-		*all = []*process{p}
-	}
-	r.losePower(t.Context(), 0, nil)
-	for _, p := range r.everyProcess() {
-		assert.False(t, p.active())
+	for _, countingOnly := range []bool{false, true} {
+		r := &Run{check: newChecker()}
+		for _, all := range []*[]*process{&r.control, &r.gone, &r.entries} {
+			p := &process{cmd: exec.Command("sleep", "60"), done: make(chan struct{}), gone: true}
+			require.NoError(t, p.cmd.Start())
+			go p.wait(p.cmd, p.done)
+			t.Cleanup(p.kill)
+			*all = []*process{p}
+		}
+		nothing := func() {}
+		r.losePower(t.Context(), 0, &loss{lost: r.control[0], begin: nothing, end: nothing, countingOnly: countingOnly})
+		assert.False(t, r.control[0].active())
+		assert.Equal(t, countingOnly, r.gone[0].active())
+		assert.Equal(t, countingOnly, r.entries[0].active())
 	}
 }
 
