--- a/internal/gwsoak/history.go
+++ b/internal/gwsoak/history.go
@@ -8,7 +8,7 @@
 )
 
 // Bounds of the histories: hundreds of entries and tens of megabytes, within the 1,024 entries
-// that a leader keeps in memory whatever their size (issue 42).
+// that a leader kept in memory whatever their size (issue 42).
 const (
 	minHistory     = 200
 	moreHistory    = 200
