--- a/internal/gwsoak/history.go
+++ b/internal/gwsoak/history.go
@@ -8,7 +8,7 @@
 )
 
 // Bounds of the histories: hundreds of entries and tens of megabytes, within the 1,024 entries
-// that a leader keeps in memory whatever their size (issue 42).
+// that a leader kept in memory whatever their size (issue 42).
 const (
 	minHistory     = 200
 	moreHistory    = 200
@@ -66,7 +66,7 @@
 	for _, round := range rounds[:roundsPerRun] {
 		next = r.historyRound(ctx, &wg, historyRound(round), next, sync)
 	}
-	r.loseAnyhow(ctx, next, r.rand.IntN(2) == 0, true)
+	r.loseLast(ctx, next, r.rand.IntN(2) == 0)
 	r.operator.setSize(0)
 }
 
