--- a/internal/gwcontrol/votersmodel_test.go
+++ b/internal/gwcontrol/votersmodel_test.go
@@ -40,14 +40,16 @@
 	arrivals  []modelArrival
 	committed map[uint64]gwquorum.Entry
 	commits   int // entries with data
-	initial   int // instances of the first start, one per data centre
-	started   int
-	sync      time.Duration // of the disks, up to twice that
-	writes    time.Duration // between two entries
-	transfer  modelTransfer
-	links     map[string]*modelLink
-	nextWrite time.Time
-	err       error
+	// lastCommitted is the committed entry with the greatest index.
+	lastCommitted gwquorum.Entry
+	initial       int // instances of the first start, one per data centre
+	started       int
+	sync          time.Duration // of the disks, up to twice that
+	writes        time.Duration // between two entries
+	transfer      modelTransfer
+	links         map[string]*modelLink
+	nextWrite     time.Time
+	err           error
 	// replaces means that the instances know gwquorum.Replace.
 	replaces bool
 	// losses holds the disks that count as lost, of which there are at most tolerance. An instance
@@ -365,6 +367,9 @@
 			m.commits++
 		}
 		m.committed[e.Index] = e
+		if e.Index > m.lastCommitted.Index {
+			m.lastCommitted = e
+		}
 	}
 	x.node.Advance(rd)
 	x.known = nil
