--- a/pkg/gwquorum/explore_test.go
+++ b/pkg/gwquorum/explore_test.go
@@ -136,6 +136,9 @@
 func nodeKey(n *Node) string {
 	k := key{}.num(uint64(n.role), n.term, n.log.base, n.log.stable, n.log.commit, n.log.applied, n.snapshot.Index, n.termStartIndex, n.reads.round)
 	k = k.text(n.vote, n.leader, "|").entries(n.log.entries)
+	if t := n.transfer.snapshot; t != nil {
+		k = k.num(t.Index)
+	}
 	for _, id := range slices.Sorted(maps.Keys(n.votes)) {
 		k = k.text(id).flag(n.votes[id])
 	}
@@ -150,7 +153,7 @@
 	}
 	for _, id := range n.peerIDs() {
 		pr := n.peers[id]
-		k = k.text(id).num(uint64(pr.state), pr.match, pr.next, pr.commitSent, pr.confirmedRound).flag(pr.probeSent).num(pr.inflight...)
+		k = k.text(id).num(uint64(pr.state), pr.match, pr.next, pr.commitSent, pr.confirmedRound, pr.snapshotIndex, pr.snapshotRound).flag(pr.probeSent).flag(pr.snapshotSent.IsZero()).num(pr.inflight...)
 	}
 	return string(k)
 }
@@ -278,6 +281,10 @@
 	n := s.nodes[i]
 	for {
 		rd := n.Ready()
+		if rd.Empty() && n.SnapshotWanted() {
+			n.ProvideSnapshot(nil)
+			continue
+		}
 		if rd.Empty() {
 			break
 		}
@@ -586,6 +593,36 @@
 			require.True(x.t, slices.ContainsFunc(slices.Collect(maps.Values(s.messages)), isSnapshot))
 		},
 	},
+	{
+		// Learner d has no entries, and is sent a snapshot that leader a has not saved, of entries that
+		// only a and b have.
+		name: "snapshot that is not saved", learner: true, bounds: bounds{steps: 7, campaigns: 1, proposals: 1, restarts: 1},
+		start: func(x *explorer, s *systemState) {
+			ab := requestsAndReplies("a", "b", MessageVote, MessageAppend)
+			x.onNode(s, 0, campaign)
+			x.deliverAll(s, ab...)
+			x.onNode(s, 0, propose)
+			x.deliverAll(s, ab...)
+			x.requestSnapshots(s, "d")
+			require.Zero(x.t, s.nodes[0].snapshot.Index)
+		},
+	},
+	{
+		// Nodes c and d have no entries, and are sent a snapshot with both memberships that a has not saved.
+		name: "snapshot during a replacement that is not saved", learner: true, bounds: bounds{steps: 7, campaigns: 1, restarts: 1},
+		start: func(x *explorer, s *systemState) {
+			for _, n := range s.nodes {
+				n.cfg.KeepBytes, n.cfg.MinSnapshotBytes = 1, 1
+			}
+			ab := requestsAndReplies("a", "b", MessageVote, MessageAppend)
+			x.onNode(s, 0, campaign)
+			x.deliverAll(s, ab...)
+			x.onNode(s, 0, func(n *Node) { require.NoError(x.t, n.ProposeChange(replace(n))) })
+			commitReplace(x, s)
+			x.requestSnapshots(s, "c", "d")
+			require.True(x.t, s.nodes[0].transfer.snapshot.Members.joint())
+		},
+	},
 	{
 		// Leaders a and b replace c and a by d.
 		name: "two replacements by two leaders", learner: true, bounds: bounds{steps: 8, campaigns: 1, replaces: 1},
@@ -600,6 +637,17 @@
 	},
 }
 
+// requestSnapshots lets nodes without entries refuse those of leader a, which then sends snapshots.
+func (x *explorer) requestSnapshots(s *systemState, ids ...string) {
+	for _, id := range ids {
+		x.onNode(s, 0, func(n *Node) {
+			n.Step(Message{Kind: MessageAppendReply, From: id, To: "a", Term: 1, Index: n.peers[id].next - 1, Reject: true}, x.now)
+		})
+		sent := func(m Message) bool { return m.Kind == MessageSnapshot && m.To == id }
+		require.True(x.t, slices.ContainsFunc(slices.Collect(maps.Values(s.messages)), sent))
+	}
+}
+
 // Guards against short sequences of events that violate the guarantees: it tries every
 // order of deliveries, losses, repetitions and restarts within the bounds.
 func TestExploreAllOrders(t *testing.T) {
