--- a/internal/gwcontrol/save.go
+++ b/internal/gwcontrol/save.go
@@ -107,6 +107,9 @@
 			return err
 		}
 	}
+	if rd.Restore {
+		c.failProposals(rd.Snapshot.Index)
+	}
 	c.apply(rd.Committed)
 	c.answerReads(rd.Reads)
 	c.node.Advance(rd)
@@ -119,6 +122,17 @@
 	return nil
 }
 
+// failProposals answers the proposals up to index, whose entries a received snapshot has replaced:
+// they are not applied one by one here.
+func (c *Consensus) failProposals(index uint64) {
+	for i, p := range c.proposals {
+		if i <= index {
+			p.done <- applied{err: errLostLeadership}
+			delete(c.proposals, i)
+		}
+	}
+}
+
 // provideSnapshot gives the node the present state for members that are behind. It is not saved,
 // so that it costs no sync.
 func (c *Consensus) provideSnapshot() error {
--- a/internal/gwcontrol/save_test.go
+++ b/internal/gwcontrol/save_test.go
@@ -73,3 +73,24 @@
 	assert.Equal(t, uint64(index+1), c.State.Index())
 	assert.Equal(t, uint64(index), c.node.Status().Snapshot)
 }
+
+// Guards against a call at an earlier leader that waits for its whole time, as the entry that it
+// proposed is skipped by a snapshot, and against memory that grows with such calls.
+func TestSnapshotAnswersProposals(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := newTestConsensus(t, "d")
+	data, err := c.State.Snapshot()
+	require.NoError(t, err)
+	replaced, later := make(chan applied, 1), make(chan applied, 1)
+	c.proposals[5], c.proposals[10] = proposal{term: 1, done: replaced}, proposal{term: 1, done: later}
+	c.node.Step(gwquorum.Message{
+		Kind: gwquorum.MessageSnapshot, From: "a", To: "d", Term: 2,
+		Snapshot: &gwquorum.Snapshot{Index: 9, Term: 2, Members: gwquorum.Members{Voters: []string{"a", "d"}}, Data: data},
+	}, time.Now())
+	require.NoError(t, c.work(ctx))
+	require.Len(t, replaced, 1)
+	assert.ErrorIs(t, (<-replaced).err, errLostLeadership)
+	assert.Empty(t, later)
+	assert.Len(t, c.proposals, 1)
+}
