gwcontrol: a new leader does not take a learner that is away for one that may be promoted

A learner that has confirmed no entry in the term cannot be promoted, and need not have answered either.

TestAbsentLearnerDoesNotForbidReplace has the case, which fails before; its case of a learner that may be promoted now has entries.

--- a/internal/gwcontrol/voteranswers.go
+++ b/internal/gwcontrol/voteranswers.go
@@ -138,10 +138,13 @@
 
 // replaces reports whether the instances of all other members have answered that they know
 // gwquorum.Replace. A release that does not know it takes the members in between for those after.
-// A learner that is away need not have answered, as it has no vote before or after the change.
+// A learner that is away, or has confirmed no entry to this leader, need not have answered: it has
+// no vote before or after the change. Members count as active when a leader is new.
 func (v *voterAnswers) replaces(st gwquorum.Status) bool {
 	away := func(id string) bool {
-		return slices.ContainsFunc(st.Peers, func(p gwquorum.PeerStatus) bool { return p.Instance == id && p.Learner && !p.Active })
+		return slices.ContainsFunc(st.Peers, func(p gwquorum.PeerStatus) bool {
+			return p.Instance == id && p.Learner && (!p.Active || p.Match == 0)
+		})
 	}
 	return !slices.ContainsFunc(slices.Concat(st.Voters, st.Learners), func(id string) bool {
 		return voterName(id) != voterName(st.ID) && !away(id) && !v.knowsReplace(voterName(id))
--- a/internal/gwcontrol/voterjoin_test.go
+++ b/internal/gwcontrol/voterjoin_test.go
@@ -158,21 +158,24 @@
 		v.end(name, time.Time{}, voterInfo{ID: name, Replaces: true}, true, time.Time{})
 	}
 	st := gwquorum.Status{ID: "a", Voters: []string{"a", "b", "c"}, Learners: []string{"old"}}
-	peers := func(active bool) []gwquorum.PeerStatus {
-		return []gwquorum.PeerStatus{{Instance: "b", Active: true}, {Instance: "c"}, {Instance: "old", Learner: true, Active: active}}
+	peers := func(active bool, match uint64) []gwquorum.PeerStatus {
+		return []gwquorum.PeerStatus{{Instance: "b", Active: true}, {Instance: "c"}, {Instance: "old", Learner: true, Active: active, Match: match}}
 	}
 	tests := []struct {
 		name             string
 		voters, learners []string
-		active, want     bool
+		active           bool
+		match            uint64
+		want             bool
 	}{
-		{"the learner is away", []string{"a", "b", "c"}, []string{"old"}, false, true},
-		{"the learner answers and may be promoted", []string{"a", "b", "c"}, []string{"old"}, true, false},
-		{"a voter is away and was never asked", []string{"a", "b", "d"}, nil, false, false},
-		{"a voter is away and was asked before", []string{"a", "b", "c"}, nil, false, true},
+		{"the learner is away", []string{"a", "b", "c"}, []string{"old"}, false, 5, true},
+		{"the leader is new, so that the learner counts as active", []string{"a", "b", "c"}, []string{"old"}, true, 0, true},
+		{"the learner answers and may be promoted", []string{"a", "b", "c"}, []string{"old"}, true, 5, false},
+		{"a voter is away and was never asked", []string{"a", "b", "d"}, nil, false, 0, false},
+		{"a voter is away and was asked before", []string{"a", "b", "c"}, nil, false, 0, true},
 	}
 	for _, tt := range tests {
-		st.Voters, st.Learners, st.Peers = tt.voters, tt.learners, peers(tt.active)
+		st.Voters, st.Learners, st.Peers = tt.voters, tt.learners, peers(tt.active, tt.match)
 		assert.Equal(t, tt.want, v.replaces(st), tt.name)
 	}
 }
