--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -110,13 +110,14 @@
 	}
 }
 
-// dropTexts drops the texts of the manifests before the latest ones.
+// dropTexts drops the texts before the latest keptTexts, and the oldest of these while they exceed
+// keptTextBytes.
 func (s *State) dropTexts() {
-	size := 0
-	for i := len(s.manifests) - 2; i >= 0 && s.manifests[i].CompressedText != nil; i-- {
-		size += len(s.manifests[i].CompressedText)
-		if size > keptTextBytes || i < len(s.manifests)-keptTexts {
-			s.manifests[i].CompressedText = nil
+	size, kept := 0, len(s.manifests)-keptTexts
+	for i := len(s.manifests) - 1; i >= 0; i-- {
+		r := &s.manifests[i]
+		if size += len(r.CompressedText); i < kept || size > keptTextBytes {
+			r.CompressedText = nil
 		}
 	}
 }
--- a/internal/gwstate/state.go
+++ b/internal/gwstate/state.go
@@ -11,12 +11,13 @@
 const (
 	keptTexts   = 20
 	keptDigests = 1000
-	// keptTextBytes is the maximum size of the compressed texts before the current one. 20 texts
-	// of 1 MB that do not compress made a snapshot of 20 MB, which no message of 16 MiB carries,
-	// so that no new voter could be sent the state.
-	keptTextBytes = 4 << 20
 )
 
+// keptTextBytes bounds the compressed texts that are kept before the current one. A snapshot of the
+// state is sent to each new member, in one message of 16 MiB at most; 20 texts of the largest
+// configurations, 8 MiB each, do not fit.
+const keptTextBytes = 256 << 10
+
 // State is the replicated state.
 type State struct {
 	clock *LeaseClock
@@ -59,7 +60,7 @@
 }
 
 // History returns the latest manifests, at most 1,000, oldest first. Only the
-// current one has its text; ManifestText returns those of the latest ones.
+// current one has its text; ManifestText returns those of the latest 20, or fewer if they are large.
 func (s *State) History() []Manifest {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -70,8 +71,8 @@
 	return out
 }
 
-// ManifestText returns the text of one of the latest 20 manifests, or of fewer if the earlier
-// ones of them have more than 4 MiB together, compressed.
+// ManifestText returns the text of one of the latest 20 manifests, or fewer if their compressed
+// texts exceed keptTextBytes.
 func (s *State) ManifestText(number uint64) (string, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -81,7 +82,8 @@
 		return "", false
 	case i == len(s.manifests)-1:
 		return s.manifests[i].Manifest.Text, true
-	case s.manifests[i].CompressedText == nil:
+	}
+	if len(s.manifests[i].CompressedText) == 0 {
 		return "", false
 	}
 	text, err := decompress(s.manifests[i].CompressedText)
