gwcontrol: a directory of what runs now, exchanged in parts

Cause: the directory of backend servers kept the facts of each server that ever announced itself, and was exchanged whole, in one message, whenever two instances differed. A message may have 1 MiB: 9,900 servers take 914 KB, so that 15% of them replaced once are enough for an instance that joins to learn of no server at all, and for directories that differ to stay so, without a log line. The file in the data folder, written whole at each change, and each heartbeat, which looked at all servers ever known, grew in the same way. An owner also kept its connections to a server of which only the facts of another one said that it was replaced.

Change: of the runs at one address the two latest are kept. What a returning peer or a saved file tells of an earlier one is dropped again, as the later start at its address proves that it has ended. The second one is kept so that this also holds if the latest moves to another address. Directories are compared by the digests of 128 parts, of which only those that differ are sent, at most 1,024 facts a message. Comparisons are repeated soon only while they change something. An owner releases a server that the directory dropped or that another has replaced.

A server that has ended and whose address nobody has taken therefore stays: the bound is two for each address that was ever used.

TestReplacedServerIsReleased failed before in both cases.

--- a/internal/gwcontrol/directory.go
+++ b/internal/gwcontrol/directory.go
@@ -172,7 +172,11 @@
 	// one has taken is Gone, also if only another instance knew that.
 	servers map[string]ServerFacts
 	groups  map[string][]ServerFacts
-	digest  uint64
+	// byAddress holds the names of the servers at an address.
+	byAddress map[string][]string
+	digest    uint64
+	// buckets holds a digest of each part of the facts, see factBuckets.
+	buckets [factBuckets]uint32
 }
 
 // inDataCentre returns the names of the servers of a data centre that are not Gone.
@@ -248,10 +252,12 @@
 func (d *Directory) Record(f ServerFacts) []ServerFacts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	servers := d.current.Load().facts
+	current := d.current.Load()
+	servers := current.facts
 	var changed []ServerFacts
-	for _, o := range servers {
-		if o.Server == f.Server || o.Address != f.Address || o.Gone {
+	for _, name := range current.byAddress[f.Address] {
+		o := servers[name]
+		if o.Server == f.Server || o.Gone {
 			continue
 		}
 		if o.Born > f.Born {
@@ -266,10 +272,7 @@
 	if !known || f.Version > old.Version && !sameFacts(old, f) && f.Born >= old.Born {
 		changed = append(changed, f)
 	}
-	if len(changed) > 0 {
-		d.store(changed)
-	}
-	return changed
+	return d.store(changed)
 }
 
 // Merge records facts from another instance and returns those that replaced older ones
@@ -284,13 +287,14 @@
 			fresh = append(fresh, f)
 		}
 	}
-	if len(fresh) > 0 {
-		d.store(fresh)
-	}
-	return fresh
+	return d.store(fresh)
 }
 
-func (d *Directory) store(facts []ServerFacts) {
+// store adds facts and returns those of them that are kept.
+func (d *Directory) store(facts []ServerFacts) []ServerFacts {
+	if len(facts) == 0 {
+		return nil
+	}
 	next := &directorySnapshot{facts: maps.Clone(d.current.Load().facts)}
 	if next.facts == nil {
 		next.facts = make(map[string]ServerFacts, len(facts))
@@ -298,17 +302,59 @@
 	for _, f := range facts {
 		next.facts[f.Server] = f
 	}
+	next.index()
+	next.dropReplaced()
+	kept := slices.DeleteFunc(facts, func(f ServerFacts) bool { return next.facts[f.Server] != f })
+	if len(kept) == 0 && len(next.facts) == len(d.current.Load().facts) {
+		return nil
+	}
 	next.derive()
 	d.current.Store(next)
 	close(d.changed)
 	d.changed = make(chan struct{})
+	return kept
+}
+
+// index sets byAddress.
+func (s *directorySnapshot) index() {
+	s.byAddress = make(map[string][]string, len(s.facts))
+	for name, f := range s.facts {
+		s.byAddress[f.Address] = append(s.byAddress[f.Address], name)
+	}
+}
+
+// runsPerAddress is the number of runs at one address whose facts are kept: the latest, and the one
+// before it, without which a server that another one replaced would be used again if that one moved
+// to another address and a peer that was away told of it.
+const runsPerAddress = 2
+
+// dropReplaced drops the facts of servers that others have replaced at their addresses. What a peer
+// or a saved file tells of one later is dropped again, so that it is used no more. Without this,
+// the directory grew with the number of servers that there ever were.
+func (s *directorySnapshot) dropReplaced() {
+	for address, names := range s.byAddress {
+		if len(names) <= runsPerAddress {
+			continue
+		}
+		runs := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return s.facts[name].Born == 0 })
+		slices.SortFunc(runs, func(a, b string) int {
+			return cmp.Or(cmp.Compare(s.facts[b].Born, s.facts[a].Born), cmp.Compare(a, b))
+		})
+		for _, name := range runs[min(len(runs), runsPerAddress):] {
+			delete(s.facts, name)
+			names = slices.DeleteFunc(names, func(n string) bool { return n == name })
+		}
+		s.byAddress[address] = names
+	}
 }
 
 // derive sets what follows from the facts.
 func (s *directorySnapshot) derive() {
 	latest := make(map[string]uint64, len(s.facts)) // starts by address
-	for _, f := range s.facts {
-		s.digest ^= f.hash()
+	for name, f := range s.facts {
+		h := f.hash()
+		s.digest ^= h
+		s.buckets[bucketOf(name)] ^= uint32(h)
 		latest[f.Address] = max(latest[f.Address], f.Born)
 	}
 	s.servers = make(map[string]ServerFacts, len(s.facts))
--- a/internal/gwcontrol/dissemination.go
+++ b/internal/gwcontrol/dissemination.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -18,8 +17,8 @@
 const (
 	pullTimeout       = 2 * time.Second
 	directoryInterval = 2 * time.Second
-	// repairInterval is the time between two comparisons while directories differ;
-	// directoryInterval is that while they are equal, or differ for good because this
+	// repairInterval is the time between two comparisons while they change a directory;
+	// directoryInterval is that while directories are equal, or differ for good because an
 	// instance skips an entry of the other one.
 	repairInterval = 50 * time.Millisecond
 )
@@ -40,19 +39,6 @@
 	Delta *ViewDelta `cbor:"3,keyasint,omitempty"`
 }
 
-// pullDirectory sends facts, or only a digest to ask for all facts if the receiver's
-// directory differs.
-type pullDirectory struct {
-	Digest uint64   `cbor:"1,keyasint"`
-	Facts  factList `cbor:"2,keyasint,omitempty"`
-}
-
-type directoryFacts struct {
-	Facts factList `cbor:"1,keyasint,omitempty"`
-	// Digest is the digest of the sender's directory.
-	Digest uint64 `cbor:"2,keyasint"`
-}
-
 // Disseminator keeps the view and the directory of this instance equal to those of the
 // others. An instance that receives a change passes it on to a few members of its own data
 // centre (gwmember.Members.Forward), and a relay also to one relay of each other data
@@ -66,8 +52,6 @@
 	views     *Views
 	directory *Directory
 	pulls     chan viewOffer
-	// skipped counts the entries of peers' directories that could not be used.
-	skipped atomic.Int64
 }
 
 // viewOffer is a member that has a newer view.
@@ -147,7 +131,7 @@
 }
 
 // repairDirectory compares the directory with those of other instances: soon after the
-// first other member is known, and at repairInterval while a comparison finds a difference.
+// first other member is known, and at repairInterval while a comparison changes one of them.
 func (d *Disseminator) repairDirectory(ctx context.Context) {
 	pause := repairInterval
 	for {
@@ -161,9 +145,8 @@
 		case <-members:
 		case <-d.clock.After(pause):
 		}
-		skipped := d.skipped.Load()
 		pause = directoryInterval
-		if !d.compareDirectory(ctx) && d.skipped.Load() == skipped {
+		if d.compareDirectory(ctx) {
 			pause = repairInterval
 		}
 	}
@@ -263,57 +246,42 @@
 }
 
 // compareDirectory compares the directory with that of one of the members that changes are
-// passed on to, exchanges the facts that differ, and reports whether the two were equal or
-// no peer answered.
+// passed on to, and reports whether this has changed one of them.
 func (d *Disseminator) compareDirectory(ctx context.Context) bool {
 	peers := d.targets(d.members.Topology().IsRelay)
 	if len(peers) == 0 {
-		return true // no other instance is known yet
+		return false // no other instance is known yet
 	}
 	m := peers[rand.IntN(len(peers))]
-	before := d.directory.Digest()
-	theirs, err := d.exchange(ctx, m, pullDirectory{Digest: before})
-	if err != nil {
-		return true
-	}
-	if theirs != d.directory.Digest() {
-		_, _ = d.exchange(ctx, m, pullDirectory{Digest: before, Facts: d.directory.All()})
-	}
-	return theirs == before
+	changed, err := d.directory.compare(func(msg pullDirectory) (directoryFacts, error) { return d.exchange(ctx, m, msg) })
+	return err == nil && changed
 }
 
-// exchange sends facts or a digest to a peer, merges the facts in its answer and returns
-// the peer's digest.
-func (d *Disseminator) exchange(ctx context.Context, m gwmember.Member, msg pullDirectory) (uint64, error) {
+// exchange sends facts or a digest to a peer and merges the facts in its answer.
+func (d *Disseminator) exchange(ctx context.Context, m gwmember.Member, msg pullDirectory) (directoryFacts, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	answer, err := gwpeer.Call[pullDirectory, directoryFacts](ctx, d.node, m.Address, kindDirectory, msg)
 	if err != nil {
 		d.log.Debug("directory not exchanged", "with", m.Instance, "error", err)
-		return 0, err
+		return answer, err
 	}
 	d.directory.Merge(d.usable(m.Instance, answer.Facts))
-	return answer.Digest, nil
+	return answer, nil
 }
 
 // usable returns the facts of a peer's message that can be recorded.
 func (d *Disseminator) usable(from string, facts []ServerFacts) []ServerFacts {
 	return Usable(facts, func(f ServerFacts, err error) {
-		d.skipped.Add(1)
 		d.log.Warn("entry of a peer's directory skipped", "from", from, "server", f.Server, "error", err.Error())
 	})
 }
 
-// onDirectory merges the received facts and passes new ones on. It answers a message
-// without facts with all facts if the digests differ.
+// onDirectory merges the received facts, passes new ones on and answers.
 func (d *Disseminator) onDirectory(ctx context.Context, from string, msg pullDirectory) (directoryFacts, error) {
 	fresh := d.directory.Merge(d.usable(from, msg.Facts))
 	if len(fresh) > 0 && d.members != nil {
 		d.passOn(context.WithoutCancel(ctx), fresh, d.members.Topology().IsRelay)
 	}
-	digest := d.directory.Digest()
-	if len(msg.Facts) > 0 || msg.Digest == digest {
-		return directoryFacts{Digest: digest}, nil
-	}
-	return directoryFacts{Facts: d.directory.All(), Digest: digest}, nil
+	return d.directory.answer(msg), nil
 }
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -218,7 +218,16 @@
 
 func (o *Owner) reconcile() {
 	o.recordJoin()
+	for _, s := range o.ownedServers() {
+		if _, known := o.directory.Server(s.facts().Server); !known {
+			o.release(s, false) // others have replaced it at its address
+		}
+	}
 	for _, f := range o.directory.All() {
+		f, known := o.directory.Server(f.Server) // Gone also if only the facts of others say so
+		if !known {
+			continue // dropped meanwhile
+		}
 		s := o.server(f.Server)
 		switch owned := o.owns(f); {
 		case owned && s == nil:
--- a/internal/gwowner/update_test.go
+++ b/internal/gwowner/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	gwexamples "gentianward.example/gentianward/examples"
 	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwcontrol"
 )
@@ -57,3 +59,34 @@
 		})
 	}
 }
+
+// Guards against connections to a server that another one has replaced at its address: they take
+// those of the other one, and its owner kept them when the directory dropped the replaced server.
+func TestReplacedServerIsReleased(t *testing.T) {
+	for _, later := range []int{1, 3} {
+		clock := clockwork.NewFakeClock()
+		o := &Owner{
+			clock: clock, log: slog.New(slog.DiscardHandler), views: gwcontrol.NewViews(gwcontrol.ManifestFormat{}), leases: &countedLeases{},
+			members: aloneMembership(t, clock), directory: gwcontrol.NewDirectory(), dialect: &fakeServer{},
+			backendOptions: func(gwcontrol.ServerFacts) gwbackend.Options { return gwbackend.Options{} },
+			servers:        make(map[string]*server), draining: make(map[*server]bool), ctx: t.Context(),
+		}
+		facts := func(born int) gwcontrol.ServerFacts {
+			return gwcontrol.ServerFacts{Server: fmt.Sprint("i-", born), Group: "g", Address: "127.0.0.1:1", Slots: 1, Connections: 4, Born: uint64(born), Version: 1}
+		}
+		text, err := gwexamples.Files.ReadFile("ecodour/manifest.jsonc")
+		require.NoError(t, err)
+		_, err = o.views.Apply(gwcontrol.ViewDelta{Index: 1, Number: 1, Text: text})
+		require.NoError(t, err)
+		o.directory.Merge([]gwcontrol.ServerFacts{facts(1)})
+		o.reconcile()
+		require.NotNil(t, o.server("i-1"))
+		for born := 2; born <= 1+later; born++ {
+			o.directory.Merge([]gwcontrol.ServerFacts{facts(born)})
+		}
+		o.reconcile()
+		assert.Nil(t, o.server("i-1"), "replaced %d times", later)
+		assert.NotNil(t, o.server(facts(1+later).Server))
+		o.Release(t.Context())
+	}
+}
