gwfilter: statistics of servers that are not used any more are dropped

Cause: an instance kept latency, lag, health and window of each server that it ever sent an attempt to, under a name that a server which replaces another one does not take over.

Change: statistics without an attempt for 10 minutes, and without one in flight, are dropped when the next attempt of their shard ends. By then they say nothing: lag halves each second, and an ejection lasts seconds.

--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 type serverShard struct {
 	mu      sync.Mutex
 	servers map[string]*serverStat
+	sweptAt time.Time
 }
 
 // serverStat holds the statistics of one server.
@@ -39,6 +41,23 @@
 	health gwoutcome.Health
 	// window bounds the attempts in flight.
 	window gwlimit.Window
+	// usedAt is when the last attempt ended.
+	usedAt time.Time
+}
+
+// statLifetime is how long statistics are kept without an attempt. After that time they say nothing
+// about a server, which has mostly been replaced by another one with a name of its own.
+const statLifetime = 10 * time.Minute
+
+// sweep drops the statistics that are not used any more; the caller must hold sh.mu.
+func (sh *serverShard) sweep(now time.Time) {
+	if now.Sub(sh.sweptAt) < statLifetime {
+		return
+	}
+	sh.sweptAt = now
+	maps.DeleteFunc(sh.servers, func(_ string, st *serverStat) bool {
+		return st.window.Pending() == 0 && now.Sub(st.usedAt) > statLifetime
+	})
 }
 
 func newServerTable() *serverTable {
@@ -86,7 +105,9 @@
 	sh := t.shard(name)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	sh.sweep(now)
 	st := sh.stat(name)
+	st.usedAt = now
 	st.window.Done(!res.OwnerSilent, now)
 	if res.Event == gwoutcome.DialFailed || res.Event == gwoutcome.PeerUnreachable {
 		st.health.Observe(gwoutcome.DialFailed, now)
--- a/internal/gwfilter/servers_test.go
+++ b/internal/gwfilter/servers_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwowner"
@@ -66,3 +68,23 @@
 	assert.True(t, up.closed, "stream")
 	assert.Zero(t, e.servers.shard("s").stat("s").window.Pending(), "unanswered attempts")
 }
+
+// Guards against statistics that are kept for each server that there ever was.
+func TestStatisticsOfServersThatLeftAreDropped(t *testing.T) {
+	const day, kept = 3000, 64
+	table, now := newServerTable(), time.Unix(1000, 0)
+	require.True(t, table.beginAttempt("unanswered"))
+	for run := range day {
+		name := fmt.Sprintf("run-%d", run)
+		require.True(t, table.beginAttempt(name))
+		table.endAttempt(name, gwowner.Result{Event: gwoutcome.Answered}, now, now.Add(time.Millisecond), 0)
+		now = now.Add(time.Minute)
+	}
+	count := 0
+	for i := range table.shards {
+		count += len(table.shards[i].servers)
+	}
+	// A shard is swept with an attempt in it, so that the last one of each stays until the next.
+	assert.LessOrEqual(t, count, 3*kept+int(statLifetime/time.Minute))
+	assert.Contains(t, table.shard("unanswered").servers, "unanswered")
+}
