gwcontrol: a change of primary that the platform refuses is tried less and less often

Cause: an attempt whose call to the platform is refused at once was followed by the next after 50 ms. Each adds three entries to the replicated log and is a call, of which the platform accepts a limited number a second from all instances together, so that groups that wait for the same reason keep each other's calls from being accepted.

Change: the wait after an attempt that went on to promote a server, and failed, doubles up to 0.5 s. Tries that only ask servers stay 50 ms apart, as they add no entries.

Ruled out: a bound of 1 s, as it adds to the gap when the platform is back; repeating the attempt without an entry, as a server may lead at its term.

--- a/internal/gwcontrol/attemptcost_test.go
+++ b/internal/gwcontrol/attemptcost_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,3 +152,68 @@
 	}
 	assert.Eventually(t, ended, 5*time.Second, time.Millisecond, "the change ends when its group is withdrawn")
 }
+
+// refusingPlatform refuses all calls until it is up.
+type refusingPlatform struct {
+	fakePlatform
+	up    atomic.Bool
+	calls atomic.Int64
+}
+
+func (p *refusingPlatform) Promote(ctx context.Context, c Promotion) (time.Time, error) {
+	p.calls.Add(1)
+	if p.up.Load() {
+		return p.fakePlatform.Promote(ctx, c)
+	}
+	return c.Until.Add(-promoteSendLimit), &Error{Op: "promote server", Kind: Refused, Detail: "status 409"}
+}
+
+// Guards against a change of primary whose calls the platform refuses, and which adds entries to
+// the log and calls as fast as it can.
+func TestRefusedCallsAreRepeatedLessOften(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	v := newSteppedVoter(t, clock)
+	v.propose(
+		gwstate.StartGroup{Group: "g", Primary: "a", Term: 1},
+		gwstate.SetCopies{Group: "g", Term: 1, Copies: at10("a", "b", "c")},
+	)
+	p := &refusingPlatform{}
+	owners := &pastOwners{scriptedOwners: scriptedOwners{fakeOwners: fakeOwners{platform: p}, servers: returnedAt(at10("a", "b", "c"))}}
+	owners.answers = map[string]Copy{
+		"b": copyAt("b", gwsession.Position{Term: 1, Offset: 5}),
+		"c": copyAt("c", gwsession.Position{Term: 1, Offset: 5}),
+	}
+	l := &Leader{
+		consensus: v.Consensus, state: v.State, clock: clock, log: v.Log, owners: owners, promoter: p,
+		waits: make(changeWaits), onChanged: func(string, time.Duration) {},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.changePrimary("g", 1, "the primary is lost")
+	}()
+	run := func(d time.Duration) {
+		for end := clock.Now().Add(d); clock.Now().Before(end); {
+			select {
+			case f := <-v.calls:
+				v.pass(f)
+			case <-done:
+				return
+			case <-time.After(500 * time.Microsecond):
+				v.pass()
+				clock.Advance(changeRetryDelay)
+			}
+		}
+	}
+	run(time.Second)
+	assert.Greater(t, p.calls.Load(), int64(3), "soon after the first refusal")
+	first, calls := v.State.Index(), p.calls.Load()
+	run(20 * time.Second)
+	t.Logf("%d entries, %d calls in 20 s", v.State.Index()-first, p.calls.Load()-calls)
+	assert.LessOrEqual(t, v.State.Index()-first, uint64(150), "entries in 20 s")
+	assert.LessOrEqual(t, p.calls.Load()-calls, int64(45), "calls in 20 s")
+	p.up.Store(true)
+	run(3 * time.Second)
+	g, _ := v.State.Group("g")
+	assert.Equal(t, gwstate.Serving, g.Phase)
+}
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -109,6 +109,10 @@
 	catchUpTimeout     = 500 * time.Millisecond
 	promoteTimeout     = 2 * time.Second
 	changeRetryDelay   = 50 * time.Millisecond
+	// maxPromoteRetryDelay bounds the wait after an attempt that could not promote a server, which
+	// doubles: each adds three entries to the log and is a call to the platform, which limits the
+	// calls of all instances together.
+	maxPromoteRetryDelay = 500 * time.Millisecond
 	// leaselessLimit is how long a group may be without a lease before the leader
 	// replaces its primary without a request, for example because a partition has
 	// cut off the owner together with the primary.
@@ -285,6 +289,7 @@
 	var begun uint64 // the term of the leadership in which the change began
 	var evidence *Evidence
 	var attempt gwstate.Group // the attempt to repeat, zero if there is none
+	wait := changeRetryDelay
 	for {
 		lead, leading := l.consensus.Leadership()
 		if !leading || begun != 0 && lead.Term != begun || !l.inForce(group) {
@@ -315,8 +320,10 @@
 			l.onChanged(group, took)
 			return
 		}
+		retry := changeRetryDelay
 		if promoting {
 			attempt = gwstate.Group{}
+			retry, wait = wait, min(2*wait, maxPromoteRetryDelay)
 		}
 		w := l.recordWait(ctx, g, evidence, err)
 		if now := l.clock.Now(); now.Sub(lastLog) > waitLogInterval {
@@ -324,7 +331,7 @@
 			l.log.Warn("change of primary not possible yet; retrying", "group", group, "term", term, "reason", err,
 				"missing", strings.Join(w.Missing, "; "), "endedBy", w.EndedBy, "final", w.Final)
 		}
-		l.clock.Sleep(changeRetryDelay)
+		l.clock.Sleep(retry)
 	}
 }
 
