--- a/internal/gwcontrol/snapshottransfer.go
+++ b/internal/gwcontrol/snapshottransfer.go
@@ -31,10 +31,12 @@
 	if !s.snapshot.CompareAndSwap(false, true) {
 		return
 	}
+	_ = c.do(ctx, func() { c.node.SnapshotBegan(m.To) })
 	go func() {
-		defer s.snapshot.Store(false)
 		began := c.Clock.Now()
 		size, err := c.deliverSnapshot(ctx, m)
+		s.snapshot.Store(false)
+		_ = c.do(ctx, func() { c.node.SnapshotEnded(m.To, err == nil) })
 		took := c.Clock.Since(began).Round(time.Millisecond).String()
 		if err != nil && ctx.Err() == nil {
 			c.Log.Warn("snapshot of the replicated log not delivered", "to", m.To, "index", m.Snapshot.Index, "bytes", size, "took", took, "error", err.Error())
--- a/pkg/gwquorum/replicate.go
+++ b/pkg/gwquorum/replicate.go
@@ -29,6 +29,7 @@
 	probeSent      bool          // a probe was sent and is unanswered
 	snapshotSent   time.Time     // when the last snapshot was sent, zero if another one is due
 	snapshotIndex  uint64        // of the last snapshot that was sent
+	underWay       bool          // the driver is sending a snapshot
 	snapshotRound  uint64        // confirmation round that began after the last snapshot was sent
 	lastReply      time.Time     // when the last reply of this term arrived
 	advancedAt     time.Time     // when match last grew
--- a/pkg/gwquorum/snapshot.go
+++ b/pkg/gwquorum/snapshot.go
@@ -83,6 +83,30 @@
 	pr.snapshotRound = n.reads.round
 }
 
+// SnapshotBegan tells that the driver has begun to send a snapshot to a member in a way in which
+// other messages overtake it. Until SnapshotEnded is called, it does not count as lost.
+func (n *Node) SnapshotBegan(to string) {
+	if pr := n.peers[to]; pr != nil {
+		pr.underWay = true
+	}
+}
+
+// SnapshotEnded tells that a snapshot has been delivered to a member, or that it is to be sent again.
+func (n *Node) SnapshotEnded(to string, delivered bool) {
+	pr := n.peers[to]
+	if pr == nil {
+		return
+	}
+	pr.underWay = false
+	if pr.snapshotSent.IsZero() {
+		return
+	}
+	pr.snapshotSent = n.now // its reply may be on the way
+	if !delivered {
+		pr.snapshotSent = time.Time{}
+	}
+}
+
 // dropTransfer forgets the snapshot that is not saved while no responsive member needs it.
 func (n *Node) dropTransfer() {
 	for id, pr := range n.peers {
@@ -98,13 +122,13 @@
 // snapshot costs another snapshot, at most one for each election timeout. Silence shows nothing, as
 // a member sends no reply while it receives and saves a snapshot.
 func (n *Node) snapshotLost(pr *progress, m Message) bool {
-	return pr.state == restoring && m.ReadRound >= pr.snapshotRound && pr.match < pr.snapshotIndex &&
+	return pr.state == restoring && !pr.underWay && m.ReadRound >= pr.snapshotRound && pr.match < pr.snapshotIndex &&
 		n.now.Sub(pr.snapshotSent) >= n.cfg.ElectionTimeout
 }
 
 func (n *Node) resendSnapshot(id string, pr *progress, heartbeat bool) {
 	switch {
-	case n.active(id) && n.now.Sub(pr.snapshotSent) >= n.cfg.SnapshotTimeout:
+	case n.active(id) && !pr.underWay && n.now.Sub(pr.snapshotSent) >= n.cfg.SnapshotTimeout:
 		n.sendSnapshot(id, pr)
 	case heartbeat:
 		// Entry 0 matches in every log; the reply contains the peer's commit index.
