--- a/internal/gwcontrol/quorumtransport.go
+++ b/internal/gwcontrol/quorumtransport.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +23,8 @@
 type sender struct {
 	queue   chan gwquorum.Message
 	dropped uint64 // messages for which the queue was full; owned by the goroutine of Run
+	// snapshot is set while a snapshot is sent, over a stream of its own.
+	snapshot atomic.Bool
 }
 
 // voterTraffic counts irregularities of the messages to other voters.
@@ -61,11 +65,16 @@
 			}
 			return
 		case m := <-s.queue:
-			if stream == nil {
-				stream = c.openStream(ctx, to)
+			if m.Kind == gwquorum.MessageSnapshot {
+				c.beginSnapshot(ctx, m, s)
+				continue
 			}
 			if stream == nil {
-				continue
+				var err error
+				if stream, err = c.openStream(ctx, to, kindQuorum); err != nil {
+					stream = nil
+					continue
+				}
 			}
 			b, err := gwpeer.Marshal(m)
 			if err != nil {
@@ -81,25 +90,28 @@
 	}
 }
 
-func (c *Consensus) openStream(ctx context.Context, to string) *gwpeer.Stream {
+// openStream opens a stream to another voter within streamOpenTimeout.
+func (c *Consensus) openStream(ctx context.Context, to string, kind gwpeer.Kind) (*gwpeer.Stream, error) {
 	address, ok := c.Address(voterName(to))
 	if !ok {
-		return nil
+		return nil, &Error{Op: "open stream", Kind: Unavailable, Detail: "the address of " + to + " is not known"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, streamOpenTimeout)
 	defer cancel()
-	stream, err := c.Node.OpenStream(ctx, address, kindQuorum)
-	if err != nil {
-		return nil
-	}
-	return stream
+	return c.Node.OpenStream(ctx, address, kind)
 }
 
 // receive passes the messages of one stream to the node. It ends the stream on a
 // malformed message or one whose sender is not the peer.
 func (c *Consensus) receive(ctx context.Context, from string, s *gwpeer.Stream) {
+	s.ExpectLargeFrames()
+	var snapshot *receivedSnapshot // the last message, nil if it was another one
 	for {
 		kind, payload, err := s.ReadFrame()
+		if errors.Is(err, io.EOF) && snapshot != nil {
+			c.endSnapshot(ctx, s, *snapshot)
+			return
+		}
 		if err != nil || kind != frameQuorum {
 			return
 		}
@@ -107,11 +119,15 @@
 		if err := gwpeer.Unmarshal(payload, &m); err != nil || voterName(m.From) != from {
 			return
 		}
-		if m.Kind == gwquorum.MessageAppend || m.Kind == gwquorum.MessageSnapshot {
-			s.GrowWindow() // only a leader sends these, so that few streams of a voter have a large window
+		if m.Kind == gwquorum.MessageAppend {
+			s.GrowWindow() // only a leader sends this, so that few streams of a voter have a large window
 		}
-		if c.do(ctx, func() { c.node.Step(m, c.Clock.Now()) }) != nil && ctx.Err() != nil {
+		err = c.do(ctx, func() { c.node.Step(m, c.Clock.Now()) })
+		if err != nil && ctx.Err() != nil {
 			return
 		}
+		if snapshot = nil; m.Snapshot != nil {
+			snapshot = &receivedSnapshot{index: m.Snapshot.Index, term: m.Term, dropped: err != nil}
+		}
 	}
 }
--- a/internal/gwpeer/stream.go
+++ b/internal/gwpeer/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -28,7 +29,8 @@
 	wbuf          []byte
 	closed        bool // the write side is closed
 
-	grown atomic.Bool // the window was grown
+	grown       atomic.Bool // the window was grown
+	largeFrames atomic.Bool // a large frame grows the window
 
 	rmu  sync.Mutex
 	r    *bufio.Reader // nil once released
@@ -74,7 +76,7 @@
 // two round trips of 60 ms. maxLargeWindows bounds the streams of a node that have one.
 const (
 	largeWindow     = 2 << 20
-	maxLargeWindows = 4
+	maxLargeWindows = 8
 )
 
 // GrowWindow lets the peer send large frames without a wait for each round trip. It has no effect
@@ -93,6 +95,20 @@
 	s.bs.GrowWindow(largeWindow)
 }
 
+// ExpectLargeFrames makes a frame that exceeds the window of the stream grow it when its first bytes
+// are read.
+func (s *Stream) ExpectLargeFrames() { s.largeFrames.Store(true) }
+
+// growForFrame grows the window for a large frame; s.rmu is held.
+func (s *Stream) growForFrame() {
+	if !s.largeFrames.Load() || s.grown.Load() {
+		return
+	}
+	if head, err := s.r.Peek(frameHeaderBytes); err == nil && binary.BigEndian.Uint32(head[frameHeaderBytes-4:]) > muxWindowBytes {
+		s.GrowWindow()
+	}
+}
+
 // CancelOn cancels the stream when ctx ends, unless stop is called before. If stop
 // returns false, the stream is being canceled and must not be reused.
 func (s *Stream) CancelOn(ctx context.Context) (stop func() bool) {
@@ -137,6 +153,7 @@
 	if s.r == nil {
 		return 0, nil, newError("read frame", KindCanceled, s.address, errors.New("the stream is closed"))
 	}
+	s.growForFrame()
 	h, payload, err := readFrame(s.r, s.rbuf, limit)
 	switch {
 	case errors.Is(err, io.EOF):
