gwstate: the texts that are kept before the current one are bounded by 256 KB

A configuration may have 8 MiB: 20 of these do not fit into a message of 16 MiB, so that no empty member could be sent the state, for good.

Change: the oldest texts are dropped while the compressed ones exceed 256 KB. Nothing in the program reads an earlier text (State.ManifestText has no caller outside tests; the history that operators see consists of numbers and digests), and no command depends on one, so that instances of two releases may keep different ones. ManifestText says false for a text that was dropped; it would have returned an empty one.

What else grows, and its bound: digests by number (1,000); groups by the names that were ever started, as no command removes a group (not changed here); leases, calls and copies by the groups.

--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -104,14 +104,24 @@
 		s.manifests[last].Manifest.Text = ""
 	}
 	s.manifests = append(s.manifests, manifestRecord{Manifest: m})
-	if len(s.manifests) > keptTexts {
-		s.manifests[len(s.manifests)-1-keptTexts].CompressedText = nil
-	}
+	s.dropTexts()
 	if len(s.manifests) > keptDigests {
 		s.manifests = slices.Delete(s.manifests, 0, 1)
 	}
 }
 
+// dropTexts drops the texts before the latest keptTexts, and the oldest of these while they exceed
+// keptTextBytes.
+func (s *State) dropTexts() {
+	size, kept := 0, len(s.manifests)-keptTexts
+	for i := len(s.manifests) - 1; i >= 0; i-- {
+		r := &s.manifests[i]
+		if size += len(r.CompressedText); i < kept || size > keptTextBytes {
+			r.CompressedText = nil
+		}
+	}
+}
+
 func (s *State) groupResult(group string, refusal Refusal) Result {
 	return GroupResult{Refusal: refusal, Group: s.groups[group], Lease: s.leases[group]}
 }
--- a/internal/gwstate/state.go
+++ b/internal/gwstate/state.go
@@ -13,6 +13,11 @@
 	keptDigests = 1000
 )
 
+// keptTextBytes bounds the compressed texts that are kept before the current one. A snapshot of the
+// state is sent to each new member, in one message of 16 MiB at most; 20 texts of the largest
+// configurations, 8 MiB each, do not fit.
+const keptTextBytes = 256 << 10
+
 // State is the replicated state.
 type State struct {
 	clock *LeaseClock
@@ -55,7 +60,7 @@
 }
 
 // History returns the latest manifests, at most 1,000, oldest first. Only the
-// current one has its text; ManifestText returns those of the latest 20.
+// current one has its text; ManifestText returns those of the latest 20, or fewer if they are large.
 func (s *State) History() []Manifest {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -66,7 +71,8 @@
 	return out
 }
 
-// ManifestText returns the text of one of the latest 20 manifests.
+// ManifestText returns the text of one of the latest 20 manifests, or fewer if their compressed
+// texts exceed keptTextBytes.
 func (s *State) ManifestText(number uint64) (string, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -77,6 +83,9 @@
 	case i == len(s.manifests)-1:
 		return s.manifests[i].Manifest.Text, true
 	}
+	if len(s.manifests[i].CompressedText) == 0 {
+		return "", false
+	}
 	text, err := decompress(s.manifests[i].CompressedText)
 	return string(text), err == nil
 }
