--- a/internal/gwcontrol/lag_test.go
+++ b/internal/gwcontrol/lag_test.go
@@ -105,19 +105,28 @@
 	require.NoError(t, err)
 	nodes := make([]*gwpeer.Node, len(names))
 	for i, name := range names {
-		tls, err := ca.IssueSource(name)
-		require.NoError(t, err)
+		nodes[i] = laggedNode(t, ca, p, name)
+	}
+	return nodes
+}
+
+// laggedNode starts a node that others reach over a path, directly if that has no delay.
+func laggedNode(t testing.TB, ca *gwpeer.Authority, p netPath, name string) *gwpeer.Node {
+	t.Helper()
+	tls, err := ca.IssueSource(name)
+	require.NoError(t, err)
+	o := gwpeer.Options{Address: "127.0.0.1:0", TLS: tls, Instance: name, Transport: gwpeer.TCP}
+	if p.delay > 0 {
 		proxy := newLagProxy(t, p)
 		inner, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		listen := inner.Addr().String()
+		o.Address, o.ListenAddress = proxy.Addr().String(), inner.Addr().String()
 		require.NoError(t, inner.Close())
-		go proxy.run(listen)
-		nodes[i], err = gwpeer.Listen(context.Background(), gwpeer.Options{
-			Address: proxy.Addr().String(), ListenAddress: listen, TLS: tls, Instance: name, Transport: gwpeer.TCP,
-		})
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = proxy.Close(); _ = nodes[i].Close() })
+		go proxy.run(o.ListenAddress)
+		t.Cleanup(func() { _ = proxy.Close() })
 	}
-	return nodes
+	node, err := gwpeer.Listen(context.Background(), o)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = node.Close() })
+	return node
 }
--- a/internal/gwstate/bench_test.go
+++ b/internal/gwstate/bench_test.go
@@ -108,3 +108,53 @@
 		})
 	}
 }
+
+// largestConfiguration is the size of the largest configuration that the soak publishes.
+const largestConfiguration = 500_000
+
+// BenchmarkLargestState measures the snapshot of the largest state of a deployment: 3,300 groups with
+// leases, copies and a change of primary each, 1,000 digests and kept texts of 500,000 bytes. Run
+// with -benchtime=10x.
+func BenchmarkLargestState(b *testing.B) {
+	for _, texts := range []struct {
+		name string
+		of   func(uint64) string
+	}{
+		{"textsLikeManifests", func(number uint64) string {
+			text := scaleManifest(number)
+			return text + text[:largestConfiguration-len(text)]
+		}},
+		{"textsThatHardlyCompress", func(number uint64) string { return randomText(number, largestConfiguration) }},
+	} {
+		b.Run(texts.name, func(b *testing.B) {
+			m := scaleState(b, 0)
+			for i := range groupsAtScale {
+				name := fmt.Sprintf("database-%04d-g1", i)
+				copies := make([]CopyRef, 3)
+				for c := range copies {
+					copies[c] = CopyRef{Server: fmt.Sprintf("%s-s%d", name, c), Born: uint64(1_000_000 + i), Address: fmt.Sprintf("10.%d.%d.%d:5432", c, i/250, i%250)}
+				}
+				m.apply(SetCopies{Group: name, Term: 1, Copies: copies})
+				m.apply(BeginChange{Group: name, FromTerm: 1, Reason: "the primary does not answer"})
+				m.apply(NamePromotion{Group: name, Attempt: 2, Server: name + "-s2", Fence: 7, Holder: "instance-0001"})
+			}
+			for i := range uint64(keptDigests) {
+				text := fmt.Sprint(i)
+				if i >= keptDigests-keptTexts-1 {
+					text = texts.of(i)
+				}
+				m.apply(manifest(i+1, text))
+			}
+			var data []byte
+			for b.Loop() {
+				var err error
+				data, err = m.state.Snapshot()
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(len(data)), "snapshot-B")
+			started := time.Now()
+			require.NoError(b, New(0.01).Restore(data, start))
+			b.ReportMetric(float64(time.Since(started).Microseconds())/1000, "restore-ms")
+		})
+	}
+}
