gwsoak: the start of a process is noted before it may log

Cause: on a busy machine a new process logged before its start was noted, so that its lines were counted to the process before.

--- a/internal/gwsoak/process.go
+++ b/internal/gwsoak/process.go
@@ -34,7 +34,8 @@
 	ordered     bool // the soak has ended the process
 	stopped     bool
 	incarnation int
-	starts      []time.Time // of all its processes
+	started     time.Time
+	starts      []time.Time // each a moment before a process of it was started
 	gone        bool        // for good
 	diskFaults  string      // text of the file of faults
 }
@@ -63,13 +64,15 @@
 	cmd := exec.Command(p.program, "instance", "-peer-listen", p.peerListen, "-disk", p.diskPath())
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.folder, platformtest.Environment(file)}
 	cmd.Stdout, cmd.Stderr = log, log
+	// A process may log before Start returns on a busy machine.
+	p.starts = append(p.starts, time.Now())
 	if err := cmd.Start(); err != nil {
 		return err
 	}
 	p.settings.FirstStart = false
 	p.cmd, p.done, p.ordered, p.stopped = cmd, make(chan struct{}), false, false
 	p.incarnation++
-	p.starts = append(p.starts, time.Now())
+	p.started = time.Now()
 	go p.wait(cmd, p.done)
 	return nil
 }
@@ -120,13 +123,10 @@
 func (p *process) startTime() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.starts) == 0 {
-		return time.Time{}
-	}
-	return p.starts[len(p.starts)-1]
+	return p.started
 }
 
-// startTimes returns when each process of the instance was started.
+// startTimes returns a moment before the start of each process of the instance.
 func (p *process) startTimes() []time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
