--- a/internal/gwcontrol/newmember_bench_test.go
+++ b/internal/gwcontrol/newmember_bench_test.go
@@ -144,7 +144,6 @@
 		}
 		return nil
 	})
-	leader := m.leader()
 	began := time.Now()
 	c := m.start("d", fs, nil)
 	started := m.await("the start", func() bool { return c.Status().ID != "" })
@@ -153,7 +152,7 @@
 		m.await("a change", func() bool {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			err := leader.ChangeMembership(ctx, gwquorum.Change{Kind: kind, Instance: id})
+			err := m.leader().ChangeMembership(ctx, gwquorum.Change{Kind: kind, Instance: id})
 			if err != nil {
 				time.Sleep(consensusTick)
 			}
@@ -162,11 +161,11 @@
 	}
 	change(gwquorum.AddLearner)
 	added := time.Now()
-	need := leader.Status().Commit
+	need := m.leader().Status().Commit
 	loaded := m.await("the data", func() bool { return c.Status().Applied >= need })
 	change(gwquorum.Promote)
 	voting := m.await("the vote", func() bool {
-		return slices.Contains(c.Status().Voters, id) && c.Status().Commit >= leader.Status().Snapshot
+		return slices.Contains(c.Status().Voters, id) && c.Status().Commit >= need
 	})
 	for name, d := range map[string]time.Duration{
 		"start-ms": started.Sub(began), "added-ms": added.Sub(started), "data-ms": loaded.Sub(added),
