--- a/internal/gwstate/size_test.go
+++ b/internal/gwstate/size_test.go
@@ -27,6 +27,31 @@
 	return len(b)
 }
 
+// Guards against a state that no member can be sent, as its snapshot exceeds one message, and
+// against a text that is reported as empty although it was dropped.
+func TestKeptTextsAreBounded(t *testing.T) {
+	m := newMachine(t)
+	const size = 100 << 10
+	for i := range uint64(30) {
+		m.apply(manifest(i+1, randomText(i+1, size)))
+	}
+	assert.Less(t, snapshotBytes(t, m), size+keptTextBytes)
+	_, ok := m.state.ManifestText(20)
+	assert.False(t, ok)
+	for number := uint64(28); number <= 30; number++ {
+		text, ok := m.state.ManifestText(number)
+		assert.True(t, ok)
+		assert.Equal(t, randomText(number, size), text)
+	}
+	const largest = 8 << 20 // of a configuration
+	for i := range uint64(3) {
+		m.apply(manifest(i+31, randomText(i+31, largest)))
+	}
+	assert.Less(t, snapshotBytes(t, m), 16<<20)
+	_, ok = m.state.ManifestText(32)
+	assert.False(t, ok, "larger than all that is kept")
+}
+
 // Guards against a state that grows with the length of the day: by leases that ended or changed
 // their holders, changes of primary with their calls, and publications.
 func TestStateDoesNotGrowWithTheDay(t *testing.T) {
