gwcontrol: a change of the directory costs what has changed

Cause: each change of the directory computed its indexes and digests from all facts, and each heartbeat of a server looked at all servers for another one at its address.

Change: the indexes and digests are updated for the addresses and groups that change; the servers at an address are found by an index.

TestDirectoryIndexesFollowItsFacts compares the indexes with those of all facts.

--- a/internal/gwcontrol/directory.go
+++ b/internal/gwcontrol/directory.go
@@ -295,32 +295,69 @@
 	if len(facts) == 0 {
 		return nil
 	}
-	next := &directorySnapshot{facts: maps.Clone(d.current.Load().facts)}
-	if next.facts == nil {
-		next.facts = make(map[string]ServerFacts, len(facts))
-	}
+	old := d.current.Load()
+	next := old.clone()
+	addresses, groups := make(map[string]bool), make(map[string]bool)
 	for _, f := range facts {
-		next.facts[f.Server] = f
+		if before, known := next.facts[f.Server]; known {
+			next.remove(before)
+			addresses[before.Address], groups[before.Group] = true, true
+		}
+		next.add(f)
+		addresses[f.Address] = true
+	}
+	for address := range addresses {
+		next.dropReplaced(address, groups)
+		next.derive(address, groups)
 	}
-	next.index()
-	next.dropReplaced()
 	kept := slices.DeleteFunc(facts, func(f ServerFacts) bool { return next.facts[f.Server] != f })
-	if len(kept) == 0 && len(next.facts) == len(d.current.Load().facts) {
+	if len(kept) == 0 && len(next.facts) == len(old.facts) {
 		return nil
 	}
-	next.derive()
+	next.deriveGroups(groups)
 	d.current.Store(next)
 	close(d.changed)
 	d.changed = make(chan struct{})
 	return kept
 }
 
-// index sets byAddress.
-func (s *directorySnapshot) index() {
-	s.byAddress = make(map[string][]string, len(s.facts))
-	for name, f := range s.facts {
-		s.byAddress[f.Address] = append(s.byAddress[f.Address], name)
+// clone returns a copy to change. Its slices are replaced, never modified.
+func (s *directorySnapshot) clone() *directorySnapshot {
+	next := *s
+	next.facts, next.servers = cloneOf(s.facts), cloneOf(s.servers)
+	next.groups, next.byAddress = cloneOf(s.groups), cloneOf(s.byAddress)
+	return &next
+}
+
+func cloneOf[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return make(map[K]V)
 	}
+	return maps.Clone(m)
+}
+
+func (s *directorySnapshot) add(f ServerFacts) {
+	s.facts[f.Server] = f
+	s.toggle(f)
+	s.byAddress[f.Address] = append(slices.Clone(s.byAddress[f.Address]), f.Server)
+}
+
+func (s *directorySnapshot) remove(f ServerFacts) {
+	delete(s.facts, f.Server)
+	delete(s.servers, f.Server)
+	s.toggle(f)
+	names := slices.DeleteFunc(slices.Clone(s.byAddress[f.Address]), func(name string) bool { return name == f.Server })
+	s.byAddress[f.Address] = names
+	if len(names) == 0 {
+		delete(s.byAddress, f.Address)
+	}
+}
+
+// toggle adds facts to the digests or takes them out.
+func (s *directorySnapshot) toggle(f ServerFacts) {
+	h := f.hash()
+	s.digest ^= h
+	s.buckets[bucketOf(f.Server)] ^= uint32(h)
 }
 
 // runsPerAddress is the number of runs at one address whose facts are kept: the latest, and the one
@@ -328,43 +365,51 @@
 // to another address and a peer that was away told of it.
 const runsPerAddress = 2
 
-// dropReplaced drops the facts of servers that others have replaced at their addresses. What a peer
-// or a saved file tells of one later is dropped again, so that it is used no more. Without this,
-// the directory grew with the number of servers that there ever were.
-func (s *directorySnapshot) dropReplaced() {
-	for address, names := range s.byAddress {
-		if len(names) <= runsPerAddress {
-			continue
-		}
-		runs := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return s.facts[name].Born == 0 })
-		slices.SortFunc(runs, func(a, b string) int {
-			return cmp.Or(cmp.Compare(s.facts[b].Born, s.facts[a].Born), cmp.Compare(a, b))
-		})
-		for _, name := range runs[min(len(runs), runsPerAddress):] {
-			delete(s.facts, name)
-			names = slices.DeleteFunc(names, func(n string) bool { return n == name })
-		}
-		s.byAddress[address] = names
+// dropReplaced drops the facts of servers that others have replaced at an address, and adds their
+// groups to those that change. What a peer or a saved file tells of one later is dropped again, so
+// that it is used no more. Without this, the directory grew with the number of servers that there
+// ever were.
+func (s *directorySnapshot) dropReplaced(address string, groups map[string]bool) {
+	names := s.byAddress[address]
+	if len(names) <= runsPerAddress {
+		return
+	}
+	runs := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return s.facts[name].Born == 0 })
+	slices.SortFunc(runs, func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.facts[b].Born, s.facts[a].Born), cmp.Compare(a, b))
+	})
+	for _, name := range runs[min(len(runs), runsPerAddress):] {
+		groups[s.facts[name].Group] = true
+		s.remove(s.facts[name])
 	}
 }
 
-// derive sets what follows from the facts.
-func (s *directorySnapshot) derive() {
-	latest := make(map[string]uint64, len(s.facts)) // starts by address
-	for name, f := range s.facts {
-		h := f.hash()
-		s.digest ^= h
-		s.buckets[bucketOf(name)] ^= uint32(h)
-		latest[f.Address] = max(latest[f.Address], f.Born)
+// derive sets what the facts of the servers at an address amount to, and adds their groups to those
+// that change.
+func (s *directorySnapshot) derive(address string, groups map[string]bool) {
+	var latest uint64 // start
+	for _, name := range s.byAddress[address] {
+		latest = max(latest, s.facts[name].Born)
 	}
-	s.servers = make(map[string]ServerFacts, len(s.facts))
-	s.groups = make(map[string][]ServerFacts)
-	for name, f := range s.facts {
-		f.Gone = f.Gone || f.Born != 0 && f.Born < latest[f.Address]
+	for _, name := range s.byAddress[address] {
+		f := s.facts[name]
+		f.Gone = f.Gone || f.Born != 0 && f.Born < latest
 		s.servers[name] = f
-		s.groups[f.Group] = append(s.groups[f.Group], f)
+		groups[f.Group] = true
+	}
+}
+
+// deriveGroups sets the servers of the groups that change.
+func (s *directorySnapshot) deriveGroups(groups map[string]bool) {
+	for name := range groups {
+		delete(s.groups, name)
+	}
+	for _, f := range s.servers {
+		if groups[f.Group] {
+			s.groups[f.Group] = append(s.groups[f.Group], f)
+		}
 	}
-	for _, g := range s.groups {
-		slices.SortFunc(g, func(a, b ServerFacts) int { return cmp.Compare(a.Server, b.Server) })
+	for name := range groups {
+		slices.SortFunc(s.groups[name], func(a, b ServerFacts) int { return cmp.Compare(a.Server, b.Server) })
 	}
 }
--- a/internal/gwcontrol/directorysize_test.go
+++ b/internal/gwcontrol/directorysize_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -159,3 +160,38 @@
 	}
 	assert.Equal(t, peer.Digest(), own.Digest())
 }
+
+// Guards against a directory whose indexes, which each change updates in part, differ from what
+// its facts amount to.
+func TestDirectoryIndexesFollowItsFacts(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		d := NewDirectory()
+		for range 60 {
+			var batch []ServerFacts
+			for range 1 + r.IntN(4) {
+				batch = append(batch, ServerFacts{
+					Server: fmt.Sprint("s", r.IntN(12)), Group: fmt.Sprint("g", r.IntN(3)), DataCentre: "d", Address: fmt.Sprint("a:", 1+r.IntN(4)),
+					Born: r.Uint64N(6), Version: r.Uint64N(40), Gone: r.IntN(5) == 0,
+				})
+			}
+			if r.IntN(2) == 0 {
+				d.Merge(batch)
+			} else {
+				d.Record(batch[0])
+			}
+		}
+		got, whole := d.current.Load(), NewDirectory()
+		whole.store(d.All())
+		want := whole.current.Load()
+		require.Equal(t, want.facts, got.facts, seed)
+		require.Equal(t, want.servers, got.servers, seed)
+		require.Equal(t, want.groups, got.groups, seed)
+		require.Equal(t, want.digest, got.digest, seed)
+		require.Equal(t, want.buckets, got.buckets, seed)
+		require.Len(t, got.byAddress, len(want.byAddress), seed)
+		for address, names := range want.byAddress {
+			require.ElementsMatch(t, names, got.byAddress[address], seed)
+		}
+	}
+}
