--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -439,9 +439,10 @@
 	need, allowLoss := l.owners.DurabilityRules(g.Name)
 	servers := l.owners.Servers(g.Name)
 	e.AddServers(servers)
+	try := e.try // a question may still be under way when the next try begins
 	if i := slices.IndexFunc(servers, func(f ServerFacts) bool { return f.Server == g.Primary && f.Leaving }); i >= 0 {
 		fctx, cancel := context.WithTimeout(ctx, fenceTimeout)
-		old, err := l.owners.FenceAt(fctx, FenceRequest{Server: g.Primary, Term: g.NextTerm, Attempt: g.Attempt, Try: e.try})
+		old, err := l.owners.FenceAt(fctx, FenceRequest{Server: g.Primary, Term: g.NextTerm, Attempt: g.Attempt, Try: try})
 		cancel()
 		if err == nil {
 			e.Add(old)
@@ -454,7 +455,7 @@
 	var wg sync.WaitGroup
 	for _, f := range servers {
 		wg.Go(func() {
-			if c, err := l.owners.FenceAt(fctx, FenceRequest{Server: f.Server, Term: g.NextTerm, Attempt: g.Attempt, Try: e.try}); err == nil {
+			if c, err := l.owners.FenceAt(fctx, FenceRequest{Server: f.Server, Term: g.NextTerm, Attempt: g.Attempt, Try: try}); err == nil {
 				answers <- c
 			}
 		})
