--- a/pkg/gwquorum/doc.go
+++ b/pkg/gwquorum/doc.go
@@ -32,6 +32,15 @@
 // should be sent in order; a message out of order is handled correctly but costs one
 // more round trip.
 //
+// # Snapshots
+//
+// A new member, and one that lacks entries which are larger than the state, is sent a snapshot.
+// If SnapshotWanted returns true once Ready returns nothing, the driver passes the state after
+// the last applied entry to ProvideSnapshot; without it, such a member stays behind. This
+// snapshot is not saved at the leader. Compact, in contrast, replaces the log by a snapshot
+// that is saved. A driver that lets other messages overtake a snapshot calls SnapshotBegan and
+// SnapshotEnded.
+//
 // # Replacement of a voter
 //
 // Replace turns a learner into a voter and another voter into a learner. Of three voters,
