--- a/internal/gwcontrol/attemptcost_test.go
+++ b/internal/gwcontrol/attemptcost_test.go
@@ -30,6 +30,22 @@
 	return o.scriptedOwners.FenceAt(ctx, r)
 }
 
+// runWhile answers the calls of the voter for a time of the clock, which advances by
+// changeRetryDelay whenever there is no call for the real time idle. It ends when done is closed.
+func (v steppedVoter) runWhile(clock *clockwork.FakeClock, d, idle time.Duration, done <-chan struct{}) {
+	for end := clock.Now().Add(d); clock.Now().Before(end); {
+		select {
+		case f := <-v.calls:
+			v.pass(f)
+		case <-done:
+			return
+		case <-time.After(idle):
+			v.pass()
+			clock.Advance(changeRetryDelay)
+		}
+	}
+}
+
 // Guards against a change of primary that waits for servers and adds an entry to the replicated
 // log with each of its tries: the log, and what a voter that was cut off is sent, then grow with
 // the time for which the servers are away.
@@ -59,19 +75,7 @@
 				defer close(done)
 				l.changePrimary("g", 1, "the primary is lost")
 			}()
-			run := func(d time.Duration) {
-				for end := clock.Now().Add(d); clock.Now().Before(end); {
-					select {
-					case f := <-v.calls:
-						v.pass(f)
-					case <-done:
-						return
-					case <-time.After(200 * time.Microsecond):
-						v.pass()
-						clock.Advance(changeRetryDelay)
-					}
-				}
-			}
+			run := func(d time.Duration) { v.runWhile(clock, d, 200*time.Microsecond, done) }
 			run(time.Second)
 			first := v.State.Index()
 			run(20 * time.Second)
@@ -206,19 +210,7 @@
 		defer close(done)
 		l.changePrimary("g", 1, "the primary is lost")
 	}()
-	run := func(d time.Duration) {
-		for end := clock.Now().Add(d); clock.Now().Before(end); {
-			select {
-			case f := <-v.calls:
-				v.pass(f)
-			case <-done:
-				return
-			case <-time.After(500 * time.Microsecond):
-				v.pass()
-				clock.Advance(changeRetryDelay)
-			}
-		}
-	}
+	run := func(d time.Duration) { v.runWhile(clock, d, 500*time.Microsecond, done) }
 	run(time.Second)
 	assert.Greater(t, p.calls.Load(), int64(3), "soon after the first refusal")
 	first, calls := v.State.Index(), p.calls.Load()
--- a/internal/gwcontrol/save.go
+++ b/internal/gwcontrol/save.go
@@ -109,13 +109,11 @@
 	}
 	if rd.Restore {
 		c.failProposals(rd.Snapshot.Index)
+		c.compactedIndex = max(c.compactedIndex, rd.Snapshot.Index)
 	}
 	c.apply(rd.Committed)
 	c.answerReads(rd.Reads)
 	c.node.Advance(rd)
-	if rd.Restore {
-		c.compactedIndex = max(c.compactedIndex, rd.Snapshot.Index)
-	}
 	if len(rd.Committed) > 0 || rd.Restore {
 		c.OnApplied()
 	}
