gwtelemetry: messages that cannot be read are counted and logged

Nothing told a message of a caller, a reply of a server or a forwarded request that could not be read from an ordinary end of a connection: callers' connections closed with a line of level debug, servers counted as broken, and an owner that could not decode a request closed its stream.

gentianward_unreadable_messages_total{from,reason} counts them by the sender, and the line `message not read` names the peer, the reason and the cause, which quotes at most the first bytes.

--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -40,6 +40,8 @@
 	// DialBackend dials backend servers; nil for the default of gwbackend.
 	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
 	Telemetry   Telemetry
+	// Unreadable records messages that cannot be read; nil for none.
+	Unreadable *gwtelemetry.Unreadable
 	// Format is the format of manifests; the zero value is the project's own.
 	Format gwcontrol.ManifestFormat
 	// Dialect is the dialect of the backend servers; nil for that of the stand-in.
@@ -117,6 +119,8 @@
 	FailoverGap(group string, took time.Duration)
 	// PlatformCall counts a call of the leader to the platform.
 	PlatformCall(outcome string)
+	// UnreadableMessage counts a message that could not be read.
+	UnreadableMessage(from, reason string)
 	// Gauge adds a metric whose value is read from f.
 	Gauge(name string, f func() float64, labels ...gwtelemetry.Label)
 }
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -13,6 +13,7 @@
 	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwtelemetry"
 	"gentianward.example/gentianward/pkg/gwlimit"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
@@ -75,6 +76,8 @@
 	Dialect gwbackend.Dialect
 	// BackendOptions returns the connection options of a server, such as its user.
 	BackendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
+	// Unreadable records requests of other instances that cannot be decoded; nil for none.
+	Unreadable *gwtelemetry.Unreadable
 }
 
 // Owner holds the backend servers that this instance owns.
@@ -102,6 +105,7 @@
 	// standstill tells the silence of a server from a pause of this process.
 	standstill     standstill
 	backendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
+	unreadable     *gwtelemetry.Unreadable
 
 	attempts attempts
 
@@ -122,7 +126,7 @@
 		members: o.Members, leases: o.Leases, metrics: o.Metrics, reportSuspect: o.Suspect,
 		startGroup: o.StartGroup, dialect: o.Dialect, inContact: o.InContact, handOver: o.HandOver,
 		freshnessInterval: cmp.Or(o.Freshness, defaultFreshnessInterval), pollInterval: o.Poll,
-		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions,
+		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions, unreadable: o.Unreadable,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	owner.register()
--- a/internal/gwowner/peer.go
+++ b/internal/gwowner/peer.go
@@ -9,6 +9,7 @@
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwtelemetry"
 	"gentianward.example/gentianward/pkg/gwoutcome"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
@@ -141,7 +142,7 @@
 
 // serveExec runs the requests that another instance sends over a stream, one after
 // another. An open transaction is rolled back at the end of the stream.
-func (o *Owner) serveExec(ctx context.Context, _ string, st *gwpeer.Stream) {
+func (o *Owner) serveExec(ctx context.Context, from string, st *gwpeer.Stream) {
 	s := o.NewSession()
 	defer s.Close()
 	for {
@@ -151,6 +152,7 @@
 		}
 		var req Request
 		if err := gwpeer.Unmarshal(payload, &req); err != nil {
+			o.unreadable.Record(gwtelemetry.FromInstance, from, "decode", len(payload), err)
 			return
 		}
 		res := s.Exec(ctx, &req, frameWriter{st})
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -21,6 +21,7 @@
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/internal/gwstatement"
 	"gentianward.example/gentianward/internal/gwstore"
+	"gentianward.example/gentianward/internal/gwtelemetry"
 	"gentianward.example/gentianward/platform"
 )
 
@@ -221,14 +222,16 @@
 			initialVoters[seed.String()] = s.PeerAddress(seed.String())
 		}
 	}
+	unreadable := gwtelemetry.NewUnreadable(p.Log, telemetry.UnreadableMessage)
 	o := gwdaemon.Options{
+		Unreadable: unreadable,
 		Settings: &gwmanifest.Settings{
 			Instance: name, DataCentre: s.DataCentre, Region: s.Region, CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress(name),
 			OperatorAddress: s.ReadyAddress, Seeds: peerSeeds(s), DataFolder: s.DataFolder, MaxClockDrift: gwmanifest.DefaultMaxClockDrift,
 		},
 		Clock: gwclock.NewBootTime(), Log: p.Log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.ManifestFormat{Parse: platform.ConfigParser{Regions: s.Regions}.Parse, AnyLater: true},
-		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}}, ServeCallers: p.serveCallers,
+		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}, Unreadable: unreadable}, ServeCallers: p.serveCallers(unreadable),
 		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, PeerListenAddress: p.PeerListen, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Clock: gwclock.NewBootTime()},
@@ -243,9 +246,12 @@
 	return o, nil
 }
 
-func (p Process) serveCallers(ctx context.Context, l net.Listener, e *gwfilter.Entry) gwdaemon.CallerServer {
-	return gwstatement.Serve(ctx, gwstatement.Options{
-		Listener: l, Codec: platform.LineCodec{}, Handler: gwfilter.StatementHandler{Entry: e, Codec: platform.LineCodec{}},
-		Logger: p.Log, MaxConnections: max(1, p.Settings.MaxFiles-reservedFiles),
-	})
+// serveCallers returns a function that accepts callers on a listener.
+func (p Process) serveCallers(unreadable *gwtelemetry.Unreadable) func(context.Context, net.Listener, *gwfilter.Entry) gwdaemon.CallerServer {
+	return func(ctx context.Context, l net.Listener, e *gwfilter.Entry) gwdaemon.CallerServer {
+		return gwstatement.Serve(ctx, gwstatement.Options{
+			Listener: l, Codec: platform.LineCodec{}, Handler: gwfilter.StatementHandler{Entry: e, Codec: platform.LineCodec{}},
+			Logger: p.Log, MaxConnections: max(1, p.Settings.MaxFiles-reservedFiles), Unreadable: unreadable,
+		})
+	}
 }
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -14,6 +14,7 @@
 
 	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwdeadline"
+	"gentianward.example/gentianward/internal/gwtelemetry"
 )
 
 const (
@@ -37,6 +38,8 @@
 	codec ServerCodec
 	o     gwbackend.Options
 	nc    net.Conn
+	// unreadable records replies that cannot be read; nil for none.
+	unreadable *gwtelemetry.Unreadable
 
 	mu             sync.Mutex
 	awaitingAnswer bool
@@ -66,8 +69,9 @@
 
 var _ gwbackend.Connection = (*Conn)(nil)
 
-// Dial connects to the server o.Name of the group o.Database.
-func Dial(ctx context.Context, codec ServerCodec, o gwbackend.Options) (*Conn, error) {
+// dial connects to the server o.Name of the group o.Database.
+func (d Dialect) dial(ctx context.Context, o gwbackend.Options) (*Conn, error) {
+	codec := d.Codec
 	dial := o.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{Control: limitUnacknowledged}).DialContext
@@ -77,7 +81,7 @@
 		return nil, notSentError("dial", o, err)
 	}
 	c := &Conn{
-		codec: codec, o: o, nc: nc, answers: make(chan answer, 1), readerDone: make(chan struct{}), closed: make(chan struct{}),
+		codec: codec, o: o, nc: nc, unreadable: d.Unreadable, answers: make(chan answer, 1), readerDone: make(chan struct{}), closed: make(chan struct{}),
 		status: 'I', variables: make(map[string]string), prepared: make(map[string]bool),
 	}
 	go c.readLoop()
@@ -116,6 +120,9 @@
 	for {
 		reply, raw, err := c.readReply(r)
 		if err != nil {
+			if reason, ok := unreadableReason(err); ok {
+				c.unreadable.Record(gwtelemetry.FromServer, c.o.Name, reason, 0, err)
+			}
 			c.closeWithError(err)
 			return
 		}
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -85,7 +85,7 @@
 
 func (s *scriptedServer) dial(t *testing.T) *Conn {
 	t.Helper()
-	c, err := Dial(t.Context(), testCodec{}, gwbackend.Options{Name: "s", Address: s.l.Addr().String(), Database: "g", User: "u"})
+	c, err := Dialect{Codec: testCodec{}}.dial(t.Context(), gwbackend.Options{Name: "s", Address: s.l.Addr().String(), Database: "g", User: "u"})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	assert.Equal(t, []string{"start g u s"}, s.takeReceived())
--- a/internal/gwstatement/dialect.go
+++ b/internal/gwstatement/dialect.go
@@ -7,10 +7,15 @@
 	"github.com/cockroachdb/errors"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwtelemetry"
 )
 
 // Dialect runs the control statements of backend servers of this protocol.
-type Dialect struct{ Codec ServerCodec }
+type Dialect struct {
+	Codec ServerCodec
+	// Unreadable records replies of servers that cannot be read; nil for none.
+	Unreadable *gwtelemetry.Unreadable
+}
 
 var _ gwbackend.Dialect = Dialect{}
 
@@ -27,13 +32,13 @@
 
 // Dial implements gwbackend.Dialect.
 func (d Dialect) Dial(ctx context.Context, o gwbackend.Options) (gwbackend.Connection, error) {
-	return Dial(ctx, d.Codec, o)
+	return d.dial(ctx, o)
 }
 
 // Ping implements gwbackend.Dialect. The protocol has no cheaper request than opening a
 // session.
 func (d Dialect) Ping(ctx context.Context, o gwbackend.Options) error {
-	c, err := Dial(ctx, d.Codec, o)
+	c, err := d.dial(ctx, o)
 	if err != nil {
 		if gwbackend.ServerError(err) != nil {
 			return nil // a refusal shows that it is alive
--- a/internal/gwstatement/error.go
+++ b/internal/gwstatement/error.go
@@ -1,6 +1,12 @@
 package gwstatement
 
-import "fmt"
+import (
+	"fmt"
+	"io"
+	"net"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Kind classifies errors of this package.
 type Kind uint8
@@ -39,3 +45,13 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// unreadableReason returns why a message cannot be read, and false if err is nil or only
+// means that the connection has ended.
+func unreadableReason(err error) (string, bool) {
+	var network net.Error
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &network) {
+		return "", false
+	}
+	return "format", true
+}
--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"gentianward.example/gentianward/internal/gwtelemetry"
 )
 
 // Timeouts, intervals and sizes of caller connections.
@@ -55,6 +57,8 @@
 	Logger   *slog.Logger
 	// MaxConnections bounds the caller connections; 0 means no bound.
 	MaxConnections int
+	// Unreadable records messages of callers that cannot be read; nil for none.
+	Unreadable *gwtelemetry.Unreadable
 }
 
 // Server accepts callers on one listener.
@@ -167,7 +171,7 @@
 		if ended, err := s.awaitMessage(c, r); ended || err != nil {
 			return err
 		}
-		m, err := s.o.Codec.ReadMessage(r)
+		m, err := s.readMessage(c, r)
 		if err != nil {
 			return err
 		}
@@ -188,6 +192,15 @@
 	}
 }
 
+// readMessage reads one message and records it if it is not in the protocol's format.
+func (s *Server) readMessage(c *callerConn, r *bufio.Reader) (Message, error) {
+	m, err := s.o.Codec.ReadMessage(r)
+	if reason, ok := unreadableReason(err); ok {
+		s.o.Unreadable.Record(gwtelemetry.FromCaller, c.nc.RemoteAddr().String(), reason, 0, err)
+	}
+	return m, err
+}
+
 // endsSession reports whether a session that has just been answered ends because of a drain. A
 // caller that sends its next statement at once would hardly ever be found idle, and one of its
 // statements would be ended at the end of the drain, while it runs.
@@ -258,7 +271,7 @@
 // handler refused it.
 func (s *Server) openSession(c *callerConn, r *bufio.Reader) (ok bool, err error) {
 	_ = c.nc.SetDeadline(time.Now().Add(startupTimeout))
-	m, err := s.o.Codec.ReadMessage(r)
+	m, err := s.readMessage(c, r)
 	if err != nil {
 		return false, err
 	}
