--- a/internal/gwpeer/codec_test.go
+++ b/internal/gwpeer/codec_test.go
@@ -120,3 +120,35 @@
 		require.Equal(t, h, got)
 	})
 }
+
+// textMessage is a message with texts in every place that a message can have them.
+type textMessage struct {
+	Text  string                `cbor:"1,keyasint"`
+	Inner struct{ A, B string } `cbor:"2,keyasint"`
+	List  []string              `cbor:"3,keyasint"`
+	Map   map[string]string     `cbor:"4,keyasint"`
+}
+
+// Guards against a request that another instance cannot decode because a caller's data is not
+// UTF-8: nothing had run, and the caller was told that the outcome is unknown.
+func TestTextsOfAnyBytes(t *testing.T) {
+	var all []byte
+	for c := range 256 {
+		all = append(all, byte(c))
+	}
+	for _, text := range []string{"", "a", "\r", "\n", "\x00", "\xff\xfe", "a\xe2\x82", string(all)} {
+		want := textMessage{Text: text, List: []string{text, "b"}, Map: map[string]string{text: text}}
+		want.Inner.A, want.Inner.B = text, "b"+text
+		data, err := Marshal(want)
+		require.NoError(t, err)
+		var got textMessage
+		require.NoError(t, Unmarshal(data, &got), "%q", text)
+		assert.Equal(t, want, got)
+	}
+	// A byte string, as another release may send it.
+	data, err := Marshal(map[int]any{1: []byte{0xff, 'a'}})
+	require.NoError(t, err)
+	var got echo
+	require.NoError(t, Unmarshal(data, &got))
+	assert.Equal(t, "\xffa", got.Text)
+}
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -242,3 +242,33 @@
 	require.Error(t, err)
 	assert.False(t, c.Usable())
 }
+
+// Guards against a statement that runs another caller's shape, whose name has the same hash.
+func TestCollidingPreparedNames(t *testing.T) {
+	s := startScriptedServer(t, nil)
+	c := s.dial(t)
+	first := gwbackend.NewPreparedStatement("shape one", nil)
+	second := gwbackend.PreparedStatement{Name: first.Name, SQL: "shape two"}
+	prepared := make(map[string]string) // shapes by name, as the server has them
+	run := func(p gwbackend.PreparedStatement) string {
+		req := textRequest("execute " + p.Name + " k v")
+		req.Prepared = []gwbackend.PreparedStatement{p}
+		_, err := c.Exchange(t.Context(), req, nil)
+		require.NoError(t, err)
+		ran := ""
+		for _, line := range s.takeReceived() {
+			_, text, _ := strings.Cut(line, "|")
+			f := strings.SplitN(text, " ", 3)
+			switch f[0] {
+			case "prepare":
+				prepared[f[1]] = f[2]
+			case "execute":
+				ran = prepared[f[1]]
+			}
+		}
+		return ran
+	}
+	assert.Equal(t, "shape one", run(first))
+	assert.Equal(t, "shape two", run(second))
+	assert.Equal(t, "shape one", run(first))
+}
