platform: a line ends at its first CR LF and nowhere else

Callers saw data cut at a line feed and carriage returns lost at the end of the last field, the rest of their data run as a statement that they had not sent, and sessions that ended without an answer. Rows with a line feed failed, or were answered as another message.

Cause: readLine ended a line at LF, and both directions trimmed all CR and LF at its end. The fields were parsed by their text, so that a last field could not be empty and that of FETCH and DEALLOC not contain a blank.

A connection that ends inside a line ends without a message. The last field extends to the end of the line. Status rows are split at single blanks. Errors of replies carry their reason and length for the metric.

TestReadMessageInvalid and TestReadReply: malformed messages of callers are messages that fail alone instead of errors that end the session; the tests check this, and that the next message is read.

Ruled out: the way between the codecs as the cause of the lost line breaks.

--- a/internal/gwbackend/errors.go
+++ b/internal/gwbackend/errors.go
@@ -77,4 +77,10 @@
 	ErrBadRequest = errors.New("request is not a sequence of frontend messages that ends in one Query or Sync")
 	ErrServerBusy = errors.New("server is alive but too busy to run a control statement")
 	ErrProtocol   = errors.New("protocol violation by the server")
+	// ErrUnreadable means that a reply of the statement protocol has arrived and cannot be
+	// read. The cause is in the reply, such as in a row, rather than in the server's state.
+	ErrUnreadable = errors.New("reply cannot be read")
+	// ErrNotEncodable means that a request or the name of a group or server cannot be put
+	// into a message of the statement protocol.
+	ErrNotEncodable = errors.New("message cannot be encoded")
 )
--- a/internal/gwstatement/codec.go
+++ b/internal/gwstatement/codec.go
@@ -27,7 +27,8 @@
 
 // CallerCodec encodes and decodes the messages between callers and an instance.
 type CallerCodec interface {
-	// ReadMessage reads one message of a caller. An error ends the connection.
+	// ReadMessage reads one message of a caller. A message that is complete and cannot be
+	// parsed is Unparsed; an error ends the connection.
 	ReadMessage(r *bufio.Reader) (Message, error)
 	// AppendComplete appends the end of a successful answer that the instance gives
 	// without a backend server.
@@ -45,7 +46,8 @@
 	// only if its log contains that position.
 	AppendQuery(b []byte, id string, after Position, text string) []byte
 	// ReadReply reads one message and returns it decoded and raw; the raw bytes are
-	// valid until the next call.
+	// valid until the next call. A reply that cannot be read is an Error of
+	// KindProtocol.
 	ReadReply(r *bufio.Reader) (Reply, []byte, error)
 
 	// Texts of statements.
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -120,9 +120,7 @@
 	for {
 		reply, raw, err := c.readReply(r)
 		if err != nil {
-			if reason, ok := unreadableReason(err); ok {
-				c.unreadable.Record(gwtelemetry.FromServer, c.o.Name, reason, 0, err)
-			}
+			recordUnreadable(c.unreadable, gwtelemetry.FromServer, c.o.Name, err)
 			c.closeWithError(err)
 			return
 		}
@@ -157,7 +155,7 @@
 func (c *Conn) readReply(r *bufio.Reader) (reply Reply, raw []byte, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			err = &Error{Op: "read reply", Kind: KindProtocol, Err: errors.Newf("panic: %v", cause)}
+			err = &Error{Op: "read reply", Kind: KindProtocol, Reason: "panic", Err: errors.Newf("panic: %v", cause)}
 		}
 	}()
 	return c.codec.ReadReply(r)
--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -175,7 +175,7 @@
 		if err != nil {
 			return err
 		}
-		q, ok := m.(Query)
+		q, ok := statementOf(m)
 		if !ok {
 			return nil
 		}
@@ -192,15 +192,31 @@
 	}
 }
 
-// readMessage reads one message and records it if it is not in the protocol's format.
+// readMessage reads one message and records it if it cannot be read.
 func (s *Server) readMessage(c *callerConn, r *bufio.Reader) (Message, error) {
 	m, err := s.o.Codec.ReadMessage(r)
-	if reason, ok := unreadableReason(err); ok {
-		s.o.Unreadable.Record(gwtelemetry.FromCaller, c.nc.RemoteAddr().String(), reason, 0, err)
+	if bad, ok := m.(Unparsed); ok {
+		s.o.Unreadable.Record(gwtelemetry.FromCaller, c.nc.RemoteAddr().String(), bad.Reason, bad.Bytes, errors.New(bad.Text))
 	}
+	recordUnreadable(s.o.Unreadable, gwtelemetry.FromCaller, c.nc.RemoteAddr().String(), err)
 	return m, err
 }
 
+// statementOf returns the statement of a message, and false if it ends the session. A message
+// that cannot be parsed is answered like a statement that cannot.
+func statementOf(m Message) (Query, bool) {
+	switch m := m.(type) {
+	case Query:
+		return m, true
+	case Unparsed:
+		return Query{Statement: Invalid{Reason: m.Text}}, true
+	case Startup:
+		return Query{Statement: Invalid{Reason: "the session is open already"}}, true
+	default:
+		return Query{}, false
+	}
+}
+
 // endsSession reports whether a session that has just been answered ends because of a drain. A
 // caller that sends its next statement at once would hardly ever be found idle, and one of its
 // statements would be ended at the end of the drain, while it runs.
@@ -277,6 +293,7 @@
 	}
 	st, ok := m.(Startup)
 	if !ok {
+		_, _ = c.nc.Write(s.o.Codec.AppendFailure(nil, Failure{Code: Malformed, Text: "a session begins with a startup message"}))
 		return false, &Error{Op: "start session", Kind: KindProtocol, Err: errors.Newf("message %T instead of a startup message", m)}
 	}
 	ses, failure := s.o.Handler.Open(s.ctx, st.Database)
--- a/internal/gwstatement/statement.go
+++ b/internal/gwstatement/statement.go
@@ -51,7 +51,7 @@
 func (Deallocate) statement() {}
 func (Invalid) statement()    {}
 
-// Message is one message of a caller: Startup, Query or Terminate.
+// Message is one message of a caller: Startup, Query, Terminate or Unparsed.
 type Message interface{ message() }
 
 // Startup opens a session on a database.
@@ -67,9 +67,19 @@
 // Terminate ends the session.
 type Terminate struct{}
 
+// Unparsed is a message that was read completely and cannot be parsed. It fails alone: the
+// next message can be read.
+type Unparsed struct {
+	// Reason is one of few constants, for metrics, and Text the failure's text.
+	Reason, Text string
+	// Bytes is the length of the message.
+	Bytes int
+}
+
 func (Startup) message()   {}
 func (Query) message()     {}
 func (Terminate) message() {}
+func (Unparsed) message()  {}
 
 // Reply is one message of a backend server: Row, Complete, Failure or Ready.
 type Reply interface{ reply() }
