gwowner: requests between instances carry any bytes, and fail truly if they cannot be read

Callers at an instance that does not own the server were told UNKNOWN, "outcome unknown: EOF", for data that is not UTF-8, after up to the whole deadline, though nothing had run.

Cause: statements travel as CBOR text strings, which the decoder rejects if they are not UTF-8. The owner ended the stream of a request that it could not decode without an answer, which the other instance takes for a broken link.

Change: the decoder of gwpeer accepts any bytes in texts, and byte strings for texts, in every message; nothing changes on the wire. An owner that cannot decode a request rolls back the stream's transaction and answers the new event notEncodable, not run, and the stream goes on. The same event ends a request that is too large for a frame; its stream is not reused, as a transaction may be open on it: before, it went back to the pool with it. The last release does not know the event and would end the session: it gets `expired` in its place, and the exact event in a new field. An event of a later release counts as one that may have run.

Ruled out: other changes of text between instances.

--- a/internal/gwowner/message.go
+++ b/internal/gwowner/message.go
@@ -88,6 +88,9 @@
 	Tag      string `cbor:"11,keyasint,omitempty"`
 	// Term is the term under which a write was sent, for looking up its request key.
 	Term uint64 `cbor:"9,keyasint,omitempty"`
+	// Exact is the event if earlier releases do not know it; Event is then the one that
+	// means the same to them.
+	Exact gwoutcome.Event `cbor:"12,keyasint,omitempty"`
 	// OwnerSilent means that the owner's answer did not arrive, in contrast to an answer
 	// of the owner that the server did not answer.
 	OwnerSilent bool `cbor:"-"`
@@ -105,3 +108,28 @@
 	}
 	return r
 }
+
+// olderEvents maps the events that the last release does not know to events with the same
+// consequences there. An unknown event ended its session.
+var olderEvents = map[gwoutcome.Event]gwoutcome.Event{gwoutcome.NotEncodable: gwoutcome.Expired}
+
+// toWire returns the result in the form in which it is sent to another instance.
+func (r Result) toWire() Result {
+	if older, ok := olderEvents[r.Event]; ok {
+		r.Exact, r.Event = r.Event, older
+	}
+	return r
+}
+
+// fromWire returns the result that another instance has sent.
+func (r Result) fromWire() Result {
+	switch {
+	case r.Exact.Known():
+		r.Event = r.Exact
+	case !r.Event.Known():
+		r.Event, r.Message = gwoutcome.PeerBroken, "outcome unknown: the owner reported an event of another release"
+		r.State = gwoutcome.SQLState(r.Event)
+	}
+	r.Exact = 0
+	return r
+}
--- a/internal/gwowner/peer.go
+++ b/internal/gwowner/peer.go
@@ -151,12 +151,16 @@
 			return
 		}
 		var req Request
+		var res Result
 		if err := gwpeer.Unmarshal(payload, &req); err != nil {
 			o.unreadable.Record(gwtelemetry.FromInstance, from, "decode", len(payload), err)
-			return
+			// The other instance takes its transaction for ended and may reuse the stream.
+			s.Close()
+			res = failed(gwoutcome.NotEncodable, "the owner cannot decode the request: "+err.Error())
+		} else {
+			res = s.Exec(ctx, &req, frameWriter{st})
 		}
-		res := s.Exec(ctx, &req, frameWriter{st})
-		end, err := gwpeer.Marshal(res)
+		end, err := gwpeer.Marshal(res.toWire())
 		if err != nil || st.WriteFrame(frameEnd, end) != nil {
 			return
 		}
@@ -201,7 +205,8 @@
 	defer stop()
 	payload, err := gwpeer.Marshal(req)
 	if err != nil {
-		return failed(gwoutcome.BrokenBeforeSend, err.Error())
+		r.broken = true // a transaction may be open on the stream, which must not be reused
+		return failed(gwoutcome.NotEncodable, err.Error())
 	}
 	if err := r.stream.WriteFrame(frameRequest, payload); err != nil {
 		r.broken = true
@@ -240,7 +245,7 @@
 				r.broken = true
 				return r.lostAnswer(ctx, err, relayed)
 			}
-			return res
+			return res.fromWire()
 		}
 	}
 }
--- a/internal/gwpeer/codec.go
+++ b/internal/gwpeer/codec.go
@@ -47,6 +47,10 @@
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
 		DefaultMapType:   reflect.TypeFor[map[string]any](),
+		// A text is bytes: what callers and servers send need not be UTF-8, and a request
+		// that cannot be decoded fails for its caller.
+		UTF8:               cbor.UTF8DecodeInvalid,
+		ByteStringToString: cbor.ByteStringToStringAllowed,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/pkg/gwoutcome/outcome.go
+++ b/pkg/gwoutcome/outcome.go
@@ -74,11 +74,17 @@
 	// FreshnessUnknown means that the owner does not know the primary's position yet, as
 	// after a start, and so cannot decide whether a replica is fresh enough.
 	FreshnessUnknown
+	// NotEncodable means that the request could not be put into a message, or could not be
+	// read from one by the owner, so that it was not sent to the server.
+	NotEncodable
 )
 
+// Known reports whether e is one of the events of this release; a later one may have more.
+func (e Event) Known() bool { return e > 0 && int(e) < len(decisions) }
+
 // String returns the name of the event as used in logs and metrics.
 func (e Event) String() string {
-	if int(e) > 0 && int(e) < len(decisions) {
+	if e.Known() {
 		return decisions[e].name
 	}
 	return "unknown event"
@@ -128,6 +134,8 @@
 	Unconfirmed:      {name: "unconfirmed", ran: ranMaybe},
 	AnswerLost:       {name: "answerLost", ran: ranMaybe, failure: true, elsewhere: true},
 	FreshnessUnknown: {name: "freshnessUnknown", ran: ranNo, elsewhere: true},
+	// The cause is in the request, so that another server would not do better.
+	NotEncodable: {name: "notEncodable", ran: ranNo},
 }
 
 // Of returns the outcome of a request whose only attempt ended with e; p is the position
--- a/pkg/gwoutcome/outcome_test.go
+++ b/pkg/gwoutcome/outcome_test.go
@@ -41,6 +41,7 @@
 		{LeaseLost, Unknown{"leaseLost"}, SQLStateCompletionUnknown, Stop, Stop, false},
 		{Unconfirmed, Unknown{"unconfirmed"}, SQLStateCompletionUnknown, Stop, Stop, false},
 		{FreshnessUnknown, NotRun{"freshnessUnknown"}, SQLStateNotRun, Stop, Elsewhere, false},
+		{NotEncodable, NotRun{"notEncodable"}, SQLStateNotRun, Stop, Stop, false},
 		{AnswerLost, Unknown{"answerLost"}, SQLStateConnectionUnknown, Stop, Elsewhere, true},
 	}
 	for _, tt := range tests {
