platform: a message that its fields would end early is not written

A name of a service or server with a blank or a line break, which comes from a configuration or a heartbeat, changed the fields of STARTUP or ended it early, and a text of another instance could end its message. A message that the prefix AFTER or a longer name made too long was sent all the same.

Such a request ends with notEncodable, not run; the server is not ejected for it, and no other group is concerned. A connection keeps no write buffer of more than 16 KiB.

--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -130,7 +130,7 @@
 		if !ok {
 			return s.fail(b, gwstatement.NoStatement, "no statement is prepared under the name "+st.Name)
 		}
-		text := s.codec.ExecuteText(p.Name, st.Arguments)
+		text := s.codec.ExecuteText(p.Name) + st.Arguments
 		return s.execute(ctx, b, q.ID, text, p.writes, []gwbackend.PreparedStatement{p.PreparedStatement})
 	case gwstatement.Write:
 		return s.execute(ctx, b, q.ID, q.Text, true, nil)
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -388,6 +388,8 @@
 	switch {
 	case err == nil:
 		return gwoutcome.Answered
+	case !res.Sent && errors.Is(err, gwbackend.ErrNotEncodable):
+		return gwoutcome.NotEncodable
 	case gwbackend.KindOf(err) == gwbackend.KindSink:
 		return gwoutcome.PeerBroken
 	case !res.Sent:
@@ -405,6 +407,8 @@
 	switch {
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return gwoutcome.Expired
+	case errors.Is(err, gwbackend.ErrNotEncodable):
+		return gwoutcome.NotEncodable
 	case gwbackend.ServerError(err) != nil:
 		return gwoutcome.ServerRefused
 	default:
--- a/internal/gwowner/server_test.go
+++ b/internal/gwowner/server_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 
+	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/pkg/gwoutcome"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -70,3 +73,16 @@
 	s.updateFreshness(context.Background(), gwcontrol.GroupView{Group: "foyers"})
 	assert.True(t, s.freshnessDue(), "nobody was asked, as the group's primary is unknown")
 }
+
+// Guards against a server that is ejected, or replaced as a primary, because a request or the
+// name of its group cannot be put into a message.
+func TestNotEncodableIsNoFailureOfServer(t *testing.T) {
+	cause := &gwbackend.Error{Op: "run request", Kind: gwbackend.KindNotSent, Err: fmt.Errorf("encode: %w", gwbackend.ErrNotEncodable)}
+	assert.Equal(t, gwoutcome.NotEncodable, acquireEvent(cause))
+	assert.Equal(t, gwoutcome.NotEncodable, exchangeEvent(t.Context(), gwbackend.Result{}, cause))
+	s := &server{owner: &Owner{clock: clockwork.NewFakeClock()}}
+	for range 2 * gwoutcome.FailuresToEject {
+		s.observe(gwoutcome.NotEncodable)
+	}
+	assert.False(t, s.health.Ejected(s.owner.clock.Now()))
+}
--- a/internal/gwstatement/codec.go
+++ b/internal/gwstatement/codec.go
@@ -33,18 +33,22 @@
 	// AppendComplete appends the end of a successful answer that the instance gives
 	// without a backend server.
 	AppendComplete(b []byte) []byte
+	// AppendFailure appends a failure that the instance itself reports. Its text is
+	// shortened and escaped as far as a message requires.
 	AppendFailure(b []byte, f Failure) []byte
 	AppendReady(b []byte, status byte) []byte
 }
 
-// ServerCodec encodes and decodes the messages between an instance and a backend server.
+// ServerCodec encodes and decodes the messages between an instance and a backend server. A
+// message or text that its fields would change or end early, or that is too long, is an
+// Error of KindEncode.
 type ServerCodec interface {
 	// AppendStartup appends the message that opens a session on the server of a group.
-	AppendStartup(b []byte, group, user, server string) []byte
+	AppendStartup(b []byte, group, user, server string) ([]byte, error)
 	// AppendQuery appends a statement; an empty id marks a statement that the
 	// instance itself issues. If after is not zero, the server runs the statement
-	// only if its log contains that position.
-	AppendQuery(b []byte, id string, after Position, text string) []byte
+	// only if its log contains that position. arguments continue the text.
+	AppendQuery(b []byte, id string, after Position, text, arguments string) ([]byte, error)
 	// ReadReply reads one message and returns it decoded and raw; the raw bytes are
 	// valid until the next call. A reply that cannot be read is an Error of
 	// KindProtocol.
@@ -54,9 +58,14 @@
 	BeginText(readOnly bool) string
 	RollbackText() string
 	DiscardText() string
-	SetText(name, value string) string
-	PrepareText(p gwbackend.PreparedStatement) string
-	ExecuteText(name, arguments string) string
+	SetText(name, value string) (string, error)
+	// PrepareText and the following texts take the name of a prepared statement at the
+	// server, and PrepareText the text that identifies the statement.
+	PrepareText(name, shape string) (string, error)
+	DeallocateText(name string) string
+	// ExecuteText returns the text that executes a prepared statement, up to its
+	// arguments.
+	ExecuteText(name string) string
 	// ShapeText returns the text that identifies a prepared statement.
 	ShapeText(p Prepare) string
 
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -72,6 +72,10 @@
 // dial connects to the server o.Name of the group o.Database.
 func (d Dialect) dial(ctx context.Context, o gwbackend.Options) (*Conn, error) {
 	codec := d.Codec
+	startup, err := codec.AppendStartup(nil, o.Database, o.User, o.Name)
+	if err != nil {
+		return nil, notSentError("dial", o, err)
+	}
 	dial := o.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{Control: limitUnacknowledged}).DialContext
@@ -85,7 +89,7 @@
 		status: 'I', variables: make(map[string]string), prepared: make(map[string]bool),
 	}
 	go c.readLoop()
-	a, _, err := c.roundTrip(ctx, codec.AppendStartup(nil, o.Database, o.User, o.Name))
+	a, _, err := c.roundTrip(ctx, startup)
 	if err == nil && a.failure != nil {
 		err = pgError(a.failure)
 	}
@@ -272,8 +276,12 @@
 
 // runControl runs a statement that the instance itself issues.
 func (c *Conn) runControl(ctx context.Context, after Position, text string) (answer, error) {
-	c.wbuf = c.codec.AppendQuery(c.wbuf[:0], "", after, text)
-	a, _, err := c.roundTrip(ctx, c.wbuf)
+	out, err := c.codec.AppendQuery(c.wbuf[:0], "", after, text, "")
+	if err != nil {
+		return answer{}, err
+	}
+	c.keepBuffer(out)
+	a, _, err := c.roundTrip(ctx, out)
 	if err != nil {
 		return a, err
 	}
@@ -281,6 +289,14 @@
 	return a, nil
 }
 
+// keepBuffer keeps the buffer of a message for the next one, unless it is large.
+func (c *Conn) keepBuffer(b []byte) {
+	c.wbuf = nil
+	if cap(b) <= maxKeptBufferBytes {
+		c.wbuf = b
+	}
+}
+
 // recordState records the transaction status of an answer and reports its position.
 func (c *Conn) recordState(a answer) {
 	c.status = a.ready.Status
@@ -341,8 +357,12 @@
 		}
 		after = Position{}
 	}
-	c.wbuf = c.codec.AppendQuery(c.wbuf[:0], stmt.ID, after, stmt.Text)
-	a, sent, err := c.roundTrip(ctx, c.wbuf)
+	out, err := c.codec.AppendQuery(c.wbuf[:0], stmt.ID, after, stmt.Text, "")
+	if err != nil {
+		return answer{}, false, err
+	}
+	c.keepBuffer(out)
+	a, sent, err := c.roundTrip(ctx, out)
 	if err != nil {
 		return a, sent, err
 	}
@@ -370,7 +390,11 @@
 		if have, ok := c.variables[v.Name]; ok && have == v.Value {
 			continue
 		}
-		a, err := c.runControl(ctx, Position{}, c.codec.SetText(v.Name, v.Value))
+		text, err := c.codec.SetText(v.Name, v.Value)
+		if err != nil {
+			return answer{}, err
+		}
+		a, err := c.runControl(ctx, Position{}, text)
 		if err != nil || a.failure != nil {
 			return a, err
 		}
@@ -380,7 +404,11 @@
 		if c.prepared[p.Name] {
 			continue
 		}
-		a, err := c.runControl(ctx, Position{}, c.codec.PrepareText(p))
+		text, err := c.codec.PrepareText(p.Name, p.SQL)
+		if err != nil {
+			return answer{}, err
+		}
+		a, err := c.runControl(ctx, Position{}, text)
 		if err != nil || a.failure != nil {
 			return a, err
 		}
--- a/internal/gwstatement/fake_test.go
+++ b/internal/gwstatement/fake_test.go
@@ -47,15 +47,24 @@
 	return fmt.Appendf(b, "ready %c\n", status)
 }
 
-func (testCodec) AppendStartup(b []byte, group, user, server string) []byte {
-	return fmt.Appendf(b, "start %s %s %s\n", group, user, server)
+func (testCodec) AppendStartup(b []byte, group, user, server string) ([]byte, error) {
+	if strings.Contains(group, " ") {
+		return nil, &Error{Op: "encode startup", Kind: KindEncode, Err: fmt.Errorf("group %q", group)}
+	}
+	return fmt.Appendf(b, "start %s %s %s\n", group, user, server), nil
 }
 
-func (testCodec) AppendQuery(b []byte, id string, after Position, text string) []byte {
+// maxTestQuery is the greatest length of a query of the test's encoding.
+const maxTestQuery = 100
+
+func (testCodec) AppendQuery(b []byte, id string, after Position, text, arguments string) ([]byte, error) {
 	if !after.IsZero() {
 		text = "after " + after.String() + " " + text
 	}
-	return fmt.Appendf(b, "%s|%s\n", id, text)
+	if n := len(id) + len(text) + len(arguments); n > maxTestQuery {
+		return nil, &Error{Op: "encode query", Kind: KindEncode, Err: fmt.Errorf("%d bytes", n)}
+	}
+	return fmt.Appendf(b, "%s|%s%s\n", id, text, arguments), nil
 }
 
 func (testCodec) ReadReply(r *bufio.Reader) (Reply, []byte, error) {
@@ -86,22 +95,20 @@
 func (testCodec) BeginText(readOnly bool) string { return fmt.Sprintf("begin %v", readOnly) }
 func (testCodec) RollbackText() string           { return "rollback" }
 func (testCodec) DiscardText() string            { return "discard" }
-func (testCodec) SetText(name, value string) string {
-	return "set " + name + " " + value
-}
-
-func (testCodec) PrepareText(p gwbackend.PreparedStatement) string {
-	return "prepare " + p.Name + " " + p.SQL
+func (testCodec) SetText(name, value string) (string, error) {
+	return "set " + name + " " + value, nil
 }
 
-func (testCodec) ExecuteText(name, arguments string) string {
-	return "execute " + name + " " + arguments
+func (testCodec) PrepareText(name, shape string) (string, error) {
+	return "prepare " + name + " " + shape, nil
 }
-func (testCodec) ShapeText(p Prepare) string      { return p.Shape }
-func (testCodec) StatusText() string              { return "status" }
-func (testCodec) PauseText(term uint64) string    { return fmt.Sprintf("pause %d", term) }
-func (testCodec) ResumeText() string              { return "resume" }
-func (testCodec) StepDownText(term uint64) string { return fmt.Sprintf("stepDown %d", term) }
+func (testCodec) DeallocateText(name string) string { return "deallocate " + name }
+func (testCodec) ExecuteText(name string) string    { return "execute " + name + " " }
+func (testCodec) ShapeText(p Prepare) string        { return p.Shape }
+func (testCodec) StatusText() string                { return "status" }
+func (testCodec) PauseText(term uint64) string      { return fmt.Sprintf("pause %d", term) }
+func (testCodec) ResumeText() string                { return "resume" }
+func (testCodec) StepDownText(term uint64) string   { return fmt.Sprintf("stepDown %d", term) }
 
 func (testCodec) ParseStatus(row Row) (ServerStatus, error) {
 	f := strings.Fields(row.Text)
--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -249,7 +249,8 @@
 	}
 }
 
-// maxKeptBufferBytes bounds the answer buffer that a session keeps between statements.
+// maxKeptBufferBytes bounds the buffer that a session or a connection to a server keeps between
+// statements.
 const maxKeptBufferBytes = 16 << 10
 
 func (c *callerConn) setBusy(busy bool) {
