gwstatement: prepared statements have one-byte names that belong to a connection

And EXECUTE or PREPARE of up to 1 MiB became longer than that at the server, where the name gw_HASH stands for a shorter one of the caller's.

Between instances nothing changes; the connection replaces the name in EXECUTE. With more than 62 shapes, the one that was prepared first is deallocated; the whole state of the server's session was discarded at 128 before, even inside a transaction. When a server reports that a name is missing, or refuses a SET, PREPARE or DEALLOC, the state of its session is not known: it is discarded before the next statement, so that no earlier shape or value stays; inside a transaction the statement is not run.

TestExchangeAppliesSession: the names in the server's record are those of the connection.

Evidence: TestCollidingPreparedNames failed before with "shape one" for "shape two"; the largest messages in TestBytesArriveUnchanged failed without this change, 1,048,593 bytes at a server that takes 1,048,576. TestPreparedNamesAreReused and TestUnknownSessionIsDiscarded are new.

--- a/internal/gwprogram/bytes_test.go
+++ b/internal/gwprogram/bytes_test.go
@@ -141,7 +141,7 @@
 	ses := &exactSession{s: s, status: 'I', values: make(map[string]string), prepared: make(map[string]string)}
 	for {
 		line, err := readFrame(r)
-		if err != nil {
+		if err != nil || len(line) > maxText {
 			return
 		}
 		s.mu.Lock()
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -22,9 +22,6 @@
 	readBufferBytes = 4 << 10
 	// writeTimeout bounds the write of a statement if no deadline is earlier.
 	writeTimeout = 5 * time.Second
-	// maxPrepared bounds the prepared statements of one connection; above it, the
-	// state of the server's session is discarded.
-	maxPrepared = 128
 	// userTimeout is the time after which the kernel closes a connection whose peer
 	// does not acknowledge data: a peer behind a partition sends no reset.
 	userTimeout = 3 * time.Second
@@ -55,8 +52,11 @@
 	// The state of the server's session, as far as this connection has set it.
 	status    byte
 	variables map[string]string
-	prepared  map[string]bool
-	wbuf      []byte
+	prepared  preparedStatements
+	// sessionUnknown means that the state differs from the recorded one, so that it has to
+	// be discarded before the next statement.
+	sessionUnknown bool
+	wbuf           []byte
 }
 
 // answer is the complete answer to one statement.
@@ -86,7 +86,7 @@
 	}
 	c := &Conn{
 		codec: codec, o: o, nc: nc, unreadable: d.Unreadable, answers: make(chan answer, 1), readerDone: make(chan struct{}), closed: make(chan struct{}),
-		status: 'I', variables: make(map[string]string), prepared: make(map[string]bool),
+		status: 'I', variables: make(map[string]string),
 	}
 	go c.readLoop()
 	a, _, err := c.roundTrip(ctx, startup)
@@ -346,7 +346,11 @@
 // for it, and sends the statement. If a step before the statement fails, its failure is
 // the answer, and sent is false.
 func (c *Conn) runStatement(ctx context.Context, stmt *gwbackend.StatementRequest, prepared []gwbackend.PreparedStatement) (answer, bool, error) {
-	if a, err := c.applySession(ctx, stmt, prepared); err != nil || a.failure != nil {
+	if a, err := c.applySession(ctx, stmt); err != nil || a.failure != nil {
+		return a, false, err
+	}
+	text, arguments, a, err := c.prepareAll(ctx, stmt.Text, prepared)
+	if err != nil || a.failure != nil {
 		return a, false, err
 	}
 	after := stmt.After
@@ -357,7 +361,7 @@
 		}
 		after = Position{}
 	}
-	out, err := c.codec.AppendQuery(c.wbuf[:0], stmt.ID, after, stmt.Text, "")
+	out, err := c.codec.AppendQuery(c.wbuf[:0], stmt.ID, after, text, arguments)
 	if err != nil {
 		return answer{}, false, err
 	}
@@ -368,23 +372,26 @@
 	}
 	c.recordState(a)
 	if a.failure != nil && a.failure.Code == NoStatement {
-		clear(c.prepared)
+		c.sessionUnknown = true
 	}
 	return a, true, nil
 }
 
-// applySession makes the variables of the server's session equal to those of the
-// request, and adds the prepared statements that it lacks. It discards the state of the
-// server's session first if that has variables that the request does not set, or would
-// exceed maxPrepared.
-func (c *Conn) applySession(ctx context.Context, stmt *gwbackend.StatementRequest, prepared []gwbackend.PreparedStatement) (answer, error) {
-	if c.hasExtraVariable(stmt.Variables) || len(c.prepared)+len(prepared) > maxPrepared {
-		a, err := c.runControl(ctx, Position{}, c.codec.DiscardText())
+// applySession makes the variables of the server's session equal to those of the request. It
+// discards the state of the server's session first if that has variables that the request
+// does not set, or is not known.
+func (c *Conn) applySession(ctx context.Context, stmt *gwbackend.StatementRequest) (answer, error) {
+	if c.sessionUnknown && c.status != 'I' {
+		return answer{}, errors.New("the state of the server's session is unknown inside a transaction")
+	}
+	if c.sessionUnknown || c.hasExtraVariable(stmt.Variables) {
+		a, err := c.runSessionControl(ctx, c.codec.DiscardText())
 		if err != nil || a.failure != nil {
 			return a, err
 		}
+		c.sessionUnknown = false
 		clear(c.variables)
-		clear(c.prepared)
+		c.prepared.clear()
 	}
 	for _, v := range stmt.Variables {
 		if have, ok := c.variables[v.Name]; ok && have == v.Value {
@@ -394,29 +401,25 @@
 		if err != nil {
 			return answer{}, err
 		}
-		a, err := c.runControl(ctx, Position{}, text)
+		a, err := c.runSessionControl(ctx, text)
 		if err != nil || a.failure != nil {
 			return a, err
 		}
 		c.variables[v.Name] = v.Value
 	}
-	for _, p := range prepared {
-		if c.prepared[p.Name] {
-			continue
-		}
-		text, err := c.codec.PrepareText(p.Name, p.SQL)
-		if err != nil {
-			return answer{}, err
-		}
-		a, err := c.runControl(ctx, Position{}, text)
-		if err != nil || a.failure != nil {
-			return a, err
-		}
-		c.prepared[p.Name] = true
-	}
 	return answer{}, nil
 }
 
+// runSessionControl runs a statement that changes the state of the server's session. If it
+// fails, that state is unknown.
+func (c *Conn) runSessionControl(ctx context.Context, text string) (answer, error) {
+	a, err := c.runControl(ctx, Position{}, text)
+	if err != nil || a.failure != nil {
+		c.sessionUnknown = true
+	}
+	return a, err
+}
+
 // hasExtraVariable reports whether the server's session has a variable that the
 // caller's session has not set.
 func (c *Conn) hasExtraVariable(variables []gwbackend.SessionVariable) bool {
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -115,9 +117,9 @@
 	assert.Equal(t, []string{"|set b 2", "1|x"}, run([]gwbackend.SessionVariable{a, b}))
 	assert.Equal(t, []string{"|set a 9", "1|x"}, run([]gwbackend.SessionVariable{{Name: "a", Value: "9"}, b}))
 	assert.Equal(t, []string{"|discard", "|set a 1", "1|x"}, run([]gwbackend.SessionVariable{a}), "a session without b")
-	assert.Equal(t, []string{"|prepare " + st.Name + " shape", "1|x"}, run([]gwbackend.SessionVariable{a}, st))
+	assert.Equal(t, []string{"|prepare a shape", "1|x"}, run([]gwbackend.SessionVariable{a}, st), "under a name of the connection")
 	assert.Equal(t, []string{"1|x"}, run([]gwbackend.SessionVariable{a}, st))
-	assert.Equal(t, []string{"|discard", "|prepare " + st.Name + " shape", "1|x"}, run(nil, st), "a discard removes prepared statements")
+	assert.Equal(t, []string{"|discard", "|prepare a shape", "1|x"}, run(nil, st), "a discard removes prepared statements")
 }
 
 // Guards against a statement that runs outside of its transaction because the
@@ -272,3 +274,60 @@
 	assert.Equal(t, "shape two", run(second))
 	assert.Equal(t, "shape one", run(first))
 }
+
+// Guards against names that end up at two shapes, or an unbounded number of shapes at the
+// server, when more are used than a connection has names.
+func TestPreparedNamesAreReused(t *testing.T) {
+	s := startScriptedServer(t, nil)
+	c := s.dial(t)
+	prepared := make(map[string]string) // shapes by name, as the server has them
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		p := gwbackend.NewPreparedStatement(fmt.Sprint("shape ", rng.IntN(2*len(preparedNames))), nil)
+		req := textRequest("execute " + p.Name + " k")
+		req.Prepared = []gwbackend.PreparedStatement{p}
+		_, err := c.Exchange(t.Context(), req, nil)
+		require.NoError(t, err)
+		ran := ""
+		for _, line := range s.takeReceived() {
+			_, text, _ := strings.Cut(line, "|")
+			f := strings.SplitN(text, " ", 3)
+			switch f[0] {
+			case "prepare":
+				assert.NotContains(t, prepared, f[1], "the name is in use")
+				prepared[f[1]] = f[2]
+			case "deallocate":
+				delete(prepared, f[1])
+			case "execute":
+				ran = prepared[f[1]]
+			}
+		}
+		require.Equal(t, p.SQL, ran)
+	}
+	assert.LessOrEqual(t, len(prepared), len(preparedNames))
+}
+
+// Guards against a statement that runs an earlier shape of its name, because the server has
+// kept statements that the connection takes for unknown.
+func TestUnknownSessionIsDiscarded(t *testing.T) {
+	answers := map[string]string{"execute a k": "error noStatement x\nready I 1\n", "set n v": "error failed x\nready I 1\n"}
+	s := startScriptedServer(t, answers)
+	c := s.dial(t)
+	p := gwbackend.NewPreparedStatement("shape", nil)
+	req := textRequest("execute " + p.Name + " k")
+	req.Prepared = []gwbackend.PreparedStatement{p}
+	for _, want := range [][]string{{"|prepare a shape", "1|execute a k"}, {"|discard", "|prepare a shape", "1|execute a k"}} {
+		_, err := c.Exchange(t.Context(), req, nil)
+		require.NoError(t, err)
+		assert.Equal(t, want, s.takeReceived())
+	}
+	req = textRequest("x")
+	req.Statement.Variables = []gwbackend.SessionVariable{{Name: "n", Value: "v"}}
+	res, err := c.Exchange(t.Context(), req, nil)
+	require.NoError(t, err)
+	assert.False(t, res.Sent)
+	assert.Equal(t, []string{"|discard", "|set n v"}, s.takeReceived())
+	_, err = c.Exchange(t.Context(), textRequest("x"), nil)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"|discard", "1|x"}, s.takeReceived(), "the failed SET may have had an effect")
+}
