gwstatement: a position that makes a message too long is checked before the statement

A read of nearly 1 MiB at a replica exceeded the limit of the server with the prefix AFTER, which its caller had not sent. Where the message with the prefix cannot be written, the connection checks the position with a transaction that reads nothing, rolls that back, and sends the statement as it came.

Evidence: TestPositionOfLongStatement is new.

--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -362,6 +362,13 @@
 		after = Position{}
 	}
 	out, err := c.codec.AppendQuery(c.wbuf[:0], stmt.ID, after, text, arguments)
+	if err != nil && !after.IsZero() {
+		// The position may make the message too long.
+		if a, err := c.checkPosition(ctx, after); err != nil || a.failure != nil {
+			return a, false, err
+		}
+		out, err = c.codec.AppendQuery(c.wbuf[:0], stmt.ID, Position{}, text, arguments)
+	}
 	if err != nil {
 		return answer{}, false, err
 	}
@@ -377,6 +384,16 @@
 	return a, true, nil
 }
 
+// checkPosition checks that the server's log contains a position, with a transaction that reads
+// nothing. Its failure is the answer.
+func (c *Conn) checkPosition(ctx context.Context, after Position) (answer, error) {
+	a, err := c.runControl(ctx, after, c.codec.BeginText(true))
+	if err != nil || a.failure != nil {
+		return a, err
+	}
+	return c.runControl(ctx, Position{}, c.codec.RollbackText())
+}
+
 // applySession makes the variables of the server's session equal to those of the request. It
 // discards the state of the server's session first if that has variables that the request
 // does not set, or is not known.
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -331,3 +331,31 @@
 	require.NoError(t, err)
 	assert.Equal(t, []string{"|discard", "1|x"}, s.takeReceived(), "the failed SET may have had an effect")
 }
+
+// Guards against a read that a server refuses because the position in front of it makes its
+// message too long, and against one that runs although the position is missing.
+func TestPositionOfLongStatement(t *testing.T) {
+	answers := map[string]string{"begin true": "done\nready T 7\n", "after 1/9 begin true": "error lagging x\nready I 7\n"}
+	s := startScriptedServer(t, answers)
+	c := s.dial(t)
+	long := strings.Repeat("x", maxTestQuery-1)
+	req := textRequest(long)
+	req.Statement.After = Position{Term: 1, Offset: 5}
+	res, err := c.Exchange(t.Context(), req, nil)
+	require.NoError(t, err)
+	assert.True(t, res.Sent)
+	assert.Equal(t, []string{"|after 1/5 begin true", "|rollback", "1|" + long}, s.takeReceived())
+
+	req.Statement.After.Offset = 9
+	res, err = c.Exchange(t.Context(), req, nil)
+	require.NoError(t, err)
+	assert.False(t, res.Sent)
+	assert.Equal(t, gwoutcome.TooStale, res.Refusal)
+	assert.Equal(t, []string{"|after 1/9 begin true"}, s.takeReceived())
+
+	_, err = c.Exchange(t.Context(), textRequest(long+"x"), nil)
+	assert.ErrorIs(t, err, gwbackend.ErrNotEncodable)
+	assert.Equal(t, gwbackend.KindNotSent, gwbackend.KindOf(err))
+	assert.True(t, c.Usable(), "the connection goes on")
+	assert.Empty(t, s.takeReceived())
+}
