gwoutcome: a reply that cannot be read is no failure of its server

One stored value that the instances could not read took each server in turn out of service for all callers: the read ended with brokenAfterSend, which counts towards an ejection, and was tried at the next server until its deadline.

Change: a reply that has arrived and cannot be read ends its request with replyUnreadable, or with sessionNotSet, not run, if it answers a statement that sets up the session. Neither counts as a failure of the server. A read is tried once more, elsewhere; a write stays unknown. The connection is closed; a later request on it fails for its end, not for the earlier reply. An answer is kept as a whole and had no bound: over 8 MiB it cannot be read. The last release gets expired and unconfirmed in place of the new events, which have the same consequences there.

Evidence: TestUnreadableReplies, TestUnreadableReplyIsNoFailureOfServer and TestUnreadableReplyIsReadTwiceAtMost are new; TestDecisions has the new events.

--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -35,7 +35,7 @@
 	need     gwroute.Need
 	exec     gwowner.Request
 	// attempts counts all attempts, including those that do not count as failures (see
-	// gwoutcome.CountsAsFailure).
+	// gwoutcome.CountsAsAttempt).
 	attempts int
 	// backoff spaces the rounds of attempts.
 	backoff gwoutcome.Backoff
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -26,7 +26,7 @@
 			if res.Relayed && res.Event != gwoutcome.Answered && r.w.Discard() {
 				res.Relayed = false
 			}
-			if gwoutcome.CountsAsFailure(res.Event) {
+			if gwoutcome.CountsAsAttempt(res.Event) {
 				countedAttempts++
 			}
 			if res.Event == gwoutcome.Answered || !e.prepareRetry(ctx, r, res, countedAttempts) {
@@ -35,7 +35,7 @@
 				}
 				return res
 			}
-			if gwoutcome.CountsAsFailure(res.Event) {
+			if gwoutcome.CountsAsAttempt(res.Event) {
 				e.logAttempt("statement retried", r, res)
 			}
 		}
@@ -54,7 +54,7 @@
 
 // prepareRetry reports whether the request is attempted again. It updates the request
 // for the next attempt and waits where that is required. countedAttempts counts the
-// next attempt and the earlier ones that failed (see gwoutcome.CountsAsFailure).
+// next attempt and the earlier ones that failed (see gwoutcome.CountsAsAttempt).
 func (e *Entry) prepareRetry(ctx context.Context, r *request, res gwowner.Result, countedAttempts int) bool {
 	decision := gwoutcome.ShouldRetry(res.Event, gwoutcome.Request{
 		Read: r.read(), Repeatable: r.rules.class.Retry || r.rules.class.ReadOnly, Relayed: res.Relayed, Keyed: r.exec.Key != "",
@@ -90,7 +90,7 @@
 		}
 		r.refused = res
 	}
-	if gwoutcome.CountsAsFailure(res.Event) && !e.takeRetry() {
+	if gwoutcome.CountsAsAttempt(res.Event) && !e.takeRetry() {
 		return false
 	}
 	if r.need.Excluded == nil {
--- a/internal/gwowner/message.go
+++ b/internal/gwowner/message.go
@@ -111,7 +111,9 @@
 
 // olderEvents maps the events that the last release does not know to events with the same
 // consequences there. An unknown event ended its session.
-var olderEvents = map[gwoutcome.Event]gwoutcome.Event{gwoutcome.NotEncodable: gwoutcome.Expired}
+var olderEvents = map[gwoutcome.Event]gwoutcome.Event{
+	gwoutcome.NotEncodable: gwoutcome.Expired, gwoutcome.SessionNotSet: gwoutcome.Expired, gwoutcome.ReplyUnreadable: gwoutcome.Unconfirmed,
+}
 
 // toWire returns the result in the form in which it is sent to another instance.
 func (r Result) toWire() Result {
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -260,9 +260,9 @@
 		go s.recoverConnection(conn, r)
 		return x
 	}
-	// A refused statement leaves the connection usable. The pool rolls back a
-	// transaction that was opened for it.
-	s.backend.Pool().Release(conn, x.event == gwoutcome.Answered || x.Refusal != 0)
+	// A statement that was refused or not sent leaves the connection usable. The pool rolls
+	// back a transaction that was opened for it.
+	s.backend.Pool().Release(conn, x.event == gwoutcome.Answered || x.event == gwoutcome.NotEncodable || x.Refusal != 0)
 	return x
 }
 
@@ -392,6 +392,10 @@
 		return gwoutcome.NotEncodable
 	case gwbackend.KindOf(err) == gwbackend.KindSink:
 		return gwoutcome.PeerBroken
+	case errors.Is(err, gwbackend.ErrUnreadable) && res.Sent:
+		return gwoutcome.ReplyUnreadable
+	case errors.Is(err, gwbackend.ErrUnreadable):
+		return gwoutcome.SessionNotSet
 	case !res.Sent:
 		return gwoutcome.BrokenBeforeSend
 	case errors.Is(context.Cause(ctx), errAnswerLost):
@@ -409,6 +413,8 @@
 		return gwoutcome.Expired
 	case errors.Is(err, gwbackend.ErrNotEncodable):
 		return gwoutcome.NotEncodable
+	case errors.Is(err, gwbackend.ErrUnreadable):
+		return gwoutcome.BrokenBeforeSend
 	case gwbackend.ServerError(err) != nil:
 		return gwoutcome.ServerRefused
 	default:
--- a/internal/gwowner/server_test.go
+++ b/internal/gwowner/server_test.go
@@ -86,3 +86,17 @@
 	}
 	assert.False(t, s.health.Ejected(s.owner.clock.Now()))
 }
+
+// Guards against servers that are ejected in turn for one row that cannot be read, and against
+// a write that is reported as not run although only its answer could not be read.
+func TestUnreadableReplyIsNoFailureOfServer(t *testing.T) {
+	cause := fmt.Errorf("read reply: %w", gwbackend.ErrUnreadable)
+	assert.Equal(t, gwoutcome.ReplyUnreadable, exchangeEvent(t.Context(), gwbackend.Result{Sent: true}, cause))
+	assert.Equal(t, gwoutcome.SessionNotSet, exchangeEvent(t.Context(), gwbackend.Result{}, cause))
+	s := &server{owner: &Owner{clock: clockwork.NewFakeClock()}}
+	for range 2 * gwoutcome.FailuresToEject {
+		s.observe(gwoutcome.ReplyUnreadable)
+		s.observe(gwoutcome.SessionNotSet)
+	}
+	assert.False(t, s.health.Ejected(s.owner.clock.Now()))
+}
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -22,6 +22,9 @@
 	readBufferBytes = 4 << 10
 	// writeTimeout bounds the write of a statement if no deadline is earlier.
 	writeTimeout = 5 * time.Second
+	// maxAnswerBytes bounds the answer to one statement, which is kept as a whole until its
+	// end: half of the greatest frame between instances (gwpeer.MaxFrameBytes).
+	maxAnswerBytes = 8 << 20
 	// userTimeout is the time after which the kernel closes a connection whose peer
 	// does not acknowledge data: a peer behind a partition sends no reset.
 	userTimeout = 3 * time.Second
@@ -128,6 +131,12 @@
 			c.closeWithError(err)
 			return
 		}
+		if len(a.raw)+len(raw) > maxAnswerBytes {
+			err := &Error{Op: "read reply", Kind: KindProtocol, Reason: "answerTooLong", Bytes: len(a.raw) + len(raw), Err: errors.Newf("answer of more than %d bytes", maxAnswerBytes)}
+			recordUnreadable(c.unreadable, gwtelemetry.FromServer, c.o.Name, err)
+			c.closeWithError(err)
+			return
+		}
 		switch m := reply.(type) {
 		case Row:
 			a.row = m
@@ -221,6 +230,9 @@
 		c.mu.Unlock()
 		if err == nil {
 			err = gwbackend.ErrUnusable
+		} else {
+			// The cause concerned an earlier reply, so that it is no error of this request.
+			err = errors.Newf("the connection was closed: %v", err)
 		}
 		return answer{}, false, err
 	}
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -359,3 +360,35 @@
 	assert.True(t, c.Usable(), "the connection goes on")
 	assert.Empty(t, s.takeReceived())
 }
+
+// Guards against an answer that cannot be read, or that is too long to be kept, and that is
+// taken for a broken server; and against the error of one request that is reported for another.
+func TestUnreadableReplies(t *testing.T) {
+	s := startScriptedServer(t, map[string]string{
+		"odd": "what is this\n", "set n v": "what is this\n", "many": strings.Repeat("row "+strings.Repeat("x", 1<<20)+"\n", 9) + "done\nready I 1\n", "gone": "hang up",
+	})
+	tests := []struct {
+		text       string
+		variables  []gwbackend.SessionVariable
+		unreadable bool
+		sent       bool
+	}{
+		{text: "odd", unreadable: true, sent: true},
+		{text: "many", unreadable: true, sent: true},
+		{text: "x", variables: []gwbackend.SessionVariable{{Name: "n", Value: "v"}}, unreadable: true},
+		{text: "gone", sent: true},
+	}
+	for _, tt := range tests {
+		c := s.dial(t)
+		req := textRequest(tt.text)
+		req.Statement.Variables = tt.variables
+		res, err := c.Exchange(t.Context(), req, nil)
+		require.Error(t, err)
+		assert.Equal(t, tt.unreadable, errors.Is(err, gwbackend.ErrUnreadable), "%s: %v", tt.text, err)
+		assert.Equal(t, tt.sent, res.Sent, tt.text)
+		assert.False(t, c.Usable())
+		_, err = c.Exchange(t.Context(), textRequest("x"), nil)
+		assert.NotErrorIs(t, err, gwbackend.ErrUnreadable, "the next request")
+		s.takeReceived()
+	}
+}
--- a/pkg/gwoutcome/decide.go
+++ b/pkg/gwoutcome/decide.go
@@ -36,6 +36,9 @@
 // MaxAttempts is the greatest number of attempts at one request.
 const MaxAttempts = 8
 
+// maxAttemptsOnce is the greatest number of attempts after an event that allows one retry.
+const maxAttemptsOnce = 2
+
 // ShouldRetry decides whether a request whose last attempt ended with e is attempted
 // again. Callers must also respect a Budget.
 func ShouldRetry(e Event, r Request) Retry {
@@ -43,6 +46,9 @@
 	if r.Relayed || r.Remaining <= 0 || r.Attempts >= MaxAttempts || d.ran == ranYes {
 		return Stop
 	}
+	if d.once && r.Attempts > maxAttemptsOnce {
+		return Stop
+	}
 	if d.ran == ranMaybe {
 		if r.Keyed {
 			return Refresh
@@ -64,6 +70,10 @@
 // CountsAsFailure reports whether e counts as a failure of the backend server.
 func CountsAsFailure(e Event) bool { return decisions[e].failure }
 
+// CountsAsAttempt reports whether an attempt that ends with e counts towards the bounds of
+// retries. A refusal does not: it costs little.
+func CountsAsAttempt(e Event) bool { return decisions[e].failure || decisions[e].once }
+
 // IsBusyOrLagging reports whether e is a refusal by a healthy server whose queue is full
 // or that lags too far behind; an immediate retry at that server does not help.
 func IsBusyOrLagging(e Event) bool { return e == QueueFull || e == TooStale }
--- a/pkg/gwoutcome/outcome.go
+++ b/pkg/gwoutcome/outcome.go
@@ -77,6 +77,12 @@
 	// NotEncodable means that the request could not be put into a message, or could not be
 	// read from one by the owner, so that it was not sent to the server.
 	NotEncodable
+	// ReplyUnreadable means that the server's answer arrived and cannot be read, as when one
+	// of its rows is too long.
+	ReplyUnreadable
+	// SessionNotSet means that the answer to a statement that prepares the server's session
+	// cannot be read, so that the request itself was not sent.
+	SessionNotSet
 )
 
 // Known reports whether e is one of the events of this release; a later one may have more.
@@ -112,6 +118,8 @@
 	// elsewhere allows a retry at another server, refresh one at the group's current
 	// primary or owner.
 	elsewhere, refresh bool
+	// once allows only one retry.
+	once bool
 }
 
 // decisions is the table of events.
@@ -136,6 +144,9 @@
 	FreshnessUnknown: {name: "freshnessUnknown", ran: ranNo, elsewhere: true},
 	// The cause is in the request, so that another server would not do better.
 	NotEncodable: {name: "notEncodable", ran: ranNo},
+	// The cause may be a value that every server has: it must not eject them in turn.
+	ReplyUnreadable: {name: "replyUnreadable", ran: ranMaybe, elsewhere: true, once: true},
+	SessionNotSet:   {name: "sessionNotSet", ran: ranNo},
 }
 
 // Of returns the outcome of a request whose only attempt ended with e; p is the position
--- a/pkg/gwoutcome/outcome_test.go
+++ b/pkg/gwoutcome/outcome_test.go
@@ -42,6 +42,8 @@
 		{Unconfirmed, Unknown{"unconfirmed"}, SQLStateCompletionUnknown, Stop, Stop, false},
 		{FreshnessUnknown, NotRun{"freshnessUnknown"}, SQLStateNotRun, Stop, Elsewhere, false},
 		{NotEncodable, NotRun{"notEncodable"}, SQLStateNotRun, Stop, Stop, false},
+		{ReplyUnreadable, Unknown{"replyUnreadable"}, SQLStateConnectionUnknown, Stop, Elsewhere, false},
+		{SessionNotSet, NotRun{"sessionNotSet"}, SQLStateNotRun, Stop, Stop, false},
 		{AnswerLost, Unknown{"answerLost"}, SQLStateConnectionUnknown, Stop, Elsewhere, true},
 	}
 	for _, tt := range tests {
@@ -145,3 +147,18 @@
 		assert.Equal(t, tt.want, got, "sql %q", tt.sql)
 	}
 }
+
+// Guards against a row that no server's answer can carry and that is read at each of them, and
+// against an ejection of servers for it.
+func TestUnreadableReplyIsReadTwiceAtMost(t *testing.T) {
+	read := Request{Read: true, Repeatable: true, Remaining: time.Second}
+	for attempts, want := range []Retry{Elsewhere, Elsewhere, Elsewhere, Stop, Stop} {
+		read.Attempts = attempts
+		assert.Equal(t, want, ShouldRetry(ReplyUnreadable, read), "%d attempts", attempts)
+	}
+	var h Health
+	for range 3 * FailuresToEject {
+		assert.False(t, h.Observe(ReplyUnreadable, testNow))
+	}
+	assert.True(t, CountsAsAttempt(ReplyUnreadable))
+}
