gwfilter: the values and prepared statements of a session are bounded

They are kept in memory and travel with each statement, without a bound: a single caller could end a process of 184 MB with SET and PREPARE, or make its statements exceed the frames between instances.

Change: a session may have 8 MiB of them, with 1 KiB added for each, so that their number is bounded as well. Beyond it, SET and PREPARE are answered MALFORMED, which concerns that session alone. Names and values are copied, so that they do not keep the messages that they came in.

Evidence: TestSessionStateIsBounded is new; it also checks that a frame holds the state and the longest statement.

--- /dev/null
+++ b/internal/gwfilter/state_test.go
@@ -0,0 +1,63 @@
+package gwfilter
+
+import (
+	"bufio"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwowner"
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwstatement"
+)
+
+// stateCodec encodes the answers of an instance as one word.
+type stateCodec struct{ gwstatement.Codec }
+
+func (stateCodec) AppendComplete(b []byte) []byte { return append(b, "ok"...) }
+func (stateCodec) AppendFailure(b []byte, f gwstatement.Failure) []byte {
+	return fmt.Append(b, "failed ", f.Code == gwstatement.Malformed)
+}
+func (stateCodec) AppendReady(b []byte, _ byte) []byte                    { return b }
+func (stateCodec) ShapeText(p gwstatement.Prepare) string                 { return "FETCH " + p.Shape }
+func (stateCodec) ReadMessage(*bufio.Reader) (gwstatement.Message, error) { return nil, nil }
+
+// Guards against a caller whose values and prepared statements fill the memory of the process
+// or no frame can hold, and against space that is not given back.
+func TestSessionStateIsBounded(t *testing.T) {
+	open := func() *statementSession {
+		return &statementSession{codec: stateCodec{}, status: 'I', prepared: make(map[string]preparedStatement)}
+	}
+	ask := func(s *statementSession, st gwstatement.Statement) string {
+		return string(s.Handle(t.Context(), gwstatement.Query{ID: "1", Statement: st}, nil))
+	}
+	const large = 1 << 20
+	value := strings.Repeat("\xff", large)
+	s := open()
+	for i := range 7 {
+		assert.Equal(t, "ok", ask(s, gwstatement.Set{Name: fmt.Sprint(i), Value: value}))
+	}
+	assert.Equal(t, "failed true", ask(s, gwstatement.Set{Name: "8", Value: value}))
+	assert.Equal(t, "failed true", ask(s, gwstatement.Prepare{Name: "8", Shape: value}))
+	assert.Len(t, s.values, 7)
+	for range 20 {
+		assert.Equal(t, "ok", ask(s, gwstatement.Set{Name: "1", Value: value}), "in place of the old value")
+		assert.Equal(t, "ok", ask(s, gwstatement.Prepare{Name: "p", Shape: value[:large/2]}))
+		assert.Equal(t, "ok", ask(s, gwstatement.Prepare{Name: "p", Shape: value[:large/2]}), "in place of the old shape")
+		assert.Equal(t, "ok", ask(s, gwstatement.Deallocate{Name: "p"}))
+		assert.Equal(t, "ok", ask(s, gwstatement.Deallocate{Name: "p"}), "it is gone")
+	}
+	data, err := gwpeer.Marshal(gwowner.Request{Request: gwbackend.Request{Statement: &gwbackend.StatementRequest{Text: value, Variables: s.values}}})
+	assert.NoError(t, err, "a frame holds the state with the largest statement")
+	assert.LessOrEqual(t, len(data), gwpeer.MaxFrameBytes)
+
+	s = open()
+	for i := 0; ask(s, gwstatement.Set{Name: fmt.Sprint(i)}) == "ok"; i++ {
+		if i > maxStateBytes/entryOverhead {
+			t.Fatal("the number of values is not bounded")
+		}
+	}
+}
--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -51,8 +51,24 @@
 	readOnly bool
 	values   []gwbackend.SessionVariable
 	prepared map[string]preparedStatement
+	// stateBytes is the size of values and prepared, see entryBytes.
+	stateBytes int
 }
 
+// maxStateBytes bounds the values and prepared statements of a session. They are kept in memory
+// and travel with each statement in a frame of at most 16 MiB.
+const maxStateBytes = 8 << 20
+
+// entryOverhead is added to the size of each value and prepared statement. It bounds their
+// number, at 8,000, as each SET copies the list of values.
+const entryOverhead = 1 << 10
+
+// entryBytes returns the size of a value or a prepared statement.
+func entryBytes(name, text string) int { return len(name) + len(text) + entryOverhead }
+
+// errStateFull is the text of the failure of a statement that would exceed maxStateBytes.
+const errStateFull = "the values and prepared statements of the session exceed 8 MiB"
+
 type preparedStatement struct {
 	gwbackend.PreparedStatement
 	writes bool
@@ -116,14 +132,20 @@
 	case gwstatement.Begin:
 		return s.beginTransaction(st, b)
 	case gwstatement.Set:
-		s.setValue(st)
+		if !s.setValue(st) {
+			return s.fail(b, gwstatement.Malformed, errStateFull)
+		}
 		return s.complete(b)
 	case gwstatement.Prepare:
-		text := s.codec.ShapeText(st)
-		s.prepared[st.Name] = preparedStatement{PreparedStatement: gwbackend.NewPreparedStatement(text, nil), writes: st.Writes}
+		if !s.prepare(st) {
+			return s.fail(b, gwstatement.Malformed, errStateFull)
+		}
 		return s.complete(b)
 	case gwstatement.Deallocate:
-		delete(s.prepared, st.Name)
+		if p, ok := s.prepared[st.Name]; ok {
+			s.stateBytes -= entryBytes(st.Name, p.SQL)
+			delete(s.prepared, st.Name)
+		}
 		return s.complete(b)
 	case gwstatement.Execute:
 		p, ok := s.prepared[st.Name]
@@ -155,16 +177,51 @@
 	return s.complete(b)
 }
 
-func (s *statementSession) setValue(st gwstatement.Set) {
+// addState changes the size of the session's state, and returns false if it would exceed the
+// bound.
+func (s *statementSession) addState(n int) bool {
+	if s.stateBytes+n > maxStateBytes {
+		return false
+	}
+	s.stateBytes += n
+	return true
+}
+
+// setValue sets a value of the session, and returns false if there is no space for it.
+func (s *statementSession) setValue(st gwstatement.Set) bool {
 	i, found := slices.BinarySearchFunc(s.values, st.Name, func(v gwbackend.SessionVariable, name string) int { return strings.Compare(v.Name, name) })
-	v := gwbackend.SessionVariable{Name: st.Name, Value: st.Value}
+	n := entryBytes(st.Name, st.Value)
+	if found {
+		n -= entryBytes(st.Name, s.values[i].Value)
+	}
+	if !s.addState(n) {
+		return false
+	}
+	// The name and the value must not keep the whole message in memory.
+	v := gwbackend.SessionVariable{Name: strings.Clone(st.Name), Value: strings.Clone(st.Value)}
 	// A request in flight may still read the old slice.
 	s.values = slices.Clone(s.values)
 	if found {
 		s.values[i] = v
-		return
+		return true
 	}
 	s.values = slices.Insert(s.values, i, v)
+	return true
+}
+
+// prepare defines a prepared statement of the session, and returns false if there is no space
+// for it.
+func (s *statementSession) prepare(st gwstatement.Prepare) bool {
+	text := s.codec.ShapeText(st)
+	n := entryBytes(st.Name, text)
+	if p, ok := s.prepared[st.Name]; ok {
+		n -= entryBytes(st.Name, p.SQL)
+	}
+	if !s.addState(n) {
+		return false
+	}
+	s.prepared[strings.Clone(st.Name)] = preparedStatement{PreparedStatement: gwbackend.NewPreparedStatement(text, nil), writes: st.Writes}
+	return true
 }
 
 func (s *statementSession) complete(b []byte) []byte {
