--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -22,9 +22,9 @@
 	readBufferBytes = 4 << 10
 	// writeTimeout bounds the write of a statement if no deadline is earlier.
 	writeTimeout = 5 * time.Second
-	// maxPrepared bounds the prepared statements of one connection; above it, the
-	// state of the server's session is discarded.
-	maxPrepared = 128
+	// maxAnswerBytes bounds the answer to one statement, which is kept as a whole until its
+	// end: half of the greatest frame between instances (gwpeer.MaxFrameBytes).
+	maxAnswerBytes = 8 << 20
 	// userTimeout is the time after which the kernel closes a connection whose peer
 	// does not acknowledge data: a peer behind a partition sends no reset.
 	userTimeout = 3 * time.Second
@@ -55,8 +55,11 @@
 	// The state of the server's session, as far as this connection has set it.
 	status    byte
 	variables map[string]string
-	prepared  map[string]bool
-	wbuf      []byte
+	prepared  preparedStatements
+	// sessionUnknown means that the state differs from the recorded one, so that it has to
+	// be discarded before the next statement.
+	sessionUnknown bool
+	wbuf           []byte
 }
 
 // answer is the complete answer to one statement.
@@ -72,6 +75,10 @@
 // dial connects to the server o.Name of the group o.Database.
 func (d Dialect) dial(ctx context.Context, o gwbackend.Options) (*Conn, error) {
 	codec := d.Codec
+	startup, err := codec.AppendStartup(nil, o.Database, o.User, o.Name)
+	if err != nil {
+		return nil, notSentError("dial", o, err)
+	}
 	dial := o.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{Control: limitUnacknowledged}).DialContext
@@ -82,10 +89,10 @@
 	}
 	c := &Conn{
 		codec: codec, o: o, nc: nc, unreadable: d.Unreadable, answers: make(chan answer, 1), readerDone: make(chan struct{}), closed: make(chan struct{}),
-		status: 'I', variables: make(map[string]string), prepared: make(map[string]bool),
+		status: 'I', variables: make(map[string]string),
 	}
 	go c.readLoop()
-	a, _, err := c.roundTrip(ctx, codec.AppendStartup(nil, o.Database, o.User, o.Name))
+	a, _, err := c.roundTrip(ctx, startup)
 	if err == nil && a.failure != nil {
 		err = pgError(a.failure)
 	}
@@ -120,9 +127,13 @@
 	for {
 		reply, raw, err := c.readReply(r)
 		if err != nil {
-			if reason, ok := unreadableReason(err); ok {
-				c.unreadable.Record(gwtelemetry.FromServer, c.o.Name, reason, 0, err)
-			}
+			recordUnreadable(c.unreadable, gwtelemetry.FromServer, c.o.Name, err)
+			c.closeWithError(err)
+			return
+		}
+		if len(a.raw)+len(raw) > maxAnswerBytes {
+			err := &Error{Op: "read reply", Kind: KindProtocol, Reason: "answerTooLong", Bytes: len(a.raw) + len(raw), Err: errors.Newf("answer of more than %d bytes", maxAnswerBytes)}
+			recordUnreadable(c.unreadable, gwtelemetry.FromServer, c.o.Name, err)
 			c.closeWithError(err)
 			return
 		}
@@ -157,7 +168,7 @@
 func (c *Conn) readReply(r *bufio.Reader) (reply Reply, raw []byte, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			err = &Error{Op: "read reply", Kind: KindProtocol, Err: errors.Newf("panic: %v", cause)}
+			err = &Error{Op: "read reply", Kind: KindProtocol, Reason: "panic", Err: errors.Newf("panic: %v", cause)}
 		}
 	}()
 	return c.codec.ReadReply(r)
@@ -219,6 +230,9 @@
 		c.mu.Unlock()
 		if err == nil {
 			err = gwbackend.ErrUnusable
+		} else {
+			// The cause concerned an earlier reply, so that it is no error of this request.
+			err = errors.Newf("the connection was closed: %v", err)
 		}
 		return answer{}, false, err
 	}
@@ -274,8 +288,12 @@
 
 // runControl runs a statement that the instance itself issues.
 func (c *Conn) runControl(ctx context.Context, after Position, text string) (answer, error) {
-	c.wbuf = c.codec.AppendQuery(c.wbuf[:0], "", after, text)
-	a, _, err := c.roundTrip(ctx, c.wbuf)
+	out, err := c.codec.AppendQuery(c.wbuf[:0], "", after, text, "")
+	if err != nil {
+		return answer{}, err
+	}
+	c.keepBuffer(out)
+	a, _, err := c.roundTrip(ctx, out)
 	if err != nil {
 		return a, err
 	}
@@ -283,6 +301,14 @@
 	return a, nil
 }
 
+// keepBuffer keeps the buffer of a message for the next one, unless it is large.
+func (c *Conn) keepBuffer(b []byte) {
+	c.wbuf = nil
+	if cap(b) <= maxKeptBufferBytes {
+		c.wbuf = b
+	}
+}
+
 // recordState records the transaction status of an answer and reports its position.
 func (c *Conn) recordState(a answer) {
 	c.status = a.ready.Status
@@ -332,7 +358,11 @@
 // for it, and sends the statement. If a step before the statement fails, its failure is
 // the answer, and sent is false.
 func (c *Conn) runStatement(ctx context.Context, stmt *gwbackend.StatementRequest, prepared []gwbackend.PreparedStatement) (answer, bool, error) {
-	if a, err := c.applySession(ctx, stmt, prepared); err != nil || a.failure != nil {
+	if a, err := c.applySession(ctx, stmt); err != nil || a.failure != nil {
+		return a, false, err
+	}
+	text, arguments, a, err := c.prepareAll(ctx, stmt.Text, prepared)
+	if err != nil || a.failure != nil {
 		return a, false, err
 	}
 	after := stmt.After
@@ -343,54 +373,82 @@
 		}
 		after = Position{}
 	}
-	c.wbuf = c.codec.AppendQuery(c.wbuf[:0], stmt.ID, after, stmt.Text)
-	a, sent, err := c.roundTrip(ctx, c.wbuf)
+	out, err := c.codec.AppendQuery(c.wbuf[:0], stmt.ID, after, text, arguments)
+	if err != nil && !after.IsZero() {
+		// The position may make the message too long.
+		if a, err := c.checkPosition(ctx, after); err != nil || a.failure != nil {
+			return a, false, err
+		}
+		out, err = c.codec.AppendQuery(c.wbuf[:0], stmt.ID, Position{}, text, arguments)
+	}
+	if err != nil {
+		return answer{}, false, err
+	}
+	c.keepBuffer(out)
+	a, sent, err := c.roundTrip(ctx, out)
 	if err != nil {
 		return a, sent, err
 	}
 	c.recordState(a)
 	if a.failure != nil && a.failure.Code == NoStatement {
-		clear(c.prepared)
+		c.sessionUnknown = true
 	}
 	return a, true, nil
 }
 
-// applySession makes the variables of the server's session equal to those of the
-// request, and adds the prepared statements that it lacks. It discards the state of the
-// server's session first if that has variables that the request does not set, or would
-// exceed maxPrepared.
-func (c *Conn) applySession(ctx context.Context, stmt *gwbackend.StatementRequest, prepared []gwbackend.PreparedStatement) (answer, error) {
-	if c.hasExtraVariable(stmt.Variables) || len(c.prepared)+len(prepared) > maxPrepared {
-		a, err := c.runControl(ctx, Position{}, c.codec.DiscardText())
+// checkPosition checks that the server's log contains a position, with a transaction that reads
+// nothing. Its failure is the answer.
+func (c *Conn) checkPosition(ctx context.Context, after Position) (answer, error) {
+	a, err := c.runControl(ctx, after, c.codec.BeginText(true))
+	if err != nil || a.failure != nil {
+		return a, err
+	}
+	return c.runControl(ctx, Position{}, c.codec.RollbackText())
+}
+
+// applySession makes the variables of the server's session equal to those of the request. It
+// discards the state of the server's session first if that has variables that the request
+// does not set, or is not known.
+func (c *Conn) applySession(ctx context.Context, stmt *gwbackend.StatementRequest) (answer, error) {
+	if c.sessionUnknown && c.status != 'I' {
+		return answer{}, errors.New("the state of the server's session is unknown inside a transaction")
+	}
+	if c.sessionUnknown || c.hasExtraVariable(stmt.Variables) {
+		a, err := c.runSessionControl(ctx, c.codec.DiscardText())
 		if err != nil || a.failure != nil {
 			return a, err
 		}
+		c.sessionUnknown = false
 		clear(c.variables)
-		clear(c.prepared)
+		c.prepared.clear()
 	}
 	for _, v := range stmt.Variables {
 		if have, ok := c.variables[v.Name]; ok && have == v.Value {
 			continue
 		}
-		a, err := c.runControl(ctx, Position{}, c.codec.SetText(v.Name, v.Value))
-		if err != nil || a.failure != nil {
-			return a, err
-		}
-		c.variables[v.Name] = v.Value
-	}
-	for _, p := range prepared {
-		if c.prepared[p.Name] {
-			continue
+		text, err := c.codec.SetText(v.Name, v.Value)
+		if err != nil {
+			return answer{}, err
 		}
-		a, err := c.runControl(ctx, Position{}, c.codec.PrepareText(p))
+		a, err := c.runSessionControl(ctx, text)
 		if err != nil || a.failure != nil {
 			return a, err
 		}
-		c.prepared[p.Name] = true
+		c.variables[v.Name] = v.Value
 	}
 	return answer{}, nil
 }
 
+// runSessionControl runs a statement that changes the state of the server's session. If it
+// fails, that state is unknown.
+func (c *Conn) runSessionControl(ctx context.Context, text string) (answer, error) {
+	a, err := c.runControl(ctx, Position{}, text)
+	if err != nil || a.failure != nil {
+		c.sessionUnknown = true
+	}
+	return a, err
+}
+
 // hasExtraVariable reports whether the server's session has a variable that the
 // caller's session has not set.
 func (c *Conn) hasExtraVariable(variables []gwbackend.SessionVariable) bool {
