platformtest, gwsoak: frame by the page, hostile data, and what servers run is compared with what callers sent

No test saw it: the stand-in servers ended messages at LF, split them at any white space, kept no values of sessions, and the callers of the soak wrote numbers only.

Change: one Reader of messages, from the protocol's page: CR LF alone ends a message, the last field extends to its end, 1 MiB at most, anything else is refused and recorded. Servers and callers of the soak and of the process tests use it. One implementation of a server's connection (ServeConnection) keeps every byte, the values, the prepared shapes and the transaction. StatementCheck compares, in every run, each statement with what its caller sent (UNASKED, ROUTE), its session's values, shape and transaction (PINNED), each answer with what the server gave (MIXED), and the logs with the promises (REFUSED, TWICE). Callers send seeded hostile data in all fields. The scenario hostileData sends each piece in each field at each entry instance without a fault, and every statement must succeed (ANSWER).

Ruled out: a scenario of its own only, as data and faults must meet; a codec that is shared with the product, as it would share its reading of the page.

--- a/cmd/gentianward-platform/run_test.go
+++ b/cmd/gentianward-platform/run_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +13,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -60,7 +60,7 @@
 // primary.
 func startWithServers(t *testing.T, ids ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, platform: platformtest.NewClient(), peerPort: holdPort(t), group: newStandinGroup(t, "core", ids...)}
+	d := &deployment{t: t, platform: platformtest.NewClient(), peerPort: holdPort(t), group: newStandinGroup(t, standinService, ids...)}
 	cloud := httptest.NewServer(http.HandlerFunc(d.group.promote))
 	t.Cleanup(cloud.Close)
 	net24 := fmt.Sprintf("127.%d.%d", d.peerPort>>8, d.peerPort&0xff)
@@ -155,33 +155,41 @@
 	}
 }
 
-// callerSession is one session of a caller.
+// callerSession is one session of a caller, whose statements and answers are checked.
 type callerSession struct {
 	t                 *testing.T
 	address, database string
+	check             *platformtest.StatementCheck
 	nc                net.Conn
-	r                 *bufio.Reader
-	n                 int
+	r                 *platformtest.Reader
+	session           *platformtest.SessionCheck
 	// idle means that no transaction is open.
 	idle bool
 	// prepares holds the session's PREPARE statements.
 	prepares []string
 }
 
-func dial(t *testing.T, address, database string) *callerSession {
-	t.Helper()
-	c := &callerSession{t: t, address: address, database: database}
-	require.NoError(t, c.open())
+// statements numbers the statements of all sessions.
+var statements atomic.Uint64
+
+func (d *deployment) dial(address, database string) *callerSession {
+	d.t.Helper()
+	c := d.newSession(address, database)
+	require.NoError(d.t, c.open())
 	return c
 }
 
+func (d *deployment) newSession(address, database string) *callerSession {
+	return &callerSession{t: d.t, address: address, database: database, check: d.group.check}
+}
+
 func (c *callerSession) open() error {
 	nc, err := net.Dial("tcp", c.address)
 	if err != nil {
 		return err
 	}
 	c.t.Cleanup(func() { _ = nc.Close() })
-	c.nc, c.r = nc, bufio.NewReader(nc)
+	c.nc, c.r, c.session = nc, platformtest.NewReader(nc, platformtest.Answers), c.check.Session(standinService)
 	_, err = fmt.Fprintf(nc, "STARTUP %s u1\r\n", c.database)
 	return err
 }
@@ -191,7 +199,7 @@
 // stood still. The new session prepares the statements again, as they end with a session.
 func (c *callerSession) reopen() error {
 	_ = c.nc.SetReadDeadline(time.Now().Add(time.Millisecond))
-	if _, err := c.r.Peek(1); !c.idle || !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, net.ErrClosed) {
+	if err := c.r.Peek(); !c.idle || !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	if err := c.open(); err != nil {
@@ -210,7 +218,7 @@
 	return err
 }
 
-// readAnswer reads the lines of an answer up to READY and joins them with commas.
+// readAnswer reads the messages of an answer up to READY and joins them with commas.
 func (c *callerSession) readAnswer() string {
 	c.t.Helper()
 	answer, err := c.tryReadAnswer()
@@ -219,19 +227,34 @@
 }
 
 func (c *callerSession) tryReadAnswer() (string, error) {
+	answer, _, err := c.read()
+	return answer, err
+}
+
+// read reads an answer. The text has no numbers of signatures and no unknown position.
+func (c *callerSession) read() (string, platformtest.Answer, error) {
+	_ = c.nc.SetReadDeadline(time.Now().Add(10 * time.Second))
+	a, err := platformtest.ReadAnswer(c.r)
+	if refused := (*platformtest.MessageError)(nil); errors.As(err, &refused) {
+		c.session.Refused(err)
+	}
+	if err != nil {
+		return "", a, err
+	}
+	c.idle = a.Status == 'I'
 	var out []string
-	for {
-		_ = c.nc.SetReadDeadline(time.Now().Add(10 * time.Second))
-		line, err := c.r.ReadString('\n')
-		if err != nil {
-			return "", err
-		}
-		if line = strings.TrimSpace(line); strings.HasPrefix(line, "READY") {
-			c.idle = strings.HasPrefix(line, "READY I")
-			return strings.Join(append(out, strings.TrimSuffix(line, " -")), ","), nil
-		}
-		out = append(out, line)
+	for _, row := range a.Rows {
+		out = append(out, "DATAROW "+row)
+	}
+	switch {
+	case a.Code != "":
+		out = append(out, "ERROR "+a.Code+" "+a.Cause)
+	case a.Signed:
+		out = append(out, "COMPLETE signature")
+	case a.Signature != "":
+		out = append(out, "COMPLETE "+a.Signature)
 	}
+	return strings.Join(append(out, "READY "+strings.TrimSuffix(string(a.Status)+" "+a.Position, " -")), ","), a, nil
 }
 
 // query sends a statement and returns its answer, or "no answer" and the cause if the
@@ -259,11 +282,16 @@
 }
 
 func (c *callerSession) send(text string) (string, error) {
-	c.n++
-	if _, err := fmt.Fprintf(c.nc, "QUERY %016x %s\r\n", c.n, text); err != nil {
+	id := fmt.Sprintf("%016x", statements.Add(1))
+	c.session.Sent(id, text)
+	if _, err := fmt.Fprintf(c.nc, "QUERY %s %s\r\n", id, text); err != nil {
 		return "", err
 	}
-	return c.tryReadAnswer()
+	answer, a, err := c.read()
+	if err == nil {
+		c.session.Answered(a)
+	}
+	return answer, err
 }
 
 // Guards against parts that do not work together: sessions, transactions and prepared
@@ -272,31 +300,31 @@
 func TestDeployment(t *testing.T) {
 	d := startDeployment(t)
 	d.awaitReady()
-	a, b := dial(t, d.callerAddresses[0], "bookings"), dial(t, d.callerAddresses[1], "payments")
+	a, b := d.dial(d.callerAddresses[0], "bookings"), d.dial(d.callerAddresses[1], "payments")
 	assert.Equal(t, "READY I", a.readAnswer())
 	assert.Equal(t, "READY I", b.readAnswer())
-	require.Eventually(t, func() bool { return a.query("STORE 1 one") == "COMPLETE 7.1f3,READY I" }, 20*time.Second, 50*time.Millisecond, "the first write")
-	assert.Equal(t, "DATAROW one,COMPLETE 7.1f3,READY I", a.query("FETCH 1"), "own write")
-	assert.Equal(t, "DATAROW one,COMPLETE 7.1f3,READY I", b.query("FETCH 1"), "a primary route sees every write")
+	require.Eventually(t, func() bool { return a.query("STORE 1 one") == "COMPLETE signature,READY I" }, 20*time.Second, 50*time.Millisecond, "the first write")
+	assert.Equal(t, "DATAROW one,COMPLETE signature,READY I", a.query("FETCH 1"), "own write")
+	assert.Equal(t, "DATAROW one,COMPLETE signature,READY I", b.query("FETCH 1"), "a primary route sees every write")
 
 	assert.Equal(t, "COMPLETE -,READY I", a.query("PREPARE s1 STORE q2c"))
-	assert.Equal(t, "COMPLETE 7.1f3,READY I", a.query("EXECUTE s1 2 two"))
+	assert.Equal(t, "COMPLETE signature,READY I", a.query("EXECUTE s1 2 two"))
 	assert.Equal(t, "COMPLETE -,READY T", a.query("BEGIN"))
-	assert.Equal(t, "COMPLETE 7.1f3,READY T", a.query("STORE 3 three"))
-	assert.Equal(t, "DATAROW three,COMPLETE 7.1f3,READY T", a.query("FETCH 3"))
-	assert.Equal(t, "DATAROW none,COMPLETE 7.1f3,READY I", b.query("FETCH 3"), "not committed yet")
+	assert.Equal(t, "COMPLETE signature,READY T", a.query("STORE 3 three"))
+	assert.Equal(t, "DATAROW three,COMPLETE signature,READY T", a.query("FETCH 3"))
+	assert.Equal(t, "DATAROW none,COMPLETE signature,READY I", b.query("FETCH 3"), "not committed yet")
 	assert.Equal(t, "COMPLETE -,READY I", a.query("ROLLBACK"))
-	assert.Equal(t, "DATAROW none,COMPLETE 7.1f3,READY I", a.query("FETCH 3"))
+	assert.Equal(t, "DATAROW none,COMPLETE signature,READY I", a.query("FETCH 3"))
 	assert.Equal(t, "COMPLETE -,READY T", a.query("BEGIN"))
-	assert.Equal(t, "COMPLETE 7.1f3,READY T", a.query("STORE 4 four"))
-	assert.Equal(t, "COMPLETE 7.1f3,READY I", a.query("COMMIT"))
+	assert.Equal(t, "COMPLETE signature,READY T", a.query("STORE 4 four"))
+	assert.Equal(t, "COMPLETE signature,READY I", a.query("COMMIT"))
 	assert.Equal(t, "ERROR NOSTMT no statement is prepared under the name s9,READY I", a.query("EXECUTE s9 1"))
 	assert.Contains(t, a.query("STATUS"), "ERROR MALFORMED")
 
 	d.group.servers["i-1"].crash()
-	require.Eventually(t, func() bool { return b.query("STORE 5 five") == "COMPLETE 7.1f3,READY I" }, 20*time.Second, 20*time.Millisecond, "a write after the change of primary")
+	require.Eventually(t, func() bool { return b.query("STORE 5 five") == "COMPLETE signature,READY I" }, 20*time.Second, 20*time.Millisecond, "a write after the change of primary")
 	for item, want := range map[string]string{"1": "one", "2": "two", "4": "four", "5": "five"} {
-		assert.Equal(t, "DATAROW "+want+",COMPLETE 7.1f3,READY I", b.query("FETCH "+item), "acknowledged before or after the crash")
+		assert.Equal(t, "DATAROW "+want+",COMPLETE signature,READY I", b.query("FETCH "+item), "acknowledged before or after the crash")
 	}
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
@@ -317,11 +345,11 @@
 		require.NoError(t, err)
 		assert.Equal(t, platformtest.Configuration(12, d.group.name), got)
 	}
-	c := dial(t, d.callerAddresses[0], "nothing")
+	c := d.dial(d.callerAddresses[0], "nothing")
 	_ = c.nc.SetReadDeadline(time.Now().Add(5 * time.Second))
-	line, err := c.r.ReadString('\n')
+	m, err := c.r.Read()
 	require.NoError(t, err)
-	assert.Contains(t, line, "ERROR NODB")
+	assert.Equal(t, []string{"ERROR", "NODB"}, []string{m.Kind, m.Fields[0]})
 }
 
 // recoveryLimit is the users' limit for the recovery after a loss of many machines.
@@ -333,9 +361,9 @@
 func TestControlInstancesRestartTogether(t *testing.T) {
 	d := startDeployment(t)
 	d.awaitReady()
-	a := dial(t, d.callerAddresses[0], "bookings")
+	a := d.dial(d.callerAddresses[0], "bookings")
 	assert.Equal(t, "READY I", a.readAnswer())
-	write := func() bool { return a.query("STORE 1 one") == "COMPLETE 7.1f3,READY I" }
+	write := func() bool { return a.query("STORE 1 one") == "COMPLETE signature,READY I" }
 	require.Eventually(t, write, 20*time.Second, 50*time.Millisecond, "the first write")
 
 	d.restartControl(4 * time.Second) // the entry instances declare them dead after about 2 s
@@ -396,9 +424,9 @@
 		}
 	}
 	d.awaitReady()
-	a := dial(t, d.callerAddresses[0], "bookings")
+	a := d.dial(d.callerAddresses[0], "bookings")
 	assert.Equal(t, "READY I", a.readAnswer())
-	write := func() bool { return a.query("STORE 1 one") == "COMPLETE 7.1f3,READY I" }
+	write := func() bool { return a.query("STORE 1 one") == "COMPLETE signature,READY I" }
 	require.Eventually(t, write, 20*time.Second, 50*time.Millisecond, "the first write")
 	d.group.servers["i-1"].crash()
 	require.Eventually(t, write, 20*time.Second, 50*time.Millisecond, "a write after the change of primary")
--- a/cmd/gentianward-platform/standin_test.go
+++ b/cmd/gentianward-platform/standin_test.go
@@ -1,12 +1,13 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -34,12 +35,13 @@
 	// closes in place of the answer to such a statement, if set.
 	cost  time.Duration
 	loses func(statement string) bool
+	// check compares what the servers run with what callers sent.
+	check *platformtest.StatementCheck
 }
 
 type standinCommit struct {
-	term  int
-	item  string
-	value string
+	term int
+	platformtest.Write
 }
 
 type standinServer struct {
@@ -54,8 +56,32 @@
 	conns      map[net.Conn]bool
 }
 
+// standinService is the name of the servers' service.
+const standinService = "core"
+
+// maxViolations is how many violations a test reports.
+const maxViolations = 20
+
 func newStandinGroup(t *testing.T, name string, ids ...string) *standinGroup {
 	g := &standinGroup{t: t, name: name, servers: make(map[string]*standinServer)}
+	broken := 0
+	g.check = platformtest.NewStatementCheck(func(rule, group, detail string) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if broken++; broken <= maxViolations {
+			t.Errorf("%s %s: %s", rule, group, detail)
+		}
+	})
+	t.Cleanup(func() {
+		for _, s := range g.servers {
+			if (standinDatabase{s}).IsPrimary() {
+				g.check.CheckKept(name, s.ids())
+			}
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		broken = maxViolations // the test has ended
+	})
 	for i, id := range ids {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
@@ -83,6 +109,22 @@
 	}
 }
 
+func (s *standinServer) serve(nc net.Conn) {
+	defer nc.Close()
+	platformtest.ServeConnection(nc, standinDatabase{s})
+}
+
+// ids returns the ids of the writes in the log.
+func (s *standinServer) ids() []string {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	ids := make([]string, len(s.log))
+	for i, c := range s.log {
+		ids[i] = c.ID
+	}
+	return ids
+}
+
 // crash stops the server and closes its connections.
 func (s *standinServer) crash() {
 	s.g.mu.Lock()
@@ -166,43 +208,38 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// standinSession is the state of one connection.
-type standinSession struct {
-	s        *standinServer
-	status   byte
-	writes   []standinCommit
-	prepared map[string]string
-}
+// standinDatabase is what the connections to a server run statements on.
+type standinDatabase struct{ *standinServer }
 
-func (s *standinServer) serve(nc net.Conn) {
-	defer nc.Close()
-	r := bufio.NewReader(nc)
-	ses := &standinSession{s: s, status: 'I', prepared: make(map[string]string)}
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			return
-		}
-		f := strings.Fields(line)
-		s.g.mu.Lock()
-		cost, loses := s.g.cost, s.g.loses
-		s.g.mu.Unlock()
-		writes := f[0] == "QUERY" && (f[2] == "STORE" || f[2] == "COMMIT")
-		if writes {
-			time.Sleep(cost)
-		}
+func (s standinDatabase) Names() (service, id string) { return s.g.name, s.id }
+
+func (s standinDatabase) Occupy(verb platformtest.Verb) {
+	if verb == platformtest.Store || verb == platformtest.Commit {
 		s.g.mu.Lock()
-		answer := ses.handle(f)
+		cost := s.g.cost
 		s.g.mu.Unlock()
-		if writes && loses != nil && loses(f[2]) {
-			return
-		}
-		if _, err := nc.Write([]byte(answer)); err != nil {
-			return
-		}
+		time.Sleep(cost)
 	}
 }
 
+func (s standinDatabase) Answers(verb platformtest.Verb) bool {
+	s.g.mu.Lock()
+	loses := s.g.loses
+	s.g.mu.Unlock()
+	writes := verb == platformtest.Store || verb == platformtest.Commit
+	return !writes || loses == nil || !loses(string(verb))
+}
+
+func (s standinDatabase) Ran(r platformtest.Ran) { s.g.check.Ran(r) }
+
+func (s standinDatabase) Refused(err error) { s.g.check.Refused(s.g.name, err) }
+
+func (s standinDatabase) Position() string {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	return s.position()
+}
+
 func (s *standinServer) position() string {
 	term := 1
 	if n := len(s.log); n > 0 {
@@ -211,120 +248,71 @@
 	return fmt.Sprintf("%d.%d", term, len(s.log))
 }
 
-func (ses *standinSession) ready() string {
-	return fmt.Sprintf("READY %c %s\r\n", ses.status, ses.s.position())
-}
-
-func (ses *standinSession) handle(f []string) string {
-	if f[0] == "STARTUP" {
-		if f[1] != ses.s.g.name || len(f) > 3 && f[3] != ses.s.id {
-			return "ERROR MISROUTED x\r\n"
-		}
-		return ses.ready()
-	}
-	return ses.query(f[2:]) + ses.ready()
+func (s standinDatabase) Contains(position string) bool {
+	var term, n int
+	_, _ = fmt.Sscanf(position, "%d.%d", &term, &n)
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	return len(s.log) >= n
 }
 
-func (ses *standinSession) query(f []string) string {
-	s := ses.s
-	const ok = "COMPLETE 7.1f3\r\n"
-	if f[0] == "AFTER" {
-		var term, n int
-		_, _ = fmt.Sscanf(f[1], "%d.%d", &term, &n)
-		if len(s.log) < n {
-			return "ERROR LAGGING x\r\n"
-		}
-		f = f[2:]
-	}
-	switch f[0] {
-	case "BEGIN":
-		if len(f) == 1 && !s.primary {
-			return "ERROR READONLY x\r\n"
-		}
-		ses.status, ses.writes = 'T', nil
-	case "ROLLBACK", "DISCARD":
-		ses.status, ses.writes = 'I', nil
-	case "COMMIT":
-		ses.status = 'I'
-		return ses.commit()
-	case "PREPARE":
-		ses.prepared[f[1]] = f[2]
-	case "EXECUTE":
-		return ses.query(append([]string{ses.prepared[f[1]]}, f[2:]...))
-	case "FETCH":
-		return ses.fetch(f[1])
-	case "STORE":
-		ses.writes = append(ses.writes, standinCommit{item: f[1], value: f[2]})
-		if ses.status == 'I' {
-			return ses.commit()
-		}
-		return ok
-	case "SET":
-	default:
-		return s.controlStatement(f)
-	}
-	return "COMPLETE -\r\n"
+func (s standinDatabase) IsPrimary() bool {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	return s.primary
 }
 
-func (ses *standinSession) fetch(item string) string {
-	value := "none"
-	for _, c := range append(append([]standinCommit(nil), ses.s.log...), ses.writes...) {
-		if c.item == item {
-			value = c.value
+func (s standinDatabase) Value(item string) string {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	for _, c := range slices.Backward(s.log) {
+		if c.Item == item {
+			return c.Data
 		}
 	}
-	return "DATAROW " + value + "\r\nCOMPLETE 7.1f3\r\n"
+	return "none"
 }
 
-func (ses *standinSession) commit() string {
-	s := ses.s
-	writes := ses.writes
-	ses.writes = nil
-	if len(writes) == 0 {
-		return "COMPLETE 7.1f3\r\n"
-	}
+func (s standinDatabase) Commit(writes []platformtest.Write) (code string, answered bool) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
 	if !s.primary {
-		return "ERROR READONLY x\r\n"
+		return "READONLY", true
 	}
 	received := false
 	for _, o := range s.g.servers {
-		received = received || o != s && !o.down && o.pausedTerm == 0
+		received = received || o != s.standinServer && !o.down && o.pausedTerm == 0
 	}
 	if !received {
-		return "ERROR BUSY x\r\n"
+		return "BUSY", true
 	}
-	for _, c := range writes {
-		c.term = s.term
+	for _, w := range writes {
 		for _, o := range s.g.servers {
-			if o == s || !o.down && o.pausedTerm == 0 {
-				o.log = append(o.log, c)
+			if o == s.standinServer || !o.down && o.pausedTerm == 0 {
+				o.log = append(o.log, standinCommit{s.term, w})
 			}
 		}
 	}
-	return "COMPLETE 7.1f3\r\n"
+	return "", true
 }
 
-func (s *standinServer) controlStatement(f []string) string {
-	term := 0
-	if len(f) > 1 {
-		_, _ = fmt.Sscanf(f[1], "%d", &term)
-	}
-	switch f[0] {
-	case "PAUSE":
+func (s standinDatabase) Control(st platformtest.Statement) string {
+	term, _ := strconv.Atoi(st.Rest)
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	switch st.Verb {
+	case platformtest.Pause:
 		s.pausedTerm = term
-	case "RESUME":
+	case platformtest.Resume:
 		s.pausedTerm = 0
-	case "STEPDOWN":
+	case platformtest.StepDown:
 		s.primary = s.primary && s.term >= term
-	case "STATUS":
-	default:
-		return "ERROR MALFORMED " + f[0] + "\r\n"
 	}
 	role := "replica"
 	if s.primary {
 		role = "primary"
 	}
-	return fmt.Sprintf("DATAROW %s %d %s %d 0 0 1\r\nCOMPLETE -\r\n", role, s.term, s.position(), s.pausedTerm)
+	return fmt.Sprintf("%s %d %s %d 0 0 1", role, s.term, s.position(), s.pausedTerm)
 }
 
 // sendHeartbeats sends the heartbeats of the servers, each round to the next control
--- a/cmd/gentianward-platform/work_test.go
+++ b/cmd/gentianward-platform/work_test.go
@@ -78,7 +78,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		if c == nil {
 			address := w.d.callerAddresses[(session+n)%len(w.d.callerAddresses)]
-			c = &callerSession{t: w.d.t, address: address, database: "payments"}
+			c = w.d.newSession(address, "payments")
 			if answer := c.openSession(); answer != "READY I" {
 				c = nil
 				time.Sleep(5 * time.Millisecond)
@@ -138,7 +138,7 @@
 	for _, s := range w.d.group.servers {
 		if s.primary {
 			for _, c := range s.log {
-				kept[c.item]++
+				kept[c.Item]++
 			}
 		}
 	}
@@ -192,9 +192,9 @@
 
 func (d *deployment) awaitFirstWrite() {
 	d.t.Helper()
-	a := dial(d.t, d.callerAddresses[0], "bookings")
+	a := d.dial(d.callerAddresses[0], "bookings")
 	assert.Equal(d.t, "READY I", a.readAnswer())
-	require.Eventually(d.t, func() bool { return a.query("STORE 1 one") == "COMPLETE 7.1f3,READY I" }, 20*time.Second, 50*time.Millisecond, "the first write")
+	require.Eventually(d.t, func() bool { return a.query("STORE 1 one") == "COMPLETE signature,READY I" }, 20*time.Second, 50*time.Millisecond, "the first write")
 }
 
 // Guards against work of an owner that is only silent for a while which runs again elsewhere, or
@@ -274,7 +274,7 @@
 			assert.Less(t, o.held, lossSlack, "%s was cut off: %s", item, o.answer)
 			for _, s := range d.group.servers {
 				for _, c := range s.log {
-					assert.NotEqual(t, item, c.item, "was run, and its caller cut off: %s", o.answer)
+					assert.NotEqual(t, item, c.Item, "was run, and its caller cut off: %s", o.answer)
 				}
 			}
 		}
--- a/internal/gwsoak/caller.go
+++ b/internal/gwsoak/caller.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"gentianward.example/gentianward/platform/platformtest"
@@ -17,6 +18,12 @@
 	maxPause      = 60 * time.Millisecond
 	// transactionShare is the share of writes in a transaction.
 	transactionShare = 0.3
+	// executeShare is the share of reads and writes by a prepared statement.
+	executeShare = 0.3
+	// changeShare is the share of writes before which a session changes a value and its
+	// prepared statements.
+	changeShare = 0.1
+	callerBits  = 8 // of a seed
 )
 
 // caller runs one session after another. Each uses items of its own and keeps its connection
@@ -29,13 +36,19 @@
 	// everySession means that reads see the writes of earlier sessions too.
 	everySession bool
 	// item is replaced after a write whose outcome is unknown, as it may run later.
-	item       int
-	acked      int // last acknowledged value of item
-	statements int
+	item     string
+	items    int
+	acked    int    // number of the last acknowledged value of item
+	data     string // that value, which begins with its number
+	hostile  *platformtest.Hostile
+	prepared map[platformtest.Verb]string // names of the session
+	ids      int
 }
 
 func newCaller(r *Run, g *platformtest.Group, number int) *caller {
 	c := &caller{r: r, g: g, number: number, database: g.Name(), everySession: true}
+	c.hostile = platformtest.NewHostile(r.o.Seed<<callerBits + uint64(number))
+	c.nextItem()
 	if number%2 == 1 {
 		c.database, c.everySession = g.Name()+"-own", false
 	}
@@ -52,9 +65,9 @@
 }
 
 func (c *caller) session(ctx context.Context, p *process) {
-	s, _, err := platformtest.OpenSession(ctx, p.settings.CallerAddress, c.database, openTimeout)
+	s, _, err := platformtest.OpenSession(ctx, p.settings.CallerAddress, c.database, openTimeout, c.r.check.statements.Session(c.g.Name()))
 	if s == nil || err != nil {
-		c.r.check.count("sessions not opened")
+		c.r.check.count(countNotOpened)
 		return
 	}
 	defer s.Close()
@@ -62,23 +75,64 @@
 	if !c.everySession {
 		c.nextItem()
 	}
-	for ctx.Err() == nil && c.write(ctx, s) && c.read(ctx, s, p) {
+	c.prepared = make(map[platformtest.Verb]string)
+	for ctx.Err() == nil && c.change(ctx, s) && c.write(ctx, s) && c.read(ctx, s, p) {
 		sleep(ctx, time.Duration(rand.Int64N(int64(maxPause))))
 	}
 }
 
-func (c *caller) nextItem() { c.item, c.acked = c.item+1, 0 }
+func (c *caller) nextItem() {
+	c.items++
+	c.item, c.acked = fmt.Sprintf("%d-%d%s", c.number, c.items, c.hostile.Word()), 0
+}
 
 func (c *caller) id() string {
-	c.statements++
-	return fmt.Sprintf("%08x%08x", c.number, c.statements)
+	c.ids++
+	return fmt.Sprintf("%08x%08x", c.number, c.ids)
+}
+
+// change sometimes changes a value and the prepared statements of a session. It returns
+// whether the session can go on.
+func (c *caller) change(ctx context.Context, s *platformtest.Session) bool {
+	if !c.hostile.Chance(changeShare) {
+		return true
+	}
+	statements := []string{"SET " + c.hostile.Word() + " " + c.hostile.Text()}
+	for _, verb := range []platformtest.Verb{platformtest.Fetch, platformtest.Store} {
+		if name, ok := c.prepared[verb]; ok {
+			statements = append(statements, "DEALLOC "+name)
+		}
+		// Names of a session differ.
+		c.prepared[verb] = string(verb) + c.hostile.Word()
+		statements = append(statements, fmt.Sprintf("PREPARE %s %s %s", c.prepared[verb], verb, c.hostile.Text()))
+	}
+	for _, text := range statements {
+		if a, err := s.Do(c.id(), text, callerTimeout); err != nil || a.Code != "" {
+			if ctx.Err() == nil {
+				c.r.check.count(countChanges + outcome(a, err))
+				c.r.check.logf("%.60q is answered %s %.60q %v", text, a.Code, a.Cause, err)
+			}
+			return false
+		}
+	}
+	return true
+}
+
+// statement returns a read or a write, sometimes by a prepared statement.
+func (c *caller) statement(verb platformtest.Verb, rest string) string {
+	if name, ok := c.prepared[verb]; ok && c.hostile.Chance(executeShare) {
+		return "EXECUTE " + name + " " + rest
+	}
+	return string(verb) + " " + rest
 }
 
 // write returns whether the session can go on.
 func (c *caller) write(ctx context.Context, s *platformtest.Session) bool {
 	value := c.acked + 1
-	statement := fmt.Sprintf("STORE %d-%d %d", c.number, c.item, value)
+	statement := c.statement(platformtest.Store, fmt.Sprintf("%s %d,", c.item, value))
 	id := c.id()
+	tail := c.hostile.Data(platformtest.MaxMessage - len("QUERY "+id+" "+statement))
+	statement += tail
 	a, err := platformtest.Answer{}, error(nil)
 	if rand.Float64() < transactionShare {
 		a, id, err = c.transaction(s, statement)
@@ -86,14 +140,14 @@
 		a, err = s.Do(id, statement, callerTimeout)
 	}
 	if a.Signed && err == nil {
-		c.acked = value
+		c.acked, c.data = value, fmt.Sprintf("%d,%s", value, tail)
 		c.r.check.wrote(c.g, id)
 		return true
 	}
 	if ctx.Err() != nil {
 		return false
 	}
-	c.r.check.count("writes: " + outcome(a, err))
+	c.r.check.count(countWrites + outcome(a, err))
 	c.nextItem()
 	return err == nil
 }
@@ -117,18 +171,23 @@
 }
 
 func (c *caller) read(ctx context.Context, s *platformtest.Session, p *process) bool {
-	a, err := s.Do(c.id(), fmt.Sprintf("FETCH %d-%d", c.number, c.item), callerTimeout)
+	a, err := s.Do(c.id(), c.statement(platformtest.Fetch, c.item), callerTimeout)
 	if err != nil || !a.Signed || len(a.Rows) != 1 {
 		if ctx.Err() == nil {
-			c.r.check.count("reads: " + outcome(a, err))
+			c.r.check.count(countReads + outcome(a, err))
 		}
 		return err == nil
 	}
 	c.r.check.count("reads")
-	value, _ := strconv.Atoi(a.Rows[0]) // "none" is 0
-	if value < c.acked {
-		c.r.check.violate(RuleStale, c.g.Name(), "a read of %s at %s returns %d after write %d was acknowledged (database %s)",
-			a.Rows[0], p.settings.Name, value, c.acked, c.database)
+	number, _, _ := strings.Cut(a.Rows[0], ",")
+	value, _ := strconv.Atoi(number) // "none" is 0
+	switch {
+	case value < c.acked:
+		c.r.check.violate(RuleStale, c.g.Name(), "a read of %.60q at %s returns %d after write %d was acknowledged (database %s)",
+			c.item, p.settings.Name, value, c.acked, c.database)
+	case value == c.acked && value > 0 && a.Rows[0] != c.data:
+		c.r.check.brokenStatement(platformtest.RuleMixed, c.g.Name(),
+			fmt.Sprintf("a read of %.60q at %s returns other data than was acknowledged: %.60q", c.item, p.settings.Name, a.Rows[0]))
 	}
 	return true
 }
--- a/internal/gwsoak/checker.go
+++ b/internal/gwsoak/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	RuleRecover Rule = "RECOVER"
 	RuleFault   Rule = "FAULT" // a process ended by itself
 	RuleVote    Rule = "VOTE"  // a newcomer has no vote when the pages let the next disk be lost
+	// RuleAnswer means that a statement was not answered as it must be in a run without faults.
+	// The rules of platformtest.StatementCheck are checked besides.
+	RuleAnswer Rule = "ANSWER"
 )
 
 // Violation is one break of a rule.
@@ -74,13 +78,53 @@
 	// ended. They are no faults, so that the bounds apply at once.
 	suspended int
 	resumed   time.Time
+	// statements compares what servers run with what callers sent.
+	statements *platformtest.StatementCheck
 }
 
+// Counts of statements without success; the outcome follows.
+const (
+	countNotOpened = "sessions not opened"
+	countReads     = "reads: "
+	countWrites    = "writes: "
+	countChanges   = "values and prepared statements: "
+)
+
+// maxOfRule is how many violations of a rule of statements are listed; the others are counted.
+const maxOfRule = 10
+
 func newChecker() *Checker {
-	return &Checker{
+	c := &Checker{
 		acked: make(map[string]map[string]time.Time), fences: make(map[string]platformtest.Call), holders: make(map[uint64]string), calls: make(map[string]map[string]int),
 		promoted: make(map[string]platformtest.Promotion), counts: make(map[string]int), lastWork: make(map[string]time.Time), gaps: make(map[string]time.Duration),
 	}
+	c.statements = platformtest.NewStatementCheck(c.brokenStatement)
+	return c
+}
+
+// brokenStatement records a violation that a statement shows.
+func (c *Checker) brokenStatement(rule, group, detail string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := "violations of " + rule
+	if c.counts[name]++; c.counts[name] <= maxOfRule {
+		c.broken(Rule(rule), group, "%s", detail)
+	}
+}
+
+// failures returns the number of statements of callers without success.
+func (c *Checker) failures() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.counts[countNotOpened]
+	for what, count := range c.counts {
+		for _, prefix := range []string{countReads, countWrites, countChanges} {
+			if strings.HasPrefix(what, prefix) {
+				n += count
+			}
+		}
+	}
+	return n
 }
 
 // logf adds a line to the record.
--- a/internal/gwsoak/operator.go
+++ b/internal/gwsoak/operator.go
@@ -236,7 +236,7 @@
 			continue
 		}
 		due := ok && time.Since(start) > applyLimit
-		s, a, err := platformtest.OpenSession(ctx, p.settings.CallerAddress, mark(acked), probeTimeout)
+		s, a, err := platformtest.OpenSession(ctx, p.settings.CallerAddress, mark(acked), probeTimeout, o.r.check.statements.Session(o.r.groups[0].Name()))
 		switch {
 		case err != nil:
 		case s != nil:
--- a/internal/gwsoak/run.go
+++ b/internal/gwsoak/run.go
@@ -143,6 +143,9 @@
 	}
 	cancel()
 	r.wg.Wait()
+	for _, g := range r.groups {
+		r.check.statements.CheckKept(g.Name(), g.Writes())
+	}
 	return r.report(started), nil
 }
 
@@ -385,7 +388,7 @@
 func (r *Run) startGroups() error {
 	for i := range minGroups + r.rand.IntN(moreGroups) {
 		o := platformtest.GroupOptions{
-			Name: fmt.Sprintf("db%d", i+1), Control: r.controlAddresses, Promoted: r.check.tookEffect, Paused: r.paused,
+			Name: fmt.Sprintf("db%d", i+1), Control: r.controlAddresses, Promoted: r.check.tookEffect, Paused: r.paused, Check: r.check.statements,
 			ReplicationDelay: func(from, to string) time.Duration {
 				if regions[from] == regions[to] {
 					return localDelay
--- a/internal/gwsoak/scenario.go
+++ b/internal/gwsoak/scenario.go
@@ -38,6 +38,7 @@
 		{"slowDisks", "the syncs of all control instances get slower step by step", slowDisks},
 		{"lastDisk", "right after an acknowledgement all instances lose power, also those that do not count, and one control instance its disk", lastDisk},
 		{"longHistory", "after a long history of large configurations one control instance after another is replaced or loses its disk, each as soon as the pages allow it", longHistory},
+		{"hostileData", "no fault; each piece of hostile data at each entry instance, in every field, and every statement must succeed", hostileData},
 	}
 }
 
