--- a/internal/gwcontrol/kinds.go
+++ b/internal/gwcontrol/kinds.go
@@ -6,16 +6,16 @@
 var (
 	kindMember          = gwpeer.Kind{ID: 1, Name: "member", Priority: gwpeer.PriorityControl}
 	kindQuorum          = gwpeer.Kind{ID: 2, Name: "quorum", Priority: gwpeer.PriorityControl}
-	kindPullView        = gwpeer.Kind{ID: 3, Name: "pullView", Priority: gwpeer.PriorityControl}
+	kindPullView        = gwpeer.Kind{ID: 3, Name: "pullView", Priority: gwpeer.PriorityControl, Large: true}
 	kindViewMoved       = gwpeer.Kind{ID: 4, Name: "viewMoved", Priority: gwpeer.PriorityControl}
 	kindDirectory       = gwpeer.Kind{ID: 5, Name: "directory", Priority: gwpeer.PriorityControl}
 	kindLease           = gwpeer.Kind{ID: 7, Name: "lease", Priority: gwpeer.PriorityControl}
 	kindReturnLease     = gwpeer.Kind{ID: 8, Name: "returnLease", Priority: gwpeer.PriorityControl}
-	kindPublish         = gwpeer.Kind{ID: 9, Name: "publish", Priority: gwpeer.PriorityControl}
+	kindPublish         = gwpeer.Kind{ID: 9, Name: "publish", Priority: gwpeer.PriorityControl, Large: true}
 	kindStartGroup      = gwpeer.Kind{ID: 10, Name: "startGroup", Priority: gwpeer.PriorityControl}
 	kindSuspect         = gwpeer.Kind{ID: 11, Name: "suspectPrimary", Priority: gwpeer.PriorityControl}
 	kindHistory         = gwpeer.Kind{ID: 12, Name: "history", Priority: gwpeer.PriorityControl}
-	kindCurrentManifest = gwpeer.Kind{ID: 13, Name: "currentManifest", Priority: gwpeer.PriorityControl}
+	kindCurrentManifest = gwpeer.Kind{ID: 13, Name: "currentManifest", Priority: gwpeer.PriorityControl, Large: true}
 	kindEndEarlierRuns  = gwpeer.Kind{ID: 16, Name: "endEarlierRuns", Priority: gwpeer.PriorityControl}
 	kindContact         = gwpeer.Kind{ID: 15, Name: "contact", Priority: gwpeer.PriorityControl}
 	kindNearbyContact   = gwpeer.Kind{ID: 17, Name: "nearbyContact", Priority: gwpeer.PriorityControl}
--- a/internal/gwpeer/call.go
+++ b/internal/gwpeer/call.go
@@ -19,8 +19,11 @@
 )
 
 const (
-	maxCallFrame  = MaxMessageBytes + binary.MaxVarintLen64
-	maxErrorBytes = 4096 // bound of each field of a wireError
+	maxTimeoutBytes = binary.MaxVarintLen64 // of the timeout before a request
+	maxErrorBytes   = 4096                  // bound of each field of a wireError
+
+	// MaxLargeBytes is the size limit of one request or response of a large kind.
+	MaxLargeBytes = MaxFrameBytes - maxTimeoutBytes
 )
 
 // wireError is the payload of frameError and frameRefused.
@@ -58,14 +61,17 @@
 	buf := getBuf()
 	defer putBuf(buf)
 	buf.Write(binary.AppendUvarint(buf.AvailableBuffer(), timeoutMicros(ctx)))
-	if err := encode(buf, req, MaxMessageBytes); err != nil {
+	if err := encode(buf, req, kind.maxBytes()); err != nil {
 		return newError(op, KindNotSent, address, err)
 	}
 	return n.callPool(kind).Do(ctx, address, func(s *Stream) error {
+		if kind.Large {
+			s.ExpectLargeFrames()
+		}
 		if err := s.WriteFrame(frameRequest, buf.Bytes()); err != nil {
 			return callError(ctx, op, address, err)
 		}
-		typ, payload, err := s.readFrame(maxCallFrame)
+		typ, payload, err := s.readFrame(kind.maxBytes())
 		if err != nil {
 			return callError(ctx, op, address, err)
 		}
@@ -109,8 +115,12 @@
 
 // serveCalls serves the requests of one stream one after the other.
 func (l *link) serveCalls(ctx context.Context, s *Stream, kind uint16) {
+	limit := l.node.handlers.messageLimit(kind)
+	if limit > MaxMessageBytes {
+		s.ExpectLargeFrames()
+	}
 	for {
-		typ, payload, err := s.readFrame(maxCallFrame)
+		typ, payload, err := s.readFrame(limit + maxTimeoutBytes)
 		if err != nil {
 			s.reset(codeCanceled) // includes a frame that exceeds the size limit
 			return
@@ -130,32 +140,33 @@
 
 // serveCall runs the handler of one request and writes the response.
 func (l *link) serveCall(ctx context.Context, s *Stream, kind uint16, micros uint64, payload []byte) error {
+	limit := l.node.handlers.messageLimit(kind)
 	fn, ok := find(&l.node.handlers, l.node.handlers.calls, kind)
 	if !ok {
-		return l.respond(s, frameRefused, wireError{Message: Kind{ID: kind}.String() + " has no handler"})
+		return l.respond(s, limit, frameRefused, wireError{Message: Kind{ID: kind}.String() + " has no handler"})
 	}
 	if err := l.authorize(kind); err != nil {
-		return l.respond(s, frameRefused, wireError{Code: CodeForbidden, Message: err.Error()})
+		return l.respond(s, limit, frameRefused, wireError{Code: CodeForbidden, Message: err.Error()})
 	}
 	ctx, cancel := withTimeoutMicros(ctx, micros)
 	defer cancel()
 	resp, refused, err := fn(ctx, l.instance, payload)
 	switch {
 	case refused:
-		return l.respond(s, frameRefused, wireError{Message: err.Error()})
+		return l.respond(s, limit, frameRefused, wireError{Message: err.Error()})
 	case err != nil:
-		return l.respond(s, frameError, newWireError(err))
+		return l.respond(s, limit, frameError, newWireError(err))
 	default:
-		return l.respond(s, frameResponse, resp)
+		return l.respond(s, limit, frameResponse, resp)
 	}
 }
 
-func (l *link) respond(s *Stream, typ byte, v any) error {
+func (l *link) respond(s *Stream, limit int, typ byte, v any) error {
 	buf := getBuf()
 	defer putBuf(buf)
-	if err := encode(buf, v, MaxMessageBytes); err != nil {
+	if err := encode(buf, v, limit); err != nil {
 		l.node.log.Error("peer response not encoded", "peer", l.instance, "cause", err.Error())
-		return l.respond(s, frameError, wireError{Code: "encode", Message: err.Error()})
+		return l.respond(s, limit, frameError, wireError{Code: "encode", Message: err.Error()})
 	}
 	return s.WriteFrame(typ, buf.Bytes())
 }
--- a/internal/gwpeer/failure_test.go
+++ b/internal/gwpeer/failure_test.go
@@ -37,6 +37,24 @@
 	return v
 }
 
+// Guards against a call of a large kind whose request or response is refused for the size limit of
+// other kinds, and against a kind that has no limit.
+func TestLargeCalls(t *testing.T) {
+	kindLarge := Kind{ID: 98, Name: "large", Large: true}
+	nodes := startNodes(t, "a", "b")
+	Handle(nodes[1], kindLarge, func(_ context.Context, _ string, req echo) (echo, error) { return req, nil })
+	ctx := testContext(t, 20*time.Second)
+	encodedOverhead := 16
+	for _, size := range []int{0, MaxMessageBytes + 1, MaxLargeBytes - encodedOverhead} {
+		text := strings.Repeat("x", size)
+		got, err := Call[echo, echo](ctx, nodes[0], nodes[1].Address(), kindLarge, echo{Text: text})
+		require.NoError(t, err, size)
+		assert.Equal(t, text, got.Text)
+	}
+	_, err := Call[echo, echo](ctx, nodes[0], nodes[1].Address(), kindLarge, echo{Text: strings.Repeat("x", MaxLargeBytes)})
+	assert.Equal(t, KindNotSent, errorKind(t, err))
+}
+
 // Guards against a wrong error kind. A request that did not reach the handler but is
 // reported as unknown cannot be retried; one that reached it but is reported as not
 // sent may run twice.
--- a/internal/gwpeer/handlers.go
+++ b/internal/gwpeer/handlers.go
@@ -22,6 +22,7 @@
 	datagrams    map[uint16]datagramHandler
 	names        map[uint16]string
 	operatorOnly map[uint16]bool
+	maxBytes     map[uint16]int
 }
 
 func newHandlers() handlers {
@@ -32,6 +33,7 @@
 		datagrams:    map[uint16]datagramHandler{},
 		names:        map[uint16]string{},
 		operatorOnly: map[uint16]bool{},
+		maxBytes:     map[uint16]int{},
 	}
 }
 
@@ -48,6 +50,7 @@
 	}
 	h.names[kind.ID] = kind.Name
 	h.operatorOnly[kind.ID] = kind.OperatorOnly
+	h.maxBytes[kind.ID] = kind.maxBytes()
 	m[kind.ID] = f
 }
 
@@ -58,6 +61,16 @@
 	return h.operatorOnly[id]
 }
 
+// messageLimit returns the limit of one request or response of a kind.
+func (h *handlers) messageLimit(id uint16) int {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if limit, ok := h.maxBytes[id]; ok {
+		return limit
+	}
+	return MaxMessageBytes
+}
+
 func find[F any](h *handlers, m map[uint16]F, id uint16) (F, bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
--- a/internal/gwpeer/kind.go
+++ b/internal/gwpeer/kind.go
@@ -39,6 +39,17 @@
 	// OperatorOnly permits the kind to operators and forbids it to instances. All other
 	// kinds are for instances only.
 	OperatorOnly bool
+	// Large permits calls whose request or response has up to MaxLargeBytes instead of
+	// MaxMessageBytes.
+	Large bool
+}
+
+// maxBytes returns the limit of one request or response of the kind.
+func (k Kind) maxBytes() int {
+	if k.Large {
+		return MaxLargeBytes
+	}
+	return MaxMessageBytes
 }
 
 // String returns the name, or a text with the ID if the name is empty.
