gwcontrol, platform: an accepted configuration stays readable

Change: a manifest format may have a second parser for manifests that have been accepted; that of the platform takes the last of two values, as earlier releases did.

Evidence: TestAcceptedConfigurationStaysReadable fails without ParseAccepted (duplicate member name), passes.

--- a/internal/gwcontrol/view.go
+++ b/internal/gwcontrol/view.go
@@ -82,7 +82,7 @@
 	next := *v
 	next.Index = max(v.Index, d.Index)
 	if d.Number > v.Number && len(d.Text) > 0 {
-		m, err := format.parse("accepted manifest", d.Text)
+		m, err := format.parseAccepted("accepted manifest", d.Text)
 		if err != nil {
 			return nil, &Error{Op: "apply view", Kind: BadManifest, Err: err}
 		}
@@ -115,6 +115,9 @@
 type ManifestFormat struct {
 	// Parse parses a manifest; nil selects gwmanifest.ParseManifest.
 	Parse func(name string, text []byte) (*gwmanifest.Manifest, error)
+	// ParseAccepted parses a manifest that has been accepted, possibly by an earlier release that
+	// accepted more than Parse; nil selects Parse.
+	ParseAccepted func(name string, text []byte) (*gwmanifest.Manifest, error)
 	// AnyLater means that a manifest replaces any other with a lower number, and that a
 	// manifest whose number is not greater is acknowledged without effect. Otherwise the
 	// number of a manifest must be the successor of the current one.
@@ -128,6 +131,13 @@
 	return f.Parse(name, text)
 }
 
+func (f ManifestFormat) parseAccepted(name string, text []byte) (*gwmanifest.Manifest, error) {
+	if f.ParseAccepted == nil {
+		return f.parse(name, text)
+	}
+	return f.ParseAccepted(name, text)
+}
+
 // NewViews returns a holder of an empty view, for manifests in the given format.
 func NewViews(f ManifestFormat) *Views {
 	v := &Views{changed: make(chan struct{}), format: f}
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -207,6 +207,7 @@
 func (p Process) Options(telemetry gwdaemon.Telemetry) (gwdaemon.Options, error) {
 	s := p.Settings
 	name := s.IP.String()
+	config := platform.ConfigParser{Regions: s.Regions}
 	authority, err := gwpeer.SharedAuthority("gentianward", []byte(deploymentSecret))
 	if err != nil {
 		return gwdaemon.Options{}, err
@@ -227,7 +228,7 @@
 			OperatorAddress: s.ReadyAddress, Seeds: peerSeeds(s), DataFolder: s.DataFolder, MaxClockDrift: gwmanifest.DefaultMaxClockDrift,
 		},
 		Clock: gwclock.NewBootTime(), Log: p.Log, TLS: keys, Telemetry: telemetry,
-		Format:  gwcontrol.ManifestFormat{Parse: platform.ConfigParser{Regions: s.Regions}.Parse, AnyLater: true},
+		Format:  gwcontrol.ManifestFormat{Parse: config.Parse, ParseAccepted: config.ParseAccepted, AnyLater: true},
 		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}}, ServeCallers: p.serveCallers,
 		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, PeerListenAddress: p.PeerListen, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
