gwstore, gwdaemon: what a voter or an instance saves can be loaded again

Seen, in fuzz tests: a vote, a member or the primary of a group whose name is not UTF-8 is saved and refused when it is loaded: "cbor: invalid UTF-8 string". The voter, or the instance whose saved view has the name, does not start again; an entry of the log would stop every voter.

Cause: the encoder writes any bytes as a text, the decoder takes UTF-8 only, and up to 131,072 pairs of a map. Change: the decoder of files takes what the encoder writes.

Ruled out: the saved directory and the known addresses, whose entries are decoded one by one; manifests that are not UTF-8, which ParseManifest refuses in comments, strings and between values (TestManifestIsUTF8).

--- a/internal/gwdaemon/view.go
+++ b/internal/gwdaemon/view.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return d, err
 	}
-	return d, cbor.Unmarshal(b, &d)
+	return d, gwstore.Decode(b, &d)
 }
 
 // directoryFile holds the directory of an instance with a data folder, so that after a
--- a/internal/gwstore/record.go
+++ b/internal/gwstore/record.go
@@ -27,8 +27,10 @@
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 	decoder = func() cbor.DecMode {
-		// The size of a record bounds its entries; the decoder's default limit is too low.
-		mode, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32}.DecMode()
+		// Whatever was written must be readable again: the decoder's default limits are too low,
+		// and it refuses texts that are not UTF-8, which the encoder writes. The size of a record
+		// bounds its elements.
+		mode, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 		if err != nil {
 			panic(err)
 		}
@@ -66,6 +68,9 @@
 	return append(b, payload...), nil
 }
 
+// Decode decodes what an instance has written to its disk as CBOR.
+func Decode(data []byte, v any) error { return decoder.Unmarshal(data, v) }
+
 func checksum(length, payload []byte) uint32 {
 	return crc32.Update(crc32.Checksum(length, castagnoli), castagnoli, payload)
 }
