gwsession, gwfilter: a token that is issued is accepted again

Seen, in tests: a token with the positions of 87 groups or more, or with a name that is not UTF-8, was issued and then refused as malformed, so that the caller could not open a session with it.

Cause: the limit of a token's length and of its texts was checked where tokens are read only. Change: Issue fails for a longer one, upon which the session reports an empty token: the next session asks the primary for its position. Reporting nothing would leave the caller with an earlier token and let it miss its own write. The decoder of tokens, which are signed, takes every name that was encoded.

Ruled out: names that are not UTF-8 do not come from manifests at present; positions are read as issued.

--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -163,10 +163,13 @@
 		return
 	}
 	s.recordWrite(res.Position)
+	// Without a token the next session asks the primary for its position, while an earlier token
+	// would let it miss this write.
 	token, err := s.entry.Signer.Issue(s.caller, s.state.Watermark(), s.writtenAt)
-	if err == nil {
-		w.ParameterStatus(parameterSession, token)
+	if err != nil {
+		token = ""
 	}
+	w.ParameterStatus(parameterSession, token)
 }
 
 // recordWrite advances the session's watermark after an acknowledged write and clears
--- a/pkg/gwsession/token.go
+++ b/pkg/gwsession/token.go
@@ -4,6 +4,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"fmt"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -38,7 +39,17 @@
 	return &Signer{keys: keys, lifetime: lifetime}
 }
 
-// Issue returns a token that carries w for caller.
+// tokenDecoder decodes what Issue encodes, which includes names that are not UTF-8.
+var tokenDecoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+// Issue returns a token that carries w for caller. It fails for one that Verify would refuse because
+// it is longer than MaxTokenBytes, as with the positions of 87 groups with names of 62 bytes.
 func (s *Signer) Issue(caller string, w Watermark, now time.Time) (string, error) {
 	body := tokenBody{Version: tokenVersion, Caller: caller, Issued: now.Unix(), Positions: w.positions}
 	raw, err := cbor.Marshal(body)
@@ -46,7 +57,11 @@
 		return "", &Error{Op: "issue token", Kind: Malformed, Err: err}
 	}
 	signed := append(sign(s.keys[0], raw), raw...)
-	return base64.RawURLEncoding.EncodeToString(signed), nil
+	token := base64.RawURLEncoding.EncodeToString(signed)
+	if len(token) > MaxTokenBytes {
+		return "", &Error{Op: "issue token", Kind: Malformed, Err: fmt.Errorf("a token of %d bytes, %d are allowed", len(token), MaxTokenBytes)}
+	}
+	return token, nil
 }
 
 // Verify returns the watermark of a token that was issued to caller.
@@ -67,7 +82,7 @@
 		return Watermark{}, &Error{Op: op, Kind: Forged}
 	}
 	var body tokenBody
-	if err := cbor.Unmarshal(raw, &body); err != nil || body.Version != tokenVersion {
+	if err := tokenDecoder.Unmarshal(raw, &body); err != nil || body.Version != tokenVersion {
 		return Watermark{}, &Error{Op: op, Kind: Malformed, Err: err}
 	}
 	if body.Caller != caller {
