gwmember: a member with a text that is not UTF-8 is skipped

Seen, in tests: such a member entered the table and was sent on, and each receiver dropped the update that had it, or the whole message if the name was its target.

Cause: updates are checked for all that others need but this; the strict decoder of messages had hidden it, and is not the only way in (Join, a caller of Receive). Change: the check of updates refuses them, as those with another fault. Names are IP addresses and zones of settings files in UTF-8, so that no deployment is concerned.

Evidence: TestMemberWithoutUTF8IsSkipped and FuzzMessage (second seed) failed before, pass now; tests of gwmember pass.

--- a/pkg/gwmember/message.go
+++ b/pkg/gwmember/message.go
@@ -1,6 +1,9 @@
 package gwmember
 
 import (
+	"slices"
+	"unicode/utf8"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -145,8 +148,8 @@
 // maxIncarnation leaves room for refutations. Incarnations are times in Unix milliseconds.
 const maxIncarnation = 1 << 48
 
-// Check returns an error if the member lacks its instance name, data centre or address, does
-// not fit into a message or has an incarnation that nothing could exceed.
+// Check returns an error if the member lacks its instance name, data centre or address, has a text
+// that others cannot decode, does not fit into a message or has an incarnation that nothing could exceed.
 func (m Member) Check() error { return Update{Member: m}.check() }
 
 func (u Update) check() error {
@@ -155,6 +158,10 @@
 		err := errors.Newf("member %q lacks an instance name, a data centre or an address", m.Instance)
 		return &Error{Op: "check", Kind: ErrorInvalid, Err: err}
 	}
+	if !u.decodable() {
+		err := errors.Newf("member %q has a text that is not UTF-8, which others cannot decode", m.Instance)
+		return &Error{Op: "check", Kind: ErrorInvalid, Err: err}
+	}
 	if m.Incarnation > maxIncarnation {
 		err := errors.Newf("incarnation %d of member %q is above %d", m.Incarnation, m.Instance, uint64(maxIncarnation))
 		return &Error{Op: "check", Kind: ErrorInvalid, Err: err}
@@ -166,6 +173,14 @@
 	return nil
 }
 
+// decodable reports whether all texts of the update are UTF-8.
+func (u Update) decodable() bool {
+	m := u.Member
+	return utf8.ValidString(m.Instance) && utf8.ValidString(m.DataCentre) && utf8.ValidString(m.Region) &&
+		utf8.ValidString(m.Address) && utf8.ValidString(m.OperatorAddress) &&
+		!slices.ContainsFunc(u.Unreachable, func(s string) bool { return !utf8.ValidString(s) })
+}
+
 // size returns an upper bound of the encoded size of an update in bytes.
 func (u Update) size() int {
 	m := u.Member
