gwtelemetry: a long line does not end the search of a log

Seen: a log line of 1 MiB or more ended explain with "token too long"; no line was shown, also not of the other logs. Cause: bufio.Scanner, which stops at such a line. Change: the line is skipped and counted as unreadable.

Evidence: TestExplainSkipsLongLines failed before with "bufio.Scanner: token too long", passes now.

--- a/internal/gwtelemetry/explain.go
+++ b/internal/gwtelemetry/explain.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -12,7 +13,10 @@
 )
 
 // maxLogLine bounds one line of a log, in bytes.
-const maxLogLine = 1 << 20
+const (
+	maxLogLine      = 1 << 20
+	readBufferBytes = 64 << 10
+)
 
 // Line is one line of a log.
 type Line struct {
@@ -57,21 +61,35 @@
 }
 
 // readLines appends the records of a log to all and returns the number of lines that
-// cannot be parsed. A prefix before the first brace, such as a time or a name, is
-// skipped.
+// cannot be parsed, such as one that is longer than maxLogLine. A prefix before the first brace,
+// such as a time or a name, is skipped.
 func readLines(log io.Reader, all *[]map[string]any) (unreadable int, err error) {
-	s := bufio.NewScanner(log)
-	s.Buffer(nil, maxLogLine)
-	for s.Scan() {
-		i := bytes.IndexByte(s.Bytes(), '{')
+	r := bufio.NewReaderSize(log, readBufferBytes)
+	var line []byte
+	for tooLong := false; ; {
+		part, more, err := r.ReadLine()
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			return unreadable, err
+		}
+		tooLong = tooLong || len(line)+len(part) > maxLogLine
+		if !tooLong {
+			line = append(line, part...)
+		}
+		if more {
+			continue
+		}
+		i := bytes.IndexByte(line, '{')
 		var l map[string]any
-		if i < 0 || json.Unmarshal(s.Bytes()[i:], &l) != nil {
+		if tooLong || i < 0 || json.Unmarshal(line[i:], &l) != nil {
 			unreadable++
-			continue
+		} else {
+			*all = append(*all, l)
 		}
-		*all = append(*all, l)
+		line, tooLong = line[:0], false
 	}
-	return unreadable, s.Err()
 }
 
 // precedes reports whether l is about the group of the request that r is about and was
