gwtelemetry: explain prints one line for each log line

Seen: a text of a caller or server with line breaks, such as an error, was printed as lines of its own, which look like those of the log, and sequences that control the terminal were passed on.

Change: texts with other than printable characters are quoted. All others, also with blanks, are printed as before.

Evidence: TestExplainPrintsOneLine failed before (the field "forged" on a line of its own), passes now.

--- a/internal/gwtelemetry/explain.go
+++ b/internal/gwtelemetry/explain.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+	"unicode"
 )
 
 // maxLogLine bounds one line of a log, in bytes.
@@ -23,13 +25,23 @@
 	Time     time.Time
 	Instance string
 	Message  string
-	// Fields are the other attributes in the form name=value, ordered by name.
+	// Fields are the other attributes in the form name=value, ordered by name. Names and values with
+	// other than printable characters are quoted.
 	Fields []string
 }
 
 // String formats the line for people.
 func (l Line) String() string {
-	return fmt.Sprintf("%s %s: %s %s", l.Time.Format("15:04:05.000"), l.Instance, l.Message, strings.Join(l.Fields, " "))
+	return fmt.Sprintf("%s %s: %s %s", l.Time.Format("15:04:05.000"), printable(l.Instance), printable(l.Message), strings.Join(l.Fields, " "))
+}
+
+// printable returns s, quoted if it has other than printable characters, as it may be a text of a
+// caller or server.
+func printable(s string) string {
+	if strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(s)
+	}
+	return s
 }
 
 // Explain returns the log lines about the request with the id, and the lines about its
@@ -116,7 +128,7 @@
 		switch name {
 		case "time", "level", "msg", KeyInstance:
 		default:
-			out.Fields = append(out.Fields, fmt.Sprintf("%s=%v", name, value))
+			out.Fields = append(out.Fields, printable(name)+"="+printable(fmt.Sprint(value)))
 		}
 	}
 	slices.Sort(out.Fields)
--- a/internal/gwtelemetry/longline_test.go
+++ b/internal/gwtelemetry/longline_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -27,3 +28,15 @@
 		assert.Equal(t, 1-long, unreadable, size)
 	}
 }
+
+// Guards against a text of a caller or server that writes lines of its own into the output of
+// explain, or sequences that control the terminal.
+func TestExplainPrintsOneLine(t *testing.T) {
+	log := `{"time":"2026-08-18T23:59:08.8Z","msg":"a\nb","instance":"e\u001b[2J","id":"ba33","error":"x\r\n23:59 forged","group":"é \u2028","no\nname":1,"list":["\n"]}`
+	lines, _, err := Explain("ba33", time.Second, strings.NewReader(log))
+	require.NoError(t, err)
+	require.Len(t, lines, 1)
+	assert.NotContains(t, lines[0].String(), "\n")
+	assert.False(t, strings.ContainsFunc(lines[0].String(), func(r rune) bool { return !unicode.IsPrint(r) }), lines[0].String())
+	assert.Contains(t, lines[0].String(), `error="x\r\n23:59 forged"`)
+}
