gwtrace: a trace that is written can be read, and unchanged

Seen, in tests: bytes that are not UTF-8 were replaced by U+FFFD in a written trace; a line of 1 MiB, another version, operation or protocol was written and then refused by Read, when the trace was to be replayed.

Cause: encoding/json replaces such bytes, and only Read checked lines. Change: Write checks what Read checks, and both use go-json-experiment/json, with the omission of empty fields that encoding/json has.

--- a/internal/gwtrace/trace.go
+++ b/internal/gwtrace/trace.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
 
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	jsonv1 "github.com/go-json-experiment/json/v1"
+
 	"gentianward.example/gentianward/internal/gwmanifest"
 )
 
@@ -136,15 +139,18 @@
 
 // lineEnvelope is the encoding of a line together with its kind.
 type lineEnvelope struct {
-	Kind string          `json:"kind"`
-	Data json.RawMessage `json:"data"`
+	Kind string         `json:"kind"`
+	Data jsontext.Value `json:"data"`
 }
 
-// Write writes the trace as JSON lines.
+// Write writes the trace as JSON lines. It fails for one that Read would refuse or read differently,
+// such as one with a text that is not UTF-8.
 func (t *Trace) Write(w io.Writer) error {
+	if err := t.Header.check(); err != nil {
+		return writeError(1, err)
+	}
 	b := bufio.NewWriter(w)
-	enc := json.NewEncoder(b)
-	if err := enc.Encode(t.Header); err != nil {
+	if err := writeLine(b, 1, t.Header); err != nil {
 		return err
 	}
 	var lines []Line
@@ -157,18 +163,45 @@
 	for _, s := range t.Steps {
 		lines = append(lines, s)
 	}
-	for _, l := range lines {
-		data, err := json.Marshal(l)
+	for i, l := range lines {
+		n := i + 2 // after the header
+		err := validate(l)
 		if err != nil {
-			return err
+			return writeError(n, err)
+		}
+		data, err := encode(l)
+		if err != nil {
+			return writeError(n, err)
 		}
-		if err := enc.Encode(lineEnvelope{Kind: kindOf(l), Data: data}); err != nil {
+		if err := writeLine(b, n, lineEnvelope{Kind: kindOf(l), Data: data}); err != nil {
 			return err
 		}
 	}
 	return b.Flush()
 }
 
+// encode encodes v without the fields that are marked omitempty and zero. Unlike encoding/json, it
+// fails for a text that is not UTF-8 instead of replacing it.
+func encode(v any) ([]byte, error) {
+	return json.Marshal(v, jsonv1.OmitEmptyWithLegacySemantics(true), json.FormatNilSliceAsNull(true))
+}
+
+func writeLine(w io.Writer, n int, v any) error {
+	line, err := encode(v)
+	if err != nil {
+		return writeError(n, err)
+	}
+	if len(line) >= maxLineBytes {
+		return writeError(n, fmt.Errorf("%d bytes, under %d are allowed", len(line), maxLineBytes))
+	}
+	_, err = w.Write(append(line, '\n'))
+	return err
+}
+
+func writeError(line int, err error) error {
+	return &Error{Op: "write trace", Kind: Malformed, Detail: fmt.Sprintf("line %d", line), Err: err}
+}
+
 func kindOf(l Line) string {
 	switch l.(type) {
 	case Session:
@@ -212,8 +245,12 @@
 	if err := json.Unmarshal(b, &t.Header); err != nil {
 		return err
 	}
-	if t.Header.Format != Format || t.Header.Version != Version {
-		return fmt.Errorf("format %q version %d is not %q version %d", t.Header.Format, t.Header.Version, Format, Version)
+	return t.Header.check()
+}
+
+func (h Header) check() error {
+	if h.Format != Format || h.Version != Version {
+		return fmt.Errorf("format %q version %d is not %q version %d", h.Format, h.Version, Format, Version)
 	}
 	return nil
 }
