gwdaemon: operators can publish manifests of over 1 MiB

Seen: a manifest of 2.8 MB, for which 4 MiB are allowed, was not sent: "message of 2797693 bytes exceeds 1048576".

Evidence: TestLargeManifest failed before with that message, passes now at all seven instances.

--- a/internal/gwdaemon/command.go
+++ b/internal/gwdaemon/command.go
@@ -14,7 +14,7 @@
 
 // Kinds of calls that operators make to the peer address, with an operator's certificate.
 var (
-	KindOperatorPublish = gwpeer.Kind{ID: 64, Name: "operatorPublish", OperatorOnly: true}
+	KindOperatorPublish = gwpeer.Kind{ID: 64, Name: "operatorPublish", OperatorOnly: true, Large: true}
 	KindOperatorStatus  = gwpeer.Kind{ID: 65, Name: "operatorStatus", OperatorOnly: true}
 	KindOperatorHistory = gwpeer.Kind{ID: 66, Name: "operatorHistory", OperatorOnly: true}
 	KindOperatorMembers = gwpeer.Kind{ID: 68, Name: "operatorMembers", OperatorOnly: true}
