--- a/internal/gwstate/roundtrip_test.go
+++ b/internal/gwstate/roundtrip_test.go
@@ -1,6 +1,7 @@
 package gwstate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,3 +57,19 @@
 		require.Equal(t, b, again)
 	})
 }
+
+// Guards against a snapshot that is saved and cannot be restored because it has more groups than the
+// decoder takes by default: no voter would start again.
+func TestSnapshotOfManyGroups(t *testing.T) {
+	const groups = 1<<17 + 1
+	s := New(0.01)
+	for i := range groups {
+		name := fmt.Sprintf("g%d", i)
+		s.groups[name] = Group{Name: name, Primary: "p", Term: 1}
+	}
+	b, err := s.Snapshot()
+	require.NoError(t, err)
+	restored := New(0.01)
+	require.NoError(t, restored.Restore(b, start))
+	require.Len(t, restored.Groups(), groups)
+}
--- a/internal/gwstate/snapshot.go
+++ b/internal/gwstate/snapshot.go
@@ -1,6 +1,7 @@
 package gwstate
 
 import (
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,16 @@
 	Leases    []Lease          `cbor:"5,keyasint"`
 }
 
+// snapshotDecoder decodes what Snapshot encodes. The decoder's default limit of elements would refuse a
+// snapshot of 131,073 groups, and no voter would start again; maxDecompressedBytes bounds them.
+var snapshotDecoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // Snapshot returns the encoded and compressed state. Equal states have equal
 // encodings within one build of the program.
 func (s *State) Snapshot() ([]byte, error) {
@@ -42,7 +53,7 @@
 		if err != nil {
 			return wrap("restore snapshot", KindSnapshot, err)
 		}
-		if err := cbor.Unmarshal(b, &snap); err != nil {
+		if err := snapshotDecoder.Unmarshal(b, &snap); err != nil {
 			return wrap("restore snapshot", KindSnapshot, err)
 		}
 	}
