gwmanifest: a service is found by its whole name

Seen, in a test: a route to a service "a/a" beside a service "a" ran its statements at the group of "a", which no configuration had allowed (ROUTE), and every service with a slash in its name could be taken for a group of another.

Cause: the names of services become names of databases, and these share one table with the selectors "database/group" of PostgreSQL callers, in which the last one won. Change: the name of a database goes before a selector. Manifests in the own format are not concerned, as their names have no slashes.

Ruled out: other texts that are split: identities of voters ("instance" and a suffix, by IP address), positions (numbers), query ids and keys.

Evidence: TestServicesAreFoundByTheirWholeNames failed before ("a/a" expected, "a" found), passes now.

--- a/internal/gwmanifest/index.go
+++ b/internal/gwmanifest/index.go
@@ -1,9 +1,6 @@
 package gwmanifest
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
 // Index provides look-ups by name in a manifest with its defaults filled in. It is
 // immutable and safe for concurrent use.
@@ -53,15 +50,19 @@
 	return x
 }
 
+// addGroups adds the groups by their names and selectors. The name of a database goes before a
+// selector "database/group", as names in converted manifests may contain slashes.
 func (x *Index) addGroups() {
 	for _, d := range x.manifest.Databases {
-		for i, g := range d.Groups {
+		for _, g := range d.Groups {
 			ref := GroupRef{Group: g, Database: d.Name}
 			x.groupsBySelector[d.Name+"/"+g.Name] = ref
 			x.groupsByName[g.Name] = ref
-			if i == 0 {
-				x.groupsBySelector[d.Name] = ref
-			}
+		}
+	}
+	for _, d := range x.manifest.Databases {
+		if len(d.Groups) > 0 {
+			x.groupsBySelector[d.Name] = GroupRef{Group: d.Groups[0], Database: d.Name}
 		}
 	}
 }
@@ -81,8 +82,8 @@
 	return c, ok
 }
 
-// Group returns the group that a caller selects with "database/group", or with
-// "database", which selects the first group of the database.
+// Group returns the group that a caller selects with "database", which selects the first group of
+// the database, or else with "database/group".
 func (x *Index) Group(selector string) (GroupRef, bool) {
 	g, ok := x.groupsBySelector[selector]
 	return g, ok
@@ -110,7 +111,6 @@
 // contains the group or its whole database.
 func (c Caller) Allows(g GroupRef) bool {
 	return slices.ContainsFunc(c.Databases, func(s string) bool {
-		database, group, single := strings.Cut(s, "/")
-		return database == g.Database && (!single || group == g.Name)
+		return s == g.Database || s == g.Database+"/"+g.Name
 	})
 }
