gwwire: one lexer judges statements; bounds on what a session keeps

What callers would see: a Flush after BEGIN<LF>ISOLATION LEVEL ..., after a comment and BEGIN, or after ROLLBACK TO in a transaction is refused with 0A000 after 2 s. DEALLOCATE<TAB>a, DEALLOCATE PREPARE a and quoted names with "" leave the statement, and DEALLOCATE B drops "B", which PostgreSQL reads as b. A Bind, Describe or Close that the server can't read goes to the server, which may close its connection for it: the request's outcome is unknown and the server counts as broken. Two statements whose hashes are equal run as one in a batch. A session can keep 1,000 statements and 1,000 portals of 16 MiB each, and a batch with long statements fits no frame between instances, so that it works at the owner of the server only.

Cause: statements are cut at a blank; the messages' bodies are not checked to their end; statements of a batch are compared by name only; the limits are of numbers, not of bytes.

Change: gwsql finds the words. Bind, Describe and Close are checked to the end and refused with 08P01. A batch with two different statements of one name is refused. Limits.StatementBytes (16 MiB) bounds the names and texts of a session, and 15 MiB + 64 KiB a batch with the statements that it uses; beyond, the session ends with 54000. Request.SQL is the first statement of a batch and Several says that there are others: joined with ";", a statement that ends in a comment hides the next one from a lexer. DEALLOCATE ALL is answered with that tag.

Ruled out: a name with a longer hash, which is of gwbackend's request.go and in use by the other protocol; a check of Equal covers both.

--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -56,6 +56,9 @@
 // Handle runs one request of the caller and writes its answer.
 func (s *session) Handle(ctx context.Context, req gwwire.Request, w gwwire.ResponseWriter) error {
 	kind := classify(req.SQL)
+	if req.Several {
+		kind = stmtWrite
+	}
 	if s.transaction != nil {
 		s.runRequest(ctx, s.newRequest(req, w, kind), req, w)
 		return nil
--- a/internal/gwwire/batch.go
+++ b/internal/gwwire/batch.go
@@ -3,15 +3,20 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwsql"
 )
 
+// maxRequestBytes limits the messages of a batch together with the statements that it uses
+// without parsing them. It fits a frame between instances, which has 16 MiB, with the
+// largest configured messages (15 MiB) and some small statements.
+const maxRequestBytes = 15<<20 + 64<<10
+
 // batch accumulates the messages of an extended-protocol request, with the caller's
 // statement names replaced by global names.
 type batch struct {
@@ -23,6 +28,9 @@
 	messages        int
 	statementCloses int // Close messages of statements
 	portalMessages  int // Bind and Execute, and Describe and Close of a portal
+	preparedBytes   int // size of prepared
+	first           *statement
+	others          map[string]*statement // by global name, without first; nil if there are none
 }
 
 func (b *batch) empty() bool { return b.messages == 0 }
@@ -34,7 +42,8 @@
 	clear(b.executed)
 	clear(b.described)
 	b.prepared, b.executed, b.described = b.prepared[:0], b.executed[:0], b.described[:0]
-	b.messages, b.statementCloses, b.portalMessages = 0, 0, 0
+	b.messages, b.statementCloses, b.portalMessages, b.preparedBytes = 0, 0, 0, 0
+	b.first, b.others = nil, nil
 }
 
 func (b *batch) release() {
@@ -62,18 +71,40 @@
 	binary.BigEndian.PutUint32(b.buf[at+1:], uint32(len(b.buf)-at-1))
 }
 
+// use records that the batch parses or uses st, and reports whether st is the first
+// statement of its global name in the batch. It returns an error if the batch uses
+// another statement of that name, for which the server would take the later one: a
+// caller can construct SQL whose hash equals that of other SQL.
+func (b *batch) use(st *statement) (added bool, err error) {
+	known := b.others[st.Name]
+	switch {
+	case b.first == nil:
+		b.first = st
+		return true, nil
+	case b.first.Name == st.Name:
+		known = b.first
+	case known == nil:
+		if b.others == nil {
+			b.others = make(map[string]*statement)
+		}
+		b.others[st.Name] = st
+		return true, nil
+	}
+	if !known.Equal(st.PreparedStatement) {
+		return false, newError("add statement", KindInput, codeFeatureUnsupported, errors.New("two statements of a batch have the same hash"))
+	}
+	return false, nil
+}
+
 // require records that st must be prepared on the backend server before the batch
 // runs, unless the batch itself parses it.
-func (b *batch) require(st *statement) {
-	if st.parsedInBatch {
-		return
+func (b *batch) require(st *statement) error {
+	added, err := b.use(st)
+	if added {
+		b.prepared = append(b.prepared, st.PreparedStatement)
+		b.preparedBytes += st.size(st.Name)
 	}
-	for i := range b.prepared {
-		if b.prepared[i].Name == st.Name {
-			return
-		}
-	}
-	b.prepared = append(b.prepared, st.PreparedStatement)
+	return err
 }
 
 // request terminates the accumulated messages with a Sync and returns them as a
@@ -85,10 +116,14 @@
 	if len(list) == 0 {
 		list = b.described
 	}
-	return Request{
-		Kind: Extended, SQL: joinSQL(list), Executes: len(b.executed) > 0,
+	req := Request{
+		Kind: Extended, Executes: len(b.executed) > 0, Several: len(list) > 1,
 		Messages: b.buf, Prepared: b.prepared,
 	}
+	if len(list) > 0 {
+		req.SQL = list[0].SQL
+	}
+	return req
 }
 
 // opensTransaction reports whether all statements that the batch executes belong to
@@ -96,13 +131,12 @@
 func (b *batch) opensTransaction() bool {
 	open := false
 	for _, st := range b.executed {
-		word, _, _ := strings.Cut(strings.TrimSpace(st.SQL), " ")
-		switch strings.ToLower(strings.TrimSuffix(word, ";")) {
-		case "begin", "start":
+		switch transactionCommand(st.SQL) {
+		case beginsTransaction:
 			open = true
-		case "commit", "end", "rollback", "abort", "prepare":
+		case endsTransaction:
 			open = false
-		default:
+		case inTransaction:
 			if !open {
 				return false
 			}
@@ -111,18 +145,44 @@
 	return open
 }
 
-func joinSQL(list []*statement) string {
-	switch len(list) {
-	case 0:
-		return ""
-	case 1:
-		return list[0].SQL
+// Effects of a statement on the transaction block.
+const (
+	inTransaction = iota // none
+	beginsTransaction
+	endsTransaction
+)
+
+// transactionCommand returns the effect of a statement on the transaction block.
+func transactionCommand(sql string) int {
+	l := gwsql.NewLexer(sql)
+	word := l.First()
+	switch word.Lower() {
+	case "begin", "start":
+		return beginsTransaction
+	case "commit", "end", "rollback", "abort":
+		return endOfTransaction(&l)
+	case "prepare":
+		if l.Next().Is("transaction") {
+			return endsTransaction
+		}
 	}
-	parts := make([]string, len(list))
-	for i, st := range list {
-		parts[i] = st.SQL
+	return inTransaction
+}
+
+// endOfTransaction returns the effect of COMMIT or ROLLBACK, of which l has returned the
+// first word: with TO it ends no transaction, and with AND CHAIN it begins the next one.
+func endOfTransaction(l *gwsql.Lexer) int {
+	previous := gwsql.Token{}
+	for t := l.Next(); t.Kind != gwsql.End; t = l.Next() {
+		switch {
+		case t.Is("to"):
+			return inTransaction
+		case previous.Is("and") && t.Is("chain"):
+			return beginsTransaction
+		}
+		previous = t
 	}
-	return strings.Join(parts, ";")
+	return endsTransaction
 }
 
 // addMessage validates one extended-protocol message and adds it to the batch.
@@ -138,7 +198,7 @@
 	case 'B':
 		ok, err = c.addBind(body)
 	case 'D':
-		ok = c.addDescribe(body)
+		ok, err = c.addDescribe(body)
 	case 'E':
 		ok = c.addExecute(frame, body)
 	case 'C':
@@ -146,9 +206,12 @@
 	default:
 		return newError("read message", KindInput, codeProtocolViolation, errors.Newf("invalid message type %q", frame[0]))
 	}
-	if !ok {
+	if err == nil && !ok {
 		return malformed(frame[0])
 	}
+	if err == nil && c.batch.preparedBytes > 0 && len(c.batch.buf)+c.batch.preparedBytes > maxRequestBytes {
+		return newError("parse batch", KindInput, codeLimitExceeded, errors.Newf("one batch and the statements that it uses exceed %d bytes", maxRequestBytes))
+	}
 	return err
 }
 
@@ -165,11 +228,14 @@
 	if !ok1 || !ok2 || len(oids) < 2 || len(oids) != 2+4*int(binary.BigEndian.Uint16(oids)) {
 		return malformed('P')
 	}
-	st, err := c.statements.parse(name, sql, oids[2:], c.srv.limits.Load().Statements)
+	st, err := c.statements.parse(name, sql, oids[2:], c.srv.limits.Load())
 	if err != nil {
 		return err
 	}
 	b := &c.batch
+	if _, err := b.use(st); err != nil {
+		return err
+	}
 	at := b.beginMessage('P')
 	b.buf = append(append(b.buf, st.Name...), 0)
 	b.buf = append(append(b.buf, sql...), 0)
@@ -182,57 +248,100 @@
 // appendStatementName appends the global name of the caller's statement to the batch. An
 // unknown name is replaced by one that no backend server knows, so that the server fails
 // the batch at this message.
-func (c *conn) appendStatementName(name []byte) *statement {
-	st := c.statements.find(name)
+func (c *conn) appendStatementName(name []byte) (st *statement, err error) {
+	st = c.statements.find(name)
 	if st == nil {
 		c.batch.buf = append(c.batch.buf, gwbackend.MissingStatement...)
 	} else {
 		c.batch.buf = append(c.batch.buf, st.Name...)
-		c.batch.require(st)
+		err = c.batch.require(st)
 	}
 	c.batch.buf = append(c.batch.buf, 0)
-	return st
+	return st, err
 }
 
 func (c *conn) addBind(body []byte) (ok bool, err error) {
 	portal, rest, ok1 := cutString(body)
 	name, rest, ok2 := cutString(rest)
-	if !ok1 || !ok2 {
+	if !ok1 || !ok2 || !validParameters(rest) {
 		return false, nil
 	}
 	b := &c.batch
 	at := b.beginMessage('B')
 	b.buf = append(append(b.buf, portal...), 0)
-	st := c.appendStatementName(name)
+	st, err := c.appendStatementName(name)
 	b.buf = append(b.buf, rest...)
 	b.endMessage(at)
 	b.portalMessages++
-	if limit := c.srv.limits.Load().Statements; !c.statements.setPortal(portal, st, limit) {
-		return true, newError("bind portal", KindInput, codeLimitExceeded, errors.Newf("more than %d named portals", limit))
+	if err != nil {
+		return true, err
 	}
-	return true, nil
+	return true, c.statements.setPortal(portal, st, c.srv.limits.Load())
 }
 
-func (c *conn) addDescribe(body []byte) bool {
-	if len(body) < 2 || body[len(body)-1] != 0 {
+// validParameters reports whether b is what follows the names in a Bind message: format
+// codes, values, and format codes of the result. A server that can't read the message
+// may close its connection, and would then be taken for broken.
+func validParameters(b []byte) bool {
+	b, ok := skipFormats(b)
+	if !ok || len(b) < 2 {
 		return false
 	}
+	count := int(binary.BigEndian.Uint16(b))
+	b = b[2:]
+	for range count {
+		if len(b) < 4 {
+			return false
+		}
+		n := max(0, int64(int32(binary.BigEndian.Uint32(b))))
+		if int32(binary.BigEndian.Uint32(b)) < -1 || int64(len(b)-4) < n {
+			return false
+		}
+		b = b[4+n:]
+	}
+	b, ok = skipFormats(b)
+	return ok && len(b) == 0
+}
+
+// skipFormats skips a list of format codes.
+func skipFormats(b []byte) (rest []byte, ok bool) {
+	if len(b) < 2 {
+		return nil, false
+	}
+	n := 2 + 2*int(binary.BigEndian.Uint16(b))
+	if len(b) < n {
+		return nil, false
+	}
+	return b[n:], true
+}
+
+// cutObject returns the type and the name in the body of a Describe or Close message.
+func cutObject(body []byte) (typ byte, name []byte, ok bool) {
+	if len(body) < 2 || bytes.IndexByte(body[1:], 0) != len(body)-2 {
+		return 0, nil, false
+	}
+	return body[0], body[1 : len(body)-1], true
+}
+
+func (c *conn) addDescribe(body []byte) (ok bool, err error) {
+	typ, name, ok := cutObject(body)
+	if !ok || typ != 'S' && typ != 'P' {
+		return false, nil
+	}
 	b := &c.batch
 	at := b.beginMessage('D')
-	b.buf = append(b.buf, body[0])
-	switch body[0] {
-	case 'S':
-		if st := c.appendStatementName(body[1 : len(body)-1]); st != nil {
+	b.buf = append(b.buf, typ)
+	if typ == 'S' {
+		var st *statement
+		if st, err = c.appendStatementName(name); st != nil {
 			b.described = append(b.described, st)
 		}
-	case 'P':
+	} else {
 		b.buf = append(b.buf, body[1:]...)
 		b.portalMessages++
-	default:
-		return false
 	}
 	b.endMessage(at)
-	return true
+	return true, err
 }
 
 func (c *conn) addExecute(frame, body []byte) bool {
@@ -250,23 +359,21 @@
 }
 
 func (c *conn) addClose(body []byte) bool {
-	if len(body) < 2 || body[len(body)-1] != 0 {
+	typ, name, ok := cutObject(body)
+	if !ok || typ != 'S' && typ != 'P' {
 		return false
 	}
 	b := &c.batch
 	at := b.beginMessage('C')
-	b.buf = append(b.buf, body[0])
-	switch body[0] {
-	case 'S':
-		c.statements.closeStatement(body[1 : len(body)-1])
+	b.buf = append(b.buf, typ)
+	if typ == 'S' {
+		c.statements.closeStatement(name)
 		b.buf = append(append(b.buf, gwbackend.MissingStatement...), 0)
 		b.statementCloses++
-	case 'P':
-		c.statements.closePortal(body[1 : len(body)-1])
+	} else {
+		c.statements.closePortal(name)
 		b.buf = append(b.buf, body[1:]...)
 		b.portalMessages++
-	default:
-		return false
 	}
 	b.endMessage(at)
 	return true
@@ -331,11 +438,11 @@
 	}
 	sql := string(body[:len(body)-1])
 	req := Request{Kind: Simple, SQL: sql, Executes: true, Messages: frame}
-	if c.statements.deallocate(sql) {
+	if tag := c.statements.deallocate(sql); tag != "" {
 		w := &c.out
 		w.timeout = c.srv.limits.Load().WriteTimeout
 		w.reset()
-		w.Complete(req, "DEALLOCATE", c.txStatus)
+		w.Complete(req, tag, c.txStatus)
 		return c.finish(true)
 	}
 	return c.handle(req, true)
--- a/internal/gwwire/options.go
+++ b/internal/gwwire/options.go
@@ -59,10 +59,13 @@
 // Request is one request of a caller.
 type Request struct {
 	Kind RequestKind
-	// SQL is the text of a simple query, or the statements that a batch executes,
-	// joined by ";". For a batch that executes none, it is the statements that the
-	// batch parses or describes.
+	// SQL is the text of a simple query, or the first statement that a batch executes.
+	// For a batch that executes none, it is the first one that the batch parses or
+	// describes.
 	SQL string
+	// Several is true for a batch that executes other statements after SQL, or that
+	// executes none and parses or describes others.
+	Several bool
 	// Executes is false for a batch that executes no statement.
 	Executes bool
 	// Messages are the encoded frontend messages, with global statement names.
@@ -118,6 +121,7 @@
 	Handshake        time.Duration // from accept to the end of authentication; default 10 s
 	MessageBytes     int           // size of one message and of one batch; default 16 MiB
 	Statements       int           // named prepared statements, and named portals, per session; default 1,000
+	StatementBytes   int           // size of the named prepared statements and portals of a session; default 16 MiB
 	IdleTransaction  time.Duration // wait for the next message inside a transaction; 0: unlimited
 	WriteTimeout     time.Duration // for one write to the caller; default 30 s
 	CancelForwarding time.Duration // for forwarding one cancel request; default 5 s
@@ -128,6 +132,7 @@
 	l.Handshake = orDefault(l.Handshake, 10*time.Second)
 	l.MessageBytes = orDefault(l.MessageBytes, 16<<20)
 	l.Statements = orDefault(l.Statements, 1000)
+	l.StatementBytes = orDefault(l.StatementBytes, 16<<20)
 	l.WriteTimeout = orDefault(l.WriteTimeout, 30*time.Second)
 	l.CancelForwarding = orDefault(l.CancelForwarding, 5*time.Second)
 	return l
--- a/internal/gwwire/statements.go
+++ b/internal/gwwire/statements.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding/binary"
-	"strings"
 	"unique"
 
 	"github.com/cockroachdb/errors"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwsql"
 )
 
 // statement is a prepared statement of a session.
@@ -30,6 +30,14 @@
 	return true
 }
 
+// size returns the number of bytes that a session keeps for st under the name.
+func (st *statement) size(name string) int {
+	if st == nil {
+		return 0
+	}
+	return len(name) + len(st.SQL) + 4*len(st.ParameterOIDs)
+}
+
 // definition records the change of a statement name by a Parse of the current batch.
 type definition struct {
 	name              string
@@ -43,6 +51,7 @@
 	unnamedPortal *statement
 	portals       map[string]*statement
 	defined       []definition // by the current batch, one per Parse
+	bytes         int          // sum of the sizes of the named statements and portals
 }
 
 func (s *statements) find(name []byte) *statement {
@@ -53,6 +62,9 @@
 }
 
 func (s *statements) set(name string, st *statement) {
+	if name != "" {
+		s.bytes += st.size(name) - s.named[name].size(name)
+	}
 	switch {
 	case name == "":
 		s.unnamed = st
@@ -68,10 +80,13 @@
 
 // parse assigns a statement to name. PostgreSQL rejects a name that is already in use;
 // here the new statement replaces the old one.
-func (s *statements) parse(name, sql, oids []byte, limit int) (*statement, error) {
+func (s *statements) parse(name, sql, oids []byte, limits *Limits) (*statement, error) {
 	previous := s.find(name)
-	if previous == nil && len(s.named) >= limit {
-		return nil, newError("parse statement", KindInput, codeLimitExceeded, errors.Newf("more than %d prepared statements", limit))
+	if previous == nil && len(s.named) >= limits.Statements {
+		return nil, newError("parse statement", KindInput, codeLimitExceeded, errors.Newf("more than %d prepared statements", limits.Statements))
+	}
+	if len(name) > 0 && s.bytes-previous.size(string(name))+len(name)+len(sql)+len(oids) > limits.StatementBytes {
+		return nil, newError("parse statement", KindInput, codeLimitExceeded, errors.Newf("prepared statements of more than %d bytes", limits.StatementBytes))
 	}
 	st := previous
 	if !previous.matches(sql, oids) {
@@ -114,33 +129,37 @@
 	s.defined = s.defined[:0]
 	if idle {
 		s.unnamedPortal = nil
-		clear(s.portals)
+		for name := range s.portals {
+			s.closePortal([]byte(name))
+		}
 	}
 }
 
 func (s *statements) closeStatement(name []byte) {
-	if len(name) == 0 {
-		s.unnamed = nil
-		return
-	}
-	delete(s.named, string(name))
+	s.set(string(name), nil)
 }
 
-// setPortal records the statement that a portal executes. It returns false if the session
-// has reached the limit of named portals.
-func (s *statements) setPortal(name []byte, st *statement, limit int) bool {
+// setPortal records the statement that a portal executes. It returns an error if the
+// session has reached the limit of named portals or of bytes.
+func (s *statements) setPortal(name []byte, st *statement, limits *Limits) error {
 	if len(name) == 0 {
 		s.unnamedPortal = st
-		return true
+		return nil
 	}
-	if len(s.portals) >= limit {
-		return false
+	if len(s.portals) >= limits.Statements {
+		return newError("bind portal", KindInput, codeLimitExceeded, errors.Newf("more than %d named portals", limits.Statements))
+	}
+	s.closePortal(name)
+	key := string(name)
+	if s.bytes+len(key)+st.size(key) > limits.StatementBytes {
+		return newError("bind portal", KindInput, codeLimitExceeded, errors.Newf("prepared statements and portals of more than %d bytes", limits.StatementBytes))
 	}
 	if s.portals == nil {
 		s.portals = make(map[string]*statement)
 	}
-	s.portals[string(name)] = st
-	return true
+	s.portals[key] = st
+	s.bytes += len(key) + st.size(key)
+	return nil
 }
 
 func (s *statements) closePortal(name []byte) {
@@ -148,7 +167,11 @@
 		s.unnamedPortal = nil
 		return
 	}
-	delete(s.portals, string(name))
+	if st, ok := s.portals[string(name)]; ok {
+		key := string(name)
+		s.bytes -= len(key) + st.size(key)
+		delete(s.portals, key)
+	}
 }
 
 func (s *statements) portal(name []byte) *statement {
@@ -158,24 +181,30 @@
 	return s.portals[string(name)]
 }
 
-// deallocate executes a DEALLOCATE of a statement that was prepared by a Parse message, or
-// of all of these. It returns false for any other SQL.
-func (s *statements) deallocate(sql string) bool {
-	const keyword = "deallocate "
-	if len(sql) <= len(keyword) || !strings.EqualFold(sql[:len(keyword)], keyword) {
-		return false
-	}
-	name := strings.TrimSpace(strings.TrimRight(sql[len(keyword):], "; \t\n"))
-	if strings.EqualFold(name, "all") {
-		clear(s.named)
-		return true
+// deallocate executes DEALLOCATE [PREPARE] of a statement that was prepared by a Parse
+// message, or of all of these, and returns the command tag. It returns "" for any other
+// SQL.
+func (s *statements) deallocate(sql string) (tag string) {
+	l := gwsql.NewLexer(sql)
+	if !l.First().Is("deallocate") {
+		return ""
 	}
-	if n := len(name); n > 2 && name[0] == '"' && name[n-1] == '"' {
-		name = name[1 : n-1]
+	object := l.Next()
+	if object.Is("prepare") {
+		object = l.Next()
 	}
-	if _, ok := s.named[name]; !ok {
-		return false
+	name, ok := object.Name()
+	switch {
+	case !ok || !l.AtEnd():
+		return ""
+	case object.Is("all"):
+		for name := range s.named {
+			s.set(name, nil)
+		}
+		return "DEALLOCATE ALL"
+	case s.named[name] == nil:
+		return ""
 	}
-	delete(s.named, name)
-	return true
+	s.set(name, nil)
+	return "DEALLOCATE"
 }
