gwfilter: statements are classified by their tokens

What callers would see: WITH ... INSERT, EXPLAIN ANALYZE INSERT, SELECT INTO, FOR<LF>UPDATE and nextval ('s') are reads: when the answer of one is lost it runs again at another server, and its request key is not used. A comment that ends in a carriage return hides the statement after it, which is then answered as empty without a run; COMMIT PREPARED and ROLLBACK PREPARED are answered without a run, too. BEGIN /* read only */ runs at a replica and fails there with its first write. SET loses its value to a comment, a form feed or a string of two parts; one with other statements, or one that the parser did not understand, goes to the server, which accepts a session token or a request key in place of the entry. SET takes effect when it is only parsed. BEGIN with a request key is committed at once, so that what follows is in no transaction. A request key outlives DISCARD ALL, with which a connection pool hands the session to the next user, whose write runs under it and is answered as done without a run if the key was used before.

Cause: string functions in place of tokens; what is not understood is taken for harmless.

Change: classify and parseSet use gwsql. What shows a write makes a read a write. A SET that is not understood is refused, as is a SET of the entry's own parameters with other statements, and a request key with BEGIN or COMMIT. DISCARD ALL and RESET drop the key. Command tags are those of the server. SET TIME ZONE is SET timezone.

Ruled out: more keywords for reads. A read that is taken for a write is harmless: it runs at the primary. Only a read-only class gets an error for one, if a column has the name of a keyword (update, create) and no qualifier.

--- a/internal/gwfilter/classify.go
+++ b/internal/gwfilter/classify.go
@@ -1,6 +1,10 @@
 package gwfilter
 
-import "strings"
+import (
+	"strings"
+
+	"gentianward.example/gentianward/internal/gwsql"
+)
 
 // stmtKind is the kind of a request, as determined from its text without a parser.
 type stmtKind int
@@ -39,69 +43,86 @@
 // classify returns the kind of the request whose text is sql.
 //
 // A request with a statement after the first is a write, because separating the
-// statements would need a parser.
+// statements would need a parser, as is text that ends inside a comment or a string: the
+// server answers it with an error.
 func classify(sql string) stmtKind {
-	rest := skipSpace(sql)
-	if rest == "" {
-		return stmtEmpty
-	}
-	if i := strings.IndexByte(rest, ';'); i >= 0 && skipSpace(strings.TrimLeft(rest[i:], "; \t\r\n")) != "" {
-		return stmtWrite
+	l := gwsql.NewLexer(sql)
+	word := l.First()
+	nested := word.IsSymbol('(')
+	for word.IsSymbol('(') {
+		word = l.Next()
 	}
-	word := leadingWord(rest)
-	kind, ok := keywords[word]
-	if !ok {
-		return stmtWrite
-	}
-	if kind == stmtBegin && isReadOnly(rest) {
-		return stmtBeginReadOnly
+	if word.Kind == gwsql.End && !nested {
+		return stmtEmpty
 	}
-	if kind == stmtRead && locksRows(rest) {
+	kind, ok := keywords[word.Lower()]
+	if !ok || word.Kind != gwsql.Word || nested && kind != stmtRead {
 		return stmtWrite
 	}
-	return kind
-}
-
-// skipSpace removes leading white space, parentheses, empty statements and comments.
-func skipSpace(s string) string {
-	for {
-		s = strings.TrimLeft(s, " \t\r\n;(")
+	for previous := word; kind != stmtWrite; {
+		t := l.Next()
 		switch {
-		case strings.HasPrefix(s, "--"):
-			_, after, ok := strings.Cut(s, "\n")
-			if !ok {
-				return ""
-			}
-			s = after
-		case strings.HasPrefix(s, "/*"):
-			_, after, ok := strings.Cut(s, "*/")
-			if !ok {
-				return ""
-			}
-			s = after
-		default:
-			return s
+		case t.Kind == gwsql.Invalid || t.IsSymbol(';') && !l.AtEnd():
+			return stmtWrite
+		case t.Kind == gwsql.End || t.IsSymbol(';'):
+			return kind
 		}
+		kind = refine(kind, previous, t)
+		previous = t
 	}
+	return kind
 }
 
-func leadingWord(s string) string {
-	n := 0
-	for n < len(s) && (s[n]|0x20 >= 'a' && s[n]|0x20 <= 'z') {
-		n++
+// refine returns the kind of a statement so far of the kind, whose latest tokens are
+// previous and t.
+func refine(kind stmtKind, previous, t gwsql.Token) stmtKind {
+	switch {
+	case kind == stmtRead && writes(previous, t):
+		return stmtWrite
+	case kind == stmtBegin && previous.Is("read") && t.Is("only"):
+		return stmtBeginReadOnly
+	case kind == stmtEnd && t.Is("prepared"):
+		return stmtWrite // ends a prepared transaction, whether or not one is open here
 	}
-	return strings.ToLower(s[:n])
+	return kind
 }
 
-func isReadOnly(s string) bool {
-	return strings.Contains(strings.ToLower(strings.Join(strings.Fields(s), " ")), "read only")
+// writes reports whether two tokens of a statement that begins like a read show that it
+// changes data, locks rows or takes a value of a sequence. A column that has the name of a
+// keyword makes some reads writes, which run at the primary. A function that writes and is
+// not known here does not show.
+func writes(previous, t gwsql.Token) bool {
+	if t.IsSymbol('(') {
+		name, _ := previous.Name()
+		return name == "nextval" || name == "setval"
+	}
+	if t.Kind != gwsql.Word || previous.IsSymbol('.') {
+		return false
+	}
+	switch t.Lower() {
+	case "into", "update", "create": // into: of SELECT, INSERT and MERGE; update: also FOR UPDATE
+		return true
+	case "from":
+		return previous.Is("delete")
+	case "share":
+		return previous.Is("for") || previous.Is("key")
+	}
+	return false
 }
 
-// locksRows reports whether a SELECT locks rows or calls nextval, which replicas refuse.
-func locksRows(s string) bool {
-	lower := strings.ToLower(s)
-	return strings.Contains(lower, " for update") || strings.Contains(lower, " for share") ||
-		strings.Contains(lower, " for no key update") || strings.Contains(lower, "nextval(")
+// controlsTransaction reports whether a statement of the text begins or ends a transaction.
+func controlsTransaction(sql string) bool {
+	l := gwsql.NewLexer(sql)
+	for first, t := true, l.Next(); t.Kind != gwsql.End; t = l.Next() {
+		if first && t.Kind == gwsql.Word {
+			switch keywords[t.Lower()] {
+			case stmtBegin, stmtEnd:
+				return true
+			}
+		}
+		first = t.IsSymbol(';')
+	}
+	return false
 }
 
 // assignment is the parameter assignment of a SET statement.
@@ -110,36 +131,60 @@
 	local       bool
 }
 
-// parseSet parses SET [SESSION|LOCAL] name {=|TO} value.
+// parseSet parses a text that consists of SET [SESSION|LOCAL] name {=|TO} value, or of
+// SET [SESSION|LOCAL] TIME ZONE value. The value is one string constant in single quotes,
+// or other tokens, which are returned with a space between them.
 func parseSet(sql string) (assignment, bool) {
-	rest := strings.TrimRight(skipSpace(sql), "; \t\r\n")
-	if len(rest) < 4 || !strings.EqualFold(rest[:3], "set") {
+	l := gwsql.NewLexer(sql)
+	if !l.First().Is("set") {
 		return assignment{}, false
 	}
-	rest = strings.TrimSpace(rest[3:])
 	var s assignment
-	for _, scope := range []string{"session ", "local "} {
-		if len(rest) > len(scope) && strings.EqualFold(rest[:len(scope)], scope) {
-			rest = strings.TrimSpace(rest[len(scope):])
-			s.local = scope == "local "
-		}
+	t := l.Next()
+	if t.Is("session") || t.Is("local") {
+		s.local = t.Is("local")
+		t = l.Next()
 	}
-	end := strings.IndexAny(rest, "= \t\r\n")
-	if end <= 0 {
+	name, t, ok := parameterName(t, &l)
+	switch {
+	case !ok:
+		return assignment{}, false
+	case name == "time" && t.Is("zone"):
+		name = "timezone"
+	case !t.IsSymbol('=') && !t.Is("to"):
 		return assignment{}, false
 	}
-	s.name = strings.ToLower(rest[:end])
-	rest = strings.TrimSpace(rest[end:])
-	switch {
-	case strings.HasPrefix(rest, "="):
-		rest = rest[1:]
-	case len(rest) > 3 && strings.EqualFold(rest[:3], "to "):
-		rest = rest[3:]
+	s.name = name
+	s.value, ok = parameterValue(&l)
+	return s, ok
+}
+
+// parameterName returns the name, of parts separated by dots, that begins with t, in lower
+// case, and the token that follows it.
+func parameterName(t gwsql.Token, l *gwsql.Lexer) (string, gwsql.Token, bool) {
+	name, ok := t.Name()
+	t = l.Next()
+	for ok && t.IsSymbol('.') {
+		var part string
+		part, ok = l.Next().Name()
+		name += "." + part
+		t = l.Next()
 	}
-	rest = strings.TrimSpace(rest)
-	if n := len(rest); n >= 2 && rest[0] == '\'' && rest[n-1] == '\'' {
-		rest = strings.ReplaceAll(rest[1:n-1], "''", "'")
+	return strings.ToLower(name), t, ok
+}
+
+// parameterValue returns the value up to the end of the text.
+func parameterValue(l *gwsql.Lexer) (string, bool) {
+	t := l.Next()
+	if value, ok := t.Value(); ok {
+		return value, l.AtEnd()
+	}
+	var value []string
+	for ; t.Kind != gwsql.End && !t.IsSymbol(';'); t = l.Next() {
+		if t.Kind == gwsql.String || t.Kind == gwsql.Invalid {
+			return "", false
+		}
+		value = append(value, t.Text)
 	}
-	s.value = rest
-	return s, true
+	return strings.Join(value, " "), len(value) > 0 && l.AtEnd()
 }
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"gentianward.example/gentianward/internal/gwowner"
+	"gentianward.example/gentianward/internal/gwsql"
 	"gentianward.example/gentianward/internal/gwwire"
 	"gentianward.example/gentianward/pkg/gwoutcome"
 	"gentianward.example/gentianward/pkg/gwsession"
@@ -63,28 +64,89 @@
 		s.runRequest(ctx, s.newRequest(req, w, kind), req, w)
 		return nil
 	}
+	if s.answer(kind, req, w) {
+		return nil
+	}
+	s.runRequest(ctx, s.newRequest(req, w, kind), req, w)
+	return nil
+}
+
+// answer answers a request outside of a transaction that needs no server or can't run on
+// pooled connections. It returns false for any other request.
+func (s *session) answer(kind stmtKind, req gwwire.Request, w gwwire.ResponseWriter) bool {
 	switch kind {
 	case stmtEmpty:
-		if req.Kind == gwwire.Simple {
-			w.Complete(req, "", 'I')
-			return nil
+		if req.Kind != gwwire.Simple {
+			return false
 		}
+		w.Complete(req, "", 'I')
 	case stmtSet:
-		if s.setParameter(req, w) {
-			return nil
-		}
+		s.setParameter(req, w)
 	case stmtReset:
-		w.Complete(req, strings.ToUpper(leadingWord(skipSpace(req.SQL))), 'I')
-		return nil
+		s.reset(req)
+		w.Complete(req, completionTag(req.SQL), 'I')
 	case stmtEnd:
-		w.Complete(req, strings.ToUpper(leadingWord(skipSpace(req.SQL))), 'I')
-		return nil
+		w.Complete(req, completionTag(req.SQL), 'I')
 	case stmtUnsupported:
-		w.Error(&pgconn.PgError{Severity: "ERROR", Code: sqlstateUnsupported, Message: leadingWord(skipSpace(req.SQL)) + " is not supported on pooled connections"}, 'I')
-		return nil
+		refuse(w, sqlstateUnsupported, gwsql.LeadingWord(req.SQL)+" is not supported on pooled connections")
+	case stmtWrite, stmtBegin:
+		return req.Executes && s.refuseCombined(req, w)
+	default:
+		return false
+	}
+	return true
+}
+
+// refuseCombined refuses a request whose statements would lose a part of their effect: a
+// SET of a parameter of the entry with other statements, which the server would run, and
+// a request key with a BEGIN or COMMIT, as the key is recorded in a transaction of its
+// own. It returns false for any other request.
+func (s *session) refuseCombined(req gwwire.Request, w gwwire.ResponseWriter) bool {
+	_, keyed := gwoutcome.KeyOf(req.SQL)
+	switch {
+	case setsOwnParameter(req.SQL):
+		refuse(w, sqlstateUnsupported, "SET of a parameter of gentianward has to be a request of its own")
+	case (keyed || s.requestKey != "") && controlsTransaction(req.SQL):
+		refuse(w, sqlstateUnsupported, "a request with a request key can't begin or end a transaction")
+	default:
+		return false
+	}
+	return true
+}
+
+func refuse(w gwwire.ResponseWriter, state, message string) {
+	w.Error(&pgconn.PgError{Severity: "ERROR", Code: state, Message: message}, 'I')
+}
+
+// completionTag returns the command tag of a statement that ends a transaction or resets
+// session state.
+func completionTag(sql string) string {
+	l := gwsql.NewLexer(sql)
+	word := l.First()
+	switch {
+	case word.Is("end"):
+		return "COMMIT"
+	case word.Is("abort"):
+		return "ROLLBACK"
+	case word.Is("discard"), word.Is("deallocate"):
+		if object := l.Next(); word.Is("discard") || object.Is("all") {
+			return strings.ToUpper(word.Text + " " + object.Text)
+		}
+	}
+	return strings.ToUpper(word.Text)
+}
+
+// reset drops the request key if the statement resets it. A caller's connection pool
+// resets a session before another user gets it, whose write must not run under the key.
+func (s *session) reset(req gwwire.Request) {
+	l := gwsql.NewLexer(req.SQL)
+	if l.First().Is("deallocate") {
+		return
+	}
+	name, _, _ := parameterName(l.Next(), &l)
+	if req.Executes && (name == "all" || name == parameterRequestKey) {
+		s.requestKey = ""
 	}
-	s.runRequest(ctx, s.newRequest(req, w, kind), req, w)
-	return nil
 }
 
 // Close rolls back an open transaction.
@@ -96,32 +158,50 @@
 	parameterRequestKey = "gentianward.requestkey"
 )
 
-// setParameter answers a SET outside of a transaction, and reports whether it could
-// parse it. Pooled connections keep no parameters for a caller, so that parameters other
-// than the entry's own are refused, except those that drivers always send.
-func (s *session) setParameter(req gwwire.Request, w gwwire.ResponseWriter) bool {
-	v, ok := parseSet(req.SQL)
-	if !ok {
+// ownParameterPrefix begins the names of the parameters that the entry handles itself.
+const ownParameterPrefix = "gentianward."
+
+// setsOwnParameter reports whether the first statement of a request sets a parameter of
+// the entry. A server would accept it in place of the entry, without its effect.
+func setsOwnParameter(sql string) bool {
+	l := gwsql.NewLexer(sql)
+	if !l.First().Is("set") {
 		return false
 	}
+	t := l.Next()
+	if t.Is("session") || t.Is("local") {
+		t = l.Next()
+	}
+	name, _, _ := parameterName(t, &l)
+	return strings.HasPrefix(name, ownParameterPrefix)
+}
+
+// setParameter answers a SET outside of a transaction. Pooled connections keep no
+// parameters for a caller, so that parameters other than the entry's own are refused,
+// except those that drivers always send. A request that does not execute the SET changes
+// nothing.
+func (s *session) setParameter(req gwwire.Request, w gwwire.ResponseWriter) {
+	v, ok := parseSet(req.SQL)
 	switch {
-	case v.name == parameterSession:
+	case !ok:
+		refuse(w, sqlstateUnsupported, "this form of SET is not supported outside of a transaction; use SET name = 'value'")
+		return
+	case v.name == parameterSession && req.Executes:
 		if err := s.acceptToken(v.value); err != nil {
-			w.Error(&pgconn.PgError{Severity: "ERROR", Code: sqlstateBadToken, Message: err.Error()}, 'I')
-			return true
+			refuse(w, sqlstateBadToken, err.Error())
+			return
 		}
-	case v.name == parameterRequestKey:
+	case v.name == parameterRequestKey && req.Executes:
 		if !gwoutcome.ValidKey(v.value) {
-			w.Error(&pgconn.PgError{Severity: "ERROR", Code: sqlstateInvalidValue, Message: "a request key has 1 to 200 printable ASCII characters without spaces, quotes and backslashes"}, 'I')
-			return true
+			refuse(w, sqlstateInvalidValue, "a request key has 1 to 200 printable ASCII characters without spaces, quotes and backslashes")
+			return
 		}
 		s.requestKey = v.value
-	case !ignoredParameters[v.name]:
-		w.Error(&pgconn.PgError{Severity: "ERROR", Code: sqlstateUnsupported, Message: "SET " + v.name + " is not supported outside of a transaction; use SET LOCAL inside one"}, 'I')
-		return true
+	case !ignoredParameters[v.name] && v.name != parameterSession && v.name != parameterRequestKey:
+		refuse(w, sqlstateUnsupported, "SET "+v.name+" is not supported outside of a transaction; use SET LOCAL inside one")
+		return
 	}
 	w.Complete(req, "SET", 'I')
-	return true
 }
 
 // ignoredParameters are accepted without effect: drivers set them, and they do not change
