gwoutcome: a request key ends where the comment ends for the server

What callers would see: a key is cut at the first */ of a comment that has comments nested in it, and one is taken from text that the server does not read as a comment (after a no-break space, or with an end that is missing).

Cause: the comment is looked for with string functions; TrimSpace removes white space that is none for the server.

Change: KeyOf uses gwsql.LeadingComment.

--- a/pkg/gwoutcome/key.go
+++ b/pkg/gwoutcome/key.go
@@ -3,24 +3,23 @@
 import (
 	"strings"
 
+	"gentianward.example/gentianward/internal/gwsql"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
 // MaxKeyBytes is the greatest length of a request key in bytes.
 const MaxKeyBytes = 200
 
-// keyPrefix is the start of an SQL comment that carries a request key.
-const keyPrefix = "/* requestKey="
+// keyPrefix begins the content of an SQL comment that carries a request key.
+const keyPrefix = " requestKey="
 
-// KeyOf returns the request key in a leading comment /* requestKey=… */ of a statement,
-// and false if there is no valid one.
+// KeyOf returns the request key in a comment /* requestKey=… */ with which a statement
+// starts, and false if there is no valid one. The comment ends where it ends for the
+// server, with comments nested in it.
 func KeyOf(sql string) (string, bool) {
-	rest, ok := strings.CutPrefix(strings.TrimSpace(sql), keyPrefix)
-	if !ok {
-		return "", false
-	}
-	key, _, ok := strings.Cut(rest, "*/")
-	key = strings.TrimSpace(key)
+	comment, _ := gwsql.LeadingComment(sql)
+	key, ok := strings.CutPrefix(comment, keyPrefix)
+	key = strings.Trim(key, " \t\r\n\f\v")
 	if !ok || !ValidKey(key) {
 		return "", false
 	}
--- a/pkg/gwoutcome/outcome_test.go
+++ b/pkg/gwoutcome/outcome_test.go
@@ -126,7 +126,8 @@
 	}
 }
 
-// Guards against keys that could break out of the statement that records them.
+// Guards against keys that could break out of the statement that records them, and against
+// keys from text in which the server sees no comment at the start, or a longer one.
 func TestKeyOf(t *testing.T) {
 	tests := []struct {
 		sql, want string
@@ -137,6 +138,14 @@
 		{"/* requestKey=a'b */ select 1", "", false},
 		{"/* requestKey= */ select 1", "", false},
 		{"/* requestKey=x", "", false},
+		{"\v\f/* requestKey=x\n*/select 1", "x", true},
+		{"/* requestKey=x/* */ select 1", "", false},
+		{"/* requestKey=x/**/y */ select 1", "x/**/y", true},
+		{"/* a */ /* requestKey=x */ select 1", "", false},
+		{"-- a\n/* requestKey=x */ select 1", "", false},
+		{"select '/* requestKey=x */'", "", false},
+		{"\u00a0/* requestKey=x */ select 1", "", false},
+		{"/* requestKey=x\u00a0*/ select 1", "", false},
 	}
 	for _, tt := range tests {
 		got, ok := KeyOf(tt.sql)
