gwowner: values in the SQL of request keys are quoted

What callers would see: a command tag with a quote is recorded without it, so that a request that is sent again gets another tag than the first one. The key of a request comes from another instance unchecked.

Cause: values are put between quotes by the format; quotes of a tag are removed in place of escaped.

Change: quoteLiteral doubles quotes. The owner refuses a key that ValidKey refuses with 22023, as the entry does.

Ruled out: parameters of the extended protocol.

--- a/internal/gwowner/key.go
+++ b/internal/gwowner/key.go
@@ -17,11 +17,20 @@
 // tag of the request, the term under which it ran, and the time in seconds since 1970.
 const (
 	sqlCreateKeys = `CREATE TABLE IF NOT EXISTS gentianward_request_key (key text PRIMARY KEY, tag text NOT NULL, term bigint NOT NULL, created bigint NOT NULL)`
-	sqlFindKey    = `SELECT tag FROM gentianward_request_key WHERE key = '%s'`
-	sqlInsertKey  = `INSERT INTO gentianward_request_key (key, tag, term, created) VALUES ('%s', '%s', %d, %d)`
+	sqlFindKey    = `SELECT tag FROM gentianward_request_key WHERE key = %s`
+	sqlInsertKey  = `INSERT INTO gentianward_request_key (key, tag, term, created) VALUES (%s, %s, %d, %d)`
 	sqlDeleteKeys = `DELETE FROM gentianward_request_key WHERE created < %d`
 )
 
+// quoteLiteral returns the string constant of value. A backslash stands for itself in it, as
+// the connections of the pool have standard_conforming_strings = on.
+func quoteLiteral(value string) string {
+	return "'" + strings.ReplaceAll(value, "'", "''") + "'"
+}
+
+// sqlInvalidValue is the SQLSTATE of a malformed request key.
+const sqlInvalidValue = "22023"
+
 // Intervals and timeout of the removal of expired request keys.
 const (
 	// keySweepsPerExpiry is the number of removals within the lifetime of a key.
@@ -40,6 +49,11 @@
 // writeKeyed runs req and records its key in the same transaction, so that the key is
 // stored if and only if the request is done.
 func (s *Session) writeKeyed(ctx context.Context, srv *server, req *Request, g gwcontrol.GroupView, deadline time.Time, sink *bufferedSink) Result {
+	if !gwoutcome.ValidKey(req.Key) {
+		r := failed(gwoutcome.Expired, "the request key is malformed")
+		r.State = sqlInvalidValue
+		return r
+	}
 	conn, release, x := srv.acquire(ctx, req, deadline, keyedExchanges, func() bool { return srv.holdsLease(g.Term) })
 	if conn == nil {
 		return x.failure(sink)
@@ -112,7 +126,7 @@
 // lookup returns the command tag that is stored for the key, and whether the key is
 // stored. It creates the table of keys if that is missing.
 func (k *keyedWrite) lookup(ctx context.Context) (string, bool, execution) {
-	find := fmt.Sprintf(sqlFindKey, k.req.Key)
+	find := fmt.Sprintf(sqlFindKey, quoteLiteral(k.req.Key))
 	var rows firstValueSink
 	x := k.query(ctx, find, &rows)
 	if x.event == gwoutcome.Answered && x.ServerError != nil && isMissingTable(x) {
@@ -132,7 +146,7 @@
 // commit records the key and commits. If a concurrent execution of the same request has
 // recorded the key first, this one is rolled back.
 func (k *keyedWrite) commit(ctx context.Context, tag string) execution {
-	add := fmt.Sprintf(sqlInsertKey, k.req.Key, strings.ReplaceAll(tag, "'", ""), k.term, k.server.owner.clock.Now().Unix())
+	add := fmt.Sprintf(sqlInsertKey, quoteLiteral(k.req.Key), quoteLiteral(tag), k.term, k.server.owner.clock.Now().Unix())
 	x := k.query(ctx, add, nil)
 	if x.event != gwoutcome.Answered {
 		return x
