gwbackend: errors, notices and parameters of any length are forwarded

What callers would see: a statement upon which the server answers with an error, a notice or a parameter of more than 1 MiB ends with an unknown outcome and is tried at each server in turn. Each closes a connection and counts as a failure of the server, which is taken from all callers after some of them. One caller can do that: PostgreSQL puts the value into the text of errors such as 22P02, and RAISE NOTICE and set_config take any.

Cause: these messages are read as a whole, and a longer one is taken for a violation of the protocol.

Change: a longer one is forwarded as it is read, as rows are. Of an error, the first 4 KiB are inspected, which hold the SQLSTATE. The read buffer no longer grows to the length that such a message declares.

Ruled out: a higher limit, which only moves the fault. Other long messages that have to be inspected (Z, C, 1, 3) have no text of a caller and stay a violation, as does a long message outside of an answer.

Evidence: TestLongMessages failed in all 3 cases ("message 'E' of 4194344 bytes is too long: protocol violation by the server"), passes now.

--- a/internal/gwbackend/conn.go
+++ b/internal/gwbackend/conn.go
@@ -20,6 +20,7 @@
 	readBufferBytes   = 16 << 10
 	largeBufferBytes  = 64 << 10 // reads of 64 KiB instead of 16 KiB make a 120 kB answer cheaper
 	maxInspectedBytes = 1 << 20  // largest message that is read as a whole, such as an ErrorResponse
+	errorStartBytes   = 4 << 10  // part of a longer ErrorResponse that is inspected; it holds the SQLSTATE
 	maxDiscardedBytes = 1 << 20  // answer bytes discarded after the sink failed; above it, a new connection is cheaper
 
 	defaultStatements    = 256
--- a/internal/gwbackend/exchange_test.go
+++ b/internal/gwbackend/exchange_test.go
@@ -329,3 +329,46 @@
 		}
 	})
 }
+
+// Guards against a message of any length that ends the connection, after which the request's
+// outcome is unknown and the server counts as broken. Texts of errors and notices hold what a
+// caller has sent.
+func TestLongMessages(t *testing.T) {
+	long := strings.Repeat("x\r\n\xff", 1<<19)
+	tests := []struct {
+		name string
+		send pgproto3.BackendMessage
+	}{
+		{"error", &pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: "22P02", Message: "invalid: " + long, Detail: long}},
+		{"notice", &pgproto3.NoticeResponse{Severity: "NOTICE", Code: "00000", Message: long}},
+		{"parameter", &pgproto3.ParameterStatus{Name: "search_path", Value: long}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := startFake(t, map[string]func(*fakeSession){"long": func(s *fakeSession) { s.send(tt.send) }})
+			c := f.dial(t)
+			var got bytes.Buffer
+			res, err := c.Exchange(t.Context(), Query("long"), &got)
+			require.NoError(t, err)
+			want, err := (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(encode(t, tt.send))
+			require.NoError(t, err)
+			require.True(t, bytes.Equal(want, got.Bytes()), "answer of %d bytes in place of %d", got.Len(), len(want))
+			if e, ok := tt.send.(*pgproto3.ErrorResponse); ok {
+				require.Equal(t, e.Code, res.ServerError.Code)
+				require.True(t, strings.HasPrefix(e.Message, res.ServerError.Message))
+				require.NotEmpty(t, res.ServerError.Message)
+			}
+			_, err = c.QueryRow(t.Context(), "next")
+			require.NoError(t, err)
+			require.NoError(t, c.Close())
+			<-c.readerDone
+			require.LessOrEqual(t, len(c.rbuf), largeBufferBytes, "read buffer")
+		})
+	}
+}
+
+func encode(t testing.TB, m pgproto3.BackendMessage) []byte {
+	b, err := m.Encode(nil)
+	require.NoError(t, err)
+	return b
+}
--- a/internal/gwbackend/frame.go
+++ b/internal/gwbackend/frame.go
@@ -77,3 +77,9 @@
 	}
 	return pgconn.ErrorResponseToPgError(&m), nil
 }
+
+// parseErrorStart decodes the first fields of an ErrorResponse from the start of its body.
+// The last field is cut.
+func parseErrorStart(start []byte) (*pgconn.PgError, error) {
+	return parseError(append(bytes.Clone(start), 0, 0))
+}
--- a/internal/gwbackend/reader.go
+++ b/internal/gwbackend/reader.go
@@ -56,10 +56,17 @@
 			c.forwardRemaining = n
 			continue
 		}
-		if c.w-c.r < n {
-			if n > maxInspectedBytes {
-				return errors.Wrapf(ErrProtocol, "message %q of %d bytes is too long", typ, n)
+		if n > maxInspectedBytes {
+			ready, err := c.inspectStart(x, n)
+			if err != nil {
+				return err
+			}
+			if !ready {
+				break
 			}
+			continue
+		}
+		if c.w-c.r < n {
 			break
 		}
 		frame := c.rbuf[c.r : c.r+n]
@@ -89,6 +96,29 @@
 	return nil
 }
 
+// inspectStart handles a message of n bytes that is too long to be read as a whole. Errors,
+// notices and parameters are forwarded, as their texts can hold anything that a caller
+// has sent. It returns false until enough of an error has been read.
+func (c *Conn) inspectStart(x *exchange, n int) (ready bool, err error) {
+	typ := c.rbuf[c.r]
+	if x == nil || typ != 'E' && typ != 'N' && typ != 'S' {
+		return false, errors.Wrapf(ErrProtocol, "message %q of %d bytes is too long", typ, n)
+	}
+	if typ == 'E' {
+		if c.w-c.r < errorStartBytes {
+			return false, nil
+		}
+		e, err := parseErrorStart(c.rbuf[c.r+headerBytes : c.r+errorStartBytes])
+		if err != nil {
+			return false, errors.Wrapf(ErrProtocol, "ErrorResponse: %v", err)
+		}
+		x.copyRefused = false
+		x.res.ServerError = e
+	}
+	c.forwardRemaining = n
+	return true, nil
+}
+
 // skipForwarded moves past the bytes of a forwarded message. It reports false if some
 // of them have not been read yet.
 func (c *Conn) skipForwarded() bool {
@@ -113,7 +143,7 @@
 	if long {
 		need = largeBufferBytes
 	}
-	if len(rest) >= headerBytes {
+	if len(rest) >= headerBytes && frameSize(rest) <= maxInspectedBytes {
 		need = max(need, frameSize(rest))
 	}
 	unused := c.largeBuffer
