gwbackend: the prepared statements of a connection are bounded in bytes

What callers would see: nothing, until the memory of an instance and of the server is used up: each connection keeps 256 statements of up to 15 MiB.

Cause: the cache is limited by the number of statements only.

Change: beyond 4 MiB, the statements that were used least recently are closed with the next batch. The newest one is kept whatever its size.

Evidence: TestCachedBytes fails without the new condition and passes with it.

--- a/internal/gwbackend/exchange_test.go
+++ b/internal/gwbackend/exchange_test.go
@@ -372,3 +372,24 @@
 	require.NoError(t, err)
 	return b
 }
+
+// Guards against prepared statements of a connection that hold memory without a bound, each
+// being within the limits of their number and of the size of a message.
+func TestCachedBytes(t *testing.T) {
+	s := statementCache{limit: defaultStatements}
+	for i := range 20 {
+		s.add(NewPreparedStatement(strings.Repeat("x", maxCachedBytes/4+i), nil))
+		kept := 0
+		for e := s.order.Front(); e != nil; e = e.Next() {
+			kept += e.Value.(*PreparedStatement).size()
+		}
+		require.Equal(t, kept, s.bytes)
+		require.LessOrEqual(t, kept, maxCachedBytes)
+	}
+	require.Len(t, s.evicted, 17)
+	last := NewPreparedStatement(strings.Repeat("y", 2*maxCachedBytes), nil)
+	s.add(last)
+	require.True(t, s.has(last), "a statement over the limit")
+	s.add(NewPreparedStatement("z", nil))
+	require.False(t, s.has(last))
+}
--- a/internal/gwbackend/prepare.go
+++ b/internal/gwbackend/prepare.go
@@ -25,10 +25,15 @@
 	closeAsParseComplete                // forwarded as ParseComplete: the Close replaced a redundant Parse
 )
 
+// maxCachedBytes limits the size of the prepared statements of a connection. Their number
+// alone is no bound: one statement can have 15 MiB.
+const maxCachedBytes = 4 << 20
+
 // statementCache holds the prepared statements of a connection, least recently used
 // last. Evicted statements are closed with the next batch.
 type statementCache struct {
 	limit   int
+	bytes   int       // size of the statements in order
 	order   list.List // of *PreparedStatement
 	byName  map[string]*list.Element
 	evicted []string
@@ -50,23 +55,35 @@
 		s.byName = make(map[string]*list.Element)
 	}
 	if e, ok := s.byName[st.Name]; ok {
-		s.order.Remove(e)
+		s.remove(e)
 	}
 	s.byName[st.Name] = s.order.PushFront(&st)
-	for s.order.Len() > s.limit {
+	s.bytes += st.size()
+	for s.order.Len() > s.limit || s.bytes > maxCachedBytes && s.order.Len() > 1 {
 		s.evict(s.order.Back())
 	}
 }
 
+func (s *statementCache) remove(e *list.Element) {
+	s.bytes -= e.Value.(*PreparedStatement).size()
+	s.order.Remove(e)
+}
+
+// size returns the number of bytes that a connection keeps for the statement.
+func (s *PreparedStatement) size() int {
+	return len(s.Name) + len(s.SQL) + 4*len(s.ParameterOIDs)
+}
+
 func (s *statementCache) evict(e *list.Element) {
 	name := e.Value.(*PreparedStatement).Name
-	s.order.Remove(e)
+	s.remove(e)
 	delete(s.byName, name)
 	s.evicted = append(s.evicted, name)
 }
 
 func (s *statementCache) clear() {
 	s.order.Init()
+	s.bytes = 0
 	clear(s.byName)
 	s.evicted = s.evicted[:0]
 }
