gwwire: a NUL in a text ends no field of a message

What callers would see: an error whose text has a NUL arrives with another SQLSTATE, if the text goes on with the letter of that field; settings of the startup parameter "options" that are separated by a carriage return, a form feed or a vertical tab are one setting with a wrong value.

Cause: fields end at a NUL, and no encoder checks for it; options are split at fewer bytes than PostgreSQL splits them at.

Change: a NUL in an error's text is shown as \0, as the text is for people. A parameter's value or a command tag with one ends the session, as values are not replaced. Options are split at all white space.

--- a/internal/gwwire/handshake.go
+++ b/internal/gwwire/handshake.go
@@ -262,7 +262,7 @@
 			escaped = false
 		case b == '\\':
 			escaped = true
-		case b == ' ' || b == '\t' || b == '\n':
+		case b == ' ' || b >= '\t' && b <= '\r':
 			if len(word) > 0 {
 				words = append(words, string(word))
 				word = word[:0]
--- a/internal/gwwire/writer.go
+++ b/internal/gwwire/writer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -170,6 +171,10 @@
 
 // ParameterStatus implements ResponseWriter.
 func (w *responder) ParameterStatus(name, value string) {
+	if strings.IndexByte(name, 0) >= 0 || strings.IndexByte(value, 0) >= 0 {
+		w.corrupt = true // NUL would end a string of the message early
+		return
+	}
 	w.message(&pgproto3.ParameterStatus{Name: name, Value: value})
 }
 
@@ -187,6 +192,10 @@
 // Complete implements ResponseWriter.
 func (w *responder) Complete(req Request, tag string, status byte) {
 	w.txStatus = status
+	if strings.IndexByte(tag, 0) >= 0 {
+		w.corrupt = true // NUL would end the tag early
+		return
+	}
 	var done pgproto3.BackendMessage = &pgproto3.CommandComplete{CommandTag: []byte(tag)}
 	if tag == "" {
 		done = &pgproto3.EmptyQueryResponse{}
@@ -222,7 +231,8 @@
 	w.buffer(w.readyBuf[:])
 }
 
-// errorResponse converts e to a message. The default severity is ERROR.
+// errorResponse converts e to a message. The default severity is ERROR. A NUL in a text is
+// shown as \0: it would end the text, and what follows it would be fields of its own.
 func errorResponse(e *pgconn.PgError) *pgproto3.ErrorResponse {
 	m := &pgproto3.ErrorResponse{
 		Severity: e.Severity, SeverityUnlocalized: e.SeverityUnlocalized, Code: e.Code, Message: e.Message,
@@ -231,6 +241,12 @@
 		ColumnName: e.ColumnName, DataTypeName: e.DataTypeName, ConstraintName: e.ConstraintName,
 		File: e.File, Line: e.Line, Routine: e.Routine,
 	}
+	for _, text := range []*string{
+		&m.Severity, &m.SeverityUnlocalized, &m.Code, &m.Message, &m.Detail, &m.Hint, &m.InternalQuery, &m.Where, &m.SchemaName,
+		&m.TableName, &m.ColumnName, &m.DataTypeName, &m.ConstraintName, &m.File, &m.Routine,
+	} {
+		*text = strings.ReplaceAll(*text, "\x00", `\0`)
+	}
 	if m.Severity == "" {
 		m.Severity = "ERROR"
 	}
