--- a/cmd/gentianward-platform/large_test.go
+++ b/cmd/gentianward-platform/large_test.go
@@ -52,11 +52,11 @@
 		}
 		for _, address := range d.callerAddresses {
 			require.Eventually(t, func() bool {
-				c := dial(t, address, host)
+				c := d.dial(address, host)
 				_ = c.nc.SetReadDeadline(time.Now().Add(time.Second))
-				line, err := c.r.ReadString('\n')
+				m, err := c.r.Read()
 				_ = c.nc.Close()
-				return err == nil && strings.HasPrefix(line, "READY")
+				return err == nil && m.Kind == "READY"
 			}, limit, 50*time.Millisecond, "%d bytes at %s", size, address)
 		}
 	}
