gwstatement: a connection keeps digests of long names and values

A connection to a server outlives the sessions whose values it has set, and kept them all: 8 MiB for each of its connections, in a process of 184 MB.

Evidence: TestLongValuesAreNotKept is new.

--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -54,7 +54,7 @@
 
 	// The state of the server's session, as far as this connection has set it.
 	status    byte
-	variables map[string]string
+	variables map[textDigest]textDigest // values by name
 	prepared  preparedStatements
 	// sessionUnknown means that the state differs from the recorded one, so that it has to
 	// be discarded before the next statement.
@@ -89,7 +89,7 @@
 	}
 	c := &Conn{
 		codec: codec, o: o, nc: nc, unreadable: d.Unreadable, answers: make(chan answer, 1), readerDone: make(chan struct{}), closed: make(chan struct{}),
-		status: 'I', variables: make(map[string]string),
+		status: 'I', variables: make(map[textDigest]textDigest),
 	}
 	go c.readLoop()
 	a, _, err := c.roundTrip(ctx, startup)
@@ -423,7 +423,8 @@
 		c.prepared.clear()
 	}
 	for _, v := range stmt.Variables {
-		if have, ok := c.variables[v.Name]; ok && have == v.Value {
+		name, value := digestOf(v.Name), digestOf(v.Value)
+		if have, ok := c.variables[name]; ok && have == value {
 			continue
 		}
 		text, err := c.codec.SetText(v.Name, v.Value)
@@ -434,7 +435,7 @@
 		if err != nil || a.failure != nil {
 			return a, err
 		}
-		c.variables[v.Name] = v.Value
+		c.variables[name] = value
 	}
 	return answer{}, nil
 }
@@ -457,7 +458,7 @@
 	}
 	matched := 0
 	for _, v := range variables {
-		if _, ok := c.variables[v.Name]; ok {
+		if _, ok := c.variables[digestOf(v.Name)]; ok {
 			matched++
 		}
 	}
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -392,3 +393,26 @@
 		s.takeReceived()
 	}
 }
+
+// Guards against a connection that keeps the values of all its callers in memory, and against
+// a long value that is taken for another one.
+func TestLongValuesAreNotKept(t *testing.T) {
+	long := strings.Repeat("v", maxKeptText+1)
+	digest := sha256.Sum256([]byte(long))
+	texts := []string{"", "v", long, long + "v", string(digest[:])}
+	for i, a := range texts {
+		assert.LessOrEqual(t, len(digestOf(a).short), maxKeptText)
+		for j, b := range texts {
+			assert.Equal(t, i == j, digestOf(a) == digestOf(b))
+		}
+	}
+	s := startScriptedServer(t, nil)
+	c := s.dial(t)
+	for _, value := range []string{long, long, long + "v"} {
+		req := textRequest("x")
+		req.Statement.Variables = []gwbackend.SessionVariable{{Name: "n", Value: value}}
+		_, err := c.Exchange(t.Context(), req, nil)
+		require.NoError(t, err)
+	}
+	assert.Equal(t, []string{"|set n " + long, "1|x", "1|x", "|set n " + long + "v", "1|x"}, s.takeReceived())
+}
--- a/internal/gwstatement/prepared.go
+++ b/internal/gwstatement/prepared.go
@@ -16,6 +16,23 @@
 // contrast to their names between instances (see gwbackend.PreparedStatement.Equal).
 type shapeDigest [sha256.Size]byte
 
+// textDigest identifies a text and is at most of the size of maxKeptText: a connection outlives
+// the sessions whose names and values it has set, which have up to 8 MiB each.
+type textDigest struct {
+	short string
+	long  [sha256.Size]byte // of a text of more than maxKeptText
+}
+
+// maxKeptText is the greatest length of a text that a textDigest keeps as it is.
+const maxKeptText = 64
+
+func digestOf(text string) textDigest {
+	if len(text) <= maxKeptText {
+		return textDigest{short: text}
+	}
+	return textDigest{long: sha256.Sum256([]byte(text))}
+}
+
 // preparedStatements are the statements that are prepared on one connection.
 type preparedStatements struct {
 	indices map[shapeDigest]int // into preparedNames
