gwfilter: ids and errors of any length do not fill log lines

An id of a caller or the text of a server's ERROR may have 1 MiB, and went into log lines, errors and the result between instances as a whole; the bounded log then dropped the line. Ids are cut at 64 bytes in logs, texts of errors at 1 KiB. A caller still gets a server's answer as it came.

--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -327,6 +327,9 @@
 	}()
 }
 
+// maxLoggedID bounds the id of a statement in a log line; a caller's may have up to 1 MiB.
+const maxLoggedID = 64
+
 // logAttempt logs why a statement was not served, was retried or was late, with the
 // state that the decision was based on and its staleness.
 func (e *Entry) logAttempt(msg string, r *request, res gwowner.Result) {
@@ -335,6 +338,7 @@
 	id := ""
 	if r.backend.Statement != nil {
 		id = r.backend.Statement.ID
+		id = id[:min(len(id), maxLoggedID)]
 	}
 	e.Log.Info(msg, "id", id, "class", r.session.class, "group", r.session.group,
 		"event", res.Event.String(), "reason", res.Message, "server", r.served.Name, "offers", r.attempts, "took", e.Clock.Since(r.started).String(),
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -113,9 +113,13 @@
 	return &gwbackend.Error{Op: op, Kind: gwbackend.KindNotSent, Server: o.Name, Err: err}
 }
 
+// maxErrorText bounds the text of a server's failure in errors and logs. A caller gets the
+// whole text, as part of the server's answer.
+const maxErrorText = 1 << 10
+
 // pgError converts a failure to the error type that package gwbackend reports.
 func pgError(f *Failure) *pgconn.PgError {
-	return &pgconn.PgError{Severity: "ERROR", Code: f.Code.SQLState(), Message: f.Text}
+	return &pgconn.PgError{Severity: "ERROR", Code: f.Code.SQLState(), Message: f.Text[:min(len(f.Text), maxErrorText)]}
 }
 
 // readLoop reads answers until the connection closes.
