--- a/internal/gwowner/peer_test.go
+++ b/internal/gwowner/peer_test.go
@@ -14,6 +14,7 @@
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/pkg/gwoutcome"
+	"gentianward.example/gentianward/pkg/gwsession"
 )
 
 // startPeers returns an owner and a stream to it from another instance.
@@ -125,3 +126,32 @@
 	later := Result{Event: 1000, TxStatus: 'I'}.fromWire()
 	assert.Equal(t, gwoutcome.PeerBroken, later.Event, "it may have run")
 }
+
+// Guards against a request or a result that another instance decodes with other texts.
+func FuzzPeerMessages(f *testing.F) {
+	for _, text := range []string{"", "a", "\r\n", "\x00", "\xff\xfe", "a\xe2\x82"} {
+		f.Add(text, text+"i", "n"+text, uint64(7))
+	}
+	f.Fuzz(func(t *testing.T, a, b, c string, n uint64) {
+		position := gwsession.Position{Term: n, Offset: n + 1}
+		req := Request{
+			Group: a, Server: b, Class: c, Access: Write, Position: position, Timeout: time.Second, Key: a,
+			Request: gwbackend.Request{
+				Messages: []byte(b), Prepared: []gwbackend.PreparedStatement{{Name: a, SQL: b, ParameterOIDs: []uint32{uint32(n)}}, {Name: c}},
+				Statement: &gwbackend.StatementRequest{ID: a, Text: b, After: position, Variables: []gwbackend.SessionVariable{{Name: b, Value: c}, {Name: c}}},
+			},
+		}
+		data, err := gwpeer.Marshal(req)
+		require.NoError(t, err)
+		var got Request
+		require.NoError(t, gwpeer.Unmarshal(data, &got))
+		require.Equal(t, req, got)
+
+		res := Result{Event: gwoutcome.TimedOut, State: a, Message: b, TxStatus: 'I', Position: position, SQLError: c, Tag: a}
+		data, err = gwpeer.Marshal(res)
+		require.NoError(t, err)
+		var gotResult Result
+		require.NoError(t, gwpeer.Unmarshal(data, &gotResult))
+		require.Equal(t, res, gotResult)
+	})
+}
