--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -384,38 +384,6 @@
 	return out
 }
 
-func (o *Owner) drainLimit() time.Duration {
-	if m := o.views.Current().Manifest; m != nil {
-		return m.Manifest().Limits.Drain.Duration
-	}
-	return defaultDrain
-}
-
-func (o *Owner) idleLimit() time.Duration {
-	if m := o.views.Current().Manifest; m != nil {
-		return m.Manifest().Limits.IdleTransaction.Duration
-	}
-	return defaultIdle
-}
-
-// keyExpiry returns how long request keys are kept. It is 0 before a manifest is known,
-// and for servers with another dialect than the stand-in's, as the keys need SQL.
-func (o *Owner) keyExpiry() time.Duration {
-	if o.dialect != nil {
-		return 0
-	}
-	if m := o.views.Current().Manifest; m != nil {
-		return m.Manifest().Limits.RequestKeyExpiry.Duration
-	}
-	return 0
-}
-
-// Limits used before a manifest is known.
-const (
-	defaultDrain = 10 * time.Second
-	defaultIdle  = time.Minute
-)
-
 // followView applies the limits of every new manifest to the server until ctx ends.
 func (s *server) followView(ctx context.Context) {
 	for {
--- a/internal/gwtelemetry/unreadable_test.go
+++ b/internal/gwtelemetry/unreadable_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -22,7 +23,7 @@
 	assert.LessOrEqual(t, strings.Count(lines.String(), "message not read"), unreadableLineBurst+unreadableLinesPerSecond)
 	assert.Positive(t, u.skipped.Load())
 	w := httptest.NewRecorder()
-	m.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	assert.Contains(t, w.Body.String(), `gentianward_unreadable_messages_total{from="caller",reason="unknownWord"} 1000`)
 
 	(*Unreadable)(nil).Record(FromServer, "s", "cut", 0, errors.New("x"))
