gwprogram: a test that replies which cannot be read concern their reader alone

Rows over the limit, answers over 8 MiB and unknown replies, read at two entry instances: the reader is told ABORTED, others are served at once, and the server is not ejected.

The text that executes a prepared statement is built once for each PREPARE.

--- a/internal/gwfilter/state_test.go
+++ b/internal/gwfilter/state_test.go
@@ -1,7 +1,6 @@
 package gwfilter
 
 import (
-	"bufio"
 	"fmt"
 	"strings"
 	"testing"
@@ -21,9 +20,9 @@
 func (stateCodec) AppendFailure(b []byte, f gwstatement.Failure) []byte {
 	return fmt.Append(b, "failed ", f.Code == gwstatement.Malformed)
 }
-func (stateCodec) AppendReady(b []byte, _ byte) []byte                    { return b }
-func (stateCodec) ShapeText(p gwstatement.Prepare) string                 { return "FETCH " + p.Shape }
-func (stateCodec) ReadMessage(*bufio.Reader) (gwstatement.Message, error) { return nil, nil }
+func (stateCodec) AppendReady(b []byte, _ byte) []byte    { return b }
+func (stateCodec) ShapeText(p gwstatement.Prepare) string { return "FETCH " + p.Shape }
+func (stateCodec) ExecuteText(name string) string         { return "EXECUTE " + name + " " }
 
 // Guards against a caller whose values and prepared statements fill the memory of the process
 // or no frame can hold, and against space that is not given back.
--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -72,6 +72,8 @@
 type preparedStatement struct {
 	gwbackend.PreparedStatement
 	writes bool
+	// execute is the text that executes the statement, up to its arguments.
+	execute string
 }
 
 // answerBuffer collects the answer of one statement.
@@ -152,8 +154,7 @@
 		if !ok {
 			return s.fail(b, gwstatement.NoStatement, "no statement is prepared under the name "+st.Name)
 		}
-		text := s.codec.ExecuteText(p.Name) + st.Arguments
-		return s.execute(ctx, b, q.ID, text, p.writes, []gwbackend.PreparedStatement{p.PreparedStatement})
+		return s.execute(ctx, b, q.ID, p.execute+st.Arguments, p.writes, []gwbackend.PreparedStatement{p.PreparedStatement})
 	case gwstatement.Write:
 		return s.execute(ctx, b, q.ID, q.Text, true, nil)
 	default:
@@ -220,7 +221,8 @@
 	if !s.addState(n) {
 		return false
 	}
-	s.prepared[strings.Clone(st.Name)] = preparedStatement{PreparedStatement: gwbackend.NewPreparedStatement(text, nil), writes: st.Writes}
+	p := gwbackend.NewPreparedStatement(text, nil)
+	s.prepared[strings.Clone(st.Name)] = preparedStatement{PreparedStatement: p, writes: st.Writes, execute: s.codec.ExecuteText(p.Name)}
 	return true
 }
 
--- a/internal/gwprogram/bytes_test.go
+++ b/internal/gwprogram/bytes_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -219,8 +218,8 @@
 }
 
 // twoEntries starts a control instance and two entry instances with one server, which one of
-// the entry instances owns, and returns the addresses for callers.
-func twoEntries(t *testing.T, s *exactServer) []string {
+// the entry instances owns, and returns the addresses for callers. The logs go to lines.
+func twoEntries(t *testing.T, s *exactServer, lines io.Writer) []string {
 	t.Helper()
 	l, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}) // holds the port
 	require.NoError(t, err)
@@ -236,10 +235,7 @@
 		settings.IP = netip.MustParseAddrPort(address(host, 0)).Addr()
 		settings.Name, settings.DataCentre, settings.Region, settings.Regions = settings.IP.String(), "a", "r", map[string]string{"a": "r"}
 		settings.PeerPort, settings.Seeds, settings.FirstStart, settings.PromoteAddress = port, []netip.Addr{seed}, true, strings.TrimPrefix(cloud.URL, "http://")
-		log := slog.New(slog.DiscardHandler)
-		if os.Getenv("GENTIANWARD_TEST_LOG") != "" {
-			log = slog.New(slog.NewTextHandler(os.Stderr, nil))
-		}
+		log := slog.New(slog.NewTextHandler(lines, nil))
 		o, err := Process{Settings: settings, Log: log.With("instance", settings.Name), FS: gwstore.OSFS{}}.Options(gwdaemon.NewTelemetry())
 		require.NoError(t, err)
 		o.StopDelay = 0
@@ -326,7 +322,7 @@
 // that is run as a message of its own (rules UNASKED and PINNED).
 func TestBytesArriveUnchanged(t *testing.T) {
 	s := startExactServer(t)
-	for i, address := range twoEntries(t, s) {
+	for i, address := range twoEntries(t, s, io.Discard) {
 		for _, d := range hostileData {
 			t.Run(fmt.Sprintf("entry %d/%s", i, d.name), func(t *testing.T) { checkBytes(t, s, address, d.text) })
 		}
@@ -382,6 +378,57 @@
 	s.take()
 }
 
+// Guards against one value that cannot be read and that counts as a failure of its server, is
+// read again and again, or closes sessions, and against an answer that is cut.
+func TestUnreadableRowsEjectNoServer(t *testing.T) {
+	s := startExactServer(t)
+	var lines lockedBuffer
+	for i, address := range twoEntries(t, s, &lines) {
+		c, err := openExact(address)
+		require.NoError(t, err)
+		defer c.nc.Close()
+		other, err := openExact(address)
+		require.NoError(t, err)
+		defer other.nc.Close()
+		row := strings.Repeat("r", maxText-len("DATAROW "))
+		rows := func(n int) string { return row + strings.Repeat("\r\nDATAROW "+row, n-1) }
+		for _, unreadable := range []string{row + "r", rows(9), "v\r\nWHAT IS THIS", "v\r\nREADY X 1.1"} {
+			s.setRow(unreadable)
+			for range 4 {
+				assert.Regexp(t, `^ERROR ABORTED .*\|READY I -$`, brief(c.ask("i", "FETCH 1")), "entry %d, %.20q", i, unreadable)
+			}
+			s.setRow("v")
+			started := time.Now()
+			assert.Equal(t, "DATAROW v|"+answeredByServer, other.ask("i", "FETCH 1"), "entry %d, %.20q", i, unreadable)
+			assert.Equal(t, answeredByServer, other.ask("j", "STORE k v"), "entry %d, %.20q", i, unreadable)
+			assert.Less(t, time.Since(started), time.Second, "the server is served")
+		}
+		s.setRow(rows(7))
+		assert.Equal(t, brief("DATAROW "+strings.ReplaceAll(rows(7), "\r\n", "|")+"|"+answeredByServer), brief(c.ask("i", "FETCH 1")), "entry %d: 7 rows", i)
+		s.setRow("v")
+	}
+	assert.Contains(t, lines.String(), "message not read")
+	assert.NotContains(t, lines.String(), "backend server ejected")
+}
+
+// lockedBuffer is a buffer that instances write their logs to.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // checkLargest sends statements of the greatest length, and of one byte more.
 func checkLargest(t *testing.T, s *exactServer, address string) {
 	fill := func(start string) string { return start + strings.Repeat("x", maxText-len("QUERY i ")-len(start)) }
