--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -72,6 +72,8 @@
 type preparedStatement struct {
 	gwbackend.PreparedStatement
 	writes bool
+	// execute is the text that executes the statement, up to its arguments.
+	execute string
 }
 
 // answerBuffer collects the answer of one statement.
@@ -152,8 +154,7 @@
 		if !ok {
 			return s.fail(b, gwstatement.NoStatement, "no statement is prepared under the name "+st.Name)
 		}
-		text := s.codec.ExecuteText(p.Name) + st.Arguments
-		return s.execute(ctx, b, q.ID, text, p.writes, []gwbackend.PreparedStatement{p.PreparedStatement})
+		return s.execute(ctx, b, q.ID, p.execute+st.Arguments, p.writes, []gwbackend.PreparedStatement{p.PreparedStatement})
 	case gwstatement.Write:
 		return s.execute(ctx, b, q.ID, q.Text, true, nil)
 	default:
@@ -220,7 +221,8 @@
 	if !s.addState(n) {
 		return false
 	}
-	s.prepared[strings.Clone(st.Name)] = preparedStatement{PreparedStatement: gwbackend.NewPreparedStatement(text, nil), writes: st.Writes}
+	p := gwbackend.NewPreparedStatement(text, nil)
+	s.prepared[strings.Clone(st.Name)] = preparedStatement{PreparedStatement: p, writes: st.Writes, execute: s.codec.ExecuteText(p.Name)}
 	return true
 }
 
@@ -327,6 +329,9 @@
 	}()
 }
 
+// maxLoggedID bounds the id of a statement in a log line; a caller's may have up to 1 MiB.
+const maxLoggedID = 64
+
 // logAttempt logs why a statement was not served, was retried or was late, with the
 // state that the decision was based on and its staleness.
 func (e *Entry) logAttempt(msg string, r *request, res gwowner.Result) {
@@ -335,6 +340,7 @@
 	id := ""
 	if r.backend.Statement != nil {
 		id = r.backend.Statement.ID
+		id = id[:min(len(id), maxLoggedID)]
 	}
 	e.Log.Info(msg, "id", id, "class", r.session.class, "group", r.session.group,
 		"event", res.Event.String(), "reason", res.Message, "server", r.served.Name, "offers", r.attempts, "took", e.Clock.Since(r.started).String(),
