gwstandin: values, quoted texts and comments are taken as they are

What callers would see: SET x = 'a; delete from v; --' deletes the rows, as do a semicolon in a quoted name and one in a comment that is nested or ends in a carriage return; BEGIN /* read only */ opens a read-only transaction.

Cause: the stand-in has faults like those of the code that it tests: it splits at blanks and semicolons, trims, and looks for words in all of a text. SQLite, which runs the statements, has other rules for comments.

Change: a small scanner, written from PostgreSQL's rules without a look at gwsql, finds the tokens of statements that SQLite does not run. Comments become a space before SQLite gets a text.

--- a/internal/gwstandin/execute.go
+++ b/internal/gwstandin/execute.go
@@ -340,7 +340,7 @@
 	if c.txStatus == txIdle {
 		c.txStatus = txOpen
 		c.implicit = false
-		c.readOnly = strings.Contains(strings.ToUpper(p.sql), "READ ONLY")
+		c.readOnly = strings.Contains(strings.ToUpper(strings.Join(operands(p.sql), " ")), "READ ONLY")
 	}
 	return nil
 }
@@ -442,11 +442,17 @@
 
 // deallocate drops prepared statements: one by name, or all.
 func (c *session) deallocate(sql string) {
-	words := strings.Fields(strings.TrimRight(sql, "; \n"))
-	name := strings.Trim(words[len(words)-1], `"`)
-	if strings.EqualFold(name, "ALL") {
-		clear(c.stmts)
+	words := operands(sql)
+	if len(words) == 0 {
 		return
 	}
-	delete(c.stmts, name)
+	name := words[len(words)-1]
+	switch {
+	case strings.EqualFold(name, "ALL"):
+		clear(c.stmts)
+	case name[0] == '"':
+		delete(c.stmts, unquote(name))
+	default:
+		delete(c.stmts, strings.ToLower(name))
+	}
 }
--- a/internal/gwstandin/query.go
+++ b/internal/gwstandin/query.go
@@ -9,6 +9,11 @@
 // simpleQuery runs the statements of a Query message. Those outside a
 // transaction block form one transaction.
 func (c *session) simpleQuery(text string) {
+	text, err := plainSQL(text)
+	if err != nil {
+		c.fail(err)
+		return
+	}
 	answered := false
 	for {
 		sql, rest, err := c.nextStatement(text)
@@ -42,7 +47,7 @@
 		first, rest := cutStatement(text)
 		return first, rest, nil
 	}
-	trimmed := strings.Trim(text, "; \t\r\n")
+	trimmed := strings.Trim(text, ";"+sqlSpace)
 	if !strings.Contains(trimmed, ";") {
 		return trimmed, "", nil
 	}
@@ -110,11 +115,15 @@
 }
 
 func (c *session) parse(m *pgproto3.Parse) error {
-	_, a := classify(m.Query)
+	sql, err := plainSQL(m.Query)
+	if err != nil {
+		return err
+	}
+	_, a := classify(sql)
 	if err := c.checkFailedTxn("parse statement", a); err != nil {
 		return err
 	}
-	p, err := c.prepare(m.Query)
+	p, err := c.prepare(sql)
 	if err != nil {
 		return err
 	}
