--- a/internal/gwbackend/reader.go
+++ b/internal/gwbackend/reader.go
@@ -52,18 +52,10 @@
 		if n < headerBytes {
 			return errors.Wrap(ErrProtocol, "message length below 4")
 		}
-		if x != nil && forwardedUninspected(typ) {
-			c.forwardRemaining = n
-			continue
+		if err := c.beginForward(x, n); err != nil {
+			return err
 		}
-		if n > maxInspectedBytes {
-			ready, err := c.inspectStart(x, n)
-			if err != nil {
-				return err
-			}
-			if !ready {
-				break
-			}
+		if c.forwardRemaining > 0 {
 			continue
 		}
 		if c.w-c.r < n {
@@ -96,27 +88,31 @@
 	return nil
 }
 
-// inspectStart handles a message of n bytes that is too long to be read as a whole. Errors,
-// notices and parameters are forwarded, as their texts can hold anything that a caller
-// has sent. It returns false until enough of an error has been read.
-func (c *Conn) inspectStart(x *exchange, n int) (ready bool, err error) {
+// beginForward sets forwardRemaining if the next message, of n bytes, is forwarded without
+// being read as a whole. Apart from the types of forwardedUninspected, these are errors,
+// notices and parameters that are too long for that, as their texts can hold anything that
+// a caller has sent. Of an error, the start is inspected once it has been read.
+func (c *Conn) beginForward(x *exchange, n int) error {
 	typ := c.rbuf[c.r]
-	if x == nil || typ != 'E' && typ != 'N' && typ != 'S' {
-		return false, errors.Wrapf(ErrProtocol, "message %q of %d bytes is too long", typ, n)
-	}
-	if typ == 'E' {
+	switch {
+	case x != nil && forwardedUninspected(typ):
+	case n <= maxInspectedBytes:
+		return nil
+	case x == nil || typ != 'E' && typ != 'N' && typ != 'S':
+		return errors.Wrapf(ErrProtocol, "message %q of %d bytes is too long", typ, n)
+	case typ == 'E':
 		if c.w-c.r < errorStartBytes {
-			return false, nil
+			return nil
 		}
 		e, err := parseErrorStart(c.rbuf[c.r+headerBytes : c.r+errorStartBytes])
 		if err != nil {
-			return false, errors.Wrapf(ErrProtocol, "ErrorResponse: %v", err)
+			return errors.Wrapf(ErrProtocol, "ErrorResponse: %v", err)
 		}
 		x.copyRefused = false
 		x.res.ServerError = e
 	}
 	c.forwardRemaining = n
-	return true, nil
+	return nil
 }
 
 // skipForwarded moves past the bytes of a forwarded message. It reports false if some
