gwsoak: a run that checks memory and descriptors of the processes

Change: each run records the highest numbers of descriptors and the highest resident memory of its processes and checks the descriptors of entry instances against their settings. The scenario leavingCallers ends sessions at any statement, with its answer read or not, and compares the end with the first half (RESOURCES).

Ruled out: sessions without a pause: 25,498 of them in 20 s kept the machine so busy (load 45) that configurations took 6.1 s.

--- a/internal/gwsoak/checker.go
+++ b/internal/gwsoak/checker.go
@@ -34,6 +34,8 @@
 	// RuleAnswer means that a statement was not answered as it must be in a run without faults.
 	// The rules of platformtest.StatementCheck are checked besides.
 	RuleAnswer Rule = "ANSWER"
+	// RuleResources means that a process uses too many descriptors or more and more memory.
+	RuleResources Rule = "RESOURCES"
 )
 
 // Violation is one break of a rule.
--- a/internal/gwsoak/report.go
+++ b/internal/gwsoak/report.go
@@ -24,6 +24,7 @@
 	Gaps       map[string]string `json:"gaps"`       // longest time without an acknowledged write, by group
 	Waited     string            `json:"waited"`     // longest time that a configuration waited with a connected majority
 	StoodStill string            `json:"stoodStill"` // longest time for which the soak itself stood still
+	Usage      map[string]string `json:"usage"`      // highest descriptors and memory of a process, by what it serves
 	Newcomers  []Newcomer        `json:"newcomers"`
 	Violations []Violation       `json:"violations"`
 	Events     []Event           `json:"events"`
@@ -49,6 +50,7 @@
 		Took: time.Since(started).Round(time.Millisecond).String(), Schedule: r.steps, Counts: maps.Clone(c.counts),
 		Gaps: make(map[string]string), Newcomers: newcomers, Violations: slices.Clone(c.violations), Events: c.events,
 	}
+	out.Usage = map[string]string{"callers": r.usageOf(true).String(), "control": r.usageOf(false).String()}
 	for g, d := range c.gaps {
 		out.Gaps[g] = d.Round(time.Millisecond).String()
 	}
@@ -103,6 +105,9 @@
 	}
 	fmt.Fprintf(w, "  longest wait of a configuration with a connected majority: %s\n", r.Waited)
 	fmt.Fprintf(w, "  longest standstill of the soak itself: %s\n", r.StoodStill)
+	for _, k := range slices.Sorted(maps.Keys(r.Usage)) {
+		fmt.Fprintf(w, "  highest use of a process that serves %s: %s\n", k, r.Usage[k])
+	}
 	for _, n := range r.Newcomers {
 		fmt.Fprintf(w, "  %s\n", n)
 	}
--- a/internal/gwsoak/run.go
+++ b/internal/gwsoak/run.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianward.example/gentianward/platform"
@@ -116,11 +117,13 @@
 	// lastReady is when an entry instance last answered that it is ready.
 	lastReady  map[*process]time.Time
 	stoodStill time.Duration // longest time for which the soak itself stood still
+	usage      map[*process]usage
+	leaverIDs  atomic.Uint64
 }
 
 // Play plays a run and reports on it. An error means that it could not start.
 func Play(ctx context.Context, o Options) (Report, error) {
-	r := &Run{o: o, rand: rand.New(rand.NewPCG(o.Seed, 0)), check: newChecker(), network: newNetwork(), calmDisk: o.Sync.String(), redundancy: newRedundancy(), ready: make(map[*process]bool), lastReady: make(map[*process]time.Time)}
+	r := &Run{o: o, rand: rand.New(rand.NewPCG(o.Seed, 0)), check: newChecker(), network: newNetwork(), calmDisk: o.Sync.String(), redundancy: newRedundancy(), ready: make(map[*process]bool), lastReady: make(map[*process]time.Time), usage: make(map[*process]usage)}
 	if o.Sync > promptSync {
 		return Report{}, &Error{Op: "start deployment", Kind: KindInvalid, Err: fmt.Errorf("the bounds apply with syncs of at most %s more", promptSync)}
 	}
@@ -233,6 +236,7 @@
 	r.wg.Go(func() { r.watchReady(ctx) })
 	r.wg.Go(func() { r.watchRedundancy(ctx) })
 	r.wg.Go(func() { r.watchItself(ctx) })
+	r.wg.Go(func() { r.watchResources(ctx) })
 	for _, p := range r.entries {
 		r.wg.Go(func() { r.operator.probe(ctx, p) })
 	}
