--- a/internal/gwsoak/hostile.go
+++ b/internal/gwsoak/hostile.go
@@ -59,7 +59,7 @@
 	pieces := append(platformtest.HostilePieces(), "")
 	long := s.number < 2 // at one instance only, by both databases
 	if long {
-		pieces = append(pieces, strings.Repeat("\n\r", longPiece/2))
+		pieces = append(pieces, strings.Repeat("\n", longPiece/2)+strings.Repeat("\r", longPiece/2))
 	}
 	failed := 0
 	for n, piece := range pieces {
