gwstatement: a refused SET, PREPARE or DEALLOC leaves the session's state known

What callers would see: a server that was busy once, when a value or a prepared statement was to be set inside a transaction, ended that transaction at its next statement (ABORTED), and its owner counted that as a failure of the server: enough of them eject it.

Cause: after any failure of such a statement the state of the server's session counted as unknown. Inside a transaction it cannot be discarded, and the error of that decision was BrokenBeforeSend.

The decision to run nothing in a transaction with an unknown state is SessionNotSet, which counts against no server.

Ruled out: a wrong value or shape at a server through this; the state was taken for unknown too often, not too seldom.

--- a/internal/gwbackend/errors.go
+++ b/internal/gwbackend/errors.go
@@ -83,4 +83,7 @@
 	// ErrNotEncodable means that a request or the name of a group or server cannot be put
 	// into a message of the statement protocol.
 	ErrNotEncodable = errors.New("message cannot be encoded")
+	// ErrSessionUnknown means that a request was not sent because the state of the server's
+	// session is not known and cannot be discarded inside a transaction.
+	ErrSessionUnknown = errors.New("the state of the server's session is unknown inside a transaction")
 )
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -394,7 +394,7 @@
 		return gwoutcome.PeerBroken
 	case errors.Is(err, gwbackend.ErrUnreadable) && res.Sent:
 		return gwoutcome.ReplyUnreadable
-	case errors.Is(err, gwbackend.ErrUnreadable):
+	case errors.Is(err, gwbackend.ErrUnreadable), errors.Is(err, gwbackend.ErrSessionUnknown):
 		return gwoutcome.SessionNotSet
 	case !res.Sent:
 		return gwoutcome.BrokenBeforeSend
--- a/internal/gwowner/server_test.go
+++ b/internal/gwowner/server_test.go
@@ -100,3 +100,10 @@
 	}
 	assert.False(t, s.health.Ejected(s.owner.clock.Now()))
 }
+
+// Guards against a server that is ejected because the proxy does not know the state of its
+// session inside a transaction.
+func TestUnknownSessionIsNoFailureOfServer(t *testing.T) {
+	cause := &gwbackend.Error{Op: "run request", Kind: gwbackend.KindNotSent, Err: gwbackend.ErrSessionUnknown}
+	assert.Equal(t, gwoutcome.SessionNotSet, exchangeEvent(t.Context(), gwbackend.Result{}, cause))
+}
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -415,7 +415,7 @@
 // does not set, or is not known.
 func (c *Conn) applySession(ctx context.Context, stmt *gwbackend.StatementRequest) (answer, error) {
 	if c.sessionUnknown && c.status != 'I' {
-		return answer{}, errors.New("the state of the server's session is unknown inside a transaction")
+		return answer{}, gwbackend.ErrSessionUnknown
 	}
 	if c.sessionUnknown || c.hasExtraVariable(stmt.Variables) {
 		a, err := c.runSessionControl(ctx, c.codec.DiscardText())
@@ -445,10 +445,10 @@
 }
 
 // runSessionControl runs a statement that changes the state of the server's session. If it
-// fails, that state is unknown.
+// fails and may have run, that state is unknown.
 func (c *Conn) runSessionControl(ctx context.Context, text string) (answer, error) {
 	a, err := c.runControl(ctx, Position{}, text)
-	if err != nil || a.failure != nil {
+	if err != nil || a.failure != nil && refusalEvents[a.failure.Code] == 0 {
 		c.sessionUnknown = true
 	}
 	return a, err
