gwstatement: a failed transaction is ended without setting its session first

What callers would see: nothing at once. After a value that could not be set inside a transaction, the rollback was not sent, or the server refused the value again; the connection was closed or had its state discarded, and a new one takes a slot of the server.

Cause: values and prepared statements were set before every statement, although a failed transaction answers MALFORMED to all of them.

Change: in a failed transaction the statement is sent alone.

Ruled out: another statement that runs without its session: a server runs none in this state, and the session of a caller sends only its end.

Evidence: TestFailedTransactionIsRolledBackWithoutSession failed before; go test -race ./internal/gwstatement passes.

--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -362,10 +362,7 @@
 // for it, and sends the statement. If a step before the statement fails, its failure is
 // the answer, and sent is false.
 func (c *Conn) runStatement(ctx context.Context, stmt *gwbackend.StatementRequest, prepared []gwbackend.PreparedStatement) (answer, bool, error) {
-	if a, err := c.applySession(ctx, stmt); err != nil || a.failure != nil {
-		return a, false, err
-	}
-	text, arguments, a, err := c.prepareAll(ctx, stmt.Text, prepared)
+	text, arguments, a, err := c.applyState(ctx, stmt, prepared)
 	if err != nil || a.failure != nil {
 		return a, false, err
 	}
@@ -400,6 +397,18 @@
 	return a, true, nil
 }
 
+// applyState sets the variables and prepared statements of the request and returns its text, see
+// prepareAll. A failed transaction can only be ended, which needs neither.
+func (c *Conn) applyState(ctx context.Context, stmt *gwbackend.StatementRequest, prepared []gwbackend.PreparedStatement) (start, arguments string, a answer, err error) {
+	if c.status == 'E' {
+		return stmt.Text, "", answer{}, nil
+	}
+	if a, err := c.applySession(ctx, stmt); err != nil || a.failure != nil {
+		return "", "", a, err
+	}
+	return c.prepareAll(ctx, stmt.Text, prepared)
+}
+
 // checkPosition checks that the server's log contains a position, with a transaction that reads
 // nothing. Its failure is the answer.
 func (c *Conn) checkPosition(ctx context.Context, after Position) (answer, error) {
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -487,3 +487,28 @@
 	assert.False(t, res.Sent)
 	assert.Empty(t, s.takeReceived())
 }
+
+// Guards against a failed transaction that cannot be rolled back, and a connection that is closed
+// for it, because the server refuses the values that its session lacks.
+func TestFailedTransactionIsRolledBackWithoutSession(t *testing.T) {
+	s := startScriptedServer(t, map[string]string{
+		"begin false": "done\nready T 1\n", "x": "done\nready T 1\n", "set n v": "error failed x\nready E 1\n",
+	})
+	c := s.dial(t)
+	req := textRequest("x")
+	req.Statement.Begin = gwbackend.BeginWrite
+	_, err := c.Exchange(t.Context(), req, nil)
+	require.NoError(t, err)
+	for _, text := range []string{"x", "rollback"} {
+		req = textRequest(text)
+		req.Statement.Variables = []gwbackend.SessionVariable{{Name: "n", Value: "v"}}
+		s.takeReceived()
+		_, err = c.Exchange(t.Context(), req, nil)
+		require.NoError(t, err, text)
+	}
+	assert.Equal(t, []string{"1|rollback"}, s.takeReceived())
+	assert.True(t, c.Clean())
+	_, err = c.Exchange(t.Context(), textRequest("y"), nil)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"|discard", "1|y"}, s.takeReceived(), "the failed SET may have had an effect")
+}
