gwfilter: the state of all sessions of an instance is bounded

What callers would see: sessions that each hold up to 8 MiB of values fill an instance with 184 MB, 23 of them by count (not measured), and all its sessions end with it. Now a SET or PREPARE is answered BUSY while the values and prepared statements of all its sessions would exceed 64 MiB.

Cause: only the state of one session was bounded, and the number of sessions only by the open files.

Change: one counter for each instance, of the sizes that sessions count already; a session gives its part back when it ends. BUSY is true: nothing of the attempt is kept, and an open transaction is rolled back.

Ruled out: a bound that refuses usual sessions: a short value counts 1 KiB, which leaves 60,000 of them. Not covered: messages in flight.

Evidence: TestStateOfAllSessionsIsBounded fails without the bound. TestSessionStateIsBounded builds its sessions with an entry now; its checks are the same. go test -race ./internal/gwfilter passes.

--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -79,6 +79,9 @@
 	rng *rand.Rand
 	// turn counts the requests of the round-robin policy.
 	turn atomic.Uint64
+	// stateBytes is the size of the values and prepared statements of all sessions of the
+	// statement protocol, see entryBytes.
+	stateBytes atomic.Int64
 
 	mu     sync.Mutex
 	budget *gwoutcome.Budget
--- a/internal/gwfilter/state_test.go
+++ b/internal/gwfilter/state_test.go
@@ -24,12 +24,14 @@
 func (stateCodec) ShapeText(p gwstatement.Prepare) string { return "FETCH " + p.Shape }
 func (stateCodec) ExecuteText(name string) string         { return "EXECUTE " + name + " " }
 
+func openState(e *Entry) *statementSession {
+	return &statementSession{session: session{entry: e}, codec: stateCodec{}, status: 'I', prepared: make(map[string]preparedStatement)}
+}
+
 // Guards against a caller whose values and prepared statements fill the memory of the process
 // or no frame can hold, and against space that is not given back.
 func TestSessionStateIsBounded(t *testing.T) {
-	open := func() *statementSession {
-		return &statementSession{codec: stateCodec{}, status: 'I', prepared: make(map[string]preparedStatement)}
-	}
+	open := func() *statementSession { return openState(&Entry{}) }
 	ask := func(s *statementSession, st gwstatement.Statement) string {
 		return string(s.Handle(t.Context(), gwstatement.Query{ID: "1", Statement: st}, nil))
 	}
@@ -60,3 +62,33 @@
 		}
 	}
 }
+
+// Guards against many sessions, each within its bound, whose values and prepared statements
+// together fill the memory of the process, and against space that ended sessions keep.
+func TestStateOfAllSessionsIsBounded(t *testing.T) {
+	e := &Entry{}
+	ask := func(s *statementSession, st gwstatement.Statement) string {
+		return string(s.Handle(t.Context(), gwstatement.Query{ID: "1", Statement: st}, nil))
+	}
+	value := strings.Repeat("v", maxStateBytes-2*entryOverhead)
+	var full []*statementSession
+	for range 2 * maxTotalStateBytes / maxStateBytes {
+		s := openState(e)
+		if ask(s, gwstatement.Set{Name: "n", Value: value}) != "ok" {
+			break
+		}
+		full = append(full, s)
+	}
+	assert.Len(t, full, maxTotalStateBytes/maxStateBytes)
+	s := openState(e)
+	s.status = 'T'
+	assert.Equal(t, "failed false", ask(s, gwstatement.Set{Name: "n", Value: value}), "another session may have space later")
+	assert.Equal(t, byte('E'), s.status, "nothing of the attempt is kept")
+	s.Close()
+	for _, s := range full {
+		assert.Equal(t, "ok", ask(s, gwstatement.Set{Name: "n", Value: "v"}))
+		s.Close()
+	}
+	assert.Zero(t, e.stateBytes.Load())
+	assert.Equal(t, "ok", ask(openState(e), gwstatement.Prepare{Name: "p", Shape: value}))
+}
--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -59,6 +59,10 @@
 // and travel with each statement in a frame of at most 16 MiB.
 const maxStateBytes = 8 << 20
 
+// maxTotalStateBytes bounds the values and prepared statements of all sessions of an instance:
+// the smallest instances have 184 MB, of which messages in flight need a part.
+const maxTotalStateBytes = 64 << 20
+
 // entryOverhead is added to the size of each value and prepared statement. It bounds their
 // number, at 8,000, as each SET copies the list of values.
 const entryOverhead = 1 << 10
@@ -66,8 +70,12 @@
 // entryBytes returns the size of a value or a prepared statement.
 func entryBytes(name, text string) int { return len(name) + len(text) + entryOverhead }
 
-// errStateFull is the text of the failure of a statement that would exceed maxStateBytes.
-const errStateFull = "the values and prepared statements of the session exceed 8 MiB"
+// Failures of statements that would exceed maxStateBytes or maxTotalStateBytes. Only the second
+// may pass later.
+var (
+	sessionStateFull = &gwstatement.Failure{Code: gwstatement.Malformed, Text: "the values and prepared statements of the session exceed 8 MiB"}
+	totalStateFull   = &gwstatement.Failure{Code: gwstatement.Busy, Text: "the values and prepared statements of all sessions exceed 64 MiB"}
+)
 
 type preparedStatement struct {
 	gwbackend.PreparedStatement
@@ -113,8 +121,12 @@
 // Idle reports whether no transaction is open, so that the session may be closed.
 func (s *statementSession) Idle() bool { return s.status == 'I' }
 
-// Close rolls an open transaction back.
-func (s *statementSession) Close() { s.rollback() }
+// Close rolls an open transaction back and releases the space of the session's state.
+func (s *statementSession) Close() {
+	s.rollback()
+	s.entry.stateBytes.Add(-int64(s.stateBytes))
+	s.stateBytes = 0
+}
 
 // Handle answers one statement.
 func (s *statementSession) Handle(ctx context.Context, q gwstatement.Query, b []byte) []byte {
@@ -134,18 +146,18 @@
 	case gwstatement.Begin:
 		return s.beginTransaction(st, b)
 	case gwstatement.Set:
-		if !s.setValue(st) {
-			return s.fail(b, gwstatement.Malformed, errStateFull)
+		if f := s.setValue(st); f != nil {
+			return s.fail(b, f.Code, f.Text)
 		}
 		return s.complete(b)
 	case gwstatement.Prepare:
-		if !s.prepare(st) {
-			return s.fail(b, gwstatement.Malformed, errStateFull)
+		if f := s.prepare(st); f != nil {
+			return s.fail(b, f.Code, f.Text)
 		}
 		return s.complete(b)
 	case gwstatement.Deallocate:
 		if p, ok := s.prepared[st.Name]; ok {
-			s.stateBytes -= entryBytes(st.Name, p.SQL)
+			s.addState(-entryBytes(st.Name, p.SQL))
 			delete(s.prepared, st.Name)
 		}
 		return s.complete(b)
@@ -178,25 +190,29 @@
 	return s.complete(b)
 }
 
-// addState changes the size of the session's state, and returns false if it would exceed the
+// addState changes the size of the session's state, and returns a failure if it would exceed a
 // bound.
-func (s *statementSession) addState(n int) bool {
+func (s *statementSession) addState(n int) *gwstatement.Failure {
 	if s.stateBytes+n > maxStateBytes {
-		return false
+		return sessionStateFull
+	}
+	if total := s.entry.stateBytes.Add(int64(n)); n > 0 && total > maxTotalStateBytes {
+		s.entry.stateBytes.Add(-int64(n))
+		return totalStateFull
 	}
 	s.stateBytes += n
-	return true
+	return nil
 }
 
-// setValue sets a value of the session, and returns false if there is no space for it.
-func (s *statementSession) setValue(st gwstatement.Set) bool {
+// setValue sets a value of the session, and returns a failure if there is no space for it.
+func (s *statementSession) setValue(st gwstatement.Set) *gwstatement.Failure {
 	i, found := slices.BinarySearchFunc(s.values, st.Name, func(v gwbackend.SessionVariable, name string) int { return strings.Compare(v.Name, name) })
 	n := entryBytes(st.Name, st.Value)
 	if found {
 		n -= entryBytes(st.Name, s.values[i].Value)
 	}
-	if !s.addState(n) {
-		return false
+	if f := s.addState(n); f != nil {
+		return f
 	}
 	// The name and the value must not keep the whole message in memory.
 	v := gwbackend.SessionVariable{Name: strings.Clone(st.Name), Value: strings.Clone(st.Value)}
@@ -204,26 +220,26 @@
 	s.values = slices.Clone(s.values)
 	if found {
 		s.values[i] = v
-		return true
+		return nil
 	}
 	s.values = slices.Insert(s.values, i, v)
-	return true
+	return nil
 }
 
-// prepare defines a prepared statement of the session, and returns false if there is no space
-// for it.
-func (s *statementSession) prepare(st gwstatement.Prepare) bool {
+// prepare defines a prepared statement of the session, and returns a failure if there is no
+// space for it.
+func (s *statementSession) prepare(st gwstatement.Prepare) *gwstatement.Failure {
 	text := s.codec.ShapeText(st)
 	n := entryBytes(st.Name, text)
 	if p, ok := s.prepared[st.Name]; ok {
 		n -= entryBytes(st.Name, p.SQL)
 	}
-	if !s.addState(n) {
-		return false
+	if f := s.addState(n); f != nil {
+		return f
 	}
 	p := gwbackend.NewPreparedStatement(text, nil)
 	s.prepared[strings.Clone(st.Name)] = preparedStatement{PreparedStatement: p, writes: st.Writes, execute: s.codec.ExecuteText(p.Name)}
-	return true
+	return nil
 }
 
 func (s *statementSession) complete(b []byte) []byte {
