gwstatement: a transaction that only checks a position never becomes the caller's

What callers would see: after a single read of nearly 1 MiB, READY T, if the server failed the rollback of the transaction that checked the position of the read. The session would have gone on inside a transaction that it had not begun. No server is known to fail a rollback.

Cause: the failure of that rollback was passed on as the answer to the read.

Change: it is an error, so that the read is not sent and the connection is closed.

Ruled out: a read that runs without the check.

Evidence: TestFailedRollbackOfPositionCheck failed before; go test -race ./internal/gwstatement passes.

--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -410,13 +410,17 @@
 }
 
 // checkPosition checks that the server's log contains a position, with a transaction that reads
-// nothing. Its failure is the answer.
+// nothing. The failure of its begin is the answer.
 func (c *Conn) checkPosition(ctx context.Context, after Position) (answer, error) {
 	a, err := c.runControl(ctx, after, c.codec.BeginText(true))
 	if err != nil || a.failure != nil {
 		return a, err
 	}
-	return c.runControl(ctx, Position{}, c.codec.RollbackText())
+	a, err = c.runControl(ctx, Position{}, c.codec.RollbackText())
+	if err == nil && a.failure != nil {
+		err = pgError(a.failure)
+	}
+	return answer{}, err
 }
 
 // applySession makes the variables of the server's session equal to those of the request. It
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -512,3 +512,17 @@
 	require.NoError(t, err)
 	assert.Equal(t, []string{"|discard", "1|y"}, s.takeReceived(), "the failed SET may have had an effect")
 }
+
+// Guards against a single read after which its caller is inside a transaction that it has not
+// begun, as the server did not roll back the one that checked the position.
+func TestFailedRollbackOfPositionCheck(t *testing.T) {
+	s := startScriptedServer(t, map[string]string{"begin true": "done\nready T 7\n", "after 1/5 begin true": "done\nready T 7\n", "rollback": "error failed x\nready T 7\n"})
+	c := s.dial(t)
+	req := textRequest(strings.Repeat("x", maxTestQuery-1))
+	req.Statement.After = Position{Term: 1, Offset: 5}
+	res, err := c.Exchange(t.Context(), req, nil)
+	require.Error(t, err)
+	assert.Equal(t, gwbackend.KindNotSent, gwbackend.KindOf(err))
+	assert.False(t, res.Sent)
+	assert.False(t, c.Clean(), "the pool closes the connection or ends its transaction")
+}
