gwstatement: a long answer is bounded by its progress, not by its whole time

What callers would see: a caller that reads all the time was cut off inside an answer that takes its link more than 5 s: a row of 1 MiB takes 4.2 s at 2 Mbit/s, the links of the grown sites, and two at once 8 s.

Cause: one deadline of 5 s for the write of a whole answer, from the time when answers were short.

Change: the deadline is for each 64 KiB.

Ruled out: a caller that reads nothing and stays longer: it is still cut after 5 s.

Evidence: TestLongAnswerIsBoundedByProgress failed before; go test -race ./internal/gwstatement passes.

--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,8 +22,10 @@
 const (
 	// startupTimeout is how long a caller may take to open its session.
 	startupTimeout = 5 * time.Second
-	// answerWriteTimeout bounds the write of one answer to a caller that does not read.
+	// answerWriteTimeout bounds the write of answerPartBytes of an answer to a caller that does
+	// not read. Links of 2 Mbit/s take 4 s for a row of 1 MiB, and longer when they are shared.
 	answerWriteTimeout = 5 * time.Second
+	answerPartBytes    = 64 << 10
 	acceptRetryDelay   = 10 * time.Millisecond
 	callerBufferBytes  = 2 << 10
 	// drainPollInterval is how often a draining server closes sessions that have become
@@ -180,8 +183,7 @@
 			return nil
 		}
 		out = c.session.Handle(s.statements, q, out[:0])
-		_ = c.nc.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
-		_, err = c.nc.Write(out)
+		err = c.write(out)
 		c.setBusy(false)
 		if err != nil || s.statements.Err() != nil || s.endsSession(c, r) {
 			return err
@@ -192,6 +194,17 @@
 	}
 }
 
+// write writes an answer, which fails once a part of it takes longer than answerWriteTimeout.
+func (c *callerConn) write(answer []byte) error {
+	for part := range slices.Chunk(answer, answerPartBytes) {
+		_ = c.nc.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+		if _, err := c.nc.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // readMessage reads one message and records it if it cannot be read.
 func (s *Server) readMessage(c *callerConn, r *bufio.Reader) (Message, error) {
 	m, err := s.o.Codec.ReadMessage(r)
--- a/internal/gwstatement/server_test.go
+++ b/internal/gwstatement/server_test.go
@@ -255,3 +255,34 @@
 	h.openTransactions.Store(0)
 	require.NoError(t, <-done)
 }
+
+// slowConn records how much is written under each deadline.
+type slowConn struct {
+	net.Conn
+	writes []int // bytes by deadline
+}
+
+func (c *slowConn) SetWriteDeadline(time.Time) error {
+	c.writes = append(c.writes, 0)
+	return nil
+}
+
+func (c *slowConn) Write(b []byte) (int, error) {
+	c.writes[len(c.writes)-1] += len(b)
+	return len(b), nil
+}
+
+// Guards against a caller that reads all the time and is cut off inside a long answer, because
+// its link takes more than answerWriteTimeout for it.
+func TestLongAnswerIsBoundedByProgress(t *testing.T) {
+	nc := &slowConn{}
+	c := &callerConn{nc: nc}
+	answer := make([]byte, 1<<20+1)
+	require.NoError(t, c.write(answer))
+	total := 0
+	for _, n := range nc.writes {
+		total += n
+		assert.LessOrEqual(t, n, answerPartBytes, "under one deadline")
+	}
+	assert.Equal(t, len(answer), total)
+}
