gwowner: a long request or answer that is on its way does not count as lost

What callers would see: ABORTED for a read of a long row ("the answer is considered lost"), although the row was arriving, as soon as the server had answered 24 statements that were sent later. Each time the row was read again at another server and counted as a failure of its server, until the read's deadline.

Cause: the detector of lost answers counts statements, whatever their size. It takes a message that its link carries for long for one that never comes.

Change: once a part of the answer has arrived, the statement keeps its connection until its deadline, and so does a request of more than 64 KiB, which may itself still be on its way. Short requests without any byte of an answer count as lost as before.

Ruled out: a change of the threshold: what fits 1 MiB on a slow link finds no lost answer. An answer that stops in the middle, on a connection that stays open, now holds its connection until the deadline.

No soak run with lost answers.

--- a/internal/gwbackend/connection.go
+++ b/internal/gwbackend/connection.go
@@ -30,6 +30,13 @@
 	Recover(ctx context.Context) error
 }
 
+// Receiver is a Connection that knows whether an answer has begun to arrive.
+type Receiver interface {
+	// Receiving reports whether a part of the answer that is waited for has arrived. It may be
+	// called while an exchange runs.
+	Receiving() bool
+}
+
 var _ Connection = (*Conn)(nil)
 
 // Clean reports whether the connection is outside of a transaction and has the
--- a/internal/gwowner/pending.go
+++ b/internal/gwowner/pending.go
@@ -25,9 +25,19 @@
 type pendingStatement struct {
 	*gwlimit.SentRequest
 	sent   time.Time
+	conn   gwbackend.Connection
 	cancel context.CancelCauseFunc
 }
 
+// giveUp ends the wait for the answer, unless a part of it has arrived: the rest may follow while
+// many short statements are answered.
+func (s *pendingStatement) giveUp() {
+	if r, ok := s.conn.(gwbackend.Receiver); ok && r.Receiving() {
+		return
+	}
+	s.cancel(errAnswerLost)
+}
+
 // slotLimit returns for how long a statement that is sent now may keep its slot.
 func (p *pendingStatements) slotLimit() time.Duration {
 	p.mu.Lock()
@@ -35,16 +45,16 @@
 	return p.slotTimeout.Current()
 }
 
-// begin records a statement that is about to be sent. The returned context is canceled
-// when the answer is considered lost, provided that the statement has no effect if it
-// is abandoned.
-func (p *pendingStatements) begin(ctx context.Context, now time.Time, req gwbackend.Request) (context.Context, *pendingStatement) {
+// begin records a statement that is about to be sent on a connection. The returned context is
+// canceled when the answer is considered lost, provided that the statement is short and has no
+// effect if it is abandoned.
+func (p *pendingStatements) begin(ctx context.Context, now time.Time, conn gwbackend.Connection, req gwbackend.Request) (context.Context, *pendingStatement) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &pendingStatement{sent: now, cancel: cancel}
+	s := &pendingStatement{sent: now, conn: conn, cancel: cancel}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if hasNoEffectIfAbandoned(req) {
-		s.SentRequest = p.losses.Sent(cancel)
+	if hasNoEffectIfAbandoned(req) && requestBytes(req) <= maxLossBytes {
+		s.SentRequest = p.losses.Sent(s)
 	} else {
 		s.SentRequest = p.losses.Sent(nil)
 	}
@@ -57,6 +67,22 @@
 	return req.Statement != nil && !req.Statement.Commits
 }
 
+// maxLossBytes is the greatest size of a request whose answer may count as lost. A longer one, with
+// the state of its session, may be on its way while many short statements are answered.
+const maxLossBytes = 64 << 10
+
+// requestBytes returns about the number of bytes that are sent for a statement.
+func requestBytes(req gwbackend.Request) int {
+	n := len(req.Statement.ID) + len(req.Statement.Text)
+	for _, v := range req.Statement.Variables {
+		n += len(v.Name) + len(v.Value)
+	}
+	for _, st := range req.Prepared {
+		n += len(st.SQL)
+	}
+	return n
+}
+
 // end records that a statement was answered or abandoned.
 func (p *pendingStatements) end(s *pendingStatement, now time.Time, answered bool) {
 	p.mu.Lock()
@@ -67,8 +93,8 @@
 	p.mu.Unlock()
 	s.cancel(nil)
 	for _, l := range lost {
-		if cancel, ok := l.Ref.(context.CancelCauseFunc); ok {
-			cancel(errAnswerLost)
+		if s, ok := l.Ref.(*pendingStatement); ok {
+			s.giveUp()
 		}
 	}
 }
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -353,7 +353,7 @@
 
 // exchange runs one request on a connection and classifies how it ended.
 func (s *server) exchange(ctx context.Context, conn gwbackend.Connection, req gwbackend.Request, sink gwbackend.Sink) execution {
-	ctx, pending := s.pending.begin(ctx, s.owner.clock.Now(), req)
+	ctx, pending := s.pending.begin(ctx, s.owner.clock.Now(), conn, req)
 	answered := false
 	defer func() { s.pending.end(pending, s.owner.clock.Now(), answered) }()
 	res, err := conn.Exchange(ctx, req, sink)
--- a/internal/gwprogram/ends_test.go
+++ b/internal/gwprogram/ends_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"gentianward.example/gentianward/pkg/gwlimit"
 )
 
 // maxLogLine is the greatest length of a log line about one statement.
@@ -144,3 +146,37 @@
 		_ = nc.Close()
 	}
 }
+
+// Guards against a long row that counts as lost, and as a failure of its server, because the
+// server answers many short statements while the row is on its way.
+func TestLongRowIsNotLostBesideShortAnswers(t *testing.T) {
+	s := startExactServer(t)
+	var lines lockedBuffer
+	for i, address := range twoEntries(t, s, &lines) {
+		reader, err := openExact(address)
+		require.NoError(t, err)
+		defer reader.nc.Close()
+		writer, err := openExact(address)
+		require.NoError(t, err)
+		defer writer.nc.Close()
+		row := strings.Repeat("r", maxText-len("DATAROW "))
+		s.mu.Lock()
+		s.row, s.pause = row, 50*time.Millisecond
+		s.mu.Unlock()
+		answer := make(chan string, 1)
+		go func() { answer <- reader.ask("i", "FETCH 1") }()
+		beside := 0
+		for got := ""; got == ""; {
+			assert.Equal(t, answeredByServer, writer.ask("j", "STORE k v"))
+			select {
+			case got = <-answer:
+				assert.Equal(t, brief("DATAROW "+row+"|"+answeredByServer), brief(got), "entry %d", i)
+			default:
+				beside++
+			}
+		}
+		assert.Greater(t, beside, 2*gwlimit.LossThreshold)
+		s.setRow("v")
+	}
+	assert.NotContains(t, lines.String(), "answerLost")
+}
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,10 @@
 	awaitingAnswer bool
 	err            error
 
+	// received counts the bytes of all replies, and answerStart is its value when the last
+	// request was sent.
+	received, answerStart atomic.Int64
+
 	unusable atomic.Bool
 	// abandoned means that ctx ended before the answer to the last exchange arrived.
 	abandoned  bool
@@ -70,7 +75,10 @@
 	ready   Ready
 }
 
-var _ gwbackend.Connection = (*Conn)(nil)
+var (
+	_ gwbackend.Connection = (*Conn)(nil)
+	_ gwbackend.Receiver   = (*Conn)(nil)
+)
 
 // dial connects to the server o.Name of the group o.Database.
 func (d Dialect) dial(ctx context.Context, o gwbackend.Options) (*Conn, error) {
@@ -122,10 +130,26 @@
 	return &pgconn.PgError{Severity: "ERROR", Code: f.Code.SQLState(), Message: f.Text[:min(len(f.Text), maxErrorText)]}
 }
 
+// countingReader counts the bytes that it has read.
+type countingReader struct {
+	io.Reader
+	read *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (r countingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.read.Add(int64(n))
+	return n, err
+}
+
+// Receiving implements gwbackend.Receiver.
+func (c *Conn) Receiving() bool { return c.received.Load() > c.answerStart.Load() }
+
 // readLoop reads answers until the connection closes.
 func (c *Conn) readLoop() {
 	defer close(c.readerDone)
-	r := bufio.NewReaderSize(c.nc, readBufferBytes)
+	r := bufio.NewReaderSize(countingReader{c.nc, &c.received}, readBufferBytes)
 	var a answer
 	started := false
 	for {
@@ -241,6 +265,7 @@
 		return answer{}, false, err
 	}
 	c.awaitingAnswer = true
+	c.answerStart.Store(c.received.Load())
 	c.mu.Unlock()
 	deadline := time.Now().Add(writeTimeout)
 	if d, ok := ctx.Deadline(); ok {
