gwowner: deadlines that long messages exceed do not eject a server

What callers would see: five reads of long rows in a row that did not end in time, with no other statement answered between them, ejected their server, which other callers used too.

Cause: each timeout counted as a failure of the server, whatever was on its way.

Change: a timeout counts only if no part of the answer has arrived and the request has at most 64 KiB. The rule is that of the detector of lost answers, which now uses the same function.

Ruled out: a server that has failed and is never ejected: its statements without an answer, its failed dials and its checks count as before.

Evidence: TestTimeoutOfLongMessageIsNoFailureOfServer failed before; go test -race ./internal/gwowner passes.

--- a/internal/gwowner/pending.go
+++ b/internal/gwowner/pending.go
@@ -27,15 +27,22 @@
 	sent   time.Time
 	conn   gwbackend.Connection
 	cancel context.CancelCauseFunc
+	// long means that the request has more than maxShortBytes.
+	long bool
 }
 
-// giveUp ends the wait for the answer, unless a part of it has arrived: the rest may follow while
-// many short statements are answered.
+// onItsWay reports whether a part of the answer has arrived, or the request is so long that it may
+// itself not have arrived yet. Its link then takes longer than for many short statements.
+func (s *pendingStatement) onItsWay() bool {
+	r, ok := s.conn.(gwbackend.Receiver)
+	return s.long || ok && r.Receiving()
+}
+
+// giveUp ends the wait for the answer unless a message is on its way.
 func (s *pendingStatement) giveUp() {
-	if r, ok := s.conn.(gwbackend.Receiver); ok && r.Receiving() {
-		return
+	if !s.onItsWay() {
+		s.cancel(errAnswerLost)
 	}
-	s.cancel(errAnswerLost)
 }
 
 // slotLimit returns for how long a statement that is sent now may keep its slot.
@@ -46,14 +53,14 @@
 }
 
 // begin records a statement that is about to be sent on a connection. The returned context is
-// canceled when the answer is considered lost, provided that the statement is short and has no
-// effect if it is abandoned.
+// canceled when the answer is considered lost, provided that the statement has no effect if it is
+// abandoned.
 func (p *pendingStatements) begin(ctx context.Context, now time.Time, conn gwbackend.Connection, req gwbackend.Request) (context.Context, *pendingStatement) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &pendingStatement{sent: now, conn: conn, cancel: cancel}
+	s := &pendingStatement{sent: now, conn: conn, cancel: cancel, long: requestBytes(req) > maxShortBytes}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if hasNoEffectIfAbandoned(req) && requestBytes(req) <= maxLossBytes {
+	if hasNoEffectIfAbandoned(req) {
 		s.SentRequest = p.losses.Sent(s)
 	} else {
 		s.SentRequest = p.losses.Sent(nil)
@@ -67,12 +74,16 @@
 	return req.Statement != nil && !req.Statement.Commits
 }
 
-// maxLossBytes is the greatest size of a request whose answer may count as lost. A longer one, with
-// the state of its session, may be on its way while many short statements are answered.
-const maxLossBytes = 64 << 10
+// maxShortBytes is the greatest size of a request, with the state of its session, that counts as
+// short. A link of 2 Mbit/s takes 0.26 s for it.
+const maxShortBytes = 64 << 10
 
-// requestBytes returns about the number of bytes that are sent for a statement.
+// requestBytes returns about the number of bytes that are sent for a statement, and 0 for other
+// requests.
 func requestBytes(req gwbackend.Request) int {
+	if req.Statement == nil {
+		return 0
+	}
 	n := len(req.Statement.ID) + len(req.Statement.Text)
 	for _, v := range req.Statement.Variables {
 		n += len(v.Name) + len(v.Value)
--- a/internal/gwowner/pending_test.go
+++ b/internal/gwowner/pending_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 
 	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/pkg/gwlimit"
+	"gentianward.example/gentianward/pkg/gwoutcome"
 )
 
 // partlyAnswered is a connection of which a part of the answer may have arrived.
@@ -36,7 +38,7 @@
 		{"a read", nil, read("FETCH a"), errAnswerLost},
 		{"a read without a part of its answer", partlyAnswered{answered: false}, read("FETCH a"), errAnswerLost},
 		{"a read whose answer has begun", partlyAnswered{answered: true}, read("FETCH a"), nil},
-		{"a long read, which may not have arrived", nil, read("FETCH " + strings.Repeat("a", maxLossBytes)), nil},
+		{"a long read, which may not have arrived", nil, read("FETCH " + strings.Repeat("a", maxShortBytes)), nil},
 		{"a commit", nil, gwbackend.Request{Statement: &gwbackend.StatementRequest{Text: "COMMIT", Commits: true}}, nil},
 		{"SQL, whose effect is not known", nil, gwbackend.Query("SELECT f()"), nil},
 	}
@@ -52,3 +54,33 @@
 		assert.Equal(t, tt.want, context.Cause(ctx), tt.name)
 	}
 }
+
+// Exchange implements gwbackend.Connection; the answer does not end before ctx does.
+func (c partlyAnswered) Exchange(ctx context.Context, _ gwbackend.Request, _ gwbackend.Sink) (gwbackend.Result, error) {
+	<-ctx.Done()
+	return gwbackend.Result{Sent: true}, ctx.Err()
+}
+
+// Guards against a server that is ejected because long messages take longer than their deadlines.
+func TestTimeoutOfLongMessageIsNoFailureOfServer(t *testing.T) {
+	tests := []struct {
+		name    string
+		conn    partlyAnswered
+		text    string
+		failure bool
+	}{
+		{"no part of the answer", partlyAnswered{answered: false}, "FETCH a", true},
+		{"a part of the answer", partlyAnswered{answered: true}, "FETCH a", false},
+		{"a long request", partlyAnswered{answered: false}, "FETCH " + strings.Repeat("a", maxShortBytes), false},
+	}
+	for _, tt := range tests {
+		s := &server{owner: &Owner{clock: clockwork.NewFakeClock()}}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		for range gwoutcome.FailuresToEject - 1 {
+			x := s.exchange(ctx, tt.conn, gwbackend.Request{Statement: &gwbackend.StatementRequest{Text: tt.text}}, nil)
+			assert.Equal(t, gwoutcome.TimedOut, x.event)
+		}
+		assert.Equal(t, tt.failure, s.health.Observe(gwoutcome.TimedOut, s.owner.clock.Now()), "%s: the last failure before an ejection", tt.name)
+	}
+}
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -365,7 +365,10 @@
 	case x.Refusal != 0 && (x.TxStatus == 'I' || opensTransaction(req)):
 		x.event, x.detail = x.Refusal, "the server refused the request: "+x.ServerError.Message
 	}
-	s.observe(x.event)
+	// A deadline that a long message exceeds tells nothing about the server.
+	if x.event != gwoutcome.TimedOut || !pending.onItsWay() {
+		s.observe(x.event)
+	}
 	return x
 }
 
