gwstatement: a refused deallocation leaves the statement prepared

A name counted as free before the server had answered DEALLOC; after a refusal such as BUSY it would have been given to a second shape. It is freed after the answer. A statement on the session's state that was certainly not run leaves that state known, and a state that is not known inside a transaction ends its statement with sessionNotSet, which counts for no ejection.

Evidence: TestRefusedDeallocation is new.

--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -415,7 +415,8 @@
 // does not set, or is not known.
 func (c *Conn) applySession(ctx context.Context, stmt *gwbackend.StatementRequest) (answer, error) {
 	if c.sessionUnknown && c.status != 'I' {
-		return answer{}, errors.New("the state of the server's session is unknown inside a transaction")
+		err := errors.New("the state of the server's session is unknown inside a transaction")
+		return answer{}, &Error{Op: "set session", Kind: KindProtocol, Reason: "sessionUnknown", Err: err}
 	}
 	if c.sessionUnknown || c.hasExtraVariable(stmt.Variables) {
 		a, err := c.runSessionControl(ctx, c.codec.DiscardText())
@@ -444,11 +445,12 @@
 	return answer{}, nil
 }
 
-// runSessionControl runs a statement that changes the state of the server's session. If it
-// fails, that state is unknown.
+// runSessionControl runs a statement that changes the state of the server's session. That state
+// is unknown if the statement fails, unless it certainly has not run.
 func (c *Conn) runSessionControl(ctx context.Context, text string) (answer, error) {
 	a, err := c.runControl(ctx, Position{}, text)
-	if err != nil || a.failure != nil {
+	refused := a.failure != nil && refusalEvents[a.failure.Code] != 0
+	if err != nil || a.failure != nil && !refused {
 		c.sessionUnknown = true
 	}
 	return a, err
--- a/internal/gwstatement/conn_test.go
+++ b/internal/gwstatement/conn_test.go
@@ -416,3 +416,35 @@
 	}
 	assert.Equal(t, []string{"|set n " + long, "1|x", "1|x", "|set n " + long + "v", "1|x"}, s.takeReceived())
 }
+
+// Guards against a name that is given to a second shape while the server still has the first
+// one, because it refused to deallocate it; and against a transaction that is lost for that.
+func TestRefusedDeallocation(t *testing.T) {
+	answers := map[string]string{}
+	s := startScriptedServer(t, answers)
+	c := s.dial(t)
+	run := func(i int) ([]string, gwbackend.Result) {
+		p := gwbackend.NewPreparedStatement(fmt.Sprint("shape ", i), nil)
+		req := textRequest("execute " + p.Name + " k")
+		req.Prepared = []gwbackend.PreparedStatement{p}
+		res, err := c.Exchange(t.Context(), req, nil)
+		require.NoError(t, err)
+		return s.takeReceived(), res
+	}
+	for i := range len(preparedNames) {
+		run(i)
+	}
+	s.mu.Lock()
+	answers["deallocate a"] = "error busy x\nready T 7\n"
+	s.mu.Unlock()
+	got, res := run(100)
+	assert.Equal(t, []string{"|deallocate a"}, got)
+	assert.Equal(t, gwoutcome.QueueFull, res.Refusal)
+	got, _ = run(0)
+	assert.Equal(t, []string{"1|execute a k"}, got, "it is still prepared")
+	s.mu.Lock()
+	delete(answers, "deallocate a")
+	s.mu.Unlock()
+	got, _ = run(100)
+	assert.Equal(t, []string{"|deallocate a", "|prepare a shape 100", "1|execute a k"}, got)
+}
--- a/internal/gwstatement/prepared.go
+++ b/internal/gwstatement/prepared.go
@@ -46,7 +46,7 @@
 // clear removes all statements.
 func (p *preparedStatements) clear() { *p = preparedStatements{} }
 
-// assign gives the next name to a shape, which the statement that has it loses.
+// assign gives the next name to a shape. No statement has it.
 func (p *preparedStatements) assign(shape shapeDigest) {
 	if p.indices == nil {
 		p.indices = make(map[shapeDigest]int, 1)
@@ -55,19 +55,17 @@
 	p.next = (p.next + 1) % len(preparedNames)
 }
 
-// evict removes the statement that has the next name. It returns the name, or an empty string
-// if there is none.
-func (p *preparedStatements) evict() string {
-	shape := p.shapes[p.next]
-	if i, ok := p.indices[shape]; !ok || i != p.next {
-		return ""
-	}
-	delete(p.indices, shape)
-	return p.name(p.next)
+// nextInUse reports whether a statement has the next name.
+func (p *preparedStatements) nextInUse() bool {
+	i, ok := p.indices[p.shapes[p.next]]
+	return ok && i == p.next
 }
 
+// freeNext removes the statement that has the next name.
+func (p *preparedStatements) freeNext() { delete(p.indices, p.shapes[p.next]) }
+
 // prepare prepares a shape on the connection unless it is prepared already, and returns its
-// name there. A statement that has not been used for long may lose its name for that.
+// name there. The statement that was prepared first may lose its name for that.
 func (c *Conn) prepare(ctx context.Context, shape string) (string, answer, error) {
 	digest := sha256.Sum256([]byte(shape))
 	if i, ok := c.prepared.indices[digest]; ok {
@@ -78,10 +76,11 @@
 	if err != nil {
 		return "", answer{}, err
 	}
-	if evicted := c.prepared.evict(); evicted != "" {
-		if a, err := c.runSessionControl(ctx, c.codec.DeallocateText(evicted)); err != nil || a.failure != nil {
+	if c.prepared.nextInUse() {
+		if a, err := c.runSessionControl(ctx, c.codec.DeallocateText(name)); err != nil || a.failure != nil {
 			return "", a, err
 		}
+		c.prepared.freeNext()
 	}
 	if a, err := c.runSessionControl(ctx, text); err != nil || a.failure != nil {
 		return "", a, err
--- a/pkg/gwoutcome/outcome.go
+++ b/pkg/gwoutcome/outcome.go
@@ -80,8 +80,8 @@
 	// ReplyUnreadable means that the server's answer arrived and cannot be read, as when one
 	// of its rows is too long.
 	ReplyUnreadable
-	// SessionNotSet means that the answer to a statement that prepares the server's session
-	// cannot be read, so that the request itself was not sent.
+	// SessionNotSet means that the server's session could not be given the state of the
+	// caller's, as an answer to that could not be read, so that the request was not sent.
 	SessionNotSet
 )
 
