gwload: the load writes hostile data and checks every row that it reads

What users would see: a run reports mismatches, reads with a row that is not exactly what was written, and the command exits 1 if there is one. The tables, the texts and the query modes of a load are others, so that figures of runs before and after this are not comparable in detail.

Change: IDs, subjects and texts hold line breaks, quotes, backslashes, control characters but NUL, comments, statement ends and letters of one to four bytes; a bytea column holds any bytes; each 101st record has 20 kB and more. The seed and the number of a record determine it, so that a read can check every row. A quarter of the requests uses the simple protocol, cached statements with binary results, or described ones.

--- a/cmd/gentianward/load.go
+++ b/cmd/gentianward/load.go
@@ -120,6 +120,9 @@
 		return err
 	}
 	gwload.PrintText(os.Stdout, []string{c.out}, []*gwload.Report{r})
+	if n := r.MismatchCount(); n > 0 {
+		return fmt.Errorf("%d reads returned other data than were written: %s", n, strings.Join(r.Mismatches, "; "))
+	}
 	return nil
 }
 
--- a/internal/gwload/gap.go
+++ b/internal/gwload/gap.go
@@ -138,7 +138,11 @@
 	if err := waitReady(ctx, d); err != nil {
 		return nil, err
 	}
-	if err := gwtrace.Setup(ctx, d, profile.Setup); err != nil {
+	classes, err := Mix(o.Deployment, o.Rate)
+	if err != nil {
+		return nil, err
+	}
+	if err := gwtrace.Setup(ctx, d, setupOf(profile, classes)); err != nil {
 		return nil, err
 	}
 	var out []GapSample
@@ -180,7 +184,7 @@
 	}
 	c := classes[0]
 	c.Rate, c.WriteShare = o.Rate, 1
-	g := newGenerator(d, newRecorder(time.Second), []string{group}, gapConnections)
+	g := newGenerator(d, newRecorder(time.Second), []string{group}, gapConnections, 1)
 	sending, stop := context.WithCancel(ctx)
 	g.wg.Go(func() { g.generate(sending, c, rand.New(rand.NewPCG(1, 1))) })
 	time.Sleep(gapWarmUp)
--- a/internal/gwload/generator.go
+++ b/internal/gwload/generator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"gentianward.example/gentianward/internal/gwdeploy"
 	"gentianward.example/gentianward/internal/gwtrace"
@@ -46,13 +47,14 @@
 	mu    sync.Mutex
 	pools map[poolKey]*pool
 	rings map[[2]string]*ring
-	body  string
+	// seed determines the records that are written.
+	seed uint64
 }
 
-func newGenerator(d *gwdeploy.Deployment, rec *recorder, groups []string, poolSize int) *generator {
+func newGenerator(d *gwdeploy.Deployment, rec *recorder, groups []string, poolSize int, seed uint64) *generator {
 	return &generator{
 		d: d, groups: groups, poolSize: max(poolSize, 1), rec: rec, started: time.Now(),
-		pools: make(map[poolKey]*pool), rings: make(map[[2]string]*ring), body: fmt.Sprintf("%0200d", 0),
+		pools: make(map[poolKey]*pool), rings: make(map[[2]string]*ring), seed: seed,
 	}
 }
 
@@ -77,7 +79,7 @@
 			return
 		}
 		group := g.groups[rng.IntN(len(g.groups))]
-		r := request{class: c, group: group, due: due, write: rng.Float64() < c.WriteShare, subject: fmt.Sprintf("home-%d", rng.IntN(subjects))}
+		r := request{class: c, group: group, due: due, write: rng.Float64() < c.WriteShare, subject: newSubject(rng.IntN(subjects))}
 		if g.inFlight.Add(1) > maxInFlight {
 			g.inFlight.Add(-1)
 			g.rec.drop(c.Name)
@@ -158,12 +160,12 @@
 	}
 	p := g.pool(poolKey{instance: at, caller: r.class.Caller, group: r.group})
 	conn, err := p.acquire(ctx)
-	violation := false
+	var found findings
 	if err == nil {
 		if r.write {
 			err = g.write(ctx, conn, r, n)
 		} else {
-			violation, err = g.read(ctx, conn, r, n)
+			found, err = g.read(ctx, conn, r, n)
 		}
 		p.release(conn, err == nil)
 	} else if ctx.Err() != nil {
@@ -171,43 +173,57 @@
 	}
 	g.rec.add(sample{
 		class: r.class.Name, group: r.group, instance: nodes[at].Settings.Instance, write: r.write, due: r.due, end: g.now(),
-		outcome: gwtrace.Classify(err), violation: violation,
+		outcome: gwtrace.Classify(err), findings: found,
 	})
 }
 
 func (g *generator) write(ctx context.Context, conn *pgx.Conn, r *request, n uint64) error {
-	id := fmt.Sprintf("load-%d", n)
-	_, err := conn.Exec(ctx, "insert into "+r.class.Table+" (id, subject, body) values ($1, $2, $3)", id, r.subject, g.body)
+	row := newRecord(g.seed, n, r.subject)
+	tag, err := conn.Exec(ctx, "insert into "+tableOf(r.class.Table)+" (id, subject, body, data) values ($1, $2, $3, $4)", queryMode(n), row.ID, row.Subject, row.Body, row.Data)
+	if err == nil && tag.String() != "INSERT 0 1" {
+		err = &pgconn.PgError{Code: "XX000", Message: "unexpected command tag of the insert: " + tag.String()}
+	}
 	if err == nil {
-		g.ring(r.group, r.class.Table).add(ackedWrite{id: id, subject: r.subject, at: g.now()})
+		g.ring(r.group, r.class.Table).add(ackedWrite{id: row.ID, subject: r.subject, at: g.now()})
 	}
 	return err
 }
 
-// read reads the records of a subject and reports whether the result violates the
-// accepted staleness. If there is a write that was acknowledged early enough, it reads
-// the subject of that write, whose record must then be in the result, unless the
-// result has reached maxReadRows.
-func (g *generator) read(ctx context.Context, conn *pgx.Conn, r *request, n uint64) (bool, error) {
+// findings are what is wrong with the rows of a read.
+type findings struct {
+	// violation means that the rows violate the accepted staleness.
+	violation bool
+	// mismatch describes a row that is not exactly what was written; empty if there is none.
+	mismatch string
+}
+
+// read reads the records of a subject and checks them. If there is a write that was
+// acknowledged early enough, it reads the subject of that write, whose record must then be
+// in the result, unless the result has reached maxReadRows.
+func (g *generator) read(ctx context.Context, conn *pgx.Conn, r *request, n uint64) (findings, error) {
 	sent := g.now()
 	want, ok := g.ring(r.group, r.class.Table).pick(n, sent-r.class.Staleness)
 	if ok {
 		r.subject = want.subject
 	}
-	rows, err := conn.Query(ctx, fmt.Sprintf("select id, subject, body from %s where subject = $1 order by seq desc limit %d", r.class.Table, maxReadRows), r.subject)
+	rows, err := conn.Query(ctx, fmt.Sprintf("select id, subject, body, data from %s where subject = $1 order by seq desc limit %d", tableOf(r.class.Table), maxReadRows), queryMode(n), r.subject)
 	if err != nil {
-		return false, err
+		return findings{}, err
 	}
-	list, err := pgx.CollectRows(rows, pgx.RowToStructByPos[gwtrace.Row])
-	if err != nil || !ok || len(list) == maxReadRows {
-		return false, err
+	list, err := pgx.CollectRows(rows, pgx.RowToStructByPos[record])
+	if err != nil {
+		return findings{}, err
 	}
+	found := findings{violation: ok && len(list) < maxReadRows}
 	for _, row := range list {
 		if row.ID == want.id {
-			return false, nil
+			found.violation = false
+		}
+		if difference := checkRecord(g.seed, row, r.subject); difference != "" {
+			found.mismatch = difference
 		}
 	}
-	return true, nil
+	return found, nil
 }
 
 // errNoConnection means that no connection of the pool became free before the timeout.
--- a/internal/gwload/load_test.go
+++ b/internal/gwload/load_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,6 +59,33 @@
 	require.False(t, ok)
 }
 
+// Guards against a check of records that overlooks a change, and against records without
+// the bytes that are changed somewhere.
+func TestCheckRecord(t *testing.T) {
+	subject := newSubject(3)
+	all := ""
+	for n := range uint64(1000) {
+		r := newRecord(7, n, subject)
+		all += r.Body
+		require.Equal(t, r, newRecord(7, n, subject))
+		require.Empty(t, checkRecord(7, r, subject))
+		for _, change := range []func(r *record){
+			func(r *record) { r.ID = strings.TrimSpace(r.ID) },
+			func(r *record) { r.Subject = strings.ReplaceAll(r.Subject, "\r", "") },
+			func(r *record) { r.Body += " " },
+			func(r *record) { r.Data = append(bytes.Clone(r.Data), 0) },
+			func(r *record) { r.ID = newRecord(7, n+1, subject).ID },
+		} {
+			changed := r
+			change(&changed)
+			require.NotEmpty(t, checkRecord(7, changed, subject), "%+v", changed)
+		}
+	}
+	for _, p := range pieces {
+		require.Contains(t, all, p)
+	}
+}
+
 // Guards against a load run with lost requests or with reads that miss acknowledged
 // writes, and against failures to write its run file, table and plots.
 func TestRunAndReport(t *testing.T) {
@@ -65,7 +93,7 @@
 	require.NoError(t, err)
 	s := r.Summarize("")
 	require.NotZero(t, s.Done)
-	require.Zero(t, s.NotRun+s.Unknown+s.Failed+s.Dropped+s.Violations, "%+v", s)
+	require.Zero(t, s.NotRun+s.Unknown+s.Failed+s.Dropped+s.Violations+s.Mismatches, "%+v %q", s, r.Mismatches)
 	folder := t.TempDir()
 	name := filepath.Join(folder, "run.json")
 	require.NoError(t, WriteRun(name, r))
--- a/internal/gwload/recorder.go
+++ b/internal/gwload/recorder.go
@@ -25,7 +25,7 @@
 	write        bool
 	due, end     time.Duration
 	outcome      gwtrace.Outcome
-	violation    bool
+	findings
 }
 
 // recorder aggregates samples and injected faults.
@@ -37,12 +37,15 @@
 	acks    map[string][]time.Duration // times of acknowledged writes by group
 	faults  []InjectedFault
 	slowest []SlowRequest // in descending order of latency
+	// mismatches describes the first reads that returned other data than were written.
+	mismatches []string
 }
 
 type classStats struct {
 	total      *hdrhistogram.Histogram
 	outcomes   map[gwtrace.Outcome]int64
 	violations int64
+	mismatches int64
 	dropped    int64
 	points     map[int]*pointStats // by index of the interval of the due time
 }
@@ -83,6 +86,12 @@
 	if s.violation {
 		c.violations++
 	}
+	if s.mismatch != "" {
+		c.mismatches++
+		if len(r.mismatches) < maxMismatches {
+			r.mismatches = append(r.mismatches, s.mismatch)
+		}
+	}
 	if s.write && s.outcome == gwtrace.Done {
 		r.acks[s.group] = append(r.acks[s.group], s.end)
 	}
@@ -102,6 +111,9 @@
 	r.addSlowest(s)
 }
 
+// maxMismatches is the number of mismatches that a run file describes.
+const maxMismatches = 20
+
 // maxSlowest is the number of slowest requests that a run file lists.
 const maxSlowest = 20
 
--- a/internal/gwload/report.go
+++ b/internal/gwload/report.go
@@ -41,6 +41,8 @@
 	Traffic      []Traffic `json:"traffic"`
 	// Slowest lists the slowest of the requests that were done, slowest first.
 	Slowest []SlowRequest `json:"slowest"`
+	// Mismatches describes the first reads that returned other data than were written.
+	Mismatches []string `json:"mismatches,omitempty"`
 }
 
 // SlowRequest is one of the slowest requests of a run.
@@ -60,6 +62,8 @@
 	// Violations is the number of reads that missed a write acknowledged longer ago
 	// than the accepted staleness.
 	Violations int64 `json:"violations"`
+	// Mismatches is the number of reads with a row that is not exactly what was written.
+	Mismatches int64 `json:"mismatches"`
 	// Dropped is the number of arrivals not sent because too many requests were in flight.
 	Dropped int64         `json:"dropped"`
 	P50     time.Duration `json:"p50"`
@@ -129,6 +133,15 @@
 	return n
 }
 
+// MismatchCount returns the total number of mismatches of all classes.
+func (r *Report) MismatchCount() int64 {
+	var n int64
+	for _, c := range r.Classes {
+		n += c.Mismatches
+	}
+	return n
+}
+
 // MaxGap returns the longest failover gap, 0 without faults.
 func (r *Report) MaxGap() time.Duration {
 	var d time.Duration
@@ -144,7 +157,7 @@
 	rec := l.generator.rec
 	r := &Report{
 		Format: RunFormat, Version: RunVersion, Deployment: l.Deployment, Routing: l.Routing, Delay: l.Delay,
-		Rate: l.Rate, Connections: l.Connections, Seed: l.Seed, Duration: l.Duration, Ramp: l.Ramp, Faults: rec.faults, Slowest: rec.slowest,
+		Rate: l.Rate, Connections: l.Connections, Seed: l.Seed, Duration: l.Duration, Ramp: l.Ramp, Faults: rec.faults, Slowest: rec.slowest, Mismatches: rec.mismatches,
 	}
 	for _, name := range slices.Sorted(maps.Keys(rec.classes)) {
 		r.Classes = append(r.Classes, rec.classes[name].report(name))
@@ -170,7 +183,7 @@
 
 func (c *classStats) report(name string) ClassReport {
 	return ClassReport{
-		Class: name, Outcomes: c.outcomes, Violations: c.violations, Dropped: c.dropped,
+		Class: name, Outcomes: c.outcomes, Violations: c.violations, Mismatches: c.mismatches, Dropped: c.dropped,
 		P50: microseconds(c.total.ValueAtQuantile(50)), P90: microseconds(c.total.ValueAtQuantile(90)),
 		P99: microseconds(c.total.ValueAtQuantile(99)), P999: microseconds(c.total.ValueAtQuantile(99.9)), Max: microseconds(c.total.Max()),
 	}
--- a/internal/gwload/run.go
+++ b/internal/gwload/run.go
@@ -84,7 +84,7 @@
 	if err := waitReady(ctx, d); err != nil {
 		return nil, err
 	}
-	if err := gwtrace.Setup(ctx, d, profile.Setup); err != nil {
+	if err := gwtrace.Setup(ctx, d, setupOf(profile, classes)); err != nil {
 		return nil, err
 	}
 	if err := waitReady(ctx, d); err != nil {
@@ -96,7 +96,7 @@
 
 func (l *load) run(ctx context.Context) *Report {
 	pools := len(l.classes) * len(l.d.Groups()) * len(l.d.Instances())
-	l.generator = newGenerator(l.d, newRecorder(pointInterval), l.d.Groups(), l.Connections/pools)
+	l.generator = newGenerator(l.d, newRecorder(pointInterval), l.d.Groups(), l.Connections/pools, l.Seed)
 	l.generator.ramp = l.Ramp
 	before := l.traffic()
 	l.injector = gwtrace.NewInjector(l.d)
--- a/internal/gwload/text.go
+++ b/internal/gwload/text.go
@@ -20,6 +20,7 @@
 	RegionBytes  int64                    `json:"regionBytes"`
 	MaxGap       time.Duration            `json:"maxGap"`
 	Violations   int64                    `json:"violations"`
+	Mismatches   int64                    `json:"mismatches"`
 	Done         int64                    `json:"done"`
 	NotRun       int64                    `json:"notRun"`
 	Unknown      int64                    `json:"unknown"`
@@ -32,6 +33,7 @@
 	s := Summary{
 		Run: name, Deployment: r.Deployment, Routing: r.Routing, ReplicaShare: r.ReplicaShare(),
 		P99: make(map[string]time.Duration), RegionBytes: r.RegionBytes(), MaxGap: r.MaxGap(), Violations: r.Violations(),
+		Mismatches: r.MismatchCount(),
 	}
 	for _, c := range r.Classes {
 		s.P99[c.Class] = c.P99
@@ -71,6 +73,7 @@
 		{name: "bytes between regions", value: func(r *Report) string { return fmt.Sprint(r.RegionBytes()) }, number: func(r *Report) float64 { return float64(r.RegionBytes()) }},
 		{name: "longest gap", value: func(r *Report) string { return r.MaxGap().Round(time.Millisecond).String() }, number: func(r *Report) float64 { return float64(r.MaxGap()) }},
 		countRow("violations", func(s Summary) int64 { return s.Violations }),
+		countRow("mismatches", func(s Summary) int64 { return s.Mismatches }),
 		countRow("done", func(s Summary) int64 { return s.Done }),
 		countRow("not run", func(s Summary) int64 { return s.NotRun }),
 		countRow("unknown", func(s Summary) int64 { return s.Unknown }),
