gwwire: DEALLOCATE of a batch drops the statement, as in a simple query

What callers would see: with the extended protocol, a DEALLOCATE is answered as done but its statement stays, so that a driver that uses it reaches the limit of 1,000 statements and loses its session; in a transaction it goes to the server, which does not know the name and aborts the transaction. In a failed transaction, a DEALLOCATE as a simple query succeeds where PostgreSQL refuses it.

Cause: only simple queries were looked at, whatever the state.

Change: both forms use one function, which leaves failed transactions to the server. A batch that executes other statements, too, is not looked at.

Evidence: the new steps of TestBatches failed before ("12DCZ" in place of "12CZ") and pass now.

--- a/internal/gwwire/batch.go
+++ b/internal/gwwire/batch.go
@@ -389,11 +389,36 @@
 	if c.batch.messages == c.batch.statementCloses {
 		return c.completeLocally(true)
 	}
-	err := c.handle(c.batch.request(), true)
+	req := c.batch.request()
+	if req.Executes && !req.Several {
+		if done, err := c.deallocate(req); done {
+			c.batch.clear()
+			return err
+		}
+	}
+	err := c.handle(req, true)
 	c.batch.clear()
 	return err
 }
 
+// deallocate answers a request that is a DEALLOCATE of statements of the session, which no
+// server knows by their names. It returns false for any other request, and in a failed
+// transaction, where the server refuses it.
+func (c *conn) deallocate(req Request) (done bool, err error) {
+	if c.txStatus == 'E' {
+		return false, nil
+	}
+	tag := c.statements.deallocate(req.SQL)
+	if tag == "" {
+		return false, nil
+	}
+	w := &c.out
+	w.timeout = c.srv.limits.Load().WriteTimeout
+	w.reset()
+	w.Complete(req, tag, c.txStatus)
+	return true, c.finish(true)
+}
+
 // flush runs the pending messages before the Sync, or defers them to it where running
 // them separately would change the meaning of the batch.
 func (c *conn) flush() error {
@@ -438,12 +463,8 @@
 	}
 	sql := string(body[:len(body)-1])
 	req := Request{Kind: Simple, SQL: sql, Executes: true, Messages: frame}
-	if tag := c.statements.deallocate(sql); tag != "" {
-		w := &c.out
-		w.timeout = c.srv.limits.Load().WriteTimeout
-		w.reset()
-		w.Complete(req, tag, c.txStatus)
-		return c.finish(true)
+	if done, err := c.deallocate(req); done {
+		return err
 	}
 	return c.handle(req, true)
 }
--- a/internal/gwwire/protocol_test.go
+++ b/internal/gwwire/protocol_test.go
@@ -234,6 +234,9 @@
 		{"flush without sync", list(parse("b", "x"), bind("b"), run, flush), responses("E0A000")},
 		{"sync after it", list(sync, bind("b"), sync), responses("Z", "E26000Z")},
 		{"deallocate", list(parse("a", "x"), sync, &pgproto3.Query{String: "DEALLOCATE \"a\";"}, bind("a"), sync), responses("1Z", "CZ", "E26000Z")},
+		{"deallocate in a batch", list(parse("a", "x"), sync, parse("", "deallocate\ta"), bind(""), run, sync, bind("a"), sync), responses("1Z", "12CZ", "E26000Z")},
+		{"deallocate in a transaction", list(parse("a", "x"), sync, &pgproto3.Query{String: "begin"}, parse("", "deallocate all"), bind(""), run, sync, bind("a"), sync, &pgproto3.Query{String: "rollback"}), responses("1Z", "CZ", "12CZ", "E26000Z", "CZ")},
+		{"deallocate in a failed transaction, which the server refuses", list(&pgproto3.Query{String: "begin"}, parse("a", "x"), sync, &pgproto3.Query{String: "fail"}, &pgproto3.Query{String: "deallocate a"}, &pgproto3.Query{String: "rollback"}, bind("a"), sync), responses("CZ", "1Z", "E22012Z", "TDCZ", "CZ", "2Z")},
 		{"stray copy data", list(&pgproto3.CopyDone{}, sync), responses("Z")},
 		{"function call", list(&pgproto3.FunctionCall{}), responses("E0A000Z")},
 	}
