gwtrace: bodies of records end in hostile text

What users would see: nothing. The clients of replays write bodies with line breaks, quotes, backslashes, control characters and letters of one to four bytes, over the simple, extended and prepared protocol; check.go compares them as before. The load takes its texts from the same place.

--- a/internal/gwload/hostile.go
+++ b/internal/gwload/hostile.go
@@ -22,14 +22,6 @@
 	longBytes = 20_000
 )
 
-// pieces are the parts of the texts that the load writes: all that ends or splits a line, a
-// word, a constant, a comment or a statement somewhere, and letters of one to four bytes.
-// PostgreSQL has no text with a NUL.
-var pieces = []string{
-	"\r", "\n", "\r\n", "\t", "\v", "\f", " ", "'", "''", `"`, `\`, `\'`, `\x41`, ";", "--", "/*", "*/", "$$", "$1", "%s", "=", ",", "(", ")",
-	"\x01", "\x1b", "\x7f", "\u0085", "\u00a0", "\u2028", "\ufeff", "é", "漢字", "🜚", "NULL", "select", "commit;", "a", "0", "1e3", "x y",
-}
-
 // record is a row of a table of the load.
 type record struct {
 	ID, Subject, Body string
@@ -43,11 +35,7 @@
 func newRecord(seed, n uint64, subject string) record {
 	rng := rand.New(rand.NewPCG(seed, n))
 	r := record{ID: fmt.Sprintf("load-%d", n) + idSuffix, Subject: subject}
-	var body strings.Builder
-	for range rng.IntN(maxPieces) {
-		body.WriteString(pieces[rng.IntN(len(pieces))])
-	}
-	r.Body = body.String()
+	r.Body = gwtrace.HostileText(rng, rng.IntN(maxPieces))
 	r.Data = make([]byte, rng.IntN(maxBytes))
 	for i := range r.Data {
 		r.Data[i] = byte(rng.Uint32())
--- a/internal/gwload/load_test.go
+++ b/internal/gwload/load_test.go
@@ -81,7 +81,7 @@
 			require.NotEmpty(t, checkRecord(7, changed, subject), "%+v", changed)
 		}
 	}
-	for _, p := range pieces {
+	for _, p := range gwtrace.HostilePieces {
 		require.Contains(t, all, p)
 	}
 }
--- a/internal/gwtrace/client.go
+++ b/internal/gwtrace/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -33,12 +34,16 @@
 	token    string
 }
 
-// recordBody returns the body of the record with an id. It is derived from the id,
-// and long enough to detect torn content.
+// bodyPieces is the number of hostile pieces in the body of a record.
+const bodyPieces = 8
+
+// recordBody returns the body of the record with an id. It is derived from the id, long
+// enough to detect torn content, and ends in a text that some parser would cut or change.
 func recordBody(id string) string {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
-	return fmt.Sprintf("%s:%016x:%0128x", id, h.Sum64(), h.Sum64())
+	hostile := HostileText(rand.New(rand.NewPCG(h.Sum64(), 0)), bodyPieces)
+	return fmt.Sprintf("%s:%016x:%0128x:%s", id, h.Sum64(), h.Sum64(), hostile)
 }
 
 // connect connects the client to the wanted instance, or to the next one that
