gwdaemon: announcements over HTTP are read in one way only

Seen, in a test: of an announcement with two groups the last was used, "SERVER" overrode "server", bytes that are not UTF-8 were replaced in names, and text after the announcement was ignored.

Evidence: TestReadAnnouncement failed before (group "other" for "core", five texts accepted), passes now.

--- a/internal/gwdaemon/announce_test.go
+++ b/internal/gwdaemon/announce_test.go
@@ -51,3 +51,26 @@
 		})
 	}
 }
+
+// Guards against an announcement that another reader understands differently and that is recorded
+// under another name: with two values of a field, in another case, or with replaced bytes.
+func TestReadAnnouncement(t *testing.T) {
+	const text = `{"server":"db-1","group":"core","dataCentre":"a","address":"10.0.0.1:5432","slots":2,"connections":16,"role":"replica","term":3,"offset":5,"new":1}`
+	a, err := readAnnouncement(strings.NewReader(text))
+	require.NoError(t, err)
+	assert.Equal(t, gwcontrol.Announcement{
+		ServerFacts: gwcontrol.ServerFacts{Server: "db-1", Group: "core", DataCentre: "a", Address: "10.0.0.1:5432", Slots: 2, Connections: 16},
+		Role:        "replica", Term: 3, Offset: 5,
+	}, a)
+	a, err = readAnnouncement(strings.NewReader(strings.Replace(text, `"new":1`, `"Group":"other","SERVER":"other"`, 1)))
+	require.NoError(t, err)
+	assert.Equal(t, "core", a.Group)
+	assert.Equal(t, "db-1", a.Server)
+	for _, bad := range []string{
+		strings.Replace(text, `"new":1`, `"group":"other"`, 1), strings.Replace(text, "core", "core\xff", 1),
+		strings.Replace(text, "core", `core\ud800`, 1), text + text, text + "x", "", text[:50],
+	} {
+		_, err := readAnnouncement(strings.NewReader(bad))
+		assert.Error(t, err, "%q", bad)
+	}
+}
--- a/internal/gwdaemon/operator.go
+++ b/internal/gwdaemon/operator.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"time"
 
+	jsonv2 "github.com/go-json-experiment/json"
+
 	"gentianward.example/gentianward/internal/gwcontrol"
 )
 
@@ -99,12 +103,8 @@
 }
 
 func (i *Instance) announceHTTP(w http.ResponseWriter, r *http.Request) {
-	var a gwcontrol.Announcement
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBody)).Decode(&a); err != nil {
-		http.Error(w, "announcement is not valid JSON: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	if err := checkAnnouncement(a); err != nil {
+	a, err := readAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnounceBody))
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -117,6 +117,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// readAnnouncement decodes and checks an announcement. Unlike encoding/json, the decoder refuses a name
+// that occurs twice, bytes that are not UTF-8 and text after the announcement, and compares names of
+// fields byte by byte, so that the server is recorded as it means itself.
+func readAnnouncement(r io.Reader) (gwcontrol.Announcement, error) {
+	var a gwcontrol.Announcement
+	if err := jsonv2.UnmarshalRead(r, &a); err != nil {
+		return a, fmt.Errorf("announcement is not valid JSON: %w", err)
+	}
+	return a, checkAnnouncement(a)
+}
+
 // Publish asks the leader of the replicated log to make text the manifest.
 func (i *Instance) Publish(ctx context.Context, text []byte) (gwcontrol.PublishResult, error) {
 	return i.client.Publish(ctx, text)
