gwcontrol: a primary is replaced whatever the reason says

Seen, in a test: a change of primary whose reason is not UTF-8 never begins. The reason of a primary that does not answer is the text of the error, which may quote what the server sent; such a command is refused by the replicated log and was proposed again without end, and the group, marked as being changed, was not served until the leader changed. A reason of over 1 MiB was not sent to the leader at all.

Cause: text of a server in a command of the system. Change: a reason is cut at 512 bytes, and what is not UTF-8 is replaced, where a change begins and where it is requested.

Ruled out: other texts in commands: names of groups and servers are checked when they are announced, holders are names of instances, waits are made of such names.

Evidence: TestChangeBeginsWithAnyReason failed before (not begun in 2 s for "\xff\xfe"), passes now.

--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -91,9 +91,22 @@
 	return Empty{}, nil
 }
 
+// maxReasonBytes bounds the reason of a change of primary, which is for people.
+const maxReasonBytes = 512
+
+// boundReason cuts a reason to maxReasonBytes and replaces what is not UTF-8: it may quote any answer
+// of a server, and a command that the replicated log cannot take would never begin the change.
+func boundReason(reason string) string {
+	return strings.ToValidUTF8(reason[:min(len(reason), maxReasonBytes)], "?")
+}
+
+func newSuspectRequest(group string, term uint64, reason, reporter string) SuspectRequest {
+	return SuspectRequest{Group: group, Term: term, Reason: boundReason(reason), Reporter: reporter}
+}
+
 // Suspect asks the leader to replace the primary that a group has at term.
 func (c *Client) Suspect(ctx context.Context, group string, term uint64, reason string) {
-	req := SuspectRequest{Group: group, Term: term, Reason: reason, Reporter: c.members.Topology().Self.Instance}
+	req := newSuspectRequest(group, term, reason, c.members.Topology().Self.Instance)
 	_, err := callLeader(ctx, c, kindSuspect, req, func(ctx context.Context, r SuspectRequest) (Empty, error) {
 		return c.local.Suspect(ctx, r)
 	})
@@ -284,6 +297,7 @@
 // second to the log.
 func (l *Leader) changePrimary(group string, term uint64, reason string) {
 	ctx := context.Background()
+	reason = boundReason(reason)
 	started := l.clock.Now()
 	l.log.Info("change of primary begins", "group", group, "term", term, "reason", reason)
 	defer l.forgetWait(group)
