gwsoak: reads and writes of a piece come before its prepared statements

Cause: a piece's statements end at the first PREPARE that is refused, so that hostileData did not see what STORE does with empty data.

Change: STORE and FETCH come first.

--- a/internal/gwsoak/hostile.go
+++ b/internal/gwsoak/hostile.go
@@ -96,17 +96,17 @@
 	item := "p" + prefix + word
 	return []step{
 		{text: "SET n" + word + " " + piece},
-		{text: "PREPARE s" + word + " STORE " + piece},
-		{text: "PREPARE f" + word + " FETCH " + piece},
 		{text: "STORE " + item + " " + piece},
 		{"FETCH " + item, piece, true},
+		{"FETCH " + prefix + piece, "none", true},
+		{text: "PREPARE s" + word + " STORE " + piece},
+		{text: "PREPARE f" + word + " FETCH " + piece},
 		{text: "EXECUTE s" + word + " " + item + "e " + piece},
 		{"EXECUTE f" + word + " " + item + "e", piece, true},
 		{text: "BEGIN"},
 		{text: "STORE " + item + "t " + piece},
 		{"EXECUTE f" + word + " " + item + "t", piece, true},
 		{text: "COMMIT"},
-		{"FETCH " + prefix + piece, "none", true},
 		{text: "DEALLOC s" + word},
 	}
 }
