gwsql: strings are searched, not read byte by byte

Change: the end of a string is found with strings.IndexAny, which matters for statements with long values.

--- a/internal/gwsql/lexer.go
+++ b/internal/gwsql/lexer.go
@@ -155,20 +155,30 @@
 // stringConstant returns the string constant at start, whose content begins at body.
 // A backslash escapes the byte after it if escapes is set.
 func (l *Lexer) stringConstant(start, body int, escapes bool) Token {
-	for i := body; i < len(l.text); i++ {
-		switch {
-		case escapes && l.text[i] == '\\':
+	special := "'"
+	if escapes {
+		special = `'\`
+	}
+	for i := body; ; i++ {
+		n := -1
+		if i < len(l.text) {
+			n = strings.IndexAny(l.text[i:], special)
+		}
+		if n < 0 {
+			return l.invalid()
+		}
+		i += n
+		if l.text[i] == '\\' {
 			i++
-		case l.text[i] == '\'':
-			if next, ok := l.continuation(i + 1); ok {
-				i = next
-				continue
-			}
+			continue
+		}
+		next, ok := l.continuation(i + 1)
+		if !ok {
 			l.at = i + 1
 			return Token{Kind: String, Text: l.text[start:l.at]}
 		}
+		i = next
 	}
-	return l.invalid()
 }
 
 // continuation returns the offset of the quote with which a string constant goes on after
