gwwire: a batch has at most 16,384 Parse messages

What callers would see: nothing but 54000 for more. An instance has held 20 times the bytes of a batch of the shortest Parse messages, some 200 MB for 8 MiB.

Cause: what a statement costs beside its text was bounded by nothing.

Evidence: measured for 16,384 messages of 218,266 bytes with different texts: 4.7 MB of heap, 287 bytes each. TestParsesOfBatch passes.

--- a/internal/gwwire/statements.go
+++ b/internal/gwwire/statements.go
@@ -38,6 +38,10 @@
 	return len(name) + len(st.SQL) + 4*len(st.ParameterOIDs)
 }
 
+// maxBatchParses limits the Parse messages of a batch. Each costs 287 bytes, so that
+// 8 MiB of the shortest ones, of 12 bytes, would cost 200 MB.
+const maxBatchParses = 16 << 10
+
 // definition records the change of a statement name by a Parse of the current batch.
 type definition struct {
 	name              string
@@ -88,6 +92,9 @@
 	if len(name) > 0 && s.bytes-previous.size(string(name))+len(name)+len(sql)+len(oids) > limits.StatementBytes {
 		return nil, newError("parse statement", KindInput, codeLimitExceeded, errors.Newf("prepared statements of more than %d bytes", limits.StatementBytes))
 	}
+	if len(s.defined) >= maxBatchParses {
+		return nil, newError("parse statement", KindInput, codeLimitExceeded, errors.Newf("more than %d Parse messages in one batch", maxBatchParses))
+	}
 	st := previous
 	if !previous.matches(sql, oids) {
 		list := make([]uint32, 0, len(oids)/4)
--- a/internal/gwwire/statements_test.go
+++ b/internal/gwwire/statements_test.go
@@ -177,3 +177,18 @@
 	require.Error(t, add(&pgproto3.Bind{PreparedStatement: "a", Parameters: [][]byte{make([]byte, 1<<20)}}))
 	c.batch.clear()
 }
+
+// Guards against a batch of the shortest messages, each of which costs the instance more than
+// 20 times its bytes.
+func TestParsesOfBatch(t *testing.T) {
+	s := &Server{}
+	s.SetLimits(Limits{})
+	c := &conn{srv: s}
+	frame, err := (&pgproto3.Parse{}).Encode(nil)
+	require.NoError(t, err)
+	for range maxBatchParses {
+		require.NoError(t, c.addMessage(frame))
+	}
+	require.Error(t, c.addMessage(frame))
+	c.batch.release()
+}
