gwfilter: SET of another encoding or string syntax is refused

What callers would see: SET client_encoding = 'LATIN1' and SET standard_conforming_strings = off are answered with SET and ignored. The server goes on to read UTF8, and a caller that escapes a quote as \' has its string ended there: its data becomes SQL.

Cause: parameters that drivers set were accepted with any value.

Change: these two are accepted with the values that hold, others are refused with 0A000. The other ignored parameters change formats only. In the startup message all are still ignored, since the values that hold are reported there.

--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -197,18 +198,27 @@
 			return
 		}
 		s.requestKey = v.value
-	case !ignoredParameters[v.name] && v.name != parameterSession && v.name != parameterRequestKey:
-		refuse(w, sqlstateUnsupported, "SET "+v.name+" is not supported outside of a transaction; use SET LOCAL inside one")
+	case !ignored(v) && v.name != parameterSession && v.name != parameterRequestKey:
+		refuse(w, sqlstateUnsupported, "this SET of "+v.name+" is not supported outside of a transaction; use SET LOCAL inside one")
 		return
 	}
 	w.Complete(req, "SET", 'I')
 }
 
 // ignoredParameters are accepted without effect: drivers set them, and they do not change
-// results in a way that matters here.
-var ignoredParameters = map[string]bool{
-	"application_name": true, "client_encoding": true, "extra_float_digits": true, "datestyle": true,
-	"standard_conforming_strings": true, "client_min_messages": true, "timezone": true,
+// results in a way that matters here. A parameter with a list of values is accepted with
+// these only, in lower case and without hyphens: with others the server would read the
+// caller's texts in another way than the caller means them.
+var ignoredParameters = map[string][]string{
+	"application_name": nil, "client_encoding": {"utf8", "unicode", "default"}, "extra_float_digits": nil, "datestyle": nil,
+	"standard_conforming_strings": {"on", "true", "yes", "1", "default"}, "client_min_messages": nil, "timezone": nil,
+}
+
+// ignored reports whether the assignment is accepted without effect.
+func ignored(v assignment) bool {
+	values, ok := ignoredParameters[v.name]
+	value := strings.ToLower(strings.Trim(v.value, `"`))
+	return ok && (values == nil || slices.Contains(values, strings.ReplaceAll(value, "-", "")))
 }
 
 // runRequest runs the request through the filters and answers the caller. A read that
--- a/internal/gwfilter/session_test.go
+++ b/internal/gwfilter/session_test.go
@@ -77,3 +77,19 @@
 	assert.Equal(t, "SET", answerTo(s, gwwire.Request{Kind: gwwire.Extended, SQL: "set gentianward.requestKey = 'b'"}))
 	assert.Equal(t, "a", s.requestKey)
 }
+
+// Guards against a caller that is told that its encoding or its reading of backslashes holds,
+// while the server reads its texts in another way: a quote after a backslash would end a
+// string there.
+func TestEncodingIsNotIgnored(t *testing.T) {
+	for sql, want := range map[string]string{
+		"set client_encoding = 'UTF8'": "SET", "set client_encoding to utf8": "SET", `set client_encoding to "Utf-8"`: "SET",
+		"set client_encoding = 'unicode'": "SET", "set client_encoding to default": "SET",
+		"set client_encoding = 'LATIN1'": sqlstateUnsupported, "set client_encoding to sql_ascii": sqlstateUnsupported,
+		"set standard_conforming_strings = on": "SET", "set standard_conforming_strings to 'TRUE'": "SET",
+		"set standard_conforming_strings = off": sqlstateUnsupported, "set standard_conforming_strings = '0'": sqlstateUnsupported,
+		"set datestyle = iso, mdy": "SET",
+	} {
+		assert.Equal(t, want, answerTo(&session{}, gwwire.Request{Kind: gwwire.Simple, SQL: sql, Executes: true}), "sql %q", sql)
+	}
+}
