gwcontrol, gwowner: an answer to a fence counts for the run that gave it

What callers would see: after a loss of power of the instances that own backend servers, a promoted primary could lack acknowledged writes (LOST). A copy that had started again under its id, empty, answered the fence, and its answer counted as that of its earlier run, which had confirmed them.

Cause: only the memory of the server's owner (gwowner/received.go) told the runs apart; a new owner has none, and the directory may still name the earlier run. A term that began with an empty log also took the empty run of the old primary for the one that led.

Change: a fenced copy tells for how long its run has existed without a restart, by the connection that was answered (RunAge). The leader asks the instances when they last received heartbeats, which carry `born`, and counts an answer for the run of the directory only if that run existed after the connection was opened. A heartbeat shows that its run existed when the one before it was answered, so that a delayed one shows nothing. Other answers prove nothing, but their server may be promoted once others have given the proof. The old primary's answer also counts if it has held the term, which an empty run cannot have.

Cost: a change of primary asks each instance once, beside the fences, and groups that change at once share the question. With connections older than two heartbeats nothing waits; after a new owner has connected, a change that needs the answers of the other copies waits for two heartbeats of them. Answers of owners of the last release, and all answers while an instance of it is a member, count as before.

Ruled out: waiting for a heartbeat after each fence (1.2 s more in every gap); a time after which a new connection counts (unsound while heartbeats are cut off); last positions in the log (they do not cover what was acknowledged since).

--- a/internal/gwbackend/pool.go
+++ b/internal/gwbackend/pool.go
@@ -77,6 +77,7 @@
 	refusedDials    int       // refused while no connection was open and others were under way
 	waiters         list.List // of *waiter, in order of arrival
 	controlConn     Connection
+	controlSince    time.Time // when controlConn was opened
 	closed          bool
 	allClosed       chan struct{} // closed when the last connection has been closed after Close
 	nextMinIdleDial time.Time     // no dials for MinIdle before this time, after a failed dial
--- a/internal/gwbackend/poolcontrol.go
+++ b/internal/gwbackend/poolcontrol.go
@@ -45,10 +45,17 @@
 		p.stats.DialErrors++
 		return nil, err
 	}
-	p.controlConn = c
+	p.controlConn, p.controlSince = c, p.o.Clock.Now()
 	return c, nil
 }
 
+// controlOpened returns when c was opened if it is the control connection.
+func (p *Pool) controlOpened(c Connection) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.controlSince, c == p.controlConn
+}
+
 func (p *Pool) releaseControl(c Connection, reusable bool) {
 	p.mu.Lock()
 	drop := !reusable || !c.Usable() || c.TxStatus() != 'I' || p.closed || p.limit < 2
--- a/internal/gwbackend/server.go
+++ b/internal/gwbackend/server.go
@@ -45,6 +45,30 @@
 	observation  gwsession.Observation
 	err          error // of the last query
 	waiters      map[*positionWaiter]struct{}
+	run          runSpan
+}
+
+// runSpan is a time in which a server is known not to have started again: a connection that was
+// opened at its beginning, or one that overlaps with it, was answered at its end.
+type runSpan struct{ since, until time.Time }
+
+// extend returns the span after an answer to a statement that was sent at sent over a connection
+// that was opened at opened. A connection that was opened after the last answer may be to a later
+// run.
+func (r runSpan) extend(opened, sent time.Time) runSpan {
+	if opened.After(r.until) {
+		return runSpan{since: opened, until: sent}
+	}
+	if sent.Before(r.since) {
+		return r // recorded late, of a connection that was replaced
+	}
+	if opened.Before(r.since) {
+		r.since = opened
+	}
+	if sent.After(r.until) {
+		r.until = sent
+	}
+	return r
 }
 
 type positionWaiter struct {
@@ -151,6 +175,7 @@
 		s.recordError(err)
 		return Report{}, err
 	}
+	opened, control := s.pool.controlOpened(c)
 	start := s.now()
 	r, err := fn(ctx, c)
 	s.pool.Release(c, c.Usable())
@@ -162,9 +187,25 @@
 		return Report{}, err
 	}
 	s.recordReport(r, start)
+	if control {
+		s.mu.Lock()
+		s.run = s.run.extend(opened, start)
+		s.mu.Unlock()
+	}
 	return r, nil
 }
 
+// SameRunSince returns since when the server is known not to have started again, up to the last
+// answer to a control statement. It returns zero without a connection that is reserved for these.
+func (s *Server) SameRunSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.run.since
+}
+
+// Since returns the time that has passed since t by the clock of the server's pool.
+func (s *Server) Since(t time.Time) time.Duration { return s.now().Sub(t) }
+
 func (s *Server) now() time.Time { return s.o.Pool.Clock.Now() }
 
 func (s *Server) recordError(err error) {
--- a/internal/gwcontrol/evidence.go
+++ b/internal/gwcontrol/evidence.go
@@ -22,7 +22,8 @@
 //     that are known now and those that the replicated log names (gwstate.Group.Copies),
 //     which may have ended since.
 //
-// An answer counts also after its server has ended. A later run at the address of a server
+// An answer counts for the run that gave it, which only a heartbeat tells, see AddUnidentified. It
+// counts also after its server has ended. A later run at the address of a server
 // that crashed may answer for it, see returnedPrimary and covered. A copy may be promoted if
 // it is at or past the greatest position among all answers and the start of the term.
 type Evidence struct {
@@ -39,6 +40,8 @@
 	// servers holds the servers that can be asked, by name.
 	servers map[string]ServerFacts
 	answers map[run]answer
+	// unidentified holds the servers that have answered since AddServers and whose run is unknown.
+	unidentified map[string]bool
 }
 
 // opChoose is the operation of the errors of Candidates.
@@ -65,7 +68,7 @@
 func NewEvidence(g gwstate.Group) *Evidence {
 	e := &Evidence{
 		group: g, primary: gwstate.CopyRef{Server: g.Primary}, copies: make(map[run]gwstate.CopyRef),
-		servers: make(map[string]ServerFacts), answers: make(map[run]answer),
+		servers: make(map[string]ServerFacts), answers: make(map[run]answer), unidentified: make(map[string]bool),
 	}
 	if i := primaryRun(g); i >= 0 {
 		e.primary = g.Copies[i]
@@ -102,6 +105,7 @@
 // AddServers records the servers that are known now.
 func (e *Evidence) AddServers(servers []ServerFacts) {
 	clear(e.servers)
+	clear(e.unidentified)
 	for _, f := range servers {
 		e.servers[f.Server] = f
 		e.addCopy(copyRef(f))
@@ -131,6 +135,18 @@
 	e.answers[runOf(ref)] = a
 }
 
+// AddUnidentified records an answer of which it is unknown whether the run that the directory knows
+// gave it: the server may have started again under its name, without data. It proves nothing, but
+// that of the old primary counts if it has held the term, which no other server led: a run that
+// began without data cannot have received it.
+func (e *Evidence) AddUnidentified(c Copy) {
+	if e.isPrimary(copyRef(e.servers[c.Server])) && c.Held == e.group.Term && c.Position.Term <= e.group.Term {
+		e.Add(c)
+		return
+	}
+	e.unidentified[c.Server] = true
+}
+
 // normalize returns the start of the term for a position of an earlier term that is past its
 // offset: up to there the logs are equal, and a server keeps the earlier position until it
 // receives the first write of the term.
--- a/internal/gwcontrol/groupmodel_test.go
+++ b/internal/gwcontrol/groupmodel_test.go
@@ -36,6 +36,9 @@
 	// repeats means that the last attempt has promoted no server, so that the same leader
 	// repeats it at its term.
 	repeats bool
+	// forgetful means that owners lose what they have seen of their servers, as in a loss of power
+	// of the instances that own them.
+	forgetful bool
 }
 
 type modelServer struct {
@@ -151,6 +154,9 @@
 // disturb changes one server at random.
 func (m *groupModel) disturb() {
 	all := m.byAddress()
+	if len(all) == 0 {
+		return // all have left
+	}
 	s := all[m.r.IntN(len(all))]
 	switch m.r.IntN(14) {
 	case 0, 1:
@@ -231,16 +237,28 @@
 }
 
 // ask returns what a known server answers, and false if it does not. The owner refuses the
-// answer of a server that has lost what it was seen to have.
+// answer of a server that has lost what it was seen to have, if it remembers that.
 func (m *groupModel) ask(name string) (Copy, bool) {
 	s := m.server(name)
-	if s == nil || s.facts.Born != m.known[name].Born && !s.position.AtLeast(s.seen) {
+	if s == nil {
+		return Copy{}, false
+	}
+	if m.forgetful && m.r.IntN(3) == 0 {
+		s.seen = gwsession.Position{}
+	}
+	if s.facts.Born != m.known[name].Born && !s.position.AtLeast(s.seen) {
 		return Copy{}, false
 	}
 	s.seen = s.position
 	return Copy{Server: name, Position: s.position, Held: s.held}, true
 }
 
+// identified reports whether a heartbeat shows that the run f, which the directory names, has
+// answered. If not all servers answer, some have sent none since their owner has connected.
+func (m *groupModel) identified(f ServerFacts, answering float64) bool {
+	return m.server(f.Server).facts.Born == f.Born && (answering == 1 || m.r.IntN(4) > 0)
+}
+
 // attempt asks the servers, of which some do not answer, and returns the one to promote.
 func (m *groupModel) attempt(e *Evidence, answering float64) (Copy, error) {
 	if !m.repeats {
@@ -254,7 +272,11 @@
 			continue
 		}
 		if c, ok := m.ask(f.Server); ok {
-			e.Add(c)
+			if m.identified(f, answering) {
+				e.Add(c)
+			} else {
+				e.AddUnidentified(c)
+			}
 			copies = append(copies, c)
 		}
 		if answering < 1 && m.r.IntN(12) == 0 {
@@ -374,9 +396,22 @@
 // receive nothing, attempts that fail half-way and new leaders in the middle.
 func TestPromotedCopyHasEveryAcknowledgedWrite(t *testing.T) {
 	t.Parallel()
+	playGroups(t, false)
+}
+
+// Guards, as TestPromotedCopyHasEveryAcknowledgedWrite does, against the answer of a copy that has
+// started again without data and counts as that of its earlier run, when the instance that has
+// seen the earlier run's position has lost power.
+func TestPromotedCopyWithForgetfulOwners(t *testing.T) {
+	t.Parallel()
+	playGroups(t, true)
+}
+
+func playGroups(t *testing.T, forgetful bool) {
 	changes, healed, stuck, finals := 0, 0, 0, 0
 	for seed := range uint64(3000) {
 		m := newGroupModel(seed)
+		m.forgetful = forgetful
 		for range 6 {
 			for range m.r.IntN(20) {
 				m.write()
--- a/internal/gwcontrol/kinds.go
+++ b/internal/gwcontrol/kinds.go
@@ -19,6 +19,7 @@
 	kindEndEarlierRuns  = gwpeer.Kind{ID: 16, Name: "endEarlierRuns", Priority: gwpeer.PriorityControl}
 	kindContact         = gwpeer.Kind{ID: 15, Name: "contact", Priority: gwpeer.PriorityControl}
 	kindNearbyContact   = gwpeer.Kind{ID: 17, Name: "nearbyContact", Priority: gwpeer.PriorityControl}
+	kindAliveRuns       = gwpeer.Kind{ID: 18, Name: "aliveRuns", Priority: gwpeer.PriorityControl}
 	kindVoter           = gwpeer.Kind{ID: 14, Name: "voter", Priority: gwpeer.PriorityControl}
 
 	// KindExec carries the requests of callers' sessions to the owner of a server.
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -299,8 +299,11 @@
 	// endingRecords is set while endRecords runs.
 	endingRecords atomic.Bool
 	copies        copyKeeper
-	calls         openCalls
-	moves         leadershipMoves
+	// runs tells which run of a server has answered; nil if an answer counts for the run that the
+	// directory names.
+	runs  *runTable
+	calls openCalls
+	moves leadershipMoves
 
 	mu       sync.Mutex
 	changing map[string]bool
--- a/internal/gwcontrol/primary.go
+++ b/internal/gwcontrol/primary.go
@@ -43,6 +43,9 @@
 	// nothing, or if its owner runs an earlier release. It may be later than the term of
 	// the position, which is that of the last write.
 	Held uint64 `cbor:"3,keyasint,omitempty"`
+	// RunAge is for how long, before the answer, the run that answered is known to have existed: it
+	// is the same since then. It is 0 if the owner cannot tell or runs an earlier release.
+	RunAge time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Owners performs the steps of a change of primary at the instances that own the
@@ -410,38 +413,38 @@
 	servers := l.owners.Servers(g.Name)
 	e.AddServers(servers)
 	try := e.try // a question may still be under way when the next try begins
+	answers := l.identifyAnswers(ctx, e, servers)
 	if i := slices.IndexFunc(servers, func(f ServerFacts) bool { return f.Server == g.Primary && f.Leaving }); i >= 0 {
 		fctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 		old, err := l.owners.FenceAt(fctx, FenceRequest{Server: g.Primary, Term: g.NextTerm, Attempt: g.Attempt, Try: try})
 		cancel()
 		if err == nil {
-			e.Add(old)
+			answers.add(old)
 			l.awaitCatchUp(ctx, servers, old)
 		}
 	}
 	fctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
-	answers := make(chan Copy, len(servers))
+	fenced := make(chan Copy, len(servers))
 	var wg sync.WaitGroup
 	for _, f := range servers {
 		wg.Go(func() {
 			if c, err := l.owners.FenceAt(fctx, FenceRequest{Server: f.Server, Term: g.NextTerm, Attempt: g.Attempt, Try: try}); err == nil {
-				answers <- c
+				fenced <- c
 			}
 		})
 	}
 	go func() {
 		wg.Wait()
-		close(answers)
+		close(fenced)
 	}()
 	var copies []Copy
-	for c := range answers {
-		e.Add(c)
-		copies = append(copies, c)
+	for answers.next(fenced, &copies) {
 		if candidates, err := e.Candidates(copies, need, false, l.promoter == nil); err == nil && candidates[0].Server != g.Primary {
 			return candidates, l.recordProof(ctx, g, e, need)
 		}
 	}
+	answers.giveUp()
 	candidates, err := e.Candidates(copies, need, allowLoss, l.promoter == nil)
 	if err != nil {
 		return nil, err
--- a/internal/gwcontrol/wait.go
+++ b/internal/gwcontrol/wait.go
@@ -108,6 +108,9 @@
 		return fate{text: "has started again without its data", lost: true}
 	case known:
 		if _, ok := e.answers[runOf(copyRef(f))]; !ok {
+			if e.unidentified[c.Server] {
+				return fate{text: "answers, but has not been heard from since it may have started again"}
+			}
 			return fate{text: "does not answer"}
 		}
 		if e.isPrimary(copyRef(f)) && !e.oldPrimaryAnswered() {
--- a/internal/gwdaemon/announce.go
+++ b/internal/gwdaemon/announce.go
@@ -67,6 +67,7 @@
 // Record records an announcement whose version the server itself has set, so that any
 // instance may record it.
 func (i *Instance) Record(ctx context.Context, f gwcontrol.ServerFacts) {
+	i.heartbeats.Record(f)
 	changed := i.directory.Record(f)
 	if len(changed) == 0 {
 		return
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -35,6 +35,7 @@
 	node         *gwpeer.Node
 	views        *gwcontrol.Views
 	directory    *gwcontrol.Directory
+	heartbeats   *gwcontrol.Heartbeats
 	disseminator *gwcontrol.Disseminator
 	members      *gwcontrol.Membership
 	consensus    *gwcontrol.Consensus
@@ -115,6 +116,7 @@
 	i.disseminator = gwcontrol.NewDisseminator(i.node, i.Clock, i.Log, i.views, i.directory)
 	i.members = gwcontrol.NewMembership(i.node, i.Clock, i.Log, gwmember.Config{Self: self, Seeds: s.Seeds, Known: i.loadKnown()}, i.disseminator.PeerAhead)
 	i.disseminator.Attach(i.members)
+	i.heartbeats = gwcontrol.NewHeartbeats(i.node, i.Clock)
 }
 
 func (i *Instance) timeOfDay() time.Time {
@@ -205,6 +207,7 @@
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
+		i.leader.UseHeartbeats(i.heartbeats, i.node)
 		i.leader.UsePromoter(i.Promoter, i.Telemetry.PlatformCall)
 		if i.NamedByAddress {
 			i.leader.AssumeExclusiveNames()
--- a/internal/gwowner/attempt.go
+++ b/internal/gwowner/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwpeer"
@@ -102,7 +103,16 @@
 		return gwcontrol.Copy{}, gwpeer.Codef(codeServer, "backend server %s is at %s and was at %s: it has started again without its data", r.Server, rep.Position, earlier.Position)
 	}
 	s.received.record(rep)
-	return gwcontrol.Copy{Server: r.Server, Position: rep.Position, Held: rep.Term}, nil
+	return gwcontrol.Copy{Server: r.Server, Position: rep.Position, Held: rep.Term, RunAge: s.runAge()}, nil
+}
+
+// runAge returns for how long the server is known not to have started again, 0 if that is unknown.
+func (s *server) runAge() time.Duration {
+	since := s.backend.SameRunSince()
+	if since.IsZero() {
+		return 0
+	}
+	return max(1, s.backend.Since(since))
 }
 
 // promote makes an owned server the primary of r.Term.
--- a/internal/gwowner/attempt_test.go
+++ b/internal/gwowner/attempt_test.go
@@ -120,3 +120,20 @@
 	require.ErrorContains(t, <-ended, errOutdated.Error())
 	assert.Empty(t, f.stopped)
 }
+
+// Guards against a fence whose answer does not tell how long the owner has known the run of the
+// server, so that it counts for whatever run the directory names.
+func TestFenceTellsAgeOfRun(t *testing.T) {
+	o := newFakeOwner(t, &fakeServer{stopped: make(chan uint64, 3)}, gwcontrol.GroupView{Group: "g", Index: 10, Changing: true})
+	began := time.Now()
+	ask := func() time.Duration {
+		c, err := o.FenceAt(t.Context(), gwcontrol.FenceRequest{Server: "i-1", Term: 7, Attempt: 10})
+		require.NoError(t, err)
+		return c.RunAge
+	}
+	first := ask()
+	assert.Positive(t, first)
+	time.Sleep(10 * time.Millisecond)
+	assert.GreaterOrEqual(t, ask(), first+10*time.Millisecond)
+	assert.LessOrEqual(t, ask(), time.Since(began))
+}
