gwowner: no position is taken from a primary that has lost its data or the lead

What callers would see: after a loss of power, a read could lack acknowledged writes (STALE), and the record of a copy that had confirmed writes could end (LOST), for as long as a primary that had started again without data was not noticed.

Cause: a new owner reads the position that covers all acknowledged writes from the server, whatever the server is by then.

Change: the server must lead and have what its term began with.

Evidence: TestBarrierOfEmptyPrimary failed before in two of four cases and passes now.

--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -116,6 +116,9 @@
 		if err != nil {
 			return gwsession.Position{}, err
 		}
+		if r.Role != gwbackend.RolePrimary || r.Position.Offset < g.Start.Offset {
+			return gwsession.Position{}, errNotLeading
+		}
 		p = s.setBasePosition(period, r.Position)
 	}
 	if !s.holdsLease(g.Term) || s.owner.leases.Grant(g.Group) != period.grant {
@@ -126,6 +129,10 @@
 
 var errNoLease = errors.New("the owner does not hold the write lease of the group")
 
+// errNotLeading means that the server has lost its data or the lead, so that its position does not
+// cover what was acknowledged.
+var errNotLeading = errors.New("the server is not the primary with the data of its term")
+
 // leasePeriod is one term of a primary under one grant of the write lease. The term
 // alone does not suffice: an instance that was partitioned off may get the lease of the
 // same term back after another instance has acknowledged writes under it.
--- a/internal/gwowner/server_test.go
+++ b/internal/gwowner/server_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
@@ -70,3 +72,51 @@
 	s.updateFreshness(context.Background(), gwcontrol.GroupView{Group: "foyers"})
 	assert.True(t, s.freshnessDue(), "nobody was asked, as the group's primary is unknown")
 }
+
+// reportingServer is a backend server that reports what the test chooses.
+type reportingServer struct {
+	fakeServer
+	report gwbackend.Report
+}
+
+func (f *reportingServer) Position(context.Context, gwbackend.Connection) (gwbackend.Report, error) {
+	return f.report, nil
+}
+
+// Guards against a position that covers nothing, of a primary that has started again without data:
+// copies that had confirmed writes were removed from the record, and reads lacked them.
+func TestBarrierOfEmptyPrimary(t *testing.T) {
+	start := gwsession.Position{Term: 2, Offset: 5}
+	tests := []struct {
+		name   string
+		report gwbackend.Report
+		err    bool
+	}{
+		{"leads", gwbackend.Report{Role: gwbackend.RolePrimary, Term: 2, Position: gwsession.Position{Term: 2, Offset: 9}}, false},
+		{"leads and has written nothing yet", gwbackend.Report{Role: gwbackend.RolePrimary, Term: 2, Position: gwsession.Position{Term: 1, Offset: 5}}, false},
+		{"runs as a replica", gwbackend.Report{Role: gwbackend.RoleReplica, Term: 2, Position: gwsession.Position{Term: 2, Offset: 9}}, true},
+		{"lacks what the term began with", gwbackend.Report{Role: gwbackend.RolePrimary}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &reportingServer{report: tt.report}
+			g := gwcontrol.GroupView{Group: "g", Primary: "i-1", Term: 2, Start: start, Index: 1}
+			o := newFakeOwner(t, &f.fakeServer, g)
+			var leases grantedLeases
+			leases.held.Store(true)
+			o.leases = &leases
+			s := o.server("i-1")
+			require.NoError(t, s.backend.Close(t.Context()))
+			s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: f, Pool: gwbackend.PoolOptions{Limit: 4}})
+			p, err := s.barrier(t.Context())
+			assert.Equal(t, tt.err, err != nil, "%v", err)
+			if !tt.err {
+				assert.Equal(t, tt.report.Position, p)
+			}
+		})
+	}
+}
+
+type grantedLeases struct{ switchedLeases }
+
+func (*grantedLeases) Grant(string) uint64 { return 1 }
