gwcontrol: heartbeats count after a million of them

What callers would see: after 14 days of one run of a server, its heartbeats would have identified it no more, so that a change of primary that needs its answer would have waited.

Cause: the version of the facts holds 20 bits of the sequence number, and a heartbeat of the same version was taken for one that was sent again.

Change: one with the last sequence number counts each time.

Evidence: the new case of TestHeartbeats failed before and passes now.

--- a/internal/gwcontrol/aliveruns.go
+++ b/internal/gwcontrol/aliveruns.go
@@ -27,6 +27,10 @@
 	aliveRunsInterval = 100 * time.Millisecond
 )
 
+// lastSequence is the greatest sequence number of a heartbeat that the version of its facts tells,
+// in its low bits (see the package platform). A run that has sent more repeats it, after 14 days.
+const lastSequence = 1<<20 - 1
+
 // Heartbeats holds when this instance received heartbeats of runs of backend servers, and tells
 // leaders. Other than the directory, it is not exchanged: it changes with each heartbeat.
 type Heartbeats struct {
@@ -80,8 +84,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	known := h.byServer[f.Server]
-	if f.Born < known.born || f.Version <= known.version {
-		return // late, or sent again
+	if f.Born < known.born || f.Version < known.version {
+		return // late
+	}
+	if f.Version == known.version && f.Version&lastSequence != lastSequence {
+		return // sent again
 	}
 	next := receivedHeartbeats{born: f.Born, version: f.Version, last: now}
 	if f.Born == known.born {
--- a/internal/gwcontrol/aliveruns_test.go
+++ b/internal/gwcontrol/aliveruns_test.go
@@ -122,6 +122,7 @@
 		{"the third", []beat{{10, 1, false}, {10, 2, false}, {10, 5, false}}, []aliveRun{{Server: "b", Born: 10, Age: 2 * second}}},
 		{"the first one again", []beat{{10, 1, false}, {10, 1, false}}, nil},
 		{"out of order", []beat{{10, 2, false}, {10, 1, false}}, nil},
+		{"the last sequence number", []beat{{10, lastSequence, false}, {10, lastSequence, false}}, []aliveRun{{Server: "b", Born: 10, Age: 2 * second}}},
 		{"the first of a later run", []beat{{10, 1, false}, {10, 2, false}, {20, 1, false}}, nil},
 		{"one of an earlier run", []beat{{20, 1, false}, {20, 2, false}, {10, 9, false}}, []aliveRun{{Server: "b", Born: 20, Age: 3 * second}}},
 		{"a deregistration", []beat{{10, 1, false}, {10, 2, true}}, nil},
