--- a/internal/gwbackend/reader.go
+++ b/internal/gwbackend/reader.go
@@ -52,14 +52,13 @@
 		if n < headerBytes {
 			return errors.Wrap(ErrProtocol, "message length below 4")
 		}
-		if x != nil && forwardedUninspected(typ) {
-			c.forwardRemaining = n
+		if err := c.beginForward(x, n); err != nil {
+			return err
+		}
+		if c.forwardRemaining > 0 {
 			continue
 		}
 		if c.w-c.r < n {
-			if n > maxInspectedBytes {
-				return errors.Wrapf(ErrProtocol, "message %q of %d bytes is too long", typ, n)
-			}
 			break
 		}
 		frame := c.rbuf[c.r : c.r+n]
@@ -89,6 +88,33 @@
 	return nil
 }
 
+// beginForward sets forwardRemaining if the next message, of n bytes, is forwarded without
+// being read as a whole. Apart from the types of forwardedUninspected, these are errors,
+// notices and parameters that are too long for that, as their texts can hold anything that
+// a caller has sent. Of an error, the start is inspected once it has been read.
+func (c *Conn) beginForward(x *exchange, n int) error {
+	typ := c.rbuf[c.r]
+	switch {
+	case x != nil && forwardedUninspected(typ):
+	case n <= maxInspectedBytes:
+		return nil
+	case x == nil || typ != 'E' && typ != 'N' && typ != 'S':
+		return errors.Wrapf(ErrProtocol, "message %q of %d bytes is too long", typ, n)
+	case typ == 'E':
+		if c.w-c.r < errorStartBytes {
+			return nil
+		}
+		e, err := parseErrorStart(c.rbuf[c.r+headerBytes : c.r+errorStartBytes])
+		if err != nil {
+			return errors.Wrapf(ErrProtocol, "ErrorResponse: %v", err)
+		}
+		x.copyRefused = false
+		x.res.ServerError = e
+	}
+	c.forwardRemaining = n
+	return nil
+}
+
 // skipForwarded moves past the bytes of a forwarded message. It reports false if some
 // of them have not been read yet.
 func (c *Conn) skipForwarded() bool {
@@ -113,7 +139,7 @@
 	if long {
 		need = largeBufferBytes
 	}
-	if len(rest) >= headerBytes {
+	if len(rest) >= headerBytes && frameSize(rest) <= maxInspectedBytes {
 		need = max(need, frameSize(rest))
 	}
 	unused := c.largeBuffer
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -13,6 +13,7 @@
 	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwtelemetry"
 	"gentianward.example/gentianward/pkg/gwlimit"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
@@ -78,6 +79,8 @@
 	Dialect gwbackend.Dialect
 	// BackendOptions returns the connection options of a server, such as its user.
 	BackendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
+	// Unreadable records requests of other instances that cannot be decoded; nil for none.
+	Unreadable *gwtelemetry.Unreadable
 }
 
 // Owner holds the backend servers that this instance owns.
@@ -106,6 +109,7 @@
 	// standstill tells the silence of a server from a pause of this process.
 	standstill     standstill
 	backendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
+	unreadable     *gwtelemetry.Unreadable
 
 	attempts attempts
 
@@ -126,7 +130,7 @@
 		members: o.Members, leases: o.Leases, metrics: o.Metrics, reportSuspect: o.Suspect,
 		startGroup: o.StartGroup, recordCopies: o.RecordCopies, dialect: o.Dialect, inContact: o.InContact, handOver: o.HandOver,
 		freshnessInterval: cmp.Or(o.Freshness, defaultFreshnessInterval), pollInterval: o.Poll,
-		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions,
+		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions, unreadable: o.Unreadable,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	owner.register()
@@ -375,38 +379,6 @@
 	o.closing.Wait()
 }
 
-func (o *Owner) drainLimit() time.Duration {
-	if m := o.views.Current().Manifest; m != nil {
-		return m.Manifest().Limits.Drain.Duration
-	}
-	return defaultDrain
-}
-
-func (o *Owner) idleLimit() time.Duration {
-	if m := o.views.Current().Manifest; m != nil {
-		return m.Manifest().Limits.IdleTransaction.Duration
-	}
-	return defaultIdle
-}
-
-// keyExpiry returns how long request keys are kept. It is 0 before a manifest is known,
-// and for servers with another dialect than the stand-in's, as the keys need SQL.
-func (o *Owner) keyExpiry() time.Duration {
-	if o.dialect != nil {
-		return 0
-	}
-	if m := o.views.Current().Manifest; m != nil {
-		return m.Manifest().Limits.RequestKeyExpiry.Duration
-	}
-	return 0
-}
-
-// Limits used before a manifest is known.
-const (
-	defaultDrain = 10 * time.Second
-	defaultIdle  = time.Minute
-)
-
 // followView applies the limits of every new manifest to the server until ctx ends.
 func (s *server) followView(ctx context.Context) {
 	for {
--- a/internal/gwowner/peer.go
+++ b/internal/gwowner/peer.go
@@ -9,6 +9,7 @@
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwtelemetry"
 	"gentianward.example/gentianward/pkg/gwoutcome"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
@@ -141,7 +142,7 @@
 
 // serveExec runs the requests that another instance sends over a stream, one after
 // another. An open transaction is rolled back at the end of the stream.
-func (o *Owner) serveExec(ctx context.Context, _ string, st *gwpeer.Stream) {
+func (o *Owner) serveExec(ctx context.Context, from string, st *gwpeer.Stream) {
 	s := o.NewSession()
 	defer s.Close()
 	for {
@@ -150,11 +151,16 @@
 			return
 		}
 		var req Request
+		var res Result
 		if err := gwpeer.Unmarshal(payload, &req); err != nil {
-			return
+			o.unreadable.Record(gwtelemetry.FromInstance, from, "decode", len(payload), err)
+			// The other instance takes its transaction for ended and may reuse the stream.
+			s.Close()
+			res = failed(gwoutcome.NotEncodable, "the owner cannot decode the request: "+err.Error())
+		} else {
+			res = s.Exec(ctx, &req, frameWriter{st})
 		}
-		res := s.Exec(ctx, &req, frameWriter{st})
-		end, err := gwpeer.Marshal(res)
+		end, err := gwpeer.Marshal(res.toWire())
 		if err != nil || st.WriteFrame(frameEnd, end) != nil {
 			return
 		}
@@ -199,7 +205,8 @@
 	defer stop()
 	payload, err := gwpeer.Marshal(req)
 	if err != nil {
-		return failed(gwoutcome.BrokenBeforeSend, err.Error())
+		r.broken = true // a transaction may be open on the stream, which must not be reused
+		return failed(gwoutcome.NotEncodable, err.Error())
 	}
 	if err := r.stream.WriteFrame(frameRequest, payload); err != nil {
 		r.broken = true
@@ -238,7 +245,7 @@
 				r.broken = true
 				return r.lostAnswer(ctx, err, relayed)
 			}
-			return res
+			return res.fromWire()
 		}
 	}
 }
--- a/internal/gwowner/server_test.go
+++ b/internal/gwowner/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/pkg/gwoutcome"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -120,3 +122,30 @@
 type grantedLeases struct{ switchedLeases }
 
 func (*grantedLeases) Grant(string) uint64 { return 1 }
+
+// Guards against a server that is ejected, or replaced as a primary, because a request or the
+// name of its group cannot be put into a message.
+func TestNotEncodableIsNoFailureOfServer(t *testing.T) {
+	cause := &gwbackend.Error{Op: "run request", Kind: gwbackend.KindNotSent, Err: fmt.Errorf("encode: %w", gwbackend.ErrNotEncodable)}
+	assert.Equal(t, gwoutcome.NotEncodable, acquireEvent(cause))
+	assert.Equal(t, gwoutcome.NotEncodable, exchangeEvent(t.Context(), gwbackend.Result{}, cause))
+	s := &server{owner: &Owner{clock: clockwork.NewFakeClock()}}
+	for range 2 * gwoutcome.FailuresToEject {
+		s.observe(gwoutcome.NotEncodable)
+	}
+	assert.False(t, s.health.Ejected(s.owner.clock.Now()))
+}
+
+// Guards against servers that are ejected in turn for one row that cannot be read, and against
+// a write that is reported as not run although only its answer could not be read.
+func TestUnreadableReplyIsNoFailureOfServer(t *testing.T) {
+	cause := fmt.Errorf("read reply: %w", gwbackend.ErrUnreadable)
+	assert.Equal(t, gwoutcome.ReplyUnreadable, exchangeEvent(t.Context(), gwbackend.Result{Sent: true}, cause))
+	assert.Equal(t, gwoutcome.SessionNotSet, exchangeEvent(t.Context(), gwbackend.Result{}, cause))
+	s := &server{owner: &Owner{clock: clockwork.NewFakeClock()}}
+	for range 2 * gwoutcome.FailuresToEject {
+		s.observe(gwoutcome.ReplyUnreadable)
+		s.observe(gwoutcome.SessionNotSet)
+	}
+	assert.False(t, s.health.Ejected(s.owner.clock.Now()))
+}
--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"gentianward.example/gentianward/internal/gwtelemetry"
 )
 
 // Timeouts, intervals and sizes of caller connections.
@@ -55,6 +57,8 @@
 	Logger   *slog.Logger
 	// MaxConnections bounds the caller connections; 0 means no bound.
 	MaxConnections int
+	// Unreadable records messages of callers that cannot be read; nil for none.
+	Unreadable *gwtelemetry.Unreadable
 }
 
 // Server accepts callers on one listener.
@@ -167,11 +171,11 @@
 		if ended, err := s.awaitMessage(c, r); ended || err != nil {
 			return err
 		}
-		m, err := s.o.Codec.ReadMessage(r)
+		m, err := s.readMessage(c, r)
 		if err != nil {
 			return err
 		}
-		q, ok := m.(Query)
+		q, ok := statementOf(m)
 		if !ok {
 			return nil
 		}
@@ -188,6 +192,31 @@
 	}
 }
 
+// readMessage reads one message and records it if it cannot be read.
+func (s *Server) readMessage(c *callerConn, r *bufio.Reader) (Message, error) {
+	m, err := s.o.Codec.ReadMessage(r)
+	if bad, ok := m.(Unparsed); ok {
+		s.o.Unreadable.Record(gwtelemetry.FromCaller, c.nc.RemoteAddr().String(), bad.Reason, bad.Bytes, errors.New(bad.Text))
+	}
+	recordUnreadable(s.o.Unreadable, gwtelemetry.FromCaller, c.nc.RemoteAddr().String(), err)
+	return m, err
+}
+
+// statementOf returns the statement of a message, and false if it ends the session. A message
+// that cannot be parsed is answered like a statement that cannot.
+func statementOf(m Message) (Query, bool) {
+	switch m := m.(type) {
+	case Query:
+		return m, true
+	case Unparsed:
+		return Query{Statement: Invalid{Reason: m.Text}}, true
+	case Startup:
+		return Query{Statement: Invalid{Reason: "the session is open already"}}, true
+	default:
+		return Query{}, false
+	}
+}
+
 // endsSession reports whether a session that has just been answered ends because of a drain. A
 // caller that sends its next statement at once would hardly ever be found idle, and one of its
 // statements would be ended at the end of the drain, while it runs.
@@ -220,7 +249,8 @@
 	}
 }
 
-// maxKeptBufferBytes bounds the answer buffer that a session keeps between statements.
+// maxKeptBufferBytes bounds the buffer that a session or a connection to a server keeps between
+// statements.
 const maxKeptBufferBytes = 16 << 10
 
 func (c *callerConn) setBusy(busy bool) {
@@ -258,12 +288,13 @@
 // handler refused it.
 func (s *Server) openSession(c *callerConn, r *bufio.Reader) (ok bool, err error) {
 	_ = c.nc.SetDeadline(time.Now().Add(startupTimeout))
-	m, err := s.o.Codec.ReadMessage(r)
+	m, err := s.readMessage(c, r)
 	if err != nil {
 		return false, err
 	}
 	st, ok := m.(Startup)
 	if !ok {
+		_, _ = c.nc.Write(s.o.Codec.AppendFailure(nil, Failure{Code: Malformed, Text: "a session begins with a startup message"}))
 		return false, &Error{Op: "start session", Kind: KindProtocol, Err: errors.Newf("message %T instead of a startup message", m)}
 	}
 	ses, failure := s.o.Handler.Open(s.ctx, st.Database)
--- a/internal/gwtelemetry/explain.go
+++ b/internal/gwtelemetry/explain.go
@@ -4,28 +4,44 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+	"unicode"
 )
 
 // maxLogLine bounds one line of a log, in bytes.
-const maxLogLine = 1 << 20
+const (
+	maxLogLine      = 1 << 20
+	readBufferBytes = 64 << 10
+)
 
 // Line is one line of a log.
 type Line struct {
 	Time     time.Time
 	Instance string
 	Message  string
-	// Fields are the other attributes in the form name=value, ordered by name.
+	// Fields are the other attributes in the form name=value, ordered by name. Names and values with
+	// other than printable characters are quoted.
 	Fields []string
 }
 
 // String formats the line for people.
 func (l Line) String() string {
-	return fmt.Sprintf("%s %s: %s %s", l.Time.Format("15:04:05.000"), l.Instance, l.Message, strings.Join(l.Fields, " "))
+	return fmt.Sprintf("%s %s: %s %s", l.Time.Format("15:04:05.000"), printable(l.Instance), printable(l.Message), strings.Join(l.Fields, " "))
+}
+
+// printable returns s, quoted if it has other than printable characters, as it may be a text of a
+// caller or server.
+func printable(s string) string {
+	if strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(s)
+	}
+	return s
 }
 
 // Explain returns the log lines about the request with the id, and the lines about its
@@ -57,21 +73,35 @@
 }
 
 // readLines appends the records of a log to all and returns the number of lines that
-// cannot be parsed. A prefix before the first brace, such as a time or a name, is
-// skipped.
+// cannot be parsed, such as one that is longer than maxLogLine. A prefix before the first brace,
+// such as a time or a name, is skipped.
 func readLines(log io.Reader, all *[]map[string]any) (unreadable int, err error) {
-	s := bufio.NewScanner(log)
-	s.Buffer(nil, maxLogLine)
-	for s.Scan() {
-		i := bytes.IndexByte(s.Bytes(), '{')
+	r := bufio.NewReaderSize(log, readBufferBytes)
+	var line []byte
+	for tooLong := false; ; {
+		part, more, err := r.ReadLine()
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			return unreadable, err
+		}
+		tooLong = tooLong || len(line)+len(part) > maxLogLine
+		if !tooLong {
+			line = append(line, part...)
+		}
+		if more {
+			continue
+		}
+		i := bytes.IndexByte(line, '{')
 		var l map[string]any
-		if i < 0 || json.Unmarshal(s.Bytes()[i:], &l) != nil {
+		if tooLong || i < 0 || json.Unmarshal(line[i:], &l) != nil {
 			unreadable++
-			continue
+		} else {
+			*all = append(*all, l)
 		}
-		*all = append(*all, l)
+		line, tooLong = line[:0], false
 	}
-	return unreadable, s.Err()
 }
 
 // precedes reports whether l is about the group of the request that r is about and was
@@ -98,7 +128,7 @@
 		switch name {
 		case "time", "level", "msg", KeyInstance:
 		default:
-			out.Fields = append(out.Fields, fmt.Sprintf("%s=%v", name, value))
+			out.Fields = append(out.Fields, printable(name)+"="+printable(fmt.Sprint(value)))
 		}
 	}
 	slices.Sort(out.Fields)
--- a/pkg/gwoutcome/outcome.go
+++ b/pkg/gwoutcome/outcome.go
@@ -74,11 +74,23 @@
 	// FreshnessUnknown means that the owner does not know the primary's position yet, as
 	// after a start, and so cannot decide whether a replica is fresh enough.
 	FreshnessUnknown
+	// NotEncodable means that the request could not be put into a message, or could not be
+	// read from one by the owner, so that it was not sent to the server.
+	NotEncodable
+	// ReplyUnreadable means that the server's answer arrived and cannot be read, as when one
+	// of its rows is too long.
+	ReplyUnreadable
+	// SessionNotSet means that the server's session could not be given the state of the
+	// caller's, as an answer to that could not be read, so that the request was not sent.
+	SessionNotSet
 )
 
+// Known reports whether e is one of the events of this release; a later one may have more.
+func (e Event) Known() bool { return e > 0 && int(e) < len(decisions) }
+
 // String returns the name of the event as used in logs and metrics.
 func (e Event) String() string {
-	if int(e) > 0 && int(e) < len(decisions) {
+	if e.Known() {
 		return decisions[e].name
 	}
 	return "unknown event"
@@ -106,6 +118,8 @@
 	// elsewhere allows a retry at another server, refresh one at the group's current
 	// primary or owner.
 	elsewhere, refresh bool
+	// once allows only one retry.
+	once bool
 }
 
 // decisions is the table of events.
@@ -128,6 +142,11 @@
 	Unconfirmed:      {name: "unconfirmed", ran: ranMaybe},
 	AnswerLost:       {name: "answerLost", ran: ranMaybe, failure: true, elsewhere: true},
 	FreshnessUnknown: {name: "freshnessUnknown", ran: ranNo, elsewhere: true},
+	// The cause is in the request, so that another server would not do better.
+	NotEncodable: {name: "notEncodable", ran: ranNo},
+	// The cause may be a value that every server has: it must not eject them in turn.
+	ReplyUnreadable: {name: "replyUnreadable", ran: ranMaybe, elsewhere: true, once: true},
+	SessionNotSet:   {name: "sessionNotSet", ran: ranNo},
 }
 
 // Of returns the outcome of a request whose only attempt ended with e; p is the position
--- a/pkg/gwoutcome/outcome_test.go
+++ b/pkg/gwoutcome/outcome_test.go
@@ -41,6 +41,9 @@
 		{LeaseLost, Unknown{"leaseLost"}, SQLStateCompletionUnknown, Stop, Stop, false},
 		{Unconfirmed, Unknown{"unconfirmed"}, SQLStateCompletionUnknown, Stop, Stop, false},
 		{FreshnessUnknown, NotRun{"freshnessUnknown"}, SQLStateNotRun, Stop, Elsewhere, false},
+		{NotEncodable, NotRun{"notEncodable"}, SQLStateNotRun, Stop, Stop, false},
+		{ReplyUnreadable, Unknown{"replyUnreadable"}, SQLStateConnectionUnknown, Stop, Elsewhere, false},
+		{SessionNotSet, NotRun{"sessionNotSet"}, SQLStateNotRun, Stop, Stop, false},
 		{AnswerLost, Unknown{"answerLost"}, SQLStateConnectionUnknown, Stop, Elsewhere, true},
 	}
 	for _, tt := range tests {
@@ -126,7 +129,8 @@
 	}
 }
 
-// Guards against keys that could break out of the statement that records them.
+// Guards against keys that could break out of the statement that records them, and against
+// keys from text in which the server sees no comment at the start, or a longer one.
 func TestKeyOf(t *testing.T) {
 	tests := []struct {
 		sql, want string
@@ -137,6 +141,14 @@
 		{"/* requestKey=a'b */ select 1", "", false},
 		{"/* requestKey= */ select 1", "", false},
 		{"/* requestKey=x", "", false},
+		{"\v\f/* requestKey=x\n*/select 1", "x", true},
+		{"/* requestKey=x/* */ select 1", "", false},
+		{"/* requestKey=x/**/y */ select 1", "x/**/y", true},
+		{"/* a */ /* requestKey=x */ select 1", "", false},
+		{"-- a\n/* requestKey=x */ select 1", "", false},
+		{"select '/* requestKey=x */'", "", false},
+		{"\u00a0/* requestKey=x */ select 1", "", false},
+		{"/* requestKey=x\u00a0*/ select 1", "", false},
 	}
 	for _, tt := range tests {
 		got, ok := KeyOf(tt.sql)
@@ -144,3 +156,18 @@
 		assert.Equal(t, tt.want, got, "sql %q", tt.sql)
 	}
 }
+
+// Guards against a row that no server's answer can carry and that is read at each of them, and
+// against an ejection of servers for it.
+func TestUnreadableReplyIsReadTwiceAtMost(t *testing.T) {
+	read := Request{Read: true, Repeatable: true, Remaining: time.Second}
+	for attempts, want := range []Retry{Elsewhere, Elsewhere, Elsewhere, Stop, Stop} {
+		read.Attempts = attempts
+		assert.Equal(t, want, ShouldRetry(ReplyUnreadable, read), "%d attempts", attempts)
+	}
+	var h Health
+	for range 3 * FailuresToEject {
+		assert.False(t, h.Observe(ReplyUnreadable, testNow))
+	}
+	assert.True(t, CountsAsAttempt(ReplyUnreadable))
+}
