gwfilter: the usual state of many sessions is within the bound

What callers would see: BUSY in answer to SET, after which they close the session, on an instance with 4,300 sessions (the design's size) of 15 values and prepared statements each.

Cause: the bound of 64 MiB over all sessions counted 1 KiB for each value or prepared statement, so that 65,536 of them filled it whatever their size. The 1 KiB was there to bound their number in a session.

Change: 256 bytes are counted beside the texts, and the number in a session has a bound of its own, 8,192. Ruled out: no bound over all sessions, as 20 sessions of 8 MiB each end a process of 184 MB.

Evidence: TestUsualStateOfManySessionsFits failed before with the failure of the bound and passes now; TestSessionStateIsBounded checks the number itself.

--- a/internal/gwfilter/state_test.go
+++ b/internal/gwfilter/state_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwowner"
@@ -57,10 +58,27 @@
 
 	s = open()
 	for i := 0; ask(s, gwstatement.Set{Name: fmt.Sprint(i)}) == "ok"; i++ {
-		if i > maxStateBytes/entryOverhead {
+		if i > maxStateEntries {
 			t.Fatal("the number of values is not bounded")
 		}
 	}
+	assert.Len(t, s.values, maxStateEntries)
+	assert.Equal(t, "failed true", ask(s, gwstatement.Prepare{Name: "p", Shape: "q"}))
+	assert.Equal(t, "ok", ask(s, gwstatement.Set{Name: "1", Value: "in place of another one"}))
+}
+
+// Guards against SETs that are refused, each of which ends its session, on an instance with as many
+// sessions as the design has: a bound that counted 1 KiB for each value was reached by 65,536 of them.
+func TestUsualStateOfManySessionsFits(t *testing.T) {
+	const sessions, entries = 4400, 20
+	e := &Entry{}
+	for range sessions {
+		s := openState(e)
+		for i := range entries / 2 {
+			require.Nil(t, s.setValue(gwstatement.Set{Name: fmt.Sprint("value", i), Value: "Europe/Paris"}))
+			require.Nil(t, s.prepare(gwstatement.Prepare{Name: fmt.Sprint("s", i), Shape: "visits by household"}))
+		}
+	}
 }
 
 // Guards against many sessions, each within its bound, whose values and prepared statements
--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -63,9 +63,12 @@
 // the smallest instances have 184 MB, of which messages in flight need a part.
 const maxTotalStateBytes = 64 << 20
 
-// entryOverhead is added to the size of each value and prepared statement. It bounds their
-// number, at 8,000, as each SET copies the list of values.
-const entryOverhead = 1 << 10
+// entryOverhead is about the memory that a value or a prepared statement takes beside its texts.
+const entryOverhead = 1 << 8
+
+// maxStateEntries bounds the values and prepared statements of a session in number, as each SET
+// copies the list of values.
+const maxStateEntries = 8 << 10
 
 // entryBytes returns the size of a value or a prepared statement.
 func entryBytes(name, text string) int { return len(name) + len(text) + entryOverhead }
@@ -73,7 +76,7 @@
 // Failures of statements that would exceed maxStateBytes or maxTotalStateBytes. Only the second
 // may pass later.
 var (
-	sessionStateFull = &gwstatement.Failure{Code: gwstatement.Malformed, Text: "the values and prepared statements of the session exceed 8 MiB"}
+	sessionStateFull = &gwstatement.Failure{Code: gwstatement.Malformed, Text: "the values and prepared statements of the session exceed 8 MiB or 8,192"}
 	totalStateFull   = &gwstatement.Failure{Code: gwstatement.Busy, Text: "the values and prepared statements of all sessions exceed 64 MiB"}
 )
 
@@ -157,7 +160,7 @@
 		return s.complete(b)
 	case gwstatement.Deallocate:
 		if p, ok := s.prepared[st.Name]; ok {
-			s.addState(-entryBytes(st.Name, p.SQL))
+			s.addState(-entryBytes(st.Name, p.SQL), false)
 			delete(s.prepared, st.Name)
 		}
 		return s.complete(b)
@@ -191,9 +194,9 @@
 }
 
 // addState changes the size of the session's state, and returns a failure if it would exceed a
-// bound.
-func (s *statementSession) addState(n int) *gwstatement.Failure {
-	if s.stateBytes+n > maxStateBytes {
+// bound. isNew means that a value or a prepared statement is added.
+func (s *statementSession) addState(n int, isNew bool) *gwstatement.Failure {
+	if s.stateBytes+n > maxStateBytes || isNew && len(s.values)+len(s.prepared) >= maxStateEntries {
 		return sessionStateFull
 	}
 	if total := s.entry.stateBytes.Add(int64(n)); n > 0 && total > maxTotalStateBytes {
@@ -211,7 +214,7 @@
 	if found {
 		n -= entryBytes(st.Name, s.values[i].Value)
 	}
-	if f := s.addState(n); f != nil {
+	if f := s.addState(n, !found); f != nil {
 		return f
 	}
 	// The name and the value must not keep the whole message in memory.
@@ -231,10 +234,11 @@
 func (s *statementSession) prepare(st gwstatement.Prepare) *gwstatement.Failure {
 	text := s.codec.ShapeText(st)
 	n := entryBytes(st.Name, text)
-	if p, ok := s.prepared[st.Name]; ok {
-		n -= entryBytes(st.Name, p.SQL)
+	old, found := s.prepared[st.Name]
+	if found {
+		n -= entryBytes(st.Name, old.SQL)
 	}
-	if f := s.addState(n); f != nil {
+	if f := s.addState(n, !found); f != nil {
 		return f
 	}
 	p := gwbackend.NewPreparedStatement(text, nil)
