--- a/internal/gwprogram/bytes_test.go
+++ b/internal/gwprogram/bytes_test.go
@@ -229,8 +229,9 @@
 }
 
 // twoEntries starts a control instance and two entry instances with one server, which one of
-// the entry instances owns, and returns the addresses for callers. The logs go to lines.
-func twoEntries(t *testing.T, s *exactServer, lines io.Writer) []string {
+// the entry instances owns, and returns the addresses for callers. The logs go to lines, and are
+// shown if the test fails.
+func twoEntries(t *testing.T, s *exactServer, lines *lockedBuffer) []string {
 	t.Helper()
 	l, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}) // holds the port
 	require.NoError(t, err)
@@ -242,6 +243,11 @@
 		return fmt.Sprintf("127.%d.%d.%d:%d", port>>8, port&0xff, host, port+offset)
 	}
 	seed := netip.MustParseAddrPort(address(10, 0)).Addr()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(lines.String())
+		}
+	})
 	start := func(host int, settings platform.Settings) {
 		settings.IP = netip.MustParseAddrPort(address(host, 0)).Addr()
 		settings.Name, settings.DataCentre, settings.Region, settings.Regions = settings.IP.String(), "a", "r", map[string]string{"a": "r"}
@@ -333,7 +339,7 @@
 // that is run as a message of its own (rules UNASKED and PINNED).
 func TestBytesArriveUnchanged(t *testing.T) {
 	s := startExactServer(t)
-	for i, address := range twoEntries(t, s, io.Discard) {
+	for i, address := range twoEntries(t, s, &lockedBuffer{}) {
 		for _, d := range hostileData {
 			t.Run(fmt.Sprintf("entry %d/%s", i, d.name), func(t *testing.T) { checkBytes(t, s, address, d.text) })
 		}
