gwfilter: the scope of SET is skipped in one place

Change: skipScope serves both; no behaviour changes. Ruled out: sharing more, as one needs the value and the other only the name.

--- a/internal/gwfilter/classify.go
+++ b/internal/gwfilter/classify.go
@@ -140,11 +140,8 @@
 		return assignment{}, false
 	}
 	var s assignment
-	t := l.Next()
-	if t.Is("session") || t.Is("local") {
-		s.local = t.Is("local")
-		t = l.Next()
-	}
+	t, local := skipScope(&l)
+	s.local = local
 	name, t, ok := parameterName(t, &l)
 	switch {
 	case !ok:
@@ -159,6 +156,16 @@
 	return s, ok
 }
 
+// skipScope returns the token behind SET and an optional SESSION or LOCAL, and whether LOCAL is
+// there.
+func skipScope(l *gwsql.Lexer) (t gwsql.Token, local bool) {
+	t = l.Next()
+	if local = t.Is("local"); local || t.Is("session") {
+		t = l.Next()
+	}
+	return t, local
+}
+
 // parameterName returns the name, of parts separated by dots, that begins with t, in lower
 // case, and the token that follows it.
 func parameterName(t gwsql.Token, l *gwsql.Lexer) (string, gwsql.Token, bool) {
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -169,10 +169,7 @@
 	if !l.First().Is("set") {
 		return false
 	}
-	t := l.Next()
-	if t.Is("session") || t.Is("local") {
-		t = l.Next()
-	}
+	t, _ := skipScope(&l)
 	name, _, _ := parameterName(t, &l)
 	return strings.HasPrefix(name, ownParameterPrefix)
 }
