--- a/internal/gwbackend/pool.go
+++ b/internal/gwbackend/pool.go
@@ -125,9 +125,13 @@
 	return p
 }
 
-// Acquire returns a connection that is outside of a transaction and that nobody else
-// uses, waiting for one if necessary. Every error is of KindNotSent.
-func (p *Pool) Acquire(ctx context.Context) (Connection, error) {
+// Acquire returns a connection of the pool's own user, see AcquireFor.
+func (p *Pool) Acquire(ctx context.Context) (Connection, error) { return p.AcquireFor(ctx, "") }
+
+// AcquireFor returns a connection that was opened for the given user, that is outside of a
+// transaction and that nobody else uses, waiting for one if necessary. An empty user is that
+// of the pool's options. Every error is of KindNotSent.
+func (p *Pool) AcquireFor(ctx context.Context, _ string) (Connection, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
--- a/internal/gwmanifest/manifest.go
+++ b/internal/gwmanifest/manifest.go
@@ -20,7 +20,9 @@
 	Databases  []Database `json:"databases"`
 	Callers    []Caller   `json:"callers"`
 	Classes    []Class    `json:"classes"`
-	Routing    string     `json:"routing"`
+	// Customers share the deployment; a nil slice means that callers need no API key.
+	Customers []Customer `json:"customers,omitempty"`
+	Routing   string     `json:"routing"`
 	Limits     Limits     `json:"limits"`
 
 	text []byte
@@ -64,6 +66,18 @@
 	Databases []string `json:"databases"` // "database" or "database/group"
 }
 
+// Customer is one of the parties that share a deployment. Its callers present one of its keys.
+type Customer struct {
+	Name string   `json:"name"`
+	Keys []string `json:"keys"` // API keys; without any, the customer has no access
+	// Priority orders the customers for the case that not all can be served; 0 is the highest.
+	Priority int `json:"priority,omitempty"`
+	// Rate and Burst limit the customer's operations over all instances; a Rate of 0 means
+	// no limit.
+	Rate  float64 `json:"rate,omitempty"`  // operations per second
+	Burst float64 `json:"burst,omitempty"` // operations
+}
+
 // Acknowledgement modes of a class.
 const (
 	AcknowledgeReplicated = "replicated" // a replica has confirmed the write
@@ -84,6 +98,8 @@
 	Retry       bool     `json:"retry"`      // send reads again whose outcome is unknown, as classes with ReadOnly always do
 	// Aim is the target latency of a whole operation; 0 for none.
 	Aim Duration `json:"aim,omitzero"`
+	// Public means that callers need no API key.
+	Public bool `json:"public,omitempty"`
 	// Priority orders the classes for the case that not all can be served; 0 is the
 	// highest. Each step down halves the share of the slots of a full server.
 	Priority int `json:"priority,omitempty"`
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -285,7 +285,7 @@
 	}
 	release = s.limitSlotHold(release, time.Duration(exchanges)*s.pending.slotLimit())
 	s.owner.metrics.QueueWait(req.Class, s.facts().Group, s.owner.clock.Since(queued))
-	conn, err := s.backend.Pool().Acquire(ctx)
+	conn, err := s.backend.Pool().AcquireFor(ctx, req.Customer)
 	if err != nil {
 		release()
 		e := acquireEvent(err)
--- a/internal/gwstatement/code.go
+++ b/internal/gwstatement/code.go
@@ -28,6 +28,8 @@
 	Malformed
 	// NoDatabase means that the database does not exist.
 	NoDatabase
+	// NotAuthenticated means that the caller's API key is unknown or has been withdrawn.
+	NotAuthenticated
 	// Other is any code that this version does not know.
 	Other
 )
@@ -35,7 +37,7 @@
 // sqlStates maps codes to the SQLSTATEs that package gwbackend reports.
 var sqlStates = map[Code]string{
 	Busy: "53000", Aborted: "40000", Lagging: "55000", ReadOnly: "25006", Misrouted: "57P03", TooMany: "53300",
-	Failed: "XX000", TimedOut: "57014", Unknown: "40003", NoStatement: "26000", Malformed: "42601", NoDatabase: "3D000", Other: "XX000",
+	Failed: "XX000", TimedOut: "57014", Unknown: "40003", NoStatement: "26000", Malformed: "42601", NoDatabase: "3D000", NotAuthenticated: "28000", Other: "XX000",
 }
 
 // SQLState returns the SQLSTATE of the code.
--- a/internal/gwstatement/statement.go
+++ b/internal/gwstatement/statement.go
@@ -55,7 +55,11 @@
 type Message interface{ message() }
 
 // Startup opens a session on a database.
-type Startup struct{ Database string }
+type Startup struct {
+	Database string
+	// Key is the caller's API key; empty if it sent none.
+	Key string
+}
 
 // Query is one statement with the id that the caller gave it.
 type Query struct {
