gwquota: shares of customers' limits, at agents and at the leader

Limits of customers hold over all instances, also those that are cut off, and no part of the code could divide them. Agents admit operations from token buckets whose rates and capacities are shares of a limit; the leader's ledger assigns the shares as leases of 7 s. Every token that a bucket loses when its share is reduced goes back to the ledger, and what nobody holds accumulates tokens there, so that the sum stays below the limit's capacity.

--- /dev/null
+++ b/pkg/gwquota/allocate.go
@@ -0,0 +1,98 @@
+package gwquota
+
+const (
+	// needFactor is the ratio of the share that an agent gets to its demand if that is possible,
+	// as demands are known with an error of 30%.
+	needFactor = 1.3
+	// evenPart is the part of what nobody needs that is divided evenly, so that callers who move
+	// to another data centre find a share there. The rest follows the demand.
+	evenPart = 0.5
+	// minOperations is the least capacity, in operations, of the share of an agent without
+	// demand, and minFraction the least fraction. At a customer above its limit whose callers
+	// are all in one of six data centres, the others hold 4% in vain.
+	minOperations = 1.5
+	minFraction   = 1.0 / 128
+	// lackBelow is the part of what an agent needs, or can get, below which it lacks shares, so
+	// that those of others are reduced.
+	lackBelow = 0.85
+	// leastRate is the difference in operations per second that is never made up for: the demand
+	// of small customers is mostly noise. Without it agents sent 4.6 reports per second instead
+	// of 2.
+	leastRate = 0.3
+)
+
+// claim is what one agent has told about a customer.
+type claim struct {
+	wanted bool
+	demand float64
+}
+
+// active reports whether the claim is for a share at all.
+func (c claim) active() bool { return c.wanted || c.demand > 0 }
+
+// allotment is what one agent should get.
+type allotment struct {
+	target Parts
+	// enough is the least share with which the agent does not lack any.
+	enough Parts
+}
+
+// allocate returns what the agents with the given claims should get. The sum of the targets is at
+// most Whole.
+func allocate(l Limit, claims []claim) []allotment {
+	out := make([]allotment, len(claims))
+	active := 0
+	for _, c := range claims {
+		if c.active() {
+			active++
+		}
+	}
+	if active == 0 || l.Rate <= 0 {
+		return out
+	}
+	least := leastFraction(l, active)
+	needs, sum, demand := make([]float64, len(claims)), 0.0, 0.0
+	for i, c := range claims {
+		if c.active() {
+			needs[i] = max(least, needFactor*c.demand/l.Rate)
+			sum += needs[i]
+			demand += c.demand
+		}
+	}
+	tolerated := min(leastRate/l.Rate, 1)
+	for i, c := range claims {
+		if !c.active() {
+			continue
+		}
+		f := fraction(needs[i], sum, least, active, c.demand, demand)
+		out[i].target = partsOf(f)
+		out[i].enough = partsOf(min(needs[i], f)*lackBelow - tolerated)
+	}
+	return out
+}
+
+// leastFraction returns the fraction of an agent without demand. It is 0 if an even division
+// gives no agent a whole operation: then only agents with demand get shares.
+func leastFraction(l Limit, active int) float64 {
+	even := 1 / float64(active)
+	if even*l.Capacity < 1 {
+		return 0
+	}
+	return min(even, max(minFraction, minOperations/l.Capacity))
+}
+
+// fraction returns the fraction of one of the active agents. sum is that of all needs, and all
+// the demand of all agents.
+func fraction(need, sum, least float64, active int, demand, all float64) float64 {
+	n := float64(active)
+	if sum <= 1 {
+		if all == 0 {
+			return need + (1-sum)/n
+		}
+		return need + (1-sum)*(evenPart/n+(1-evenPart)*demand/all)
+	}
+	// The needs above the least share what the least leaves.
+	return least + (1-n*least)*(need-least)/(sum-n*least)
+}
+
+func partsOf(fraction float64) Parts { return Parts(max(0, min(fraction, 1)) * float64(Whole)) }
--- /dev/null
+++ b/pkg/gwquota/ledger.go
@@ -0,0 +1,364 @@
+package gwquota
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Ledger holds the shares that agents may use, for one term of a leader. It is the leader's
+// memory only; the ledger of a new term learns the shares from the agents' reports.
+type Ledger struct {
+	// unknownUntil is when the last share that an earlier leader assigned has ended. Until then,
+	// what no agent has reported is not free.
+	unknownUntil time.Time
+	exclusive    bool
+	// places is the number of data centres, each of which will have an agent for each customer.
+	places   int
+	limits   map[string]Limit
+	accounts map[string]*account
+	agents   map[run]*record
+}
+
+// run is one run of an agent's instance.
+type run struct {
+	instance string
+	epoch    uint64
+}
+
+// record is what the ledger knows about one agent.
+type record struct {
+	run
+	sequence uint64
+	expires  time.Time
+	lines    []*entry // by ID
+}
+
+// entry is the share of one customer at one agent.
+type entry struct {
+	account *account
+	claim   claim
+	// counted is the greatest share that the agent may use; granted is what it was told last.
+	counted, granted Parts
+}
+
+// account holds the shares of one customer.
+type account struct {
+	name    string
+	entries map[run]*entry
+	// created is when the first agent reported the customer.
+	created time.Time
+	// claimed is the part of what an earlier leader assigned that agents have reported.
+	claimed Parts
+	// pool accumulates operations for the free part.
+	pool bucket
+}
+
+// NewLedger returns the ledger of a term that began at the given time. fresh means that no
+// earlier leader can have assigned shares. exclusive means that two runs of an instance never
+// overlap, so that a later one ends the shares of an earlier one.
+func NewLedger(began time.Time, fresh, exclusive bool) *Ledger {
+	l := &Ledger{exclusive: exclusive, accounts: make(map[string]*account), agents: make(map[run]*record)}
+	if !fresh {
+		l.unknownUntil = began.Add(CountedValidity)
+	}
+	return l
+}
+
+// SetLimits sets the limits of all customers that have one, and the number of data centres.
+func (l *Ledger) SetLimits(limits map[string]Limit, places int) { l.limits, l.places = limits, places }
+
+// account returns the account of a customer.
+func (l *Ledger) account(name string, now time.Time) *account {
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{name: name, created: now, entries: make(map[run]*entry)}
+		l.accounts[name] = a
+		if l.unknownUntil.IsZero() { // nothing has been used
+			limit := l.limits[name]
+			a.pool.set(now, limit.Rate, limit.Capacity, limit.Capacity)
+		}
+	}
+	return a
+}
+
+// unknown returns the part of an account that agents which have not reported may use.
+func (l *Ledger) unknown(a *account, now time.Time) Parts {
+	if !now.Before(l.unknownUntil) || a.claimed >= Whole {
+		return 0
+	}
+	return Whole - a.claimed
+}
+
+// free returns the part of an account that nobody may use.
+func (l *Ledger) free(a *account, now time.Time) Parts {
+	used := l.unknown(a, now)
+	for _, e := range a.entries {
+		used += e.counted
+	}
+	if used >= Whole {
+		return 0
+	}
+	return Whole - used
+}
+
+// refillPool sets the size of an account's pool to its free part.
+func (l *Ledger) refillPool(a *account, now time.Time) {
+	free, limit := l.free(a, now), l.limits[a.name]
+	a.pool.set(now, free.of(limit.Rate), free.of(limit.Capacity), 0)
+}
+
+// Handle answers a report of an instance. The leader must have confirmed its leadership with a
+// quorum after it received the report. It returns false if the report is older than another.
+func (l *Ledger) Handle(now time.Time, instance string, r Report) (answer Answer, ok bool, err error) {
+	l.sweep(now)
+	key := run{instance, r.Epoch}
+	if l.superseded(key) {
+		return Answer{}, false, nil
+	}
+	rec := l.agents[key]
+	if rec != nil && r.Sequence <= rec.sequence {
+		return Answer{}, false, nil
+	}
+	answer.Sequence = r.Sequence
+	if r.Base != 0 && (rec == nil || rec.sequence != r.Base) {
+		answer.Incomplete = true
+		return answer, true, nil
+	}
+	lines, err := readLines(r.Lines)
+	if err != nil {
+		return Answer{}, false, err
+	}
+	if r.Base == 0 {
+		rec, err = l.replace(now, key, rec, lines)
+	} else {
+		err = l.update(now, rec, lines)
+	}
+	if err != nil {
+		return Answer{}, false, err
+	}
+	rec.sequence, rec.expires = r.Sequence, now.Add(CountedValidity)
+	answer.Shares = l.grant(now, rec, r.Base == 0, lines)
+	answer.Next = l.next(now, rec)
+	return answer, true, nil
+}
+
+// soon is when an agent that lacks shares reports again: by then another has reduced its own.
+const soon = 400 * time.Millisecond
+
+// next returns the milliseconds until the agent should report outside of its intervals, or 0.
+func (l *Ledger) next(now time.Time, rec *record) uint32 {
+	if wait := l.unknownUntil.Sub(now); wait > 0 {
+		return uint32(wait.Milliseconds()) + 1
+	}
+	for _, e := range rec.lines {
+		if a := l.allot(now, e); a.enough > e.granted && (a.enough-e.granted).of(l.limits[e.account.name].Rate) >= urgentRate {
+			return uint32(soon.Milliseconds())
+		}
+	}
+	return 0
+}
+
+// superseded reports whether a later run of the instance is known, and ends earlier ones.
+func (l *Ledger) superseded(key run) bool {
+	for other, rec := range l.agents {
+		switch {
+		case other.instance != key.instance:
+		case other.epoch > key.epoch:
+			return true
+		case other.epoch < key.epoch && l.exclusive:
+			l.remove(rec)
+		}
+	}
+	return false
+}
+
+// sweep removes the agents whose shares have ended, and accounts that hold nothing.
+func (l *Ledger) sweep(now time.Time) {
+	for _, rec := range l.agents {
+		if !now.Before(rec.expires) {
+			l.remove(rec)
+		}
+	}
+	for name, a := range l.accounts {
+		if _, ok := l.limits[name]; ok || len(a.entries) > 0 || now.Before(l.unknownUntil) {
+			continue
+		}
+		delete(l.accounts, name)
+		if l.unknownUntil.IsZero() {
+			l.unknownUntil = now // the account of a customer of this name may not begin full again
+		}
+	}
+}
+
+func (l *Ledger) remove(rec *record) {
+	for _, e := range rec.lines {
+		delete(e.account.entries, rec.run)
+	}
+	delete(l.agents, rec.run)
+}
+
+// checkLines returns an error unless new IDs follow the known ones and have new names.
+func checkLines(known []*entry, lines []Line) error {
+	names := make(map[string]bool, len(known))
+	for _, e := range known {
+		names[e.account.name] = true
+	}
+	for _, line := range lines {
+		switch {
+		case line.Name != "" && line.ID == uint64(len(names)) && !names[line.Name]:
+			names[line.Name] = true
+		case line.Name != "" || line.ID >= uint64(len(names)):
+			return errMalformed
+		}
+	}
+	return nil
+}
+
+// replace replaces all that is known about an agent by a complete report. A share counts as far
+// as the ledger has counted it, or as it may be one that an earlier leader assigned: any other
+// has ended at the agent by now.
+func (l *Ledger) replace(now time.Time, key run, old *record, lines []Line) (*record, error) {
+	if err := checkLines(nil, lines); err != nil {
+		return nil, err
+	}
+	counted := make(map[string]Parts)
+	if old != nil {
+		for _, e := range old.lines {
+			counted[e.account.name] = e.counted
+		}
+		l.remove(old)
+	}
+	rec := &record{run: key}
+	l.agents[key] = rec
+	for _, line := range lines {
+		a := l.account(line.Name, now)
+		e := l.addEntry(rec, a, line)
+		if old != nil {
+			e.counted = min(line.Held, counted[line.Name])
+		} else {
+			claimable := l.unknown(a, now)
+			e.counted = min(line.Held, claimable)
+			a.claimed += e.counted
+		}
+		e.granted = e.counted
+	}
+	return rec, nil
+}
+
+func (l *Ledger) addEntry(rec *record, a *account, line Line) *entry {
+	e := &entry{account: a, claim: claim{line.Wanted, line.Demand.perSecond()}}
+	rec.lines = append(rec.lines, e)
+	a.entries[rec.run] = e
+	return e
+}
+
+// update applies the changes since the last answer, which the agent has applied.
+func (l *Ledger) update(now time.Time, rec *record, lines []Line) error {
+	if err := checkLines(rec.lines, lines); err != nil {
+		return err
+	}
+	for _, e := range rec.lines {
+		e.counted = e.granted
+	}
+	for _, line := range lines {
+		if line.Name != "" {
+			l.addEntry(rec, l.account(line.Name, now), line)
+			continue
+		}
+		e := rec.lines[line.ID]
+		e.claim = claim{line.Wanted, line.Demand.perSecond()}
+		if line.Returned > 0 {
+			l.refillPool(e.account, now)
+			e.account.pool.set(now, e.account.pool.rate, e.account.pool.capacity, float64(line.Returned))
+		}
+	}
+	return nil
+}
+
+// leastMove is the least number of parts that are moved at once.
+const leastMove = Whole / 256
+
+// grant decides the shares of one agent and returns those that differ from what it holds.
+func (l *Ledger) grant(now time.Time, rec *record, complete bool, lines []Line) []byte {
+	var out []byte
+	for id, e := range rec.lines {
+		held := e.granted
+		if complete {
+			held = lines[id].Held
+		}
+		l.refillPool(e.account, now)
+		target := l.allot(now, e).target
+		share := Share{ID: uint64(id), Parts: e.granted}
+		switch free := l.free(e.account, now); {
+		case target >= e.granted+min(leastMove, target) && free >= min(leastMove, target):
+			share.Parts, share.Tokens = l.take(e.account, free, min(free, target-e.granted), e.granted)
+			e.counted = max(e.counted, share.Parts)
+		case target == 0, e.granted > target+leastMove && l.lacking(now, e.account):
+			share.Parts = target
+		}
+		e.granted = share.Parts
+		l.refillPool(e.account, now)
+		if share.Parts != held {
+			out = appendShare(out, share)
+		}
+	}
+	return out
+}
+
+// settleTime is how long after the first report about a customer the ledger expects one of an
+// agent in each data centre. Without it the first agent got everything, and the tokens that it
+// had to give up were lost.
+const settleTime = 2 * time.Second
+
+// take moves parts from the free ones of an account to a share of the given size, with the
+// operations that these have accumulated.
+func (l *Ledger) take(a *account, free, parts, share Parts) (Parts, uint64) {
+	if parts == 0 {
+		return share, 0
+	}
+	tokens := uint64(a.pool.tokens * float64(parts) / float64(free))
+	a.pool.tokens -= float64(tokens)
+	return share + parts, tokens
+}
+
+// allot returns what an agent should have of a customer's limit.
+func (l *Ledger) allot(now time.Time, e *entry) allotment {
+	entries := slices.Collect(maps.Values(e.account.entries))
+	claims := make([]claim, len(entries))
+	own := 0
+	for i, other := range entries {
+		claims[i] = other.claim
+		if other == e {
+			own = i
+		}
+	}
+	for now.Before(e.account.created.Add(settleTime)) && len(claims) < l.places {
+		claims = append(claims, claim{wanted: true})
+	}
+	return allocate(l.limits[e.account.name], claims)[own]
+}
+
+// lacking reports whether an agent has much less of an account than it should have.
+func (l *Ledger) lacking(now time.Time, a *account) bool {
+	for _, e := range a.entries {
+		if l.lacks(now, e) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) lacks(now time.Time, e *entry) bool {
+	a := l.allot(now, e)
+	return a.target > 0 && e.granted == 0 || e.granted < a.enough
+}
+
+// Shares returns the sum of the shares of each customer that agents may use.
+func (l *Ledger) Shares(now time.Time) map[string]Parts {
+	out := make(map[string]Parts, len(l.accounts))
+	for name, a := range l.accounts {
+		out[name] = Whole - l.free(a, now)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/gwquota/limit.go
@@ -0,0 +1,72 @@
+package gwquota
+
+import "time"
+
+// Parts is a fraction of a limit in units of 1/Whole.
+type Parts uint32
+
+// Whole is the sum of the shares of one customer. Smaller ones take at most two bytes.
+const Whole Parts = 1 << 14
+
+// Timing of shares.
+const (
+	// Validity is how long a share may be used after its agent sent the report that the leader
+	// answered. It bridges partitions of 6 s, as reports are up to 1 s apart. With 8 s the
+	// shares came back more than 10 s after a loss of power everywhere, because a new leader
+	// counts unknown shares for that long after its election.
+	Validity = 7 * time.Second
+	// CountedValidity is how long the leader counts a share after its answer. It exceeds
+	// Validity by three times the permitted difference between the speeds of two clocks (1%).
+	CountedValidity = 7210 * time.Millisecond
+	// MaxAnswerAge is the age of a report from which on its answer is discarded. It bounds how
+	// long a leader that has been replaced may change shares.
+	MaxAnswerAge = time.Second
+	// ReportInterval is the time between two reports while something changes; an unchanged
+	// report follows after RenewInterval.
+	ReportInterval = 500 * time.Millisecond
+	RenewInterval  = time.Second
+	// urgentRate is the change of a share, in operations per second, that is not left to the
+	// next interval.
+	urgentRate = 2
+)
+
+const (
+	// runDelay is the difference between the delays from admission to execution that the
+	// capacity allows for: operations that waited up to this time and those admitted after them
+	// may run in the same window.
+	runDelay = 500 * time.Millisecond
+	// drift is the allowance for agents whose clocks are fast.
+	drift = 0.02
+)
+
+// Rules describe how limits are checked: in each sliding Window, the operations of a customer
+// may exceed what its rate and burst allow by the fraction Overage and by Slack operations.
+type Rules struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// Limit is the limit of one customer over all instances. A zero Limit admits nothing.
+type Limit struct {
+	Rate     float64 // operations per second
+	Capacity float64 // operations at once after a pause
+}
+
+// NewLimit returns the limit of a customer with a rate in operations per second and a burst in
+// operations. The capacity includes what the rules allow beyond the burst, less a reserve for
+// delays after the admission; it is never smaller than the burst, nor than one operation.
+func NewLimit(rate, burst float64, r Rules) Limit {
+	window := r.Window.Seconds()
+	extra := r.Overage*(rate*window+burst) + r.Slack
+	reserve := rate * (runDelay.Seconds() + drift*window)
+	return Limit{Rate: rate, Capacity: max(burst+extra-reserve, burst, 1)}
+}
+
+// Bound returns how many operations may run in a window of the rules.
+func (r Rules) Bound(rate, burst float64) float64 {
+	return (rate*r.Window.Seconds()+burst)*(1+r.Overage) + r.Slack
+}
+
+// of returns a fraction of x.
+func (p Parts) of(x float64) float64 { return x * float64(p) / float64(Whole) }
