gwfilter, gwstatement: hooks for customers, their limits and sessions that end

Cause: the parts for customers need the caller's key when a session opens, a way to end an open session, and one place in the entry where a customer's limit is asked. Change: Handler.Open takes the Startup; Session.Ended closes the connection after an answer; Options.Quota (nil: no limits) admits an attempt before the barrier and the first message to a server, and gets the count back if no attempt may have run; a retry after one that may have run is counted again. A refusal is the new event overQuota, answered with BUSY also inside a transaction, as nothing of it ran. Requests carry session.customer, which nothing sets yet. Ruled out: a count at BEGIN, which reaches no server; a deferred return, which would take back the count of an attempt that panicked.

--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -65,6 +65,8 @@
 	// LeaderLost reports whether this instance has lost contact with the leader of
 	// the control log; nil means never.
 	LeaderLost func() bool
+	// Quota limits the operations of customers; nil means no limits.
+	Quota Quota
 }
 
 // Entry serves the callers that are connected to one instance.
@@ -116,7 +118,7 @@
 		rng:      rand.New(sharedSource{}),
 		budget:   gwoutcome.NewBudget(retryRatio, retryBurst),
 	}
-	e.chain = chain(e.execute, e.observe, e.initRequest, e.consistency, e.retry)
+	e.chain = chain(e.execute, e.observe, e.initRequest, e.admit, e.consistency, e.retry)
 	return e
 }
 
--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -47,6 +47,8 @@
 	held time.Duration
 	// bytes counts the bytes of the answer.
 	bytes int64
+	// admitted means that Entry.Quota has counted an attempt that has not run so far.
+	admitted bool
 }
 
 // answerWriter receives the answer of one request.
@@ -120,6 +122,7 @@
 		r.exec = gwowner.Request{
 			Group: r.session.group, Class: r.session.class, Access: gwowner.Write,
 			PrimaryAcknowledges: class.Acknowledge == gwmanifest.AcknowledgePrimary,
+			Customer:            r.session.customer,
 			Request:             r.backend,
 			QueueWait:           gwlimit.QueueWait(class.Aim.Duration),
 		}
--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -23,6 +23,7 @@
 		for countedAttempts := 1; ; {
 			r.attempts++
 			res := next(ctx, r)
+			r.spendQuota(res)
 			if res.Relayed && res.Event != gwoutcome.Answered && r.w.Discard() {
 				res.Relayed = false
 			}
@@ -35,6 +36,9 @@
 				}
 				return res
 			}
+			if e.takeQuota(ctx, r) != nil {
+				return res // the attempt that may have run decides the outcome
+			}
 			if gwoutcome.CountsAsAttempt(res.Event) {
 				e.logAttempt("statement retried", r, res)
 			}
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -22,7 +22,9 @@
 	caller string
 	class  string
 	group  string
-	state  gwsession.Session
+	// customer is the name of the customer of the current operation; empty for none.
+	customer string
+	state    gwsession.Session
 	// writtenAt is when the watermark last advanced: by an acknowledged write, a barrier
 	// or a session token.
 	writtenAt time.Time
--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -26,9 +26,9 @@
 
 // Open returns a session for the database. Each database of this protocol is a caller
 // in the manifest.
-func (h StatementHandler) Open(_ context.Context, database string) (gwstatement.Session, *gwstatement.Failure) {
+func (h StatementHandler) Open(_ context.Context, startup gwstatement.Startup) (gwstatement.Session, *gwstatement.Failure) {
 	s := &statementSession{codec: h.Codec, status: 'I', prepared: make(map[string]preparedStatement)}
-	s.entry, s.caller = h.Entry, database
+	s.entry, s.caller = h.Entry, startup.Database
 	// A session begins with its connection, so that it has no earlier writes and needs no
 	// barrier.
 	s.state = s.state.WithToken(gwsession.Watermark{})
@@ -46,6 +46,8 @@
 	codec gwstatement.Codec
 	// status is 'I' outside of a transaction, 'T' inside one and 'E' in a failed one.
 	status byte
+	// ended means that the connection is closed after the answer to the current statement.
+	ended bool
 	// begin is the kind of transaction that the next statement opens at a server.
 	begin    gwbackend.Begin
 	readOnly bool
@@ -124,6 +126,9 @@
 // Idle reports whether no transaction is open, so that the session may be closed.
 func (s *statementSession) Idle() bool { return s.status == 'I' }
 
+// Ended reports whether the session accepts no more statements.
+func (s *statementSession) Ended() bool { return s.ended }
+
 // Close rolls an open transaction back and releases the space of the session's state.
 func (s *statementSession) Close() {
 	s.rollback()
@@ -338,7 +343,7 @@
 		return
 	}
 	req := gwowner.Request{
-		Group: s.group, Server: s.transactionServer, Class: s.class, Access: gwowner.Read, Timeout: rollbackTimeout,
+		Group: s.group, Server: s.transactionServer, Class: s.class, Customer: s.customer, Access: gwowner.Read, Timeout: rollbackTimeout,
 		Request: gwbackend.Request{Statement: &gwbackend.StatementRequest{Text: s.codec.RollbackText(), Variables: s.values}},
 	}
 	go func() {
--- a/internal/gwmanifest/manifest.go
+++ b/internal/gwmanifest/manifest.go
@@ -23,7 +23,7 @@
 	// Customers share the deployment; a nil slice means that callers need no API key.
 	Customers []Customer `json:"customers,omitempty"`
 	Routing   string     `json:"routing"`
-	Limits     Limits     `json:"limits"`
+	Limits    Limits     `json:"limits"`
 
 	text []byte
 }
--- a/internal/gwowner/message.go
+++ b/internal/gwowner/message.go
@@ -44,7 +44,7 @@
 	RequireLease bool `cbor:"12,keyasint,omitempty"`
 	// QueueWait is the longest wait for a slot that the request accepts: with a longer
 	// expected wait it is refused at once. 0 accepts any.
-	QueueWait         time.Duration `cbor:"13,keyasint,omitempty"`
+	QueueWait time.Duration `cbor:"13,keyasint,omitempty"`
 	// Customer is the name of the customer on whose connections the request runs; empty if the
 	// deployment has no customers.
 	Customer          string `cbor:"14,keyasint,omitempty"`
@@ -116,6 +116,7 @@
 // consequences there. An unknown event ended its session.
 var olderEvents = map[gwoutcome.Event]gwoutcome.Event{
 	gwoutcome.NotEncodable: gwoutcome.Expired, gwoutcome.SessionNotSet: gwoutcome.Expired, gwoutcome.ReplyUnreadable: gwoutcome.Unconfirmed,
+	gwoutcome.OverQuota: gwoutcome.Expired,
 }
 
 // toWire returns the result in the form in which it is sent to another instance.
--- a/internal/gwstatement/code.go
+++ b/internal/gwstatement/code.go
@@ -70,6 +70,8 @@
 		return Aborted
 	}
 	switch {
+	case e == gwoutcome.OverQuota:
+		return Busy // the first statement of a transaction, of which nothing ran
 	case s.Transaction:
 		return Aborted
 	case e == gwoutcome.TooStale, e == gwoutcome.FreshnessUnknown:
--- a/internal/gwstatement/code_test.go
+++ b/internal/gwstatement/code_test.go
@@ -28,6 +28,8 @@
 		{gwoutcome.AnswerLost, inside, Aborted},
 		{gwoutcome.LeaseLost, write, Unknown},
 		{gwoutcome.NoLease, commit, Aborted},
+		{gwoutcome.OverQuota, read, Busy},
+		{gwoutcome.OverQuota, inside, Busy},
 		{gwoutcome.ServerReadOnly, inside, Aborted},
 	}
 	for _, tt := range tests {
--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -39,7 +39,7 @@
 // Handler opens the sessions of callers.
 type Handler interface {
 	// Open returns a new session on the database, or the failure to answer with.
-	Open(ctx context.Context, database string) (Session, *Failure)
+	Open(ctx context.Context, startup Startup) (Session, *Failure)
 }
 
 // Session is one caller's session. It runs one statement at a time.
@@ -48,6 +48,8 @@
 	Handle(ctx context.Context, q Query, b []byte) []byte
 	// Idle reports whether the session can be closed without loss to its caller.
 	Idle() bool
+	// Ended reports whether the connection is to be closed after the last answer.
+	Ended() bool
 	// Close releases what the session holds, such as an open transaction.
 	Close()
 }
@@ -185,7 +187,7 @@
 		out = c.session.Handle(s.statements, q, out[:0])
 		err = c.write(out)
 		c.setBusy(false)
-		if err != nil || s.statements.Err() != nil || s.endsSession(c, r) {
+		if err != nil || s.statements.Err() != nil || c.session.Ended() || s.endsSession(c, r) {
 			return err
 		}
 		if cap(out) > maxKeptBufferBytes {
@@ -310,7 +312,7 @@
 		_, _ = c.nc.Write(s.o.Codec.AppendFailure(nil, Failure{Code: Malformed, Text: "a session begins with a startup message"}))
 		return false, &Error{Op: "start session", Kind: KindProtocol, Err: errors.Newf("message %T instead of a startup message", m)}
 	}
-	ses, failure := s.o.Handler.Open(s.ctx, st.Database)
+	ses, failure := s.o.Handler.Open(s.ctx, st)
 	if failure != nil {
 		_, err := c.nc.Write(s.o.Codec.AppendFailure(nil, *failure))
 		return false, err
--- a/internal/gwstatement/server_test.go
+++ b/internal/gwstatement/server_test.go
@@ -23,19 +23,28 @@
 	handled          atomic.Int64
 }
 
-func (e *echoHandler) Open(_ context.Context, database string) (Session, *Failure) {
-	if database == "none" {
+func (e *echoHandler) Open(_ context.Context, startup Startup) (Session, *Failure) {
+	switch startup.Database {
+	case "none":
 		return nil, &Failure{Code: NoDatabase, Text: "no such database"}
+	case "short":
+		return endedSession{e}, nil
 	}
 	return e, nil
 }
 
+// endedSession ends after its first statement.
+type endedSession struct{ *echoHandler }
+
+func (endedSession) Ended() bool { return true }
+
 func (e *echoHandler) Handle(_ context.Context, q Query, b []byte) []byte {
 	e.handled.Add(1)
 	return fmt.Appendf(b, "row %s\ndone\nready I\n", q.Text)
 }
-func (e *echoHandler) Idle() bool { return e.openTransactions.Load() == 0 }
-func (e *echoHandler) Close()     {}
+func (e *echoHandler) Idle() bool  { return e.openTransactions.Load() == 0 }
+func (e *echoHandler) Ended() bool { return false }
+func (e *echoHandler) Close()      {}
 
 func startServer(t *testing.T, h Handler) *Server {
 	t.Helper()
@@ -135,7 +144,7 @@
 // slowHandler does not answer a statement before its context ends, and panics at "panic".
 type slowHandler struct{ started chan struct{} }
 
-func (h *slowHandler) Open(context.Context, string) (Session, *Failure) { return h, nil }
+func (h *slowHandler) Open(context.Context, Startup) (Session, *Failure) { return h, nil }
 func (h *slowHandler) Handle(ctx context.Context, q Query, b []byte) []byte {
 	if q.Text == "panic" {
 		panic("unexpected statement")
@@ -145,8 +154,9 @@
 	time.Sleep(20 * time.Millisecond) // the time that an abandoned statement takes to end
 	return fmt.Appendf(b, "error %d ended\nready I\n", Aborted)
 }
-func (h *slowHandler) Idle() bool { return true }
-func (h *slowHandler) Close()     {}
+func (h *slowHandler) Idle() bool  { return true }
+func (h *slowHandler) Ended() bool { return false }
+func (h *slowHandler) Close()      {}
 
 // Guards against a graceful stop that closes the connection of a statement that is still
 // waiting at its end: the caller got no answer (carnes-barrio, trouble-2 of fad2215).
@@ -170,7 +180,7 @@
 // busyHandler answers a statement after a while.
 type busyHandler struct{ echoHandler }
 
-func (h *busyHandler) Open(context.Context, string) (Session, *Failure) { return h, nil }
+func (h *busyHandler) Open(context.Context, Startup) (Session, *Failure) { return h, nil }
 func (h *busyHandler) Handle(ctx context.Context, q Query, b []byte) []byte {
 	select {
 	case <-ctx.Done():
@@ -286,3 +296,17 @@
 	}
 	assert.Equal(t, len(answer), total)
 }
+
+// Guards against a session that stays open after its caller has lost its access, and against
+// a last answer that is cut off.
+func TestEndedSessionIsClosedAfterAnswer(t *testing.T) {
+	s := startServer(t, &echoHandler{})
+	nc, r := openSession(t, s, "short")
+	_, err := nc.Write([]byte("ask 1 x\nask 2 y\n"))
+	require.NoError(t, err)
+	got, err := io.ReadAll(r)
+	if err != nil { // the second statement was not read before the connection was closed
+		assert.ErrorContains(t, err, "reset")
+	}
+	assert.Equal(t, "ready I\nrow x\ndone\nready I\n", string(got))
+}
--- a/pkg/gwoutcome/outcome.go
+++ b/pkg/gwoutcome/outcome.go
@@ -83,6 +83,9 @@
 	// SessionNotSet means that the request was not sent because the answer to a statement that
 	// prepares the server's session cannot be read, or the state of that session is not known.
 	SessionNotSet
+	// OverQuota means that the entry instance refused the request because its customer has
+	// reached its limit.
+	OverQuota
 )
 
 // Known reports whether e is one of the events of this release; a later one may have more.
@@ -147,6 +150,8 @@
 	// The cause may be a value that every server has: it must not eject them in turn.
 	ReplyUnreadable: {name: "replyUnreadable", ran: ranMaybe, elsewhere: true, once: true},
 	SessionNotSet:   {name: "sessionNotSet", ran: ranNo},
+	// The limit applies at all instances, so that another one would not do better.
+	OverQuota: {name: "overQuota", ran: ranNo},
 }
 
 // Of returns the outcome of a request whose only attempt ended with e; p is the position
--- a/pkg/gwoutcome/outcome_test.go
+++ b/pkg/gwoutcome/outcome_test.go
@@ -44,6 +44,7 @@
 		{NotEncodable, NotRun{"notEncodable"}, SQLStateNotRun, Stop, Stop, false},
 		{ReplyUnreadable, Unknown{"replyUnreadable"}, SQLStateConnectionUnknown, Stop, Elsewhere, false},
 		{SessionNotSet, NotRun{"sessionNotSet"}, SQLStateNotRun, Stop, Stop, false},
+		{OverQuota, NotRun{"overQuota"}, SQLStateNotRun, Stop, Stop, false},
 		{AnswerLost, Unknown{"answerLost"}, SQLStateConnectionUnknown, Stop, Elsewhere, true},
 	}
 	for _, tt := range tests {
