gwbackend: a connection serves requests of one user only

Cause: AcquireFor ignored its user, so that requests of all customers shared the connections of the pool's own user, which the servers of a deployment with customers do not accept.

Change: each connection is opened with the user of the request that needs it and is handed out for that user only. At the limit, the least recently used idle connection is closed before another user's is opened; one that is being closed counts towards the limit. After a refused dial an idle connection is closed as well, as the server counts connections that the pool does not know. A deployment with customers keeps no connections ready for the pool's own user. With the empty user alone the pool behaves as before.

Ruled out: opening the replacement first, which exceeds the limit for the time of the close.

--- a/internal/gwbackend/pool.go
+++ b/internal/gwbackend/pool.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,11 +73,14 @@
 
 	mu              sync.Mutex
 	limit           int
-	idle            []idleConn // most recently used last
-	inUse           map[Connection]struct{}
+	idle            []idleConn            // most recently used last
+	inUse           map[Connection]string // user by connection
 	dialing         int
-	refusedDials    int       // refused while no connection was open and others were under way
-	waiters         list.List // of *waiter, in order of arrival
+	dialingFor      map[string]int // dials under way by user
+	closing         int            // idle connections being closed for a dial of another user
+	byUser          bool           // a connection for a user other than the pool's own was requested
+	refusedDials    int            // refused while no connection was open and others were under way
+	waiters         list.List      // of *waiter, in order of arrival
 	controlConn     Connection
 	controlSince    time.Time // when controlConn was opened
 	closed          bool
@@ -87,6 +92,7 @@
 
 type idleConn struct {
 	c     Connection
+	user  string
 	since time.Time
 }
 
@@ -95,7 +101,10 @@
 	err error
 }
 
-type waiter struct{ granted chan grant }
+type waiter struct {
+	user    string
+	granted chan grant
+}
 
 // Stats describes the state of a pool and counts its events.
 type Stats struct {
@@ -103,6 +112,7 @@
 
 	Dials, DialErrors uint64
 	Discards          uint64 // connections closed because they could not be used again
+	ClosedForOther    uint64 // idle connections closed for a connection of another user
 	Waits             uint64 // calls of Acquire that had to wait
 	WaitTime          time.Duration
 	DialTime          time.Duration // of the last successful dial
@@ -112,7 +122,7 @@
 func NewPool(o PoolOptions) *Pool {
 	o.setDefaults()
 	p := &Pool{
-		o: o, limit: max(1, o.Limit), inUse: make(map[Connection]struct{}),
+		o: o, limit: max(1, o.Limit), inUse: make(map[Connection]string), dialingFor: make(map[string]int),
 		controlFree: make(chan struct{}, 1), allClosed: make(chan struct{}),
 	}
 	p.controlFree <- struct{}{}
@@ -131,19 +141,20 @@
 // AcquireFor returns a connection that was opened for the given user, that is outside of a
 // transaction and that nobody else uses, waiting for one if necessary. An empty user is that
 // of the pool's options. Every error is of KindNotSent.
-func (p *Pool) AcquireFor(ctx context.Context, _ string) (Connection, error) {
+func (p *Pool) AcquireFor(ctx context.Context, user string) (Connection, error) {
 	p.mu.Lock()
+	p.byUser = p.byUser || user != ""
 	if p.closed {
 		p.mu.Unlock()
 		return nil, p.error("acquire connection", ErrClosed)
 	}
-	if c := p.popIdle(); c != nil {
-		p.inUse[c] = struct{}{}
+	if c := p.popIdle(user); c != nil {
+		p.inUse[c] = user
 		p.startDials()
 		p.mu.Unlock()
 		return c, nil
 	}
-	w := &waiter{granted: make(chan grant, 1)}
+	w := &waiter{user: user, granted: make(chan grant, 1)}
 	e := p.waiters.PushBack(w)
 	p.stats.Waits++
 	p.startDials()
@@ -213,7 +224,7 @@
 	}()
 }
 
-// put hands a clean connection to the first waiter, or keeps it idle.
+// put hands a clean connection to the first waiter of its user, or keeps it idle.
 func (p *Pool) put(c Connection) {
 	p.mu.Lock()
 	if p.closed || p.overLimit() || !c.Usable() {
@@ -221,40 +232,49 @@
 		p.discard(c)
 		return
 	}
-	if p.serveWaiter(grant{c: c}) {
-		p.inUse[c] = struct{}{}
-	} else {
+	user := p.inUse[c]
+	if !p.serveWaiter(user, grant{c: c}) {
 		delete(p.inUse, c)
-		p.idle = append(p.idle, idleConn{c: c, since: p.o.Clock.Now()})
+		p.idle = append(p.idle, idleConn{c: c, user: user, since: p.o.Clock.Now()})
+		if p.waiters.Len() > 0 {
+			p.startDials()
+		}
 	}
 	p.mu.Unlock()
 }
 
-// failDials fails a waiter for each dial that has failed since no connection was open or under
-// way, and starts dials for the others. p.mu is held.
-func (p *Pool) failDials(err error) {
-	failed := 1
+// failDials fails a waiter of user for each dial that has failed since no connection was open
+// or under way, and starts dials for the others. p.mu is held.
+func (p *Pool) failDials(user string, err error) {
+	p.serveWaiter(user, grant{err: err})
 	if p.connectionCount() == 0 && p.refusedDials > 0 {
-		failed += p.refusedDials
+		for range p.refusedDials {
+			p.failFirst(err)
+		}
 		p.refusedDials, p.nextDial = 0, time.Time{}
 	}
-	for range failed {
-		if !p.serveWaiter(grant{err: err}) {
-			return
+	p.startDials()
+}
+
+// serveWaiter passes g to the first waiter of user. p.mu is held.
+func (p *Pool) serveWaiter(user string, g grant) bool {
+	for e := p.waiters.Front(); e != nil; e = e.Next() {
+		if w := e.Value.(*waiter); w.user == user {
+			p.waiters.Remove(e)
+			w.granted <- g
+			return true
 		}
 	}
-	p.startDials()
+	return false
 }
 
-// serveWaiter passes g to the first waiter. p.mu is held.
-func (p *Pool) serveWaiter(g grant) bool {
+// failFirst fails the first waiter of any user. p.mu is held.
+func (p *Pool) failFirst(err error) bool {
 	e := p.waiters.Front()
 	if e == nil {
 		return false
 	}
-	p.waiters.Remove(e)
-	e.Value.(*waiter).granted <- g
-	return true
+	return p.serveWaiter(e.Value.(*waiter).user, grant{err: err})
 }
 
 // discard closes a connection that was in use.
@@ -268,12 +288,14 @@
 	p.mu.Unlock()
 }
 
-// popIdle returns the most recently used idle connection. p.mu is held.
-func (p *Pool) popIdle() Connection {
-	for n := len(p.idle); n > 0; n = len(p.idle) {
-		c := p.idle[n-1].c
-		p.idle[n-1] = idleConn{}
-		p.idle = p.idle[:n-1]
+// popIdle returns the most recently used idle connection of user. p.mu is held.
+func (p *Pool) popIdle(user string) Connection {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].user != user {
+			continue
+		}
+		c := p.idle[i].c
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if c.Usable() {
 			return c
 		}
@@ -286,33 +308,76 @@
 // requestLimit returns the limit of connections for requests. p.mu is held.
 func (p *Pool) requestLimit() int { return max(1, p.limit-1) }
 
-func (p *Pool) connectionCount() int { return len(p.idle) + len(p.inUse) + p.dialing }
+func (p *Pool) connectionCount() int { return len(p.idle) + len(p.inUse) + p.dialing + p.closing }
 
 // overLimit reports whether a connection must be closed because the limit was lowered.
 func (p *Pool) overLimit() bool { return p.connectionCount() > p.requestLimit() }
 
-// startDials starts the dials that waiters and MinIdle require. p.mu is held.
+// startDials starts the dials that waiters and MinIdle require. Where the limit is reached, it
+// closes the least recently used idle connections, which are of other users. p.mu is held.
 func (p *Pool) startDials() {
 	if p.closed || p.o.Clock.Now().Before(p.nextDial) {
 		return
 	}
-	want := p.waiters.Len()
-	if !p.o.Clock.Now().Before(p.nextMinIdleDial) {
-		want += max(0, p.o.MinIdle-len(p.idle))
+	pending := maps.Clone(p.dialingFor)
+	blocked := 0 // waiters whose dial the limit prevents
+	for e := p.waiters.Front(); e != nil; e = e.Next() {
+		user := e.Value.(*waiter).user
+		switch {
+		case pending[user] > 0:
+			pending[user]--
+		case p.connectionCount() < p.requestLimit():
+			p.startDial(user)
+		default:
+			blocked++
+		}
+	}
+	for p.closing < blocked && len(p.idle) > 0 {
+		p.closeOldest()
+	}
+	if p.byUser || p.o.Clock.Now().Before(p.nextMinIdleDial) {
+		return
 	}
+	want := p.waiters.Len() + max(0, p.o.MinIdle-len(p.idle))
 	for p.dialing < want && p.connectionCount() < p.requestLimit() {
-		p.dialing++
-		p.wg.Add(1)
-		go p.dial()
+		p.startDial("")
 	}
 }
 
-func (p *Pool) dial() {
-	defer p.wg.Done()
+// startDial starts a dial for user. p.mu is held.
+func (p *Pool) startDial(user string) {
+	p.dialing++
+	p.dialingFor[user]++
+	p.wg.Go(func() { p.dial(user) })
+}
+
+// closeOldest starts to close the least recently used idle connection, so that one of another
+// user can be opened. p.mu is held.
+func (p *Pool) closeOldest() {
+	p.closing++
+	p.stats.ClosedForOther++
+	c := p.takeOldest()
+	p.wg.Go(func() { p.closeForOther(c) })
+}
+
+// closeForOther closes an idle connection and then dials in its place.
+func (p *Pool) closeForOther(c Connection) {
+	_ = c.Close()
+	p.mu.Lock()
+	p.closing--
+	p.startDials()
+	p.checkAllClosed()
+	p.mu.Unlock()
+}
+
+func (p *Pool) dial(user string) {
 	start := p.o.Clock.Now()
-	c, err := p.connect(p.ctx)
+	c, err := p.connect(p.ctx, user)
 	p.mu.Lock()
 	p.dialing--
+	if p.dialingFor[user]--; p.dialingFor[user] == 0 {
+		delete(p.dialingFor, user)
+	}
 	p.stats.Dials++
 	if err != nil {
 		p.stats.DialErrors++
@@ -325,8 +390,9 @@
 			if p.connectionCount() == p.dialing {
 				p.refusedDials++
 			}
+			p.dialAfterRefusal()
 		} else {
-			p.failDials(err)
+			p.failDials(user, err)
 		}
 		p.checkAllClosed()
 		p.mu.Unlock()
@@ -334,16 +400,37 @@
 	}
 	p.stats.DialTime = p.o.Clock.Since(start)
 	p.refusedDials = 0
-	p.inUse[c] = struct{}{}
+	p.inUse[c] = user
 	p.mu.Unlock()
 	p.put(c)
 	c.NotifyClose(func() { p.removeClosed(c) })
 }
 
-func (p *Pool) connect(ctx context.Context) (Connection, error) {
+// dialAfterRefusal makes the dial of a user whose first one was refused possible: an idle
+// connection of another user is closed, and dials resume as soon as they may. p.mu is held.
+func (p *Pool) dialAfterRefusal() {
+	if !p.byUser {
+		return
+	}
+	if len(p.idle) > 0 {
+		p.closeOldest()
+	}
+	p.o.Clock.AfterFunc(refusedDialDelay, func() {
+		p.mu.Lock()
+		p.startDials()
+		p.mu.Unlock()
+	})
+}
+
+// connect opens a connection for user; an empty one is the pool's own.
+func (p *Pool) connect(ctx context.Context, user string) (Connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.o.DialTimeout)
 	defer cancel()
-	return p.o.Dial(ctx, p.o.Options)
+	o := p.o.Options
+	if user != "" {
+		o.User = user
+	}
+	return p.o.Dial(ctx, o)
 }
 
 // removeClosed removes an idle connection that the server has closed.
--- a/internal/gwbackend/poolcontrol.go
+++ b/internal/gwbackend/poolcontrol.go
@@ -37,7 +37,7 @@
 }
 
 func (p *Pool) dialControl(ctx context.Context) (Connection, error) {
-	c, err := p.connect(ctx)
+	c, err := p.connect(ctx, "")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stats.Dials++
@@ -152,7 +152,11 @@
 func (p *Pool) closeExpired(now time.Time) {
 	p.mu.Lock()
 	var closing []Connection
-	for len(p.idle) > p.o.MinIdle && now.Sub(p.idle[0].since) >= p.o.IdleTimeout {
+	minIdle := p.o.MinIdle
+	if p.byUser {
+		minIdle = 0
+	}
+	for len(p.idle) > minIdle && now.Sub(p.idle[0].since) >= p.o.IdleTimeout {
 		closing = append(closing, p.takeOldest())
 	}
 	p.startDials()
@@ -171,7 +175,7 @@
 	for len(p.idle) > 0 {
 		closing = append(closing, p.takeOldest())
 	}
-	for p.serveWaiter(grant{err: ErrClosed}) {
+	for p.failFirst(ErrClosed) {
 		continue
 	}
 	p.mu.Unlock()
--- a/internal/gwowner/limits.go
+++ b/internal/gwowner/limits.go
@@ -1,6 +1,10 @@
 package gwowner
 
-import "time"
+import (
+	"time"
+
+	"gentianward.example/gentianward/internal/gwcontrol"
+)
 
 func (o *Owner) drainLimit() time.Duration {
 	if m := o.views.Current().Manifest; m != nil {
@@ -33,3 +37,12 @@
 	defaultDrain = 10 * time.Second
 	defaultIdle  = time.Minute
 )
+
+// minIdle returns the number of connections to a server that are kept ready for requests
+// without a customer. With customers there are none, as a connection serves one of them only.
+func (o *Owner) minIdle(f gwcontrol.ServerFacts) int {
+	if m := o.views.Current().Manifest; m != nil && m.Manifest().Customers != nil {
+		return 0
+	}
+	return min(max(1, f.Slots), maxMinIdle)
+}
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -257,7 +257,7 @@
 	opts := o.backendOptions(f)
 	opts.OnPosition = nil
 	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: o.dialect, PollInterval: o.pollInterval, Pool: gwbackend.PoolOptions{
-		Options: opts, DialTimeout: o.dialTimeout, Limit: o.connectionLimit(f), MinIdle: min(max(1, f.Slots), maxMinIdle), Clock: o.clock, Logger: o.log,
+		Options: opts, DialTimeout: o.dialTimeout, Limit: o.connectionLimit(f), MinIdle: o.minIdle(f), Clock: o.clock, Logger: o.log,
 	}})
 	s.confirm = newConfirmer(o.clock, o.Await, func() []string { return o.replicas(f.Group, f.Server) })
 	s.applyLimits(o.views.Current())
