--- a/internal/gwmanifest/checkmanifest.go
+++ b/internal/gwmanifest/checkmanifest.go
@@ -45,6 +45,7 @@
 	replicated := c.checkDatabases(m)
 	classes := c.checkClasses(m)
 	c.checkCallers(m, classes, replicated)
+	c.checkCustomers(m.Customers)
 	c.checkOneOf("routing", m.Routing, RoutingSession, RoutingPrimaryOnly, RoutingRoundRobin)
 	c.checkLimits(m.Limits)
 }
--- a/internal/gwmanifest/index.go
+++ b/internal/gwmanifest/index.go
@@ -12,6 +12,9 @@
 	groupsByName       map[string]GroupRef
 	regionByDataCentre map[string]string
 	voters             map[string]Voter
+	// customers and keys are nil if callers need no API key.
+	customers map[string]Customer
+	keys      keyTable
 }
 
 // GroupRef is a group together with the name of its database.
@@ -47,6 +50,7 @@
 		}
 	}
 	x.addGroups()
+	x.addCustomers()
 	return x
 }
 
@@ -67,7 +71,7 @@
 	}
 }
 
-// Manifest returns the manifest with its defaults filled in.
+// Manifest returns the manifest with its defaults filled in and without the keys of customers.
 func (x *Index) Manifest() *Manifest { return x.manifest }
 
 // Class returns the class with the given name.
--- a/internal/gwmanifest/manifest.go
+++ b/internal/gwmanifest/manifest.go
@@ -21,7 +21,7 @@
 	Callers    []Caller   `json:"callers"`
 	Classes    []Class    `json:"classes"`
 	// Customers share the deployment; a nil slice means that callers need no API key.
-	Customers []Customer `json:"customers,omitempty"`
+	Customers []Customer `json:"customers,omitzero"`
 	Routing   string     `json:"routing"`
 	Limits    Limits     `json:"limits"`
 
