gwfilter: callers have access by their API keys, also while a session is open

Cause: the key of a caller was discarded, and requests named no customer. Change: a session keeps the digest of its key and resolves it at its start and with each operation; between the statements of a transaction it is checked when the manifest has changed. Without access: NOAUTH and the end of the connection; inside a transaction a rollback, ABORTED, READY, and the end. Before it refuses, an entry takes over the newest view from the leader, or from another voter (Client.PullNewest); an answer of the last 500 ms serves all unknown keys. Requests, also the rollback, name the customer. PostgreSQL callers belong to the customer of their name. Metrics: requests by customer and result, for customers with 1% of the requests or with refusals, the rest summed; callers refused. One log line per second at most names a refused caller's database and customer, never a key. The test of the state of all sessions has a view now, which an open transaction looks at. Ruled out: keeping the key in the session; the confirmed read of the manifest, which sends the whole text; waiting for the next request for each unknown key, which holds refused callers.

--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -98,6 +98,7 @@
 		LeaderLost: cutOff,
 		Node:       node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Owner: i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry,
+		PullManifest: i.client.PullNewest,
 	})
 	if err := i.listen(ctx); err != nil {
 		return err
--- a/internal/gwdaemon/telemetry.go
+++ b/internal/gwdaemon/telemetry.go
@@ -11,15 +11,41 @@
 )
 
 // telemetry records measurements in the metrics of an instance.
-type telemetry struct{ *gwtelemetry.Metrics }
+type telemetry struct {
+	*gwtelemetry.Metrics
+	customers *gwtelemetry.Customers
+}
 
 // NewTelemetry returns the Telemetry of one instance with a new set of metrics.
-func NewTelemetry() Telemetry { return telemetry{gwtelemetry.New()} }
+func NewTelemetry() Telemetry {
+	m := gwtelemetry.New()
+	return telemetry{Metrics: m, customers: gwtelemetry.NewCustomers(m, time.Now)}
+}
+
+// NotAuthenticated counts a caller whose API key is not known, for the customer that had it.
+func (t telemetry) NotAuthenticated(customer string) {
+	t.Counter("gentianward_not_authenticated_total").Inc()
+	if customer != "" {
+		t.customers.NotServed(customer, "notAuthenticated")
+	}
+}
+
+// observeCustomer counts a request of a customer.
+func (t telemetry) observeCustomer(o gwfilter.Observation) {
+	switch {
+	case o.Customer == "":
+	case o.Event == gwoutcome.Answered:
+		t.customers.Served(o.Customer)
+	default:
+		t.customers.NotServed(o.Customer, o.Event.String())
+	}
+}
 
 // Observe records a finished request.
 func (t telemetry) Observe(o gwfilter.Observation) {
 	s := t.Series(o.Class, o.Group)
 	s.Latency(o.Duration)
+	t.observeCustomer(o)
 	if o.Held > 0 {
 		t.Histogram("gentianward_held_seconds", gwtelemetry.Label{Name: "group", Value: o.Group}).Update(o.Held.Seconds())
 	}
--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwmanifest"
@@ -34,7 +35,9 @@
 // Observation describes one finished request.
 type Observation struct {
 	Class, Group string
-	Read         bool
+	// Customer is empty in deployments without customers.
+	Customer string
+	Read     bool
 	// Replica means that a replica served the request.
 	Replica bool
 	// CrossRegion means that the server is in another region.
@@ -49,7 +52,12 @@
 }
 
 // Observer receives an Observation of every finished request.
-type Observer interface{ Observe(o Observation) }
+type Observer interface {
+	Observe(o Observation)
+	// NotAuthenticated is called for a caller that is refused because its API key is not known, or
+	// no longer, in which case customer is the one that had it.
+	NotAuthenticated(customer string)
+}
 
 // Options configures an Entry.
 type Options struct {
@@ -67,6 +75,8 @@
 	LeaderLost func() bool
 	// Quota limits the operations of customers; nil means no limits.
 	Quota Quota
+	// PullManifest requests the newest manifest; nil if that is not possible.
+	PullManifest func(ctx context.Context) error
 }
 
 // Entry serves the callers that are connected to one instance.
@@ -77,6 +87,7 @@
 	servers  *serverTable
 	streams  *gwpeer.StreamPool
 	inflight *inflight
+	newest   newest
 	// rng is safe for concurrent use, see sharedSource.
 	rng *rand.Rand
 	// turn counts the requests of the round-robin policy.
@@ -85,6 +96,10 @@
 	// statement protocol, see entryBytes.
 	stateBytes atomic.Int64
 
+	// refusals bounds the log lines about callers without access.
+	refusals        *rate.Limiter
+	refusalsSkipped atomic.Int64
+
 	mu     sync.Mutex
 	budget *gwoutcome.Budget
 	// budgetUsed is false while the retry budget is full, so that first attempts
@@ -107,6 +122,12 @@
 	retryBurst = 100
 )
 
+// Callers without access must not displace the other lines of the log.
+const (
+	refusalLinesPerSecond = 1
+	refusalLineBurst      = 10
+)
+
 // New returns an entry.
 func New(o Options) *Entry {
 	e := &Entry{
@@ -115,6 +136,8 @@
 		servers:  newServerTable(),
 		streams:  o.Node.NewStreamPool(gwcontrol.KindExec),
 		inflight: newInflight(),
+		newest:   newest{clock: o.Clock, pull: o.PullManifest},
+		refusals: rate.NewLimiter(refusalLinesPerSecond, refusalLineBurst),
 		rng:      rand.New(sharedSource{}),
 		budget:   gwoutcome.NewBudget(retryRatio, retryBurst),
 	}
--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -163,7 +163,7 @@
 	return func(ctx context.Context, r *request) gwowner.Result {
 		res := next(ctx, r)
 		e.Observer.Observe(Observation{
-			Class: r.session.class, Group: r.session.group, Read: r.read(),
+			Class: r.session.class, Group: r.session.group, Customer: r.session.customer, Read: r.read(),
 			Replica: r.served.Name != "" && !r.served.Primary, CrossRegion: r.served.Distance == gwroute.OtherRegion && r.served.Name != "",
 			Event: res.Event, Duration: e.Clock.Since(r.started), Bytes: r.bytes, Staleness: res.Report.Staleness,
 			Held: r.held,
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -70,6 +70,7 @@
 	if s.answer(kind, req, w) {
 		return nil
 	}
+	s.customer = s.entry.customerOfCaller(s.caller)
 	s.runRequest(ctx, s.newRequest(req, w, kind), req, w)
 	return nil
 }
--- a/internal/gwfilter/state_test.go
+++ b/internal/gwfilter/state_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/internal/gwstatement"
@@ -84,7 +85,7 @@
 // Guards against many sessions, each within its bound, whose values and prepared statements
 // together fill the memory of the process, and against space that ended sessions keep.
 func TestStateOfAllSessionsIsBounded(t *testing.T) {
-	e := &Entry{}
+	e := &Entry{Options: Options{Views: gwcontrol.NewViews(gwcontrol.ManifestFormat{})}}
 	ask := func(s *statementSession, st gwstatement.Statement) string {
 		return string(s.Handle(t.Context(), gwstatement.Query{ID: "1", Statement: st}, nil))
 	}
--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/internal/gwstatement"
 	"gentianward.example/gentianward/pkg/gwoutcome"
@@ -26,13 +27,13 @@
 
 // Open returns a session for the database. Each database of this protocol is a caller
 // in the manifest.
-func (h StatementHandler) Open(_ context.Context, startup gwstatement.Startup) (gwstatement.Session, *gwstatement.Failure) {
+func (h StatementHandler) Open(ctx context.Context, startup gwstatement.Startup) (gwstatement.Session, *gwstatement.Failure) {
 	s := &statementSession{codec: h.Codec, status: 'I', prepared: make(map[string]preparedStatement)}
-	s.entry, s.caller = h.Entry, startup.Database
+	s.entry, s.caller, s.key = h.Entry, startup.Database, gwmanifest.DigestKey(startup.Key)
 	// A session begins with its connection, so that it has no earlier writes and needs no
 	// barrier.
 	s.state = s.state.WithToken(gwsession.Watermark{})
-	if f := s.resolveCaller(); f != nil {
+	if f := s.resolveCaller(ctx); f != nil {
 		return nil, f
 	}
 	return s, nil
@@ -44,6 +45,9 @@
 type statementSession struct {
 	session
 	codec gwstatement.Codec
+	// key identifies the caller's API key; checked is the manifest by which it had access.
+	key     gwmanifest.KeyDigest
+	checked *gwmanifest.Index
 	// status is 'I' outside of a transaction, 'T' inside one and 'E' in a failed one.
 	status byte
 	// ended means that the connection is closed after the answer to the current statement.
@@ -103,26 +107,6 @@
 	return true
 }
 
-// resolveCaller sets the class and group of the session's caller from the current
-// manifest. It is called at the start of each transaction and not within one, so that a
-// new manifest applies from the next transaction on.
-func (s *statementSession) resolveCaller() *gwstatement.Failure {
-	m := s.entry.Views.Current().Manifest
-	if m == nil {
-		return &gwstatement.Failure{Code: gwstatement.Busy, Text: "the instance has no manifest yet"}
-	}
-	caller, ok := m.Caller(s.caller)
-	if !ok || len(caller.Databases) == 0 {
-		return &gwstatement.Failure{Code: gwstatement.NoDatabase, Text: "database " + s.caller + " is not in the manifest"}
-	}
-	group, ok := m.Group(caller.Databases[0])
-	if !ok {
-		return &gwstatement.Failure{Code: gwstatement.NoDatabase, Text: "database " + s.caller + " has no group"}
-	}
-	s.class, s.group = caller.Class, group.Name
-	return nil
-}
-
 // Idle reports whether no transaction is open, so that the session may be closed.
 func (s *statementSession) Idle() bool { return s.status == 'I' }
 
@@ -138,6 +122,14 @@
 
 // Handle answers one statement.
 func (s *statementSession) Handle(ctx context.Context, q gwstatement.Query, b []byte) []byte {
+	if s.status != 'I' && s.keyRevoked() {
+		return s.revoke(b)
+	}
+	return s.handle(ctx, q, b)
+}
+
+// handle answers one statement of a caller that has access, as far as that is checked before.
+func (s *statementSession) handle(ctx context.Context, q gwstatement.Query, b []byte) []byte {
 	switch st := q.Statement.(type) {
 	case gwstatement.Commit:
 		return s.commit(ctx, q, b)
@@ -152,7 +144,7 @@
 	}
 	switch st := q.Statement.(type) {
 	case gwstatement.Begin:
-		return s.beginTransaction(st, b)
+		return s.beginTransaction(ctx, st, b)
 	case gwstatement.Set:
 		if f := s.setValue(st); f != nil {
 			return s.fail(b, f.Code, f.Text)
@@ -184,12 +176,12 @@
 
 // beginTransaction answers BEGIN. The transaction begins at a server with its first
 // statement.
-func (s *statementSession) beginTransaction(st gwstatement.Begin, b []byte) []byte {
+func (s *statementSession) beginTransaction(ctx context.Context, st gwstatement.Begin, b []byte) []byte {
 	if s.status != 'I' {
 		return s.fail(b, gwstatement.Malformed, "a transaction is already open")
 	}
-	if f := s.resolveCaller(); f != nil {
-		return s.fail(b, f.Code, f.Text)
+	if f := s.resolveCaller(ctx); f != nil {
+		return s.refuse(b, f)
 	}
 	s.status, s.readOnly, s.begin = 'T', st.ReadOnly, gwbackend.BeginWrite
 	if st.ReadOnly {
@@ -283,8 +275,8 @@
 func (s *statementSession) execute(ctx context.Context, b []byte, id, text string, writes bool, prepared []gwbackend.PreparedStatement) []byte {
 	autocommit := s.status == 'I'
 	if autocommit {
-		if f := s.resolveCaller(); f != nil {
-			return s.fail(b, f.Code, f.Text)
+		if f := s.resolveCaller(ctx); f != nil {
+			return s.refuse(b, f)
 		}
 	}
 	r := s.newStatementRequest(id, text, writes, prepared)
@@ -367,7 +359,11 @@
 		id = r.backend.Statement.ID
 		id = id[:min(len(id), maxLoggedID)]
 	}
-	e.Log.Info(msg, "id", id, "class", r.session.class, "group", r.session.group,
+	log := e.Log
+	if r.session.customer != "" {
+		log = log.With("customer", r.session.customer)
+	}
+	log.Info(msg, "id", id, "class", r.session.class, "group", r.session.group,
 		"event", res.Event.String(), "reason", res.Message, "server", r.served.Name, "offers", r.attempts, "took", e.Clock.Since(r.started).String(),
 		"manifest", view.Number, "term", g.Term, "primary", g.Primary, "changing", g.Changing, "position", r.exec.Position.String(),
 		"serverPosition", res.Report.Position.String(), "staleness", res.Report.Staleness.String(), "load", res.Report.Load)
