gwlimit, gwowner: customers take turns within their class

Cause: the statements of a class waited in order of arrival, so that a customer with many of them delayed and crowded out all others of its class.

Change: gwlimit.Item has the customer's name. When a class gets a slot, the customer with the fewest turns so far, by weight, gets it (start-time fair queueing; the turns count when requests start, so that expired and withdrawn ones cost nothing). The expected wait, on which admission depends, is that of the customer, and so is the time since which the load lasts. Weights follow the customers' priorities as those of classes do. The order of the virtual start times of a class does not change, so that classes share the slots as before. The key by which a repeated operation is recognized includes the customer.

Ruled out: one fair queue per customer and class, which needs a bound on the number of queues and gives a class with many customers more than its weight.

--- a/internal/gwowner/admission.go
+++ b/internal/gwowner/admission.go
@@ -28,11 +28,13 @@
 	return &admission{clock: clock, queue: gwlimit.NewFairQueue(slots)}
 }
 
-// setLimits sets the number of slots and the limits of the given classes.
-func (a *admission) setLimits(slots int, classes []gwlimit.Class) {
+// setLimits sets the number of slots, the limits of the given classes and the weights of
+// customers.
+func (a *admission) setLimits(slots int, classes []gwlimit.Class, customers map[string]int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.queue.SetSlots(slots)
+	a.queue.SetCustomers(customers)
 	for _, c := range classes {
 		a.queue.SetClass(c)
 	}
@@ -74,10 +76,13 @@
 }
 
 // operationKey returns a key of a request that is the same when its caller tries again: the
-// class with the request key or, without one, the statement, whose id changes.
+// class and customer with the request key or, without one, the statement, whose id changes.
 func operationKey(req *Request) uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(req.Class + "\x00") // never fails
+	if req.Customer != "" {
+		_, _ = d.WriteString(req.Customer + "\x00")
+	}
 	switch {
 	case req.Key != "":
 		_, _ = d.WriteString(req.Key)
--- a/internal/gwowner/limits.go
+++ b/internal/gwowner/limits.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwmanifest"
+	"gentianward.example/gentianward/pkg/gwlimit"
 )
 
 func (o *Owner) drainLimit() time.Duration {
@@ -46,3 +48,12 @@
 	}
 	return min(max(1, f.Slots), maxMinIdle)
 }
+
+// customerWeights returns the weights with which customers share the slots of a class.
+func customerWeights(m *gwmanifest.Manifest) map[string]int {
+	weights := make(map[string]int, len(m.Customers))
+	for _, c := range m.Customers {
+		weights[c.Name] = gwlimit.PriorityWeight(c.Priority)
+	}
+	return weights
+}
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -400,7 +400,7 @@
 	for _, c := range v.Manifest.Manifest().Classes {
 		classes = append(classes, gwlimit.Class{Name: c.Name, Weight: max(1, c.Weight) * gwlimit.PriorityWeight(c.Priority), Queue: c.Queue, Concurrency: c.Concurrency})
 	}
-	s.admission.setLimits(max(1, s.facts().Slots), classes)
+	s.admission.setLimits(max(1, s.facts().Slots), classes, customerWeights(v.Manifest.Manifest()))
 	s.backend.Pool().SetLimit(s.owner.connectionLimit(s.facts()))
 }
 
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -279,7 +279,7 @@
 // execution tells why.
 func (s *server) acquire(ctx context.Context, req *Request, deadline time.Time, exchanges int, leaseHeld func() bool) (gwbackend.Connection, func(), execution) {
 	queued := s.owner.clock.Now()
-	release, err := s.admission.acquire(ctx, &gwlimit.Item{Class: req.Class, Deadline: deadline, MaxWait: req.QueueWait, Key: operationKey(req)})
+	release, err := s.admission.acquire(ctx, &gwlimit.Item{Class: req.Class, Customer: req.Customer, Deadline: deadline, MaxWait: req.QueueWait, Key: operationKey(req)})
 	if err != nil {
 		return nil, nil, execution{event: admissionEvent(err), detail: err.Error()}
 	}
--- a/internal/gwowner/slot_test.go
+++ b/internal/gwowner/slot_test.go
@@ -63,7 +63,7 @@
 	o := &Owner{clock: clockwork.NewRealClock(), views: gwcontrol.NewViews(gwcontrol.ManifestFormat{}), leases: fakeLeases{}, metrics: m, ctx: t.Context()}
 	s := &server{owner: o, admission: newAdmission(o.clock, 1)}
 	s.known.Store(&gwcontrol.ServerFacts{Server: "s", Group: "g", Slots: 1})
-	s.admission.setLimits(1, []gwlimit.Class{{Name: "k", Weight: 1, Queue: 1}})
+	s.admission.setLimits(1, []gwlimit.Class{{Name: "k", Weight: 1, Queue: 1}}, nil)
 	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: scriptedDialect{exchange: exchange}, Pool: gwbackend.PoolOptions{Limit: 2}})
 	t.Cleanup(func() { _ = s.backend.Close(t.Context()) })
 	return s
--- a/pkg/gwlimit/callers_test.go
+++ b/pkg/gwlimit/callers_test.go
@@ -34,6 +34,8 @@
 	sharedKey float64
 	// noKeys means that the queue does not know which tries belong together.
 	noKeys bool
+	// customers means that the rates are those of the customers of one class.
+	customers bool
 	// counted tells which arrivals count, by their time since the start.
 	counted func(at time.Duration) bool
 }
@@ -122,6 +124,9 @@
 		Class: string(rune('a' + op.class)), Deadline: now.Add(callersAim), MaxWait: QueueWait(callersAim),
 		Key: op.key, Ref: op,
 	}
+	if r.customers {
+		it.Class, it.Customer = "a", it.Class
+	}
 	if r.queue == nil || r.queue.Push(it, now) != nil {
 		r.tryAgain(op, now)
 		return
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -54,7 +54,9 @@
 
 // Item is a request that waits for a slot.
 type Item struct {
-	Class    string
+	Class string
+	// Customer is the customer with whose requests of the class it takes turns.
+	Customer string
 	Deadline time.Time
 	// MaxWait is the longest expected wait that the request accepts; 0 for any.
 	MaxWait time.Duration
@@ -72,6 +74,7 @@
 	seq      uint64
 	dequeued bool
 	state    *classState
+	customer *customerState
 }
 
 // classState is a class with its waiting requests and its virtual finish time.
@@ -89,6 +92,8 @@
 	slotTime rate
 	// arrivals is the rate of new operations that got no slot at once.
 	arrivals rate
+	// customers take turns within the class.
+	customers customers
 }
 
 // FairQueue shares a number of slots between classes by start-time fair queueing: the
@@ -103,6 +108,8 @@
 	classes     map[string]*classState
 	expiry      expiryHeap
 	refusals    refusals
+	// customerWeights are the weights of customers, see SetCustomers.
+	customerWeights map[string]int
 	// meanService is the moving average of the slot time over all classes.
 	meanService time.Duration
 }
@@ -227,7 +234,7 @@
 		return false
 	}
 	q.schedule(it, s)
-	s.loadedSince = time.Time{}
+	*q.loadedSince(it, s) = time.Time{}
 	it.dequeued = true
 	q.start(it, s, now)
 	return true
@@ -245,6 +252,7 @@
 	q.seq++
 	it.seq = q.seq
 	it.state = s
+	q.joinCustomer(it, s)
 }
 
 // Push adds a request to the queue. It returns an *Error if the queue is closed, the
@@ -264,7 +272,7 @@
 		q.refusals.add(it.Key, now)
 		return &Error{Op: op, Kind: QueueFull, Class: it.Class}
 	}
-	wait := q.ExpectedWait(it.Class, now)
+	wait := q.waitInClass(it, s, q.ExpectedWait(it.Class, now), now)
 	if !q.acceptsWait(it, wait, now) || !it.Deadline.IsZero() && now.Add(wait+q.expectedService(s)).After(it.Deadline) {
 		q.refusals.add(it.Key, now)
 		return &Error{Op: op, Kind: Overloaded, Class: it.Class}
@@ -273,6 +281,7 @@
 	q.schedule(it, s)
 	s.items = append(s.items, it)
 	s.waiting++
+	it.customer.waiting++
 	q.waiting++
 	if !it.Deadline.IsZero() {
 		it.startBy = it.Deadline.Add(-q.expectedService(s))
@@ -301,6 +310,7 @@
 	if best == nil {
 		return nil
 	}
+	best.customerTurn(now)
 	it := best.items[0]
 	q.dequeue(it)
 	best.trim()
@@ -314,6 +324,7 @@
 	q.running++
 	q.virtualTime = max(q.virtualTime, it.virtualStart)
 	s.slotTime.add(q.expectedService(s).Seconds(), now)
+	q.startCustomer(it, s, now)
 }
 
 // Done frees the slot of a request that Pop returned or TryStart started.
@@ -365,6 +376,7 @@
 func (q *FairQueue) dequeue(it *Item) {
 	it.dequeued = true
 	it.state.waiting--
+	it.customer.waiting--
 	q.waiting--
 }
 
--- a/pkg/gwlimit/refusal.go
+++ b/pkg/gwlimit/refusal.go
@@ -90,15 +90,16 @@
 	if it.MaxWait <= 0 {
 		return true
 	}
+	loadedSince := q.loadedSince(it, s)
 	if wait <= it.MaxWait/2 {
-		s.loadedSince = time.Time{}
+		*loadedSince = time.Time{}
 		return true
 	}
-	if s.loadedSince.IsZero() {
-		s.loadedSince = now
+	if loadedSince.IsZero() {
+		*loadedSince = now
 	}
 	aim := queueWaitDivisor * it.MaxWait
-	crowd := q.isCrowd(s, now)
+	crowd := q.isCrowd(s, *loadedSince, now)
 	switch {
 	case crowd && before.count >= lastTryRefusals:
 		return wait <= aim
@@ -112,7 +113,7 @@
 
 // isCrowd reports whether the load of a class is expected to end by itself: it has just
 // begun, or new operations arrive more slowly than the server serves them.
-func (q *FairQueue) isCrowd(s *classState, now time.Time) bool {
+func (q *FairQueue) isCrowd(s *classState, loadedSince, now time.Time) bool {
 	served := float64(q.slots) / q.expectedService(s).Seconds()
-	return now.Sub(s.loadedSince) < crowdTime || s.arrivals.perSecond(now) < served
+	return now.Sub(loadedSince) < crowdTime || s.arrivals.perSecond(now) < served
 }
