--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -47,6 +47,8 @@
 	held time.Duration
 	// bytes counts the bytes of the answer.
 	bytes int64
+	// admitted means that Entry.Quota has counted an attempt that has not run so far.
+	admitted bool
 }
 
 // answerWriter receives the answer of one request.
@@ -120,6 +122,7 @@
 		r.exec = gwowner.Request{
 			Group: r.session.group, Class: r.session.class, Access: gwowner.Write,
 			PrimaryAcknowledges: class.Acknowledge == gwmanifest.AcknowledgePrimary,
+			Customer:            r.session.customer,
 			Request:             r.backend,
 			QueueWait:           gwlimit.QueueWait(class.Aim.Duration),
 		}
@@ -160,7 +163,7 @@
 	return func(ctx context.Context, r *request) gwowner.Result {
 		res := next(ctx, r)
 		e.Observer.Observe(Observation{
-			Class: r.session.class, Group: r.session.group, Read: r.read(),
+			Class: r.session.class, Group: r.session.group, Customer: r.session.customer, Read: r.read(),
 			Replica: r.served.Name != "" && !r.served.Primary, CrossRegion: r.served.Distance == gwroute.OtherRegion && r.served.Name != "",
 			Event: res.Event, Duration: e.Clock.Since(r.started), Bytes: r.bytes, Staleness: res.Report.Staleness,
 			Held: r.held,
--- a/internal/gwfilter/session.go
+++ b/internal/gwfilter/session.go
@@ -22,7 +22,9 @@
 	caller string
 	class  string
 	group  string
-	state  gwsession.Session
+	// customer is the name of the customer of the current operation; empty for none.
+	customer string
+	state    gwsession.Session
 	// writtenAt is when the watermark last advanced: by an acknowledged write, a barrier
 	// or a session token.
 	writtenAt time.Time
@@ -68,6 +70,7 @@
 	if s.answer(kind, req, w) {
 		return nil
 	}
+	s.customer = s.entry.customerOfCaller(s.caller)
 	s.runRequest(ctx, s.newRequest(req, w, kind), req, w)
 	return nil
 }
