gwquotas, gwcontrol, gwdaemon: limits of customers over all instances

Customers' limits of the manifest were not applied. Entry instances now ask the quota agent of the customer in their data centre for each operation; agents report to the leader of the replicated log, which assigns shares after a quorum has confirmed that it leads. A refusal for want of a share has a time as well, and says that the limit could not be checked.

Ruled out: hedged questions to two agents, which would spend twice; asking another data centre when the own agent is above its share, a call for each refusal of a customer that is far above its limit.

Tests of gwquota, gwquotas (-race), gwcontrol, gwdaemon, gwfilter and gwprogram pass.

--- a/internal/gwcontrol/consensus.go
+++ b/internal/gwcontrol/consensus.go
@@ -96,6 +96,8 @@
 	slowestSave    time.Duration
 	// leadingSince is when the voter was first seen to lead in readyTerm.
 	leadingSince time.Time
+	// noManifest means that there was no manifest at that time.
+	noManifest bool
 }
 
 // proposal is a call of Propose that waits until the entry at its index is applied.
@@ -313,9 +315,10 @@
 
 func (c *Consensus) updateStatus() {
 	st := c.node.Status()
-	since := c.leadingSince
+	since, noManifest := c.leadingSince, c.noManifest
 	if st.LeaderReady && st.Term != c.readyTerm {
 		c.readyTerm, since = st.Term, c.Clock.Now()
+		noManifest = c.State.Manifest().Number == 0
 		c.State.Clock().RestartAll(since)
 		c.Log.Info("leading the replicated log", "term", st.Term)
 	}
@@ -325,6 +328,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.status, c.statusAt, c.uncommittedAge, c.leadingSince = st, now, age, since
+	c.noManifest = noManifest
 }
 
 // Status returns the state of the voter after the last pass of Run's loop.
--- a/internal/gwcontrol/kinds.go
+++ b/internal/gwcontrol/kinds.go
@@ -21,6 +21,7 @@
 	kindNearbyContact   = gwpeer.Kind{ID: 17, Name: "nearbyContact", Priority: gwpeer.PriorityControl}
 	kindAliveRuns       = gwpeer.Kind{ID: 18, Name: "aliveRuns", Priority: gwpeer.PriorityControl}
 	kindRecordCopies    = gwpeer.Kind{ID: 19, Name: "recordCopies", Priority: gwpeer.PriorityControl}
+	kindQuota           = gwpeer.Kind{ID: 20, Name: "quota", Priority: gwpeer.PriorityControl}
 	kindVoter           = gwpeer.Kind{ID: 14, Name: "voter", Priority: gwpeer.PriorityControl}
 
 	// KindExec carries the requests of callers' sessions to the owner of a server.
@@ -32,6 +33,11 @@
 	// KindFence and KindPromote are the two steps of a change of primary.
 	KindFence   = gwpeer.Kind{ID: 35, Name: "fence", Priority: gwpeer.PriorityControl}
 	KindPromote = gwpeer.Kind{ID: 36, Name: "promote", Priority: gwpeer.PriorityControl}
+	// KindQuotaAdmit asks the quota agent of a customer to admit an operation, and
+	// KindQuotaReturn takes an admission back. They have priority because an operation cannot
+	// begin before the answer, and answers of large rows share the link.
+	KindQuotaAdmit  = gwpeer.Kind{ID: 39, Name: "quotaAdmit", Priority: gwpeer.PriorityControl}
+	KindQuotaReturn = gwpeer.Kind{ID: 40, Name: "quotaReturn", Priority: gwpeer.PriorityControl}
 	// KindCancel forwards a cancel request to the instance that serves the session.
 	KindCancel = gwpeer.Kind{ID: 38, Name: "cancel", Priority: gwpeer.PriorityControl}
 )
--- a/internal/gwcontrol/leader.go
+++ b/internal/gwcontrol/leader.go
@@ -306,6 +306,8 @@
 	runs  *runTable
 	calls openCalls
 	moves leadershipMoves
+	// quotas holds the shares of customers' limits; nil if there are no limits.
+	quotas *quotaLeader
 
 	mu       sync.Mutex
 	changing map[string]bool
--- a/internal/gwcontrol/leadership.go
+++ b/internal/gwcontrol/leadership.go
@@ -19,6 +19,8 @@
 	Term uint64
 	// Since is when the voter had applied everything that earlier leaders committed.
 	Since time.Time
+	// NoManifest means that no manifest had been committed before this term.
+	NoManifest bool
 }
 
 // Leadership returns the term in which this voter leads, and false if Leading is false.
@@ -27,7 +29,7 @@
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	leading := c.status.LeaderReady && now.Sub(c.statusAt) < maxPause
-	return Leadership{Term: c.status.Term, Since: c.leadingSince}, leading
+	return Leadership{Term: c.status.Term, Since: c.leadingSince, NoManifest: c.noManifest}, leading
 }
 
 // keptTerms limits the number of terms in termTimes. Without an old one, a later one is used.
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -14,6 +14,7 @@
 	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwquotas"
 	"gentianward.example/gentianward/internal/gwstate"
 	"gentianward.example/gentianward/internal/gwstore"
 	"gentianward.example/gentianward/internal/gwwire"
@@ -43,6 +44,7 @@
 	client       *gwcontrol.Client
 	leases       *joinedLeases
 	owner        *gwowner.Owner
+	quotas       *gwquotas.Service // nil with Options.ControlOnly
 	entry        *gwfilter.Entry
 	pgServer     *gwwire.Server // nil with Options.ServeCallers or ControlOnly
 	callers      CallerServer   // nil with Options.ControlOnly
@@ -97,7 +99,7 @@
 	i.entry = gwfilter.New(gwfilter.Options{
 		LeaderLost: cutOff,
 		Node:       node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
-		Owner: i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry,
+		Owner: i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry, Quota: i.entryQuota(),
 		PullManifest: i.client.PullNewest,
 	})
 	if err := i.listen(ctx); err != nil {
@@ -214,7 +216,9 @@
 		if i.NamedByAddress {
 			i.leader.AssumeExclusiveNames()
 		}
+		i.leader.ServeQuotas(i.node, i.Quota)
 	}
+	i.buildQuotas()
 	i.serveAnnouncements()
 	i.serveOperators()
 }
@@ -287,6 +291,9 @@
 	i.wg.Go(func() { i.leases.Run(ctx) })
 	i.wg.Go(func() { i.watchView(ctx) })
 	i.wg.Go(func() { i.entry.Run(ctx) })
+	if i.quotas != nil {
+		i.wg.Go(func() { i.quotas.Run(ctx) })
+	}
 	if i.viewStore != nil {
 		i.wg.Go(func() { i.watchDirectory(ctx) })
 		i.wg.Go(func() { i.watchKnown(ctx) })
@@ -366,6 +373,9 @@
 	i.stopping = true
 	i.mu.Unlock()
 	i.members.Leave()
+	if i.quotas != nil {
+		i.quotas.Release()
+	}
 	if i.consensus != nil && i.consensus.Leading() {
 		i.consensus.TransferLeadership(ctx)
 	}
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -16,8 +16,10 @@
 	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/internal/gwquotas"
 	"gentianward.example/gentianward/internal/gwstore"
 	"gentianward.example/gentianward/internal/gwtelemetry"
+	"gentianward.example/gentianward/pkg/gwquota"
 )
 
 // Options configures an instance. The defaults of Settings must have been applied.
@@ -79,6 +81,9 @@
 	PeerListenAddress string
 	// Routes replaces the HTTP interface on the operators' address.
 	Routes func(i *Instance) http.Handler
+	// Quota describes how the limits of customers are checked; it applies if the manifest has
+	// customers with limits.
+	Quota gwquota.Rules
 	// Drain is called when an operator asks this instance to stop gracefully; if it is
 	// nil, such requests are refused.
 	Drain func()
@@ -114,6 +119,7 @@
 type Telemetry interface {
 	gwfilter.Observer
 	gwowner.Metrics
+	gwquotas.Metrics
 	http.Handler
 	// FailoverGap records the duration of a change of primary as the leader saw it.
 	FailoverGap(group string, took time.Duration)
@@ -121,6 +127,4 @@
 	PlatformCall(outcome string)
 	// UnreadableMessage counts a message that could not be read.
 	UnreadableMessage(from, reason string)
-	// Gauge adds a metric whose value is read from f.
-	Gauge(name string, f func() float64, labels ...gwtelemetry.Label)
 }
--- a/internal/gwdaemon/telemetry.go
+++ b/internal/gwdaemon/telemetry.go
@@ -82,6 +82,11 @@
 	t.Histogram("gentianward_confirm_wait_seconds", gwtelemetry.Label{Name: "class", Value: class}, gwtelemetry.Label{Name: "group", Value: group}).Update(d.Seconds())
 }
 
+// QuotaDecision counts an operation of a customer by what its quota agent decided.
+func (t telemetry) QuotaDecision(customer, outcome string) {
+	t.Counter("gentianward_quota_operations_total", gwtelemetry.Label{Name: "customer", Value: customer}, gwtelemetry.Label{Name: "outcome", Value: outcome}).Inc()
+}
+
 // exposeVoter adds gauges of the state of this instance's voter.
 func (i *Instance) exposeVoter() {
 	gauge := func(name string, value func(gwcontrol.VoterMetrics) float64) {
--- a/internal/gwfilter/quota.go
+++ b/internal/gwfilter/quota.go
@@ -24,12 +24,19 @@
 type QuotaError struct {
 	// RetryAfter is the time until the customer has capacity for one operation.
 	RetryAfter time.Duration
+	// Unchecked means that no instance that can be reached may admit operations of the
+	// customer now; RetryAfter is then when the next one may.
+	Unchecked bool
 }
 
 // Error implements error.
 func (e *QuotaError) Error() string {
 	at := time.Now().Add(e.RetryAfter).UTC()
-	return fmt.Sprintf("the customer is above its limit; it has capacity in %d ms, at %s",
+	text := "the customer is above its limit; it has capacity in %d ms, at %s"
+	if e.Unchecked {
+		text = "the limit of the customer could not be checked; try again in %d ms, at %s"
+	}
+	return fmt.Sprintf(text,
 		e.RetryAfter.Milliseconds(), at.Format("2006-01-02T15:04:05.000Z"))
 }
 
--- a/internal/gwprogram/bytes_test.go
+++ b/internal/gwprogram/bytes_test.go
@@ -305,7 +305,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &exactCaller{nc: nc, r: bufio.NewReader(nc)}
+	c := newExactCaller(nc)
 	if answer := c.send("STARTUP payments u1"); answer != "READY I -" {
 		_ = nc.Close()
 		return nil, fmt.Errorf("the session was answered with %q", answer)
@@ -313,6 +313,10 @@
 	return c, nil
 }
 
+func newExactCaller(nc net.Conn) *exactCaller {
+	return &exactCaller{nc: nc, r: bufio.NewReader(nc)}
+}
+
 // ask sends a statement and returns the messages of its answer, joined with a bar.
 func (c *exactCaller) ask(id, text string) string { return c.send("QUERY " + id + " " + text) }
 
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -22,6 +22,7 @@
 	"gentianward.example/gentianward/internal/gwstatement"
 	"gentianward.example/gentianward/internal/gwstore"
 	"gentianward.example/gentianward/internal/gwtelemetry"
+	"gentianward.example/gentianward/pkg/gwquota"
 	"gentianward.example/gentianward/platform"
 )
 
@@ -234,6 +235,7 @@
 		Format:  gwcontrol.ManifestFormat{Parse: config.Parse, ParseAccepted: config.ParseAccepted, AnyLater: true},
 		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}, Unreadable: unreadable}, ServeCallers: p.serveCallers(unreadable),
 		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, PeerListenAddress: p.PeerListen, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
+		Quota:        gwquota.Rules{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack},
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Clock: gwclock.NewBootTime()},
 		Routes:       func(i *gwdaemon.Instance) http.Handler { return platform.ReadyRoutes(i) },
--- /dev/null
+++ b/internal/gwquotas/admit.go
@@ -0,0 +1,162 @@
+package gwquotas
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gentianward.example/gentianward/internal/gwcontrol"
+	"gentianward.example/gentianward/internal/gwfilter"
+	"gentianward.example/gentianward/internal/gwpeer"
+	"gentianward.example/gentianward/pkg/gwmember"
+	"gentianward.example/gentianward/pkg/gwquota"
+)
+
+const (
+	// answerTimeout is how long an answer of an agent may take. A later one is discarded, and its
+	// operation counts as spent.
+	answerTimeout = 300 * time.Millisecond
+	// failureTime is how long an agent that did not answer is not asked. Membership notices a
+	// dead instance after about 2 s.
+	failureTime = time.Second
+	// uncheckedWait is when a caller is told to return if no agent that can be reached holds a
+	// share. The leader assigns shares in about this time.
+	uncheckedWait = time.Second
+)
+
+// admitRequest asks for one operation of a customer, or takes one back.
+type admitRequest struct {
+	Customer string `cbor:"1,keyasint"`
+}
+
+// admitAnswer answers an admitRequest.
+type admitAnswer struct {
+	Outcome gwquota.Outcome `cbor:"1,keyasint"`
+	// WaitMillis is the time until there is capacity, in milliseconds.
+	WaitMillis uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+func answerOf(d gwquota.Decision) admitAnswer {
+	return admitAnswer{Outcome: d.Outcome, WaitMillis: uint32((d.Wait + time.Millisecond - 1) / time.Millisecond)}
+}
+
+// Admit implements gwfilter.Quota.
+func (s *Service) Admit(ctx context.Context, customer string) error {
+	if _, limited := s.currentLimits().byCustomer[customer]; !limited {
+		return nil
+	}
+	skip := "" // a data centre whose agent holds no share
+	for _, m := range s.currentAgents().of(customer) {
+		if m.DataCentre == skip {
+			continue
+		}
+		answer, ok := s.ask(ctx, m, customer)
+		switch {
+		case !ok:
+		case answer.Outcome == gwquota.Granted:
+			return nil
+		case answer.Outcome == gwquota.Over:
+			return &gwfilter.QuotaError{RetryAfter: time.Duration(answer.WaitMillis) * time.Millisecond}
+		default:
+			skip = m.DataCentre
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return &gwfilter.QuotaError{RetryAfter: uncheckedWait, Unchecked: true}
+}
+
+// ask asks an agent for one operation. It returns false without an answer in time.
+func (s *Service) ask(ctx context.Context, m gwmember.Member, customer string) (admitAnswer, bool) {
+	began := s.Clock.Now()
+	if m.Instance == s.Topology().Self.Instance {
+		d := s.admitHere(customer)
+		// A process that stood still in between may have been granted an operation of long ago.
+		return answerOf(d), s.Clock.Since(began) <= answerTimeout
+	}
+	if s.failures.failed(m.Instance, began) {
+		return admitAnswer{}, false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	answer, err := gwpeer.Call[admitRequest, admitAnswer](callCtx, s.Node, m.Address, gwcontrol.KindQuotaAdmit, admitRequest{customer})
+	if err == nil && s.Clock.Since(began) <= answerTimeout {
+		return answer, true
+	}
+	if ctx.Err() == nil { // not the caller's end
+		s.failures.note(m.Instance, s.Clock.Now().Add(failureTime))
+		s.Metrics.QuotaDecision(customer, "noAnswer")
+	}
+	return admitAnswer{}, false
+}
+
+// Return implements gwfilter.Quota. The agent of the data centre takes the operation back, also if
+// another one admitted it: the sum of what agents may admit is the same.
+func (s *Service) Return(customer string) {
+	if _, limited := s.currentLimits().byCustomer[customer]; !limited {
+		return
+	}
+	order := s.currentAgents().of(customer)
+	if len(order) == 0 {
+		return
+	}
+	if order[0].Instance == s.Topology().Self.Instance {
+		s.returnHere(customer)
+		return
+	}
+	if s.failures.failed(order[0].Instance, s.Clock.Now()) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+		defer cancel()
+		// A lost return counts as spent.
+		_, _ = gwpeer.Call[admitRequest, gwcontrol.Empty](ctx, s.Node, order[0].Address, gwcontrol.KindQuotaReturn, admitRequest{customer})
+	}()
+}
+
+// admitHere decides about an operation as the agent.
+func (s *Service) admitHere(customer string) gwquota.Decision {
+	s.currentLimits()
+	s.mu.Lock()
+	d := gwquota.Decision{Outcome: gwquota.NoShare}
+	if s.agent != nil && !s.leaving.Load() {
+		d = s.agent.Admit(s.Clock.Now(), customer)
+	}
+	s.mu.Unlock()
+	s.Metrics.QuotaDecision(customer, d.Outcome.String())
+	return d
+}
+
+// returnHere takes an operation back as the agent.
+func (s *Service) returnHere(customer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.agent != nil && s.agent.Return(s.Clock.Now(), customer, gwquota.ReturnLimit) {
+		s.Metrics.QuotaDecision(customer, "returned")
+	}
+}
+
+// failures holds the instances that did not answer.
+type failures struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+func (f *failures) failed(instance string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.until[instance])
+}
+
+func (f *failures) note(instance string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, t := range f.until {
+		if until.Sub(t) > 2*failureTime {
+			delete(f.until, name)
+		}
+	}
+	f.until[instance] = until
+}
--- a/pkg/gwquota/bucket.go
+++ b/pkg/gwquota/bucket.go
@@ -8,8 +8,10 @@
 	peakInterval = 100 * time.Millisecond
 	// peakCount covers ReturnLimit, and the partial intervals at both ends.
 	peakCount = int(ReturnLimit/peakInterval) + 2
-	// maxWait bounds the time that a refused caller is told to wait.
-	maxWait = 10 * time.Second
+	// maxWait bounds the time that a refused caller is told to wait, and maxSpread how much of it
+	// is for those that were refused before. Not all of them return.
+	maxWait   = 10 * time.Second
+	maxSpread = time.Second
 )
 
 // bucket is a token bucket whose rate and capacity may change.
@@ -66,14 +68,11 @@
 	}
 	one := time.Duration(float64(time.Second) / b.rate)
 	next := now.Add(time.Duration((1 - b.tokens) / b.rate * float64(time.Second)))
-	if after := b.promised.Add(one); after.After(next) {
+	if after := b.promised.Add(one); after.After(next) && after.Sub(next) <= maxSpread {
 		next = after
 	}
-	if next.Sub(now) > maxWait {
-		return maxWait, false
-	}
 	b.promised = next
-	return next.Sub(now), false
+	return min(next.Sub(now), maxWait), false
 }
 
 // giveBack adds the token of an admission of the given age, or of a later one. It does nothing
