--- a/internal/gwfilter/quota.go
+++ b/internal/gwfilter/quota.go
@@ -58,16 +58,31 @@
 	}
 }
 
-// takeQuota counts an attempt of the request unless the count of an earlier attempt, which
+const (
+	// maxHeldCount is how long before an attempt its count may have been taken. Requests wait up
+	// to 8 s for a change of primary; with counts of that age, all would run in the window in
+	// which as many new ones are admitted.
+	maxHeldCount = 500 * time.Millisecond
+	// maxReturnedCount is the age up to which a count is returned. Quotas cannot tell whether an
+	// older one would have been lost at a customer that has not used its limit since.
+	maxReturnedCount = 2 * time.Second
+)
+
+// takeQuota counts an attempt of the request unless a recent count of an earlier attempt, which
 // certainly did not run, is still held.
 func (e *Entry) takeQuota(ctx context.Context, r *request) error {
-	if e.Quota == nil || r.session.customer == "" || r.admitted || !r.executes {
+	if e.Quota == nil || r.session.customer == "" || !r.executes {
 		return nil
 	}
+	if r.admitted && e.Clock.Since(r.admittedAt) <= maxHeldCount {
+		return nil
+	}
+	e.returnQuota(r)
+	began := e.Clock.Now()
 	if err := e.Quota.Admit(ctx, r.session.customer); err != nil {
 		return err
 	}
-	r.admitted = true
+	r.admitted, r.admittedAt = true, began
 	return nil
 }
 
@@ -82,7 +97,9 @@
 func (e *Entry) returnQuota(r *request) {
 	if r.admitted {
 		r.admitted = false
-		e.Quota.Return(r.session.customer)
+		if e.Clock.Since(r.admittedAt) <= maxReturnedCount {
+			e.Quota.Return(r.session.customer)
+		}
 	}
 }
 
--- a/internal/gwfilter/quota_test.go
+++ b/internal/gwfilter/quota_test.go
@@ -86,6 +86,31 @@
 	}
 }
 
+// Guards against counts that are used long after they were taken, when as many new operations have
+// been admitted since, and against returns of counts whose age the quota cannot judge.
+func TestQuotaOfRequestThatWaited(t *testing.T) {
+	tests := []struct {
+		waited             time.Duration
+		admitted, returned int
+	}{
+		{maxHeldCount, 1, 0},
+		{maxHeldCount + 1, 2, 1},
+		{maxReturnedCount, 2, 1},
+		{maxReturnedCount + 1, 2, 0},
+	}
+	for _, tt := range tests {
+		q := &countedQuota{left: 9}
+		clock := clockwork.NewFakeClock()
+		e := &Entry{Options: Options{Clock: clock, Quota: q}}
+		r := &request{session: &session{customer: "c"}, executes: true}
+		assert.NoError(t, e.takeQuota(t.Context(), r))
+		clock.Advance(tt.waited)
+		assert.NoError(t, e.takeQuota(t.Context(), r))
+		assert.Equal(t, tt.admitted, q.admitted, "after %v", tt.waited)
+		assert.Equal(t, tt.returned, q.returned, "after %v", tt.waited)
+	}
+}
+
 // Guards against a transaction of which each statement counts as an operation.
 func TestQuotaCountsTransactionOnce(t *testing.T) {
 	q := &countedQuota{}
--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -48,7 +48,8 @@
 	// bytes counts the bytes of the answer.
 	bytes int64
 	// admitted means that Entry.Quota has counted an attempt that has not run so far.
-	admitted bool
+	admitted   bool
+	admittedAt time.Time
 }
 
 // answerWriter receives the answer of one request.
--- a/internal/gwprogram/quota_test.go
+++ b/internal/gwprogram/quota_test.go
@@ -160,6 +160,8 @@
 
 	mu       sync.Mutex
 	refusals int
+	// unchecked counts the refusals because no agent had a share.
+	unchecked int
 	// refusal is the latest refusal because of the limit.
 	refusal string
 }
@@ -181,6 +183,9 @@
 			if strings.Contains(answer, "above its limit") {
 				c.refusal = answer
 			}
+			if strings.Contains(answer, "could not be checked") {
+				c.unchecked++
+			}
 			c.mu.Unlock()
 			time.Sleep(50 * time.Millisecond)
 		default:
@@ -301,3 +306,49 @@
 	assert.LessOrEqual(t, float64(ran.most()), quotaBound)
 	assert.Regexp(t, `it has capacity in \d+ ms, at \d{4}-`, callers.refusal)
 }
+
+// Guards against a restarted leader that interrupts operations, and against shares that come back
+// later than 10 s after a loss of power everywhere, or at once, when those of before may just have
+// been used.
+func TestQuotaAfterLossOfLeaderAndPower(t *testing.T) {
+	s := startExactServer(t)
+	d := startQuotaDeployment(t)
+	d.publish(s)
+	ctx, cancel := context.WithCancel(t.Context())
+	var ran runs
+	var callers crowd
+	for range 6 {
+		for host := 20; host < 22; host++ {
+			callers.wg.Go(func() { callers.run(ctx, d.address(host, 2)) })
+		}
+	}
+	go ran.record(ctx, s)
+	require.Eventually(t, func() bool { return ran.between(time.Time{}, time.Now()) > 0 }, 20*time.Second, 20*time.Millisecond, "the first operation")
+	time.Sleep(3 * time.Second)
+	callers.mu.Lock()
+	callers.unchecked = 0
+	callers.mu.Unlock()
+	d.kill(quotaControlHost)
+	time.Sleep(300 * time.Millisecond)
+	d.start(quotaControlHost, false)
+	time.Sleep(4 * time.Second)
+	callers.mu.Lock()
+	assert.Zero(t, callers.unchecked, "refused for want of a share, after a loss of the leader")
+	callers.mu.Unlock()
+
+	for _, host := range []int{quotaControlHost, 20, 21} {
+		d.kill(host)
+	}
+	lost := time.Now()
+	for _, host := range []int{quotaControlHost, 20, 21} {
+		d.start(host, false)
+	}
+	require.Eventually(t, func() bool { return ran.between(lost, time.Now()) > 0 }, 20*time.Second, 20*time.Millisecond, "an operation after the loss of power")
+	took := time.Since(lost)
+	time.Sleep(3 * time.Second)
+	cancel()
+	callers.wg.Wait()
+	t.Logf("first operation %v after the loss of power; at most %d operations in 5 s", took, ran.most())
+	assert.Less(t, took, 10*time.Second)
+	assert.LessOrEqual(t, float64(ran.most()), quotaBound)
+}
