gwcontrol, gwstate, gwquota: the log records who may hold shares

A new leader did not know which shares were in use, and assigned none until all that an earlier one could have assigned had ended: 7.7 s after a loss of power everywhere. The log now names the instances that may hold shares, before they get one; when all of them have reported, in this run or a later one, nothing is unknown. Instances that come together take one entry; those without shares are removed every 10 s at most.

A voter of an earlier release cannot read the entry, as with the entries before it. It is written only if a customer has a limit.

Ruled out: an entry for each share, as shares change every few seconds; shorter leases, which partitions outlast.

--- a/internal/gwcontrol/quota.go
+++ b/internal/gwcontrol/quota.go
@@ -38,12 +38,22 @@
 	ledger *gwquota.Ledger // nil before the first report
 	// manifest is the one whose limits ledger has.
 	manifest *gwmanifest.Index
+	// joining and leaving hold the instances whose entry in the log, or whose removal, has been
+	// proposed in this term and may not have been applied.
+	joining, leaving map[string]bool
+	prunedAt         time.Time
+
+	// recording is held while the holders are recorded.
+	recording sync.Mutex
 }
 
 // ServeQuotas makes the voter assign shares of customers' limits while it leads. It must be called
 // before Run.
 func (l *Leader) ServeQuotas(node *gwpeer.Node, r gwquota.Rules) {
-	l.quotas = &quotaLeader{leader: l, rules: r, confirm: &confirmations{clock: l.clock, confirm: l.consensus.ConfirmLeadership}}
+	l.quotas = &quotaLeader{
+		leader: l, rules: r, confirm: &confirmations{clock: l.clock, confirm: l.consensus.ConfirmLeadership},
+		joining: make(map[string]bool), leaving: make(map[string]bool),
+	}
 	gwpeer.Handle(node, kindQuota, func(ctx context.Context, from string, r gwquota.Report) (gwquota.Answer, error) {
 		return withCode(l.Quota(ctx, from, r))
 	})
@@ -60,25 +70,39 @@
 	if err := q.confirm.wait(ctx); err != nil {
 		return gwquota.Answer{}, err
 	}
+	if err := q.record(ctx, lead, from); err != nil {
+		return gwquota.Answer{}, err
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if now, leading := l.consensus.Leadership(); !leading || now.Term != lead.Term {
+	if now, leading := l.consensus.Leadership(); !leading || now.Term != lead.Term || q.term != lead.Term {
 		return gwquota.Answer{}, &Error{Op: op, Kind: NotLeader}
 	}
-	q.prepare(lead)
+	if !q.recorded(from) {
+		return gwquota.Answer{}, &Error{Op: op, Kind: Unavailable, Detail: "the instance is being removed from the holders"}
+	}
 	answer, ok, err := q.ledger.Handle(l.clock.Now(), from, r)
 	if err != nil || !ok {
 		return gwquota.Answer{}, &Error{Op: op, Kind: Refused, Detail: "the report is malformed or not the latest", Err: err}
 	}
+	q.prune(lead)
 	return answer, nil
 }
 
 // prepare makes the ledger that of the term, with the limits of the current manifest; the caller
 // holds the lock.
 func (q *quotaLeader) prepare(lead Leadership) {
-	if q.ledger == nil || q.term != lead.Term {
-		q.ledger = gwquota.NewLedger(lead.Since, lead.NoManifest, q.leader.exclusiveNames)
-		q.term, q.manifest = lead.Term, nil
+	if q.ledger == nil || q.term < lead.Term {
+		// Entries of earlier terms have been applied, and nothing has been proposed in this.
+		holders, recorded := q.leader.state.QuotaHolders()
+		e := gwquota.Earlier{None: lead.NoManifest && !recorded}
+		if recorded {
+			e.Holders = holders
+		}
+		q.ledger = gwquota.NewLedger(lead.Since, e, q.leader.exclusiveNames)
+		q.term, q.manifest, q.prunedAt = lead.Term, nil, q.leader.clock.Now()
+		clear(q.joining)
+		clear(q.leaving)
 		q.leader.log.Info("assigning shares of customers' limits", "term", lead.Term, "firstTerm", lead.NoManifest)
 	}
 	m := q.leader.manifest()
--- a/internal/gwstate/apply.go
+++ b/internal/gwstate/apply.go
@@ -44,6 +44,9 @@
 		return s.setWait(c)
 	case SetProof:
 		return s.setProof(c)
+	case SetQuotaHolders:
+		s.quotaHolders = append([]string{}, c.Names...)
+		return QuotaHoldersResult{}
 	case GrantLeases:
 		return s.grantLeases(c, now)
 	case ReturnLeases:
--- a/internal/gwstate/codec.go
+++ b/internal/gwstate/codec.go
@@ -22,6 +22,7 @@
 	kindNamePromotion   commandKind = 9
 	kindSetWait         commandKind = 10
 	kindSetProof        commandKind = 11
+	kindSetQuotaHolders commandKind = 12
 )
 
 // envelope is the encoded form of a command.
@@ -68,6 +69,8 @@
 		e.Kind = kindSetWait
 	case SetProof:
 		e.Kind = kindSetProof
+	case SetQuotaHolders:
+		e.Kind = kindSetQuotaHolders
 	case GrantLeases:
 		e.Kind = kindGrantLeases
 	case ReturnLeases:
@@ -131,6 +134,8 @@
 		return decodeBody[SetWait](e)
 	case kindSetProof:
 		return decodeBody[SetProof](e)
+	case kindSetQuotaHolders:
+		return decodeBody[SetQuotaHolders](e)
 	case kindGrantLeases:
 		return decodeBody[GrantLeases](e)
 	case kindReturnLeases:
--- a/internal/gwstate/command.go
+++ b/internal/gwstate/command.go
@@ -137,6 +137,13 @@
 	Sequence uint64 `cbor:"2,keyasint" json:"sequence"`
 }
 
+// SetQuotaHolders replaces the names of the instances that may hold shares of customers' limits.
+// It is complete, so that a voter whose earlier release could not read the previous one is right
+// after the next.
+type SetQuotaHolders struct {
+	Names []string `cbor:"1,keyasint" json:"names"`
+}
+
 // Batch applies several commands as one log entry, so that the renewals of many
 // holders share one sync. A batch cannot contain another batch.
 type Batch struct {
@@ -151,6 +158,7 @@
 func (NamePromotion) command()   {}
 func (SetWait) command()         {}
 func (SetProof) command()        {}
+func (SetQuotaHolders) command() {}
 func (GrantLeases) command()     {}
 func (ReturnLeases) command()    {}
 func (Batch) command()           {}
--- a/internal/gwstate/fuzz_test.go
+++ b/internal/gwstate/fuzz_test.go
@@ -20,6 +20,7 @@
 		NamePromotion{Group: "g", Attempt: 2, Server: "q"},
 		SetWait{Group: "g", Term: 1, Reason: "p has left"},
 		SetProof{Group: "g", Term: 1, Proof: gwsession.Position{Term: 1, Offset: 5}},
+		SetQuotaHolders{Names: []string{"p"}},
 	} {
 		b, err := Encode(cmd, now)
 		if err != nil {
--- a/internal/gwstate/result.go
+++ b/internal/gwstate/result.go
@@ -75,6 +75,9 @@
 	Results []Result
 }
 
+// QuotaHoldersResult is the result of SetQuotaHolders.
+type QuotaHoldersResult struct{}
+
 // Unreadable is the result of an entry that is not a known command. Only the state's index
 // changes. A voter that runs an older version than the proposer must stop, because
 // other voters may have decoded and applied the entry.
@@ -88,9 +91,10 @@
 	Applied uint64 // index of the last applied entry
 }
 
-func (ManifestResult) result() {}
-func (GroupResult) result()    {}
-func (LeaseResult) result()    {}
-func (BatchResult) result()    {}
-func (Unreadable) result()     {}
-func (Repeated) result()       {}
+func (ManifestResult) result()     {}
+func (GroupResult) result()        {}
+func (LeaseResult) result()        {}
+func (BatchResult) result()        {}
+func (QuotaHoldersResult) result() {}
+func (Unreadable) result()         {}
+func (Repeated) result()           {}
--- a/internal/gwstate/roundtrip_test.go
+++ b/internal/gwstate/roundtrip_test.go
@@ -30,6 +30,7 @@
 			NamePromotion{Group: group, Attempt: number + 1, Server: server, Fence: number, Holder: text, Previous: number},
 			SetWait{Group: group, Term: number, Reason: text},
 			SetProof{Group: group, Term: number, Proof: at},
+			SetQuotaHolders{Names: []string{server, text}},
 			FinishChange{Group: group, FromTerm: number, Term: number + 1, Primary: server, Start: at, Previous: number, Attempt: number, Copies: copies},
 		}
 		commands = append(commands, Batch{Commands: commands[:len(commands):len(commands)]})
@@ -52,6 +53,10 @@
 		require.NoError(t, restored.Restore(b, start))
 		require.Equal(t, s.Manifest(), restored.Manifest())
 		require.Equal(t, s.Groups(), restored.Groups())
+		names, recorded := s.QuotaHolders()
+		gotNames, gotRecorded := restored.QuotaHolders()
+		require.Equal(t, names, gotNames)
+		require.Equal(t, recorded, gotRecorded)
 		again, err := restored.Snapshot()
 		require.NoError(t, err)
 		require.Equal(t, b, again)
--- a/internal/gwstate/snapshot.go
+++ b/internal/gwstate/snapshot.go
@@ -17,6 +17,8 @@
 	Manifests []manifestRecord `cbor:"3,keyasint"`
 	Groups    []Group          `cbor:"4,keyasint"`
 	Leases    []Lease          `cbor:"5,keyasint"`
+	// QuotaHolders is nil if it was never set.
+	QuotaHolders []string `cbor:"6,keyasint,omitzero"`
 }
 
 // snapshotDecoder decodes what Snapshot encodes. The decoder's default limit of elements would refuse a
@@ -36,7 +38,7 @@
 	defer s.mu.RUnlock()
 	b, err := cbor.Marshal(snapshot{
 		Version: snapshotVersion, Index: s.index, Manifests: s.manifests,
-		Groups: sortedValues(s.groups), Leases: sortedValues(s.leases),
+		Groups: sortedValues(s.groups), Leases: sortedValues(s.leases), QuotaHolders: s.quotaHolders,
 	})
 	if err != nil {
 		return nil, wrap("encode snapshot", KindEncode, err)
@@ -70,6 +72,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.index, s.manifests, s.groups, s.leases = snap.Index, snap.Manifests, groups, leases
+	s.quotaHolders = snap.QuotaHolders
 	s.clock.restore(leases, now)
 	return nil
 }
--- a/internal/gwstate/state.go
+++ b/internal/gwstate/state.go
@@ -27,6 +27,8 @@
 	manifests []manifestRecord // oldest first, consecutive numbers
 	groups    map[string]Group
 	leases    map[string]Lease
+	// quotaHolders is nil if it was never set; it is replaced, never changed.
+	quotaHolders []string
 }
 
 // New returns an empty state. The LeaseClock takes drift as the greatest relative
@@ -105,6 +107,14 @@
 	return g, ok
 }
 
+// QuotaHolders returns the names of the instances that may hold shares of customers' limits, and
+// whether they were ever recorded.
+func (s *State) QuotaHolders() (names []string, recorded bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.quotaHolders, s.quotaHolders != nil
+}
+
 // Lease returns the recorded lease of a group, which may have expired.
 func (s *State) Lease(group string) (Lease, bool) {
 	s.mu.RLock()
--- a/pkg/gwquota/ledger.go
+++ b/pkg/gwquota/ledger.go
@@ -12,7 +12,12 @@
 	// unknownUntil is when the last share that an earlier leader assigned has ended. Until then,
 	// what no agent has reported is not free.
 	unknownUntil time.Time
-	exclusive    bool
+	// fresh means that no shares were ever assigned.
+	fresh bool
+	// missing holds the instances that may hold shares of an earlier leader and have not reported
+	// since; nil if they are not known. Once all have reported, nothing is unknown.
+	missing   map[string]bool
+	exclusive bool
 	// places is the number of data centres, each of which will have an agent for each customer.
 	places   int
 	limits   map[string]Limit
@@ -54,17 +59,58 @@
 	pool bucket
 }
 
-// NewLedger returns the ledger of a term that began at the given time. fresh means that no
-// earlier leader can have assigned shares. exclusive means that two runs of an instance never
-// overlap, so that a later one ends the shares of an earlier one.
-func NewLedger(began time.Time, fresh, exclusive bool) *Ledger {
-	l := &Ledger{exclusive: exclusive, accounts: make(map[string]*account), agents: make(map[run]*record)}
-	if !fresh {
-		l.unknownUntil = began.Add(CountedValidity)
+// Earlier is what a leader knows about the shares that earlier leaders have assigned.
+type Earlier struct {
+	// None means that none were ever assigned.
+	None bool
+	// Holders are all instances that may hold some; nil if they are not known.
+	Holders []string
+}
+
+// NewLedger returns the ledger of a term that began at the given time. exclusive means that two
+// runs of an instance never overlap, so that a later one ends the shares of an earlier one.
+func NewLedger(began time.Time, e Earlier, exclusive bool) *Ledger {
+	l := &Ledger{fresh: e.None, exclusive: exclusive, accounts: make(map[string]*account), agents: make(map[run]*record)}
+	if e.None {
+		return l
+	}
+	l.unknownUntil = began.Add(CountedValidity)
+	if e.Holders != nil && exclusive {
+		l.missing = make(map[string]bool, len(e.Holders))
+		for _, name := range e.Holders {
+			l.missing[name] = true
+		}
 	}
 	return l
 }
 
+// Holders returns the instances that may hold shares.
+func (l *Ledger) Holders(now time.Time) []string {
+	l.sweep(now)
+	names := make(map[string]bool, len(l.agents))
+	for key := range l.agents {
+		names[key.instance] = true
+	}
+	if now.Before(l.unknownUntil) {
+		maps.Copy(names, l.missing)
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// Settled reports whether all shares that earlier leaders assigned have ended or been reported.
+func (l *Ledger) Settled(now time.Time) bool { return !now.Before(l.unknownUntil) }
+
+// noteReported records that an instance has reported all its shares.
+func (l *Ledger) noteReported(instance string, now time.Time) {
+	if l.missing == nil || !now.Before(l.unknownUntil) {
+		return
+	}
+	delete(l.missing, instance)
+	if len(l.missing) == 0 {
+		l.unknownUntil = now
+	}
+}
+
 // SetLimits sets the limits of all customers that have one, and the number of data centres.
 func (l *Ledger) SetLimits(limits map[string]Limit, places int) { l.limits, l.places = limits, places }
 
@@ -74,7 +120,7 @@
 	if a == nil {
 		a = &account{name: name, created: now, entries: make(map[run]*entry)}
 		l.accounts[name] = a
-		if l.unknownUntil.IsZero() { // nothing has been used
+		if l.fresh { // nothing has been used
 			limit := l.limits[name]
 			a.pool.set(now, limit.Rate, limit.Capacity, limit.Capacity)
 		}
@@ -138,17 +184,22 @@
 		return Answer{}, false, err
 	}
 	rec.sequence, rec.expires = r.Sequence, now.Add(CountedValidity)
+	l.noteReported(instance, now)
 	answer.Shares = l.grant(now, rec, r.Base == 0, lines)
 	answer.Next = l.next(now, rec)
 	return answer, true, nil
 }
 
-// soon is when an agent that lacks shares reports again: by then another has reduced its own.
+// soon is when an agent that lacks shares reports again: by then another has reduced its own, or
+// reported what it holds.
 const soon = 400 * time.Millisecond
 
 // next returns the milliseconds until the agent should report outside of its intervals, or 0.
 func (l *Ledger) next(now time.Time, rec *record) uint32 {
 	if wait := l.unknownUntil.Sub(now); wait > 0 {
+		if l.missing != nil {
+			wait = min(wait, soon)
+		}
 		return uint32(wait.Milliseconds()) + 1
 	}
 	for _, e := range rec.lines {
@@ -185,9 +236,7 @@
 			continue
 		}
 		delete(l.accounts, name)
-		if l.unknownUntil.IsZero() {
-			l.unknownUntil = now // the account of a customer of this name may not begin full again
-		}
+		l.fresh = false // the account of a customer of this name may not begin full again
 	}
 }
 
--- a/pkg/gwquota/limit.go
+++ b/pkg/gwquota/limit.go
@@ -11,13 +11,11 @@
 // Timing of shares.
 const (
 	// Validity is how long a share may be used after its agent sent the report that the leader
-	// answered. It bridges partitions of 6 s, as reports are up to 1 s apart. With 8 s the
-	// shares came back more than 10 s after a loss of power everywhere, because a new leader
-	// counts unknown shares for that long after its election.
-	Validity = 7 * time.Second
+	// answered. It bridges partitions of 7 s, as reports are up to 1 s apart; such have been seen.
+	Validity = 8 * time.Second
 	// CountedValidity is how long the leader counts a share after its answer. It exceeds
 	// Validity by three times the permitted difference between the speeds of two clocks (1%).
-	CountedValidity = 7210 * time.Millisecond
+	CountedValidity = 8240 * time.Millisecond
 	// MaxAnswerAge is the age of a report from which on its answer is discarded. It bounds how
 	// long a leader that has been replaced may change shares.
 	MaxAnswerAge = time.Second
