gwowner, gwroute, gwfilter: servers that are not at their usual speed

Cause: entry instances knew the average time for which statements hold a slot, from the last answer of a server. A server that turned slow was not tried again after it had recovered, as nothing but its own answers could tell. Change: the owner measures each statement that has a slot, uses as many slots as serve most, logs when a server becomes slow or normal (at most a line in 10 s for each server), and reports factor, slots, errors, confidence and age in Report (CBOR key 8), only for servers that are not at their usual speed. Entry instances take a reported slowdown as present for a time that grows with the number of instances (0.5 to 5 s), then as fading. gwprogram enables it (gwdaemon.Tuning). Ruled out: reports about usual servers, which cost some 20 bytes with each answer; a fixed time until a server is tried again: with 70 instances and 0.5 s, the tries alone fill a server slow by 8. Measured: tests of gwowner and gwfilter pass with -race, gwroute and gwspeed without; a report of a slow server takes 20 bytes more at most, one of a usual server none.

--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -202,7 +202,7 @@
 		Node: i.node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Leases: i.leases, Metrics: i.Telemetry, Suspect: i.client.Suspect, BackendOptions: i.backendOptions,
 		Dialect: i.Dialect, StartGroup: i.client.StartGroup, RecordCopies: i.client.RecordCopies, InContact: i.contactCheck(), HandOver: i.HandOver,
-		Freshness: i.Tuning.Freshness, Poll: i.Tuning.Poll, Settle: i.Tuning.Settle, SettleFar: i.Tuning.SettleFar,
+		Freshness: i.Tuning.Freshness, Poll: i.Tuning.Poll, Settle: i.Tuning.Settle, SettleFar: i.Tuning.SettleFar, EstimateSpeed: i.Tuning.EstimateSpeed,
 		DialTimeout: i.Tuning.DialTimeout, Unreadable: i.Unreadable,
 	})
 	if i.leader != nil {
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -152,6 +152,7 @@
 	if st.report.LagKnown {
 		s.Lag, s.LagKnown = st.report.Lag, true
 	}
+	s.Speed = speedOf(st.report.Speed)
 	s.Pending = float64(st.window.Pending())
 	s.Unusable = s.Unusable || st.health.Ejected(now)
 }
@@ -176,6 +177,7 @@
 		s := gwroute.Server{Name: f.Server, Primary: f.Server == g.Primary, Unusable: f.Leaving, Distance: e.distance(view, t, f)}
 		e.servers.fill(&s, now)
 		s.Pending /= slots
+		s.Speed.SlotShare /= slots
 		if s.Primary {
 			// A failing primary is replaced rather than avoided. It is unusable only
 			// while it is being replaced or leaving.
--- a/internal/gwowner/admission.go
+++ b/internal/gwowner/admission.go
@@ -18,27 +18,59 @@
 
 	mu    sync.Mutex
 	queue *gwlimit.FairQueue
-	timer clockwork.Timer
+	// slots is the number of slots of the server, and concurrency how many of them are used, 0 for
+	// all.
+	slots, concurrency int
+	timer              clockwork.Timer
 	// requests counts the requests that wait or run, including the statements of
 	// open transactions, which run without a slot.
 	requests atomic.Int64
 }
 
 func newAdmission(clock clockwork.Clock, slots int) *admission {
-	return &admission{clock: clock, queue: gwlimit.NewFairQueue(slots)}
+	return &admission{clock: clock, slots: slots, queue: gwlimit.NewFairQueue(slots)}
 }
 
 // setLimits sets the number of slots and the limits of the given classes.
 func (a *admission) setLimits(slots int, classes []gwlimit.Class) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.queue.SetSlots(slots)
+	a.slots = slots
+	a.queue.SetSlots(a.usedSlots())
 	for _, c := range classes {
 		a.queue.SetClass(c)
 	}
 	a.dispatch()
 }
 
+// setConcurrency sets how many of the slots are used.
+func (a *admission) setConcurrency(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if n == a.concurrency {
+		return
+	}
+	a.concurrency = n
+	a.queue.SetSlots(a.usedSlots())
+	a.dispatch()
+}
+
+// usedSlots returns the number of slots that are used; a.mu must be held.
+func (a *admission) usedSlots() int {
+	if a.concurrency == 0 {
+		return a.slots
+	}
+	return min(a.slots, a.concurrency)
+}
+
+// waiting returns the number of requests that wait for a slot.
+func (a *admission) waiting() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n, _ := a.queue.Len()
+	return n
+}
+
 func (a *admission) close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/gwowner/key.go
+++ b/internal/gwowner/key.go
@@ -62,8 +62,11 @@
 	panicked := true
 	defer srv.discardIf(&panicked, conn)
 	k := keyedWrite{server: srv, conn: conn, req: req, term: g.Term, sink: sink}
+	timed := srv.beginTimed(req.Class, sink)
+	defer timed.end()
 	x = k.run(ctx)
 	panicked = false
+	timed.setAnswered(x.event == gwoutcome.Answered)
 	srv.backend.Pool().Release(conn, x.event == gwoutcome.Answered)
 	if x.event != gwoutcome.Answered {
 		r := x.failure(sink)
--- a/internal/gwowner/message.go
+++ b/internal/gwowner/message.go
@@ -44,7 +44,7 @@
 	RequireLease bool `cbor:"12,keyasint,omitempty"`
 	// QueueWait is the longest wait for a slot that the request accepts: with a longer
 	// expected wait it is refused at once. 0 accepts any.
-	QueueWait         time.Duration `cbor:"13,keyasint,omitempty"`
+	QueueWait time.Duration `cbor:"13,keyasint,omitempty"`
 	// Customer is the name of the customer on whose connections the request runs; empty if the
 	// deployment has no customers.
 	Customer          string `cbor:"14,keyasint,omitempty"`
@@ -66,6 +66,8 @@
 	// it is valid only if LagKnown.
 	Lag      time.Duration `cbor:"6,keyasint,omitempty"`
 	LagKnown bool          `cbor:"7,keyasint,omitempty"`
+	// Speed is set if the server is not at its usual speed.
+	Speed *Speed `cbor:"8,keyasint,omitempty"`
 }
 
 // Result describes how a request ended. If Event is Answered, the answer itself has been
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -81,6 +81,9 @@
 	BackendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
 	// Unreadable records requests of other instances that cannot be decoded; nil for none.
 	Unreadable *gwtelemetry.Unreadable
+	// EstimateSpeed makes the owner estimate the speed of its servers and use as many of their slots
+	// as serve most.
+	EstimateSpeed bool
 }
 
 // Owner holds the backend servers that this instance owns.
@@ -110,6 +113,7 @@
 	standstill     standstill
 	backendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
 	unreadable     *gwtelemetry.Unreadable
+	estimateSpeed  bool
 
 	attempts attempts
 
@@ -131,7 +135,8 @@
 		startGroup: o.StartGroup, recordCopies: o.RecordCopies, dialect: o.Dialect, inContact: o.InContact, handOver: o.HandOver,
 		freshnessInterval: cmp.Or(o.Freshness, defaultFreshnessInterval), pollInterval: o.Poll,
 		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions, unreadable: o.Unreadable,
-		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
+		estimateSpeed: o.EstimateSpeed,
+		servers:       make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	owner.register()
 	return owner
@@ -254,6 +259,9 @@
 	ctx, cancel := context.WithCancel(o.ctx)
 	s := &server{owner: o, cancel: cancel, admission: newAdmission(o.clock, max(1, f.Slots))}
 	s.known.Store(&f)
+	if o.estimateSpeed {
+		s.speed = newSpeed(f.Slots)
+	}
 	opts := o.backendOptions(f)
 	opts.OnPosition = nil
 	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: o.dialect, PollInterval: o.pollInterval, Pool: gwbackend.PoolOptions{
@@ -401,6 +409,7 @@
 		classes = append(classes, gwlimit.Class{Name: c.Name, Weight: max(1, c.Weight) * gwlimit.PriorityWeight(c.Priority), Queue: c.Queue, Concurrency: c.Concurrency})
 	}
 	s.admission.setLimits(max(1, s.facts().Slots), classes)
+	s.setSpeedSlots(max(1, s.facts().Slots))
 	s.backend.Pool().SetLimit(s.owner.connectionLimit(s.facts()))
 }
 
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -25,6 +25,7 @@
 	cancel    context.CancelFunc
 
 	pending  pendingStatements
+	speed    *speed // nil if speeds are not estimated
 	received received
 	copies   recordedCopies
 
@@ -213,6 +214,7 @@
 		StalenessKnown: known,
 		Load:           float64(s.admission.load()) / float64(max(1, s.facts().Slots)),
 		ServiceTime:    s.admission.serviceTime(),
+		Speed:          s.reportSpeed(s.owner.clock.Now()),
 	}
 }
 
@@ -258,8 +260,11 @@
 	defer release()
 	panicked := true
 	defer s.discardIf(&panicked, conn)
+	timed := s.beginTimed(req.Class, sink)
+	defer timed.end()
 	x = s.exchange(ctx, conn, req.Request, sink)
 	panicked = false
+	timed.setAnswered(x.event == gwoutcome.Answered)
 	if x.event == gwoutcome.Answered && x.TxStatus != 'I' {
 		x.conn = conn
 		return x
--- a/pkg/gwroute/route.go
+++ b/pkg/gwroute/route.go
@@ -41,6 +41,8 @@
 	Pending float64
 	// ServiceTime is the average time for which a request occupies a slot, 0 if unknown.
 	ServiceTime time.Duration
+	// Speed is set if the server is not at its usual speed.
+	Speed Speed
 	// Latency is the recent duration of requests at the server.
 	Latency time.Duration
 }
@@ -198,21 +200,18 @@
 	case OtherRegion:
 		c += costOtherRegion
 	}
-	service := s.ServiceTime
-	if service <= 0 {
-		service = defaultServiceTime
-	}
-	queue := 1 + max(s.decayedLoad(now), s.Pending)
+	service := float64(s.service(now)) * s.attempts()
+	queue := s.queue(now)
 	if s.Primary {
 		// Writes that queue behind the read have no other server: their delay counts, too.
-		return c + costPrimary + time.Duration(float64(service)*queue*queue)
+		return c + costPrimary + time.Duration(service*queue*queue)
 	}
-	return c + time.Duration(float64(service)*queue)
+	return c + time.Duration(service*queue)
 }
 
 // decayedLoad returns the last reported load, decayed since the report.
 func (s Server) decayedLoad(now time.Time) float64 {
-	return s.Load * math.Exp2(-float64(now.Sub(s.ReportedAt))/float64(loadHalfLife))
+	return s.Load * math.Exp2(-float64(now.Sub(s.ReportedAt))/float64(s.loadHalving()))
 }
 
 // ExpectedWait estimates how long the server needs until it satisfies need.
--- a/pkg/gwspeed/speed.go
+++ b/pkg/gwspeed/speed.go
@@ -98,6 +98,9 @@
 // Concurrency returns how many statements should run at once.
 func (e *Estimator) Concurrency() int { return e.window.Limit() }
 
+// IsSlow reports whether the server was found slow and has not been found normal since.
+func (e *Estimator) IsSlow() bool { return e.slow }
+
 // Begin records that a statement of a class is sent to the server.
 func (e *Estimator) Begin(class string, now time.Time) *Statement {
 	c, ok := e.classes[class]
