gwpool, gwbackend, gwowner: decisions about the connections of customers

Change: package gwpool holds the decisions, without sockets and goroutines and with the time as an argument; the pool of gwbackend reports events to it and carries out what it decides. - Closed is the idle connection that is expected to be needed last: for each customer and each number of connections at once, the mean interval of the need and whether it is regular are estimated. - A request whose customer has a connection in use waits for that for 4 times the duration of a dial before one that is needed earlier is closed for it. - A customer may use twice as many connections as are not in use. - After a refusal the number of connections that the server accepted is kept as a bound; it is raised by one after 200 ms to 3.2 s, and by a quarter each 200 ms once that has succeeded. - A request whose customer could only get a connection once one in use becomes free waits for that before it takes a slot.

--- a/internal/gwbackend/poolcontrol.go
+++ b/internal/gwbackend/poolcontrol.go
@@ -43,6 +43,10 @@
 	p.stats.Dials++
 	if err != nil {
 		p.stats.DialErrors++
+		if ServerError(err) != nil {
+			p.decisions.ControlRefused(p.o.Clock.Now())
+			p.decide()
+		}
 		return nil, err
 	}
 	p.controlConn, p.controlSince = c, p.o.Clock.Now()
@@ -82,14 +86,10 @@
 func (p *Pool) SetLimit(n int) {
 	p.mu.Lock()
 	p.limit = max(1, n)
-	var closing []Connection
-	for p.overLimit() && len(p.idle) > 0 {
-		closing = append(closing, p.takeOldest())
-	}
-	p.startDials()
+	p.decisions.SetLimit(p.requestLimit())
+	p.decide()
 	dropControl := p.limit < 2
 	p.mu.Unlock()
-	closeAll(closing)
 	if !dropControl {
 		return
 	}
@@ -106,26 +106,13 @@
 	}
 }
 
-// takeOldest removes the least recently used idle connection. p.mu is held.
-func (p *Pool) takeOldest() Connection {
-	c := p.idle[0].c
-	p.idle = append(p.idle[:0], p.idle[1:]...)
-	return c
-}
-
-func closeAll(conns []Connection) {
-	for _, c := range conns {
-		_ = c.Close()
-	}
-}
-
 // Stats returns the pool's state and counters.
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.stats
-	s.Limit, s.Idle, s.InUse, s.Dialing = p.limit, len(p.idle), len(p.inUse), p.dialing
-	s.Waiting = p.waiters.Len()
+	d := p.decisions.Stats()
+	s.Limit, s.Idle, s.InUse, s.Dialing, s.Closing, s.Waiting = p.limit, d.Idle, d.InUse, d.Dialing, d.Closing, d.Waiting
 	s.Open = s.Idle + s.InUse
 	if p.controlConn != nil {
 		s.Open++
@@ -151,17 +138,14 @@
 
 func (p *Pool) closeExpired(now time.Time) {
 	p.mu.Lock()
-	var closing []Connection
-	minIdle := p.o.MinIdle
-	if p.byUser {
-		minIdle = 0
-	}
-	for len(p.idle) > minIdle && now.Sub(p.idle[0].since) >= p.o.IdleTimeout {
-		closing = append(closing, p.takeOldest())
+	keep := p.decisions.MinIdle()
+	for user := range p.idle {
+		for conns := p.idle[user]; len(conns) > keep && now.Sub(conns[0].since) >= p.o.IdleTimeout; conns = p.idle[user] {
+			p.closeIdle(user)
+		}
 	}
-	p.startDials()
+	p.decide()
 	p.mu.Unlock()
-	closeAll(closing)
 }
 
 // Close refuses new acquisitions, waits for connections in use to be released, and
@@ -171,15 +155,17 @@
 	p.mu.Lock()
 	first := !p.closed
 	p.closed = true
-	var closing []Connection
-	for len(p.idle) > 0 {
-		closing = append(closing, p.takeOldest())
+	for user := range p.idle {
+		for len(p.idle[user]) > 0 {
+			p.closeIdle(user)
+		}
 	}
-	for p.failFirst(ErrClosed) {
-		continue
+	for _, w := range p.decisions.FailAll() {
+		w.Ref.(*waiter).granted <- grant{err: ErrClosed}
 	}
+	p.stopTimer()
+	p.wakeAwaiting()
 	p.mu.Unlock()
-	closeAll(closing)
 	if first {
 		go p.closeControl()
 	}
@@ -229,7 +215,7 @@
 // checkAllClosed signals to Close that the last connection has been closed. p.mu is
 // held.
 func (p *Pool) checkAllClosed() {
-	if !p.closed || p.connectionCount() > 0 || p.controlConn != nil {
+	if !p.closed || p.decisions.Count() > 0 || p.controlConn != nil {
 		return
 	}
 	select {
--- /dev/null
+++ b/internal/gwbackend/pooldecide.go
@@ -0,0 +1,188 @@
+package gwbackend
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gentianward.example/gentianward/pkg/gwpool"
+)
+
+// maxAwaiting bounds the requests that wait in AwaitAvailable.
+const maxAwaiting = 256
+
+// awaitInterval is the interval at which AwaitAvailable checks whether a server that has refused
+// connections may accept one more.
+const awaitInterval = 200 * time.Millisecond
+
+// ErrCrowded means that too many requests wait for a connection.
+var ErrCrowded = errors.New("too many requests wait for a connection")
+
+// takeIdle takes the most recently used idle connection of user. p.mu is held.
+func (p *Pool) takeIdle(user string) Connection {
+	for p.decisions.Take(user, p.o.Clock.Now()) {
+		if c := p.useIdle(user); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// useIdle moves the most recently used idle connection of user to those in use, as the pool's
+// decisions have done. It returns nil if the connection has closed: its reader has failed and is
+// about to call removeClosed, which will find nothing to remove. p.mu is held.
+func (p *Pool) useIdle(user string) Connection {
+	conns := p.idle[user]
+	c := conns[len(conns)-1].c
+	conns[len(conns)-1] = idleConn{}
+	p.setIdle(user, conns[:len(conns)-1])
+	if !c.Usable() {
+		p.decisions.Lost(user)
+		return nil
+	}
+	p.inUse[c] = user
+	return c
+}
+
+func (p *Pool) pushIdle(user string, c Connection) {
+	p.idle[user] = append(p.idle[user], idleConn{c: c, since: p.o.Clock.Now()})
+}
+
+func (p *Pool) setIdle(user string, conns []idleConn) {
+	if len(conns) == 0 {
+		delete(p.idle, user)
+		return
+	}
+	p.idle[user] = conns
+}
+
+// decide carries out the decisions that are due. p.mu is held.
+func (p *Pool) decide() {
+	if p.closed {
+		return
+	}
+	now := p.o.Clock.Now()
+	for a, ok := p.decisions.Next(now); ok; a, ok = p.decisions.Next(now) {
+		switch a.Kind {
+		case gwpool.Grant:
+			if c := p.useIdle(a.User); c != nil {
+				a.Waiter.Ref.(*waiter).granted <- grant{c: c}
+			} else {
+				p.decisions.Retry(a.Waiter)
+			}
+		case gwpool.Dial:
+			p.wg.Go(func() { p.dial(a.User) })
+		case gwpool.Close:
+			if a.ForOther {
+				p.stats.ClosedForOther++
+			}
+			p.closeOldest(a.User)
+		}
+	}
+	p.schedule(now)
+	if p.decisions.AnyAvailable() {
+		p.wakeAwaiting()
+	}
+}
+
+// wakeAwaiting makes the requests in AwaitAvailable check again. p.mu is held.
+func (p *Pool) wakeAwaiting() {
+	if p.available != nil {
+		close(p.available)
+		p.available = nil
+	}
+}
+
+// schedule sets the timer to the time of the next decision without an event. p.mu is held.
+func (p *Pool) schedule(now time.Time) {
+	at, ok := p.decisions.Wake()
+	switch {
+	case !ok:
+		p.stopTimer()
+	case p.timer != nil && at.Equal(p.timerAt):
+	default:
+		p.stopTimer()
+		p.timerAt = at
+		p.timer = p.o.Clock.AfterFunc(at.Sub(now), func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.timer = nil
+			p.decide()
+		})
+	}
+}
+
+func (p *Pool) stopTimer() {
+	if p.timer != nil {
+		p.timer.Stop()
+		p.timer = nil
+	}
+}
+
+// closeIdle closes the least recently used idle connection of user. It counts towards the limit
+// until it is closed. p.mu is held.
+func (p *Pool) closeIdle(user string) {
+	p.decisions.Closing(user)
+	p.closeOldest(user)
+}
+
+// closeOldest does what closeIdle does after the decision to close is recorded. p.mu is held.
+func (p *Pool) closeOldest(user string) {
+	conns := p.idle[user]
+	c := conns[0].c
+	p.setIdle(user, slices.Delete(conns, 0, 1))
+	p.wg.Go(func() {
+		_ = c.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.decisions.Closed()
+		p.decide()
+		p.checkAllClosed()
+	})
+}
+
+// AwaitAvailable waits until a request of the user can expect a connection without waiting for
+// one that is in use, as all are while transactions are open, but at most for maxWait; 0 stands
+// for any wait. It returns at once as long as no connection is requested for a user of its own.
+// Every error is of KindNotSent.
+func (p *Pool) AwaitAvailable(ctx context.Context, user string, maxWait time.Duration) error {
+	const op = "wait for an available connection"
+	p.mu.Lock()
+	if p.closed || p.decisions.Available(user, p.o.Clock.Now()) {
+		p.mu.Unlock()
+		return nil
+	}
+	if p.stats.Awaiting >= maxAwaiting {
+		p.mu.Unlock()
+		return p.error(op, ErrCrowded)
+	}
+	p.stats.Awaiting++
+	if maxWait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxWait)
+		defer cancel()
+	}
+	defer func() {
+		p.mu.Lock()
+		p.stats.Awaiting--
+		p.mu.Unlock()
+	}()
+	for !p.closed && !p.decisions.Available(user, p.o.Clock.Now()) {
+		if p.available == nil {
+			p.available = make(chan struct{})
+		}
+		available := p.available
+		p.mu.Unlock()
+		select {
+		case <-available:
+		case <-p.o.Clock.After(awaitInterval):
+		case <-ctx.Done():
+			return p.error(op, context.Cause(ctx))
+		}
+		p.mu.Lock()
+	}
+	p.mu.Unlock()
+	return nil
+}
--- a/internal/gwbackend/poolusers_test.go
+++ b/internal/gwbackend/poolusers_test.go
@@ -111,3 +111,164 @@
 	assert.Equal(t, "c", c.(*userConn).user)
 	p.Release(c, true)
 }
+
+// Guards against requests of an instance that becomes the owner while the server still counts the
+// connections of the previous one: they wait for the connections that the server accepts, and the
+// pool grows once the others are gone.
+func TestPoolAfterChangeOfOwner(t *testing.T) {
+	s := &userServer{limit: 12}
+	before := s.pool(t, 12, 0)
+	var held []Connection
+	for i := range 9 {
+		c, err := before.AcquireFor(timeoutContext(t, time.Second), string(rune('a'+i)))
+		require.NoError(t, err)
+		held = append(held, c)
+	}
+	p := s.pool(t, 12, 0)
+	run := func(n int) (failed int64) {
+		var wg sync.WaitGroup
+		var errs atomic.Int64
+		for i := range n {
+			wg.Go(func() {
+				c, err := p.AcquireFor(timeoutContext(t, 10*time.Second), string(rune('a'+i%10)))
+				if err != nil {
+					errs.Add(1)
+					return
+				}
+				time.Sleep(time.Millisecond)
+				p.Release(c, true)
+			})
+		}
+		wg.Wait()
+		return errs.Load()
+	}
+	assert.Zero(t, run(60), "with 3 connections for 10 users")
+	assert.LessOrEqual(t, p.Stats().Open, 3)
+	for _, c := range held {
+		before.Release(c, true)
+	}
+	require.NoError(t, before.Close(timeoutContext(t, time.Second)))
+	eventually(t, func() bool { return run(20) == 0 && p.Stats().Open == 10 }, "one connection of each user")
+	assert.LessOrEqual(t, s.peak, 12)
+	assert.Less(t, p.Stats().DialErrors, uint64(30), "dials to a server that refuses more connections")
+}
+
+// Guards against connections beyond a limit that is lowered while requests are running, and against
+// requests of customers that wait for ever then.
+func TestPoolLimitLoweredWithUsers(t *testing.T) {
+	s := &userServer{limit: 100}
+	p := s.pool(t, 11, 0)
+	ctx := timeoutContext(t, 10*time.Second)
+	var held []Connection
+	for i := range 10 {
+		c, err := p.AcquireFor(ctx, string(rune('a'+i)))
+		require.NoError(t, err)
+		held = append(held, c)
+	}
+	p.SetLimit(4)
+	require.Equal(t, 10, p.Stats().Open, "connections in use stay open")
+	waiting := make(chan error)
+	go func() {
+		c, err := p.AcquireFor(ctx, "z")
+		if err == nil {
+			p.Release(c, true)
+		}
+		waiting <- err
+	}()
+	for _, c := range held {
+		p.Release(c, true)
+	}
+	require.NoError(t, <-waiting)
+	eventually(t, func() bool { st := p.Stats(); return st.Open+st.Closing <= 3 }, "closed")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.LessOrEqual(t, s.open, 3)
+}
+
+// Guards against a customer that withdraws its requests and whose connection then stays in use or
+// keeps others waiting.
+func TestPoolUserWithdraws(t *testing.T) {
+	s := &userServer{limit: 100}
+	p := s.pool(t, 3, 0)
+	ctx := timeoutContext(t, 10*time.Second)
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			short, cancel := context.WithTimeout(ctx, time.Duration(i%4)*50*time.Microsecond)
+			defer cancel()
+			if c, err := p.AcquireFor(short, "withdraws"); err == nil {
+				p.Release(c, true)
+			}
+		})
+		wg.Go(func() {
+			c, err := p.AcquireFor(ctx, string(rune('a'+i%3)))
+			if assert.NoError(t, err) {
+				p.Release(c, true)
+			}
+		})
+	}
+	wg.Wait()
+	eventually(t, func() bool { st := p.Stats(); return st.InUse+st.Dialing+st.Closing+st.Waiting == 0 }, "idle")
+	assert.LessOrEqual(t, s.peak, 2)
+}
+
+// Guards against requests that occupy slots while transactions hold all connections, and against
+// a deadlock of the two.
+func TestPoolAwaitAvailable(t *testing.T) {
+	s := &userServer{limit: 100}
+	p := s.pool(t, 4, 0)
+	ctx := timeoutContext(t, 10*time.Second)
+	var held []Connection
+	for _, user := range []string{"a", "b", "c"} {
+		require.NoError(t, p.AwaitAvailable(ctx, user, 0))
+		c, err := p.AcquireFor(ctx, user)
+		require.NoError(t, err)
+		held = append(held, c)
+	}
+	require.ErrorIs(t, p.AwaitAvailable(ctx, "d", 20*time.Millisecond), context.DeadlineExceeded)
+	result := make(chan error)
+	go func() { result <- p.AwaitAvailable(ctx, "d", 0) }()
+	eventually(t, func() bool { return p.Stats().Awaiting == 1 }, "waiting")
+	p.Release(held[0], true)
+	require.NoError(t, <-result)
+	c, err := p.AcquireFor(ctx, "d")
+	require.NoError(t, err)
+	go func() { result <- p.AwaitAvailable(ctx, "e", 0) }()
+	eventually(t, func() bool { return p.Stats().Awaiting == 1 }, "waiting")
+	for _, c := range append(held[1:], c) {
+		p.Release(c, true)
+	}
+	require.NoError(t, <-result)
+}
+
+// Guards against a request that waits for an available connection when its pool is closed.
+func TestPoolCloseEndsAwait(t *testing.T) {
+	s := &userServer{limit: 100}
+	p := s.pool(t, 2, 0)
+	c, err := p.AcquireFor(t.Context(), "a")
+	require.NoError(t, err)
+	result := make(chan error)
+	go func() { result <- p.AwaitAvailable(t.Context(), "b", 0) }()
+	eventually(t, func() bool { return p.Stats().Awaiting == 1 }, "waiting")
+	closed := make(chan error)
+	go func() { closed <- p.Close(timeoutContext(t, 5*time.Second)) }()
+	require.NoError(t, <-result)
+	_, err = p.AcquireFor(t.Context(), "b")
+	require.ErrorIs(t, err, ErrClosed)
+	p.Release(c, true)
+	require.NoError(t, <-closed)
+}
+
+// Guards against connections that are opened for the pool's own user while customers need them.
+func TestPoolKeepsNoneIdleWithUsers(t *testing.T) {
+	s := &userServer{limit: 100}
+	p := s.pool(t, 5, 4)
+	eventually(t, func() bool { return p.Stats().Idle == 4 }, "warm")
+	for _, user := range []string{"a", "b", "c"} {
+		c, err := p.AcquireFor(timeoutContext(t, time.Second), user)
+		require.NoError(t, err)
+		p.Release(c, true)
+	}
+	assert.Equal(t, uint64(3), p.Stats().ClosedForOther)
+	assert.Equal(t, uint64(7), p.Stats().Dials)
+}
--- a/internal/gwowner/admission.go
+++ b/internal/gwowner/admission.go
@@ -122,6 +122,23 @@
 	return func() { a.requests.Add(-1) }
 }
 
+// awaitConnection waits, for at most the request's wait for a slot, until its customer can expect
+// a connection without waiting for a transaction to end. A request that waited for that in a
+// slot would keep others from running that have a connection. A connection that only has to be
+// opened is waited for in the slot: the server needs one for that, too.
+func (s *server) awaitConnection(ctx context.Context, req *Request) error {
+	defer s.admission.acquireWithoutSlot()()
+	return s.backend.Pool().AwaitAvailable(ctx, req.Customer, req.QueueWait)
+}
+
+// remainingWait returns what is left of the longest wait; 0 stands for any wait.
+func remainingWait(wait, waited time.Duration) time.Duration {
+	if wait <= 0 {
+		return wait
+	}
+	return max(wait-waited, time.Nanosecond)
+}
+
 // push queues the item and returns its waiter, or nil if the item got a slot at once.
 func (a *admission) push(it *gwlimit.Item) (*slotWaiter, error) {
 	now := a.clock.Now()
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -279,7 +279,12 @@
 // execution tells why.
 func (s *server) acquire(ctx context.Context, req *Request, deadline time.Time, exchanges int, leaseHeld func() bool) (gwbackend.Connection, func(), execution) {
 	queued := s.owner.clock.Now()
-	release, err := s.admission.acquire(ctx, &gwlimit.Item{Class: req.Class, Customer: req.Customer, Deadline: deadline, MaxWait: req.QueueWait, Key: operationKey(req)})
+	if err := s.awaitConnection(ctx, req); err != nil {
+		return nil, nil, execution{event: awaitEvent(ctx), detail: err.Error()}
+	}
+	release, err := s.admission.acquire(ctx, &gwlimit.Item{
+		Class: req.Class, Customer: req.Customer, Deadline: deadline, MaxWait: remainingWait(req.QueueWait, s.owner.clock.Since(queued)), Key: operationKey(req),
+	})
 	if err != nil {
 		return nil, nil, execution{event: admissionEvent(err), detail: err.Error()}
 	}
@@ -418,6 +423,14 @@
 	}
 }
 
+// awaitEvent returns the event of a request that no connection became available for.
+func awaitEvent(ctx context.Context) gwoutcome.Event {
+	if ctx.Err() != nil {
+		return gwoutcome.Expired
+	}
+	return gwoutcome.QueueFull
+}
+
 func acquireEvent(err error) gwoutcome.Event {
 	switch {
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
