--- a/internal/gwowner/speed_test.go
+++ b/internal/gwowner/speed_test.go
@@ -93,7 +93,7 @@
 	a := newAdmission(clockwork.NewFakeClock(), 4)
 	a.setConcurrency(2)
 	assert.Equal(t, 2, a.usedSlots())
-	a.setLimits(3, nil)
+	a.setLimits(3, nil, nil)
 	assert.Equal(t, 2, a.usedSlots())
 	a.setConcurrency(8)
 	assert.Equal(t, 3, a.usedSlots())
