--- a/internal/gwowner/message.go
+++ b/internal/gwowner/message.go
@@ -66,6 +66,8 @@
 	// it is valid only if LagKnown.
 	Lag      time.Duration `cbor:"6,keyasint,omitempty"`
 	LagKnown bool          `cbor:"7,keyasint,omitempty"`
+	// Speed is set if the server is not at its usual speed.
+	Speed *Speed `cbor:"8,keyasint,omitempty"`
 }
 
 // Result describes how a request ended. If Event is Answered, the answer itself has been
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -25,6 +25,7 @@
 	cancel    context.CancelFunc
 
 	pending  pendingStatements
+	speed    *speed // nil if speeds are not estimated
 	received received
 	copies   recordedCopies
 
@@ -213,6 +214,7 @@
 		StalenessKnown: known,
 		Load:           float64(s.admission.load()) / float64(max(1, s.facts().Slots)),
 		ServiceTime:    s.admission.serviceTime(),
+		Speed:          s.reportSpeed(s.owner.clock.Now()),
 	}
 }
 
@@ -258,8 +260,11 @@
 	defer release()
 	panicked := true
 	defer s.discardIf(&panicked, conn)
+	timed := s.beginTimed(req.Class, sink)
+	defer timed.end()
 	x = s.exchange(ctx, conn, req.Request, sink)
 	panicked = false
+	timed.setAnswered(x.event == gwoutcome.Answered)
 	if x.event == gwoutcome.Answered && x.TxStatus != 'I' {
 		x.conn = conn
 		return x
@@ -279,7 +284,12 @@
 // execution tells why.
 func (s *server) acquire(ctx context.Context, req *Request, deadline time.Time, exchanges int, leaseHeld func() bool) (gwbackend.Connection, func(), execution) {
 	queued := s.owner.clock.Now()
-	release, err := s.admission.acquire(ctx, &gwlimit.Item{Class: req.Class, Customer: req.Customer, Deadline: deadline, MaxWait: req.QueueWait, Key: operationKey(req)})
+	if err := s.awaitConnection(ctx, req); err != nil {
+		return nil, nil, execution{event: awaitEvent(ctx), detail: err.Error()}
+	}
+	release, err := s.admission.acquire(ctx, &gwlimit.Item{
+		Class: req.Class, Customer: req.Customer, Deadline: deadline, MaxWait: remainingWait(req.QueueWait, s.owner.clock.Since(queued)), Key: operationKey(req),
+	})
 	if err != nil {
 		return nil, nil, execution{event: admissionEvent(err), detail: err.Error()}
 	}
@@ -418,6 +428,14 @@
 	}
 }
 
+// awaitEvent returns the event of a request that no connection became available for.
+func awaitEvent(ctx context.Context) gwoutcome.Event {
+	if ctx.Err() != nil {
+		return gwoutcome.Expired
+	}
+	return gwoutcome.QueueFull
+}
+
 func acquireEvent(err error) gwoutcome.Event {
 	switch {
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
