--- a/pkg/gwquota/allocate.go
+++ b/pkg/gwquota/allocate.go
@@ -1,5 +1,10 @@
 package gwquota
 
+import (
+	"cmp"
+	"slices"
+)
+
 const (
 	// needFactor is the ratio of the share that an agent gets to its demand if that is possible,
 	// as demands are known with an error of 30%.
@@ -25,6 +30,8 @@
 type claim struct {
 	wanted bool
 	demand float64
+	name   string // of the agent
+	holds  bool   // a share
 }
 
 // active reports whether the claim is for a share at all.
@@ -50,6 +57,9 @@
 	if active == 0 || l.Rate <= 0 {
 		return out
 	}
+	if partsOf(1/float64(active)).of(l.Capacity) < 1 {
+		return allocateFew(l, claims)
+	}
 	least := leastFraction(l, active)
 	needs, sum, demand := make([]float64, len(claims)), 0.0, 0.0
 	for i, c := range claims {
@@ -71,14 +81,39 @@
 	return out
 }
 
-// leastFraction returns the fraction of an agent without demand. It is 0 if an even division
-// gives no agent a whole operation: then only agents with demand get shares.
-func leastFraction(l Limit, active int) float64 {
-	even := 1 / float64(active)
-	if even*l.Capacity < 1 {
-		return 0
+// allocateFew divides a capacity that is too small for a whole operation at each agent evenly
+// between as many as can have one: those with the most demand, where a share counts twice.
+func allocateFew(l Limit, claims []claim) []allotment {
+	rank := func(c claim) float64 {
+		if c.holds {
+			return 2*c.demand + 1
+		}
+		return c.demand
+	}
+	order := make([]int, 0, len(claims))
+	for i, c := range claims {
+		if c.active() {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(i, j int) int {
+		return cmp.Or(cmp.Compare(rank(claims[j]), rank(claims[i])), cmp.Compare(claims[i].name, claims[j].name))
+	})
+	out := make([]allotment, len(claims))
+	few := max(1, int(l.Capacity))
+	for few > 1 && partsOf(1/float64(few)).of(l.Capacity) < 1 { // rounded down
+		few--
+	}
+	for _, i := range order[:min(few, len(order))] {
+		out[i].target = partsOf(1 / float64(few))
+		out[i].enough = out[i].target
 	}
-	return min(even, max(minFraction, minOperations/l.Capacity))
+	return out
+}
+
+// leastFraction returns the fraction of an agent without demand.
+func leastFraction(l Limit, active int) float64 {
+	return min(1/float64(active), max(minFraction, minOperations/l.Capacity))
 }
 
 // fraction returns the fraction of one of the active agents. sum is that of all needs, and all
--- a/pkg/gwquota/ledger.go
+++ b/pkg/gwquota/ledger.go
@@ -296,7 +296,7 @@
 }
 
 func (l *Ledger) addEntry(rec *record, a *account, line Line) *entry {
-	e := &entry{account: a, claim: claim{line.Wanted, line.Demand.perSecond()}}
+	e := &entry{account: a, claim: claim{wanted: line.Wanted, demand: line.Demand.perSecond(), name: rec.instance}}
 	rec.lines = append(rec.lines, e)
 	a.entries[rec.run] = e
 	return e
@@ -316,7 +316,7 @@
 			continue
 		}
 		e := rec.lines[line.ID]
-		e.claim = claim{line.Wanted, line.Demand.perSecond()}
+		e.claim.wanted, e.claim.demand = line.Wanted, line.Demand.perSecond()
 		if line.Returned > 0 {
 			l.refillPool(e.account, now)
 			e.account.pool.set(now, e.account.pool.rate, e.account.pool.capacity, float64(line.Returned))
@@ -378,6 +378,7 @@
 	own := 0
 	for i, other := range entries {
 		claims[i] = other.claim
+		claims[i].holds = other.granted > 0
 		if other == e {
 			own = i
 		}
--- a/pkg/gwquota/limit.go
+++ b/pkg/gwquota/limit.go
@@ -35,6 +35,9 @@
 	runDelay = 500 * time.Millisecond
 	// drift is the allowance for agents whose clocks are fast.
 	drift = 0.02
+	// maxReserve is the greatest part of what the rules allow beyond the burst that is kept back
+	// for both. Without it a customer without a burst could have one operation at a time.
+	maxReserve = 0.75
 )
 
 // Rules describe how limits are checked: in each sliding Window, the operations of a customer
@@ -57,7 +60,7 @@
 func NewLimit(rate, burst float64, r Rules) Limit {
 	window := r.Window.Seconds()
 	extra := r.Overage*(rate*window+burst) + r.Slack
-	reserve := rate * (runDelay.Seconds() + drift*window)
+	reserve := min(rate*(runDelay.Seconds()+drift*window), maxReserve*extra)
 	return Limit{Rate: rate, Capacity: max(burst+extra-reserve, burst, 1)}
 }
 
