--- a/internal/gwquotas/service_test.go
+++ b/internal/gwquotas/service_test.go
@@ -27,7 +27,7 @@
 // site is a deployment of services with a ledger in place of the leader. Its clock moves only when
 // a test moves it.
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	clock    *clockwork.FakeClock
 	services []*Service
 	views    *gwcontrol.Views
@@ -48,7 +48,7 @@
 var testRules = gwquota.Rules{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
 // newSite starts one service for each data centre that is named.
-func newSite(t *testing.T, dataCentres ...string) *site {
+func newSite(t testing.TB, dataCentres ...string) *site {
 	t.Helper()
 	s := &site{t: t, clock: clockwork.NewFakeClock(), topology: make(map[string]*gwcontrol.Topology)}
 	s.views = gwcontrol.NewViews(gwcontrol.ManifestFormat{AnyLater: true, Parse: func(_ string, text []byte) (*gwmanifest.Manifest, error) {
--- a/pkg/gwquota/world_test.go
+++ b/pkg/gwquota/world_test.go
@@ -30,6 +30,7 @@
 	ticks     int
 	reports   int
 	bytes     int
+	changes   int
 }
 
 // site is a data centre with its agent, which is nil while none runs.
@@ -140,7 +141,7 @@
 		return
 	}
 	w.reports++
-	w.bytes += len(r.Lines)
+	w.bytes += encodedSize(r)
 	s.due = w.now.Add(answerDelay)
 	s.answer = func() {
 		if w.ledger == nil {
@@ -151,8 +152,10 @@
 		if err != nil || !ok {
 			panic(fmt.Sprint("report refused: ", err))
 		}
-		w.bytes += len(a.Shares)
-		if _, repeat := agent.Apply(w.now, a); repeat {
+		w.bytes += encodedSize(a)
+		changes, repeat := agent.Apply(w.now, a)
+		w.changes += len(changes)
+		if repeat {
 			w.report(s)
 			s.answer()
 		}
