gwquota: the overage goes to the rate, and delays after the admission need no reserve

A customer above its limit was served about 85% of its limit: its agents hold parts of the capacity in vain. The properties of gwquota hold.

--- a/pkg/gwquota/limit.go
+++ b/pkg/gwquota/limit.go
@@ -30,14 +30,8 @@
 	urgentRate = 2
 )
 
-const (
-	// runDelay is the difference between the delays from admission to execution that the
-	// capacity allows for: operations that waited up to this time and those admitted after them
-	// may run in the same window.
-	runDelay = 500 * time.Millisecond
-	// drift is the allowance for agents whose clocks are fast.
-	drift = 0.02
-)
+// drift is the allowance for agents whose clocks are fast.
+const drift = 0.02
 
 // Rules describe how limits are checked: in each sliding Window, the operations of a customer
 // may exceed what its rate and burst allow by the fraction Overage and by Slack operations.
@@ -54,13 +48,21 @@
 }
 
 // NewLimit returns the limit of a customer with a rate in operations per second and a burst in
-// operations. The capacity includes what the rules allow beyond the burst, less a reserve for
-// delays after the admission; it is never smaller than the burst, nor than one operation.
+// operations. What the rules allow beyond these goes to the rate, up to the overage, and the rest
+// to the capacity, which is never smaller than the burst, nor than one operation: with a rate
+// that is not raised, a customer above its limit is served less than its limit, as agents hold
+// their parts of the capacity in vain at times.
+//
+// An operation counts in a window only if it is both sent and run in it. As it is admitted in
+// between, delays after the admission need no reserve.
 func NewLimit(rate, burst float64, r Rules) Limit {
 	window := r.Window.Seconds()
-	extra := r.Overage*(rate*window+burst) + r.Slack
-	reserve := rate * (runDelay.Seconds() + drift*window)
-	return Limit{Rate: rate, Capacity: max(burst+extra-reserve, burst, 1)}
+	extra := max(0, r.Overage*(rate*window+burst)+r.Slack-drift*rate*(1+r.Overage)*window)
+	raise := r.Overage * rate
+	if window > 0 {
+		raise = min(raise, extra/window)
+	}
+	return Limit{Rate: rate + raise, Capacity: max(burst+extra-raise*window, burst, 1)}
 }
 
 // Bound returns how many operations may run in a window of the rules.
