gwfilter, gwcontrol, platform: strict revocation bounds how long keys are trusted

Cause: an entry instance that is cut off from all control instances accepts keys that have been withdrawn since, and strict_revocation and revoke_ms of the settings were not read. Change: with strict_revocation, keys that are needed give access only if the manifest was the newest one at most revoke_ms ago, as a quorum confirms (Client.ConfirmNewest). The entry asks after half of that time; beyond it, operations get BUSY and transactions are rolled back with ABORTED, at once where the contact is known to be lost; sessions stay. Without the setting nothing changes. Ruled out: the contact with the leader as the proof, which says nothing about the version of the manifest; a view of any voter, which may lag.

--- a/cmd/gentianward-platform/customers_test.go
+++ b/cmd/gentianward-platform/customers_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"gentianward.example/gentianward/platform"
 	"gentianward.example/gentianward/platform/platformtest"
 )
 
@@ -108,7 +109,11 @@
 // in logs and metrics.
 func TestKeysOfCallers(t *testing.T) {
 	log := &lockedLog{}
-	d := startWithLog(t, slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})), "i-1", "i-2", "i-3")
+	d := startWithSettings(t, slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})), func(s *platform.Settings) {
+		if s.DataCentre == "c" {
+			s.KeysValid = 2 * time.Second // one entry instance confirms that it has the newest keys
+		}
+	}, "i-1", "i-2", "i-3")
 	d.awaitReady()
 	d.awaitWrite(0, "bookings", "any key, as none is needed")
 	acme, other := platformtest.Tenant{Name: "acme", Keys: []string{"key-acme-1", "key-acme-2"}}, platformtest.Tenant{Name: "other", Keys: []string{"key-other"}}
--- a/cmd/gentianward-platform/run_test.go
+++ b/cmd/gentianward-platform/run_test.go
@@ -62,11 +62,11 @@
 // primary.
 func startWithServers(t *testing.T, ids ...string) *deployment {
 	t.Helper()
-	return startWithLog(t, testLog(), ids...)
+	return startWithSettings(t, testLog(), func(*platform.Settings) {}, ids...)
 }
 
-// startWithLog is startWithServers with the log of the instances.
-func startWithLog(t *testing.T, log *slog.Logger, ids ...string) *deployment {
+// startWithSettings is startWithServers with the log of the instances and a change of their settings.
+func startWithSettings(t *testing.T, log *slog.Logger, change func(s *platform.Settings), ids ...string) *deployment {
 	t.Helper()
 	d := &deployment{t: t, log: log, platform: platformtest.NewClient(), peerPort: holdPort(t), group: newStandinGroup(t, standinService, ids...)}
 	cloud := httptest.NewServer(http.HandlerFunc(d.group.promote))
@@ -81,6 +81,7 @@
 	run := func(ip netip.Addr, s platform.Settings) {
 		s.IP, s.Name, s.Region, s.Regions, s.PeerPort, s.Seeds = ip, ip.String(), "r", regions, d.peerPort, seeds
 		s.FirstStart, s.PromoteAddress = true, strings.TrimPrefix(cloud.URL, "http://")
+		change(&s)
 		d.settings = append(d.settings, s)
 		d.instances = append(d.instances, d.start(s))
 	}
--- a/internal/gwcontrol/newest.go
+++ b/internal/gwcontrol/newest.go
@@ -38,3 +38,18 @@
 	_, err = c.views.ApplyEncoded(delta)
 	return err
 }
+
+// ConfirmNewest brings the manifest of this instance up to the newest one that was acknowledged
+// before the call, as a quorum of voters confirms.
+func (c *Client) ConfirmNewest(ctx context.Context) error {
+	m, err := c.CurrentManifest(ctx)
+	if err != nil {
+		return err
+	}
+	v := c.views.Current()
+	if m.Number <= v.Number {
+		return nil
+	}
+	_, err = c.views.Apply(ViewDelta{From: v.Index, Index: v.Index, Number: m.Number, Text: m.Text})
+	return err
+}
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -94,11 +94,15 @@
 	if i.RequireLeader {
 		cutOff = i.client.CutOff
 	}
+	pull := i.client.PullNewest
+	if i.KeysValid > 0 {
+		pull = i.client.ConfirmNewest
+	}
 	i.entry = gwfilter.New(gwfilter.Options{
 		LeaderLost: cutOff,
 		Node:       node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
 		Owner: i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry,
-		PullManifest: i.client.PullNewest,
+		PullManifest: pull, KeysValid: i.KeysValid,
 	})
 	if err := i.listen(ctx); err != nil {
 		return err
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -74,6 +74,8 @@
 	// StopDelay is how long a stopping instance still accepts callers after it has
 	// reported that it is not ready, because callers are directed elsewhere only after a delay.
 	StopDelay time.Duration
+	// KeysValid: see gwfilter.Options.
+	KeysValid time.Duration
 	// PeerListenAddress is the address to listen on for other instances if it is not the
 	// announced Settings.PeerAddress, as behind address translation.
 	PeerListenAddress string
--- a/internal/gwfilter/customer.go
+++ b/internal/gwfilter/customer.go
@@ -31,10 +31,14 @@
 // manifest applies from the next operation on; see keyRevoked for what applies earlier.
 func (s *statementSession) resolveCaller(ctx context.Context) *gwstatement.Failure {
 	f := s.resolveNow()
-	if f == nil || f.Code != gwstatement.NotAuthenticated {
+	switch {
+	case f == nil && s.keysUnconfirmed(ctx):
+		return keysNotChecked
+	case f == nil && s.checked == s.entry.Views.Current().Manifest || f != nil && f.Code != gwstatement.NotAuthenticated:
 		return f
+	case f != nil:
+		s.entry.newest.wait(ctx)
 	}
-	s.entry.newest.wait(ctx)
 	if f = s.resolveNow(); f != nil && f.Code == gwstatement.NotAuthenticated {
 		s.entry.refused(&s.session, f.Text)
 		s.ended = true
@@ -42,6 +46,20 @@
 	return f
 }
 
+// keysNotChecked is the failure of a caller whose key may have been withdrawn.
+var keysNotChecked = &gwstatement.Failure{Code: gwstatement.Busy, Text: "not run: API keys cannot be checked, as the control instances cannot be reached"}
+
+// keysUnconfirmed reports whether the caller needs a key and the manifest is older than
+// Options.KeysValid.
+func (s *statementSession) keysUnconfirmed(ctx context.Context) bool {
+	limit := s.entry.KeysValid
+	if limit <= 0 || s.checked == nil || !s.checked.NeedsKeys() {
+		return false
+	}
+	c, _ := s.checked.Class(s.class)
+	return !c.Public && !s.entry.newest.confirmed(ctx, limit, s.entry.LeaderLost)
+}
+
 // resolveNow sets the class, group and customer by the manifest of this instance.
 func (s *statementSession) resolveNow() *gwstatement.Failure {
 	m := s.entry.Views.Current().Manifest
--- a/internal/gwfilter/customer_test.go
+++ b/internal/gwfilter/customer_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,7 +29,7 @@
 type wordCodec struct{ stateCodec }
 
 func (wordCodec) AppendFailure(b []byte, f gwstatement.Failure) []byte {
-	names := map[gwstatement.Code]string{gwstatement.NotAuthenticated: "noauth", gwstatement.Aborted: "aborted", gwstatement.NoDatabase: "nodb"}
+	names := map[gwstatement.Code]string{gwstatement.NotAuthenticated: "noauth", gwstatement.Aborted: "aborted", gwstatement.NoDatabase: "nodb", gwstatement.Busy: "busy"}
 	return fmt.Append(b, names[f.Code], " ")
 }
 
@@ -282,3 +284,62 @@
 	cancel()
 	n.wait(ctx)
 }
+
+// Guards against a withdrawn key that an instance without contact to the control instances accepts
+// for longer than Options.KeysValid, and against callers without keys that such an instance refuses.
+func TestKeysAreTrustedForBoundedTime(t *testing.T) {
+	a := map[string]string{"a": "ka"}
+	tests := []struct {
+		name        string
+		customers   map[string]string
+		database    string
+		transaction bool
+		reachable   bool // after the session has begun
+		want        string
+	}{
+		{"confirmed again", a, "closed", false, true, " ready I"},
+		{"confirmed again, in a transaction", a, "closed", true, true, " ready T"},
+		{"not confirmed", a, "closed", false, false, "busy  ready I"},
+		{"not confirmed, in a transaction", a, "closed", true, false, "aborted  ready I"},
+		{"public", a, "open", false, false, " ready I"},
+		{"no customers", nil, "closed", false, false, " ready I"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			k := newKeyedEntry(t)
+			k.KeysValid = newestInterval
+			k.transaction = tt.transaction
+			k.apply(t, tt.customers)
+			var unreachable atomic.Bool
+			k.newest.pull = func(context.Context) error {
+				if unreachable.Load() {
+					return errors.New("no voter is known")
+				}
+				return nil
+			}
+			s, refused := k.open(t, tt.database, "ka")
+			require.Empty(t, refused)
+			if tt.transaction {
+				ask(t, s, gwstatement.Begin{})
+			}
+			ask(t, s, gwstatement.Read{})
+			unreachable.Store(!tt.reachable)
+			k.LeaderLost = unreachable.Load
+			time.Sleep(k.KeysValid)
+			before := len(k.customers)
+			started := time.Now()
+			assert.Equal(t, tt.want, ask(t, s, gwstatement.Read{}))
+			if !tt.reachable {
+				assert.Less(t, time.Since(started), newestInterval, "refused at once")
+			}
+			assert.False(t, s.Ended(), "the caller may have access later")
+			if !strings.HasPrefix(tt.want, " ready") {
+				assert.Len(t, k.customers, before, "nothing is sent for the caller")
+				unreachable.Store(false)
+				k.transaction = false
+				assert.Equal(t, " ready I", ask(t, s, gwstatement.Read{}), "the session goes on")
+			}
+		})
+	}
+}
--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -77,6 +77,9 @@
 	Quota Quota
 	// PullManifest requests the newest manifest; nil if that is not possible.
 	PullManifest func(ctx context.Context) error
+	// KeysValid is how long ago PullManifest must have succeeded for API keys to give access; 0 for
+	// any time. With a bound, PullManifest must return the newest manifest.
+	KeysValid time.Duration
 }
 
 // Entry serves the callers that are connected to one instance.
--- a/internal/gwfilter/newest.go
+++ b/internal/gwfilter/newest.go
@@ -31,6 +31,8 @@
 	waits atomic.Int64
 
 	mu sync.Mutex
+	// confirmedAt is when the last request was sent that has succeeded.
+	confirmedAt time.Time
 	// startedAt is when the last request was sent; next is closed when the one that has not been
 	// sent yet has ended, nil if there is none.
 	startedAt time.Time
@@ -70,10 +72,45 @@
 	if delay > 0 {
 		n.clock.Sleep(delay)
 	}
+	sent := n.clock.Now()
 	n.mu.Lock()
-	n.startedAt, n.next = n.clock.Now(), nil
+	n.startedAt, n.next = sent, nil
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), newestTimeout)
 	defer cancel()
-	_ = n.pull(ctx) // without an answer, the manifest that this instance has decides
+	if n.pull(ctx) != nil {
+		return // the manifest that this instance has decides
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if sent.After(n.confirmedAt) {
+		n.confirmedAt = sent
+	}
+}
+
+// confirmed reports whether the manifest of this instance was the newest one at most limit ago. It
+// sends a request after half of that time, so that sessions hardly ever wait. If the time has passed,
+// it waits for one, unless cutOff says that it would be in vain.
+func (n *newest) confirmed(ctx context.Context, limit time.Duration, cutOff func() bool) bool {
+	if n.pull == nil {
+		return false
+	}
+	switch age := n.age(); {
+	case age <= limit/2:
+		return true
+	case age <= limit:
+		n.request()
+		return true
+	case cutOff != nil && cutOff():
+		n.request()
+		return false
+	}
+	n.wait(ctx)
+	return n.age() <= limit
+}
+
+func (n *newest) age() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.clock.Since(n.confirmedAt)
 }
--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -122,8 +122,15 @@
 
 // Handle answers one statement.
 func (s *statementSession) Handle(ctx context.Context, q gwstatement.Query, b []byte) []byte {
-	if s.status != 'I' && s.keyRevoked() {
-		return s.revoke(b)
+	if s.status != 'I' {
+		unconfirmed := s.keysUnconfirmed(ctx)
+		switch {
+		case s.keyRevoked():
+			return s.revoke(b)
+		case unconfirmed:
+			s.rollback()
+			return s.fail(b, gwstatement.Aborted, keysNotChecked.Text)
+		}
 	}
 	return s.handle(ctx, q, b)
 }
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -233,6 +233,7 @@
 		Clock: gwclock.NewBootTime(), Log: p.Log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.ManifestFormat{Parse: config.Parse, ParseAccepted: config.ParseAccepted, AnyLater: true},
 		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}, Unreadable: unreadable}, ServeCallers: p.serveCallers(unreadable),
+		KeysValid:   s.KeysValid,
 		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, PeerListenAddress: p.PeerListen, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Clock: gwclock.NewBootTime()},
