gwquotas: another agent of the region is asked before a customer is refused

An agent without capacity is no longer the last word. Such calls do not count as demand, and an exhausted agent is not asked again for 100 ms.

--- a/internal/gwquotas/admit.go
+++ b/internal/gwquotas/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 // admitRequest asks for one operation of a customer, or takes one back.
 type admitRequest struct {
 	Customer string `cbor:"1,keyasint"`
+	// Overflow means that another agent, whose demand it is, has no capacity.
+	Overflow bool `cbor:"2,keyasint,omitempty"`
 }
 
 // admitAnswer answers an admitRequest.
@@ -41,37 +44,52 @@
 }
 
 // Admit implements gwfilter.Quota.
+//
+// An agent whose share is used up does not decide alone: its share follows the demand only after
+// a second, and the demand of a small customer is mostly noise. The agents of the other data
+// centres of the region are asked, too, before the operation is refused.
 func (s *Service) Admit(ctx context.Context, customer string) error {
 	if _, limited := s.currentLimits().byCustomer[customer]; !limited {
 		return nil
 	}
-	skip := "" // a data centre whose agent holds no share
+	asked := "" // the data centre whose agent has answered
+	var over *gwfilter.QuotaError
 	for _, m := range s.currentAgents().of(customer) {
-		if m.DataCentre == skip {
+		if m.DataCentre == asked || s.exhausted.has(m.Instance, customer, s.Clock.Now()) {
 			continue
 		}
-		answer, ok := s.ask(ctx, m, customer)
+		answer, ok := s.ask(ctx, m, admitRequest{Customer: customer, Overflow: asked != ""})
+		if ok {
+			asked = m.DataCentre
+		}
 		switch {
-		case !ok:
+		case !ok || answer.Outcome == gwquota.NoShare:
 		case answer.Outcome == gwquota.Granted:
 			return nil
-		case answer.Outcome == gwquota.Over:
-			return &gwfilter.QuotaError{RetryAfter: time.Duration(answer.WaitMillis) * time.Millisecond}
 		default:
-			skip = m.DataCentre
+			wait := time.Duration(answer.WaitMillis) * time.Millisecond
+			if over == nil || wait < over.RetryAfter {
+				over = &gwfilter.QuotaError{RetryAfter: wait}
+			}
+			if m.DataCentre != s.Topology().Self.DataCentre {
+				s.exhausted.note(m.Instance, customer, s.Clock.Now(), wait)
+			}
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
+	if over != nil {
+		return over
+	}
 	return &gwfilter.QuotaError{RetryAfter: uncheckedWait, Unchecked: true}
 }
 
 // ask asks an agent for one operation. It returns false without an answer in time.
-func (s *Service) ask(ctx context.Context, m gwmember.Member, customer string) (admitAnswer, bool) {
+func (s *Service) ask(ctx context.Context, m gwmember.Member, r admitRequest) (admitAnswer, bool) {
 	began := s.Clock.Now()
 	if m.Instance == s.Topology().Self.Instance {
-		d := s.admitHere(customer)
+		d := s.admitHere(r)
 		// A process that stood still in between may have been granted an operation of long ago.
 		return answerOf(d), s.Clock.Since(began) <= answerTimeout
 	}
@@ -80,13 +98,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	answer, err := gwpeer.Call[admitRequest, admitAnswer](callCtx, s.Node, m.Address, gwcontrol.KindQuotaAdmit, admitRequest{customer})
+	answer, err := gwpeer.Call[admitRequest, admitAnswer](callCtx, s.Node, m.Address, gwcontrol.KindQuotaAdmit, r)
 	if err == nil && s.Clock.Since(began) <= answerTimeout {
 		return answer, true
 	}
 	if ctx.Err() == nil { // not the caller's end
 		s.failures.note(m.Instance, s.Clock.Now().Add(failureTime))
-		s.Metrics.QuotaDecision(customer, "noAnswer")
+		s.Metrics.QuotaDecision(r.Customer, "noAnswer")
 	}
 	return admitAnswer{}, false
 }
@@ -112,20 +130,20 @@
 		ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 		defer cancel()
 		// A lost return counts as spent.
-		_, _ = gwpeer.Call[admitRequest, gwcontrol.Empty](ctx, s.Node, order[0].Address, gwcontrol.KindQuotaReturn, admitRequest{customer})
+		_, _ = gwpeer.Call[admitRequest, gwcontrol.Empty](ctx, s.Node, order[0].Address, gwcontrol.KindQuotaReturn, admitRequest{Customer: customer})
 	}()
 }
 
 // admitHere decides about an operation as the agent.
-func (s *Service) admitHere(customer string) gwquota.Decision {
+func (s *Service) admitHere(r admitRequest) gwquota.Decision {
 	s.currentLimits()
 	s.mu.Lock()
 	d := gwquota.Decision{Outcome: gwquota.NoShare}
 	if s.agent != nil && !s.leaving.Load() {
-		d = s.agent.Admit(s.Clock.Now(), customer)
+		d = s.agent.Admit(s.Clock.Now(), r.Customer, r.Overflow)
 	}
 	s.mu.Unlock()
-	s.Metrics.QuotaDecision(customer, d.Outcome.String())
+	s.Metrics.QuotaDecision(r.Customer, d.Outcome.String())
 	return d
 }
 
@@ -160,3 +178,35 @@
 	}
 	f.until[instance] = until
 }
+
+// maxExhausted bounds how long an agent of another data centre is not asked after it had no
+// capacity: callers above their limit must not double the calls, and a share may grow.
+const maxExhausted = 100 * time.Millisecond
+
+// exhausted holds agents of other data centres that had no capacity for a customer.
+type exhausted struct {
+	mu      sync.Mutex
+	until   map[exhaustedKey]time.Time
+	sweptAt time.Time
+}
+
+type exhaustedKey struct{ instance, customer string }
+
+func (e *exhausted) has(instance, customer string, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.until[exhaustedKey{instance, customer}])
+}
+
+func (e *exhausted) note(instance, customer string, now time.Time, wait time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.sweptAt) > maxExhausted {
+		e.sweptAt = now
+		maps.DeleteFunc(e.until, func(_ exhaustedKey, until time.Time) bool { return !now.Before(until) })
+	}
+	if e.until == nil {
+		e.until = make(map[exhaustedKey]time.Time)
+	}
+	e.until[exhaustedKey{instance, customer}] = now.Add(min(wait, maxExhausted))
+}
--- a/internal/gwquotas/service.go
+++ b/internal/gwquotas/service.go
@@ -46,12 +46,13 @@
 // customers. It implements gwfilter.Quota.
 type Service struct {
 	Options
-	limits   atomic.Pointer[limits]
-	agents   atomic.Pointer[agents]
-	leaving  atomic.Bool
-	failures failures
-	changes  changeLog
-	wake     chan struct{}
+	limits    atomic.Pointer[limits]
+	agents    atomic.Pointer[agents]
+	leaving   atomic.Bool
+	failures  failures
+	exhausted exhausted
+	changes   changeLog
+	wake      chan struct{}
 
 	mu    sync.Mutex
 	agent *gwquota.Agent // nil until the epoch is known
@@ -72,7 +73,7 @@
 	s.changes.log = o.Log
 	s.limits.Store(&limits{})
 	gwpeer.Handle(o.Node, gwcontrol.KindQuotaAdmit, func(_ context.Context, _ string, r admitRequest) (admitAnswer, error) {
-		return answerOf(s.admitHere(r.Customer)), nil
+		return answerOf(s.admitHere(r)), nil
 	})
 	gwpeer.Handle(o.Node, gwcontrol.KindQuotaReturn, func(_ context.Context, _ string, r admitRequest) (gwcontrol.Empty, error) {
 		s.returnHere(r.Customer)
--- a/internal/gwquotas/service_test.go
+++ b/internal/gwquotas/service_test.go
@@ -150,6 +150,16 @@
 	return admitted, last
 }
 
+// admitAt asks one agent alone for n operations and returns how many it admits.
+func (s *site) admitAt(agent, n int) (admitted int) {
+	for range n {
+		if s.services[agent].admitHere(admitRequest{Customer: testCustomer}).Outcome == gwquota.Granted {
+			admitted++
+		}
+	}
+	return admitted
+}
+
 // agent returns the number of the instance of a data centre that holds a share.
 func (s *site) agent(dataCentre string) int {
 	s.t.Helper()
@@ -203,8 +213,9 @@
 	s.clock.Advance(500 * time.Millisecond)
 	s.services[0].Return(testCustomer)
 	agent := s.agent("a")
-	before, _ := s.admit(agent, 100)
-	assert.InDelta(t, 0.5*20*s.services[agent].Share(testCustomer)+1, before, 1.01)
+	before := s.admitAt(agent, 100)
+	rate := gwquota.NewLimit(20, 20, testRules).Rate
+	assert.InDelta(t, 0.5*rate*s.services[agent].Share(testCustomer)+1, before, 1.01)
 }
 
 // Guards against changed limits that agents apply only when the leader has told them.
@@ -218,15 +229,15 @@
 	s.publish(200)
 	s.services[0].currentLimits() // as Run does at once
 	s.clock.Advance(2 * time.Second)
-	raised, _ := s.admit(0, 400)
-	assert.InDelta(t, 100, raised, 12, "half of the raised capacity")
+	raised := s.admitAt(0, 400)
+	assert.InDelta(t, capacity(200)/2, raised, 12, "half of the raised capacity")
 	s.clock.Advance(2 * time.Second)
 	s.publish(1010)
-	lowered, _ := s.admit(0, 400)
+	lowered := s.admitAt(0, 400)
 	assert.InDelta(t, capacity(10)/2, lowered, 1)
 	s.clock.Advance(2 * time.Second)
-	lowered, _ = s.admit(0, 400)
-	assert.InDelta(t, 10, lowered, 1)
+	lowered = s.admitAt(0, 400)
+	assert.InDelta(t, gwquota.NewLimit(10, 10, testRules).Rate, lowered, 1, "half of the rate, for 2 s")
 }
 
 // Guards against callers who wait for, or are refused because of, an agent that is dead or stands
@@ -300,3 +311,19 @@
 	admitted, _ := s.admit(0, 1)
 	assert.Equal(t, 1, admitted, "by the agent of the other data centre")
 }
+
+// Guards against callers that are refused in one data centre while the agent of another one in the
+// region has capacity: shares follow the demand after a second only, and a burst is over by then.
+func TestOtherDataCentreHasCapacity(t *testing.T) {
+	s := newSite(t, "a", "b")
+	s.publish(20)
+	s.run(2 * time.Second)
+	n, err := s.admit(0, 100)
+	assert.InDelta(t, capacity(20), float64(n), 2, "both agents' shares")
+	var over *gwfilter.QuotaError
+	require.ErrorAs(t, err, &over)
+	assert.False(t, over.Unchecked)
+	calls := s.services[0].Node.Traffic(gwcontrol.KindQuotaAdmit.ID).Messages
+	_, _ = s.admit(0, 100)
+	assert.Equal(t, calls, s.services[0].Node.Traffic(gwcontrol.KindQuotaAdmit.ID).Messages, "an exhausted agent is not asked for each operation")
+}
--- a/pkg/gwquota/agent.go
+++ b/pkg/gwquota/agent.go
@@ -121,24 +121,32 @@
 	h.returned = max(0, before-h.bucket.tokens)
 }
 
-// Admit decides about one operation.
-func (a *Agent) Admit(now time.Time, customer string) Decision {
+// Admit decides about one operation. overflow means that it is the demand of another agent, which
+// has no capacity; it does not count as demand here.
+func (a *Agent) Admit(now time.Time, customer string, overflow bool) Decision {
 	h := a.customers[customer]
 	if h == nil || h.limit.Rate <= 0 {
 		return Decision{Outcome: NoShare}
 	}
 	if !now.Before(a.until) || h.bucket.capacity < 1 {
-		h.meter.count(false)
+		h.count(false, overflow)
 		return Decision{Outcome: NoShare}
 	}
 	wait, ok := h.bucket.take(now)
-	h.meter.count(ok)
+	h.count(ok, overflow)
 	if !ok {
 		return Decision{Outcome: Over, Wait: wait}
 	}
 	return Decision{Outcome: Granted}
 }
 
+// count counts an operation of the agent's own demand.
+func (h *holding) count(admitted, overflow bool) {
+	if !overflow {
+		h.meter.count(admitted)
+	}
+}
+
 // Return takes back an admission of the given age at most. It reports whether the operation can
 // be admitted again.
 func (a *Agent) Return(now time.Time, customer string, age time.Duration) bool {
--- a/pkg/gwquota/property_test.go
+++ b/pkg/gwquota/property_test.go
@@ -29,6 +29,8 @@
 	limit    Limit
 	// most is the largest limit so far.
 	most Limit
+	// bound is the largest bound so far on the operations in a window of the rules.
+	bound float64
 	// ran are the true times of the admissions that were not returned.
 	ran []time.Duration
 }
@@ -61,7 +63,7 @@
 
 func newModel(t *rapid.T) *model {
 	m := &model{t: t, holders: make(map[*Ledger]map[string]bool), limit: NewLimit(20, 20, testRules)}
-	m.most = m.limit
+	m.most, m.bound = m.limit, testRules.Bound(20, 20)
 	for i := range rapid.IntRange(1, 4).Draw(t, "agents") {
 		a := &modelAgent{name: fmt.Sprint("agent", i), speed: rapid.SampledFrom([]float64{0.995, 1, 1.005}).Draw(t, "speed")}
 		m.agents = append(m.agents, a)
@@ -193,7 +195,7 @@
 		return
 	}
 	for range rapid.IntRange(1, 60).Draw(m.t, "operations") {
-		if a.Admit(a.clock(m.now), modelCustomer).Outcome == Granted {
+		if a.Admit(a.clock(m.now), modelCustomer, false).Outcome == Granted {
 			m.ran = append(m.ran, m.now)
 			a.open = append(a.open, len(m.ran)-1)
 		}
@@ -219,7 +221,8 @@
 func (m *model) changeLimit(*rapid.T) {
 	rate := rapid.SampledFrom([]float64{5, 20, 40}).Draw(m.t, "rate")
 	m.limit = NewLimit(rate, rate, testRules)
-	m.most = Limit{Rate: max(m.most.Rate, rate), Capacity: max(m.most.Capacity, m.limit.Capacity)}
+	m.most = Limit{Rate: max(m.most.Rate, m.limit.Rate), Capacity: max(m.most.Capacity, m.limit.Capacity)}
+	m.bound = max(m.bound, testRules.Bound(rate, rate))
 	limits := map[string]Limit{modelCustomer: m.limit}
 	m.ledgers[len(m.ledgers)-1].SetLimits(limits, len(m.agents))
 	for _, a := range m.agents {
@@ -277,6 +280,9 @@
 		if n := float64(len(ran) - i); n > allowed+1e-6 {
 			t.Fatalf("%v operations in %v, at most %.1f are allowed", n, m.now-at, allowed)
 		}
+		if n := float64(len(ran) - i); m.now-at <= testRules.Window && n > m.bound {
+			t.Fatalf("%v operations in %v, the rules allow %.1f in %v", n, m.now-at, m.bound, testRules.Window)
+		}
 	}
 }
 
--- a/pkg/gwquota/replay_test.go
+++ b/pkg/gwquota/replay_test.go
@@ -135,7 +135,7 @@
 	w.run(2 * time.Second)
 	for _, s := range w.sites {
 		for _, c := range w.customers {
-			assert.Equal(t, Granted, s.agent.Admit(w.now, c.name).Outcome, "%s at %s", c.name, s.name)
+			assert.Equal(t, Granted, s.agent.Admit(w.now, c.name, false).Outcome, "%s at %s", c.name, s.name)
 		}
 	}
 	w.run(time.Second)
--- a/pkg/gwquota/world_test.go
+++ b/pkg/gwquota/world_test.go
@@ -182,14 +182,16 @@
 // admit asks the agent of a site, then those of the other sites of its half.
 func (w *world) admit(at int, customer string) bool {
 	half := (len(w.sites) + 1) / 2
+	answered := false
 	for i := range half {
 		s := w.sites[at/half*half+(at%half+i)%half]
 		if s.agent == nil {
 			continue
 		}
-		if d := s.agent.Admit(w.now, customer); d.Outcome != NoShare {
-			return d.Outcome == Granted
+		if s.agent.Admit(w.now, customer, answered).Outcome == Granted {
+			return true
 		}
+		answered = true
 	}
 	return false
 }
