--- a/internal/gwfilter/quota.go
+++ b/internal/gwfilter/quota.go
@@ -58,26 +58,18 @@
 	}
 }
 
-const (
-	// maxHeldCount is how long before an attempt its count may have been taken. Requests wait up
-	// to 8 s for a change of primary; with counts of that age, all would run in the window in
-	// which as many new ones are admitted.
-	maxHeldCount = 500 * time.Millisecond
-	// maxReturnedCount is the age up to which a count is returned. Quotas cannot tell whether an
-	// older one would have been lost at a customer that has not used its limit since.
-	maxReturnedCount = 2 * time.Second
-)
+// maxReturnedCount is the age up to which a count is returned. Quotas cannot tell whether an older
+// one would have been lost at a customer that has not used its limit since.
+const maxReturnedCount = 2 * time.Second
 
-// takeQuota counts an attempt of the request unless a recent count of an earlier attempt, which
-// certainly did not run, is still held.
+// takeQuota counts an attempt of the request unless the count of an earlier attempt, which
+// certainly did not run, is still held. It may be old, as when the request has waited for a change
+// of primary: an operation counts in a window only if it was also sent in it, and the count is
+// taken after that.
 func (e *Entry) takeQuota(ctx context.Context, r *request) error {
-	if e.Quota == nil || r.session.customer == "" || !r.executes {
-		return nil
-	}
-	if r.admitted && e.Clock.Since(r.admittedAt) <= maxHeldCount {
+	if e.Quota == nil || r.session.customer == "" || r.admitted || !r.executes {
 		return nil
 	}
-	e.returnQuota(r)
 	began := e.Clock.Now()
 	if err := e.Quota.Admit(ctx, r.session.customer); err != nil {
 		return err
