--- a/pkg/gwquota/limit.go
+++ b/pkg/gwquota/limit.go
@@ -63,7 +63,7 @@
 	extra := max(0, r.Overage*(rate*window+burst)+r.Slack-drift*rate*(1+r.Overage)*window)
 	raise := r.Overage * rate
 	if window > 0 {
-		raise = min(raise, maxRaise*extra/window)
+		raise = min(raise, maxRaise*extra/window, max(0, burst+extra-1)/window)
 	}
 	return Limit{Rate: rate + raise, Capacity: max(burst+extra-raise*window, burst, 1)}
 }
