gwquota, gwcontrol: each run of an instance reports once, and for as long as a share counts

A run now reports once even without shares, without being recorded for it, and an agent that has given up its shares reports until no leader counts them any more.

--- a/cmd/gentianward-platform/quota_test.go
+++ b/cmd/gentianward-platform/quota_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"gentianward.example/gentianward/platform"
 	"gentianward.example/gentianward/platform/platformtest"
 )
 
@@ -40,7 +41,7 @@
 // Guards against a leader whose loss stops the operations of customers, at once or when the shares
 // that it assigned end.
 func TestQuotaWhenLeaderIsKilled(t *testing.T) {
-	d := startWithLog(t, slog.New(slog.DiscardHandler), "i-1", "i-2", "i-3")
+	d := startWithSettings(t, slog.New(slog.DiscardHandler), func(*platform.Settings) {}, "i-1", "i-2", "i-3")
 	d.awaitReady()
 	acme := platformtest.Tenant{Name: "acme", Keys: []string{"key-acme"}, Rate: 100, Burst: 100}
 	d.publishTenants(8, acme)
--- a/internal/gwcontrol/quota.go
+++ b/internal/gwcontrol/quota.go
@@ -70,6 +70,9 @@
 	if err := q.confirm.wait(ctx); err != nil {
 		return gwquota.Answer{}, err
 	}
+	if len(r.Lines) == 0 && r.Base == 0 && !q.mayHold(lead, from) {
+		return gwquota.Answer{Sequence: r.Sequence}, nil // a new run without shares
+	}
 	if err := q.record(ctx, lead, from); err != nil {
 		return gwquota.Answer{}, err
 	}
@@ -89,6 +92,14 @@
 	return answer, nil
 }
 
+// mayHold reports whether an instance is recorded as a holder of shares, or will be.
+func (q *quotaLeader) mayHold(lead Leadership, instance string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.prepare(lead)
+	return q.recorded(instance) || q.joining[instance]
+}
+
 // prepare makes the ledger that of the term, with the limits of the current manifest; the caller
 // holds the lock.
 func (q *quotaLeader) prepare(lead Leadership) {
--- a/pkg/gwquota/agent.go
+++ b/pkg/gwquota/agent.go
@@ -53,6 +53,10 @@
 	// acknowledge means that the last answer has changed shares, which the next report
 	// confirms.
 	acknowledge bool
+	// announced means that a leader has answered a report of this run, which ends the shares of
+	// earlier ones; heldAt is when the agent last held or wanted a share.
+	announced bool
+	heldAt    time.Time
 	// nextAt is when the leader may have more shares; zero if that is not known.
 	nextAt time.Time
 }
@@ -209,7 +213,7 @@
 	a.expire(now)
 	a.Failed()
 	var lines []byte
-	needed := a.acknowledge
+	needed := a.acknowledge || !a.announced
 	if !a.nextAt.IsZero() && !now.Before(a.nextAt) {
 		needed, a.nextAt = true, time.Time{}
 	}
@@ -218,7 +222,12 @@
 	} else {
 		var holds bool
 		lines, holds = a.changedLines()
-		needed = needed || len(lines) > 0 || holds && now.Sub(a.sentAt) >= RenewInterval
+		if holds {
+			a.heldAt = now
+		}
+		// A new leader waits for all that the last one has counted.
+		counted := now.Sub(a.heldAt) < CountedValidity
+		needed = needed || len(lines) > 0 || counted && now.Sub(a.sentAt) >= RenewInterval
 	}
 	if !needed {
 		return Report{}, false
@@ -314,6 +323,7 @@
 		return nil, false
 	}
 	a.base, a.pending, a.until = a.sequence, 0, a.sentAt.Add(Validity)
+	a.announced = true
 	a.nextAt = time.Time{}
 	if answer.Next > 0 {
 		a.nextAt = now.Add(time.Duration(answer.Next) * time.Millisecond)
