--- a/pkg/gwquota/limit.go
+++ b/pkg/gwquota/limit.go
@@ -28,13 +28,13 @@
 	urgentRate = 2
 )
 
-const (
-	// drift is the allowance for agents whose clocks are fast.
-	drift = 0.02
-	// maxRaise is the greatest part of what the rules allow beyond rate and burst that raises the
-	// rate. Without it a customer without a burst could have one operation at a time.
-	maxRaise = 0.5
-)
+// drift is the allowance for agents whose clocks are fast.
+const drift = 0.02
+
+// leastCapacity is the capacity in operations that is not given up for a higher rate. A customer
+// without a burst could otherwise have one operation at a time, with which five of six data centres
+// have no agent that may admit one.
+const leastCapacity = 16
 
 // Rules describe how limits are checked: in each sliding Window, the operations of a customer
 // may exceed what its rate and burst allow by the fraction Overage and by Slack operations.
@@ -63,7 +63,7 @@
 	extra := max(0, r.Overage*(rate*window+burst)+r.Slack-drift*rate*(1+r.Overage)*window)
 	raise := r.Overage * rate
 	if window > 0 {
-		raise = min(raise, maxRaise*extra/window, max(0, burst+extra-1)/window)
+		raise = min(raise, max(0, burst+extra-leastCapacity)/window, extra/window)
 	}
 	return Limit{Rate: rate + raise, Capacity: max(burst+extra-raise*window, burst, 1)}
 }
