gwcontrol: shares with real voters that stop, crash and are cut off; holders removed sooner

The new test found that the lock under which holders are recorded was held while an entry was committed, so that reports waited beyond their time; it is a channel now. A report without shares of an instance that is not recorded no longer records it.

--- a/internal/gwcontrol/dutycluster_test.go
+++ b/internal/gwcontrol/dutycluster_test.go
@@ -60,6 +60,8 @@
 	// that.
 	latency time.Duration
 	disks   map[string]*gwstore.MemoryFS
+	// exclusiveNames: see Leader.AssumeExclusiveNames; for processes that start from now on.
+	exclusiveNames bool
 
 	mu        sync.Mutex
 	processes map[string]*process
@@ -181,7 +183,10 @@
 	p.leader = &Leader{
 		consensus: c, state: c.State, clock: p, log: c.Log, owners: modelOwners{p}, promoter: p,
 		changing: make(map[string]bool), moves: make(leadershipMoves), waits: make(changeWaits), onChanged: m.recordFinish,
+		exclusiveNames: m.exclusiveNames, manifest: func() *gwmanifest.Index { return modelManifest },
 	}
+	p.leader.quotas = newQuotaLeader(p.leader, modelQuotaRules)
+	p.leader.quotas.clock = rateClock{p} // read under the lock
 	m.mu.Lock()
 	m.processes[name] = p
 	m.mu.Unlock()
--- a/internal/gwcontrol/quota.go
+++ b/internal/gwcontrol/quota.go
@@ -30,6 +30,7 @@
 // quotaLeader assigns the shares of customers' limits while this voter leads.
 type quotaLeader struct {
 	leader  *Leader
+	clock   clockwork.Clock
 	rules   gwquota.Rules
 	confirm *confirmations
 
@@ -42,18 +43,24 @@
 	// proposed in this term and may not have been applied.
 	joining, leaving map[string]bool
 	prunedAt         time.Time
+	// holdsNothing means that a recorded instance has reported that it has no shares.
+	holdsNothing bool
+
+	// recording holds an element while the holders are recorded.
+	recording chan struct{}
+}
 
-	// recording is held while the holders are recorded.
-	recording sync.Mutex
+func newQuotaLeader(l *Leader, r gwquota.Rules) *quotaLeader {
+	return &quotaLeader{
+		leader: l, rules: r, confirm: &confirmations{clock: l.clock, confirm: l.consensus.ConfirmLeadership},
+		joining: make(map[string]bool), leaving: make(map[string]bool), recording: make(chan struct{}, 1), clock: l.clock,
+	}
 }
 
 // ServeQuotas makes the voter assign shares of customers' limits while it leads. It must be called
 // before Run.
 func (l *Leader) ServeQuotas(node *gwpeer.Node, r gwquota.Rules) {
-	l.quotas = &quotaLeader{
-		leader: l, rules: r, confirm: &confirmations{clock: l.clock, confirm: l.consensus.ConfirmLeadership},
-		joining: make(map[string]bool), leaving: make(map[string]bool),
-	}
+	l.quotas = newQuotaLeader(l, r)
 	gwpeer.Handle(node, kindQuota, func(ctx context.Context, from string, r gwquota.Report) (gwquota.Answer, error) {
 		return withCode(l.Quota(ctx, from, r))
 	})
@@ -70,24 +77,29 @@
 	if err := q.confirm.wait(ctx); err != nil {
 		return gwquota.Answer{}, err
 	}
-	if len(r.Lines) == 0 && r.Base == 0 && !q.mayHold(lead, from) {
-		return gwquota.Answer{Sequence: r.Sequence}, nil // a new run without shares
+	if len(r.Lines) == 0 && !q.mayHold(lead, from) {
+		// A run without shares, which need not be recorded. It sends no changes from then on.
+		return gwquota.Answer{Sequence: r.Sequence, Incomplete: r.Base != 0}, nil
 	}
 	if err := q.record(ctx, lead, from); err != nil {
 		return gwquota.Answer{}, err
 	}
+	if now, leading := l.consensus.Leadership(); !leading || now.Term != lead.Term {
+		return gwquota.Answer{}, &Error{Op: op, Kind: NotLeader}
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if now, leading := l.consensus.Leadership(); !leading || now.Term != lead.Term || q.term != lead.Term {
+	if q.term != lead.Term {
 		return gwquota.Answer{}, &Error{Op: op, Kind: NotLeader}
 	}
 	if !q.recorded(from) {
 		return gwquota.Answer{}, &Error{Op: op, Kind: Unavailable, Detail: "the instance is being removed from the holders"}
 	}
-	answer, ok, err := q.ledger.Handle(l.clock.Now(), from, r)
+	answer, ok, err := q.ledger.Handle(q.clock.Now(), from, r)
 	if err != nil || !ok {
 		return gwquota.Answer{}, &Error{Op: op, Kind: Refused, Detail: "the report is malformed or not the latest", Err: err}
 	}
+	q.holdsNothing = q.holdsNothing || len(r.Lines) == 0 && r.Base == 0
 	q.prune(lead)
 	return answer, nil
 }
@@ -111,7 +123,7 @@
 			e.Holders = holders
 		}
 		q.ledger = gwquota.NewLedger(lead.Since, e, q.leader.exclusiveNames)
-		q.term, q.manifest, q.prunedAt = lead.Term, nil, q.leader.clock.Now()
+		q.term, q.manifest, q.prunedAt = lead.Term, nil, q.clock.Now()
 		clear(q.joining)
 		clear(q.leaving)
 		q.leader.log.Info("assigning shares of customers' limits", "term", lead.Term, "firstTerm", lead.NoManifest)
--- a/internal/gwcontrol/quotaholders.go
+++ b/internal/gwcontrol/quotaholders.go
@@ -15,7 +15,12 @@
 // instead of 0.8 s, with shares that are valid for 7 s.
 
 // pruneInterval is the least time between two removals of instances that hold no shares any more.
-const pruneInterval = 10 * time.Second
+// After the report of a run without shares it is shorter: that run does not report again, and the
+// next leader would wait for it.
+const (
+	pruneInterval     = 10 * time.Second
+	pruneSoonInterval = time.Second
+)
 
 // recorded reports whether the log says that an instance may hold shares; the caller holds the
 // lock.
@@ -37,8 +42,12 @@
 	if known {
 		return nil
 	}
-	q.recording.Lock()
-	defer q.recording.Unlock()
+	select {
+	case q.recording <- struct{}{}:
+	case <-ctx.Done():
+		return &Error{Op: "record holder", Kind: Unavailable, Err: ctx.Err()}
+	}
+	defer func() { <-q.recording }()
 	q.mu.Lock()
 	known = q.recorded(instance)
 	names, _ := q.leader.state.QuotaHolders()
@@ -72,11 +81,15 @@
 // prune removes the instances that hold no shares from the log, in the background; the caller
 // holds the lock.
 func (q *quotaLeader) prune(lead Leadership) {
-	now := q.leader.clock.Now()
-	if now.Sub(q.prunedAt) < pruneInterval || !q.ledger.Settled(now) {
+	now := q.clock.Now()
+	interval := pruneInterval
+	if q.holdsNothing {
+		interval = pruneSoonInterval
+	}
+	if now.Sub(q.prunedAt) < interval || !q.ledger.Settled(now) {
 		return
 	}
-	q.prunedAt = now
+	q.prunedAt, q.holdsNothing = now, false
 	names, _ := q.leader.state.QuotaHolders()
 	maps.DeleteFunc(q.leaving, func(name string, _ bool) bool { return !slices.Contains(names, name) })
 	holders := q.ledger.Holders(now)
@@ -93,8 +106,8 @@
 // remove removes the instances in leaving from the log. They stay there, and get no shares, until
 // record names them in a later entry or prune finds that they are gone.
 func (q *quotaLeader) remove(lead Leadership) {
-	q.recording.Lock()
-	defer q.recording.Unlock()
+	q.recording <- struct{}{}
+	defer func() { <-q.recording }()
 	q.mu.Lock()
 	names, _ := q.leader.state.QuotaHolders()
 	kept := slices.DeleteFunc(union(names, q.joining), func(name string) bool { return q.leaving[name] })
--- a/pkg/gwquota/ledger.go
+++ b/pkg/gwquota/ledger.go
@@ -88,8 +88,10 @@
 func (l *Ledger) Holders(now time.Time) []string {
 	l.sweep(now)
 	names := make(map[string]bool, len(l.agents))
-	for key := range l.agents {
-		names[key.instance] = true
+	for key, rec := range l.agents {
+		if len(rec.lines) > 0 {
+			names[key.instance] = true
+		}
 	}
 	if now.Before(l.unknownUntil) {
 		maps.Copy(names, l.missing)
