gwquotas: operations wait for the first shares, which are reported for sooner

An operation now waits for shares as a write waits for the lease, for half of its time and 1 s at most; runs report every 100 ms until a leader has answered.

--- a/internal/gwquotas/admit.go
+++ b/internal/gwquotas/admit.go
@@ -21,8 +21,10 @@
 	// dead instance after about 2 s.
 	failureTime = time.Second
 	// uncheckedWait is when a caller is told to return if no agent that can be reached holds a
-	// share. The leader assigns shares in about this time.
-	uncheckedWait = time.Second
+	// share, and how long an operation waits for one at most. The leader assigns shares in about
+	// this time. uncheckedRetry is the time between two checks.
+	uncheckedWait  = time.Second
+	uncheckedRetry = 50 * time.Millisecond
 )
 
 // admitRequest asks for one operation of a customer, or takes one back.
@@ -43,15 +45,35 @@
 	return admitAnswer{Outcome: d.Outcome, WaitMillis: uint32((d.Wait + time.Millisecond - 1) / time.Millisecond)}
 }
 
-// Admit implements gwfilter.Quota.
-//
-// An agent whose share is used up does not decide alone: its share follows the demand only after
-// a second, and the demand of a small customer is mostly noise. The agents of the other data
-// centres of the region are asked, too, before the operation is refused.
+// Admit implements gwfilter.Quota. While no agent holds a share, as after a loss of power
+// everywhere, it waits for part of the time to the deadline of ctx: callers use up their attempts
+// within the second in which the leader assigns shares.
 func (s *Service) Admit(ctx context.Context, customer string) error {
 	if _, limited := s.currentLimits().byCustomer[customer]; !limited {
 		return nil
 	}
+	until := s.Clock.Now()
+	if deadline, ok := ctx.Deadline(); ok {
+		until = until.Add(min(uncheckedWait, time.Until(deadline)/2))
+	}
+	for {
+		err := s.askAgents(ctx, customer)
+		switch {
+		case err == nil:
+			return nil
+		case !err.Unchecked || ctx.Err() != nil || !s.Clock.Now().Add(uncheckedRetry).Before(until):
+			return err
+		}
+		<-s.Clock.After(uncheckedRetry)
+	}
+}
+
+// askAgents asks the agents in turn for one operation.
+//
+// An agent whose share is used up does not decide alone: its share follows the demand only after
+// a second, and the demand of a small customer is mostly noise. The agents of the other data
+// centres of the region are asked, too, before the operation is refused.
+func (s *Service) askAgents(ctx context.Context, customer string) *gwfilter.QuotaError {
 	asked := "" // the data centre whose agent has answered
 	var over *gwfilter.QuotaError
 	for _, m := range s.currentAgents().of(customer) {
--- a/internal/gwquotas/service.go
+++ b/internal/gwquotas/service.go
@@ -148,13 +148,21 @@
 	}
 }
 
+// startInterval is the time between two attempts of the first report of a run, for which a new
+// leader waits before it assigns shares.
+const startInterval = 100 * time.Millisecond
+
 // untilNext returns the time until the next step. Intervals begin at multiples of the interval, so
 // that a step in between does not delay them.
 func (s *Service) untilNext() time.Duration {
 	now := s.Clock.Now()
 	wait := gwquota.ReportInterval - time.Duration(now.UnixNano())%gwquota.ReportInterval
+	limited := len(s.currentLimits().byCustomer) > 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.agent == nil && limited || s.agent != nil && !s.agent.Announced() {
+		return min(wait, startInterval)
+	}
 	if s.agent == nil || s.agent.Next().IsZero() {
 		return wait
 	}
--- a/internal/gwquotas/service_test.go
+++ b/internal/gwquotas/service_test.go
@@ -327,3 +327,22 @@
 	_, _ = s.admit(0, 100)
 	assert.Equal(t, calls, s.services[0].Node.Traffic(gwcontrol.KindQuotaAdmit.ID).Messages, "an exhausted agent is not asked for each operation")
 }
+
+// Guards against callers that use up their attempts while the leader has not assigned shares yet, as
+// after a loss of power everywhere.
+func TestOperationWaitsForShares(t *testing.T) {
+	s := newSite(t, "a", "b")
+	s.publish(20)
+	admitted := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	go func() { admitted <- s.services[0].Admit(ctx, testCustomer) }()
+	require.NoError(t, s.clock.BlockUntilContext(ctx, 1))
+	s.run(gwquota.ReportInterval)
+	select {
+	case err := <-admitted:
+		require.NoError(t, err)
+	case <-ctx.Done():
+		t.Fatal("the operation is not admitted with the shares")
+	}
+}
--- a/pkg/gwquota/agent.go
+++ b/pkg/gwquota/agent.go
@@ -196,6 +196,9 @@
 	}
 }
 
+// Announced reports whether a leader has answered a report of this run.
+func (a *Agent) Announced() bool { return a.announced }
+
 // Next returns the time at which a report is due between two intervals, zero if there is none.
 func (a *Agent) Next() time.Time { return a.nextAt }
 
--- a/pkg/gwquota/ledger.go
+++ b/pkg/gwquota/ledger.go
@@ -194,11 +194,14 @@
 // reported what it holds.
 const soon = 400 * time.Millisecond
 
+// soonAtStart is soon while the leader waits for the first reports of other instances.
+const soonAtStart = 150 * time.Millisecond
+
 // next returns the milliseconds until the agent should report outside of its intervals, or 0.
 func (l *Ledger) next(now time.Time, rec *record) uint32 {
 	if wait := l.unknownUntil.Sub(now); wait > 0 {
 		if l.missing != nil {
-			wait = min(wait, soon)
+			wait = min(wait, soonAtStart)
 		}
 		return uint32(wait.Milliseconds()) + 1
 	}
