--- a/pkg/gwmember/config.go
+++ b/pkg/gwmember/config.go
@@ -44,6 +44,22 @@
 	sweepInterval    = 2 * time.Second // how often expired tombstones are removed
 )
 
+const (
+	// smallRing is the number of live members of a data centre up to which each of them watches
+	// all others for alertPeriod after a suspicion. A partition can separate a member from most
+	// of its few watchers; those that remain would find the losses of the next ones on the
+	// ring one round after the other. In larger data centres, Config.Watchers bounds the
+	// cost for each member.
+	smallRing   = 16
+	alertPeriod = 3 * time.Second
+	// When massDeaths members or more have died within massLossPeriod, a relay reports those of
+	// its data centre to massFanout more members of each other data centre. Some of its
+	// contacts there are then likely to be lost as well.
+	massDeaths     = 2
+	massFanout     = 8
+	massLossPeriod = 3 * time.Second
+)
+
 // Config configures Members. Zero values take the defaults.
 type Config struct {
 	Self Member
--- a/pkg/gwmember/doc.go
+++ b/pkg/gwmember/doc.go
@@ -8,10 +8,13 @@
 // member does not answer, the member is declared dead; a suspicion that nobody shares
 // takes twice as long. Updates spread by gossip within the data centre, piggybacked
 // on other messages and in messages of their own. A member that learns of a shared
-// suspicion or of its own death increases its incarnation, which refutes the claim.
+// suspicion or of its own death increases its incarnation, which refutes the claim. In a
+// small data centre a suspicion makes each member watch all others for some seconds, so
+// that the losses of a partition are found together.
 //
 // Between data centres only relays communicate: the two members of each data centre
-// with the lowest hash. A data centre that no relay of the own one can reach is
+// with the lowest hash. When several members are lost at once, a relay also reports to
+// others than the relays of a data centre, as these may be lost. A data centre that no relay of the own one can reach is
 // reported as unreachable, and its members keep their last known status.
 //
 // Parts of a deployment that lost each other find each other again: the members of a data
--- a/pkg/gwmember/members.go
+++ b/pkg/gwmember/members.go
@@ -20,6 +20,8 @@
 
 	watched        []*entry // the members that this instance watches
 	watchedStale   bool
+	alert          bool // a member of the own data centre was suspected shortly before, see raiseAlert
+	alertUntil     time.Time
 	overlay        overlay
 	overlayRing    []*entry // the ring that overlay was computed from
 	nextRandom     time.Time
@@ -31,6 +33,8 @@
 	nextGossip time.Time
 
 	wasRelay        bool
+	lastDeath       time.Time // when a row last changed to dead
+	recentDeaths    int       // number of recent deaths when this relay last looked
 	nextViewRefresh time.Time
 	nextViewMerge   time.Time
 	nextLocalSync   time.Time
@@ -76,6 +80,7 @@
 	m.begin(now)
 	m.handleStall(now)
 	m.lastTick = now
+	m.checkAlert(now)
 	m.refreshWatched(now)
 	m.probe(now)
 	m.checkClaims(now)
--- a/pkg/gwmember/probe.go
+++ b/pkg/gwmember/probe.go
@@ -39,7 +39,7 @@
 		return
 	}
 	m.watchedStale = false
-	_, after := m.table.neighbors(m.self, m.cfg.Watchers)
+	_, after := m.table.neighbors(m.self, m.watchers())
 	for _, e := range m.watched {
 		if !slices.Contains(after, e) {
 			m.clearSuspicion(e, now)
@@ -54,6 +54,29 @@
 	m.watched = after
 }
 
+// watchers returns the number of members that watch each member of the own data centre.
+func (m *Members) watchers() int {
+	if n := len(m.table.ring(m.self.DataCentre)); m.alert && n <= smallRing {
+		return max(m.cfg.Watchers, n)
+	}
+	return m.cfg.Watchers
+}
+
+// raiseAlert makes this instance watch all members of a small data centre for alertPeriod.
+func (m *Members) raiseAlert(now time.Time) {
+	m.alertUntil = now.Add(alertPeriod)
+	if !m.alert {
+		m.alert, m.watchedStale = true, true
+	}
+}
+
+// checkAlert ends an alert.
+func (m *Members) checkAlert(now time.Time) {
+	if m.alert && now.After(m.alertUntil) {
+		m.alert, m.watchedStale = false, true
+	}
+}
+
 // clearWatch abandons the current probe and suspicion of a member.
 func (m *Members) clearWatch(e *entry) {
 	if w := e.watch; w != nil {
@@ -121,18 +144,20 @@
 
 // suspect marks a member as suspect.
 func (m *Members) suspect(e *entry, now time.Time) {
+	m.raiseAlert(now)
 	e.watch.suspectedAt = now
 	e.watch.nextNotify = now
 	e.status = StatusSuspect
 	m.actions = append(m.actions, MemberChanged{Member: e.Member, Status: StatusSuspect})
 }
 
-// notifyWatchers sends a suspicion to the other watchers of the member.
+// notifyWatchers sends a suspicion to the other watchers of the member, without those that are
+// suspected themselves.
 func (m *Members) notifyWatchers(e *entry, now time.Time) {
 	e.watch.nextNotify = now.Add(m.cfg.ProbeTimeout)
-	before, _ := m.table.neighbors(e, m.cfg.Watchers)
+	before, _ := m.table.neighbors(e, m.watchers())
 	for _, other := range before {
-		if other != m.self {
+		if other != m.self && other.status != StatusSuspect {
 			m.send(other, Message{Kind: KindGossip, Updates: []Update{suspectUpdate(e)}})
 		}
 	}
@@ -141,7 +166,14 @@
 // confirmSuspicion records that another member suspects a watched one, and probes it at once.
 func (m *Members) confirmSuspicion(from string, u Update, now time.Time) {
 	e := m.table.rows[u.Member.Instance]
-	if e == nil || e.watch == nil || e.Incarnation != u.Member.Incarnation || from == e.Instance {
+	if e == nil || e.Incarnation != u.Member.Incarnation || from == e.Instance {
+		return
+	}
+	if e.status.Live() && e.DataCentre == m.self.DataCentre {
+		m.raiseAlert(now)
+		m.refreshWatched(now)
+	}
+	if e.watch == nil {
 		return
 	}
 	e.watch.confirmedAt = now
--- a/pkg/gwmember/queue.go
+++ b/pkg/gwmember/queue.go
@@ -101,7 +101,7 @@
 	if !m.local.empty() {
 		m.gossipNow()
 	}
-	if !m.remote.empty() && m.wasRelay {
+	if m.wasRelay {
 		m.relayUpdates()
 	}
 }
@@ -112,13 +112,14 @@
 	}
 }
 
-// randomLocal returns up to n distinct contacts in random order, without except.
+// randomLocal returns up to n distinct contacts in random order, without except and without
+// suspects, which probably receive nothing.
 func (m *Members) randomLocal(n int, except *entry) []*entry {
 	contacts := m.contacts().all
 	chosen := make([]*entry, 0, n)
 	for tries := 0; len(chosen) < n && tries < 4*n && len(contacts) > 0; tries++ {
 		e := contacts[m.cfg.Rand.IntN(len(contacts))]
-		if e != except && e.status.Live() && !slices.Contains(chosen, e) {
+		if e != except && e.status == StatusAlive && !slices.Contains(chosen, e) {
 			chosen = append(chosen, e)
 		}
 	}
--- a/pkg/gwmember/relay.go
+++ b/pkg/gwmember/relay.go
@@ -104,6 +104,7 @@
 // relayUpdates sends pending updates to every data centre that is not down. One that is
 // down gets them by table comparison when it is reachable again.
 func (m *Members) relayUpdates() {
+	fanout := m.remoteFanout()
 	if m.remote.empty() {
 		return
 	}
@@ -117,7 +118,57 @@
 		if e := m.chooseContact(dc, m.lastTick); e != nil {
 			m.sendTo(e.Address, msg)
 		}
+		for _, e := range m.otherContacts(dc, fanout) {
+			m.sendTo(e.Address, msg)
+		}
+	}
+}
+
+// remoteFanout returns the number of members of each other data centre to send the pending
+// updates to beside the usual contact. When a further member has died soon after others, the
+// recent deaths in the own data centre are reported again, as the earlier reports went to
+// fewer contacts.
+func (m *Members) remoteFanout() int {
+	if m.lastTick.Sub(m.lastDeath) >= massLossPeriod {
+		return 0
+	}
+	deaths := 0
+	var own []*entry
+	for _, e := range m.table.rows {
+		if e.status != StatusDead || m.lastTick.Sub(e.since) >= massLossPeriod {
+			continue
+		}
+		deaths++
+		if e.DataCentre == m.self.DataCentre {
+			own = append(own, e)
+		}
+	}
+	seen := m.recentDeaths
+	m.recentDeaths = deaths
+	if deaths < massDeaths {
+		return 0
+	}
+	if deaths > seen {
+		slices.SortFunc(own, byRingHash) // for a repeatable order
+		for _, e := range own {
+			m.remote.add(e)
+		}
+	}
+	return massFanout
+}
+
+// otherContacts returns n live members of a data centre in random order.
+func (m *Members) otherContacts(dc *dataCentre, n int) []*entry {
+	ring := m.table.ring(dc.name)
+	n = min(n, len(ring))
+	if n <= 0 {
+		return nil
+	}
+	out := make([]*entry, 0, n)
+	for _, i := range m.cfg.Rand.Perm(len(ring))[:n] {
+		out = append(out, ring[i])
 	}
+	return out
 }
 
 // observeRemoteSender records a message from another data centre. If that data centre's
--- a/pkg/gwmember/update.go
+++ b/pkg/gwmember/update.go
@@ -80,6 +80,9 @@
 	if member.DataCentre == m.self.DataCentre {
 		m.watchedStale = true
 	}
+	if changed && status == StatusDead {
+		m.lastDeath = now
+	}
 	if changed {
 		m.actions = append(m.actions, MemberChanged{Member: e.Member, Status: status})
 		m.enqueue(e)
