gwowner: an instance without contact orders no server to follow

The leader paused the replicas of gowu98c for a change of primary; an instance of the other side, whose view did not show the change, resumed one of them ten times a second, and tried the same after its promotion. The change took 1.9 s.

Change: replicas are ordered to follow only while the leader can be reached (Options.InContact; no change where contact is not checked).

Ruled out: comparing terms at the server. A paused replica reports the old term.

--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -171,7 +171,7 @@
 // to date.
 func (s *server) superviseReplica(ctx context.Context, g gwcontrol.GroupView) {
 	r, _, err := s.backend.Report()
-	if err == nil && (r.Role == gwbackend.RolePrimary || r.Paused || r.Term < g.Term) {
+	if err == nil && (r.Role == gwbackend.RolePrimary || r.Paused || r.Term < g.Term) && s.owner.viewIsCurrent() {
 		s.follow(ctx, g, r)
 	}
 	if s.freshnessDue() {
@@ -179,6 +179,11 @@
 	}
 }
 
+// viewIsCurrent reports whether this instance would know of a change of primary. During a
+// partition both sides may reach a server. The side without contact must not order it to
+// follow: it would resume a replica that the leader has paused to choose the next primary.
+func (o *Owner) viewIsCurrent() bool { return o.inContact == nil || o.inContact() }
+
 // freshnessDue reports whether it is time to ask for the primary's position again.
 func (s *server) freshnessDue() bool {
 	now := s.owner.clock.Now()
