gwowner: replicas serve stale reads on the side of a partition without the lease

Cause: only the holder of the lease answered for the primary's position.

Change: the owner of a replica without an answer asks its replica for its term, then asks the owner of the primary, which asks the primary. If the replica follows, and the primary leads, the term of the view, and these are two of at most three copies, no write of a later term was acknowledged before the replica was asked: its primary and a replica that confirmed it would hold that term. The answer counts for freshness as one under the lease does. A replica found paused or at another term is no witness until the leader is in contact again. Strict reads and writes need the lease as before. Off unless Tuning.FreshWithoutLease; on in gwprogram.

What it relies on: a server that joined on the other side meanwhile, unknown here, confirms no write of a promotion that was neither seen as a pause nor as a term by the replica's owner (docs/design/partitions.md).

Ruled out: the position of the primary alone.

--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -203,7 +203,7 @@
 		Leases: i.leases, Metrics: i.Telemetry, Suspect: i.client.Suspect, BackendOptions: i.backendOptions,
 		Dialect: i.Dialect, StartGroup: i.client.StartGroup, RecordCopies: i.client.RecordCopies, InContact: i.contactCheck(), HandOver: i.HandOver,
 		Freshness: i.Tuning.Freshness, Poll: i.Tuning.Poll, Settle: i.Tuning.Settle, SettleFar: i.Tuning.SettleFar,
-		DialTimeout: i.Tuning.DialTimeout, Unreadable: i.Unreadable,
+		DialTimeout: i.Tuning.DialTimeout, FreshWithoutLease: i.Tuning.FreshWithoutLease, Unreadable: i.Unreadable,
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -90,6 +90,8 @@
 type Tuning struct {
 	// Freshness, Poll, Settle, SettleFar, DialTimeout: see gwowner.Options.
 	Freshness, Poll, Settle, SettleFar, DialTimeout time.Duration
+	// FreshWithoutLease: see gwowner.Options.
+	FreshWithoutLease bool
 	// Heartbeat: see gwcontrol.ConsensusOptions.
 	Heartbeat time.Duration
 	// FixedPacketSize, Transport: see gwpeer.Options.
--- a/internal/gwdeploy/deployment.go
+++ b/internal/gwdeploy/deployment.go
@@ -38,7 +38,9 @@
 	ReplicationDelay time.Duration
 	// EditManifest, if not nil, changes the manifest before it is used.
 	EditManifest func(*gwmanifest.Manifest)
-	Log          *slog.Logger
+	// FreshWithoutLease: see gwowner.Options.
+	FreshWithoutLease bool
+	Log               *slog.Logger
 }
 
 // Deployment is a running deployment: its instances, stand-ins and network.
@@ -253,6 +255,7 @@
 	o := gwdaemon.Options{
 		Settings: n.Settings, InitialManifest: d.manifest, Clock: d.clock, Log: d.Log.With("instance", n.Settings.Instance),
 		TLS: n.tls, SessionKey: key, Shaper: d.Network, DialBackend: d.dialer(n), Telemetry: gwdaemon.NewTelemetry(),
+		Tuning: gwdaemon.Tuning{FreshWithoutLease: d.FreshWithoutLease},
 	}
 	if n.Settings.DataFolder != "" {
 		o.FS = n.fs
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -75,6 +75,9 @@
 	Settle, SettleFar time.Duration
 	// InContact reports whether the leader can be reached; nil means always.
 	InContact func() bool
+	// FreshWithoutLease lets replicas serve reads that accept staleness while nobody that can
+	// be reached holds the lease, for as long as two of three copies show how fresh they are.
+	FreshWithoutLease bool
 	// Dialect is the dialect of the backend servers; nil for that of the stand-in.
 	Dialect gwbackend.Dialect
 	// BackendOptions returns the connection options of a server, such as its user.
@@ -98,6 +101,7 @@
 	recordCopies      RecordCopiesFunc
 	dialect           gwbackend.Dialect
 	inContact         func() bool
+	freshWithoutLease bool
 	handOver          time.Duration
 	freshnessInterval time.Duration
 	pollInterval      time.Duration
@@ -128,7 +132,7 @@
 	owner := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
 		members: o.Members, leases: o.Leases, metrics: o.Metrics, reportSuspect: o.Suspect,
-		startGroup: o.StartGroup, recordCopies: o.RecordCopies, dialect: o.Dialect, inContact: o.InContact, handOver: o.HandOver,
+		startGroup: o.StartGroup, recordCopies: o.RecordCopies, dialect: o.Dialect, inContact: o.InContact, freshWithoutLease: o.FreshWithoutLease, handOver: o.HandOver,
 		freshnessInterval: cmp.Or(o.Freshness, defaultFreshnessInterval), pollInterval: o.Poll,
 		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions, unreadable: o.Unreadable,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
--- a/internal/gwowner/peer.go
+++ b/internal/gwowner/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -41,6 +42,9 @@
 	Group string `cbor:"1,keyasint"`
 	// Earlier is how far the earlier positions in the response go back; 0 for none.
 	Earlier time.Duration `cbor:"2,keyasint,omitempty"`
+	// Witness asks for a position that covers the writes acknowledged before the witness
+	// was asked, if the owner holds no lease. Earlier releases ignore it.
+	Witness *witness `cbor:"3,keyasint,omitempty"`
 }
 
 // barrierResponse holds the primary's position and earlier positions with their ages.
@@ -53,6 +57,10 @@
 // lease period.
 func (s *server) answerBarrier(ctx context.Context, r barrierRequest) (barrierResponse, error) {
 	p, err := s.barrier(ctx)
+	if errors.Is(err, errNoLease) && r.Witness != nil && s.owner.freshWithoutLease {
+		p, err = s.provenPosition(ctx, *r.Witness)
+		return barrierResponse{Position: p}, err
+	}
 	if err != nil {
 		return barrierResponse{}, err
 	}
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -65,6 +65,8 @@
 	freshnessAskedAt time.Time
 	// followedTerm is the last term whose primary the server was told to follow.
 	followedTerm uint64
+	// changeSeen means that the server is no witness, see witnessReplica.
+	changeSeen bool
 }
 
 // facts returns what the server has announced about itself.
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -170,6 +170,9 @@
 // superviseReplica makes the server follow the group's primary and keeps its freshness up
 // to date.
 func (s *server) superviseReplica(ctx context.Context, g gwcontrol.GroupView) {
+	if s.owner.viewIsCurrent() {
+		s.resetWitness()
+	}
 	r, _, err := s.backend.Report()
 	if err == nil && (r.Role == gwbackend.RolePrimary || r.Paused || r.Term < g.Term) && s.owner.viewIsCurrent() {
 		s.follow(ctx, g, r)
@@ -235,6 +238,9 @@
 		s.freshnessAskedAt = time.Time{}
 		s.mu.Unlock()
 	}
+	if s.owner.freshWithoutLease && isNoLease(err) {
+		s.updateWithoutLease(ctx, g)
+	}
 	if err != nil {
 		return
 	}
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -67,6 +67,8 @@
 	// to open a connection, and a full queue in front of it. A server that does not
 	// answer is detected by this time-out.
 	DialTimeout: 500 * time.Millisecond,
+	// A partition may leave all servers of a group reachable from the side without control.
+	FreshWithoutLease: true,
 	// Heartbeat fits twice into the shortest election timeout.
 	Heartbeat: 140 * time.Millisecond,
 	// Transport is TCP because a congested link of the platform drops datagrams; see
