gwfilter: a refusal by an owner holds for similar requests for some milliseconds

Both directions together are about 2 Mbit/s for each owner, the rate of its link. The owner of the primary of dele69a got no lease for 5 s, so that statements were refused with noLease and freshnessUnknown and offered again.

Change: for 20 ms after a refusal (full queue of the class, no lease, freshness unknown, not the owner), doubling to 160 ms, an entry instance gives the same refusal to similar requests for the same server and owner without sending them. An answer ends this. Requests to servers of the own instance are not affected.

Ruled out: slots taken by statements that had timed out; at 9 s the replicas of dele69a had waiting requests of 0.9 and 17 per slot, the primary 31. A window in gwlimit for this: it bounds unanswered requests, and refusals are answers.

--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -208,12 +208,21 @@
 		}
 	}()
 	started := e.Clock.Now()
+	_, local := up.(localUpstream)
+	if !local {
+		if res, ok := e.servers.held(server, up.Owner(), &r.exec, started); ok {
+			return res
+		}
+	}
 	if !e.servers.beginAttempt(server) {
 		return notRun(gwoutcome.QueueFull, "too many statements at the server have not been answered yet")
 	}
 	// Deferred, so that a panic leaves no attempt counted and no stream open.
 	defer func() { e.servers.endAttempt(server, res, started, e.Clock.Now(), r.exec.MaxWait) }()
 	res = e.exec(ctx, r, up)
+	if !local {
+		e.servers.recordRefusal(server, up.Owner(), &r.exec, res, e.Clock.Now(), e.rng.Float64())
+	}
 	if res.Event == gwoutcome.Answered && res.TxStatus != 'I' {
 		s := r.session
 		s.transaction, s.transactionServer, s.transactionWrites = up, server, r.need.Write
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -41,6 +41,8 @@
 	health gwoutcome.Health
 	// window bounds the attempts in flight.
 	window gwlimit.Window
+	// held holds recent refusals, see serverTable.held.
+	held map[holdKey]*heldRefusal
 	// usedAt is when the last attempt ended.
 	usedAt time.Time
 }
