gwpeer: calls to a silent peer fail soon

Cause: a link that ended because a ping was not answered left the peer counting as up. While a peer was known to be down, each caller waited 250 ms, however long the dial had run.

Change: an unanswered ping counts as a failed dial, and the 250 ms are counted from the start of the dial.

Ruled out: shorter connect timeouts; an attempt needs them after a loss of power of all machines (TestDialRetriesUnansweredAttempts).

--- a/internal/gwpeer/peer.go
+++ b/internal/gwpeer/peer.go
@@ -18,9 +18,9 @@
 	// quickRetries is how many more pauses of minBackoff follow the first one before they
 	// grow: a killed process is restarted within half a second.
 	quickRetries = 4
-	// downPeerWait bounds how long a caller waits for a new dial while the peer is known
-	// to be down. It suffices for handshake and hello between regions, two round trips
-	// of 60 ms.
+	// downPeerWait is how long a dial may take until callers wait no longer for it while the
+	// peer is known to be down. It suffices for handshake and hello between regions, two
+	// round trips of 60 ms.
 	downPeerWait = 250 * time.Millisecond
 
 	// simultaneousDialWindow is the age below which an existing link counts as dialed at
@@ -39,7 +39,8 @@
 
 	mu       sync.Mutex
 	dialing  chan struct{} // closed when the running dial ends; nil if none runs
-	failures int           // consecutive failed dials
+	dialedAt time.Time     // start of the last dial
+	failures int           // consecutive failed dials, and the loss of a link to a silent peer
 	retryAt  time.Time
 	lastErr  error
 	pending  [][]byte // datagrams to send after the dial
@@ -83,12 +84,15 @@
 	}
 	if down {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, downPeerWait)
+		ctx, cancel = context.WithTimeout(ctx, p.dialTimeLeft())
 		defer cancel()
 	}
 	select {
 	case <-done:
 	case <-ctx.Done():
+		if l := p.current.Load(); l != nil && l.alive() {
+			return l, nil // the dial has ended as well
+		}
 		if down {
 			return nil, errors.Wrap(p.lastFailure(), "the peer is down")
 		}
@@ -100,6 +104,14 @@
 	return nil, p.lastFailure()
 }
 
+// dialTimeLeft returns the rest of downPeerWait for the running dial. Callers that each waited
+// for all of it spent the time in which another server could have answered.
+func (p *peer) dialTimeLeft() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return downPeerWait - time.Since(p.dialedAt)
+}
+
 func (p *peer) lastFailure() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -115,6 +127,9 @@
 func (p *peer) dial() (done <-chan struct{}, down bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if l := p.current.Load(); l != nil && !l.alive() {
+		p.dropLost(l)
+	}
 	down = p.failures > 0
 	if p.dialing != nil {
 		return p.dialing, down, nil
@@ -131,7 +146,7 @@
 	if !started {
 		return nil, down, errNodeClosed
 	}
-	p.dialing = ch
+	p.dialing, p.dialedAt = ch, time.Now()
 	return ch, down, nil
 }
 
@@ -228,4 +243,17 @@
 // preferred reports whether the instance with the smaller name dialed l.
 func (l *link) preferred() bool { return l.dialed == (l.node.opts.Instance < l.instance) }
 
-func (p *peer) linkLost(l *link) { p.current.CompareAndSwap(l, nil) }
+// linkLost records the end of a link.
+func (p *peer) linkLost(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropLost(l)
+}
+
+// dropLost drops a link that has ended. A peer that left a ping unanswered is probably down.
+// p.mu is held.
+func (p *peer) dropLost(l *link) {
+	if p.current.CompareAndSwap(l, nil) && errors.Is(context.Cause(l.conn.Context()), errPeerUnresponsive) {
+		p.failures, p.lastErr = max(1, p.failures), errPeerUnresponsive
+	}
+}
