gwowner: the setting for reads without the lease, not the class, tells who confirms writes

Cause: on the users' platform the servers themselves answer a write only when a replica has confirmed it, so that its classes have acknowledge 'primary'.

Change: FreshWithoutLease states the requirement, and the classes are not looked at.

Measured: TestPositionWithoutLeaseCoversAcknowledgedWrites as before.

--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -77,6 +77,8 @@
 	InContact func() bool
 	// FreshWithoutLease lets replicas serve reads that accept staleness while nobody that can
 	// be reached holds the lease, for as long as two of three copies show how fresh they are.
+	// No write may be acknowledged without a replica: either each class asks for one, or the
+	// servers answer no write before one has confirmed it.
 	FreshWithoutLease bool
 	// Dialect is the dialect of the backend servers; nil for that of the stand-in.
 	Dialect gwbackend.Dialect
--- a/internal/gwowner/witness.go
+++ b/internal/gwowner/witness.go
@@ -6,7 +6,6 @@
 
 	"gentianward.example/gentianward/internal/gwbackend"
 	"gentianward.example/gentianward/internal/gwcontrol"
-	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
@@ -76,19 +75,13 @@
 const provenCopies = 3
 
 // twoCopiesSuffice reports whether the primary and the replica are all but one of the group's
-// copies, and no write is acknowledged without a replica.
+// copies.
 func (o *Owner) twoCopiesSuffice(g gwcontrol.GroupView, replica string) bool {
 	servers := o.Servers(g.Group)
 	copies, _ := o.DurabilityRules(g.Group)
-	m := o.views.Current().Manifest
-	if m == nil || max(copies, len(servers)) > provenCopies || replica == g.Primary {
+	if max(copies, len(servers)) > provenCopies || replica == g.Primary {
 		return false
 	}
-	for _, c := range m.Manifest().Classes {
-		if c.Acknowledge == gwmanifest.AcknowledgePrimary {
-			return false
-		}
-	}
 	for _, f := range servers {
 		if f.Server == replica {
 			return true
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -68,6 +68,7 @@
 	// answer is detected by this time-out.
 	DialTimeout: 500 * time.Millisecond,
 	// A partition may leave all servers of a group reachable from the side without control.
+	// The servers answer a write when one replica has confirmed it.
 	FreshWithoutLease: true,
 	// Heartbeat fits twice into the shortest election timeout.
 	Heartbeat: 140 * time.Millisecond,
