gwcontrol: returned members are given servers together, by those who saw them lost

At the instances that had stayed, the times of the returned members ended one by one, and each set of owners in between moved servers.

Change: only a member that this instance knew as live counts as lost. The time ends for all returned members together, 300 ms after the last one, at most 600 ms after the first one.

Measured: TestReturnedMembersOwnTogether (one change of owners for six returns within 250 ms; one for each before), TestReturnedMemberOwnsLater.

--- a/internal/gwcontrol/returned.go
+++ b/internal/gwcontrol/returned.go
@@ -1,18 +1,21 @@
 package gwcontrol
 
 import (
-	"maps"
 	"time"
 
 	"gentianward.example/gentianward/pkg/gwmember"
 )
 
-// returned tells which members were lost and have been live again for less than delay. Such a
-// member is not given servers yet: it opens none before it has known the others for a while
+// returned tells which members were lost and have just returned. Such a member is not given
+// servers yet: it opens none before it has known the others for a while
 // (gwowner.Options.Settle), so that its servers would have no owner meanwhile.
+//
+// An instance that has just started takes part at once in what it finds: it has seen nobody
+// getting lost, and the rows of lost members that it receives say nothing about its own view.
 type returned struct {
 	delay time.Duration
-	lost  map[string]bool
+	live  map[string]bool
+	lost  map[string]bool      // members that were live
 	since map[string]time.Time // when members that were lost became live again
 }
 
@@ -22,26 +25,51 @@
 
 // observe records a change of a member.
 func (r *returned) observe(instance string, status gwmember.Status, now time.Time) {
+	if r.delay == 0 {
+		return
+	}
+	if r.live == nil {
+		r.live, r.lost, r.since = make(map[string]bool), make(map[string]bool), make(map[string]time.Time)
+	}
 	switch {
-	case r.delay == 0:
 	case !status.Live():
-		if len(r.lost) >= maxLost || r.lost == nil {
-			r.lost, r.since = make(map[string]bool), make(map[string]time.Time)
+		if r.live[instance] {
+			if len(r.lost) >= maxLost {
+				clear(r.lost)
+			}
+			r.lost[instance] = true
 		}
-		r.lost[instance] = true
+		delete(r.live, instance)
 		delete(r.since, instance)
 	case r.lost[instance]:
 		delete(r.lost, instance)
-		r.since[instance] = now
+		r.live[instance], r.since[instance] = true, now
+	default:
+		r.live[instance] = true
 	}
 }
 
-// settle forgets the members that have been live for long enough, and reports whether there
-// were any.
+// settle ends the time of the members that have returned, and reports whether there were any. It
+// ends together for all: when many return within a short time, each set of owners in between
+// would move servers.
 func (r *returned) settle(now time.Time) bool {
-	before := len(r.since)
-	maps.DeleteFunc(r.since, func(_ string, since time.Time) bool { return now.Sub(since) >= r.delay })
-	return len(r.since) < before
+	if len(r.since) == 0 {
+		return false
+	}
+	first, last := now, time.Time{}
+	for _, since := range r.since {
+		if since.Before(first) {
+			first = since
+		}
+		if since.After(last) {
+			last = since
+		}
+	}
+	if now.Sub(last) < r.delay && now.Sub(first) < 2*r.delay {
+		return false
+	}
+	clear(r.since)
+	return true
 }
 
 // owners returns the members that may own servers: all but control-only ones and those that have
--- a/internal/gwcontrol/returned_test.go
+++ b/internal/gwcontrol/returned_test.go
@@ -10,6 +10,35 @@
 	"gentianward.example/gentianward/pkg/gwmember"
 )
 
+// Guards against servers that move several times while many members return within some hundred
+// milliseconds: in a play three servers were opened and released again within 0.2 s.
+func TestReturnedMembersOwnTogether(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	start := time.Unix(100, 0)
+	r := returned{delay: delay}
+	for i := range 6 {
+		r.observe(string(rune('a'+i)), gwmember.StatusAlive, start)
+		r.observe(string(rune('a'+i)), gwmember.StatusDead, start)
+	}
+	var changes []time.Duration
+	for at := time.Duration(0); at < 2*time.Second; at += 10 * time.Millisecond {
+		if i := int(at / (50 * time.Millisecond)); at%(50*time.Millisecond) == 0 && i < 6 {
+			r.observe(string(rune('a'+i)), gwmember.StatusAlive, start.Add(at))
+		}
+		if r.settle(start.Add(at)) {
+			changes = append(changes, at)
+		}
+	}
+	assert.Equal(t, []time.Duration{250*time.Millisecond + delay}, changes)
+	r.observe("a", gwmember.StatusDead, start)
+	r.observe("a", gwmember.StatusAlive, start)
+	for at := time.Duration(0); at <= 2*delay; at += delay / 2 { // others return all the time
+		assert.Equal(t, at == 2*delay, r.settle(start.Add(at)), "at %v", at)
+		r.observe("b", gwmember.StatusDead, start.Add(at))
+		r.observe("b", gwmember.StatusAlive, start.Add(at))
+	}
+}
+
 // Guards against servers without an owner while an instance returns: the interim owner released
 // them when it heard of the instance, 0.13 to 0.33 s after its start, and the instance opened
 // them 0.40 s after its start.
@@ -27,7 +56,9 @@
 		return out
 	}
 	r := returned{delay: delay}
-	r.observe("a", gwmember.StatusAlive, start)
+	for _, m := range live {
+		r.observe(m.Instance, gwmember.StatusAlive, start)
+	}
 	assert.Equal(t, []string{"a", "b", "c"}, names(r.owners(live)), "a new member owns at once")
 	r.observe("b", gwmember.StatusDead, start)
 	r.observe("c", gwmember.StatusDead, start)
@@ -43,6 +74,11 @@
 	r.observe("b", gwmember.StatusDead, start.Add(4*time.Second))
 	assert.False(t, r.settle(start.Add(5*time.Second)), "lost again")
 
+	r = returned{delay: delay} // of an instance that has started while b was lost
+	r.observe("b", gwmember.StatusDead, start)
+	r.observe("b", gwmember.StatusAlive, start)
+	assert.Equal(t, []string{"a", "b", "c"}, names(r.owners(live)), "its own view is not that of the others")
+
 	off := returned{}
 	off.observe("b", gwmember.StatusDead, start)
 	off.observe("b", gwmember.StatusAlive, start)
