gwfilter: the window to a server begins anew with another owner

Cause: the window of an entry instance to a server bounds unanswered attempts on the path to the owner. When the owner lost power, the window shrank to 1; the next owner got the reduced window, which grows slowly unless the outage lasted 2 s.

Change: the window belongs to a server and its owner. Attempts through an earlier owner that end late change nothing.

Ruled out: a shorter minOutage in gwlimit; losses on a full link last as long.

Existing tests pass the owner's name to beginAttempt and endAttempt and are otherwise unchanged.

--- a/internal/gwfilter/retry.go
+++ b/internal/gwfilter/retry.go
@@ -214,11 +214,11 @@
 			return res
 		}
 	}
-	if !e.servers.beginAttempt(server) {
+	if !e.servers.beginAttempt(server, up.Owner()) {
 		return notRun(gwoutcome.QueueFull, "too many statements at the server have not been answered yet")
 	}
 	// Deferred, so that a panic leaves no attempt counted and no stream open.
-	defer func() { e.servers.endAttempt(server, res, started, e.Clock.Now(), r.exec.MaxWait) }()
+	defer func() { e.servers.endAttempt(server, up.Owner(), res, started, e.Clock.Now(), r.exec.MaxWait) }()
 	res = e.exec(ctx, r, up)
 	if !local {
 		e.servers.recordRefusal(server, up.Owner(), &r.exec, res, e.Clock.Now(), e.rng.Float64())
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -39,8 +39,10 @@
 	lag    time.Duration
 	lagAt  time.Time
 	health gwoutcome.Health
-	// window bounds the attempts in flight.
+	// window bounds the attempts in flight to owner. The path to another owner is another one,
+	// so that the window begins anew with it.
 	window gwlimit.Window
+	owner  string
 	// held holds recent refusals, see serverTable.held.
 	held map[holdKey]*heldRefusal
 	// usedAt is when the last attempt ended.
@@ -92,25 +94,31 @@
 	return st
 }
 
-// beginAttempt records the start of an attempt, which endAttempt ends. It returns false,
-// and records nothing, if too many attempts have not been answered.
-func (t *serverTable) beginAttempt(name string) bool {
+// beginAttempt records the start of an attempt through an owner, which endAttempt ends. It
+// returns false, and records nothing, if too many attempts have not been answered.
+func (t *serverTable) beginAttempt(name, owner string) bool {
 	sh := t.shard(name)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	return sh.stat(name).window.Take()
+	st := sh.stat(name)
+	if st.owner != owner {
+		st.owner, st.window = owner, gwlimit.Window{}
+	}
+	return st.window.Take()
 }
 
 // endAttempt records the end of an attempt that began at started; waited is the time that
 // a read may have waited for a replica.
-func (t *serverTable) endAttempt(name string, res gwowner.Result, started, now time.Time, waited time.Duration) {
+func (t *serverTable) endAttempt(name, owner string, res gwowner.Result, started, now time.Time, waited time.Duration) {
 	sh := t.shard(name)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	sh.sweep(now)
 	st := sh.stat(name)
 	st.usedAt = now
-	st.window.Done(!res.OwnerSilent, now)
+	if st.owner == owner { // otherwise it counts in no window any more
+		st.window.Done(!res.OwnerSilent, now)
+	}
 	if res.Event == gwoutcome.DialFailed || res.Event == gwoutcome.PeerUnreachable {
 		st.health.Observe(gwoutcome.DialFailed, now)
 	}
--- a/internal/gwfilter/servers_test.go
+++ b/internal/gwfilter/servers_test.go
@@ -37,12 +37,12 @@
 			table := newServerTable()
 			now := time.Unix(1_800_000_000, 0)
 			for range 20 {
-				assert.True(t, table.beginAttempt("s"))
+				assert.True(t, table.beginAttempt("s", "i"))
 				now = now.Add(500 * time.Millisecond)
-				table.endAttempt("s", tt.res, now.Add(-500*time.Millisecond), now, 0)
+				table.endAttempt("s", "i", tt.res, now.Add(-500*time.Millisecond), now, 0)
 			}
 			taken := 0
-			for taken < usual && table.beginAttempt("s") {
+			for taken < usual && table.beginAttempt("s", "i") {
 				taken++
 			}
 			assert.Equal(t, tt.inFlight, taken == usual, "%d attempts in flight", taken)
@@ -50,6 +50,36 @@
 	}
 }
 
+// Guards against a window that the silence of an earlier owner has reduced, after the server has
+// got another one: the entry instances refused statements for 2 s (full:window in the play of
+// 9aa7c2c), as the window grows slowly after losses on a link.
+func TestWindowBeginsAnewWithOwner(t *testing.T) {
+	const usual = 16
+	table := newServerTable()
+	now := time.Unix(1_800_000_000, 0)
+	taken := func(owner string) int {
+		n := 0
+		for n < usual && table.beginAttempt("s", owner) {
+			n++
+		}
+		return n
+	}
+	silent := gwowner.Result{Event: gwoutcome.TimedOut, OwnerSilent: true}
+	for range 8 {
+		require.True(t, table.beginAttempt("s", "a"))
+		now = now.Add(300 * time.Millisecond)
+		table.endAttempt("s", "a", silent, now, now, 0)
+	}
+	late := taken("a")
+	assert.Equal(t, 1, late)
+	assert.Equal(t, usual, taken("b"), "another owner")
+	for range late {
+		table.endAttempt("s", "a", silent, now, now.Add(time.Second), 0)
+	}
+	table.endAttempt("s", "b", gwowner.Result{Event: gwoutcome.Answered}, now, now, 0)
+	assert.Equal(t, 2, taken("b"), "the place of the answered attempt, and one more as the window grows; late ends of attempts through the first owner change nothing")
+}
+
 // panickingUpstream is an upstream whose requests panic.
 type panickingUpstream struct{ closed bool }
 
@@ -73,11 +103,11 @@
 func TestStatisticsOfServersThatLeftAreDropped(t *testing.T) {
 	const day, kept = 3000, 64
 	table, now := newServerTable(), time.Unix(1000, 0)
-	require.True(t, table.beginAttempt("unanswered"))
+	require.True(t, table.beginAttempt("unanswered", "i"))
 	for run := range day {
 		name := fmt.Sprintf("run-%d", run)
-		require.True(t, table.beginAttempt(name))
-		table.endAttempt(name, gwowner.Result{Event: gwoutcome.Answered}, now, now.Add(time.Millisecond), 0)
+		require.True(t, table.beginAttempt(name, "i"))
+		table.endAttempt(name, "i", gwowner.Result{Event: gwoutcome.Answered}, now, now.Add(time.Millisecond), 0)
 		now = now.Add(time.Minute)
 	}
 	count := 0
