--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -99,6 +99,8 @@
 	Freshness, Poll, Settle, SettleFar, DialTimeout time.Duration
 	// EstimateSpeed: see gwowner.Options.
 	EstimateSpeed bool
+	// FreshWithoutLease: see gwowner.Options.
+	FreshWithoutLease bool
 	// Heartbeat: see gwcontrol.ConsensusOptions.
 	Heartbeat time.Duration
 	// FixedPacketSize, Transport: see gwpeer.Options.
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -70,6 +70,9 @@
 	DialTimeout: 500 * time.Millisecond,
 	// EstimateSpeed lets servers of a group differ in speed.
 	EstimateSpeed: true,
+	// A partition may leave all servers of a group reachable from the side without control.
+	// The servers answer a write when one replica has confirmed it.
+	FreshWithoutLease: true,
 	// Heartbeat fits twice into the shortest election timeout.
 	Heartbeat: 140 * time.Millisecond,
 	// Transport is TCP because a congested link of the platform drops datagrams; see
