gwlimit: requests that wait at a server slower than usual

A third of the loss came after the beginning: last tries counted as those of a crowd, took slots although their aim was over, and waits behind requests without a chance made the server refuse others. The rest came at the end: the callers of the last 0.8 s had used all tries up when the server recovered. Change: the queue knows the usual slot time of a class. While it is slow, last tries that could be served at the usual speed are held behind all others, requests without a chance are refused at once, a request starts only if it ends in time with some certainty, and the time left to the aim decides the order until 2 s after the recovery. 8192 refusals are remembered, and searched each 0.5 s.

--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -72,6 +72,11 @@
 	seq      uint64
 	dequeued bool
 	state    *classState
+	// startedAt is when the request got its slot, and held that it was kept by hold.
+	startedAt time.Time
+	held      bool
+	// aimEnd is when the latency aim of the operation ends, as far as known.
+	aimEnd time.Time
 }
 
 // classState is a class with its waiting requests and its virtual finish time.
@@ -89,6 +94,7 @@
 	slotTime rate
 	// arrivals is the rate of new operations that got no slot at once.
 	arrivals rate
+	speedState
 }
 
 // FairQueue shares a number of slots between classes by start-time fair queueing: the
@@ -105,6 +111,9 @@
 	refusals    refusals
 	// meanService is the moving average of the slot time over all classes.
 	meanService time.Duration
+	// active are the running requests, and seenAt is the latest time that was passed in.
+	active []*Item
+	seenAt time.Time
 }
 
 // serviceTimeWeight is the weight of the newest time in the exponential moving averages,
@@ -117,7 +126,8 @@
 	if s.meanService == 0 {
 		s.meanService = d
 	}
-	s.meanService += time.Duration(serviceTimeWeight * float64(d-s.meanService))
+	s.meanService += time.Duration(s.serviceWeight(d) * float64(d-s.meanService))
+	s.recordUsual(q.seenAt)
 	if q.meanService == 0 {
 		q.meanService = d
 	}
@@ -158,6 +168,12 @@
 		return 0
 	}
 	own := q.class(class)
+	return q.waitBehind(own, own.ahead(), now)
+}
+
+// waitBehind estimates how long a request of a class waits with the given number of requests of its
+// class ahead of it.
+func (q *FairQueue) waitBehind(own *classState, ahead int, now time.Time) time.Duration {
 	slots := float64(max(1, q.slots))
 	weights, others := 0, 0.0
 	for _, s := range q.classes {
@@ -174,7 +190,7 @@
 	share := max(float64(own.Weight)/float64(weights), 1-others)
 	// Running requests are half done on average.
 	running := float64(min(q.running, q.slots)) * float64(q.ServiceTime()) / 2
-	waiting := float64(own.waiting) * float64(q.expectedService(own)) / share
+	waiting := float64(ahead) * float64(q.expectedService(own)) / share
 	return time.Duration((running + waiting) / slots)
 }
 
@@ -266,12 +282,16 @@
 	}
 	wait := q.ExpectedWait(it.Class, now)
 	if !q.acceptsWait(it, wait, now) || !it.Deadline.IsZero() && now.Add(wait+q.expectedService(s)).After(it.Deadline) {
+		if q.hold(it, now) {
+			return nil
+		}
 		q.refusals.add(it.Key, now)
 		return &Error{Op: op, Kind: Overloaded, Class: it.Class}
 	}
+	q.setAimEnd(it, s, now)
 	q.refusals.forget(it.Key)
 	q.schedule(it, s)
-	s.items = append(s.items, it)
+	s.insert(it)
 	s.waiting++
 	q.waiting++
 	if !it.Deadline.IsZero() {
@@ -287,25 +307,27 @@
 	if q.running >= q.slots {
 		return nil
 	}
-	var best *classState
+	q.seenAt = now
+	var best *Item
 	for _, s := range q.classes {
-		s.trim()
-		s.skipExpired(now)
-		if len(s.items) == 0 || (s.Concurrency > 0 && s.running >= s.Concurrency) {
+		it := q.head(s, now)
+		if it == nil || (s.Concurrency > 0 && s.running >= s.Concurrency) {
 			continue
 		}
-		if best == nil || before(s.items[0], best.items[0]) {
-			best = s
+		if best == nil || before(it, best) {
+			best = it
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	it := best.items[0]
-	q.dequeue(it)
-	best.trim()
-	q.start(it, best, now)
-	return it
+	if best.held {
+		q.schedule(best, best.state)
+	}
+	q.dequeue(best)
+	best.state.trim()
+	q.start(best, best.state, now)
+	return best
 }
 
 // start counts a request as running.
@@ -314,12 +336,14 @@
 	q.running++
 	q.virtualTime = max(q.virtualTime, it.virtualStart)
 	s.slotTime.add(q.expectedService(s).Seconds(), now)
+	q.began(it, now)
 }
 
 // Done frees the slot of a request that Pop returned or TryStart started.
 func (q *FairQueue) Done(it *Item) {
 	it.state.running--
 	q.running--
+	q.ended(it)
 }
 
 // Remove removes a waiting request from the queue, as when its caller has disconnected.
@@ -347,7 +371,7 @@
 		q.refusals.add(it.Key, now)
 		out = append(out, it)
 	}
-	return out
+	return append(out, q.shed(now)...)
 }
 
 // NextExpiry returns the earliest time at which Expire returns a request.
@@ -366,6 +390,9 @@
 	it.dequeued = true
 	it.state.waiting--
 	q.waiting--
+	if it.held {
+		it.state.heldWaiting--
+	}
 }
 
 // trim drops requests at the head that were started, removed or expired.
@@ -380,10 +407,10 @@
 
 // skipExpired drops requests at the head that can no longer meet their deadline. They stay in the
 // expiry heap, so that Expire returns them.
-func (s *classState) skipExpired(now time.Time) {
+func (q *FairQueue) skipExpired(s *classState, now time.Time) {
 	for len(s.items) > 0 {
 		it := s.items[0]
-		if !it.dequeued && (it.Deadline.IsZero() || now.Before(it.startBy)) {
+		if !it.dequeued && (it.Deadline.IsZero() || now.Before(q.latestStart(it, now))) {
 			return
 		}
 		s.items[0] = nil
--- a/pkg/gwlimit/refusal.go
+++ b/pkg/gwlimit/refusal.go
@@ -7,8 +7,11 @@
 	// 250 ms.
 	refusalMemory = 2 * time.Second
 	// maxRefusals bounds the operations whose refusals are remembered. It exceeds those of
-	// refusalMemory at a server with two slots that gets ten times what it can serve.
-	maxRefusals = 4096
+	// refusalMemory, sweepInterval and the tries in between at a server with two slots that gets ten
+	// times what it can serve: 1,800 refused operations a second for 3.3 s.
+	maxRefusals = 8192
+	// sweepInterval is the least time between two searches for refusals that no longer count.
+	sweepInterval = 500 * time.Millisecond
 	// lastTryRefusals is the number of refusals after which a caller has one try left.
 	lastTryRefusals = 2
 	// crowdTime is how long a load counts as a crowd at its start, until the rate of new
@@ -47,7 +50,7 @@
 	if key == 0 {
 		return
 	}
-	if now.Sub(r.swept) > refusalMemory {
+	if now.Sub(r.swept) > sweepInterval {
 		r.sweep(now)
 	}
 	f := r.of(key, now)
@@ -111,8 +114,9 @@
 }
 
 // isCrowd reports whether the load of a class is expected to end by itself: it has just
-// begun, or new operations arrive more slowly than the server serves them.
+// begun, unless the server has become slow, or new operations arrive more slowly than the server serves
+// them.
 func (q *FairQueue) isCrowd(s *classState, now time.Time) bool {
 	served := float64(q.slots) / q.expectedService(s).Seconds()
-	return now.Sub(s.loadedSince) < crowdTime || s.arrivals.perSecond(now) < served
+	return now.Sub(s.loadedSince) < crowdTime && !s.slowed || s.arrivals.perSecond(now) < served
 }
