--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -178,6 +178,7 @@
 		e.servers.fill(&s, now)
 		s.Pending /= slots
 		s.Speed.SlotShare /= slots
+		s.Speed.Retest = gwroute.RetestAfter(len(t.Live))
 		if s.Primary {
 			// A failing primary is replaced rather than avoided. It is unusable only
 			// while it is being replaced or leaving.
--- a/internal/gwfilter/speed.go
+++ b/internal/gwfilter/speed.go
@@ -16,6 +16,6 @@
 	return gwroute.Speed{
 		Factor: float64(r.Percent) / 100, SlotShare: float64(r.Slots), Errors: float64(r.Errors) / 100,
 		Confidence: min(1, float64(r.Confidence)/100),
-		Age:        time.Duration(r.AgeMillis) * time.Millisecond, Retest: time.Duration(r.RetestMillis) * time.Millisecond,
+		Age:        time.Duration(r.AgeMillis) * time.Millisecond,
 	}
 }
--- a/internal/gwowner/speed.go
+++ b/internal/gwowner/speed.go
@@ -22,24 +22,6 @@
 	Confidence uint32 `cbor:"4,keyasint,omitempty"`
 	// AgeMillis is how long before the report the server last answered, in milliseconds.
 	AgeMillis uint32 `cbor:"5,keyasint,omitempty"`
-	// RetestMillis is the time without a report after which an entry instance is to send the server
-	// a request again, in milliseconds.
-	RetestMillis uint32 `cbor:"6,keyasint,omitempty"`
-}
-
-// Bounds of the time after which each entry instance tries an avoided server again. With as many
-// instances as in the largest deployments, the server still gets about ten requests a second, so
-// that its recovery shows within 2 s, and not more than it can answer.
-const (
-	retestEach = 100 * time.Millisecond // for each entry instance
-	minRetest  = 500 * time.Millisecond
-	maxRetest  = 5 * time.Second
-)
-
-// retestAfter returns the time without a report after which each of n instances sends an avoided
-// server a request.
-func retestAfter(n int) time.Duration {
-	return min(maxRetest, max(minRetest, time.Duration(n)*retestEach))
 }
 
 // speedLogInterval is the least time between two log lines about the speed of a server.
@@ -178,20 +160,12 @@
 	}
 	return &Speed{
 		Percent: hundredths(e.Factor), Slots: e.Concurrency, Errors: hundredths(e.Errors), Confidence: hundredths(e.Confidence),
-		AgeMillis: uint32(min(math.MaxUint32, e.Age.Milliseconds())), RetestMillis: uint32(retestAfter(s.owner.liveInstances()).Milliseconds()),
+		AgeMillis: uint32(min(math.MaxUint32, e.Age.Milliseconds())),
 	}
 }
 
 func hundredths(f float64) uint32 { return uint32(math.Round(max(0, f) * 100)) }
 
-// liveInstances returns the number of live instances.
-func (o *Owner) liveInstances() int {
-	if o.members == nil {
-		return 1
-	}
-	return len(o.members.Topology().Live)
-}
-
 // SpeedOf returns the estimate for an owned server, and false if there is none.
 func (o *Owner) SpeedOf(name string) (gwspeed.Estimate, bool) {
 	s := o.server(name)
--- a/internal/gwowner/speed_test.go
+++ b/internal/gwowner/speed_test.go
@@ -52,7 +52,6 @@
 	require.NotNil(t, r)
 	assert.InDelta(t, 800, r.Percent, 150)
 	assert.Equal(t, 1, r.Slots)
-	assert.EqualValues(t, minRetest.Milliseconds(), r.RetestMillis)
 	for range 5 {
 		*took = 10 * time.Millisecond
 		runStatements(t, s, clock, 60, "k")
@@ -113,18 +112,10 @@
 	before, err := cbor.Marshal(earlierReport{Position: p, Load: 2})
 	require.NoError(t, err)
 	assert.Equal(t, before, usual)
-	slow, err := cbor.Marshal(Report{Position: p, Load: 2, Speed: &Speed{Percent: 800, Slots: 5, Confidence: 100, RetestMillis: 5000}})
+	slow, err := cbor.Marshal(Report{Position: p, Load: 2, Speed: &Speed{Percent: 800, Slots: 5, Confidence: 100}})
 	require.NoError(t, err)
 	assert.LessOrEqual(t, len(slow)-len(usual), 20, "bytes")
 	var r earlierReport
 	require.NoError(t, cbor.Unmarshal(slow, &r))
 	assert.Equal(t, earlierReport{Position: p, Load: 2}, r)
 }
-
-// Guards against avoided servers that many instances try again so often that they stay full, or
-// few so rarely that their recovery is not seen.
-func TestRetestAfter(t *testing.T) {
-	assert.Equal(t, minRetest, retestAfter(1))
-	assert.Equal(t, 3500*time.Millisecond, retestAfter(35))
-	assert.Equal(t, maxRetest, retestAfter(70))
-}
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -131,7 +131,7 @@
 	if q.meanService == 0 {
 		q.meanService = d
 	}
-	q.meanService += time.Duration(serviceTimeWeight * float64(d-q.meanService))
+	q.meanService += time.Duration(s.serviceWeight(d) * float64(d-q.meanService))
 }
 
 // idleUse is the share of the slots below which a class without waiting requests does not
--- a/pkg/gwroute/route.go
+++ b/pkg/gwroute/route.go
@@ -172,6 +172,7 @@
 	var best Server
 	var lowest time.Duration
 	found := false
+	usual := usualService(servers)
 	for _, s := range servers {
 		if s.Unusable || need.Excluded[s.Name] {
 			continue
@@ -180,7 +181,7 @@
 		if wait > need.WaitBudget {
 			continue
 		}
-		c := s.cost(wait, now)
+		c := s.cost(wait, usual, now)
 		c += time.Duration(costSpread * rng.Float64() * float64(c))
 		if !found || c < lowest {
 			best, lowest, found = s, c, true
@@ -191,7 +192,7 @@
 
 // cost returns the expected time until the server has answered a read, without the parts
 // that are the same for all servers.
-func (s Server) cost(wait time.Duration, now time.Time) time.Duration {
+func (s Server) cost(wait, usual time.Duration, now time.Time) time.Duration {
 	c := wait
 	switch s.Distance {
 	case SameDataCentre:
@@ -200,7 +201,7 @@
 	case OtherRegion:
 		c += costOtherRegion
 	}
-	service := float64(s.service(now)) * s.attempts()
+	service := float64(s.service(usual, now)) * s.attempts()
 	queue := s.queue(now)
 	if s.Primary {
 		// Writes that queue behind the read have no other server: their delay counts, too.
--- a/pkg/gwroute/speed.go
+++ b/pkg/gwroute/speed.go
@@ -18,7 +18,7 @@
 	Confidence float64
 	Age        time.Duration
 	// Retest is the time without a report after which the server is expected to recover, so that it
-	// gets a request that shows whether it has.
+	// gets a request that shows whether it has; see RetestAfter.
 	Retest time.Duration
 }
 
@@ -28,32 +28,81 @@
 	maxReportedErrors = 0.9
 	// maxDrainFactor bounds the factor by which a queue of a slow server drains more slowly.
 	maxDrainFactor = 8
+	// comparableFactor is the multiple of the service time of other replicas up to which a longer one is
+	// put down to what the server is asked. Even groups are not affected.
+	comparableFactor = 1.5
+	// retestEach, minRetest and maxRetest determine RetestAfter.
+	retestEach    = 100 * time.Millisecond
+	minRetest     = 500 * time.Millisecond
+	maxRetest     = 5 * time.Second
+	defaultRetest = 2 * time.Second
 )
 
-// excess returns by which factor statements are expected to take longer than usual at now. What was
-// reported counts until Retest and halves, as a logarithm, with each half of Retest after it.
-func (s Speed) excess(reportedAt, now time.Time) float64 {
-	if s.Factor <= 1 {
-		return 1
+// RetestAfter returns the time without a report after which each of n entry instances sends a request
+// to a server that it has avoided. All instances together send about 10 requests a second, so that a
+// recovery shows within 3 s also if two thirds of them have another server nearer. A server that is slow
+// by 8 with five slots and statements of 24 ms serves 26; with 20 tries, reads took 0.12 longer than if it was not tried at all.
+func RetestAfter(n int) time.Duration {
+	return min(maxRetest, max(minRetest, time.Duration(n)*retestEach))
+}
+
+// trust returns how much a reported service time counts at now: fully until Retest, and half as much
+// with each half of Retest after it.
+func (s Server) trust(now time.Time) float64 {
+	trust := 1.0
+	if s.Speed.Factor > 1 {
+		trust = s.Speed.Confidence
+	}
+	retest := s.Speed.Retest
+	if retest <= 0 {
+		retest = defaultRetest
 	}
-	trust := s.Confidence
-	if over := now.Sub(reportedAt) - s.Retest; over > 0 && s.Retest > 0 {
-		trust *= math.Exp2(-2 * float64(over) / float64(s.Retest))
+	if over := now.Sub(s.ReportedAt) - retest; over > 0 {
+		trust *= math.Exp2(-2 * float64(over) / float64(retest))
 	}
-	return math.Pow(s.Factor, trust)
+	return trust
 }
 
-// service returns the expected time of a statement at the server at now. ServiceTime was measured
-// while the server was slow by Speed.Factor.
-func (s Server) service(now time.Time) time.Duration {
-	service := s.ServiceTime
-	if service <= 0 {
-		service = defaultServiceTime
+// service returns the expected time of a statement at the server at now. A time that is longer than
+// usual, or much longer than that of other servers, is expected to end: nothing but answers of the
+// server itself show that it has recovered. usual is the least time of comparable servers, 0 if
+// unknown.
+func (s Server) service(usual time.Duration, now time.Time) time.Duration {
+	service := s.reportedService()
+	ended := service
+	if s.Speed.Factor > 1 {
+		ended = time.Duration(float64(service) / s.Speed.Factor)
 	}
-	if s.Speed.Factor <= 1 {
+	if bound := time.Duration(comparableFactor * float64(usual)); usual > 0 && ended > bound {
+		ended = bound
+	}
+	if ended == service {
 		return service
 	}
-	return time.Duration(float64(service) * s.Speed.excess(s.ReportedAt, now) / s.Speed.Factor)
+	return time.Duration(float64(ended) * math.Pow(float64(service)/float64(ended), s.trust(now)))
+}
+
+// reportedService returns the reported service time or its default.
+func (s Server) reportedService() time.Duration {
+	if s.ServiceTime <= 0 {
+		return defaultServiceTime
+	}
+	return s.ServiceTime
+}
+
+// usualService returns the least reported service time among the replicas. The primary's is shorter
+// where writes are.
+func usualService(servers []Server) time.Duration {
+	least := time.Duration(0)
+	for _, s := range servers {
+		if s.Primary || s.Unusable || s.ServiceTime <= 0 {
+			continue
+		}
+		if least == 0 || s.ServiceTime < least {
+			least = s.ServiceTime
+		}
+	}
+	return least
 }
 
 // attempts returns how many statements it takes until one is answered.
--- a/pkg/gwspeed/speed.go
+++ b/pkg/gwspeed/speed.go
@@ -67,6 +67,8 @@
 type Statement struct {
 	class *classTimes
 	began time.Time
+	// beside is the number of statements that ran when it was sent, itself included.
+	beside int
 }
 
 // Estimator estimates the speed of one server from the statements that it runs.
@@ -77,9 +79,11 @@
 	classes map[string]*classTimes
 	running map[*Statement]struct{}
 	window  *Window
-	factor  float64
-	errors  float64
-	slow    bool
+	// crowding tells whether statements take longer the more of them run.
+	crowding crowding
+	factor   float64
+	errors   float64
+	slow     bool
 	// measured is the number of times from which factor was derived.
 	measured   int
 	answeredAt time.Time
@@ -113,7 +117,7 @@
 			e.classes[class] = c
 		}
 	}
-	s := &Statement{class: c, began: now}
+	s := &Statement{class: c, began: now, beside: len(e.running) + 1}
 	e.running[s] = struct{}{}
 	return s
 }
@@ -133,9 +137,13 @@
 		return
 	}
 	e.answeredAt = now
+	if s.class.known() {
+		e.crowding.record(s.class.logRatio(now.Sub(s.began)), s.beside, e.window.Limit())
+	}
 	s.class.record(now.Sub(s.began), e.factor, now)
 	e.update(now)
 	if s.class.known() {
+		e.window.Crowded = e.crowding.possible()
 		e.window.Served(s.class.usual().Seconds(), waiting > 0, e.factor, now)
 	}
 }
@@ -146,11 +154,11 @@
 // Estimate returns the current estimate.
 func (e *Estimator) Estimate(now time.Time) Estimate {
 	e.update(now)
-	out := Estimate{Factor: e.factor, Errors: e.errors, Concurrency: e.window.Limit()}
+	out := Estimate{Factor: e.factor, Errors: e.errors, Concurrency: e.window.Kept()}
 	if e.measured == 0 {
 		return out
 	}
-	out.Age = now.Sub(e.answeredAt)
+	out.Age = max(0, now.Sub(e.answeredAt))
 	out.Confidence = min(1, float64(e.measured)/enoughSamples) * math.Exp2(-float64(out.Age)/float64(confidenceHalfLife))
 	switch {
 	case e.errors >= failingShare:
--- a/pkg/gwspeed/window.go
+++ b/pkg/gwspeed/window.go
@@ -1,6 +1,9 @@
 package gwspeed
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// settling is the number of answers, as a multiple of the limit, that are not measured after the
@@ -18,8 +21,16 @@
 	raiseLoss = 0.97
 	// clearLoss is the part of the work from which on a trial ends after one measurement.
 	clearLoss = 0.9
+	// earlyAnswers is the number of answers after which a trial ends if its work is below earlyLoss: the
+	// usual result at a server whose times do not depend on their number.
+	earlyAnswers = 12
+	earlyLoss    = 0.75
+	// sustained is the time for which requests must have waited before a lower limit is tried at a
+	// server that is not slowed. At nine tenths of the capacity, requests often wait for shorter times,
+	// and trials made the mean time of reads a tenth longer.
+	sustained = 4 * time.Second
 	// firstPause and maxPause bound the pause after a failed try, which grows by pauseGrowth.
-	firstPause  = 2 * time.Second
+	firstPause  = 4 * time.Second
 	maxPause    = time.Minute
 	pauseGrowth = 4
 	// idleReset is the time without a queue after which all slots are used again.
@@ -54,6 +65,11 @@
 	lower    pause // until the next try of a lower limit
 	raise    pause // until the next try of a higher limit
 	queuedAt time.Time
+	// queuedSince is since when requests have waited without a break.
+	queuedSince time.Time
+	// Crowded means that statements may take longer the more of them run. Otherwise no lower limit is
+	// tried.
+	Crowded bool
 }
 
 // pause is a time until which something is not tried again. It grows with each failure.
@@ -67,8 +83,50 @@
 	p.until = now.Add(p.length)
 }
 
+// crowding compares the times of statements that are sent to a server with few others and with as many as
+// it may run.
+type crowding struct{ few, many average }
+
+// average is a moving average of logarithms of times relative to the usual ones.
+type average struct {
+	log float64
+	n   float64 // up to averageOver
+}
+
+const (
+	// averageOver is the number of statements over which times are averaged. With exponentially
+	// distributed times, the average is off by a sixth.
+	averageOver = 64
+	// minAverage is the number of statements from which on an average counts.
+	minAverage = 16
+	// crowdedFactor is the factor on the times from which a server may be crowded.
+	crowdedFactor = 1.2
+)
+
+func (a *average) add(log float64) {
+	a.n = min(averageOver, a.n+1)
+	a.log += (clampDeviation(log) - a.log) / a.n
+}
+
+// record adds the time of a statement that was sent as one of the given number at once.
+func (c *crowding) record(log float64, beside, limit int) {
+	switch {
+	case beside <= limit*2/3:
+		c.few.add(log)
+	case beside >= limit:
+		c.many.add(log)
+	}
+}
+
+// possible reports whether statements take longer the more of them run, or too little is known.
+func (c *crowding) possible() bool {
+	return c.few.n < minAverage || c.many.n < minAverage || c.many.log-c.few.log >= math.Log(crowdedFactor)
+}
+
 // NewWindow returns a Window for a server with the given number of slots.
-func NewWindow(slots int) *Window { return &Window{slots: max(1, slots), limit: max(1, slots)} }
+func NewWindow(slots int) *Window {
+	return &Window{slots: max(1, slots), limit: max(1, slots), Crowded: true}
+}
 
 // SetSlots changes the number of slots. The limit starts at all of them if it changes.
 func (w *Window) SetSlots(n int) {
@@ -80,6 +138,9 @@
 // Limit returns the number of statements that should run at once.
 func (w *Window) Limit() int { return min(w.slots, max(1, w.limit+w.try)) }
 
+// Kept returns the limit without the trial that is under way.
+func (w *Window) Kept() int { return w.limit }
+
 // Served records an answer: its work, in the same unit for all statements, whether requests
 // wait, and how long statements take relative to the usual time.
 func (w *Window) Served(work float64, queued bool, factor float64, now time.Time) {
@@ -88,6 +149,9 @@
 		return
 	}
 	w.queuedAt = now
+	if w.queuedSince.IsZero() {
+		w.queuedSince = now
+	}
 	if w.skip > 0 || w.since.IsZero() {
 		w.skip = max(0, w.skip-1)
 		w.restart(now)
@@ -95,10 +159,11 @@
 	}
 	w.answers++
 	w.work += work
-	if w.answers < windowAnswers {
+	rate := w.work / max(now.Sub(w.since), time.Microsecond).Seconds()
+	early := w.try < 0 && w.answers >= earlyAnswers && rate < earlyLoss*w.base
+	if w.answers < windowAnswers && !early {
 		return
 	}
-	rate := w.work / max(now.Sub(w.since), time.Microsecond).Seconds()
 	if w.try == 0 {
 		if w.base == 0 {
 			w.base = rate
@@ -116,7 +181,7 @@
 
 // idle ends a measurement, as a server with a free slot does no less work than it can.
 func (w *Window) idle(now time.Time) {
-	w.try, w.base = 0, 0
+	w.try, w.base, w.queuedSince = 0, 0, time.Time{}
 	w.restart(now)
 	if now.Sub(w.queuedAt) > idleReset {
 		w.limit, w.lower, w.raise = w.slots, pause{}, pause{}
@@ -132,7 +197,7 @@
 	switch {
 	case w.limit < w.slots && !now.Before(w.raise.until):
 		w.try = 1
-	case w.limit > 1 && !now.Before(w.lower.until):
+	case w.limit > 1 && w.Crowded && !now.Before(w.lower.until) && (w.slowed || now.Sub(w.queuedSince) >= sustained):
 		w.try = -(w.limit / 2)
 	default:
 		return
