gentianward-platform: explain-placement, and metrics of speeds, refusals and placements

Cause: nobody could see why a read does not go to the near server, why requests get no slot, or how fast an owner takes its servers for. Change: gwroute.Explain lists the candidates with what they cost and the rule that decided; an entry instance serves it at /v1/placement of its readiness address, and explain-placement prints it as text or JSON, with the ages of the reports and of the contact to control. It sends nothing to a server. Metrics: gentianward_server_slowness, its age and gentianward_server_concurrency by server, gentianward_slot_refusals_total by class and reason, gentianward_reads_away_total by cause. Ruled out: keys or customers as parameters: they make no difference to the server, and keys must not appear in such a request. A share of the metrics port for it, which an instance may not get.

--- a/cmd/gentianward-platform/main.go
+++ b/cmd/gentianward-platform/main.go
@@ -18,6 +18,7 @@
 	subcommands.Register(&gwprogram.Command{FS: gwstore.OSFS{}}, "")
 	subcommands.Register(&checkCmd{}, "")
 	subcommands.Register(&explainCmd{}, "")
+	subcommands.Register(&placementCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/gwcontrol/contact.go
+++ b/internal/gwcontrol/contact.go
@@ -149,6 +149,15 @@
 // an election takes. It is false until the first contact after the start.
 func (c *Client) CutOff() bool { return c.lastContact.at.Load() != nil && !c.InContact() }
 
+// ContactAge returns how long ago the leader last answered a call, and false if it never did.
+func (c *Client) ContactAge() (time.Duration, bool) {
+	at := c.lastContact.at.Load()
+	if at == nil {
+		return 0, false
+	}
+	return c.clock.Since(*at), true
+}
+
 // InContact reports whether the leader has answered a call that was sent within the
 // last contactTimeout. An instance without contact may be on the minority side of
 // a network partition.
--- a/internal/gwdaemon/operator.go
+++ b/internal/gwdaemon/operator.go
@@ -94,6 +94,7 @@
 	if i.Telemetry != nil {
 		mux.Handle("GET /metrics", i.Telemetry)
 	}
+	mux.HandleFunc("GET "+PlacementPath, i.ServePlacement)
 	return mux
 }
 
--- a/internal/gwdaemon/telemetry.go
+++ b/internal/gwdaemon/telemetry.go
@@ -38,6 +38,9 @@
 	if o.Read {
 		s.Read(o.Replica)
 	}
+	if o.Away != "" {
+		t.Counter("gentianward_reads_away_total", gwtelemetry.Label{Name: "cause", Value: string(o.Away)}).Inc()
+	}
 	if o.Replica {
 		s.Staleness(o.Staleness)
 	}
@@ -51,6 +54,11 @@
 	t.Series(class, group).QueueWait(d)
 }
 
+// SlotRefused counts a request that got no slot.
+func (t telemetry) SlotRefused(class, reason string) {
+	t.Counter("gentianward_slot_refusals_total", gwtelemetry.Label{Name: "class", Value: class}, gwtelemetry.Label{Name: "reason", Value: reason}).Inc()
+}
+
 // ConfirmWait records the time from a commit to its confirmation by a replica.
 func (t telemetry) ConfirmWait(class, group string, d time.Duration) {
 	t.Histogram("gentianward_confirm_wait_seconds", gwtelemetry.Label{Name: "class", Value: class}, gwtelemetry.Label{Name: "group", Value: group}).Update(d.Seconds())
--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -16,6 +16,7 @@
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/internal/gwwire"
 	"gentianward.example/gentianward/pkg/gwoutcome"
+	"gentianward.example/gentianward/pkg/gwroute"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -46,6 +47,8 @@
 	Staleness time.Duration
 	// Held is how long the request waited for a change of primary.
 	Held time.Duration
+	// Away is the rule by which a read did not go to a server of the own data centre; empty if it did.
+	Away gwroute.Rule
 }
 
 // Observer receives an Observation of every finished request.
--- a/internal/gwfilter/request.go
+++ b/internal/gwfilter/request.go
@@ -43,6 +43,8 @@
 	refused gwowner.Result
 	// served is the server of the last attempt; zero if none could be chosen.
 	served gwroute.Server
+	// away is the rule by which the last attempt of a read did not go to the own data centre.
+	away gwroute.Rule
 	// held is how long the request has waited for a change of primary.
 	held time.Duration
 	// bytes counts the bytes of the answer.
@@ -163,7 +165,7 @@
 			Class: r.session.class, Group: r.session.group, Read: r.read(),
 			Replica: r.served.Name != "" && !r.served.Primary, CrossRegion: r.served.Distance == gwroute.OtherRegion && r.served.Name != "",
 			Event: res.Event, Duration: e.Clock.Since(r.started), Bytes: r.bytes, Staleness: res.Report.Staleness,
-			Held: r.held,
+			Held: r.held, Away: r.away,
 		})
 		return res
 	}
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -160,7 +160,13 @@
 // choose returns the server for the request.
 func (e *Entry) choose(r *request) gwroute.Choice {
 	now := e.Clock.Now()
-	return gwroute.Choose(r.need, e.candidates(r.session.group, now), now, e.rng)
+	servers := e.candidates(r.session.group, now)
+	c := gwroute.Choose(r.need, servers, now, e.rng)
+	r.away = ""
+	if s, ok := c.(gwroute.Serve); ok {
+		r.away = gwroute.AwayRule(r.need, servers, s.Server, now)
+	}
+	return c
 }
 
 func (e *Entry) candidates(group string, now time.Time) []gwroute.Server {
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -37,6 +37,14 @@
 	ConfirmWait(class, group string, d time.Duration)
 }
 
+// SpeedMetrics is implemented by Metrics that also receive refusals and the speeds of servers.
+type SpeedMetrics interface {
+	// SlotRefused counts a request that got no slot, with the reason.
+	SlotRefused(class, reason string)
+	// Gauge adds a metric whose value is read from f.
+	Gauge(name string, f func() float64, labels ...gwtelemetry.Label)
+}
+
 // SuspectFunc reports to the leader of the replicated log that a group needs another
 // primary, because the present one fails or is leaving.
 type SuspectFunc func(ctx context.Context, group string, term uint64, reason string)
@@ -261,6 +269,7 @@
 	s.known.Store(&f)
 	if o.estimateSpeed {
 		s.speed = newSpeed(f.Slots)
+		o.exposeSpeed(f.Server)
 	}
 	opts := o.backendOptions(f)
 	opts.OnPosition = nil
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -286,6 +286,7 @@
 	queued := s.owner.clock.Now()
 	release, err := s.admission.acquire(ctx, &gwlimit.Item{Class: req.Class, Deadline: deadline, MaxWait: req.QueueWait, Key: operationKey(req)})
 	if err != nil {
+		s.owner.countRefusal(req.Class, err)
 		return nil, nil, execution{event: admissionEvent(err), detail: err.Error()}
 	}
 	release = s.limitSlotHold(release, time.Duration(exchanges)*s.pending.slotLimit())
--- a/internal/gwowner/speed.go
+++ b/internal/gwowner/speed.go
@@ -1,11 +1,14 @@
 package gwowner
 
 import (
+	"errors"
 	"math"
 	"sync"
 	"time"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwtelemetry"
+	"gentianward.example/gentianward/pkg/gwlimit"
 	"gentianward.example/gentianward/pkg/gwspeed"
 )
 
@@ -174,3 +177,38 @@
 	}
 	return s.speed.estimate(o.clock.Now()), true
 }
+
+// exposeSpeed adds gauges of the speed of an owned server. The value of one that is no longer owned is
+// 0.
+func (o *Owner) exposeSpeed(name string) {
+	m, ok := o.metrics.(SpeedMetrics)
+	if !ok {
+		return
+	}
+	gauge := func(metric string, value func(gwspeed.Estimate) float64) {
+		m.Gauge(metric, func() float64 {
+			e, ok := o.SpeedOf(name)
+			if !ok {
+				return 0
+			}
+			return value(e)
+		}, gwtelemetry.Label{Name: "server", Value: name})
+	}
+	gauge("gentianward_server_slowness", func(e gwspeed.Estimate) float64 { return e.Factor })
+	gauge("gentianward_server_slowness_age_seconds", func(e gwspeed.Estimate) float64 { return e.Age.Seconds() })
+	gauge("gentianward_server_concurrency", func(e gwspeed.Estimate) float64 { return float64(e.Concurrency) })
+}
+
+// countRefusal counts a request that got no slot.
+func (o *Owner) countRefusal(class string, err error) {
+	m, ok := o.metrics.(SpeedMetrics)
+	if !ok {
+		return
+	}
+	reason := "callerGone"
+	var e *gwlimit.Error
+	if errors.As(err, &e) {
+		reason = e.Kind.String()
+	}
+	m.SlotRefused(class, reason)
+}
--- a/internal/gwowner/speed_test.go
+++ b/internal/gwowner/speed_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwtelemetry"
 	"gentianward.example/gentianward/pkg/gwsession"
 )
 
@@ -119,3 +120,39 @@
 	require.NoError(t, cbor.Unmarshal(slow, &r))
 	assert.Equal(t, earlierReport{Position: p, Load: 2}, r)
 }
+
+// speedMetrics records what an owner tells about refusals and speeds.
+type speedMetrics struct {
+	fakeMetrics
+	refused []string
+	gauges  map[string]func() float64
+}
+
+func (m *speedMetrics) SlotRefused(class, reason string) {
+	m.refused = append(m.refused, class+" "+reason)
+}
+
+func (m *speedMetrics) Gauge(name string, f func() float64, labels ...gwtelemetry.Label) {
+	m.gauges[name+" "+labels[0].Value] = f
+}
+
+// Guards against operators who cannot see that a server is slow or why requests get no slot, and against
+// gauges that fail after the server has moved to another owner.
+func TestSpeedMetrics(t *testing.T) {
+	s, clock, took, _ := newTimedServer(t)
+	m := &speedMetrics{gauges: make(map[string]func() float64)}
+	s.owner.metrics, s.owner.servers = m, map[string]*server{"s": s}
+	s.owner.exposeSpeed("s")
+	runStatements(t, s, clock, 200, "k")
+	*took = 80 * time.Millisecond
+	runStatements(t, s, clock, 20, "k")
+	assert.InDelta(t, 8, m.gauges["gentianward_server_slowness s"](), 1.5)
+	assert.Equal(t, 1.0, m.gauges["gentianward_server_concurrency s"]())
+	clock.Advance(3 * time.Second)
+	assert.InDelta(t, 3, m.gauges["gentianward_server_slowness_age_seconds s"](), 0.1)
+	s.admission.close()
+	runStatements(t, s, clock, 1, "k")
+	assert.Equal(t, []string{"k closed"}, m.refused)
+	s.owner.servers = nil
+	assert.Zero(t, m.gauges["gentianward_server_slowness s"]())
+}
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -238,7 +238,7 @@
 		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, PeerListenAddress: p.PeerListen, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Clock: gwclock.NewBootTime()},
-		Routes:       func(i *gwdaemon.Instance) http.Handler { return platform.ReadyRoutes(i) },
+		Routes:       entryRoutes,
 	}
 	if s.ServesControl {
 		o.FS = p.FS
@@ -249,6 +249,15 @@
 	return o, nil
 }
 
+// entryRoutes returns the handler of an entry instance: the platform's readiness checks, and what the
+// operators' commands ask.
+func entryRoutes(i *gwdaemon.Instance) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", platform.ReadyRoutes(i))
+	mux.HandleFunc("GET "+gwdaemon.PlacementPath, i.ServePlacement)
+	return mux
+}
+
 // serveCallers returns a function that accepts callers on a listener.
 func (p Process) serveCallers(unreadable *gwtelemetry.Unreadable) func(context.Context, net.Listener, *gwfilter.Entry) gwdaemon.CallerServer {
 	return func(ctx context.Context, l net.Listener, e *gwfilter.Entry) gwdaemon.CallerServer {
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -22,6 +22,20 @@
 	Overloaded
 )
 
+// String returns the kind as a value of a metric's label.
+func (k Kind) String() string {
+	switch k {
+	case QueueFull:
+		return "queueFull"
+	case Expired:
+		return "expired"
+	case Overloaded:
+		return "overloaded"
+	default:
+		return "closed"
+	}
+}
+
 // Error is the error type of this package.
 type Error struct {
 	Op    string
--- a/pkg/gwroute/route.go
+++ b/pkg/gwroute/route.go
@@ -193,23 +193,35 @@
 // cost returns the expected time until the server has answered a read, without the parts
 // that are the same for all servers.
 func (s Server) cost(wait, usual time.Duration, now time.Time) time.Duration {
-	c := wait
-	switch s.Distance {
-	case SameDataCentre:
-	case SameRegion:
-		c += costSameRegion
-	case OtherRegion:
-		c += costOtherRegion
-	}
+	c := wait + s.distanceCost() + s.roleCost()
 	service := float64(s.service(usual, now)) * s.attempts()
 	queue := s.queue(now)
 	if s.Primary {
 		// Writes that queue behind the read have no other server: their delay counts, too.
-		return c + costPrimary + time.Duration(service*queue*queue)
+		return c + time.Duration(service*queue*queue)
 	}
 	return c + time.Duration(service*queue)
 }
 
+// distanceCost returns the cost of the way to the server.
+func (s Server) distanceCost() time.Duration {
+	switch s.Distance {
+	case SameRegion:
+		return costSameRegion
+	case OtherRegion:
+		return costOtherRegion
+	}
+	return 0
+}
+
+// roleCost returns the cost of a read at the primary.
+func (s Server) roleCost() time.Duration {
+	if s.Primary {
+		return costPrimary
+	}
+	return 0
+}
+
 // decayedLoad returns the last reported load, decayed since the report.
 func (s Server) decayedLoad(now time.Time) float64 {
 	return s.Load * math.Exp2(-float64(now.Sub(s.ReportedAt))/float64(s.loadHalving()))
