gwlimit: slot times that vary by chance do not count as slow

Cause: the usual slot time of a class fell by a sixteenth of the difference with each request and rose within minutes, so that it became that of short requests: exponentially distributed times counted as slow for 0.37 of the time, and those of which a quarter takes five times as long for 0.13. Change: it follows the average by a 64th in both directions while the class is not slowed, and falls faster only if the average is below two thirds of it. Ruled out: a higher factor from which a class counts as slowed: a slowdown by 3 would not be found.

--- a/pkg/gwlimit/slow.go
+++ b/pkg/gwlimit/slow.go
@@ -12,10 +12,15 @@
 	// recoveredFactor the one below which it has recovered.
 	slowedFactor    = 2
 	recoveredFactor = 1.5
-	// usualFall and usualRise are the weights of the average in the usual slot time: of each request
-	// if the average is lower, and for each usualRiseTime if it is higher. A slowdown of minutes must
-	// not become usual.
-	usualFall     = 1.0 / 16
+	// usualWeight is the weight of the average in the usual slot time, for each request of a class that
+	// is not slowed. It is the same in both directions: a usual time that falls faster than it rises is
+	// that of short requests, and others count as slow.
+	usualWeight = 1.0 / 64
+	// usualFall is the weight if the average is below the usual time divided by recoveredFactor, as
+	// after a start at a slow server.
+	usualFall = 1.0 / 8
+	// usualRiseTime is the time constant while the class is slowed. A slowdown of minutes must not
+	// become usual.
 	usualRiseTime = 10 * time.Minute
 	// usualAfter is the number of requests whose average is the first usual slot time.
 	usualAfter = 32
@@ -60,10 +65,12 @@
 	case s.recorded < usualAfter:
 		s.recorded++
 		s.usual = mean
-	case mean < s.usual:
+	case float64(mean)*recoveredFactor < float64(s.usual):
 		s.usual += time.Duration(usualFall * float64(mean-s.usual))
-	default:
+	case s.slowed:
 		s.usual += time.Duration((1 - math.Exp(-float64(since)/float64(usualRiseTime))) * float64(mean-s.usual))
+	default:
+		s.usual += time.Duration(usualWeight * float64(mean-s.usual))
 	}
 	if s.slowed {
 		s.slowedAt = now
--- a/pkg/gwlimit/slow_test.go
+++ b/pkg/gwlimit/slow_test.go
@@ -1,6 +1,7 @@
 package gwlimit
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -140,3 +141,31 @@
 	}
 	assert.True(t, q.class("c").slowed, "after two minutes")
 }
+
+// Guards against ordinary slot times that count as slow: those of a class vary by chance, and by what its
+// statements do. With a usual time that fell faster than it rose, exponential times counted as slow for
+// 0.37 of the time.
+func TestVaryingSlotTimesAreNotSlow(t *testing.T) {
+	for name, next := range map[string]func(*rand.Rand) float64{
+		"exponential": func(rng *rand.Rand) float64 { return rng.ExpFloat64() },
+		"a quarter takes five times as long": func(rng *rand.Rand) float64 {
+			if rng.Float64() < 0.25 {
+				return 2.5
+			}
+			return 0.5
+		},
+	} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		q := NewFairQueue(1)
+		const records = 50_000
+		slowed := 0
+		for i := range records {
+			q.seenAt = testNow.Add(time.Duration(i) * 10 * time.Millisecond)
+			q.RecordServiceTime("c", time.Duration(next(rng)*float64(loadServiceTime)))
+			if q.class("c").slowed {
+				slowed++
+			}
+		}
+		assert.Less(t, float64(slowed)/records, 0.01, name)
+	}
+}
