--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -293,6 +293,7 @@
 		Class: req.Class, Customer: req.Customer, Deadline: deadline, MaxWait: remainingWait(req.QueueWait, s.owner.clock.Since(queued)), Key: operationKey(req),
 	})
 	if err != nil {
+		s.owner.countRefusal(req.Class, err)
 		return nil, nil, execution{event: admissionEvent(err), detail: err.Error()}
 	}
 	release = s.limitSlotHold(release, time.Duration(exchanges)*s.pending.slotLimit())
