--- a/internal/gwmanifest/manifest.go
+++ b/internal/gwmanifest/manifest.go
@@ -55,6 +55,8 @@
 	AllowLoss bool   `json:"allowLoss"` // allow a promotion that may lose acknowledged writes
 	// Connections limits the connections to each server; 0 for the limit that the server announces.
 	Connections int `json:"connections,omitempty"`
+	// Unconfirmed means that the primary answers a write before a replica has received it.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 }
 
 // Caller is a database user.
--- a/internal/gwowner/witness.go
+++ b/internal/gwowner/witness.go
@@ -79,7 +79,7 @@
 func (o *Owner) twoCopiesSuffice(g gwcontrol.GroupView, replica string) bool {
 	servers := o.Servers(g.Group)
 	copies, _ := o.DurabilityRules(g.Group)
-	if max(copies, len(servers)) > provenCopies || replica == g.Primary {
+	if max(copies, len(servers)) > provenCopies || replica == g.Primary || o.unconfirmed(g.Group) {
 		return false
 	}
 	for _, f := range servers {
@@ -90,6 +90,16 @@
 	return false
 }
 
+// unconfirmed reports whether the primary of a group answers writes that no replica has.
+func (o *Owner) unconfirmed(group string) bool {
+	m := o.views.Current().Manifest
+	if m == nil {
+		return true
+	}
+	ref, _ := m.GroupByName(group)
+	return ref.Unconfirmed
+}
+
 // isNoLease reports whether the owner of the primary refused because it holds no lease.
 func isNoLease(err error) bool {
 	code, remote := gwpeer.RemoteCode(err)
--- a/internal/gwowner/witness_test.go
+++ b/internal/gwowner/witness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -72,6 +73,16 @@
 	return g
 }
 
+// publishUnconfirmed publishes a manifest with the group, whose writes need no replica.
+func (g *splitGroup) publishUnconfirmed(t *testing.T) {
+	text, err := gwexamples.Files.ReadFile("ecodour/manifest.jsonc")
+	require.NoError(t, err)
+	changed := strings.Replace(string(text), `"groups": [`, `"groups": [ { "name": "g", "unconfirmed": true },`, 1)
+	changed = strings.Replace(changed, `"number": 1,`, `"number": 2,`, 1)
+	_, err = g.owner.views.Apply(gwcontrol.ViewDelta{From: 3, Index: 4, Number: 2, Text: []byte(changed)})
+	require.NoError(t, err)
+}
+
 // ask asks the replica i-2 and then, after meanwhile, the primary.
 func (g *splitGroup) ask(t *testing.T, meanwhile func()) (gwsession.Position, error) {
 	w, err := g.owner.server("i-2").witnessReplica(t.Context(), g.owner.server("i-2").group())
@@ -99,6 +110,7 @@
 		{"the primary was stopped", func(g *splitGroup) { g.servers["i-1"].report.Role = gwbackend.RoleReplica }, false},
 		{"the primary leads a later term", func(g *splitGroup) { g.servers["i-1"].report.Term = 2 }, false},
 		{"a fourth copy", func(g *splitGroup) { g.owner.directory.Record(extra) }, false},
+		{"writes are answered without a replica", func(g *splitGroup) { g.publishUnconfirmed(t) }, false},
 		{"the setting is off", func(g *splitGroup) { g.owner.freshWithoutLease = false }, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
