--- a/internal/gwsoak/checker.go
+++ b/internal/gwsoak/checker.go
@@ -90,6 +90,7 @@
 	countReads     = "reads: "
 	countWrites    = "writes: "
 	countChanges   = "values and prepared statements: "
+	countTooMany   = "connections refused by servers"
 )
 
 // maxOfRule is how many violations of a rule of statements are listed; the others are counted.
--- a/internal/gwsoak/run.go
+++ b/internal/gwsoak/run.go
@@ -393,6 +393,7 @@
 	for i := range minGroups + r.rand.IntN(moreGroups) {
 		o := platformtest.GroupOptions{
 			Name: fmt.Sprintf("db%d", i+1), Control: r.controlAddresses, Promoted: r.check.tookEffect, Paused: r.paused, Check: r.check.statements,
+			MaxConnections: platformtest.MaxConnections, TooMany: func(string) { r.check.count(countTooMany) },
 			ReplicationDelay: func(from, to string) time.Duration {
 				if regions[from] == regions[to] {
 					return localDelay
