gwdaemon, gwtelemetry, docs/operators: metrics of connections by server and customer

Cause: operators could not see how many connections a server has, how often they are opened or closed for another customer, or which customer holds them.

Change: gwtelemetry.Metrics.Collect takes a function that returns samples at each scrape, as servers come and go with ownership.

Ruled out: registered gauges, which keep the series of a released server.

--- a/internal/gwbackend/pool.go
+++ b/internal/gwbackend/pool.go
@@ -100,6 +100,7 @@
 	Limit, Open, Idle, InUse, Dialing, Closing int
 	Waiting                                    int // in AcquireFor
 	Awaiting                                   int // in AwaitAvailable
+	Accepted                                   int // connections for requests that the pool may hold at present
 
 	Dials, DialErrors uint64
 	Discards          uint64 // connections closed because they could not be used again
--- a/internal/gwbackend/poolcontrol.go
+++ b/internal/gwbackend/poolcontrol.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"gentianward.example/gentianward/pkg/gwpool"
 )
 
 // AcquireControl returns the connection that is reserved for control
@@ -114,12 +116,26 @@
 	d := p.decisions.Stats()
 	s.Limit, s.Idle, s.InUse, s.Dialing, s.Closing, s.Waiting = p.limit, d.Idle, d.InUse, d.Dialing, d.Closing, d.Waiting
 	s.Open = s.Idle + s.InUse
+	s.Accepted = p.decisions.Limit()
 	if p.controlConn != nil {
 		s.Open++
 	}
 	return s
 }
 
+// OpenByUser returns the number of open connections of each user other than the pool's own.
+func (p *Pool) OpenByUser() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open := make(map[string]int)
+	p.decisions.UserStats(func(name string, s gwpool.Stats) {
+		if n := s.Idle + s.InUse; n > 0 && name != "" {
+			open[name] = n
+		}
+	})
+	return open
+}
+
 // maintain closes expired idle connections and dials up to MinIdle, until the pool is
 // closed.
 func (p *Pool) maintain() {
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -103,6 +103,7 @@
 		return err
 	}
 	i.exposeState()
+	i.exposeConnections()
 	i.run(ctx)
 	return nil
 }
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -123,4 +123,6 @@
 	UnreadableMessage(from, reason string)
 	// Gauge adds a metric whose value is read from f.
 	Gauge(name string, f func() float64, labels ...gwtelemetry.Label)
+	// Collect adds metrics that f returns at each scrape.
+	Collect(f func() []gwtelemetry.Sample)
 }
--- a/internal/gwtelemetry/metrics.go
+++ b/internal/gwtelemetry/metrics.go
@@ -53,6 +53,7 @@
 	series       map[seriesKey]*Series
 	failoverGaps map[string]*metrics.PrometheusHistogram
 	labelValues  map[string]map[string]struct{} // label values by metric and label
+	collect      []func() []Sample
 }
 
 type seriesKey struct{ class, group string }
@@ -211,5 +212,6 @@
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 	m.set.WritePrometheus(w)
+	m.writeCollected(w)
 	metrics.WriteProcessMetrics(w)
 }
