gwbackend, gwstatement, gwstandin: a replaced connection has ended at the server

Cause: closing the socket does not mean that the server has ended the session.

Change: a connection that is closed for another is closed gracefully: the pool asks the server to end it and waits for that, for at most 200 ms, before it dials. The wait is halved each time that the server does not answer, so that a frozen server costs no request 200 ms each time. Other connections are closed as before. gwstandin reports the users of its connections.

Ruled out: a graceful close of all connections, which delays the handover of a server to its next owner by a round trip.

--- a/internal/gwbackend/conn.go
+++ b/internal/gwbackend/conn.go
@@ -82,6 +82,9 @@
 	forwardRemaining int     // bytes of a forwarded message that are not in rbuf yet
 }
 
+// terminateMessage ends a session.
+var terminateMessage = []byte{'X', 0, 0, 0, 4}
+
 // Dial connects and authenticates.
 func Dial(ctx context.Context, o Options) (*Conn, error) {
 	if o.Name == "" {
@@ -187,7 +190,7 @@
 func (c *Conn) Close() error {
 	if !c.unusable.Swap(true) {
 		_ = c.nc.SetWriteDeadline(time.Now().Add(cancelRequestTimeout))
-		_, _ = c.nc.Write([]byte{'X', 0, 0, 0, 4})
+		_, _ = c.nc.Write(terminateMessage)
 	}
 	err := c.nc.Close()
 	<-c.readerDone
--- a/internal/gwbackend/connection.go
+++ b/internal/gwbackend/connection.go
@@ -1,6 +1,9 @@
 package gwbackend
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Connection is one connection to a backend server in any protocol. It runs one
 // exchange at a time.
@@ -37,7 +40,40 @@
 	Receiving() bool
 }
 
-var _ Connection = (*Conn)(nil)
+// GracefulCloser is a Connection that can wait until the server has ended it.
+type GracefulCloser interface {
+	// CloseGracefully asks the server to end the connection, waits until it has done so but at
+	// most for a time, and closes the connection. It reports whether the server ended it.
+	CloseGracefully(wait time.Duration) bool
+}
+
+var (
+	_ Connection     = (*Conn)(nil)
+	_ GracefulCloser = (*Conn)(nil)
+)
+
+// CloseGracefully implements GracefulCloser.
+func (c *Conn) CloseGracefully(wait time.Duration) bool {
+	if !c.unusable.Swap(true) {
+		_ = c.nc.SetWriteDeadline(time.Now().Add(wait))
+		_, _ = c.nc.Write(terminateMessage)
+	}
+	ended := AwaitEnd(c.readerDone, wait)
+	_ = c.Close()
+	return ended
+}
+
+// AwaitEnd waits for the end of a connection's reader and reports whether it ended in time.
+func AwaitEnd(readerDone <-chan struct{}, wait time.Duration) bool {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-readerDone:
+		return true
+	case <-t.C:
+		return false
+	}
+}
 
 // Clean reports whether the connection is outside of a transaction and has the
 // session state of a new one.
--- a/internal/gwbackend/pool.go
+++ b/internal/gwbackend/pool.go
@@ -75,6 +75,7 @@
 	limit        int
 	timer        clockwork.Timer // calls decide when a decision is due without an event
 	timerAt      time.Time
+	endWait      time.Duration // for the server to end a connection that is replaced
 	available    chan struct{} // closed when a connection may be available; nil if nobody waits
 	controlConn  Connection
 	controlSince time.Time // when controlConn was opened
@@ -114,7 +115,7 @@
 func NewPool(o PoolOptions) *Pool {
 	o.setDefaults()
 	p := &Pool{
-		o: o, limit: max(1, o.Limit), idle: make(map[string][]idleConn), inUse: make(map[Connection]string),
+		o: o, limit: max(1, o.Limit), endWait: maxEndWait, idle: make(map[string][]idleConn), inUse: make(map[Connection]string),
 		controlFree: make(chan struct{}, 1), allClosed: make(chan struct{}),
 	}
 	p.decisions = gwpool.New(p.requestLimit(), o.MinIdle)
--- a/internal/gwbackend/pooldecide.go
+++ b/internal/gwbackend/pooldecide.go
@@ -78,7 +78,7 @@
 			if a.ForOther {
 				p.stats.ClosedForOther++
 			}
-			p.closeOldest(a.User)
+			p.closeOldest(a.User, p.endWait)
 		}
 	}
 	p.schedule(now)
@@ -125,24 +125,51 @@
 // until it is closed. p.mu is held.
 func (p *Pool) closeIdle(user string) {
 	p.decisions.Closing(user)
-	p.closeOldest(user)
+	p.closeOldest(user, 0)
 }
 
-// closeOldest does what closeIdle does after the decision to close is recorded. p.mu is held.
-func (p *Pool) closeOldest(user string) {
+// closeOldest does what closeIdle does after the decision to close is recorded, and waits until the
+// server has ended the connection, for at most the given time. p.mu is held.
+func (p *Pool) closeOldest(user string, wait time.Duration) {
 	conns := p.idle[user]
 	c := conns[0].c
 	p.setIdle(user, slices.Delete(conns, 0, 1))
 	p.wg.Go(func() {
-		_ = c.Close()
+		ended, waited := false, false
+		if g, ok := c.(GracefulCloser); ok && wait > 0 {
+			ended, waited = g.CloseGracefully(wait), true
+		} else {
+			_ = c.Close()
+		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		if waited {
+			p.adjustEndWait(ended)
+		}
 		p.decisions.Closed()
 		p.decide()
 		p.checkAllClosed()
 	})
 }
 
+// maxEndWait and minEndWait bound the wait for the server to end a connection that is replaced. A
+// server that still counts it would refuse the replacement. The answer from another region takes
+// 60 ms.
+const (
+	maxEndWait = 200 * time.Millisecond
+	minEndWait = time.Millisecond
+)
+
+// adjustEndWait shortens the wait for a server that does not end connections when it is asked to, as
+// one that is frozen. p.mu is held.
+func (p *Pool) adjustEndWait(ended bool) {
+	if ended {
+		p.endWait = maxEndWait
+		return
+	}
+	p.endWait = max(minEndWait, p.endWait/2)
+}
+
 // AwaitAvailable waits until a request of the user can expect a connection without waiting for
 // one that is in use, as all are while transactions are open, but at most for maxWait; 0 stands
 // for any wait. It returns at once as long as no connection is requested for a user of its own.
--- a/internal/gwbackend/poolusers_test.go
+++ b/internal/gwbackend/poolusers_test.go
@@ -272,3 +272,33 @@
 	assert.Equal(t, uint64(3), p.Stats().ClosedForOther)
 	assert.Equal(t, uint64(7), p.Stats().Dials)
 }
+
+// frozenConn is a connection that the server does not end when it is asked to.
+type frozenConn struct {
+	stubConn
+	waits chan<- time.Duration
+}
+
+func (c *frozenConn) CloseGracefully(wait time.Duration) bool {
+	c.waits <- wait
+	return false
+}
+
+// Guards against requests that wait 200 ms for each connection that a frozen server does not end.
+func TestPoolWaitsLessForFrozenServer(t *testing.T) {
+	waits := make(chan time.Duration, 100)
+	p := NewPool(PoolOptions{Limit: 2, Dial: func(context.Context, Options) (Connection, error) { return &frozenConn{waits: waits}, nil }})
+	defer func() { _ = p.Close(t.Context()) }()
+	for i := range 12 {
+		c, err := p.AcquireFor(timeoutContext(t, 5*time.Second), string(rune('a'+i)))
+		require.NoError(t, err)
+		p.Release(c, true)
+	}
+	close(waits)
+	want := maxEndWait
+	for w := range waits {
+		assert.Equal(t, want, w)
+		want = max(minEndWait, want/2)
+	}
+	assert.Equal(t, minEndWait, want)
+}
--- a/internal/gwstandin/server.go
+++ b/internal/gwstandin/server.go
@@ -163,6 +163,23 @@
 	s.announceNow()
 }
 
+// Connections returns the number of client connections of each user.
+func (s *Server) Connections() map[string]int {
+	s.mu.Lock()
+	r := s.run
+	s.mu.Unlock()
+	users := make(map[string]int)
+	if r == nil {
+		return users
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.sessions {
+		users[c.user]++
+	}
+	return users
+}
+
 // SetFault replaces the active faults.
 func (s *Server) SetFault(f Fault) { s.faults.set(f) }
 
--- a/internal/gwstandin/session.go
+++ b/internal/gwstandin/session.go
@@ -29,6 +29,7 @@
 	backend *pgproto3.Backend
 	output  []byte
 	id      uint32
+	user    string
 	secret  []byte
 
 	txStatus       byte
@@ -73,6 +74,7 @@
 		s.replicateTo(r, conn, c.backend)
 		return
 	}
+	c.user = params["user"]
 	if !c.register() {
 		c.fatal(newError("start session", KindLimit, stateTooManyConnections, "sorry, too many clients already"))
 		return
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -78,6 +78,8 @@
 var (
 	_ gwbackend.Connection = (*Conn)(nil)
 	_ gwbackend.Receiver   = (*Conn)(nil)
+
+	_ gwbackend.GracefulCloser = (*Conn)(nil)
 )
 
 // dial connects to the server o.Name of the group o.Database.
@@ -249,6 +251,18 @@
 	return nil
 }
 
+// CloseGracefully implements gwbackend.GracefulCloser. The server ends the session when it has
+// read the end of the stream.
+func (c *Conn) CloseGracefully(wait time.Duration) bool {
+	c.unusable.Store(true)
+	ended := false
+	if w, ok := c.nc.(interface{ CloseWrite() error }); ok && w.CloseWrite() == nil {
+		ended = gwbackend.AwaitEnd(c.readerDone, wait)
+	}
+	_ = c.Close()
+	return ended
+}
+
 // roundTrip sends bytes and waits for the answer. sent reports whether the
 // server may have received them.
 func (c *Conn) roundTrip(ctx context.Context, out []byte) (a answer, sent bool, err error) {
