--- a/internal/gwbackend/poolusers_test.go
+++ b/internal/gwbackend/poolusers_test.go
@@ -271,4 +271,42 @@
 	}
 	assert.Equal(t, uint64(3), p.Stats().ClosedForOther)
 	assert.Equal(t, uint64(7), p.Stats().Dials)
+	p.SetShared(false)
+	p.SetLimit(9)
+	eventually(t, func() bool { return p.Stats().Idle == 7 }, "4 of the own user and 3 of others")
+
+	shared := NewPool(PoolOptions{Options: Options{User: "own"}, Limit: 5, MinIdle: 4, Shared: true, Dial: s.dial})
+	defer func() { _ = shared.Close(timeoutContext(t, time.Second)) }()
+	time.Sleep(20 * time.Millisecond)
+	assert.Zero(t, shared.Stats().Dials)
+}
+
+// frozenConn is a connection that the server does not end when it is asked to.
+type frozenConn struct {
+	stubConn
+	waits chan<- time.Duration
+}
+
+func (c *frozenConn) CloseGracefully(wait time.Duration) bool {
+	c.waits <- wait
+	return false
+}
+
+// Guards against requests that wait 200 ms for each connection that a frozen server does not end.
+func TestPoolWaitsLessForFrozenServer(t *testing.T) {
+	waits := make(chan time.Duration, 100)
+	p := NewPool(PoolOptions{Limit: 2, Dial: func(context.Context, Options) (Connection, error) { return &frozenConn{waits: waits}, nil }})
+	defer func() { _ = p.Close(t.Context()) }()
+	for i := range 12 {
+		c, err := p.AcquireFor(timeoutContext(t, 5*time.Second), string(rune('a'+i)))
+		require.NoError(t, err)
+		p.Release(c, true)
+	}
+	close(waits)
+	want := maxEndWait
+	for w := range waits {
+		assert.Equal(t, want, w)
+		want = max(minEndWait, want/2)
+	}
+	assert.Equal(t, minEndWait, want)
 }
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -131,4 +131,6 @@
 	PlatformCall(outcome string)
 	// UnreadableMessage counts a message that could not be read.
 	UnreadableMessage(from, reason string)
+	// Collect adds metrics that f returns at each scrape.
+	Collect(f func() []gwtelemetry.Sample)
 }
