--- a/internal/gwbackend/pooldecide.go
+++ b/internal/gwbackend/pooldecide.go
@@ -1,25 +1,12 @@
 package gwbackend
 
 import (
-	"context"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"gentianward.example/gentianward/pkg/gwpool"
 )
 
-// maxAwaiting bounds the requests that wait in AwaitAvailable.
-const maxAwaiting = 256
-
-// awaitInterval is the interval at which AwaitAvailable checks whether a server that has refused
-// connections may accept one more.
-const awaitInterval = 200 * time.Millisecond
-
-// ErrCrowded means that too many requests wait for a connection.
-var ErrCrowded = errors.New("too many requests wait for a connection")
-
 // takeIdle takes the most recently used idle connection of user. p.mu is held.
 func (p *Pool) takeIdle(user string) Connection {
 	for p.decisions.Take(user, p.o.Clock.Now()) {
@@ -75,24 +62,16 @@
 		case gwpool.Dial:
 			p.wg.Go(func() { p.dial(a.User) })
 		case gwpool.Close:
+			wait := time.Duration(0)
 			if a.ForOther {
 				p.stats.ClosedForOther++
+				wait = p.endWait
 			}
-			p.closeOldest(a.User)
+			p.closeOldest(a.User, wait)
 		}
 	}
 	p.schedule(now)
-	if p.decisions.AnyAvailable() {
-		p.wakeAwaiting()
-	}
-}
-
-// wakeAwaiting makes the requests in AwaitAvailable check again. p.mu is held.
-func (p *Pool) wakeAwaiting() {
-	if p.available != nil {
-		close(p.available)
-		p.available = nil
-	}
+	p.wakeAvailable(now)
 }
 
 // schedule sets the timer to the time of the next decision without an event. p.mu is held.
@@ -125,64 +104,47 @@
 // until it is closed. p.mu is held.
 func (p *Pool) closeIdle(user string) {
 	p.decisions.Closing(user)
-	p.closeOldest(user)
+	p.closeOldest(user, 0)
 }
 
-// closeOldest does what closeIdle does after the decision to close is recorded. p.mu is held.
-func (p *Pool) closeOldest(user string) {
+// closeOldest does what closeIdle does after the decision to close is recorded, and waits until the
+// server has ended the connection, for at most the given time. p.mu is held.
+func (p *Pool) closeOldest(user string, wait time.Duration) {
 	conns := p.idle[user]
 	c := conns[0].c
 	p.setIdle(user, slices.Delete(conns, 0, 1))
 	p.wg.Go(func() {
-		_ = c.Close()
+		ended, waited := false, false
+		if g, ok := c.(GracefulCloser); ok && wait > 0 {
+			ended, waited = g.CloseGracefully(wait), true
+		} else {
+			_ = c.Close()
+		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		if waited {
+			p.adjustEndWait(ended)
+		}
 		p.decisions.Closed()
 		p.decide()
 		p.checkAllClosed()
 	})
 }
 
-// AwaitAvailable waits until a request of the user can expect a connection without waiting for
-// one that is in use, as all are while transactions are open, but at most for maxWait; 0 stands
-// for any wait. It returns at once as long as no connection is requested for a user of its own.
-// Every error is of KindNotSent.
-func (p *Pool) AwaitAvailable(ctx context.Context, user string, maxWait time.Duration) error {
-	const op = "wait for an available connection"
-	p.mu.Lock()
-	if p.closed || p.decisions.Available(user, p.o.Clock.Now()) {
-		p.mu.Unlock()
-		return nil
-	}
-	if p.stats.Awaiting >= maxAwaiting {
-		p.mu.Unlock()
-		return p.error(op, ErrCrowded)
-	}
-	p.stats.Awaiting++
-	if maxWait > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, maxWait)
-		defer cancel()
-	}
-	defer func() {
-		p.mu.Lock()
-		p.stats.Awaiting--
-		p.mu.Unlock()
-	}()
-	for !p.closed && !p.decisions.Available(user, p.o.Clock.Now()) {
-		if p.available == nil {
-			p.available = make(chan struct{})
-		}
-		available := p.available
-		p.mu.Unlock()
-		select {
-		case <-available:
-		case <-p.o.Clock.After(awaitInterval):
-		case <-ctx.Done():
-			return p.error(op, context.Cause(ctx))
-		}
-		p.mu.Lock()
+// maxEndWait and minEndWait bound the wait for the server to end a connection that is replaced. A
+// server that still counts it would refuse the replacement. The answer from another region takes
+// 60 ms.
+const (
+	maxEndWait = 200 * time.Millisecond
+	minEndWait = time.Millisecond
+)
+
+// adjustEndWait shortens the wait for a server that does not end connections when it is asked to, as
+// one that is frozen. p.mu is held.
+func (p *Pool) adjustEndWait(ended bool) {
+	if ended {
+		p.endWait = maxEndWait
+		return
 	}
-	p.mu.Unlock()
-	return nil
+	p.endWait = max(minEndWait, p.endWait/2)
 }
