--- a/cmd/gentianward-platform/customers_test.go
+++ b/cmd/gentianward-platform/customers_test.go
@@ -200,6 +200,12 @@
 	}
 	d.awaitReady()
 	d.publishTenants(8, tenants...)
+	for entry := range d.callerAddresses { // an instance without the tenants needs no key and names no customer
+		require.Eventually(t, func() bool {
+			_, code := d.openWithKey(entry, "bookings", "key-unknown")
+			return code == "NOAUTH"
+		}, revocationLimit, time.Millisecond, "entry %d has the tenants", entry)
+	}
 	d.group.check.Customers(owners)
 	for entry := range d.callerAddresses {
 		d.awaitWrite(entry, "bookings", "key-0")
