--- a/internal/gwquotas/service.go
+++ b/internal/gwquotas/service.go
@@ -178,10 +178,12 @@
 	limited := len(s.currentLimits().byCustomer) > 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.agent == nil && limited || s.agent != nil && !(s.agent.Announced() && s.settled(s.Topology())) {
+	switch {
+	case s.agent == nil && !limited:
+		return wait
+	case s.agent == nil, !s.agent.Announced(), !s.settled(s.Topology()):
 		return min(wait, startInterval)
-	}
-	if s.agent == nil || s.agent.Next().IsZero() {
+	case s.agent.Next().IsZero():
 		return wait
 	}
 	return max(0, min(wait, s.agent.Next().Sub(now)))
