gwowner, gwspeed: requests come back sooner to a recovered server; shed ones are offered elsewhere

Requests that a slowed server refuses with time left ended as expired, so that reads were not tried elsewhere. Change: for 10 s after a slowdown the mean time before it is reported if it is shorter. Expire tells the kind of the refusal: overloaded for requests that were shed or held. A deployment test follows a slow primary from its owner to explain-placement. Ruled out: a heavier weight of new times in the average, which changes even servers.

--- a/cmd/gentianward-platform/placement_test.go
+++ b/cmd/gentianward-platform/placement_test.go
@@ -89,3 +89,36 @@
 	assert.Regexp(t, `s2 .*primary +i +250ms ago +1/7 +0s`, lines[5])
 	assert.NotContains(t, lines[4], "-1.0 ms")
 }
+
+// Guards against an owner that does not measure its servers, or a report of a slow server that does not
+// reach the entry instances.
+func TestSlowServerIsExplained(t *testing.T) {
+	d := startDeployment(t)
+	d.awaitReady()
+	a := d.dial(d.callerAddresses[0], "bookings")
+	assert.Equal(t, "READY I", a.readAnswer())
+	store := func() bool { return a.query("STORE 1 one") == "COMPLETE signature,READY I" }
+	require.Eventually(t, store, 20*time.Second, 50*time.Millisecond, "the first write")
+	setCost := func(cost time.Duration) {
+		d.group.mu.Lock()
+		defer d.group.mu.Unlock()
+		d.group.cost = cost
+	}
+	slowness := func() float64 {
+		p, _ := explainPlacement(t, placementCmd{address: d.readyAddresses[0], database: "bookings", kind: "write"})
+		for _, c := range p.Candidates {
+			if c.Primary {
+				return c.Slowness
+			}
+		}
+		return 0
+	}
+	setCost(5 * time.Millisecond)
+	for range 60 {
+		store()
+	}
+	setCost(150 * time.Millisecond)
+	require.Eventually(t, func() bool { return store() && slowness() > 2 }, 20*time.Second, time.Millisecond, "found slow")
+	setCost(5 * time.Millisecond)
+	require.Eventually(t, func() bool { return store() && slowness() < 2 }, 20*time.Second, time.Millisecond, "normal again")
+}
--- a/internal/gwowner/admission.go
+++ b/internal/gwowner/admission.go
@@ -188,7 +188,7 @@
 	now := a.clock.Now()
 	for _, it := range a.queue.Expire(now) {
 		w := it.Ref.(*slotWaiter)
-		w.err = &gwlimit.Error{Op: "admit request", Kind: gwlimit.Expired, Class: it.Class}
+		w.err = &gwlimit.Error{Op: "admit request", Kind: it.Refused, Class: it.Class}
 		close(w.done)
 	}
 	for it := a.queue.Pop(now); it != nil; it = a.queue.Pop(now) {
--- a/internal/gwowner/admission_test.go
+++ b/internal/gwowner/admission_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/pkg/gwlimit"
+	"gentianward.example/gentianward/pkg/gwoutcome"
 )
 
 // Guards against a queue that takes the next try of a refused caller for a new operation, or
@@ -37,3 +41,49 @@
 		})
 	}
 }
+
+// Guards against requests that a server turned slow refuses with time left, and that are not offered to
+// another server, as their time seems to be over.
+func TestShedRequestIsOfferedElsewhere(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := newAdmission(clock, 1)
+	item := func() *gwlimit.Item {
+		return &gwlimit.Item{Class: "k", Deadline: clock.Now().Add(800 * time.Millisecond), MaxWait: 400 * time.Millisecond}
+	}
+	hold := func(took time.Duration) {
+		release, err := a.acquire(t.Context(), item())
+		assert.NoError(t, err)
+		clock.Advance(took)
+		release()
+	}
+	for range 100 {
+		hold(10 * time.Millisecond)
+	}
+	running := item()
+	w, err := a.push(running)
+	assert.Nil(t, w)
+	assert.NoError(t, err)
+	var waiters []*slotWaiter
+	for {
+		w, err := a.push(item())
+		if err != nil {
+			break
+		}
+		waiters = append(waiters, w)
+	}
+	a.mu.Lock()
+	for range 40 {
+		a.queue.RecordServiceTime("k", 100*time.Millisecond)
+	}
+	a.mu.Unlock()
+	clock.Advance(100 * time.Millisecond)
+	a.release(running, 100*time.Millisecond)
+	refused := 0
+	for _, w := range waiters {
+		if w.err != nil {
+			assert.Equal(t, gwoutcome.QueueFull, admissionEvent(w.err))
+			refused++
+		}
+	}
+	assert.Greater(t, refused, len(waiters)/2)
+}
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -213,7 +213,7 @@
 		Staleness:      staleness,
 		StalenessKnown: known,
 		Load:           float64(s.admission.load()) / float64(max(1, s.facts().Slots)),
-		ServiceTime:    s.admission.serviceTime(),
+		ServiceTime:    s.expectedService(),
 		Speed:          s.reportSpeed(s.owner.clock.Now()),
 	}
 }
--- a/internal/gwowner/speed.go
+++ b/internal/gwowner/speed.go
@@ -151,6 +151,19 @@
 
 func roundTenth(f float64) float64 { return math.Round(f*10) / 10 }
 
+// expectedService returns the expected time for which a request holds a slot. Just after a slowdown it
+// is that of the estimate: the average would keep requests away, and so stay high.
+func (s *server) expectedService() time.Duration {
+	average := s.admission.serviceTime()
+	if s.speed == nil {
+		return average
+	}
+	if e := s.speed.estimate(s.owner.clock.Now()); e.Service > 0 {
+		return min(average, e.Service)
+	}
+	return average
+}
+
 // reportSpeed returns the speed for a Report, nil if the server is at its usual speed.
 func (s *server) reportSpeed(now time.Time) *Speed {
 	if s.speed == nil {
--- a/pkg/gwlimit/queue.go
+++ b/pkg/gwlimit/queue.go
@@ -79,6 +79,9 @@
 	Cost float64
 	// Ref is a value of the queue's user; the queue does not read it.
 	Ref any
+	// Refused is the kind of the refusal of a request that Expire has returned: Expired, or
+	// Overloaded if there is time left in which another server may serve it.
+	Refused Kind
 
 	virtualStart float64
 	// startBy is the latest start at which the request is expected to meet its deadline.
@@ -382,6 +385,10 @@
 			continue
 		}
 		q.dequeue(it)
+		it.Refused = Expired
+		if it.held {
+			it.Refused = Overloaded
+		}
 		q.refusals.add(it.Key, now)
 		out = append(out, it)
 	}
--- a/pkg/gwlimit/slow.go
+++ b/pkg/gwlimit/slow.go
@@ -180,6 +180,7 @@
 			case it.dequeued:
 			case !it.Deadline.IsZero() && now.Add(wait).After(it.Deadline):
 				q.dequeue(it)
+				it.Refused = Overloaded
 				q.refusals.add(it.Key, now)
 				out = append(out, it)
 			default:
--- a/pkg/gwlimit/slow_test.go
+++ b/pkg/gwlimit/slow_test.go
@@ -96,6 +96,7 @@
 
 	q, _, held = hold()
 	assert.Contains(t, q.Expire(testNow.Add(callersAim-100*time.Millisecond)), held)
+	assert.Equal(t, Overloaded, held.Refused)
 	assert.False(t, q.Remove(held))
 
 	q, _, held = hold()
@@ -119,6 +120,9 @@
 		q.RecordServiceTime("c", 50*time.Millisecond)
 	}
 	out := q.Expire(testNow.Add(time.Millisecond))
+	for _, it := range out {
+		assert.Equal(t, Overloaded, it.Refused, "it may be served elsewhere")
+	}
 	left, _ := q.Len()
 	assert.Equal(t, before-left, len(out))
 	assert.LessOrEqual(t, left, int(callersAim/(50*time.Millisecond)))
--- a/pkg/gwroute/uneven_test.go
+++ b/pkg/gwroute/uneven_test.go
@@ -289,7 +289,11 @@
 		return
 	}
 	k.Speed = Speed{Retest: RetestAfter(unevenEntries)}
-	if e := s.estimator.Estimate(now); e.State == gwspeed.Slow || e.State == gwspeed.Failing || e.Concurrency < unevenSlots {
+	e := s.estimator.Estimate(now)
+	if e.Service > 0 {
+		k.ServiceTime = min(k.ServiceTime, e.Service)
+	}
+	if e.State == gwspeed.Slow || e.State == gwspeed.Failing || e.Concurrency < unevenSlots {
 		r.speeds++
 		k.Speed = Speed{Factor: e.Factor, SlotShare: float64(e.Concurrency) / unevenSlots, Errors: e.Errors, Confidence: e.Confidence, Age: e.Age, Retest: RetestAfter(unevenEntries)}
 	}
--- a/pkg/gwspeed/speed.go
+++ b/pkg/gwspeed/speed.go
@@ -24,6 +24,13 @@
 	confidenceHalfLife = 5 * time.Second
 	// maxClasses bounds the classes with a usual time of their own.
 	maxClasses = 64
+	// recoveredTime is the time for which Estimate.Service is set after a slowdown.
+	recoveredTime = 10 * time.Second
+	// usualMeanWeight is the weight of the newest statement in the mean time while not slow.
+	usualMeanWeight = 0.02
+	// maxMeanFactor bounds the effect of one statement on the mean time, as the first ones of a slowdown
+	// end before it is found.
+	maxMeanFactor = 3
 	// errorWeight is the weight of the newest statement in the share of unanswered ones.
 	errorWeight = 0.05
 	// failingShare is the share of unanswered statements from which a server counts as failing. A
@@ -61,6 +68,9 @@
 	Confidence float64
 	// Age is the time since the last answer.
 	Age time.Duration
+	// Service is set for recoveredTime after a slowdown: the mean time of statements before it.
+	// Averages over the last statements are still those of the slowdown.
+	Service time.Duration
 }
 
 // Statement is a statement that runs at the server.
@@ -89,6 +99,10 @@
 	answeredAt time.Time
 	waiting    int
 	scratch    []float64
+	// usualMean is the mean time of statements in seconds while the server is not slow, 0 if unknown, and
+	// recoveredAt when it last ceased to be slow.
+	usualMean   float64
+	recoveredAt time.Time
 }
 
 // NewEstimator returns an Estimator of a server with the given number of slots.
@@ -142,6 +156,7 @@
 	}
 	s.class.record(now.Sub(s.began), e.factor, now)
 	e.update(now)
+	e.recordMean(now.Sub(s.began))
 	if s.class.known() {
 		e.window.Crowded = e.crowding.possible()
 		e.window.Served(s.class.usual().Seconds(), waiting > 0, e.factor, now)
@@ -159,6 +174,9 @@
 		return out
 	}
 	out.Age = max(0, now.Sub(e.answeredAt))
+	if !e.slow && !e.recoveredAt.IsZero() && now.Sub(e.recoveredAt) < recoveredTime {
+		out.Service = time.Duration(e.usualMean * float64(time.Second))
+	}
 	out.Confidence = min(1, float64(e.measured)/enoughSamples) * math.Exp2(-float64(out.Age)/float64(confidenceHalfLife))
 	switch {
 	case e.errors >= failingShare:
@@ -198,10 +216,23 @@
 	if e.factor >= foundFactor(count) {
 		e.slow = true
 	} else if e.factor <= normalFactor {
+		if e.slow {
+			e.recoveredAt = now
+		}
 		e.slow = false
 	}
 }
 
+// recordMean updates the mean time of statements unless the server is slower than usual.
+func (e *Estimator) recordMean(took time.Duration) {
+	switch {
+	case e.usualMean == 0:
+		e.usualMean = took.Seconds()
+	case !e.slow && e.factor < normalFactor:
+		e.usualMean += usualMeanWeight * (min(took.Seconds(), maxMeanFactor*e.usualMean) - e.usualMean)
+	}
+}
+
 // foundFactor returns the factor from which a server is found slow by the given number of times:
 // slowFactor or, if they are few, two standard errors above normalFactor.
 func foundFactor(times int) float64 {
--- a/pkg/gwspeed/speed_test.go
+++ b/pkg/gwspeed/speed_test.go
@@ -133,3 +133,22 @@
 	assert.LessOrEqual(t, len(e.classes), maxClasses+1)
 	assert.Empty(t, e.running)
 }
+
+// Guards against an average of a slowdown that keeps requests away from a recovered server, and against
+// a correction at servers that were not slow.
+func TestServiceAfterSlowdown(t *testing.T) {
+	b := backend{slots: 5, loads: mixed(), slowBy: during(8, 30*time.Second, 40*time.Second), duration: 60 * time.Second}
+	var first time.Duration
+	b.observe = func(e *Estimator, at time.Duration) {
+		got := e.Estimate(testNow.Add(at)).Service
+		switch {
+		case at < 40*time.Second || at > 53*time.Second:
+			assert.Zero(t, got, "%s", at)
+		case got > 0 && first == 0:
+			first = at
+			assert.InDelta(t, 17.6, got.Seconds()*1000, 12, "the mean is 17.6 ms")
+		}
+	}
+	b.run(1)
+	assert.True(t, first > 0 && first < 42*time.Second, "%s", first)
+}
