--- a/pkg/gwlimit/slow_test.go
+++ b/pkg/gwlimit/slow_test.go
@@ -16,7 +16,7 @@
 	for _, tt := range []struct{ factor, bound float64 }{
 		{3, callersShare},
 		{5, callersShare},
-		{8, 0.9}, // 0.920 to 0.993: it serves 25 a second, so that each late one costs 0.002
+		{8, 0.9}, // 0.909 to 0.990: it serves 25 a second, so that each late one costs 0.002
 	} {
 		p := callers{rates: []float64{0.8}, slowBy: slowDuring(tt.factor, disturbed), counted: disturbed}
 		for seed := range uint64(10) {
@@ -96,6 +96,7 @@
 
 	q, _, held = hold()
 	assert.Contains(t, q.Expire(testNow.Add(callersAim-100*time.Millisecond)), held)
+	assert.Equal(t, Overloaded, held.Refused)
 	assert.False(t, q.Remove(held))
 
 	q, _, held = hold()
@@ -119,6 +120,9 @@
 		q.RecordServiceTime("c", 50*time.Millisecond)
 	}
 	out := q.Expire(testNow.Add(time.Millisecond))
+	for _, it := range out {
+		assert.Equal(t, Overloaded, it.Refused, "it may be served elsewhere")
+	}
 	left, _ := q.Len()
 	assert.Equal(t, before-left, len(out))
 	assert.LessOrEqual(t, left, int(callersAim/(50*time.Millisecond)))
