gwquota, gwquotas: shares go to agents only, and runs count from the start of the process

What accumulates for the first shares counts from the start of the process, not from the first report 0.4 s later.

--- a/internal/gwquotas/admit.go
+++ b/internal/gwquotas/admit.go
@@ -99,22 +99,19 @@
 			continue
 		}
 		answer, ok := s.ask(ctx, m, admitRequest{Customer: customer, Overflow: overflow})
-		if !ok && i == 0 && next.Instance != "" && ctx.Err() == nil {
+		if !ok && i == 0 && next.Instance != "" {
 			answer, ok = s.ask(ctx, next, admitRequest{Customer: customer})
 		}
-		switch {
-		case ctx.Err() != nil && !ok:
+		if ctx.Err() != nil && !ok {
 			return false, over
-		case !ok || answer.Outcome == gwquota.NoShare:
-		case answer.Outcome == gwquota.Granted:
+		}
+		if ok && answer.Outcome == gwquota.Granted {
 			return true, nil
-		default:
-			wait := time.Duration(answer.WaitMillis) * time.Millisecond
-			if over == nil || wait < over.RetryAfter {
-				over = &gwfilter.QuotaError{RetryAfter: wait}
-			}
+		}
+		if ok && answer.Outcome == gwquota.Over {
+			over = sooner(over, answer)
 			if overflow {
-				s.exhausted.note(m.Instance, customer, s.Clock.Now(), wait)
+				s.exhausted.note(m.Instance, customer, s.Clock.Now(), over.RetryAfter)
 			}
 		}
 		overflow = overflow || ok
@@ -122,6 +119,15 @@
 	return false, over
 }
 
+// sooner returns the refusal with the earlier time to return at.
+func sooner(over *gwfilter.QuotaError, answer admitAnswer) *gwfilter.QuotaError {
+	wait := time.Duration(answer.WaitMillis) * time.Millisecond
+	if over != nil && over.RetryAfter <= wait {
+		return over
+	}
+	return &gwfilter.QuotaError{RetryAfter: wait}
+}
+
 // ask asks an agent for one operation. It returns false without an answer in time.
 func (s *Service) ask(ctx context.Context, m gwmember.Member, r admitRequest) (admitAnswer, bool) {
 	began := s.Clock.Now()
--- a/internal/gwquotas/service.go
+++ b/internal/gwquotas/service.go
@@ -49,6 +49,8 @@
 	limits  atomic.Pointer[limits]
 	agents  atomic.Pointer[agents]
 	leaving atomic.Bool
+	// began is when this run of the instance began.
+	began time.Time
 	// joinedAt is when other members were first seen; mu guards it.
 	joinedAt time.Time
 
@@ -71,7 +73,7 @@
 
 // New returns a service and registers its handlers.
 func New(o Options) *Service {
-	s := &Service{Options: o, wake: make(chan struct{}, 1)}
+	s := &Service{Options: o, began: o.Clock.Now(), wake: make(chan struct{}, 1)}
 	s.failures.until = make(map[string]time.Time)
 	s.changes.log = o.Log
 	s.limits.Store(&limits{})
@@ -212,7 +214,7 @@
 		if epoch == 0 || len(l.byCustomer) == 0 {
 			return gwquota.Report{}, false
 		}
-		s.agent = gwquota.NewAgent(epoch)
+		s.agent = gwquota.NewAgent(epoch, s.began)
 		s.applyLimits(l)
 	}
 	now := s.Clock.Now()
--- a/pkg/gwquota/agent.go
+++ b/pkg/gwquota/agent.go
@@ -57,8 +57,8 @@
 	// earlier ones; heldAt is when the agent last held or wanted a share.
 	announced bool
 	heldAt    time.Time
-	// firstReportAt is when the first report of the run was due.
-	firstReportAt time.Time
+	// began is when the run began: no share of an earlier run has been used since.
+	began time.Time
 	// nextAt is when the leader may have more shares; zero if that is not known.
 	nextAt time.Time
 }
@@ -77,10 +77,10 @@
 	returned float64
 }
 
-// NewAgent returns an agent without shares. epoch must be greater than that of every earlier run
-// of the same instance.
-func NewAgent(epoch uint64) *Agent {
-	return &Agent{epoch: epoch, customers: make(map[string]*holding)}
+// NewAgent returns an agent without shares, of a run that began at the given time. epoch must be
+// greater than that of every earlier run of the same instance.
+func NewAgent(epoch uint64, began time.Time) *Agent {
+	return &Agent{epoch: epoch, began: began, customers: make(map[string]*holding)}
 }
 
 // SetLimits sets the limits of all customers that have one. Smaller limits apply at once.
@@ -146,9 +146,10 @@
 	return Decision{Outcome: Granted}
 }
 
-// count counts an operation of the agent's own demand.
+// count counts an operation of the agent's own demand. What reaches another instance because
+// members know different agents must not draw shares there.
 func (h *holding) count(admitted, overflow bool) {
-	if !overflow {
+	if !overflow && h.wanted {
 		h.meter.count(admitted)
 	}
 }
@@ -240,11 +241,8 @@
 	a.sequence++
 	a.pending, a.sentAt, a.acknowledge = a.sequence, now, false
 	r := Report{Epoch: a.epoch, Sequence: a.sequence, Base: a.base, Lines: lines}
-	if a.firstReportAt.IsZero() {
-		a.firstReportAt = now
-	}
 	if !a.announced {
-		r.RunningMillis = uint32(now.Sub(a.firstReportAt).Milliseconds())
+		r.RunningMillis = uint32(now.Sub(a.began).Milliseconds())
 	}
 	return r, true
 }
--- a/pkg/gwquota/property_test.go
+++ b/pkg/gwquota/property_test.go
@@ -115,7 +115,7 @@
 
 func (m *model) restart(a *modelAgent) {
 	a.epoch++
-	a.Agent, a.open = NewAgent(a.epoch), nil
+	a.Agent, a.open = NewAgent(a.epoch, a.clock(m.now)), nil
 	a.SetLimits(a.clock(m.now), map[string]Limit{modelCustomer: m.limit})
 	a.SetWanted(func(string) bool { return true })
 }
@@ -385,7 +385,7 @@
 		l := NewLedger(testStart, Earlier{None: true}, true)
 		_, _, _ = l.Handle(testStart, "a", Report{Epoch: 1, Sequence: 1, Lines: b})
 		_, _, _ = l.Handle(testStart, "a", Report{Epoch: 1, Sequence: 2, Base: 1, Lines: b})
-		a := NewAgent(1)
+		a := NewAgent(1, testStart)
 		a.Release(testStart)
 		if _, ok := a.Report(testStart); ok {
 			a.Apply(testStart, Answer{Sequence: 1, Shares: b})
--- a/pkg/gwquota/world_test.go
+++ b/pkg/gwquota/world_test.go
@@ -89,7 +89,7 @@
 func (w *world) restart(i int) {
 	s := w.sites[i]
 	s.epoch++
-	s.agent, s.answer = NewAgent(s.epoch), nil
+	s.agent, s.answer = NewAgent(s.epoch, w.now), nil
 	s.agent.SetLimits(w.now, w.limits)
 	s.agent.SetWanted(func(string) bool { return true })
 }
