--- a/internal/gwbackend/poolcontrol.go
+++ b/internal/gwbackend/poolcontrol.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"gentianward.example/gentianward/pkg/gwpool"
 )
 
 // AcquireControl returns the connection that is reserved for control
@@ -106,6 +108,16 @@
 	}
 }
 
+// SetShared tells whether requests of users of their own are expected. A shared pool bounds what a
+// user may hold and keeps no connections ready for its own user. A request with a user makes it
+// shared as well.
+func (p *Pool) SetShared(shared bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.decisions.SetShared(shared)
+	p.decide()
+}
+
 // Stats returns the pool's state and counters.
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
@@ -114,12 +126,26 @@
 	d := p.decisions.Stats()
 	s.Limit, s.Idle, s.InUse, s.Dialing, s.Closing, s.Waiting = p.limit, d.Idle, d.InUse, d.Dialing, d.Closing, d.Waiting
 	s.Open = s.Idle + s.InUse
+	s.Accepted = p.decisions.Limit()
 	if p.controlConn != nil {
 		s.Open++
 	}
 	return s
 }
 
+// OpenByUser returns the number of open connections of each user other than the pool's own.
+func (p *Pool) OpenByUser() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open := make(map[string]int)
+	p.decisions.UserStats(func(name string, s gwpool.Stats) {
+		if n := s.Idle + s.InUse; n > 0 && name != "" {
+			open[name] = n
+		}
+	})
+	return open
+}
+
 // maintain closes expired idle connections and dials up to MinIdle, until the pool is
 // closed.
 func (p *Pool) maintain() {
@@ -164,7 +190,7 @@
 		w.Ref.(*waiter).granted <- grant{err: ErrClosed}
 	}
 	p.stopTimer()
-	p.wakeAwaiting()
+	p.wakeAll()
 	p.mu.Unlock()
 	if first {
 		go p.closeControl()
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -110,6 +110,7 @@
 		return err
 	}
 	i.exposeState()
+	i.exposeConnections()
 	i.run(ctx)
 	return nil
 }
@@ -122,6 +123,7 @@
 	}
 	i.disseminator = gwcontrol.NewDisseminator(i.node, i.Clock, i.Log, i.views, i.directory)
 	i.members = gwcontrol.NewMembership(i.node, i.Clock, i.Log, gwmember.Config{Self: self, Seeds: s.Seeds, Known: i.loadKnown()}, i.disseminator.PeerAhead)
+	i.members.SetOwnerDelay(i.Tuning.Settle)
 	i.disseminator.Attach(i.members)
 	i.heartbeats = gwcontrol.NewHeartbeats(i.node, i.Clock)
 }
@@ -210,7 +212,7 @@
 		Leases: i.leases, Metrics: i.Telemetry, Suspect: i.client.Suspect, BackendOptions: i.backendOptions,
 		Dialect: i.Dialect, StartGroup: i.client.StartGroup, RecordCopies: i.client.RecordCopies, InContact: i.contactCheck(), HandOver: i.HandOver,
 		Freshness: i.Tuning.Freshness, Poll: i.Tuning.Poll, Settle: i.Tuning.Settle, SettleFar: i.Tuning.SettleFar, EstimateSpeed: i.Tuning.EstimateSpeed,
-		DialTimeout: i.Tuning.DialTimeout, Unreadable: i.Unreadable,
+		DialTimeout: i.Tuning.DialTimeout, FreshWithoutLease: i.Tuning.FreshWithoutLease, Unreadable: i.Unreadable,
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -99,6 +99,8 @@
 	Freshness, Poll, Settle, SettleFar, DialTimeout time.Duration
 	// EstimateSpeed: see gwowner.Options.
 	EstimateSpeed bool
+	// FreshWithoutLease: see gwowner.Options.
+	FreshWithoutLease bool
 	// Heartbeat: see gwcontrol.ConsensusOptions.
 	Heartbeat time.Duration
 	// FixedPacketSize, Transport: see gwpeer.Options.
@@ -131,4 +133,6 @@
 	PlatformCall(outcome string)
 	// UnreadableMessage counts a message that could not be read.
 	UnreadableMessage(from, reason string)
+	// Collect adds metrics that f returns at each scrape.
+	Collect(f func() []gwtelemetry.Sample)
 }
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -37,6 +37,14 @@
 	ConfirmWait(class, group string, d time.Duration)
 }
 
+// SpeedMetrics is implemented by Metrics that also receive refusals and the speeds of servers.
+type SpeedMetrics interface {
+	// SlotRefused counts a request that got no slot, with the reason.
+	SlotRefused(class, reason string)
+	// Gauge adds a metric whose value is read from f.
+	Gauge(name string, f func() float64, labels ...gwtelemetry.Label)
+}
+
 // SuspectFunc reports to the leader of the replicated log that a group needs another
 // primary, because the present one fails or is leaving.
 type SuspectFunc func(ctx context.Context, group string, term uint64, reason string)
@@ -75,6 +83,11 @@
 	Settle, SettleFar time.Duration
 	// InContact reports whether the leader can be reached; nil means always.
 	InContact func() bool
+	// FreshWithoutLease lets replicas serve reads that accept staleness while nobody that can
+	// be reached holds the lease, for as long as two of three copies show how fresh they are.
+	// No write may be acknowledged without a replica: either each class asks for one, or the
+	// servers answer no write before one has confirmed it.
+	FreshWithoutLease bool
 	// Dialect is the dialect of the backend servers; nil for that of the stand-in.
 	Dialect gwbackend.Dialect
 	// BackendOptions returns the connection options of a server, such as its user.
@@ -101,6 +114,7 @@
 	recordCopies      RecordCopiesFunc
 	dialect           gwbackend.Dialect
 	inContact         func() bool
+	freshWithoutLease bool
 	handOver          time.Duration
 	freshnessInterval time.Duration
 	pollInterval      time.Duration
@@ -132,7 +146,7 @@
 	owner := &Owner{
 		node: o.Node, clock: o.Clock, log: o.Log, views: o.Views, directory: o.Directory,
 		members: o.Members, leases: o.Leases, metrics: o.Metrics, reportSuspect: o.Suspect,
-		startGroup: o.StartGroup, recordCopies: o.RecordCopies, dialect: o.Dialect, inContact: o.InContact, handOver: o.HandOver,
+		startGroup: o.StartGroup, recordCopies: o.RecordCopies, dialect: o.Dialect, inContact: o.InContact, freshWithoutLease: o.FreshWithoutLease, handOver: o.HandOver,
 		freshnessInterval: cmp.Or(o.Freshness, defaultFreshnessInterval), pollInterval: o.Poll,
 		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions, unreadable: o.Unreadable,
 		estimateSpeed: o.EstimateSpeed,
@@ -261,11 +275,12 @@
 	s.known.Store(&f)
 	if o.estimateSpeed {
 		s.speed = newSpeed(f.Slots)
+		o.exposeSpeed(f.Server)
 	}
 	opts := o.backendOptions(f)
 	opts.OnPosition = nil
 	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: o.dialect, PollInterval: o.pollInterval, Pool: gwbackend.PoolOptions{
-		Options: opts, DialTimeout: o.dialTimeout, Limit: o.connectionLimit(f), MinIdle: o.minIdle(f), Clock: o.clock, Logger: o.log,
+		Options: opts, DialTimeout: o.dialTimeout, Limit: o.connectionLimit(f), MinIdle: min(max(1, f.Slots), maxMinIdle), Shared: hasCustomers(o.views.Current()), Clock: o.clock, Logger: o.log,
 	}})
 	s.confirm = newConfirmer(o.clock, o.Await, func() []string { return o.replicas(f.Group, f.Server) })
 	s.applyLimits(o.views.Current())
@@ -408,6 +423,7 @@
 	for _, c := range v.Manifest.Manifest().Classes {
 		classes = append(classes, gwlimit.Class{Name: c.Name, Weight: max(1, c.Weight) * gwlimit.PriorityWeight(c.Priority), Queue: c.Queue, Concurrency: c.Concurrency})
 	}
+	s.backend.Pool().SetShared(hasCustomers(v))
 	s.admission.setLimits(max(1, s.facts().Slots), classes, customerWeights(v.Manifest.Manifest()))
 	s.setSpeedSlots(max(1, s.facts().Slots))
 	s.backend.Pool().SetLimit(s.owner.connectionLimit(s.facts()))
--- a/internal/gwowner/server.go
+++ b/internal/gwowner/server.go
@@ -66,6 +66,8 @@
 	freshnessAskedAt time.Time
 	// followedTerm is the last term whose primary the server was told to follow.
 	followedTerm uint64
+	// changeSeen means that the server is no witness, see witnessReplica.
+	changeSeen bool
 }
 
 // facts returns what the server has announced about itself.
@@ -213,7 +215,7 @@
 		Staleness:      staleness,
 		StalenessKnown: known,
 		Load:           float64(s.admission.load()) / float64(max(1, s.facts().Slots)),
-		ServiceTime:    s.admission.serviceTime(),
+		ServiceTime:    s.expectedService(),
 		Speed:          s.reportSpeed(s.owner.clock.Now()),
 	}
 }
@@ -291,6 +293,7 @@
 		Class: req.Class, Customer: req.Customer, Deadline: deadline, MaxWait: remainingWait(req.QueueWait, s.owner.clock.Since(queued)), Key: operationKey(req),
 	})
 	if err != nil {
+		s.owner.countRefusal(req.Class, err)
 		return nil, nil, execution{event: admissionEvent(err), detail: err.Error()}
 	}
 	release = s.limitSlotHold(release, time.Duration(exchanges)*s.pending.slotLimit())
--- a/internal/gwowner/supervise.go
+++ b/internal/gwowner/supervise.go
@@ -170,8 +170,11 @@
 // superviseReplica makes the server follow the group's primary and keeps its freshness up
 // to date.
 func (s *server) superviseReplica(ctx context.Context, g gwcontrol.GroupView) {
+	if s.owner.viewIsCurrent() {
+		s.resetWitness()
+	}
 	r, _, err := s.backend.Report()
-	if err == nil && (r.Role == gwbackend.RolePrimary || r.Paused || r.Term < g.Term) {
+	if err == nil && (r.Role == gwbackend.RolePrimary || r.Paused || r.Term < g.Term) && s.owner.viewIsCurrent() {
 		s.follow(ctx, g, r)
 	}
 	if s.freshnessDue() {
@@ -179,6 +182,11 @@
 	}
 }
 
+// viewIsCurrent reports whether this instance would know of a change of primary. During a
+// partition both sides may reach a server. The side without contact must not order it to
+// follow: it would resume a replica that the leader has paused to choose the next primary.
+func (o *Owner) viewIsCurrent() bool { return o.inContact == nil || o.inContact() }
+
 // freshnessDue reports whether it is time to ask for the primary's position again.
 func (s *server) freshnessDue() bool {
 	now := s.owner.clock.Now()
@@ -230,6 +238,9 @@
 		s.freshnessAskedAt = time.Time{}
 		s.mu.Unlock()
 	}
+	if s.owner.freshWithoutLease && isNoLease(err) {
+		s.updateWithoutLease(ctx, g)
+	}
 	if err != nil {
 		return
 	}
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -70,6 +70,9 @@
 	DialTimeout: 500 * time.Millisecond,
 	// EstimateSpeed lets servers of a group differ in speed.
 	EstimateSpeed: true,
+	// A partition may leave all servers of a group reachable from the side without control.
+	// The servers answer a write when one replica has confirmed it.
+	FreshWithoutLease: true,
 	// Heartbeat fits twice into the shortest election timeout.
 	Heartbeat: 140 * time.Millisecond,
 	// Transport is TCP because a congested link of the platform drops datagrams; see
@@ -241,7 +244,7 @@
 		Quota:        gwquota.Rules{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack},
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Clock: gwclock.NewBootTime()},
-		Routes:       func(i *gwdaemon.Instance) http.Handler { return platform.ReadyRoutes(i) },
+		Routes:       entryRoutes,
 	}
 	if s.ServesControl {
 		o.FS = p.FS
@@ -252,6 +255,15 @@
 	return o, nil
 }
 
+// entryRoutes returns the handler of an entry instance: the platform's readiness checks, and what the
+// operators' commands ask.
+func entryRoutes(i *gwdaemon.Instance) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", platform.ReadyRoutes(i))
+	mux.HandleFunc("GET "+gwdaemon.PlacementPath, i.ServePlacement)
+	return mux
+}
+
 // serveCallers returns a function that accepts callers on a listener.
 func (p Process) serveCallers(unreadable *gwtelemetry.Unreadable) func(context.Context, net.Listener, *gwfilter.Entry) gwdaemon.CallerServer {
 	return func(ctx context.Context, l net.Listener, e *gwfilter.Entry) gwdaemon.CallerServer {
--- a/internal/gwquotas/admit.go
+++ b/internal/gwquotas/admit.go
@@ -21,8 +21,10 @@
 	// dead instance after about 2 s.
 	failureTime = time.Second
 	// uncheckedWait is when a caller is told to return if no agent that can be reached holds a
-	// share. The leader assigns shares in about this time.
-	uncheckedWait = time.Second
+	// share, and how long an operation waits for one at most. The leader assigns shares in about
+	// this time. uncheckedRetry is the time between two checks.
+	uncheckedWait  = time.Second
+	uncheckedRetry = 50 * time.Millisecond
 )
 
 // admitRequest asks for one operation of a customer, or takes one back.
@@ -43,46 +45,87 @@
 	return admitAnswer{Outcome: d.Outcome, WaitMillis: uint32((d.Wait + time.Millisecond - 1) / time.Millisecond)}
 }
 
-// Admit implements gwfilter.Quota.
+// Admit implements gwfilter.Quota. While no agent holds a share, as after a loss of power
+// everywhere, it waits for part of the time to the deadline of ctx: callers use up their attempts
+// within the second in which the leader assigns shares.
+func (s *Service) Admit(ctx context.Context, customer string) error {
+	if _, limited := s.currentLimits().byCustomer[customer]; !limited {
+		return nil
+	}
+	until := s.Clock.Now()
+	if deadline, ok := ctx.Deadline(); ok {
+		until = until.Add(min(uncheckedWait, time.Until(deadline)/2))
+	}
+	for {
+		err := s.askAgents(ctx, customer)
+		switch {
+		case err == nil:
+			return nil
+		case !err.Unchecked || ctx.Err() != nil || !s.Clock.Now().Add(uncheckedRetry).Before(until):
+			return err
+		}
+		<-s.Clock.After(uncheckedRetry)
+	}
+}
+
+// askAgents asks the agents in turn for one operation.
 //
 // An agent whose share is used up does not decide alone: its share follows the demand only after
 // a second, and the demand of a small customer is mostly noise. The agents of the other data
-// centres of the region are asked, too, before the operation is refused.
-func (s *Service) Admit(ctx context.Context, customer string) error {
-	if _, limited := s.currentLimits().byCustomer[customer]; !limited {
+// centres of the region are asked before the operation is refused; those of other regions only if
+// no share was found.
+func (s *Service) askAgents(ctx context.Context, customer string) *gwfilter.QuotaError {
+	order := s.currentAgents().of(customer)
+	granted, over := s.askEach(ctx, customer, order.near, order.next)
+	if !granted && over == nil && ctx.Err() == nil {
+		granted, over = s.askEach(ctx, customer, order.far, gwmember.Member{})
+	}
+	switch {
+	case granted:
 		return nil
+	case over != nil:
+		return over
+	default:
+		return &gwfilter.QuotaError{RetryAfter: uncheckedWait, Unchecked: true}
 	}
-	asked := "" // the data centre whose agent has answered
-	var over *gwfilter.QuotaError
-	for _, m := range s.currentAgents().of(customer) {
-		if m.DataCentre == asked || s.exhausted.has(m.Instance, customer, s.Clock.Now()) {
+}
+
+// askEach asks agents until one grants the operation, and next if the first does not answer. over
+// is set if the share of one is used up.
+func (s *Service) askEach(ctx context.Context, customer string, agents []gwmember.Member, next gwmember.Member) (granted bool, over *gwfilter.QuotaError) {
+	overflow := false
+	for i, m := range agents {
+		if overflow && s.exhausted.has(m.Instance, customer, s.Clock.Now()) {
 			continue
 		}
-		answer, ok := s.ask(ctx, m, admitRequest{Customer: customer, Overflow: asked != ""})
-		if ok {
-			asked = m.DataCentre
+		answer, ok := s.ask(ctx, m, admitRequest{Customer: customer, Overflow: overflow})
+		if !ok && i == 0 && next.Instance != "" {
+			answer, ok = s.ask(ctx, next, admitRequest{Customer: customer})
 		}
-		switch {
-		case !ok || answer.Outcome == gwquota.NoShare:
-		case answer.Outcome == gwquota.Granted:
-			return nil
-		default:
-			wait := time.Duration(answer.WaitMillis) * time.Millisecond
-			if over == nil || wait < over.RetryAfter {
-				over = &gwfilter.QuotaError{RetryAfter: wait}
-			}
-			if m.DataCentre != s.Topology().Self.DataCentre {
-				s.exhausted.note(m.Instance, customer, s.Clock.Now(), wait)
-			}
+		if ctx.Err() != nil && !ok {
+			return false, over
+		}
+		if ok && answer.Outcome == gwquota.Granted {
+			return true, nil
 		}
-		if ctx.Err() != nil {
-			break
+		if ok && answer.Outcome == gwquota.Over {
+			over = sooner(over, answer)
+			if overflow {
+				s.exhausted.note(m.Instance, customer, s.Clock.Now(), over.RetryAfter)
+			}
 		}
+		overflow = overflow || ok
 	}
-	if over != nil {
+	return false, over
+}
+
+// sooner returns the refusal with the earlier time to return at.
+func sooner(over *gwfilter.QuotaError, answer admitAnswer) *gwfilter.QuotaError {
+	wait := time.Duration(answer.WaitMillis) * time.Millisecond
+	if over != nil && over.RetryAfter <= wait {
 		return over
 	}
-	return &gwfilter.QuotaError{RetryAfter: uncheckedWait, Unchecked: true}
+	return &gwfilter.QuotaError{RetryAfter: wait}
 }
 
 // ask asks an agent for one operation. It returns false without an answer in time.
@@ -115,7 +158,7 @@
 	if _, limited := s.currentLimits().byCustomer[customer]; !limited {
 		return
 	}
-	order := s.currentAgents().of(customer)
+	order := s.currentAgents().of(customer).near
 	if len(order) == 0 {
 		return
 	}
@@ -179,11 +222,10 @@
 	f.until[instance] = until
 }
 
-// maxExhausted bounds how long an agent of another data centre is not asked after it had no
-// capacity: callers above their limit must not double the calls, and a share may grow.
+// maxExhausted bounds how long such an agent is not asked after it had no capacity: callers above their limit must not double the calls, and a share may grow.
 const maxExhausted = 100 * time.Millisecond
 
-// exhausted holds agents of other data centres that had no capacity for a customer.
+// exhausted holds agents that had no capacity for a customer whose demand is not theirs.
 type exhausted struct {
 	mu      sync.Mutex
 	until   map[exhaustedKey]time.Time
--- a/internal/gwquotas/service.go
+++ b/internal/gwquotas/service.go
@@ -46,9 +46,14 @@
 // customers. It implements gwfilter.Quota.
 type Service struct {
 	Options
-	limits    atomic.Pointer[limits]
-	agents    atomic.Pointer[agents]
-	leaving   atomic.Bool
+	limits  atomic.Pointer[limits]
+	agents  atomic.Pointer[agents]
+	leaving atomic.Bool
+	// began is when this run of the instance began.
+	began time.Time
+	// joinedAt is when other members were first seen; mu guards it.
+	joinedAt time.Time
+
 	failures  failures
 	exhausted exhausted
 	changes   changeLog
@@ -68,7 +73,7 @@
 
 // New returns a service and registers its handlers.
 func New(o Options) *Service {
-	s := &Service{Options: o, wake: make(chan struct{}, 1)}
+	s := &Service{Options: o, began: o.Clock.Now(), wake: make(chan struct{}, 1)}
 	s.failures.until = make(map[string]time.Time)
 	s.changes.log = o.Log
 	s.limits.Store(&limits{})
@@ -114,9 +119,24 @@
 // want tells the agent whose customers' agent it is; the caller holds the lock.
 func (s *Service) want() {
 	a := s.currentAgents()
-	s.agent.SetWanted(func(customer string) bool { return !s.leaving.Load() && a.isAgent(customer) })
+	wants := !s.leaving.Load() && s.settled(a.topology)
+	s.agent.SetWanted(func(customer string) bool { return wants && a.isAgent(customer) })
+}
+
+// settled reports whether the instance has known other members for settleTime. While the members
+// find one another, each takes itself for the agent, and after a loss of power everywhere shares
+// went to 40 instances before they came to the 18 agents.
+func (s *Service) settled(t *gwcontrol.Topology) bool {
+	now := s.Clock.Now()
+	if s.joinedAt.IsZero() && len(t.Live) > 1 {
+		s.joinedAt = now
+	}
+	return !s.joinedAt.IsZero() && now.Sub(s.joinedAt) >= settleTime
 }
 
+// settleTime is three intervals of the gossip within a data centre.
+const settleTime = 300 * time.Millisecond
+
 // currentAgents returns the agents according to the current topology.
 func (s *Service) currentAgents() *agents {
 	t := s.Topology()
@@ -148,14 +168,24 @@
 	}
 }
 
+// startInterval is the time between two attempts of the first report of a run, for which a new
+// leader waits before it assigns shares.
+const startInterval = 100 * time.Millisecond
+
 // untilNext returns the time until the next step. Intervals begin at multiples of the interval, so
 // that a step in between does not delay them.
 func (s *Service) untilNext() time.Duration {
 	now := s.Clock.Now()
 	wait := gwquota.ReportInterval - time.Duration(now.UnixNano())%gwquota.ReportInterval
+	limited := len(s.currentLimits().byCustomer) > 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.agent == nil || s.agent.Next().IsZero() {
+	switch {
+	case s.agent == nil && !limited:
+		return wait
+	case s.agent == nil, !s.agent.Announced(), !s.settled(s.Topology()):
+		return min(wait, startInterval)
+	case s.agent.Next().IsZero():
 		return wait
 	}
 	return max(0, min(wait, s.agent.Next().Sub(now)))
@@ -184,7 +214,7 @@
 		if epoch == 0 || len(l.byCustomer) == 0 {
 			return gwquota.Report{}, false
 		}
-		s.agent = gwquota.NewAgent(epoch)
+		s.agent = gwquota.NewAgent(epoch, s.began)
 		s.applyLimits(l)
 	}
 	now := s.Clock.Now()
--- a/internal/gwquotas/service_test.go
+++ b/internal/gwquotas/service_test.go
@@ -210,9 +210,15 @@
 	assert.False(t, over.Unchecked)
 	assert.Greater(t, over.RetryAfter, time.Duration(0))
 
+	// A returned operation counts again if the agent's bucket was not full lately.
+	for range 5 {
+		s.clock.Advance(500 * time.Millisecond)
+		s.admitAt(0, 100)
+	}
 	s.clock.Advance(500 * time.Millisecond)
 	s.services[0].Return(testCustomer)
 	agent := s.agent("a")
+	require.Zero(t, agent, "the first instance is an agent")
 	before := s.admitAt(agent, 100)
 	rate := gwquota.NewLimit(20, 20, testRules).Rate
 	assert.InDelta(t, 0.5*rate*s.services[agent].Share(testCustomer)+1, before, 1.01)
@@ -327,3 +333,23 @@
 	_, _ = s.admit(0, 100)
 	assert.Equal(t, calls, s.services[0].Node.Traffic(gwcontrol.KindQuotaAdmit.ID).Messages, "an exhausted agent is not asked for each operation")
 }
+
+// Guards against callers that use up their attempts while the leader has not assigned shares yet, as
+// after a loss of power everywhere.
+func TestOperationWaitsForShares(t *testing.T) {
+	s := newSite(t, "a", "b")
+	s.publish(20)
+	s.run(gwquota.ReportInterval) // the members have settled at the next report
+	admitted := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	go func() { admitted <- s.services[0].Admit(ctx, testCustomer) }()
+	require.NoError(t, s.clock.BlockUntilContext(ctx, 1))
+	s.run(gwquota.ReportInterval)
+	select {
+	case err := <-admitted:
+		require.NoError(t, err)
+	case <-ctx.Done():
+		t.Fatal("the operation is not admitted with the shares")
+	}
+}
--- a/pkg/gwroute/route.go
+++ b/pkg/gwroute/route.go
@@ -172,6 +172,7 @@
 	var best Server
 	var lowest time.Duration
 	found := false
+	usual := usualService(servers)
 	for _, s := range servers {
 		if s.Unusable || need.Excluded[s.Name] {
 			continue
@@ -180,7 +181,7 @@
 		if wait > need.WaitBudget {
 			continue
 		}
-		c := s.cost(wait, now)
+		c := s.cost(wait, usual, now)
 		c += time.Duration(costSpread * rng.Float64() * float64(c))
 		if !found || c < lowest {
 			best, lowest, found = s, c, true
@@ -191,22 +192,34 @@
 
 // cost returns the expected time until the server has answered a read, without the parts
 // that are the same for all servers.
-func (s Server) cost(wait time.Duration, now time.Time) time.Duration {
-	c := wait
+func (s Server) cost(wait, usual time.Duration, now time.Time) time.Duration {
+	c := wait + s.distanceCost() + s.roleCost()
+	service := float64(s.service(usual, now)) * s.attempts()
+	queue := s.queue(now)
+	if s.Primary {
+		// Writes that queue behind the read have no other server: their delay counts, too.
+		return c + time.Duration(service*queue*queue)
+	}
+	return c + time.Duration(service*queue)
+}
+
+// distanceCost returns the cost of the way to the server.
+func (s Server) distanceCost() time.Duration {
 	switch s.Distance {
-	case SameDataCentre:
 	case SameRegion:
-		c += costSameRegion
+		return costSameRegion
 	case OtherRegion:
-		c += costOtherRegion
+		return costOtherRegion
 	}
-	service := float64(s.service(now)) * s.attempts()
-	queue := s.queue(now)
+	return 0
+}
+
+// roleCost returns the cost of a read at the primary.
+func (s Server) roleCost() time.Duration {
 	if s.Primary {
-		// Writes that queue behind the read have no other server: their delay counts, too.
-		return c + costPrimary + time.Duration(service*queue*queue)
+		return costPrimary
 	}
-	return c + time.Duration(service*queue)
+	return 0
 }
 
 // decayedLoad returns the last reported load, decayed since the report.
