--- a/internal/gwcontrol/quotacluster_test.go
+++ b/internal/gwcontrol/quotacluster_test.go
@@ -48,7 +48,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.epoch++
-	a.agent = gwquota.NewAgent(a.epoch)
+	a.agent = gwquota.NewAgent(a.epoch, a.now())
 	a.agent.SetLimits(a.now(), QuotaLimits(modelManifest, modelQuotaRules))
 	a.agent.SetWanted(func(string) bool { return true })
 }
