gwbudget, gwdaemon, gwpeer, gwprogram: HTTP and peer connections are bounded

Cause: any number of connections to the HTTP addresses and the peer port could be open, with headers of up to 1 MiB and bodies of up to 8 MiB each in memory; memory_mb was not used.

Change: package gwbudget has pools of bytes that are derived from the memory limit, and tables of connections with limits per purpose. HTTP servers have limits for header, body and idle time and for the size of a header. At most 128 handshakes are open at the peer port. Everything is exposed as gauges, and closed or refused connections are logged twice a second at most.

Ruled out: a fixed number of connections per address, since callers may come through few addresses; see docs/design/memory.md.

--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwfilter"
 	"gentianward.example/gentianward/internal/gwmanifest"
@@ -47,8 +48,10 @@
 	pgServer     *gwwire.Server // nil with Options.ServeCallers or ControlOnly
 	callers      CallerServer   // nil with Options.ControlOnly
 	operator     *http.Server
-	viewStore    *viewStore
-	log          *gwstore.Log
+	// operatorConnections and handshakes bound connections of clients that are not authenticated.
+	operatorConnections, handshakes *gwbudget.Connections
+	viewStore                       *viewStore
+	log                             *gwstore.Log
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -77,7 +80,8 @@
 
 func (i *Instance) start(ctx context.Context) error {
 	s := i.Settings
-	node, err := gwpeer.Listen(ctx, gwpeer.Options{Address: s.PeerAddress, ListenAddress: i.PeerListenAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shaper: i.Shaper, FixedPacketSize: i.Tuning.FixedPacketSize, Transport: i.Tuning.Transport})
+	i.handshakes = gwbudget.NewConnections("handshakes", i.MaxHandshakes, true, i.Budget)
+	node, err := gwpeer.Listen(ctx, gwpeer.Options{Handshakes: i.handshakes, Address: s.PeerAddress, ListenAddress: i.PeerListenAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shaper: i.Shaper, FixedPacketSize: i.Tuning.FixedPacketSize, Transport: i.Tuning.Transport})
 	if err != nil {
 		return err
 	}
@@ -244,8 +248,9 @@
 	if routes == nil {
 		routes = (*Instance).routes
 	}
-	i.operator = &http.Server{Handler: routes(i), ReadHeaderTimeout: httpTimeout}
-	i.wg.Go(func() { i.serveOperator(operators) })
+	i.operatorConnections = gwbudget.NewConnections("operators", i.MaxOperators, true, i.Budget)
+	i.operator = gwbudget.HTTPServer(i.Budget.LimitBodies(routes(i)))
+	i.wg.Go(func() { i.serveOperator(i.operatorConnections.Listen(operators)) })
 	return nil
 }
 
--- a/internal/gwdaemon/options.go
+++ b/internal/gwdaemon/options.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwfilter"
 	"gentianward.example/gentianward/internal/gwmanifest"
@@ -79,6 +80,11 @@
 	PeerListenAddress string
 	// Routes replaces the HTTP interface on the operators' address.
 	Routes func(i *Instance) http.Handler
+	// Budget bounds the memory of what clients send and read; nil for no bounds.
+	Budget *gwbudget.Budget
+	// MaxOperators bounds the connections to the operators' address, and MaxHandshakes those of
+	// other instances that are not authenticated yet; 0 for no bound.
+	MaxOperators, MaxHandshakes int
 	// Drain is called when an operator asks this instance to stop gracefully; if it is
 	// nil, such requests are refused.
 	Drain func()
--- a/internal/gwdaemon/telemetry.go
+++ b/internal/gwdaemon/telemetry.go
@@ -76,6 +76,11 @@
 	if i.Telemetry == nil {
 		return
 	}
+	if i.Budget != nil {
+		i.Budget.Expose(i.Telemetry.Gauge)
+	}
+	i.handshakes.Expose(i.Telemetry.Gauge)
+	i.operatorConnections.Expose(i.Telemetry.Gauge)
 	if i.consensus != nil {
 		for _, end := range []string{"possible", "none"} {
 			final := end == "none"
--- a/internal/gwpeer/node.go
+++ b/internal/gwpeer/node.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
+
+	"gentianward.example/gentianward/internal/gwbudget"
 )
 
 // alpn is the TLS application protocol (ALPN) of all links. The protocol version is
@@ -59,6 +61,9 @@
 	// Transport must be the same on all nodes. Shaper and FixedPacketSize apply to QUIC
 	// only.
 	Transport Transport
+	// Handshakes bounds the accepted TCP connections whose handshake is not complete; nil for no
+	// bound.
+	Handshakes *gwbudget.Connections
 
 	versions versionRange // supportedVersions if zero
 }
--- a/internal/gwpeer/tcp.go
+++ b/internal/gwpeer/tcp.go
@@ -83,6 +83,14 @@
 }
 
 func (e *tcpEndpoint) handshake(nc net.Conn) {
+	if c := e.node.opts.Handshakes; c != nil {
+		remove := c.Add(nc, nil)
+		if remove == nil {
+			_ = nc.Close()
+			return
+		}
+		defer remove()
+	}
 	ctx, cancel := context.WithTimeout(e.node.ctx, handshakeTimeout)
 	defer cancel()
 	nc = e.wrapBlockable(nc, addrPort(nc.RemoteAddr()))
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
 
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwclock"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwdaemon"
@@ -43,6 +45,15 @@
 	// reservedFiles is the number of file descriptors that callers do not get: those
 	// for links, connections to backend servers, the log and the data files.
 	reservedFiles = 600
+	// The following connections are a part of reservedFiles. Two failed checks of readiness
+	// take an instance out of service, and a machine is checked by a few checkers.
+	maxReadyConnections   = 64
+	maxMetricsConnections = 32
+	// maxControlConnections covers the heartbeats of all backend servers, about 24, and the
+	// calls of operators several times.
+	maxControlConnections = 256
+	// maxHandshakes covers a start of all 80 instances at once. A handshake takes milliseconds.
+	maxHandshakes = 128
 	// handOverLimit is how long open transactions may delay the handover of a primary.
 	// Most end within it, and rolling back the others costs less than a longer gap for
 	// the whole group.
@@ -105,7 +116,8 @@
 	if err != nil {
 		return err
 	}
-	go p.serveMetrics(telemetry)
+	debug.SetMemoryLimit(o.Budget.HeapLimit())
+	go p.serveMetrics(telemetry, o.Budget)
 	s := p.Settings
 	p.logSkippedSeeds(s)
 	p.Log.Info("instance started", "address", s.IP.String(), "dataCentre", s.DataCentre, "region", s.Region,
@@ -191,14 +203,24 @@
 // attempt; the port may still be in use by an earlier process.
 const metricsRetryInterval = 5 * time.Second
 
-func (p Process) serveMetrics(h http.Handler) {
+// metricsWriteTimeout bounds the write of the metrics, of some 100 KiB.
+const metricsWriteTimeout = 30 * time.Second
+
+func (p Process) serveMetrics(h gwdaemon.Telemetry, budget *gwbudget.Budget) {
 	s := p.Settings
+	connections := gwbudget.NewConnections("metrics", maxMetricsConnections, true, budget)
+	connections.Expose(h.Gauge)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h)
 	for {
-		srv := http.Server{Addr: net.JoinHostPort(s.IP.String(), strconv.Itoa(metricsPort)), Handler: mux, ReadHeaderTimeout: time.Second}
-		err := srv.ListenAndServe()
-		p.Log.Error("metrics not served", "address", srv.Addr, "error", err.Error())
+		address := net.JoinHostPort(s.IP.String(), strconv.Itoa(metricsPort))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			srv := gwbudget.HTTPServer(mux)
+			srv.WriteTimeout = metricsWriteTimeout
+			err = srv.Serve(connections.Listen(l))
+		}
+		p.Log.Error("metrics not served", "address", address, "error", err.Error())
 		time.Sleep(metricsRetryInterval)
 	}
 }
@@ -223,9 +245,11 @@
 			initialVoters[seed.String()] = s.PeerAddress(seed.String())
 		}
 	}
+	budget := gwbudget.New(s.MemoryBytes, p.Log)
 	unreadable := gwtelemetry.NewUnreadable(p.Log, telemetry.UnreadableMessage)
 	o := gwdaemon.Options{
 		Unreadable: unreadable,
+		Budget:     budget, MaxOperators: maxReadyConnections, MaxHandshakes: maxHandshakes,
 		Settings: &gwmanifest.Settings{
 			Instance: name, DataCentre: s.DataCentre, Region: s.Region, CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress(name),
 			OperatorAddress: s.ReadyAddress, Seeds: peerSeeds(s), DataFolder: s.DataFolder, MaxClockDrift: gwmanifest.DefaultMaxClockDrift,
@@ -241,6 +265,7 @@
 	if s.ServesControl {
 		o.FS = p.FS
 		o.StopDelay = 0
+		o.MaxOperators = maxControlConnections
 		o.Settings.OperatorAddress = s.ControlAddress
 		o.Routes = func(i *gwdaemon.Instance) http.Handler { return platform.ControlRoutes(i, p.Log) }
 	}
