gwstatement, gwfilter, gwowner, gwpeer: messages, answers and state take memory from the budget

Cause: a caller's message, a server's answer and a session's state were kept without regard to the process's memory, and large answers four times at once.

Change: - A caller's connection takes memory before it reads more than 4 KiB of a message, is not read while there is none, and has 60 s for a message. - A connection to a server takes memory before it reads more than 32 KiB of an answer; the writers to callers and to other instances count theirs. - Large frames of other instances are admitted before they are read, or skipped and answered as not run. Encoded statements wait for 1 s and then get BUSY. - A read of an address whose unread answers have half of the pool is refused with BUSY before it is sent. - Values and prepared statements are a pool, besides maxTotalStateBytes. - Connections of callers are shared between addresses when all are in use. - Large buffers are passed on instead of copied; lines and answers grow by doubling.

Ruled out: to let the first holder exceed its pool's limit at any time.

--- a/internal/gwbackend/request.go
+++ b/internal/gwbackend/request.go
@@ -128,3 +128,16 @@
 	// certainly has not run; 0 for other errors.
 	Refusal gwoutcome.Event
 }
+
+// OwnedWriter is implemented by a Sink that may keep the slice of WriteOwned, which its caller
+// does not use again, so that a large answer is not copied.
+type OwnedWriter interface{ WriteOwned(b []byte) error }
+
+// WriteOwned writes b, which the caller does not use again, to a sink.
+func WriteOwned(sink Sink, b []byte) error {
+	if w, ok := sink.(OwnedWriter); ok {
+		return w.WriteOwned(b)
+	}
+	_, err := sink.Write(b)
+	return err
+}
--- a/internal/gwbudget/budget.go
+++ b/internal/gwbudget/budget.go
@@ -1,6 +1,7 @@
 package gwbudget
 
 import (
+	"context"
 	"log/slog"
 	"math"
 	"sync/atomic"
@@ -13,8 +14,9 @@
 // Parts of a process's memory limit.
 const (
 	// heapPart is the limit of the Go runtime (debug.SetMemoryLimit). Beside it, the program's
-	// own pages take about 15 MiB of the 128 to 280 MiB of an instance.
-	heapPart = 0.72
+	// own pages take about 15 MiB of the 128 to 280 MiB of an instance. Goroutines that allocate
+	// large buffers during a collection exceed the limit by up to 40 MiB.
+	heapPart = 0.55
 	// dataPart is what all pools together have. An idle instance uses about 25 MiB, and the
 	// garbage collector needs room for what has been released.
 	dataPart = 0.45
@@ -75,7 +77,7 @@
 	b.Messages, b.Statements, b.Answers = part("messages", messagePart), part("statements", statementPart), part("answers", answerPart)
 	b.Peers, b.State = part("peers", peerPart), part("state", statePart)
 	b.State.limit = min(b.State.limit, maxState)
-	b.State.hostLimit = b.State.limit
+	b.State.hostLimit = b.State.limit / 4 * 3
 	return b
 }
 
@@ -121,3 +123,32 @@
 		gauge("gentianward_budget_closed", func() float64 { return float64(p.closed.Load()) }, label)
 	}
 }
+
+type hostKey struct{}
+
+// WithHost returns a context that carries the host of a client.
+func WithHost(ctx context.Context, host string) context.Context {
+	return context.WithValue(ctx, hostKey{}, host)
+}
+
+// HostFrom returns the host of a client that the context carries, or "".
+func HostFrom(ctx context.Context) string {
+	host, _ := ctx.Value(hostKey{}).(string)
+	return host
+}
+
+// PeerPool returns Peers, or nil without a budget.
+func (b *Budget) PeerPool() *Pool {
+	if b == nil {
+		return nil
+	}
+	return b.Peers
+}
+
+// AnswerPool returns Answers, or nil without a budget.
+func (b *Budget) AnswerPool() *Pool {
+	if b == nil {
+		return nil
+	}
+	return b.Answers
+}
--- a/internal/gwbudget/pool.go
+++ b/internal/gwbudget/pool.go
@@ -15,13 +15,14 @@
 	stallTime = 5 * time.Second
 	// minClientRate is the least average rate in bytes per second after stallTime.
 	minClientRate = 8 << 10
-	// slowCheckInterval is how often a waiter looks for clients beyond these limits.
+	// slowCheckInterval is how often a waiter looks for clients beyond these limits, and after
+	// which the first may exceed the limit of its pool.
 	slowCheckInterval = 500 * time.Millisecond
 )
 
 // Pool is a number of bytes that holds take parts of. When it is full, holds wait in the order in
-// which they began to take bytes. The first hold may exceed the limit, so that what it reads
-// becomes complete and is released: otherwise holds with a part each could wait for each other.
+// which they began to take bytes. After a while, the first of them may exceed the limit until it is
+// released: otherwise holds with a part each could wait for each other.
 type Pool struct {
 	name  string
 	limit int64
@@ -34,6 +35,8 @@
 	byHost  map[string]int64
 	holds   list.List // of *Hold that have or wait for bytes, in order of their first bytes
 	waiters int
+	// over is the hold that may exceed the limit; nil if none does.
+	over *Hold
 
 	waits, refused, closed atomic.Int64
 }
@@ -99,6 +102,7 @@
 			return true
 		case <-t.C:
 			p.closeSlow()
+			p.letFirstExceed()
 		case <-ctx.Done():
 			return p.withdraw(h, granted)
 		}
@@ -144,14 +148,17 @@
 	return false
 }
 
-// Force takes n more bytes without a wait, for what is in memory already.
+// Force takes n more bytes without a wait, for what is complete and in memory already. Such holds
+// come before those that wait, so that none of these exceeds the limit until they are released.
 func (h *Hold) Force(n int64) {
 	if h == nil || n <= 0 {
 		return
 	}
 	h.pool.mu.Lock()
 	defer h.pool.mu.Unlock()
-	h.pool.enlist(h)
+	if h.element == nil {
+		h.element = h.pool.holds.PushFront(h)
+	}
 	h.pool.take(h, n)
 }
 
@@ -247,8 +254,21 @@
 	}
 }
 
-// fits reports whether there is room for n more bytes; p.mu is held.
-func (p *Pool) fits(h *Hold, n int64) bool { return p.used+n <= p.limit && p.hostFits(h, n) }
+// fits reports whether there is room for n more bytes; p.mu is held. A hold that has all that is
+// taken may exceed the limit at once.
+func (p *Pool) fits(h *Hold, n int64) bool {
+	return p.used+n <= p.limit && p.hostFits(h, n) || p.over == h || p.used == h.held
+}
+
+// letFirstExceed lets the first hold exceed the limit if it waits and no other does so.
+func (p *Pool) letFirstExceed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.holds.Front(); p.over == nil && e != nil && e.Value.(*Hold).want > 0 {
+		p.over = e.Value.(*Hold)
+		p.dispatch()
+	}
+}
 
 func (p *Pool) hostFits(h *Hold, n int64) bool {
 	return h.host == "" || p.byHost[h.host]+n <= p.hostLimit
@@ -265,7 +285,7 @@
 		switch {
 		case h.want == 0:
 			continue
-		case e == p.holds.Front() || p.fits(h, h.want):
+		case p.fits(h, h.want):
 			n := h.want
 			h.want = 0
 			p.waiters--
@@ -300,6 +320,9 @@
 	if h.element != nil && h.held == 0 && h.want == 0 {
 		p.holds.Remove(h.element)
 		h.element = nil
+		if p.over == h {
+			p.over = nil
+		}
 	}
 }
 
--- a/internal/gwbudget/pool_test.go
+++ b/internal/gwbudget/pool_test.go
@@ -48,6 +48,26 @@
 		assert.True(t, waiting())
 		second.Release()
 		assert.Zero(t, p.Used())
+		assert.True(t, second.Acquire(t.Context(), 1000), "alone")
+	})
+}
+
+// Guards against a limit that is exceeded again by each hold that becomes the first, while what
+// the earlier ones have read is still to be written.
+func TestCompleteHoldsCountBeforeOthersExceed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var closed []string
+		p := newTestPool(100, &closed)
+		reader, writer := p.Open("", nil), p.Open("", nil)
+		writer.Force(80)
+		assert.True(t, reader.Acquire(t.Context(), 20))
+		waiting := acquire(t.Context(), reader, 50)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		assert.False(t, waiting())
+		writer.Release()
+		synctest.Wait()
+		assert.True(t, waiting())
 	})
 }
 
--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -101,7 +101,8 @@
 	i.entry = gwfilter.New(gwfilter.Options{
 		LeaderLost: cutOff,
 		Node:       node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
-		Owner: i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry,
+		Budget: i.Budget,
+		Owner:  i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry,
 	})
 	if err := i.listen(ctx); err != nil {
 		return err
@@ -207,7 +208,7 @@
 		Leases: i.leases, Metrics: i.Telemetry, Suspect: i.client.Suspect, BackendOptions: i.backendOptions,
 		Dialect: i.Dialect, StartGroup: i.client.StartGroup, RecordCopies: i.client.RecordCopies, InContact: i.contactCheck(), HandOver: i.HandOver,
 		Freshness: i.Tuning.Freshness, Poll: i.Tuning.Poll, Settle: i.Tuning.Settle, SettleFar: i.Tuning.SettleFar,
-		DialTimeout: i.Tuning.DialTimeout, Unreadable: i.Unreadable,
+		DialTimeout: i.Tuning.DialTimeout, Unreadable: i.Unreadable, PeerMemory: i.Budget.PeerPool(), AnswerMemory: i.Budget.AnswerPool(),
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
--- a/internal/gwfilter/entry.go
+++ b/internal/gwfilter/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwowner"
@@ -62,6 +63,9 @@
 	Owner     *gwowner.Owner
 	Signer    *gwsession.Signer
 	Observer  Observer
+	// Budget bounds the memory of sessions, statements and answers; nil for no bound but that of
+	// the sessions.
+	Budget *gwbudget.Budget
 	// LeaderLost reports whether this instance has lost contact with the leader of
 	// the control log; nil means never.
 	LeaderLost func() bool
--- a/internal/gwfilter/servers.go
+++ b/internal/gwfilter/servers.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/internal/gwpeer"
@@ -228,7 +229,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pooledUpstream{RemoteSession: gwowner.NewRemoteSession(st), pool: e.streams, owner: m.Instance}, nil
+	return &pooledUpstream{RemoteSession: gwowner.NewRemoteSession(st), pool: e.streams, owner: m.Instance, budget: e.Budget}, nil
 }
 
 // pooledUpstream runs requests over a pooled stream to an owner on another instance.
@@ -236,9 +237,13 @@
 	*gwowner.RemoteSession
 	pool  *gwpeer.StreamPool
 	owner string
+	// budget has the memory of statements and answers; nil for no bound.
+	budget *gwbudget.Budget
 	// dirty means that the stream is broken or a transaction may be open on it, so
 	// that it must not be reused.
 	dirty bool
+	// refused means that a request was not sent, as there was no memory for it.
+	refused bool
 }
 
 // Owner returns the name of the owner's instance.
@@ -247,8 +252,8 @@
 // Exec runs one request at the owner.
 func (u *pooledUpstream) Exec(ctx context.Context, req *gwowner.Request, out writer) gwowner.Result {
 	u.dirty = true // until the whole answer has arrived, even if Exec panics
-	res := u.RemoteSession.Exec(ctx, req, out)
-	u.dirty = res.TxStatus != 'I' || u.Broken()
+	res := u.execWithMemory(ctx, req, out)
+	u.dirty = res.TxStatus != 'I' || u.Broken() || u.refused
 	return res
 }
 
--- a/internal/gwfilter/statement.go
+++ b/internal/gwfilter/statement.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwowner"
 	"gentianward.example/gentianward/internal/gwstatement"
 	"gentianward.example/gentianward/pkg/gwoutcome"
@@ -26,9 +27,9 @@
 
 // Open returns a session for the database. Each database of this protocol is a caller
 // in the manifest.
-func (h StatementHandler) Open(_ context.Context, database string) (gwstatement.Session, *gwstatement.Failure) {
+func (h StatementHandler) Open(ctx context.Context, database string) (gwstatement.Session, *gwstatement.Failure) {
 	s := &statementSession{codec: h.Codec, status: 'I', prepared: make(map[string]preparedStatement)}
-	s.entry, s.caller = h.Entry, database
+	s.entry, s.caller, s.stateHold = h.Entry, database, h.Entry.openStateHold(ctx)
 	// A session begins with its connection, so that it has no earlier writes and needs no
 	// barrier.
 	s.state = s.state.WithToken(gwsession.Watermark{})
@@ -53,14 +54,16 @@
 	prepared map[string]preparedStatement
 	// stateBytes is the size of values and prepared, see entryBytes.
 	stateBytes int
+	// stateHold is the session's part of the memory for the state of all sessions.
+	stateHold *gwbudget.Hold
 }
 
 // maxStateBytes bounds the values and prepared statements of a session. They are kept in memory
 // and travel with each statement in a frame of at most 16 MiB.
 const maxStateBytes = 8 << 20
 
-// maxTotalStateBytes bounds the values and prepared statements of all sessions of an instance:
-// the smallest instances have 184 MB, of which messages in flight need a part.
+// maxTotalStateBytes bounds the values and prepared statements of all sessions of an instance. The
+// pool State of the budget bounds them further on instances with little memory.
 const maxTotalStateBytes = 64 << 20
 
 // entryOverhead is about the memory that a value or a prepared statement takes beside its texts.
@@ -77,7 +80,7 @@
 // may pass later.
 var (
 	sessionStateFull = &gwstatement.Failure{Code: gwstatement.Malformed, Text: "the values and prepared statements of the session exceed 8 MiB or 8,192"}
-	totalStateFull   = &gwstatement.Failure{Code: gwstatement.Busy, Text: "the values and prepared statements of all sessions exceed 64 MiB"}
+	totalStateFull   = &gwstatement.Failure{Code: gwstatement.Busy, Text: "the values and prepared statements of all sessions exceed the memory of the instance for them"}
 )
 
 type preparedStatement struct {
@@ -127,8 +130,7 @@
 // Close rolls an open transaction back and releases the space of the session's state.
 func (s *statementSession) Close() {
 	s.rollback()
-	s.entry.stateBytes.Add(-int64(s.stateBytes))
-	s.stateBytes = 0
+	s.addState(-s.stateBytes, false)
 }
 
 // Handle answers one statement.
@@ -146,6 +148,8 @@
 		return s.fail(b, gwstatement.Malformed, "the transaction has failed and must be ended")
 	}
 	switch st := q.Statement.(type) {
+	case gwstatement.Refused:
+		return s.fail(b, gwstatement.Busy, st.Reason)
 	case gwstatement.Begin:
 		return s.beginTransaction(st, b)
 	case gwstatement.Set:
@@ -199,8 +203,7 @@
 	if s.stateBytes+n > maxStateBytes || isNew && len(s.values)+len(s.prepared) >= maxStateEntries {
 		return sessionStateFull
 	}
-	if total := s.entry.stateBytes.Add(int64(n)); n > 0 && total > maxTotalStateBytes {
-		s.entry.stateBytes.Add(-int64(n))
+	if !s.takeTotalState(n) {
 		return totalStateFull
 	}
 	s.stateBytes += n
@@ -326,7 +329,7 @@
 	if aim := r.rules.class.Aim.Duration; aim > 0 && s.entry.Clock.Since(r.started) > aim {
 		s.entry.logAttempt("statement exceeded its latency aim", r, res)
 	}
-	b = append(b, r.w.(*answerBuffer).b...)
+	b = appendAnswer(b, r.w.(*answerBuffer).b)
 	return s.codec.AppendReady(b, s.status)
 }
 
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/internal/gwtelemetry"
@@ -79,6 +80,9 @@
 	Dialect gwbackend.Dialect
 	// BackendOptions returns the connection options of a server, such as its user.
 	BackendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
+	// PeerMemory has the memory of large requests of other instances, and AnswerMemory that of
+	// large answers to them; nil for no bound.
+	PeerMemory, AnswerMemory *gwbudget.Pool
 	// Unreadable records requests of other instances that cannot be decoded; nil for none.
 	Unreadable *gwtelemetry.Unreadable
 }
@@ -110,6 +114,8 @@
 	standstill     standstill
 	backendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
 	unreadable     *gwtelemetry.Unreadable
+	peerMemory     *gwbudget.Pool
+	answerMemory   *gwbudget.Pool
 
 	attempts attempts
 
@@ -130,7 +136,7 @@
 		members: o.Members, leases: o.Leases, metrics: o.Metrics, reportSuspect: o.Suspect,
 		startGroup: o.StartGroup, recordCopies: o.RecordCopies, dialect: o.Dialect, inContact: o.InContact, handOver: o.HandOver,
 		freshnessInterval: cmp.Or(o.Freshness, defaultFreshnessInterval), pollInterval: o.Poll,
-		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions, unreadable: o.Unreadable,
+		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions, unreadable: o.Unreadable, peerMemory: o.PeerMemory, answerMemory: o.AnswerMemory,
 		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	owner.register()
--- a/internal/gwowner/peer.go
+++ b/internal/gwowner/peer.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwmanifest"
 	"gentianward.example/gentianward/internal/gwpeer"
@@ -145,8 +147,20 @@
 func (o *Owner) serveExec(ctx context.Context, from string, st *gwpeer.Stream) {
 	s := o.NewSession()
 	defer s.Close()
+	answers := o.answerMemory.Open("", nil)
+	release := admitRequests(ctx, o.peerMemory, from, st)
+	defer release()
 	for {
+		release()
 		kind, payload, err := st.ReadFrame()
+		if errors.Is(err, gwpeer.ErrFrameSkipped) {
+			// The other instance takes its transaction for ended and may reuse the stream.
+			s.Close()
+			if end, err := gwpeer.Marshal(failed(gwoutcome.Expired, "the owner has no memory for the request").toWire()); err != nil || st.WriteFrame(frameEnd, end) != nil {
+				return
+			}
+			continue
+		}
 		if err != nil || kind != frameRequest {
 			return
 		}
@@ -158,7 +172,7 @@
 			s.Close()
 			res = failed(gwoutcome.NotEncodable, "the owner cannot decode the request: "+err.Error())
 		} else {
-			res = s.Exec(ctx, &req, frameWriter{st})
+			res = s.Exec(ctx, &req, frameWriter{st, answers})
 		}
 		end, err := gwpeer.Marshal(res.toWire())
 		if err != nil || st.WriteFrame(frameEnd, end) != nil {
@@ -168,9 +182,17 @@
 }
 
 // frameWriter sends each part of an answer as a frameData.
-type frameWriter struct{ stream *gwpeer.Stream }
+type frameWriter struct {
+	stream *gwpeer.Stream
+	// memory has the memory of large parts until they are sent; nil for no bound.
+	memory *gwbudget.Hold
+}
 
 func (w frameWriter) Write(b []byte) (int, error) {
+	if len(b) > readBufferBytes {
+		w.memory.Force(int64(len(b)))
+		defer w.memory.Release()
+	}
 	if err := w.stream.WriteFrame(frameData, b); err != nil {
 		return 0, err
 	}
@@ -235,7 +257,7 @@
 		switch kind {
 		case frameData:
 			relayed = true
-			if _, err := out.Write(payload); err != nil {
+			if err := passOn(out, payload); err != nil {
 				r.broken = true
 				return r.lostAnswer(ctx, err, relayed)
 			}
--- a/internal/gwowner/sink.go
+++ b/internal/gwowner/sink.go
@@ -16,6 +16,8 @@
 	limit   int
 	buf     []byte
 	relayed bool
+	// owned means that buf was given by WriteOwned.
+	owned bool
 }
 
 // Write buffers b. If that would exceed the limit, the earlier content is passed on first.
@@ -35,7 +37,5 @@
 		return nil
 	}
 	s.relayed = true
-	_, err := s.out.Write(s.buf)
-	s.buf = s.buf[:0]
-	return err
+	return s.writeOut()
 }
--- a/internal/gwpeer/codec.go
+++ b/internal/gwpeer/codec.go
@@ -15,9 +15,12 @@
 	MaxFrameBytes    = 16 << 20 // payload of one frame of a stream
 	MaxDatagramBytes = 1200     // fits an initial QUIC packet of 1280 bytes
 
-	maxNesting   = 16
-	maxElements  = 64 << 10 // entries of an array or map
-	maxPooledBuf = 64 << 10 // larger buffers are not pooled
+	maxNesting  = 16
+	maxElements = 64 << 10 // entries of an array or map
+	// MaxReusedBytes is the greatest capacity of buffers that are pooled or used again. The
+	// payload of a larger frame belongs to its reader.
+	MaxReusedBytes = 64 << 10
+	maxPooledBuf   = MaxReusedBytes
 )
 
 var (
@@ -65,6 +68,9 @@
 	if err := encode(b, v, MaxFrameBytes); err != nil {
 		return nil, err
 	}
+	if b.Cap() > maxPooledBuf {
+		return b.Bytes(), nil // putBuf does not keep it
+	}
 	return bytes.Clone(b.Bytes()), nil
 }
 
--- a/internal/gwpeer/frame.go
+++ b/internal/gwpeer/frame.go
@@ -63,10 +63,14 @@
 }
 
 func appendFrame(b []byte, kind byte, exchange uint16, payload []byte) []byte {
+	return append(appendFrameHeader(b, kind, exchange, len(payload)), payload...)
+}
+
+// appendFrameHeader appends the header of a frame whose payload has size bytes.
+func appendFrameHeader(b []byte, kind byte, exchange uint16, size int) []byte {
 	b = append(b, kind)
 	b = binary.BigEndian.AppendUint16(b, exchange)
-	b = binary.BigEndian.AppendUint32(b, uint32(len(payload)))
-	return append(b, payload...)
+	return binary.BigEndian.AppendUint32(b, uint32(size))
 }
 
 // readFrame reads one frame and stores its payload in buf if that is large enough. If
--- a/internal/gwpeer/stream.go
+++ b/internal/gwpeer/stream.go
@@ -35,6 +35,8 @@
 	rmu  sync.Mutex
 	r    *bufio.Reader // nil once released
 	rbuf []byte
+	// admit is called before a large frame is read; see AdmitFrames.
+	admit func(size int) bool
 
 	releaseOnce sync.Once
 }
@@ -127,9 +129,18 @@
 		return newError("write frame", KindNotSent, s.address, errors.New("the stream is closed"))
 	}
 	s.wbuf = append(s.wbuf[:0], s.pendingHeader...)
-	s.wbuf = appendFrame(s.wbuf, kind, uint16(s.exchange.Load()), payload)
-	size := len(s.wbuf)
+	rest := payload // of a large frame, which is not copied
+	s.wbuf = appendFrameHeader(s.wbuf, kind, uint16(s.exchange.Load()), len(payload))
+	if len(payload) <= maxPooledBuf {
+		s.wbuf, rest = append(s.wbuf, payload...), nil
+	}
+	size := len(s.wbuf) + len(rest)
 	n, err := s.bs.Write(s.wbuf)
+	if err == nil && len(rest) > 0 {
+		var more int
+		more, err = s.bs.Write(rest)
+		n += more
+	}
 	if cap(s.wbuf) > maxPooledBuf {
 		s.wbuf = nil
 	}
@@ -154,6 +165,9 @@
 		return 0, nil, newError("read frame", KindCanceled, s.address, errors.New("the stream is closed"))
 	}
 	s.growForFrame()
+	if s.skipUnadmitted(limit) {
+		return 0, nil, ErrFrameSkipped
+	}
 	h, payload, err := readFrame(s.r, s.rbuf, limit)
 	switch {
 	case errors.Is(err, io.EOF):
@@ -275,3 +289,39 @@
 	defer s.rmu.Unlock()
 	return open && s.r != nil && s.r.Buffered() == 0
 }
+
+// freeFrameBytes is the size up to which frames are read without a call to admit.
+const freeFrameBytes = 64 << 10
+
+// ErrFrameSkipped means that a frame was not admitted. Its payload was skipped, and the stream can
+// be used further.
+var ErrFrameSkipped = errors.New("no memory for the frame")
+
+// AdmitFrames makes ReadFrame call admit with the size of each large frame before it is read. If
+// admit returns false, the frame is skipped. nil admits all.
+func (s *Stream) AdmitFrames(admit func(size int) bool) {
+	s.rmu.Lock()
+	defer s.rmu.Unlock()
+	s.admit = admit
+}
+
+// skipUnadmitted skips the next frame and returns true if it is large and not admitted; s.rmu is
+// held.
+func (s *Stream) skipUnadmitted(limit int) bool {
+	if s.admit == nil {
+		return false
+	}
+	head, err := s.r.Peek(frameHeaderBytes)
+	if err != nil {
+		return false // readFrame returns the error
+	}
+	size := int(binary.BigEndian.Uint32(head[frameHeaderBytes-4:]))
+	if size <= freeFrameBytes || size > limit || s.admit(size) {
+		return false
+	}
+	if !s.opener {
+		s.exchange.Store(uint32(binary.BigEndian.Uint16(head[1:])))
+	}
+	_, err = s.r.Discard(frameHeaderBytes + size)
+	return err == nil
+}
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -256,7 +256,7 @@
 		},
 		Clock: gwclock.NewBootTime(), Log: p.Log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.ManifestFormat{Parse: config.Parse, ParseAccepted: config.ParseAccepted, AnyLater: true},
-		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}, Unreadable: unreadable}, ServeCallers: p.serveCallers(unreadable),
+		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}, Unreadable: unreadable, Answers: budget.Answers}, ServeCallers: p.serveCallers(unreadable, budget, telemetry),
 		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, PeerListenAddress: p.PeerListen, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
 		VoterAddress: func(instance string) (string, bool) { return s.PeerAddress(instance), true },
 		Promoter:     platform.Promoter{Address: s.PromoteAddress, Holder: name, Clock: gwclock.NewBootTime()},
@@ -273,11 +273,13 @@
 }
 
 // serveCallers returns a function that accepts callers on a listener.
-func (p Process) serveCallers(unreadable *gwtelemetry.Unreadable) func(context.Context, net.Listener, *gwfilter.Entry) gwdaemon.CallerServer {
+func (p Process) serveCallers(unreadable *gwtelemetry.Unreadable, budget *gwbudget.Budget, telemetry gwdaemon.Telemetry) func(context.Context, net.Listener, *gwfilter.Entry) gwdaemon.CallerServer {
 	return func(ctx context.Context, l net.Listener, e *gwfilter.Entry) gwdaemon.CallerServer {
+		places := gwbudget.NewConnections("callers", budget.MaxConnections(max(1, p.Settings.MaxFiles-reservedFiles)), false, budget)
+		places.Expose(telemetry.Gauge)
 		return gwstatement.Serve(ctx, gwstatement.Options{
 			Listener: l, Codec: platform.LineCodec{}, Handler: gwfilter.StatementHandler{Entry: e, Codec: platform.LineCodec{}},
-			Logger: p.Log, MaxConnections: max(1, p.Settings.MaxFiles-reservedFiles), Unreadable: unreadable,
+			Logger: p.Log, Places: places, Budget: budget, Unreadable: unreadable,
 		})
 	}
 }
--- a/internal/gwstatement/conn.go
+++ b/internal/gwstatement/conn.go
@@ -49,6 +49,8 @@
 	// received counts the bytes of all replies, and answerStart is its value when the last
 	// request was sent.
 	received, answerStart atomic.Int64
+	// memory has the memory of the answer from its first byte until it has been passed on.
+	memory *answerMemory
 
 	unusable atomic.Bool
 	// abandoned means that ctx ended before the answer to the last exchange arrived.
@@ -97,7 +99,7 @@
 	}
 	c := &Conn{
 		codec: codec, o: o, nc: nc, unreadable: d.Unreadable, answers: make(chan answer, 1), readerDone: make(chan struct{}), closed: make(chan struct{}),
-		status: 'I', variables: make(map[textDigest]textDigest),
+		status: 'I', variables: make(map[textDigest]textDigest), memory: newAnswerMemory(d.Answers),
 	}
 	go c.readLoop()
 	a, _, err := c.roundTrip(ctx, startup)
@@ -149,7 +151,8 @@
 // readLoop reads answers until the connection closes.
 func (c *Conn) readLoop() {
 	defer close(c.readerDone)
-	r := bufio.NewReaderSize(countingReader{c.nc, &c.received}, readBufferBytes)
+	defer c.memory.release()
+	r := bufio.NewReaderSize(countingReader{answerReader{c.nc, c.memory}, &c.received}, readBufferBytes)
 	var a answer
 	started := false
 	for {
@@ -168,7 +171,7 @@
 		switch m := reply.(type) {
 		case Row:
 			a.row = m
-			a.raw = append(a.raw, raw...)
+			a.raw = appendRow(a.raw, raw)
 		case Complete:
 			a.raw = append(a.raw, raw...)
 		case Failure:
@@ -183,6 +186,7 @@
 			continue
 		}
 		started = true
+		c.memory.nextAnswer()
 		if !c.deliver(a) {
 			c.closeWithError(&Error{Op: "read reply", Kind: KindProtocol, Err: errors.New("answer without a request")})
 			return
@@ -239,6 +243,7 @@
 // Abort closes the connection at once; an exchange in progress fails.
 func (c *Conn) Abort() {
 	c.unusable.Store(true)
+	c.memory.end()
 	_ = c.nc.Close()
 }
 
@@ -266,6 +271,7 @@
 	}
 	c.awaitingAnswer = true
 	c.answerStart.Store(c.received.Load())
+	c.memory.release()
 	c.mu.Unlock()
 	deadline := time.Now().Add(writeTimeout)
 	if d, ok := ctx.Deadline(); ok {
@@ -374,8 +380,9 @@
 	} else if stmt.Commits && a.ready.Status == 'I' {
 		res.Position = a.ready.Position
 	}
+	defer c.memory.release()
 	if sink != nil && len(a.raw) > 0 {
-		if _, err := sink.Write(a.raw); err != nil {
+		if err := gwbackend.WriteOwned(sink, a.raw); err != nil {
 			return res, &gwbackend.Error{Op: "run request", Kind: gwbackend.KindSink, Server: c.o.Name, Err: err}
 		}
 		res.Delivered, res.AnswerBytes = true, int64(len(a.raw))
--- a/internal/gwstatement/dialect.go
+++ b/internal/gwstatement/dialect.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwtelemetry"
 )
 
@@ -15,6 +16,8 @@
 	Codec ServerCodec
 	// Unreadable records replies of servers that cannot be read; nil for none.
 	Unreadable *gwtelemetry.Unreadable
+	// Answers has the memory of large answers; nil for no bound.
+	Answers *gwbudget.Pool
 }
 
 var _ gwbackend.Dialect = Dialect{}
--- a/internal/gwstatement/server.go
+++ b/internal/gwstatement/server.go
@@ -8,13 +8,13 @@
 	"net"
 	"os"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwtelemetry"
 )
 
@@ -60,6 +60,10 @@
 	Logger   *slog.Logger
 	// MaxConnections bounds the caller connections; 0 means no bound.
 	MaxConnections int
+	// Places bounds the caller connections in place of MaxConnections, if not nil.
+	Places *gwbudget.Connections
+	// Budget bounds the memory of messages and answers; nil for no bound.
+	Budget *gwbudget.Budget
 	// Unreadable records messages of callers that cannot be read; nil for none.
 	Unreadable *gwtelemetry.Unreadable
 }
@@ -75,6 +79,8 @@
 	draining      atomic.Bool
 	wg            sync.WaitGroup
 
+	places *gwbudget.Connections
+
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
@@ -82,17 +88,27 @@
 // callerConn is one connection of a caller.
 type callerConn struct {
 	nc net.Conn
+	in callerReader
+	// answers holds the memory of the answer that is written; nil for no bound.
+	answers *gwbudget.Hold
+	// leave gives the connection's place back.
+	leave func()
 
 	mu      sync.Mutex
 	session Session // nil until the session is open
 	busy    bool
+	// awaitsSince is since when the caller's next bytes are awaited; zero while a statement runs.
+	awaitsSince time.Time
 	// readInterrupted means that the read deadline was set to end a wait for a message.
 	readInterrupted bool
 }
 
 // Serve starts to accept callers and returns. When ctx ends, all connections are closed.
 func Serve(ctx context.Context, o Options) *Server {
-	s := &Server{o: o, conns: make(map[*callerConn]struct{})}
+	s := &Server{o: o, conns: make(map[*callerConn]struct{}), places: o.Places}
+	if s.places == nil {
+		s.places = gwbudget.NewConnections("callers", o.MaxConnections, false, o.Budget)
+	}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	s.statements, s.endStatements = context.WithCancel(s.ctx)
 	context.AfterFunc(s.ctx, s.closeAll)
@@ -116,7 +132,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := &callerConn{nc: nc}
+		c := s.newCallerConn(nc)
 		if !s.add(c) {
 			_ = nc.Close()
 			continue
@@ -140,18 +156,11 @@
 	}
 }
 
-func (s *Server) add(c *callerConn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.o.MaxConnections > 0 && len(s.conns) >= s.o.MaxConnections {
-		return false
-	}
-	s.conns[c] = struct{}{}
-	return true
-}
-
 func (s *Server) remove(c *callerConn) {
 	_ = c.nc.Close()
+	c.leave()
+	c.in.hold.Release()
+	c.answers.Release()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -165,7 +174,7 @@
 
 // serve runs one session until the caller or the server ends it.
 func (s *Server) serve(c *callerConn) error {
-	r := bufio.NewReaderSize(c.nc, callerBufferBytes)
+	r := bufio.NewReaderSize(&c.in, callerBufferBytes)
 	if ok, err := s.openSession(c, r); !ok || err != nil {
 		return err
 	}
@@ -175,6 +184,7 @@
 			return err
 		}
 		m, err := s.readMessage(c, r)
+		c.setAwaits(false)
 		if err != nil {
 			return err
 		}
@@ -182,9 +192,11 @@
 		if !ok {
 			return nil
 		}
-		out = c.session.Handle(s.statements, q, out[:0])
+		out = c.session.Handle(s.statements, s.refuseWithoutRoom(c, q), out[:0])
+		c.in.release()
 		err = c.write(out)
 		c.setBusy(false)
+		c.setAwaits(true)
 		if err != nil || s.statements.Err() != nil || s.endsSession(c, r) {
 			return err
 		}
@@ -194,20 +206,10 @@
 	}
 }
 
-// write writes an answer, which fails once a part of it takes longer than answerWriteTimeout.
-func (c *callerConn) write(answer []byte) error {
-	for part := range slices.Chunk(answer, answerPartBytes) {
-		_ = c.nc.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
-		if _, err := c.nc.Write(part); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // readMessage reads one message and records it if it cannot be read.
 func (s *Server) readMessage(c *callerConn, r *bufio.Reader) (Message, error) {
 	m, err := s.o.Codec.ReadMessage(r)
+	c.in.endMessage()
 	if bad, ok := m.(Unparsed); ok {
 		s.o.Unreadable.Record(gwtelemetry.FromCaller, c.nc.RemoteAddr().String(), bad.Reason, bad.Bytes, errors.New(bad.Text))
 	}
@@ -310,7 +312,7 @@
 		_, _ = c.nc.Write(s.o.Codec.AppendFailure(nil, Failure{Code: Malformed, Text: "a session begins with a startup message"}))
 		return false, &Error{Op: "start session", Kind: KindProtocol, Err: errors.Newf("message %T instead of a startup message", m)}
 	}
-	ses, failure := s.o.Handler.Open(s.ctx, st.Database)
+	ses, failure := s.o.Handler.Open(gwbudget.WithHost(s.ctx, gwbudget.HostOf(c.nc)), st.Database)
 	if failure != nil {
 		_, err := c.nc.Write(s.o.Codec.AppendFailure(nil, *failure))
 		return false, err
@@ -321,6 +323,8 @@
 	if _, err := c.nc.Write(s.o.Codec.AppendReady(nil, 'I')); err != nil {
 		return false, err
 	}
+	c.in.release()
+	c.in.inSession = true
 	return true, c.nc.SetDeadline(time.Time{})
 }
 
--- a/internal/gwstatement/statement.go
+++ b/internal/gwstatement/statement.go
@@ -1,7 +1,7 @@
 package gwstatement
 
 // Statement is a parsed statement of a caller: Begin, Commit, Rollback, Read, Write,
-// Set, Prepare, Execute, Deallocate or Invalid.
+// Set, Prepare, Execute, Deallocate, Invalid or Refused.
 type Statement interface{ statement() }
 
 // Begin opens a transaction.
@@ -40,6 +40,9 @@
 // Invalid is a statement that cannot be parsed.
 type Invalid struct{ Reason string }
 
+// Refused is a statement that is not run because the instance has no memory for it.
+type Refused struct{ Reason string }
+
 func (Begin) statement()      {}
 func (Commit) statement()     {}
 func (Rollback) statement()   {}
@@ -50,6 +53,7 @@
 func (Execute) statement()    {}
 func (Deallocate) statement() {}
 func (Invalid) statement()    {}
+func (Refused) statement()    {}
 
 // Message is one message of a caller: Startup, Query, Terminate or Unparsed.
 type Message interface{ message() }
