--- a/internal/gwowner/peer_test.go
+++ b/internal/gwowner/peer_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/pkg/gwoutcome"
@@ -19,6 +20,11 @@
 
 // startPeers returns an owner and a stream to it from another instance.
 func startPeers(t *testing.T, exchange func(req gwbackend.Request, sink gwbackend.Sink) (gwbackend.Result, error)) *gwpeer.Stream {
+	t.Helper()
+	return startPeersWithMemory(t, nil, exchange)
+}
+
+func startPeersWithMemory(t *testing.T, memory *gwbudget.Pool, exchange func(req gwbackend.Request, sink gwbackend.Sink) (gwbackend.Result, error)) *gwpeer.Stream {
 	t.Helper()
 	ca, err := gwpeer.NewAuthority("test")
 	require.NoError(t, err)
@@ -34,6 +40,7 @@
 	s.backend = gwbackend.NewServer(gwbackend.ServerOptions{Dialect: requestDialect{exchange: exchange}, Pool: gwbackend.PoolOptions{Limit: 2}})
 	t.Cleanup(func() { _ = s.backend.Close(t.Context()) })
 	s.owner.servers = map[string]*server{"s": s}
+	s.owner.peerMemory = memory
 	nodes[0].HandleStream(gwcontrol.KindExec, s.owner.serveExec)
 	st, err := nodes[1].OpenStream(t.Context(), nodes[0].Address(), gwcontrol.KindExec)
 	require.NoError(t, err)
@@ -82,6 +89,31 @@
 	assert.True(t, r.Broken(), "a transaction may be open on the stream")
 }
 
+// Guards against a large request that fills the memory of its owner, and against one that is
+// refused and has run, or ends the stream for the requests after it.
+func TestRequestWithoutMemoryIsNotRun(t *testing.T) {
+	budget, ran := gwbudget.New(8<<20, nil), 0
+	st := startPeersWithMemory(t, budget.Peers, func(gwbackend.Request, gwbackend.Sink) (gwbackend.Result, error) {
+		ran++
+		return gwbackend.Result{Sent: true, Complete: true, TxStatus: 'I'}, nil
+	})
+	other := budget.Peers.Open("other", nil)
+	other.Force(8 << 20)
+	r := NewRemoteSession(st)
+	ask := func(size int) Result {
+		return r.Exec(t.Context(), &Request{Server: "s", Class: "k", Access: Read, SkipChecks: true, Timeout: 10 * time.Second, Request: gwbackend.Request{Statement: &gwbackend.StatementRequest{Text: strings.Repeat("x", size)}}}, &bytes.Buffer{})
+	}
+	res := ask(1 << 20)
+	assert.Equal(t, gwoutcome.Expired, res.Event)
+	assert.Contains(t, res.Message, "not run: ")
+	assert.Zero(t, ran)
+	assert.Equal(t, gwoutcome.Answered, ask(1<<10).Event, "a small one needs none")
+	other.Release()
+	assert.Equal(t, gwoutcome.Answered, ask(1<<20).Event)
+	assert.Equal(t, 2, ran)
+	assert.Eventually(t, func() bool { return budget.Peers.Used() == 0 }, 10*time.Second, time.Millisecond, "given back")
+}
+
 // Guards against a text that changes between two instances, in a request or in its answer.
 func TestForwardedBytesAreExact(t *testing.T) {
 	var all []byte
--- a/internal/gwpeer/tcp.go
+++ b/internal/gwpeer/tcp.go
@@ -74,23 +74,30 @@
 			time.Sleep(minBackoff) // for example no file descriptor is free
 			continue
 		}
+		// Before the goroutine starts, as thousands may be accepted until it runs.
+		leave := e.admit(nc)
+		if leave == nil {
+			_ = nc.Close()
+			continue
+		}
 		e.wg.Add(1)
 		go func() {
 			defer e.wg.Done()
+			defer leave()
 			e.handshake(nc)
 		}()
 	}
 }
 
-func (e *tcpEndpoint) handshake(nc net.Conn) {
+// admit returns the function that ends the handshake of a connection, or nil if there is no place.
+func (e *tcpEndpoint) admit(nc net.Conn) (leave func()) {
 	if c := e.node.opts.Handshakes; c != nil {
-		remove := c.Add(nc, nil)
-		if remove == nil {
-			_ = nc.Close()
-			return
-		}
-		defer remove()
+		return c.Add(nc, nil)
 	}
+	return func() {}
+}
+
+func (e *tcpEndpoint) handshake(nc net.Conn) {
 	ctx, cancel := context.WithTimeout(e.node.ctx, handshakeTimeout)
 	defer cancel()
 	nc = e.wrapBlockable(nc, addrPort(nc.RemoteAddr()))
