gwstatement: a message may take 2 min

Cause: 60 s for a message of 1 MiB is 15 senders at once on a link of 2 Mbit/s.

Change: 2 min, 30 senders. Slower ones are closed earlier only while others wait for their memory, as before. Ruled out: no limit, as a client that trickles keeps its memory for ever while nobody waits.

--- a/internal/gwstatement/budget.go
+++ b/internal/gwstatement/budget.go
@@ -23,8 +23,8 @@
 	// maxReadBytes bounds what is taken for a message. What exceeds 1 MiB is skipped and not kept.
 	maxReadBytes = 1<<20 + readStep
 	// messageTimeout bounds the time from the first to the last byte of a message, including waits
-	// for memory: 1 MiB takes 4 s on a link of 2 Mbit/s, which connections may share.
-	messageTimeout = 60 * time.Second
+	// for memory: 1 MiB takes 4 s on a link of 2 Mbit/s, which 30 connections may share.
+	messageTimeout = 2 * time.Minute
 	// roomTimeout is how long a read waits while its host's answers have all of their memory.
 	roomTimeout = time.Second
 	// roomPollInterval is the interval at which such a read looks for room.
