--- a/internal/gwdaemon/daemon.go
+++ b/internal/gwdaemon/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwfilter"
 	"gentianward.example/gentianward/internal/gwmanifest"
@@ -49,8 +50,10 @@
 	pgServer     *gwwire.Server // nil with Options.ServeCallers or ControlOnly
 	callers      CallerServer   // nil with Options.ControlOnly
 	operator     *http.Server
-	viewStore    *viewStore
-	log          *gwstore.Log
+	// operatorConnections and handshakes bound connections of clients that are not authenticated.
+	operatorConnections, handshakes *gwbudget.Connections
+	viewStore                       *viewStore
+	log                             *gwstore.Log
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -79,7 +82,8 @@
 
 func (i *Instance) start(ctx context.Context) error {
 	s := i.Settings
-	node, err := gwpeer.Listen(ctx, gwpeer.Options{Address: s.PeerAddress, ListenAddress: i.PeerListenAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shaper: i.Shaper, FixedPacketSize: i.Tuning.FixedPacketSize, Transport: i.Tuning.Transport})
+	i.handshakes = gwbudget.NewConnections("handshakes", i.MaxHandshakes, true, i.Budget)
+	node, err := gwpeer.Listen(ctx, gwpeer.Options{Handshakes: i.handshakes, Address: s.PeerAddress, ListenAddress: i.PeerListenAddress, TLS: i.TLS, Instance: s.Instance, Logger: i.Log, Shaper: i.Shaper, FixedPacketSize: i.Tuning.FixedPacketSize, Transport: i.Tuning.Transport})
 	if err != nil {
 		return err
 	}
@@ -103,7 +107,8 @@
 	i.entry = gwfilter.New(gwfilter.Options{
 		LeaderLost: cutOff,
 		Node:       node, Clock: i.Clock, Log: i.Log, Views: i.views, Directory: i.directory, Members: i.members,
-		Owner: i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry, Quota: i.entryQuota(),
+		Budget: i.Budget,
+		Owner:  i.owner, Signer: gwsession.NewSigner(tokenLifetime, i.SessionKey), Observer: i.Telemetry, Quota: i.entryQuota(),
 		PullManifest: pull, KeysValid: i.KeysValid,
 	})
 	if err := i.listen(ctx); err != nil {
@@ -213,6 +218,7 @@
 		Dialect: i.Dialect, StartGroup: i.client.StartGroup, RecordCopies: i.client.RecordCopies, InContact: i.contactCheck(), HandOver: i.HandOver,
 		Freshness: i.Tuning.Freshness, Poll: i.Tuning.Poll, Settle: i.Tuning.Settle, SettleFar: i.Tuning.SettleFar, EstimateSpeed: i.Tuning.EstimateSpeed,
 		DialTimeout: i.Tuning.DialTimeout, FreshWithoutLease: i.Tuning.FreshWithoutLease, Unreadable: i.Unreadable,
+		PeerMemory: i.Budget.PeerPool(), AnswerMemory: i.Budget.AnswerPool(),
 	})
 	if i.leader != nil {
 		i.leader.Attach(i.owner, i.client, i.Telemetry.FailoverGap)
@@ -255,8 +261,9 @@
 	if routes == nil {
 		routes = (*Instance).routes
 	}
-	i.operator = &http.Server{Handler: routes(i), ReadHeaderTimeout: httpTimeout}
-	i.wg.Go(func() { i.serveOperator(operators) })
+	i.operatorConnections = gwbudget.NewConnections("operators", i.MaxOperators, true, i.Budget)
+	i.operator = gwbudget.HTTPServer(i.Budget.LimitBodies(routes(i)))
+	i.wg.Go(func() { i.serveOperator(i.operatorConnections.Listen(operators)) })
 	return nil
 }
 
--- a/internal/gwowner/owner.go
+++ b/internal/gwowner/owner.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"gentianward.example/gentianward/internal/gwbackend"
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwpeer"
 	"gentianward.example/gentianward/internal/gwtelemetry"
@@ -92,6 +93,9 @@
 	Dialect gwbackend.Dialect
 	// BackendOptions returns the connection options of a server, such as its user.
 	BackendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
+	// PeerMemory has the memory of large requests of other instances, and AnswerMemory that of
+	// large answers to them; nil for no bound.
+	PeerMemory, AnswerMemory *gwbudget.Pool
 	// Unreadable records requests of other instances that cannot be decoded; nil for none.
 	Unreadable *gwtelemetry.Unreadable
 	// EstimateSpeed makes the owner estimate the speed of its servers and use as many of their slots
@@ -128,6 +132,8 @@
 	backendOptions func(f gwcontrol.ServerFacts) gwbackend.Options
 	unreadable     *gwtelemetry.Unreadable
 	estimateSpeed  bool
+	peerMemory     *gwbudget.Pool
+	answerMemory   *gwbudget.Pool
 
 	attempts attempts
 
@@ -149,8 +155,8 @@
 		startGroup: o.StartGroup, recordCopies: o.RecordCopies, dialect: o.Dialect, inContact: o.InContact, freshWithoutLease: o.FreshWithoutLease, handOver: o.HandOver,
 		freshnessInterval: cmp.Or(o.Freshness, defaultFreshnessInterval), pollInterval: o.Poll,
 		dialTimeout: o.DialTimeout, settle: o.Settle, settleFar: o.SettleFar, backendOptions: o.BackendOptions, unreadable: o.Unreadable,
-		estimateSpeed: o.EstimateSpeed,
-		servers:       make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
+		estimateSpeed: o.EstimateSpeed, peerMemory: o.PeerMemory, answerMemory: o.AnswerMemory,
+		servers: make(map[string]*server), draining: make(map[*server]bool), ctx: ctx,
 	}
 	owner.register()
 	return owner
--- a/internal/gwprogram/process.go
+++ b/internal/gwprogram/process.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
 
+	"gentianward.example/gentianward/internal/gwbudget"
 	"gentianward.example/gentianward/internal/gwclock"
 	"gentianward.example/gentianward/internal/gwcontrol"
 	"gentianward.example/gentianward/internal/gwdaemon"
@@ -44,6 +46,15 @@
 	// reservedFiles is the number of file descriptors that callers do not get: those
 	// for links, connections to backend servers, the log and the data files.
 	reservedFiles = 600
+	// The following connections are a part of reservedFiles. Two failed checks of readiness
+	// take an instance out of service, and a machine is checked by a few checkers.
+	maxReadyConnections   = 64
+	maxMetricsConnections = 32
+	// maxControlConnections covers the heartbeats of all backend servers, about 24, and the
+	// calls of operators several times.
+	maxControlConnections = 256
+	// maxHandshakes covers a start of all 80 instances at once. A handshake takes milliseconds.
+	maxHandshakes = 128
 	// handOverLimit is how long open transactions may delay the handover of a primary.
 	// Most end within it, and rolling back the others costs less than a longer gap for
 	// the whole group.
@@ -111,7 +122,8 @@
 	if err != nil {
 		return err
 	}
-	go p.serveMetrics(telemetry)
+	debug.SetMemoryLimit(o.Budget.HeapLimit())
+	go p.serveMetrics(telemetry, o.Budget)
 	s := p.Settings
 	p.logSkippedSeeds(s)
 	p.Log.Info("instance started", "address", s.IP.String(), "dataCentre", s.DataCentre, "region", s.Region,
@@ -197,14 +209,24 @@
 // attempt; the port may still be in use by an earlier process.
 const metricsRetryInterval = 5 * time.Second
 
-func (p Process) serveMetrics(h http.Handler) {
+// metricsWriteTimeout bounds the write of the metrics, of some 100 KiB.
+const metricsWriteTimeout = 30 * time.Second
+
+func (p Process) serveMetrics(h gwdaemon.Telemetry, budget *gwbudget.Budget) {
 	s := p.Settings
+	connections := gwbudget.NewConnections("metrics", maxMetricsConnections, true, budget)
+	connections.Expose(h.Gauge)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h)
 	for {
-		srv := http.Server{Addr: net.JoinHostPort(s.IP.String(), strconv.Itoa(metricsPort)), Handler: mux, ReadHeaderTimeout: time.Second}
-		err := srv.ListenAndServe()
-		p.Log.Error("metrics not served", "address", srv.Addr, "error", err.Error())
+		address := net.JoinHostPort(s.IP.String(), strconv.Itoa(metricsPort))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			srv := gwbudget.HTTPServer(mux)
+			srv.WriteTimeout = metricsWriteTimeout
+			err = srv.Serve(connections.Listen(l))
+		}
+		p.Log.Error("metrics not served", "address", address, "error", err.Error())
 		time.Sleep(metricsRetryInterval)
 	}
 }
@@ -229,16 +251,18 @@
 			initialVoters[seed.String()] = s.PeerAddress(seed.String())
 		}
 	}
+	budget := gwbudget.New(s.MemoryBytes, p.Log)
 	unreadable := gwtelemetry.NewUnreadable(p.Log, telemetry.UnreadableMessage)
 	o := gwdaemon.Options{
 		Unreadable: unreadable,
+		Budget:     budget, MaxOperators: maxReadyConnections, MaxHandshakes: maxHandshakes,
 		Settings: &gwmanifest.Settings{
 			Instance: name, DataCentre: s.DataCentre, Region: s.Region, CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress(name),
 			OperatorAddress: s.ReadyAddress, Seeds: peerSeeds(s), DataFolder: s.DataFolder, MaxClockDrift: gwmanifest.DefaultMaxClockDrift,
 		},
 		Clock: gwclock.NewBootTime(), Log: p.Log, TLS: keys, Telemetry: telemetry,
 		Format:  gwcontrol.ManifestFormat{Parse: config.Parse, ParseAccepted: config.ParseAccepted, AnyLater: true},
-		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}, Unreadable: unreadable}, ServeCallers: p.serveCallers(unreadable),
+		Dialect: gwstatement.Dialect{Codec: platform.LineCodec{}, Unreadable: unreadable, Answers: budget.Answers}, ServeCallers: p.serveCallers(unreadable, budget, telemetry),
 		KeysValid:   s.KeysValid,
 		ControlOnly: !s.ServesCallers, InitialVoters: initialVoters, NamedByAddress: true, PeerListenAddress: p.PeerListen, RequireLeader: s.ServesCallers, HandOver: handOverLimit, Tuning: tuning, StopDelay: unreadyDelay,
 		Quota:        gwquota.Rules{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack},
@@ -249,6 +273,7 @@
 	if s.ServesControl {
 		o.FS = p.FS
 		o.StopDelay = 0
+		o.MaxOperators = maxControlConnections
 		o.Settings.OperatorAddress = s.ControlAddress
 		o.Routes = func(i *gwdaemon.Instance) http.Handler { return platform.ControlRoutes(i, p.Log) }
 	}
@@ -265,11 +290,13 @@
 }
 
 // serveCallers returns a function that accepts callers on a listener.
-func (p Process) serveCallers(unreadable *gwtelemetry.Unreadable) func(context.Context, net.Listener, *gwfilter.Entry) gwdaemon.CallerServer {
+func (p Process) serveCallers(unreadable *gwtelemetry.Unreadable, budget *gwbudget.Budget, telemetry gwdaemon.Telemetry) func(context.Context, net.Listener, *gwfilter.Entry) gwdaemon.CallerServer {
 	return func(ctx context.Context, l net.Listener, e *gwfilter.Entry) gwdaemon.CallerServer {
+		places := gwbudget.NewConnections("callers", budget.MaxConnections(max(1, p.Settings.MaxFiles-reservedFiles)), false, budget)
+		places.Expose(telemetry.Gauge)
 		return gwstatement.Serve(ctx, gwstatement.Options{
 			Listener: l, Codec: platform.LineCodec{}, Handler: gwfilter.StatementHandler{Entry: e, Codec: platform.LineCodec{}},
-			Logger: p.Log, MaxConnections: max(1, p.Settings.MaxFiles-reservedFiles), Unreadable: unreadable,
+			Logger: p.Log, Places: places, Budget: budget, Unreadable: unreadable,
 		})
 	}
 }
