gwquota: a report that arrives late does not settle what a new leader knows

A new leader assigned free shares once all recorded holders had reported. A report that was seconds on its way counted, although the leader before had answered a later one: shares of 1.1 to 1.2 times the whole were valid at the same time. An instance now counts as reported once it has applied an answer of the leader, and a claim that another report replaces counts as unknown again, also in the 8.24 s after which nothing is unknown. The times of starts come from the complete report that the answer belongs to.

Ruled out: leaving recorded holders out, with 8 s without shares after a loss of power; a term in each report, which says the same as the sequence of the last answer.

Tests of gwquota and gwquotas pass.

--- a/pkg/gwquota/ledger.go
+++ b/pkg/gwquota/ledger.go
@@ -41,6 +41,12 @@
 	sequence uint64
 	expires  time.Time
 	lines    []*entry // by ID
+	// began is when the run began, if no leader had answered it before its last complete report;
+	// else zero.
+	began time.Time
+	// confirmed means that the agent has applied an answer of this leader. Until then, the report
+	// may be an old one, and what it claims may belong to others by now.
+	confirmed bool
 }
 
 // entry is the share of one customer at one agent.
@@ -49,6 +55,7 @@
 	claim   claim
 	// counted is the greatest share that the agent may use; granted is what it was told last.
 	counted, granted Parts
+	claimed          Parts // of account.claimed
 }
 
 // account holds the shares of one customer.
@@ -106,20 +113,20 @@
 // Settled reports whether all shares that earlier leaders assigned have ended or been reported.
 func (l *Ledger) Settled(now time.Time) bool { return !now.Before(l.unknownUntil) }
 
-// noteReported records that an instance has reported all its shares, in its first report to any
-// leader or not.
-func (l *Ledger) noteReported(instance string, r Report, now time.Time) {
+// noteReported records that an agent has reported all its shares, and has applied this leader's
+// answer to that. A complete report alone does not show what the agent holds: it may have been sent
+// long ago, and another leader may have answered a later one.
+func (l *Ledger) noteReported(rec *record, now time.Time) {
 	if l.missing == nil || !now.Before(l.unknownUntil) {
 		return
 	}
-	if l.missing[instance] {
-		began := now.Add(-time.Duration(r.RunningMillis) * time.Millisecond)
-		l.survivors = l.survivors || r.RunningMillis == 0
-		if began.After(l.unusedSince) {
-			l.unusedSince = began
+	if l.missing[rec.instance] {
+		l.survivors = l.survivors || rec.began.IsZero()
+		if rec.began.After(l.unusedSince) {
+			l.unusedSince = rec.began
 		}
 	}
-	delete(l.missing, instance)
+	delete(l.missing, rec.instance)
 	if len(l.missing) > 0 {
 		return
 	}
@@ -218,7 +225,15 @@
 		return Answer{}, false, err
 	}
 	rec.sequence, rec.expires = r.Sequence, now.Add(CountedValidity)
-	l.noteReported(instance, r, now)
+	if r.Base == 0 {
+		rec.began = time.Time{}
+		if r.RunningMillis > 0 {
+			rec.began = now.Add(-time.Duration(r.RunningMillis) * time.Millisecond)
+		}
+	} else {
+		rec.confirmed = true
+		l.noteReported(rec, now)
+	}
 	answer.Shares = l.grant(now, rec, r.Base == 0, lines)
 	answer.Next = l.next(now, rec)
 	return answer, true, nil
@@ -280,6 +295,9 @@
 
 func (l *Ledger) remove(rec *record) {
 	for _, e := range rec.lines {
+		if !rec.confirmed {
+			e.account.claimed -= e.claimed
+		}
 		delete(e.account.entries, rec.run)
 	}
 	delete(l.agents, rec.run)
@@ -316,17 +334,16 @@
 		}
 		l.remove(old)
 	}
-	rec := &record{run: key}
+	rec := &record{run: key, confirmed: old != nil && old.confirmed}
 	l.agents[key] = rec
 	for _, line := range lines {
 		a := l.account(line.Name, now)
 		e := l.addEntry(rec, a, line)
-		if old != nil {
-			e.counted = min(line.Held, counted[line.Name])
-		} else {
-			claimable := l.unknown(a, now)
-			e.counted = min(line.Held, claimable)
-			a.claimed += e.counted
+		e.counted = min(line.Held, counted[line.Name])
+		if !rec.confirmed {
+			e.claimed = min(line.Held, l.unknown(a, now))
+			e.counted = max(e.counted, e.claimed)
+			a.claimed += e.claimed
 		}
 		e.granted = e.counted
 	}
