--- a/internal/gwcontrol/quotacluster_test.go
+++ b/internal/gwcontrol/quotacluster_test.go
@@ -21,7 +21,8 @@
 	modelQuotaRules = gwquota.Rules{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 	modelManifest   = (&gwmanifest.Manifest{
 		Number: 1, Customers: []gwmanifest.Customer{{Name: modelCustomer, Rate: 20, Burst: 20}},
-		Regions: []gwmanifest.Region{{Name: "r", DataCentres: []string{"a", "b", "c"}}},
+		Regions:   []gwmanifest.Region{{Name: "r", DataCentres: []string{"a", "b", "c"}}},
+		Databases: []gwmanifest.Database{{Name: "d", Groups: []gwmanifest.Group{{Name: "g"}, {Name: "h"}}}},
 	}).Index()
 )
 
