--- a/internal/gwsoak/run.go
+++ b/internal/gwsoak/run.go
@@ -339,6 +339,9 @@
 func (r *Run) describe(ip netip.Addr, s platform.Settings) *process {
 	s.IP, s.Region, s.Regions, s.PeerPort, s.FirstStart, s.MaxFiles, s.Grace = ip, regions[s.DataCentre], regions, r.port, true, maxFiles, platformtest.Grace
 	s.DataFolder = filepath.Join(r.o.Folder, s.Name)
+	if s.ServesCallers {
+		s.MemoryBytes = crowdMemory
+	}
 	last := int(ip.As4()[3])
 	return &process{
 		program: r.o.Program, folder: r.o.Folder, settings: s, controlPort: r.port + 2, seeds: r.seeds,
