--- a/internal/gwprogram/quota_test.go
+++ b/internal/gwprogram/quota_test.go
@@ -272,16 +272,15 @@
 	return most
 }
 
-// Guards against entry instances that together exceed a customer's limit, or refuse what is within
-// it: while both are crowded, while one stands still and after it goes on, and after one is killed
-// and started again.
-func TestQuotaOfTwoProcesses(t *testing.T) {
+// startCrowdedDeployment starts a deployment with callers at both entry instances, and waits for the
+// first operation. cancel stops the callers.
+func startCrowdedDeployment(t *testing.T) (d *quotaDeployment, callers *crowd, ran *runs, cancel context.CancelFunc) {
+	t.Helper()
 	s := startExactServer(t)
-	d := startQuotaDeployment(t)
+	d = startQuotaDeployment(t)
 	d.publish(s)
 	ctx, cancel := context.WithCancel(t.Context())
-	var ran runs
-	var callers crowd
+	callers, ran = &crowd{}, &runs{}
 	for range 6 {
 		for host := 20; host < 22; host++ {
 			callers.wg.Go(func() { callers.run(ctx, d.address(host, 2)) })
@@ -289,6 +288,14 @@
 	}
 	go ran.record(ctx, s)
 	require.Eventually(t, func() bool { return ran.between(time.Time{}, time.Now()) > 0 }, 20*time.Second, 20*time.Millisecond, "the first operation")
+	return d, callers, ran, cancel
+}
+
+// Guards against entry instances that together exceed a customer's limit, or refuse what is within
+// it: while both are crowded, while one stands still and after it goes on, and after one is killed
+// and started again.
+func TestQuotaOfTwoProcesses(t *testing.T) {
+	d, callers, ran, cancel := startCrowdedDeployment(t)
 	time.Sleep(2 * time.Second)
 	phase := func(name string, run time.Duration) int {
 		from := time.Now()
@@ -316,8 +323,8 @@
 	assert.GreaterOrEqual(t, float64(phase("both run again, later", usual)), enough)
 	cancel()
 	callers.wg.Wait()
-	t.Logf("at most %d operations in 5 s, %d refusals, such as %s", ran.most(&callers), callers.refusals, callers.refusal)
-	assert.LessOrEqual(t, float64(ran.most(&callers)), quotaBound)
+	t.Logf("at most %d operations in 5 s, %d refusals, such as %s", ran.most(callers), callers.refusals, callers.refusal)
+	assert.LessOrEqual(t, float64(ran.most(callers)), quotaBound)
 	assert.Regexp(t, `it has capacity in \d+ ms, at \d{4}-`, callers.refusal)
 }
 
@@ -325,19 +332,7 @@
 // later than 10 s after a loss of power everywhere, or at once, when those of before may just have
 // been used.
 func TestQuotaAfterLossOfLeaderAndPower(t *testing.T) {
-	s := startExactServer(t)
-	d := startQuotaDeployment(t)
-	d.publish(s)
-	ctx, cancel := context.WithCancel(t.Context())
-	var ran runs
-	var callers crowd
-	for range 6 {
-		for host := 20; host < 22; host++ {
-			callers.wg.Go(func() { callers.run(ctx, d.address(host, 2)) })
-		}
-	}
-	go ran.record(ctx, s)
-	require.Eventually(t, func() bool { return ran.between(time.Time{}, time.Now()) > 0 }, 20*time.Second, 20*time.Millisecond, "the first operation")
+	d, callers, ran, cancel := startCrowdedDeployment(t)
 	time.Sleep(3 * time.Second)
 	callers.mu.Lock()
 	callers.unchecked = 0
@@ -362,7 +357,7 @@
 	time.Sleep(3 * time.Second)
 	cancel()
 	callers.wg.Wait()
-	t.Logf("first operation %v after the loss of power; at most %d operations in 5 s", took, ran.most(&callers))
+	t.Logf("first operation %v after the loss of power; at most %d operations in 5 s", took, ran.most(callers))
 	assert.Less(t, took, 10*time.Second)
-	assert.LessOrEqual(t, float64(ran.most(&callers)), quotaBound)
+	assert.LessOrEqual(t, float64(ran.most(callers)), quotaBound)
 }
