--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -19,7 +19,8 @@
 
 // scenarios has the scenario of each case. A scenario returns true if the rule was broken.
 var scenarios = map[string]func(l *lab, trouble bool) (broken bool, err error){
-	"unknown-copy": unknownCopy,
+	"unknown-copy":  unknownCopy,
+	"empty-primary": emptyPrimary,
 }
 
 func main() {
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -63,7 +63,7 @@
 func (g *group) add(s *server, address string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := s.open(address); err != nil {
+	if err := s.open(address, ""); err != nil {
 		return err
 	}
 	g.servers = append(g.servers, s)
@@ -75,14 +75,17 @@
 	return nil
 }
 
-// open begins a run of the server; the lock of the group is held.
-func (s *server) open(address string) error {
+// open begins a run of the server, under a new id if none is given; the lock of the group is held.
+func (s *server) open(address, id string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
 	s.listener, s.address, s.conns = l, l.Addr().String(), make(map[net.Conn]bool)
-	s.id, s.born, s.sequence, s.down = newID(), time.Now().UnixMilli(), 0, false
+	if id == "" {
+		id = newID()
+	}
+	s.id, s.born, s.sequence, s.down = id, time.Now().UnixMilli(), 0, false
 	s.g.lab.note("SERVER %s (%s) starts at %s in %s", s.id, s.label, s.address, s.zone)
 	go s.accept(l)
 	go s.sendHeartbeats(s.id)
@@ -106,7 +109,7 @@
 func (s *server) restart() error {
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	if err := s.open(s.address); err != nil {
+	if err := s.open(s.address, ""); err != nil {
 		return err
 	}
 	s.paused = 0
@@ -117,6 +120,20 @@
 	return nil
 }
 
+// restartEmpty begins a new run under the same id, which holds nothing of before.
+func (s *server) restartEmpty() error {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.primary, s.term, s.paused, s.log, s.applied = false, 0, 0, nil, position{}
+	if err := s.open(s.address, s.id); err != nil {
+		return err
+	}
+	if s.g.leads != s {
+		s.g.followLater(s, s.g.leads)
+	}
+	return nil
+}
+
 func (s *server) position() position { return position{s.term, len(s.log)} }
 
 func (s *server) role() string {
