--- a/review/lab/deploy.go
+++ b/review/lab/deploy.go
@@ -37,6 +37,7 @@
 	zone    string
 	control bool
 	started bool
+	down    bool
 
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -56,6 +57,8 @@
 	mu        sync.Mutex
 	instances []*instance
 	groups    map[string]*group
+	platform  platformState
+	called    func(id string) // receives the servers that the platform is asked to promote
 }
 
 // note writes a line to the record.
@@ -211,6 +214,28 @@
 	return nil
 }
 
+// platformState is how the platform's API answers.
+type platformState int
+
+const (
+	platformUp platformState = iota
+	// platformDown breaks calls off and does nothing.
+	platformDown
+	platformRefuses
+	platformSlow
+	platformLosesAnswers
+)
+
+// slowCall is how late a slow platform acts and answers.
+const slowCall = 2500 * time.Millisecond
+
+func (l *lab) setPlatform(s platformState) {
+	l.mu.Lock()
+	l.platform = s
+	l.mu.Unlock()
+	l.note("PLATFORM state %d", s)
+}
+
 // servePlatform serves the platform's API.
 func (l *lab) servePlatform() error {
 	nl, err := net.Listen("tcp", l.address(100, platformPort))
@@ -224,9 +249,28 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		l.mu.Lock()
+		state, called := l.platform, l.called
+		l.mu.Unlock()
+		if called != nil {
+			called(body.ID)
+		}
 		g := l.groups[body.Service]
+		switch state {
+		case platformDown:
+			l.note("PLATFORM breaks off the call for %s by %s", body.ID, r.Header.Get("X-Gentianward-Lease-Holder"))
+			panic(http.ErrAbortHandler)
+		case platformRefuses:
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		case platformSlow:
+			time.Sleep(slowCall)
+		}
 		ok := g != nil && g.promote(body.ID)
 		l.note("PLATFORM promote %s of %s by %s with fence %s: accepted %v", body.ID, body.Service, r.Header.Get("X-Gentianward-Lease-Holder"), r.Header.Get("X-Gentianward-Fencing-Token"), ok)
+		if state == platformLosesAnswers {
+			panic(http.ErrAbortHandler)
+		}
 		if !ok {
 			w.WriteHeader(http.StatusConflict)
 		}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -19,8 +19,10 @@
 
 // scenarios has the scenario of each case. A scenario returns true if the rule was broken.
 var scenarios = map[string]func(l *lab, trouble bool) (broken bool, err error){
-	"unknown-copy":  unknownCopy,
-	"empty-primary": emptyPrimary,
+	"unknown-copy":   unknownCopy,
+	"empty-primary":  emptyPrimary,
+	"promoted-empty": promotedEmpty,
+	"chaos":          chaos,
 }
 
 func main() {
