--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -22,6 +22,7 @@
 	"unknown-copy":   unknownCopy,
 	"empty-primary":  emptyPrimary,
 	"promoted-empty": promotedEmpty,
+	"odd-heartbeat":  oddHeartbeat,
 	"chaos":          chaos,
 }
 
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -46,6 +46,10 @@
 	// cut means that the server and the control instances do not reach each other.
 	cut      bool
 	draining bool
+	// drainAcknowledged is when a control instance has acknowledged that the server is draining.
+	drainAcknowledged time.Time
+	// late has the statements that arrived later than allowed after that.
+	late     []string
 	sequence int
 
 	wakeUp   chan struct{}
@@ -198,7 +202,7 @@
 			return
 		}
 		body, err := s.heartbeat()
-		cut, sequence := s.cut, s.sequence
+		cut, sequence, draining := s.cut, s.sequence, s.draining
 		s.g.mu.Unlock()
 		if err != nil {
 			return
@@ -215,7 +219,13 @@
 			}
 			at++
 		}
-		if !acknowledged || sequence == 1 {
+		s.g.mu.Lock()
+		first := acknowledged && draining && s.drainAcknowledged.IsZero()
+		if first {
+			s.drainAcknowledged = time.Now()
+		}
+		s.g.mu.Unlock()
+		if !acknowledged || sequence == 1 || first {
 			s.g.lab.note("SERVER %s (%s) heartbeat %d acknowledged: %v", id, s.label, sequence, acknowledged)
 		}
 		select {
@@ -381,8 +391,23 @@
 	return c.primary
 }
 
+// drainTime is drain_ms of the settings.
+const drainTime = 7 * time.Second
+
+// noteLate records a single statement that arrives although the server has been known to leave for
+// longer than drainTime.
+func (c *connection) noteLate(id, word string) {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	if at := c.drainAcknowledged; id != "-" && c.state == "I" && !at.IsZero() && time.Since(at) > drainTime {
+		c.late = append(c.late, id)
+		c.g.lab.note("JUDGE %s %s arrived at %s (%s) %.1f s after it was acknowledged that the server is draining", id, word, c.id, c.label, time.Since(at).Seconds())
+	}
+}
+
 // work runs a read, a write or a commit.
 func (c *connection) work(id, word, rest string) ([]string, bool) {
+	c.noteLate(id, word)
 	if !c.occupy() {
 		return c.fail("BUSY")
 	}
