--- a/review/lab/emptyprimary.go
+++ b/review/lab/emptyprimary.go
@@ -19,7 +19,7 @@
 // its id, which then holds nothing of before. The rule is that a read on a route of kind primary runs
 // on a log that has every commit which was acknowledged before.
 func emptyPrimary(l *lab, trouble bool) (bool, error) {
-	g, err := l.startGroup("huvo11a")
+	g, err := l.startGroup()
 	if err != nil {
 		return false, err
 	}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -76,10 +76,13 @@
 	os.Exit(notRun)
 }
 
+// groupName is the name of the service.
+const groupName = "huvo11a"
+
 // startGroup starts a group with a server in each zone; the first one leads.
-func (l *lab) startGroup(name string) (*group, error) {
-	g := newGroup(l, name)
-	l.groups[name] = g
+func (l *lab) startGroup() (*group, error) {
+	g := newGroup(l, groupName)
+	l.groups[g.name] = g
 	for n, z := range zones {
 		if _, err := g.start(fmt.Sprintf("S%d", n+1), z, fmt.Sprintf("%s.%d:0", l.prefix, 51+n)); err != nil {
 			return nil, err
--- a/review/lab/oddheartbeat.go
+++ b/review/lab/oddheartbeat.go
@@ -37,7 +37,7 @@
 // heartbeat lacks a field and has one of another type, so that it names no backend to use. The rule is
 // that no request reaches the replica later than drain_ms after its own report was acknowledged.
 func oddHeartbeat(l *lab, trouble bool) (bool, error) {
-	g, err := l.startGroup("huvo11a")
+	g, err := l.startGroup()
 	if err != nil {
 		return false, err
 	}
--- a/review/lab/promotedempty.go
+++ b/review/lab/promotedempty.go
@@ -8,7 +8,7 @@
 // was asked to promote starts again under its id, which then holds nothing of before. The rule is that
 // the promoted server has every acknowledged write.
 func promotedEmpty(l *lab, trouble bool) (bool, error) {
-	g, err := l.startGroup("huvo11a")
+	g, err := l.startGroup()
 	if err != nil {
 		return false, err
 	}
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -165,7 +165,7 @@
 		s.conns[nc] = true
 		s.g.mu.Unlock()
 		go func() {
-			c := connection{server: s, wire: newWire(nc), state: "I"}
+			c := connection{server: s, wire: newWire(nc), state: "I", prepared: make(map[string]string)}
 			c.serve()
 			_ = nc.Close()
 			s.g.mu.Lock()
@@ -331,22 +331,28 @@
 	return append(out, fmt.Sprintf("COMPLETE 7.%s.%d", c.id, serial.Add(1))), true
 }
 
+// checkPosition cuts a position that the log must contain off a statement, and reports whether the log
+// does.
+func (c *connection) checkPosition(text string) (statement string, contained bool) {
+	rest, ok := strings.CutPrefix(text, "AFTER ")
+	if !ok {
+		return text, true
+	}
+	var after position
+	place, statement, _ := strings.Cut(rest, " ")
+	_, _ = fmt.Sscanf(place, "%d.%d", &after.term, &after.n)
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	return statement, c.applied.atLeast(after)
+}
+
 // query runs a statement. It returns false if the connection ends without an answer.
 func (c *connection) query(id, text string) ([]string, bool) {
-	word, rest, _ := strings.Cut(text, " ")
-	if word == "AFTER" {
-		var after position
-		place, statement, _ := strings.Cut(rest, " ")
-		_, _ = fmt.Sscanf(place, "%d.%d", &after.term, &after.n)
-		c.g.mu.Lock()
-		contains := c.applied.atLeast(after)
-		c.g.mu.Unlock()
-		if !contains {
-			return c.fail("LAGGING")
-		}
-		text = statement
-		word, rest, _ = strings.Cut(text, " ")
+	text, contained := c.checkPosition(text)
+	if !contained {
+		return c.fail("LAGGING")
 	}
+	word, rest, _ := strings.Cut(text, " ")
 	if c.state == "E" && word != "COMMIT" && word != "ROLLBACK" {
 		return c.fail("MALFORMED")
 	}
@@ -362,13 +368,12 @@
 		c.state, c.writes, c.ids = "I", nil, nil
 	case "FETCH", "STORE", "COMMIT":
 		return c.work(id, word, rest)
-	case "SET", "DISCARD", "PREPARE", "DEALLOC":
-		if c.prepared == nil || word == "DISCARD" {
-			c.prepared = make(map[string]string)
-		}
-		if name, shape, _ := strings.Cut(rest, " "); word == "PREPARE" {
-			c.prepared[name] = shape
-		}
+	case "SET", "DEALLOC":
+	case "DISCARD":
+		c.prepared = make(map[string]string)
+	case "PREPARE":
+		name, shape, _ := strings.Cut(rest, " ")
+		c.prepared[name] = shape
 	case "EXECUTE":
 		name, arguments, _ := strings.Cut(rest, " ")
 		shape, ok := c.prepared[name]
@@ -468,7 +473,7 @@
 		c.paused = 0
 		c.g.followLater(c.server, c.g.leads)
 	case "STEPDOWN":
-		if c.primary && c.server.term < term {
+		if c.primary && c.term < term {
 			c.primary = false
 			c.g.changed.Broadcast()
 		}
@@ -476,7 +481,7 @@
 	if word != "STATUS" {
 		c.g.lab.note("SERVER %s (%s) %s %s: received %s", c.id, c.label, word, rest, c.position())
 	}
-	row := fmt.Sprintf("%s %d %s %d 0 %d %d", c.role(), c.server.term, c.position(), c.paused, c.queued, len(c.conns))
+	row := fmt.Sprintf("%s %d %s %d 0 %d %d", c.role(), c.term, c.position(), c.paused, c.queued, len(c.conns))
 	return []string{"DATAROW " + row, "COMPLETE -"}, true
 }
 
--- a/review/lab/unknowncopy.go
+++ b/review/lab/unknowncopy.go
@@ -8,7 +8,7 @@
 // and receives from the primary. The other replicas receive nothing for a while, and the primary
 // crashes meanwhile. The rule is that the promoted server has every acknowledged write.
 func unknownCopy(l *lab, trouble bool) (bool, error) {
-	g, err := l.startGroup("huvo11a")
+	g, err := l.startGroup()
 	if err != nil {
 		return false, err
 	}
